--- a/snowshed/choice.py
+++ b/snowshed/choice.py
@@ -428,8 +428,9 @@
     def _answer(self, request: Request) -> None:
         """Refuse where a repeat is harmless, else fail."""
         effect, name = request.klass.effect, request.ask.request
-        safe = not request.attempts or request.ran_on is None and not request.out
-        if safe or effect is Effect.SAFE or effect is Effect.KEYED and request.klass.scope is DedupScope.ALL:
+        safe = not request.attempts or (request.ran_on is None and not request.out)
+        keyed = effect is Effect.KEYED and request.klass.scope is DedupScope.ALL
+        if safe or effect is Effect.SAFE or keyed:
             self.actions.append(Refuse(name, 0))
         else:
             self.actions.append(Fail(name))
@@ -459,7 +460,7 @@
         """Answer what can no longer be served, before its client gives up."""
         soon = self.now + self.lead_us
         while self.deadlines and self.deadlines[0][0] <= soon:
-            due, name = heapq.heappop(self.deadlines)
+            _, name = heapq.heappop(self.deadlines)
             request = self.requests.get(name)
             if request is None or request.done or request.started:
                 continue
@@ -518,7 +519,7 @@
         """The bound on units out: the learned rate times a part of the tightest aim, floored and capped."""
         last = max((slot.sent for slot in book.slots.values() if slot.units), default=0)
         lone = book.silent and self._usual_wait() < PART * self.aim
-        if not last or lone and self.now - last > 2 * SILENT * self.aim:
+        if not last or (lone and self.now - last > 2 * SILENT * self.aim):
             return True     # one may go when none is out that may answer; what is silent alone is tried anew
         if book.silent or book.failures > 1 or len(book.slots) >= CEILING:
             return False
