--- a/snowshed/drill.py
+++ b/hophinge/adapter.py
@@ -1,4 +1,4 @@
-"""The wire adapter: ``python -m snowshed.drill`` hosts independent schedulers on the simulator's wire."""
+"""The wire adapter: ``python -m hophinge.adapter`` hosts independent schedulers on the simulator's wire."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TextIO
 
-from snowshed import interface as api
-from snowshed.choice import Scheduler
+from hophinge import interface as api
+from hophinge.choice import Scheduler
 
 EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 PHASES = {"on": api.Phase.ON, "fading": api.Phase.DRAINING, "off": api.Phase.GONE}
--- a/snowshed/interface.py
+++ b/hophinge/interface.py
@@ -1,4 +1,4 @@
-"""The interface of snowshed: settings, events and actions, in whole microseconds. Nothing is decided.
+"""The interface of hophinge: settings, events and actions, in whole microseconds. Nothing is decided.
 
 A figure that a deployment does not state is 0, a list that it does not state is empty.
 """
--- a/snowshed/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""snowshed: the decisions of a host-side I/O scheduler for a shared pool of storage nodes."""
--- a/tests/test_drill.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from snowshed.drill import serve
+from hophinge.adapter import serve
 
 SETUP = {
     "Me": 0, "Balancers": 1, "PeriodUs": 2000, "Discovery": "pushed", "Novelty": 1,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from snowshed.choice import GROUP, Scheduler
-from snowshed.interface import (
+from hophinge.choice import GROUP, Scheduler
+from hophinge.interface import (
     Action,
     Allowed,
     Arrival,
