--- a/hophinge/adapter.py
+++ b/hophinge/adapter.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections.abc import Callable, Mapping
-from typing import Any, TextIO
+from typing import TextIO
 
 from hophinge import interface as api
 from hophinge.choice import Scheduler
+from hophinge.settings import REPORT_FIELDS, read_settings
 
-EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 PHASES = {"on": api.Phase.ON, "fading": api.Phase.DRAINING, "off": api.Phase.GONE}
 KINDS = {"Partial": api.ListKind.CHANGES, "Complete": api.ListKind.FULL, "Persisted": api.ListKind.SAVED,
          "Error": api.ListKind.ERROR}
 RESULTS = {"done": api.Result.OK, "err": api.Result.ERROR, "busy": api.Result.FULL,
            "etimedout": api.Result.TIMEOUT, "econnrefused": api.Result.CONNECT_FAILED,
            "econnreset": api.Result.RESET, "ecanceled": api.Result.CANCELLED, "skipped": api.Result.MOOT}
-REPORT_FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "rate",
-                 "fail_rate": "errors"}
 
 
 class WireError(Exception):
@@ -43,85 +40,6 @@
     return {REPORT_FIELDS.get(name, name): float(value) for name, value in pairs}
 
 
-def settings(text: str) -> api.Settings:
-    """Translate the settings object of a start."""
-    setup = json.loads(text)
-    if not isinstance(setup, dict):
-        raise WireError("the settings are no object")
-
-    def part(name: str) -> dict[str, Any]:
-        return setup.get(name) or {}
-
-    rules, caps, domain, load = part("Rules"), part("Caps"), part("Domain"), part("Report")
-    fields = tuple(REPORT_FIELDS.get(name, name) for name in load.get("Fields") or ())
-    return api.Settings(
-        me=int(setup.get("Me", 0)),
-        gateways=int(setup.get("Balancers", 0)),
-        tick_us=int(setup.get("PeriodUs", 0)),
-        classes=tuple(request_class(row) for row in setup.get("RequestClasses") or ()),
-        plans=tuple(plan(row) for row in setup.get("Grades") or ()),
-        rules=api.Rules(
-            answer_grace_us=int(rules.get("GraceToAnswerUs", 0)),
-            drain_grace_us=int(rules.get("DrainGraceUs", 0)),
-            fall_multiple=float(rules.get("FallMultiple", 0)),
-            fall_us=int(rules.get("FallUs", 0)),
-            cold_share=float(rules.get("ColdShare", 0)),
-            cold_us=int(rules.get("ColdUs", 0)),
-            cold_units=float(domain.get("YoungLimit", 0)),
-            budget_free=float(rules.get("SpareAttempts", 0)),
-            budget_share=float(rules.get("ResendRatio", 0)),
-            budget_us=int(rules.get("LookBackUs", 0)),
-            settle_us=int(rules.get("TurnGapUs", 0)),
-            ask_within_us=int(rules.get("AskWithinUs", 0)),
-        ),
-        allowed=api.Allowed(
-            attempts=int(caps.get("MaxAttempts", 0)),
-            second_copies=bool(caps.get("SecondCopies", False)),
-            cancel=bool(caps.get("Cancel", False)),
-            probes=bool(caps.get("Probing", False)),
-            retry_after_us=int(caps.get("MaxRetryAfterUs", 0)) if caps.get("RetryAfter") else 0,
-        ),
-        discovery=api.Discovery(setup.get("Discovery", "pushed")),
-        mean_units=float(domain.get("MeanUnits", 0)),
-        most_units=float(domain.get("Largest", 0)),
-        share_worth=float(domain.get("WithinShare", 0)),
-        spare_worth=float(domain.get("BeyondShare", 0)),
-        meter_us=int(domain.get("MeterPeriodUs", 0)),
-        tells_elsewhere=bool(domain.get("SaysOthers", False)),
-        report_fields=fields,
-        report_in_answers=load.get("Source") == "answers",
-        probe_price=float(part("Penalties").get("Probe", 0)),
-    )
-
-
-def request_class(row: Mapping[str, Any]) -> api.RequestClass:
-    """Translate one class of the settings."""
-    return api.RequestClass(
-        aim_us=int(row.get("GoalTimeUs", 0)),
-        deadline_us=int(row.get("DeadlineUs", 0)),
-        effect=EFFECTS[row.get("Effect", "side_effect")],
-        scope=api.DedupScope(row.get("Group") or "cell"),
-        dedup_window_us=int(row.get("DedupWindowUs", 0)),
-        worth=float(row.get("Importance", 0)),
-        late_worth=float(row.get("LateWorth", 0)),
-        in_order=bool(row.get("Sequential", False)),
-        stream=bool(row.get("Stream", False)),
-    )
-
-
-def plan(row: Mapping[str, Any]) -> api.Plan:
-    """Translate one plan of the settings."""
-    return api.Plan(
-        rate=float(row.get("BaseRate", 0)),
-        reserve=float(row.get("Reserve", 0)),
-        weight=float(row.get("Proportion", 0)),
-        price=float(row.get("Price", 0)),
-        limit=float(row.get("Limit", 0)),
-        limit_burst=float(row.get("CapDepth", 0)),
-        limit_slack=float(row.get("LimitSlack", 0)),
-    )
-
-
 def entry(line: str) -> api.NodeEntry:
     """Translate one line of a node list."""
     word, node, zone, kind, shard, phase, units, since = line.split("\t")
@@ -210,7 +128,7 @@
                     who = int(part[0])
                 elif word == "start":
                     settle()
-                    self.schedulers[who] = Scheduler(settings("\t".join(part[1:])), int(part[0]))
+                    self.schedulers[who] = Scheduler(read_settings("\t".join(part[1:])), int(part[0]))
                 elif word == "halt":
                     pending.clear()
                     out.pop(who, None)  # all that the killed instance would have done is void
--- /dev/null
+++ b/hophinge/exchange.py
@@ -0,0 +1,291 @@
+"""The exchange: the one place where the client side and the server side meet.
+
+It owns the open requests and their attempts, drives the Scheduler with what happened in one turn of the loop as
+one batch, carries out its actions through callbacks, and gives each request one final answer. It knows no wire:
+what a front passes on with a request (its payload) goes to the back as it came.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from hophinge import interface as api
+from hophinge.choice import Scheduler
+from hophinge.counters import Counters
+
+BACKSTOP = 0.5      # part of the answer's grace after which a request that the module forgot is failed
+
+
+class Timer(Protocol):
+    """A timer that can be taken back."""
+
+    def cancel(self) -> None:
+        """Take the timer back."""
+
+
+class Loop(Protocol):
+    """Time as the exchange needs it; every wait is a timer of its own."""
+
+    def now_us(self) -> int:
+        """Tell the time on the one clock."""
+
+    def call_at(self, when_us: int, callback: Callable[[], None]) -> Timer:
+        """Call back at a time."""
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call back in the loop's next turn."""
+
+
+class Verdict(Enum):
+    """How a request ended for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a request."""
+
+    verdict: Verdict
+    body: bytes = b""
+    retry_after_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """How an attempt ended, as the back saw it."""
+
+    result: api.Result
+    body: bytes = b""
+    used: int = 0
+    elsewhere: float = 0.0
+    report: dict[str, float] = field(default_factory=dict)
+
+
+class Open:
+    """A request from its arrival until it is answered and no attempt of it is out."""
+
+    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent")
+
+    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int) -> None:
+        self.ask, self.payload, self.deadline = ask, payload, deadline
+        self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
+        self.attempts: dict[int, Attempt] = {}
+        self.sent = 0
+        self.backstop: Timer | None = None
+
+
+class Attempt:
+    """One attempt that is out; ``may_go`` is to be asked just before its bytes are written."""
+
+    __slots__ = ("exchange", "give_up", "node", "number", "request", "since", "stop", "timer")
+
+    def __init__(self, exchange: Exchange, request: Open, number: int, node: str, since: int, give_up: int) -> None:
+        self.exchange, self.request, self.number, self.node = exchange, request, number, node
+        self.since, self.give_up = since, give_up
+        self.stop: Callable[[], None] | None = None
+        self.timer: Timer | None = None
+
+    def may_go(self) -> bool:
+        """Guard drains, answered requests and deadlines after a wait for a connection."""
+        # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
+        return (self.request.answer is not None and self.exchange.now_us() < self.give_up
+                and self.exchange.phases.get(self.node) is api.Phase.ON)
+
+    def left_us(self) -> int:
+        """Tell how long the attempt will be waited for."""
+        return max(0, self.give_up - self.exchange.now_us())
+
+    def end(self, end: End) -> None:
+        """Report the end; whatever comes after the first one is void."""
+        self.exchange.ended(self, end)
+
+
+Start = Callable[[Attempt], Callable[[], None]]
+
+
+class Exchange:
+    """The open requests of one head."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: Loop, counters: Counters,
+                 log: Callable[[str], None]) -> None:
+        self.settings, self.loop, self.counters, self.log = settings, loop, counters, log
+        self.now_us = loop.now_us
+        self.scheduler = Scheduler(settings, seed)
+        self.start: Start | None = None             # the back; set once it is there
+        self.probe: Callable[[str], None] | None = None
+        self.open: dict[str, Open] = {}
+        self.phases: dict[str, api.Phase] = {}
+        self.shards: dict[str, int] = {}
+        self.events: list[api.Event] = []
+        self.unanswered = 0
+        self.idle: Callable[[], None] | None = None     # called when nothing unanswered is left
+
+    # --- what comes in
+
+    def arrive(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None]) -> None:
+        """Take a request; ``answer`` is called once, never within this call, unless its client departs."""
+        if ask.request in self.open:
+            raise ValueError(f"request {ask.request} is open already")
+        deadline = self.now_us() + ask.time_left_us
+        request = self.open[ask.request] = Open(ask, payload, answer, deadline)
+        # One answer in time, whatever the module does: it is failed when nothing else has answered by then.
+        grace = int(self.settings.rules.answer_grace_us * BACKSTOP)
+        request.backstop = self.loop.call_at(deadline + grace, lambda: self._overdue(request))
+        self.unanswered += 1
+        self.counters.add("requests_taken")
+        self._event(ask)
+
+    def depart(self, name: str) -> None:
+        """A request's client has gone: no answer is owed, what is out still ends."""
+        request = self.open.get(name)
+        if request is not None and request.answer is not None:
+            self.counters.add("requests_departed")
+            self._close(request)
+            self._event(api.Departure(name))
+
+    def nodes(self, event: api.NodeList) -> None:
+        """Take a node list, or what changed in it."""
+        if event.kind is api.ListKind.FULL:
+            named = {entry.node for entry in event.entries}
+            for node in self.phases.keys() - named:
+                self.phases[node] = api.Phase.GONE
+        for entry in event.entries:
+            self.phases[entry.node] = entry.phase
+            self.shards[entry.node] = entry.shard
+        self._event(event)
+
+    def probed(self, event: api.ProbeResult) -> None:
+        """Take the end of a probe."""
+        self._event(event)
+
+    def ended(self, attempt: Attempt, end: End) -> None:
+        """Take the end of an attempt: the first one counts, and the first served answers the request."""
+        request = attempt.request
+        if request.attempts.get(attempt.number) is not attempt:
+            return
+        del request.attempts[attempt.number]
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.counters.add(f"attempts_{end.result.value}")
+        finished = request.answer is None
+        if end.result is api.Result.OK and not finished:
+            finished = True
+            self._answer(request, Answer(Verdict.SERVED, end.body))
+        self._event(api.Outcome(
+            request.ask.request, attempt.number, attempt.node, end.result, self.now_us() - attempt.since, finished,
+            end.used, end.elsewhere, end.report))
+        self._forget(request)
+
+    # --- the batch
+
+    def _event(self, event: api.Event) -> None:
+        if not self.events:
+            self.loop.call_soon(self._turn)
+        self.events.append(event)
+
+    def _turn(self) -> None:
+        events, self.events = self.events, []
+        now = self.now_us()
+        try:
+            actions = self.scheduler.handle(now, events)
+        except Exception:
+            # A fault of the module must not leave a client without its answer: what arrived now is failed here,
+            # what arrived before by its backstop at the latest.
+            self.counters.add("module_faults")
+            self.log(traceback.format_exc())
+            for event in events:
+                if isinstance(event, api.Arrival) and (request := self.open.get(event.request)):
+                    self._answer(request, Answer(Verdict.FAILED))
+                    self._event(api.Departure(event.request))
+            return
+        for action in actions:
+            self._act(action, now)
+
+    def _act(self, action: api.Action, now: int) -> None:
+        match action:
+            case api.Send():
+                self._send(action, now)
+            case api.Cancel():
+                request = self.open.get(action.request)
+                if request and (attempt := request.attempts.get(action.attempt)):
+                    self._stop(attempt, api.Result.CANCELLED)
+            case api.Refuse():
+                if request := self.open.get(action.request):
+                    self._answer(request, Answer(Verdict.REFUSED, b"", action.retry_after_us))
+            case api.Fail():
+                if request := self.open.get(action.request):
+                    self._answer(request, Answer(Verdict.FAILED))
+            case api.SetTimer():
+                token = action.token
+                self.loop.call_at(now + action.delay_us, lambda: self._event(api.TimerDue(token)))
+            case api.Probe():
+                if self.probe is not None:
+                    self.counters.add("probes_sent")
+                    self.probe(action.node)
+            case api.Log():
+                self.log(action.text)
+            case api.Watch():
+                pass    # discovery watches all the time
+
+    def _send(self, action: api.Send, now: int) -> None:
+        request = self.open.get(action.request)
+        if request is None:
+            return      # answered and forgotten: the module has been told, or is about to be
+        give_up = min(action.give_up_us or request.deadline, request.deadline)
+        attempt = Attempt(self, request, request.sent, action.node, now, give_up)
+        request.sent += 1
+        request.attempts[attempt.number] = attempt
+        shard, most = request.ask.shard, self.settings.allowed.attempts
+        if (not attempt.may_go() or 0 < most < request.sent or 0 <= shard != self.shards.get(action.node)
+                or self.start is None):
+            attempt.end(End(api.Result.MOOT))
+            return
+        self.counters.add("attempts_sent")
+        attempt.timer = self.loop.call_at(give_up, lambda: self._stop(attempt, api.Result.TIMEOUT))
+        try:
+            attempt.stop = self.start(attempt)
+        except Exception:
+            self.log(traceback.format_exc())
+            attempt.end(End(api.Result.CONNECT_FAILED))
+
+    def _stop(self, attempt: Attempt, result: api.Result) -> None:
+        """Give an attempt up: its end is reported first, so that nothing the back still says counts."""
+        attempt.end(End(result))
+        if attempt.stop is not None:
+            attempt.stop()
+
+    # --- answers
+
+    def _overdue(self, request: Open) -> None:
+        if request.answer is not None:
+            self.counters.add("requests_overdue")
+            self._answer(request, Answer(Verdict.FAILED))
+            self._event(api.Departure(request.ask.request))
+
+    def _answer(self, request: Open, answer: Answer) -> None:
+        if request.answer is None:
+            return
+        give = request.answer
+        self.counters.add(f"requests_{answer.verdict.value}")
+        self._close(request)
+        self._forget(request)
+        give(answer)
+
+    def _close(self, request: Open) -> None:
+        request.answer = None
+        if request.backstop is not None:
+            request.backstop.cancel()
+        self.unanswered -= 1
+        if not self.unanswered and self.idle is not None:
+            self.idle()
+
+    def _forget(self, request: Open) -> None:
+        if request.answer is None and not request.attempts:
+            self.open.pop(request.ask.request, None)
--- a/hophinge/interface.py
+++ b/hophinge/interface.py
@@ -76,6 +76,7 @@
     late_worth: float
     in_order: bool
     stream: bool
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +90,7 @@
     limit: float
     limit_burst: float
     limit_slack: float
+    name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +120,8 @@
     cancel: bool
     probes: bool
     retry_after_us: int
+    connect_timeout_us: int = 0
+    conn_idle_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +145,8 @@
     report_fields: tuple[str, ...]
     report_in_answers: bool
     probe_price: float
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hophinge/net/client.py
@@ -0,0 +1,162 @@
+"""The back: carries attempts to bricks on aiohttp's client, and tells how each ended."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Callable
+from contextvars import ContextVar
+from typing import Any
+
+import aiohttp
+from aiohttp import ClientRequest, ClientTimeout, TCPConnector
+from aiohttp.connector import Connection
+from yarl import URL
+
+from hophinge.counters import Counters
+from hophinge.exchange import Attempt, End
+from hophinge.interface import Result, Settings
+
+MOST_BODY = 64 * 1024
+IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
+CONNECT_US = 250_000        # where the settings state no limit
+PLAIN = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
+
+current: ContextVar[Flight] = ContextVar("current")
+
+
+class StaleError(Exception):
+    """The attempt may no longer go; nothing was written."""
+
+
+class Flight:
+    """One attempt on its way: whether its last byte has been handed to the network."""
+
+    __slots__ = ("attempt", "headers_suffice", "written")
+
+    def __init__(self, attempt: Attempt, headers_suffice: bool) -> None:
+        self.attempt, self.headers_suffice = attempt, headers_suffice
+        self.written = False
+
+
+class Connector(TCPConnector):
+    """Asks once more whether an attempt may go when it has its connection, just before its bytes are written."""
+
+    async def connect(self, req: ClientRequest, traces: list[Any], timeout: ClientTimeout) -> Connection:
+        """Get a connection for a request that may still go."""
+        connection = await super().connect(req, traces, timeout)
+        # A connection takes up to its time limit to come up; a drain heard or an answer given meanwhile ends it.
+        if not current.get().attempt.may_go():
+            connection.release()
+            raise StaleError
+        return connection
+
+
+async def _headers_sent(_session: Any, _context: Any, _params: Any) -> None:
+    flight = current.get()
+    flight.written = flight.written or flight.headers_suffice
+
+
+async def _chunk_sent(_session: Any, _context: Any, _params: Any) -> None:
+    current.get().written = True
+
+
+def _number(text: str | None) -> float:
+    try:
+        return max(0.0, float(text)) if text else 0.0
+    except ValueError:
+        return 0.0
+
+
+class Bricks:
+    """The client side towards all bricks. Each attempt is a task; giving it up closes its connection."""
+
+    def __init__(self, settings: Settings, endpoint: Callable[[str], str | None], counters: Counters,
+                 log: Callable[[str], None], most: int) -> None:
+        self.endpoint, self.counters, self.log, self.most = endpoint, counters, log, most
+        self.tasks: set[asyncio.Task[None]] = set()
+        allowed = settings.allowed
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_headers_sent)
+        trace.on_request_chunk_sent.append(_chunk_sent)
+        # No limit of the connector's: it would queue attempts unseen. `most` turns them away instead.
+        connector = Connector(limit=0, keepalive_timeout=IDLE_PART * (allowed.conn_idle_us or 30_000_000) / 1e6)
+        connect_s = (allowed.connect_timeout_us or CONNECT_US) / 1e6
+        self.session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False, trust_env=False, cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=PLAIN, trace_configs=[trace],
+            timeout=ClientTimeout(total=None, connect=connect_s, sock_connect=connect_s, sock_read=None))
+        # aiohttp sends an idempotent request again by itself when a kept connection turns out dead: that would be
+        # an attempt that the module knows nothing of. It has no public switch.
+        self.session._retry_connection = False
+
+    def start(self, attempt: Attempt) -> Callable[[], None]:
+        """Send an attempt; the callable returned gives it up."""
+        if len(self.tasks) >= self.most:
+            self.counters.add("attempts_without_socket")
+            attempt.end(End(Result.CONNECT_FAILED))
+            return lambda: None
+        task = asyncio.get_running_loop().create_task(self._run(attempt))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+        def stop() -> None:
+            task.cancel()
+
+        return stop
+
+    async def _run(self, attempt: Attempt) -> None:
+        payload = attempt.request.payload
+        flight = Flight(attempt, not payload.body)
+        current.set(flight)
+        try:
+            end = await self._exchange(attempt, payload)
+        except asyncio.CancelledError:
+            attempt.end(End(Result.CANCELLED))
+            raise
+        except StaleError:
+            end = End(Result.MOOT)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Once the last byte was handed over the brick may have run it; before, it cannot have.
+            end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
+        except Exception:
+            self.counters.add("client_faults")
+            self.log(traceback.format_exc())
+            end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
+        attempt.end(end)
+
+    async def _exchange(self, attempt: Attempt, payload: Any) -> End:
+        endpoint = self.endpoint(attempt.node)
+        if endpoint is None:
+            return End(Result.MOOT)
+        headers = {"X-Txn": payload.txn, "X-Remaining-Ms": str(attempt.left_us() // 1000)}
+        # encoded=True: the target goes on as the bytes that came.
+        async with self.session.request(
+                payload.method, URL(f"http://{endpoint}{payload.target}", encoded=True), headers=headers,
+                data=payload.body if payload.method == "PUT" else None, allow_redirects=False) as response:
+            body = await response.content.read(MOST_BODY + 1) if (response.content_length or 0) > MOST_BODY \
+                else await response.read()
+            if len(body) > MOST_BODY:
+                response.close()
+                return End(Result.ERROR)
+            return self._end(response, body)
+
+    def _end(self, response: aiohttp.ClientResponse, body: bytes) -> End:
+        status, headers = response.status, response.headers
+        result = Result.ERROR
+        if status == 200:
+            result = Result.OK
+        elif status in (503, 504) and headers.get("X-Turned-Away") == "1":
+            result = Result.FULL
+        elif status != 500:
+            self.counters.add(f"bricks_answered_{status}")
+        used = headers.get("X-Iops-Used")
+        return End(result, body if result is Result.OK else b"", 1 + int(_number(used)) if used else 0,
+                   _number(headers.get("X-Rho")))
+
+    async def close(self) -> None:
+        """Give up what is out and close all connections."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.session.close()
--- /dev/null
+++ b/hophinge/net/clock.py
@@ -0,0 +1,35 @@
+"""The one clock: microseconds that only go forward, counted from the Unix epoch as it was told at start."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+# Started from the system's time, so that a brick's boot_ms needs no conversion but its unit; a later step of the
+# system's time moves no deadline.
+OFFSET_US = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+
+def now_us() -> int:
+    """Tell the time."""
+    return time.monotonic_ns() // 1000 + OFFSET_US
+
+
+class LoopClock:
+    """The event loop's timers on the one clock."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+
+    def now_us(self) -> int:
+        """Tell the time."""
+        return now_us()
+
+    def call_at(self, when_us: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
+        """Call back at a time."""
+        return self.loop.call_later(max(0, when_us - now_us()) / 1e6, callback)
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call back in the loop's next turn."""
+        self.loop.call_soon(callback)
--- /dev/null
+++ b/hophinge/net/discovery.py
@@ -0,0 +1,116 @@
+"""Discovery: the list of bricks, first as the head had it last, then whole, then by chained watches."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from hophinge import interface as api
+from hophinge.counters import Counters
+
+LIST_S = 2.0            # a whole list is answered at once, or discovery is down
+WATCH_MS = 20_000
+WATCH_SPARE_S = 1.5     # beyond the wait that the watch itself states
+FIRST_PAUSE_S = 0.02    # after an error; well under the 200 ms within which a watch goes on
+LONGEST_PAUSE_S = 0.5
+PHASES = {"Ready": api.Phase.ON, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
+
+
+class Target(msgspec.Struct):
+    """A brick as discovery tells it."""
+
+    uid: str
+    endpoint: str
+    state: str
+    az: str = ""
+    model: str = ""
+    pod_group: int = 0
+    capacity_hint: float = 1.0
+    boot_ms: int = 0
+
+
+class Listing(msgspec.Struct):
+    """A list of bricks, or what changed in it."""
+
+    rev: int
+    targets: list[Target]
+    all: bool = True
+
+
+class Directory:
+    """Where bricks listen; turns discovery's lists into the interface's."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.endpoints: dict[str, str] = {}
+        self.zones = {name: at for at, name in enumerate(settings.zones)}
+        self.kinds = {name: at for at, name in enumerate(settings.kinds)}
+
+    def endpoint(self, node: str) -> str | None:
+        """Tell where a brick listens."""
+        return self.endpoints.get(node)
+
+    def take(self, listing: Listing, kind: api.ListKind) -> api.NodeList:
+        """Note the endpoints of a list and translate it."""
+        if kind is api.ListKind.FULL:
+            self.endpoints = {}
+        for target in listing.targets:
+            self.endpoints[target.uid] = target.endpoint
+        return api.NodeList(kind, tuple(map(self._entry, listing.targets)))
+
+    def _entry(self, target: Target) -> api.NodeEntry:
+        # A state that is not known is no reason to send: it counts as draining.
+        return api.NodeEntry(
+            target.uid, self.zones.get(target.az, 0), target.pod_group,
+            PHASES.get(target.state, api.Phase.DRAINING), target.capacity_hint, target.boot_ms * 1000,
+            self.kinds.get(target.model, 0))
+
+
+class Discovery:
+    """The watch. It outlives silence and errors; the list held stays in force meanwhile."""
+
+    def __init__(self, address: str, directory: Directory, tell: Callable[[api.NodeList], None],
+                 counters: Counters) -> None:
+        self.url = f"http://{address}/v1/servers"
+        self.directory, self.tell, self.counters = directory, tell, counters
+        self.rev: int | None = None
+        self.heard = asyncio.Event()    # the first answer is in
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), trust_env=False, cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None))
+
+    async def run(self) -> None:
+        """Follow the list until cancelled."""
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._call()
+            except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+                self.counters.add("discovery_errors")
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE_S)
+            else:
+                pause = FIRST_PAUSE_S
+
+    async def _call(self) -> None:
+        if self.rev is None:
+            url, wait = self.url, LIST_S
+        else:
+            url = f"{self.url}?since={self.rev}&timeout_ms={WATCH_MS}"
+            wait = WATCH_MS / 1000 + WATCH_SPARE_S
+        async with asyncio.timeout(wait), self.session.get(url, allow_redirects=False) as response:
+            response.raise_for_status()
+            listing = msgspec.json.decode(await response.read(), type=Listing)
+        self.counters.add("discovery_answers")
+        # The first answer of this life is a whole list even if it does not say so: it is what was asked for.
+        full = listing.all or self.rev is None
+        self.rev = listing.rev
+        if full or listing.targets:
+            self.tell(self.directory.take(listing, api.ListKind.FULL if full else api.ListKind.CHANGES))
+        self.heard.set()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.session.close()
--- /dev/null
+++ b/hophinge/settings.py
@@ -0,0 +1,153 @@
+"""The one reader of settings: the JSON that an instance or a head is given, as the interface's own types."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import msgspec
+
+from hophinge import interface as api
+
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+REPORT_FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "rate",
+                 "fail_rate": "errors"}
+
+Value = TypeVar("Value")
+
+
+class SettingsError(ValueError):
+    """Settings that do not have the form that their page gives."""
+
+
+class Table:
+    """An object of the settings; an absent or null value is 0, false or empty, a value of another type an error."""
+
+    def __init__(self, rows: Mapping[str, Any], name: str) -> None:
+        self.rows, self.name = rows, name
+
+    def get(self, key: str, kind: type[Value], default: Value) -> Value:
+        """Read one value of a type."""
+        value = self.rows.get(key)
+        try:
+            return default if value is None else msgspec.convert(value, kind)
+        except msgspec.ValidationError as error:
+            raise SettingsError(f"{self.name}{key}: {error}") from error
+
+    def whole(self, key: str) -> int:
+        """Read a whole number; one written with a decimal point is cut."""
+        return int(self.get(key, float, 0.0))
+
+    def number(self, key: str) -> float:
+        """Read a number."""
+        return self.get(key, float, 0.0)
+
+    def flag(self, key: str) -> bool:
+        """Read a truth value."""
+        return self.get(key, bool, False)
+
+    def text(self, key: str, default: str = "") -> str:
+        """Read a text; an empty one counts as absent."""
+        return self.get(key, str, "") or default
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        """Read a list of texts."""
+        return tuple(self.get(key, list[str], []))
+
+    def part(self, key: str) -> Table:
+        """Read an object."""
+        return Table(self.get(key, dict[str, Any], {}), f"{self.name}{key}.")
+
+    def parts(self, key: str) -> list[Table]:
+        """Read a list of objects."""
+        rows = self.get(key, list[dict[str, Any]], [])
+        return [Table(row, f"{self.name}{key}[{at}].") for at, row in enumerate(rows)]
+
+
+def read_settings(text: str | bytes) -> api.Settings:
+    """Read the settings from JSON."""
+    try:
+        rows = msgspec.json.decode(text, type=dict[str, Any])
+    except msgspec.MsgspecError as error:
+        raise SettingsError(f"the settings: {error}") from error
+    return from_table(Table(rows, ""))
+
+
+def from_table(setup: Table) -> api.Settings:
+    """Translate the settings object of a start."""
+    rules, caps, domain, load = (setup.part(name) for name in ("Rules", "Caps", "Domain", "Report"))
+    try:
+        return api.Settings(
+            me=setup.whole("Me"),
+            gateways=setup.whole("Balancers"),
+            tick_us=setup.whole("PeriodUs"),
+            classes=tuple(map(request_class, setup.parts("RequestClasses"))),
+            plans=tuple(map(plan, setup.parts("Grades"))),
+            rules=api.Rules(
+                answer_grace_us=rules.whole("GraceToAnswerUs"),
+                drain_grace_us=rules.whole("DrainGraceUs"),
+                fall_multiple=rules.number("FallMultiple"),
+                fall_us=rules.whole("FallUs"),
+                cold_share=rules.number("ColdShare"),
+                cold_us=rules.whole("ColdUs"),
+                cold_units=domain.number("YoungLimit"),
+                budget_free=rules.number("SpareAttempts"),
+                budget_share=rules.number("ResendRatio"),
+                budget_us=rules.whole("LookBackUs"),
+                settle_us=rules.whole("TurnGapUs"),
+                ask_within_us=rules.whole("AskWithinUs"),
+            ),
+            allowed=api.Allowed(
+                attempts=caps.whole("MaxAttempts"),
+                second_copies=caps.flag("SecondCopies"),
+                cancel=caps.flag("Cancel"),
+                probes=caps.flag("Probing"),
+                retry_after_us=caps.whole("MaxRetryAfterUs") if caps.flag("RetryAfter") else 0,
+                connect_timeout_us=caps.whole("ConnectTimeoutUs"),
+                conn_idle_us=caps.whole("ConnIdleUs"),
+            ),
+            discovery=api.Discovery(setup.text("Discovery", "pushed")),
+            mean_units=domain.number("MeanUnits"),
+            most_units=domain.number("Largest"),
+            share_worth=domain.number("WithinShare"),
+            spare_worth=domain.number("BeyondShare"),
+            meter_us=domain.whole("MeterPeriodUs"),
+            tells_elsewhere=domain.flag("SaysOthers"),
+            report_fields=tuple(REPORT_FIELDS.get(name, name) for name in load.texts("Fields")),
+            report_in_answers=load.text("Source") == "answers",
+            probe_price=setup.part("Penalties").number("Probe"),
+            zones=setup.texts("Zones"),
+            kinds=setup.texts("Skus"),
+        )
+    except (KeyError, ValueError) as error:
+        raise error if isinstance(error, SettingsError) else SettingsError(f"the settings: {error}") from error
+
+
+def request_class(row: Table) -> api.RequestClass:
+    """Translate one class of the settings."""
+    return api.RequestClass(
+        aim_us=row.whole("GoalTimeUs"),
+        deadline_us=row.whole("DeadlineUs"),
+        effect=EFFECTS[row.text("Effect", "side_effect")],
+        scope=api.DedupScope(row.text("Group", "cell")),
+        dedup_window_us=row.whole("DedupWindowUs"),
+        worth=row.number("Importance"),
+        late_worth=row.number("LateWorth"),
+        in_order=row.flag("Sequential"),
+        stream=row.flag("Stream"),
+        name=row.text("Name"),
+    )
+
+
+def plan(row: Table) -> api.Plan:
+    """Translate one plan of the settings."""
+    return api.Plan(
+        rate=row.number("BaseRate"),
+        reserve=row.number("Reserve"),
+        weight=row.number("Proportion"),
+        price=row.number("Price"),
+        limit=row.number("Limit"),
+        limit_burst=row.number("CapDepth"),
+        limit_slack=row.number("LimitSlack"),
+        name=row.text("Name"),
+    )
