--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -30,6 +30,8 @@
 LONGEST_REST = 5        # doublings of that rest while trials go on failing: some seconds, as lists are late
 COLD_PART = 0.5         # part of a cold node's reckoned allowance used: units only stand for work
 SLACK_USED = 0.5        # part of a limit's slack used; the rest covers what rounding and clocks may add
+HOLD_PART = 0.48        # part of its time that a request is held unsent
+COME_BACK = 2.0         # tightest aims after which a refused client is told to come back
 FINE = 10               # looks within the tightest aim at a place where something is held
 NOMINAL = 0.25          # quantile of time per unit, by machine kind, that counts as served without waiting
 NOMINAL_STEP = 0.05     # part by which one answer moves that quantile
@@ -177,7 +179,7 @@
 class Request:
     """A request from its arrival until its answer is given and no attempt is out."""
 
-    __slots__ = ("aim_at", "ask", "attempts", "charged", "deadline", "done", "group", "klass", "lot", "out",
+    __slots__ = ("aim_at", "ask", "attempts", "charged", "deadline", "done", "group", "hold_until", "klass", "lot", "out",
                  "place", "queue", "ran_at", "ran_on", "started", "version", "volume")
 
     def __init__(self, ask: Arrival, klass: RequestClass, volume: Volume, now: int, elapsed: int,
@@ -187,6 +189,7 @@
         self.place = ""
         self.aim_at = now - elapsed + klass.aim_us
         self.deadline = now + ask.time_left_us
+        self.hold_until = now + max(int(HOLD_PART * ask.time_left_us), min(klass.aim_us, ask.time_left_us))
         self.attempts = 0
         self.lot = lot                      # from 0 to 1, drawn once
         self.out: dict[int, Book] = {}
@@ -343,7 +346,7 @@
         waited = longest - ask.time_left_us if ask.time_left_us > klass.aim_us else 0
         request = Request(ask, klass, volume, self.now, waited, self.random.random())
         self.requests[ask.request] = request
-        heapq.heappush(self.deadlines, (request.deadline, ask.request))
+        heapq.heappush(self.deadlines, (request.hold_until + self.lead_us, ask.request))
         if klass.in_order and ask.key:
             self.turns.setdefault(ask.key, []).append(request)
         self._hold(request)
@@ -431,7 +434,8 @@
         safe = not request.attempts or (request.ran_on is None and not request.out)
         keyed = effect is Effect.KEYED and request.klass.scope is DedupScope.ALL
         if safe or effect is Effect.SAFE or keyed:
-            self.actions.append(Refuse(name, 0))
+            advice = min(int(COME_BACK * self.aim), self.settings.allowed.retry_after_us)
+            self.actions.append(Refuse(name, advice))
         else:
             self.actions.append(Fail(name))
         self._finish(name)
@@ -464,10 +468,12 @@
             request = self.requests.get(name)
             if request is None or request.done or request.started:
                 continue
-            if not request.out or request.deadline <= self.now:
+            unsent = not request.attempts and request.hold_until <= self.now
+            if unsent or request.deadline <= (self.now if request.out else soon):
                 self._answer(request)
             else:
-                heapq.heappush(self.deadlines, (soon + 1, name))
+                last = request.deadline if request.attempts else request.hold_until + self.lead_us
+                heapq.heappush(self.deadlines, (max(last, soon + 1), name))
 
     # --- nodes
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -192,6 +192,25 @@
     assert not finals(gate.run(3000 * MS))
 
 
+def test_unsent_request_is_refused_before_half_of_its_time_and_told_when_to_come_back() -> None:
+    gate = Gateway(replace(SETTINGS, allowed=replace(SETTINGS.allowed, retry_after_us=1000 * MS)), nodes=())
+    gate.at(0, ask("a"))
+    assert not finals(gate.run(900 * MS))
+    assert finals(gate.run(100 * MS)) == [Refuse("a", 600 * MS)]
+
+
+def test_attempted_request_is_not_refused_at_half_of_its_time() -> None:
+    gate = Gateway()
+    gate.at(0, ask("a"))
+    assert not finals(gate.run(1900 * MS))
+
+
+def test_advice_is_within_what_the_deployment_allows() -> None:
+    gate = Gateway(replace(SETTINGS, allowed=replace(SETTINGS.allowed, retry_after_us=50 * MS)), nodes=())
+    gate.at(0, ask("a"))
+    assert finals(gate.run(1000 * MS)) == [Refuse("a", 50 * MS)]
+
+
 # --- rule 2: no effect twice
 
 
