Add the object front: objects, ranges and multipart uploads on the same core

Every piece and record is a request of the exchange with class, units, plan and volume. Records lie on a shard that follows from volume and name; heads share nothing. Off unless HOPHINGE_OPERATOR_FILE names an operator's file. Tests on loopback with stand-in bricks: a whole path, refusals, errors, a drain halfway through a ranged read, and parts on a head that died and returned.

--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -179,8 +179,8 @@
 class Request:
     """A request from its arrival until its answer is given and no attempt is out."""
 
-    __slots__ = ("aim_at", "ask", "attempts", "charged", "deadline", "done", "group", "hold_until", "klass", "lot", "out",
-                 "place", "queue", "ran_at", "ran_on", "started", "version", "volume")
+    __slots__ = ("aim_at", "ask", "attempts", "charged", "deadline", "done", "group", "hold_until", "klass", "lot",
+                 "out", "place", "queue", "ran_at", "ran_on", "started", "version", "volume")
 
     def __init__(self, ask: Arrival, klass: RequestClass, volume: Volume, now: int, elapsed: int,
                  lot: float) -> None:
@@ -189,7 +189,7 @@
         self.place = ""
         self.aim_at = now - elapsed + klass.aim_us
         self.deadline = now + ask.time_left_us
-        self.hold_until = now + max(int(HOLD_PART * ask.time_left_us), min(klass.aim_us, ask.time_left_us))
+        self.hold_until = now + min(max(int(HOLD_PART * ask.time_left_us), klass.aim_us), ask.time_left_us)
         self.attempts = 0
         self.lot = lot                      # from 0 to 1, drawn once
         self.out: dict[int, Book] = {}
--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -46,6 +46,7 @@
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
+    ABSENT = "absent"       # a node holds the place where it would be, and it is not there
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,7 @@
     verdict: Verdict
     body: bytes = b""
     retry_after_us: int = 0
+    shard: int = -1         # of the node that served it
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
     used: int = 0
     elsewhere: float = 0.0
     report: dict[str, float] = field(default_factory=dict)
+    absent: bool = False    # with OK: the node did its work and found nothing
 
 
 class Open:
@@ -125,7 +128,6 @@
         self.shards: dict[str, int] = {}
         self.events: list[api.Event] = []
         self.unanswered = 0
-        self.idle: Callable[[], None] | None = None     # called when nothing unanswered is left
 
     # --- what comes in
 
@@ -177,7 +179,8 @@
         finished = request.answer is None
         if end.result is api.Result.OK and not finished:
             finished = True
-            self._answer(request, Answer(Verdict.SERVED, end.body))
+            verdict = Verdict.ABSENT if end.absent else Verdict.SERVED
+            self._answer(request, Answer(verdict, end.body, shard=self.shards.get(attempt.node, -1)))
         self._event(api.Outcome(
             request.ask.request, attempt.number, attempt.node, end.result, self.now_us() - attempt.since, finished,
             end.used, end.elsewhere, end.report))
@@ -218,7 +221,7 @@
                     self._stop(attempt, api.Result.CANCELLED)
             case api.Refuse():
                 if request := self.open.get(action.request):
-                    self._answer(request, Answer(Verdict.REFUSED, b"", action.retry_after_us))
+                    self._answer(request, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
             case api.Fail():
                 if request := self.open.get(action.request):
                     self._answer(request, Answer(Verdict.FAILED))
@@ -283,8 +286,6 @@
         if request.backstop is not None:
             request.backstop.cancel()
         self.unanswered -= 1
-        if not self.unanswered and self.idle is not None:
-            self.idle()
 
     def _forget(self, request: Open) -> None:
         if request.answer is None and not request.attempts:
--- a/hophinge/interface.py
+++ b/hophinge/interface.py
@@ -147,6 +147,7 @@
     probe_price: float
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
+    shards: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -16,8 +16,8 @@
 from hophinge.counters import Counters
 from hophinge.exchange import Attempt, End
 from hophinge.interface import Result, Settings
+from hophinge.net.payload import MOST_BODY, Payload
 
-MOST_BODY = 64 * 1024
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
 CONNECT_US = 250_000        # where the settings state no limit
 PLAIN = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
@@ -106,7 +106,7 @@
         return stop
 
     async def _run(self, attempt: Attempt) -> None:
-        payload = attempt.request.payload
+        payload: Payload = attempt.request.payload
         flight = Flight(attempt, not payload.body)
         current.set(flight)
         try:
@@ -125,7 +125,7 @@
             end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
         attempt.end(end)
 
-    async def _exchange(self, attempt: Attempt, payload: Any) -> End:
+    async def _exchange(self, attempt: Attempt, payload: Payload) -> End:
         endpoint = self.endpoint(attempt.node)
         if endpoint is None:
             return End(Result.MOOT)
@@ -144,15 +144,15 @@
     def _end(self, response: aiohttp.ClientResponse, body: bytes) -> End:
         status, headers = response.status, response.headers
         result = Result.ERROR
-        if status == 200:
-            result = Result.OK
+        if status in (200, 404):
+            result = Result.OK      # 404: the brick looked and holds no such object
         elif status in (503, 504) and headers.get("X-Turned-Away") == "1":
             result = Result.FULL
         elif status != 500:
             self.counters.add(f"bricks_answered_{status}")
         used = headers.get("X-Iops-Used")
-        return End(result, body if result is Result.OK else b"", 1 + int(_number(used)) if used else 0,
-                   _number(headers.get("X-Rho")))
+        return End(result, body if status == 200 else b"", 1 + int(_number(used)) if used else 0,
+                   _number(headers.get("X-Rho")), absent=status == 404)
 
     async def close(self) -> None:
         """Give up what is out and close all connections."""
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -4,32 +4,21 @@
 
 import asyncio
 import re
-from dataclasses import dataclass
 
 from aiohttp import web
 
 from hophinge import interface as api
 from hophinge.counters import Counters
 from hophinge.exchange import Answer, Exchange, Verdict
+from hophinge.net.payload import MOST_BODY, Payload
 
-MOST_BODY = 64 * 1024
 # The client counts from when it sent; the answer must be there, written and read, when it stops waiting.
 MARGIN_US = 6_000
 ID = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
 TARGET = re.compile(r"/([^/?#]+)/([0-9a-fA-F]{16})/([0-9a-fA-F]{16})(?:\?[!-\"$-~]*)?", re.ASCII)
 PLACEMENT = re.compile(r"units=([0-9]{1,6}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,6}),hosts=([0-9]{1,6})", re.ASCII)
 REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
-STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502}
-
-
-@dataclass(frozen=True, slots=True)
-class Payload:
-    """What goes on to a brick as it came."""
-
-    method: str
-    target: str
-    txn: str
-    body: bytes
+STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
 
 
 class MalformedError(Exception):
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -8,8 +8,10 @@
 import signal
 import sys
 from collections.abc import Mapping
+from pathlib import Path
 
 import msgspec
+from aiohttp import web
 
 from hophinge import interface as api
 from hophinge.counters import Counters
@@ -18,12 +20,21 @@
 from hophinge.net.clock import LoopClock
 from hophinge.net.discovery import Directory, Discovery, Listing
 from hophinge.net.server import Front
-from hophinge.settings import SettingsError, read_settings
+from hophinge.objects.config import OperatorConfig
+from hophinge.objects.config import load as load_operator
+from hophinge.objects.front import ObjectFront
+from hophinge.objects.pieces import Core
+from hophinge.objects.store import Store
+from hophinge.settings import read_settings
+from hophinge.tenants import Tenants
 
 BACKLOG = 512
 FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
 SPARE_SOCKETS = 64      # of the limit, for files, discovery and accepts
+DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
+SHUTDOWN_S = 2.0        # for answers on their way out
+OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
 
 
 class ConfigError(Exception):
@@ -56,19 +67,25 @@
     return host, int(port)
 
 
-def load(environ: Mapping[str, str]) -> tuple[Config, api.Settings]:
-    """Read the configuration that the environment names."""
+def load(environ: Mapping[str, str]) -> tuple[Config, api.Settings, OperatorConfig]:
+    """Read the configuration and the operator's file that the environment names."""
     path = environ.get("EDGE_CONFIG", "")
     try:
-        with open(path, "rb") as file:
-            config = msgspec.json.decode(file.read(), type=Config)
+        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
         config.listen = environ.get("EDGE_LISTEN") or config.listen
         config.discovery = environ.get("EDGE_DISCOVERY") or config.discovery
         address(config.listen), address(config.discovery)
         int(config.seed, 16)
-        return config, read_settings(bytes(config.settings))
-    except (OSError, ValueError, SettingsError, ConfigError) as error:
+        settings = read_settings(bytes(config.settings))
+    except (OSError, ValueError, msgspec.MsgspecError, ConfigError) as error:
         raise ConfigError(f"EDGE_CONFIG {path!r}: {error}") from error
+    path = environ.get(OPERATOR_FILE, "")
+    if not path:
+        return config, settings, OperatorConfig()
+    try:
+        return config, settings, load_operator(path)
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        raise ConfigError(f"{OPERATOR_FILE} {path!r}: {error}") from error
 
 
 def say(text: str) -> None:
@@ -79,8 +96,8 @@
 class Service:
     """One head."""
 
-    def __init__(self, config: Config, settings: api.Settings) -> None:
-        self.config, self.settings = config, settings
+    def __init__(self, config: Config, settings: api.Settings, operator: OperatorConfig) -> None:
+        self.config, self.settings, self.operator = config, settings, operator
         self.counters = Counters()
         clock = LoopClock(asyncio.get_running_loop())
         self.exchange = Exchange(settings, int(config.seed, 16), clock, self.counters, say)
@@ -90,6 +107,13 @@
         self.exchange.start = self.bricks.start
         self.front = Front(self.exchange, self.counters)
         self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
+        self.objects: ObjectFront | None = None
+        if operator.objects is not None:
+            tenants = Tenants(operator.objects.tenants, frozenset(plan.name for plan in settings.plans))
+            store = Store(Core(self.exchange, operator.objects))
+            self.objects = ObjectFront(store, tenants, operator.objects, self.counters, say)
+        self.listeners: list[asyncio.Server] = []
+        self.watch: asyncio.Task[None] | None = None
         self.stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -98,57 +122,77 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
+        await self.start()
+        gc.collect()
+        gc.freeze()     # what start-up made is never garbage; collections stay short
+        await self.stopping.wait()
+        await self.finish()
+        self.report()
+
+    async def start(self) -> None:
+        """Listen, and be ready once there is a list."""
         self.exchange.nodes(self.directory.take(self.config.known, api.ListKind.SAVED))
-        watch = loop.create_task(self.discovery.run())
-        host, port = address(self.config.listen)
-        listener = await loop.create_server(self.front.server, host, port, backlog=BACKLOG)
+        self.watch = asyncio.create_task(self.discovery.run())
+        await self._listen(self.front.server, self.config.listen)
+        if self.objects is not None:
+            await self._listen(self.objects.server, self.objects.config.listen)
         try:
             async with asyncio.timeout(FIRST_LIST_S):
                 await self.discovery.heard.wait()
         except TimeoutError:
             say("discovery is silent; starting from the saved list")
-        gc.collect()
-        gc.freeze()     # what start-up made is never garbage; collections stay short
         self.front.ready = True
-        await self.stopping.wait()
-        await self._drain(listener)
-        watch.cancel()
-        await asyncio.gather(watch, return_exceptions=True)
-        await self.discovery.close()
-        await self.bricks.close()
-        self.report()
+
+    async def _listen(self, server: web.Server, where: str) -> None:
+        host, port = address(where)
+        try:
+            listener = await asyncio.get_running_loop().create_server(server, host, port, backlog=BACKLOG)
+        except OSError as error:
+            raise ConfigError(f"cannot listen on {where}: {error}") from error
+        self.listeners.append(listener)
 
     def stop(self) -> None:
-        """Begin the end."""
+        """Begin the end: from here on every answer closes its connection."""
         self.front.closing = True
+        if self.objects is not None:
+            self.objects.closing = True
         self.stopping.set()
 
     def report(self) -> None:
         """Print the counters."""
         say(self.counters.text() + "end of counters")
 
-    async def _drain(self, listener: asyncio.Server) -> None:
+    async def finish(self) -> None:
+        """Answer what has been taken, then close everything."""
+        self.stop()
         # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
         await asyncio.sleep(STILL_ARRIVING_S)
-        listener.close()
-        if self.exchange.unanswered:
-            idle = asyncio.Event()
-            self.exchange.idle = idle.set
-            await idle.wait()
-        await self.front.server.shutdown(2.0)
+        for listener in self.listeners:
+            listener.close()
+        # Each request has its deadline, and each wait of the object front its own limit.
+        while self.exchange.unanswered or (self.objects is not None and self.objects.active):
+            await asyncio.sleep(DRAIN_LOOK_S)
+        for server in (self.front.server, self.objects and self.objects.server):
+            if server:
+                await server.shutdown(SHUTDOWN_S)
+        if self.watch is not None:
+            self.watch.cancel()
+            await asyncio.gather(self.watch, return_exceptions=True)
+        await self.discovery.close()
+        await self.bricks.close()
 
 
 def main() -> int:
     """Run a head; a configuration that it cannot start from ends it with 2."""
     try:
-        config, settings = load(os.environ)
-        asyncio.run(serve(config, settings))
+        config, settings, operator = load(os.environ)
+        asyncio.run(serve(config, settings, operator))
     except (ConfigError, ValueError) as error:
         print(f"hophinge: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
     return 0
 
 
-async def serve(config: Config, settings: api.Settings) -> None:
+async def serve(config: Config, settings: api.Settings, operator: OperatorConfig) -> None:
     """Make a head in the running loop and run it."""
-    await Service(config, settings).run()
+    await Service(config, settings, operator).run()
--- /dev/null
+++ b/hophinge/objects/pieces.py
@@ -0,0 +1,182 @@
+"""Calls of the object front on the core: each body on a brick is one request there, with class, units and plan."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import secrets
+import zlib
+from collections import deque
+from collections.abc import AsyncGenerator, AsyncIterator, Iterable
+from typing import Any
+
+from hophinge import interface as api
+from hophinge.exchange import Answer, Exchange, Verdict
+from hophinge.net.payload import MOST_BODY, Payload
+from hophinge.objects.config import ObjectConfig
+from hophinge.objects.records import Piece, Run, piece_id
+from hophinge.tenants import Volume
+
+LEAST_WAIT_US = 50_000     # before a piece that was refused without advice is asked for again
+
+
+class RefusedError(Exception):
+    """The core refused a request; it is harmless to come again."""
+
+    def __init__(self, retry_after_us: int) -> None:
+        super().__init__("refused")
+        self.retry_after_us = retry_after_us
+
+
+class CoreFailedError(Exception):
+    """The core could not serve a request."""
+
+
+class Budget:
+    """The time that an object request's client gives it; None: each piece has its class's time alone."""
+
+    def __init__(self, now_us: int, remaining_ms: int | None) -> None:
+        self.until = None if remaining_ms is None else now_us + remaining_ms * 1000
+
+    def left_us(self, now_us: int) -> int | None:
+        """Tell what is left."""
+        return None if self.until is None else max(0, self.until - now_us)
+
+
+class Core:
+    """Requests of the object front to the exchange; what is in flight is bounded over all of them."""
+
+    def __init__(self, exchange: Exchange, config: ObjectConfig) -> None:
+        self.exchange, self.config = exchange, config
+        settings = exchange.settings
+        classes = {klass.name: at for at, klass in enumerate(settings.classes)}
+        self.plans = {plan.name: at for at, plan in enumerate(settings.plans)}
+        for name in (config.read_class, config.write_class):
+            if name not in classes:
+                raise ValueError(f"the object front's class {name!r} is not among the settings' classes")
+        if settings.shards < 1:
+            raise ValueError("the settings state no number of shards")
+        self.read_class, self.write_class = classes[config.read_class], classes[config.write_class]
+        self.shards = settings.shards
+        self.in_flight = asyncio.Semaphore(config.pieces_in_flight)
+
+    def units(self, size: int) -> float:
+        """Tell what a body counts: a brick's largest request is a full body."""
+        most = self.exchange.settings.most_units
+        return min(most, max(1.0, math.ceil(size / MOST_BODY * most)))
+
+    async def call(self, volume: Volume, key: str, shard: int, body: bytes | None, size: int, budget: Budget) -> Answer:
+        """Run one request on the core; raise what is neither served nor absent."""
+        async with self.in_flight:
+            settings, loop = self.exchange.settings, asyncio.get_running_loop()
+            klass = self.read_class if body is None else self.write_class
+            method = "GET" if body is None else "PUT"
+            left = budget.left_us(self.exchange.now_us())
+            deadline = settings.classes[klass].deadline_us
+            if left == 0:
+                raise CoreFailedError
+            txn = secrets.token_hex(8)
+            ask = api.Arrival(
+                request=txn, units=self.units(size), volume=volume.id, klass=klass, shard=shard,
+                gateways=settings.gateways, key=key, time_left_us=deadline if left is None else min(deadline, left),
+                write=body is not None, plan=self.plans[volume.plan])
+            target = f"/{settings.classes[klass].name}/{volume.id}/{key}"
+            done: asyncio.Future[Answer] = loop.create_future()
+            self.exchange.arrive(ask, Payload(method, target, txn, body or b""), done.set_result)
+            try:
+                answer = await done
+            except asyncio.CancelledError:
+                self.exchange.depart(txn)
+                raise
+        if answer.verdict is Verdict.REFUSED:
+            raise RefusedError(answer.retry_after_us)
+        if answer.verdict is Verdict.FAILED:
+            raise CoreFailedError
+        return answer
+
+    # --- runs of pieces
+
+    async def write_run(self, volume: Volume, chunks: AsyncIterator[bytes], budget: Budget) -> Run:
+        """Write a body as pieces, at most a window of them at once."""
+        token = secrets.token_bytes(8)
+        pieces: list[asyncio.Task[Piece]] = []
+        window = asyncio.Semaphore(self.config.window)
+
+        async def write(at: int, chunk: bytes) -> Piece:
+            try:
+                answer = await self.call(volume, piece_id(token, at), -1, chunk, len(chunk), budget)
+                if answer.shard < 0 or answer.verdict is not Verdict.SERVED:
+                    raise CoreFailedError
+                return Piece(answer.shard, len(chunk), zlib.crc32(chunk))
+            finally:
+                window.release()
+
+        try:
+            async for chunk in chunks:
+                await window.acquire()
+                failed = next((task for task in pieces if task.done() and task.exception()), None)
+                if failed is not None:
+                    failed.result()
+                pieces.append(asyncio.create_task(write(len(pieces), chunk)))
+            return Run(token, list(await asyncio.gather(*pieces)))
+        finally:
+            await end(pieces)
+
+    async def read_piece(self, volume: Volume, run: Run, at: int, budget: Budget) -> bytes:
+        """Read one piece and check that it is what was written."""
+        piece = run.pieces[at]
+        answer = await self.call(volume, piece_id(run.token, at), piece.shard, None, piece.size, budget)
+        if len(answer.body) != piece.size or zlib.crc32(answer.body) != piece.crc:
+            raise CoreFailedError
+        return answer.body
+
+    async def read_range(self, volume: Volume, runs: list[Run], first: int, last: int,
+                         budget: Budget) -> AsyncGenerator[bytes, None]:
+        """Read bytes first to last in order, a window of pieces ahead.
+
+        Before the first byte a refusal is raised: it can still be answered. After it nothing but the end of the
+        body can be told, so a refused piece is asked for again when the core says to come back.
+        """
+        wanted: list[tuple[Run, int, int]] = []     # the run, the piece's place and where it begins in the object
+        begin = 0
+        for run in runs:
+            for at, piece in enumerate(run.pieces):
+                if begin <= last and begin + piece.size > first:
+                    wanted.append((run, at, begin))
+                begin += piece.size
+        patience = 2 * self.exchange.settings.classes[self.read_class].deadline_us
+
+        async def read(place: int) -> bytes:
+            run, at, _ = wanted[place]
+            until = self.exchange.now_us() + patience
+            while True:
+                try:
+                    return await self.read_piece(volume, run, at, budget)
+                except RefusedError as refused:
+                    now = self.exchange.now_us()
+                    wait = max(refused.retry_after_us, LEAST_WAIT_US)
+                    left = budget.left_us(now)
+                    if not place or now + wait > until or (left is not None and left <= wait):
+                        raise
+                    await asyncio.sleep(wait / 1e6)
+
+        ahead: deque[asyncio.Task[bytes]] = deque()
+        started = 0
+        try:
+            for _, _, begin in wanted:
+                while started < len(wanted) and len(ahead) < self.config.window:
+                    ahead.append(asyncio.create_task(read(started)))
+                    started += 1
+                body = await ahead[0]
+                ahead.popleft()
+                yield body[max(0, first - begin):last + 1 - begin]
+        finally:
+            await end(ahead)
+
+
+async def end(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    """End what is still running; its requests depart from the core."""
+    tasks = list(tasks)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/hophinge/objects/records.py
@@ -0,0 +1,84 @@
+"""What the object front keeps on bricks: pieces, parts, upload states and manifests, and where each is found.
+
+Pieces are new objects: the module places them and the record names the shard that took each. Records are found
+without any list: their ids and their shard follow from the volume and the object's name, so every head finds them.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+import msgspec
+
+
+class Piece(msgspec.Struct, array_like=True, frozen=True):
+    """One body on one brick; its id follows from its run's token and its place in the run."""
+
+    shard: int
+    size: int
+    crc: int
+
+
+class Run(msgspec.Struct, array_like=True, frozen=True):
+    """Pieces written by one PUT or one part."""
+
+    token: bytes
+    pieces: list[Piece]
+
+
+class Manifest(msgspec.Struct, array_like=True, frozen=True):
+    """An object: the one record whose replacement makes a new version visible. Without an ETag: deleted."""
+
+    etag: str = ""
+    size: int = 0
+    modified: int = 0       # Unix time, whole seconds
+    content_type: str = ""
+    upload: str = ""        # the multipart upload that made it
+    runs: list[Run] = []
+
+
+class Part(msgspec.Struct, array_like=True, frozen=True):
+    """A part of an upload, in a record of its own: heads that take parts at once overwrite nothing."""
+
+    etag: str
+    size: int
+    modified: int
+    run: Run
+
+
+class Upload(msgspec.Struct, array_like=True, frozen=True):
+    """The state of an upload: open, aborted, or completed with an ETag."""
+
+    state: str
+    content_type: str
+    etag: str = ""
+
+
+def short(*parts: bytes) -> str:
+    """Hash to the 16 hex digits of an object's id."""
+    return blake2b(b"\0".join(parts), digest_size=8).hexdigest()
+
+
+def piece_id(token: bytes, at: int) -> str:
+    """Tell a piece's id."""
+    return short(b"piece", token, at.to_bytes(4, "big"))
+
+
+def manifest_id(name: str) -> str:
+    """Tell where an object's manifest lies within its volume."""
+    return short(b"manifest", name.encode())
+
+
+def upload_id(name: str, upload: str) -> str:
+    """Tell where an upload's state lies within its volume."""
+    return short(b"upload", name.encode(), upload.encode())
+
+
+def part_id(name: str, upload: str, number: int) -> str:
+    """Tell where a part's record lies within its volume."""
+    return short(b"part", name.encode(), upload.encode(), number.to_bytes(4, "big"))
+
+
+def shard_of(volume: str, name: str, shards: int) -> int:
+    """Tell the shard of all records of an object."""
+    return int.from_bytes(blake2b(f"{volume}\0{name}".encode(), digest_size=8).digest(), "big") % shards
--- /dev/null
+++ b/hophinge/objects/xml.py
@@ -0,0 +1,53 @@
+"""The XML bodies of the object API."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from xml.etree import ElementTree
+
+NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
+
+Node = tuple[str, "str | list[Node]"]
+
+
+def _add(parent: ElementTree.Element, nodes: Iterable[Node]) -> None:
+    for name, value in nodes:
+        child = ElementTree.SubElement(parent, name)
+        if isinstance(value, str):
+            child.text = value
+        else:
+            _add(child, value)
+
+
+def document(name: str, nodes: Iterable[Node], namespace: str = NAMESPACE) -> bytes:
+    """Write a document."""
+    root = ElementTree.Element(name, {"xmlns": namespace} if namespace else {})
+    _add(root, nodes)
+    text: bytes = ElementTree.tostring(root, encoding="utf-8", xml_declaration=True)
+    return text
+
+
+def date(unix: int) -> str:
+    """Write a time as the object API does."""
+    return datetime.fromtimestamp(unix, UTC).strftime("%Y-%m-%dT%H:%M:%S.000Z")
+
+
+def parts(body: bytes) -> list[tuple[int, str]]:
+    """Read the list of a complete request; ValueError if it is none."""
+    if b"<!" in body:
+        raise ValueError("no document type or entities are taken")
+    try:
+        root = ElementTree.fromstring(body)
+    except ElementTree.ParseError as error:
+        raise ValueError("not well formed") from error
+    if root.tag.rpartition("}")[2] != "CompleteMultipartUpload":
+        raise ValueError("not a CompleteMultipartUpload")
+    found = []
+    for part in root:
+        fields = {child.tag.rpartition("}")[2]: (child.text or "").strip() for child in part}
+        number = fields.get("PartNumber", "")
+        if part.tag.rpartition("}")[2] != "Part" or not (number.isascii() and number.isdigit()) or len(number) > 9:
+            raise ValueError("a part without a number")
+        found.append((int(number), fields.get("ETag", "").strip('"')))
+    return found
--- a/hophinge/settings.py
+++ b/hophinge/settings.py
@@ -118,6 +118,7 @@
             probe_price=setup.part("Penalties").number("Probe"),
             zones=setup.texts("Zones"),
             kinds=setup.texts("Skus"),
+            shards=domain.whole("NShards"),
         )
     except (KeyError, ValueError) as error:
         raise error if isinstance(error, SettingsError) else SettingsError(f"the settings: {error}") from error
--- /dev/null
+++ b/tests/stand_in.py
@@ -0,0 +1,211 @@
+"""Stand-ins written here for what a head meets: bricks and discovery, and a head between them, all on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import ClientSession, web
+
+from hophinge.net.discovery import Listing, Target
+from hophinge.net.service import Config, Service
+from hophinge.objects.config import OperatorConfig
+from hophinge.settings import read_settings
+
+VOLUME = "00000003b4d60021"
+OBJECT = "7f3a9c21e0b4d655"
+Value = TypeVar("Value")
+Behaviour = Callable[[web.BaseRequest, bytes], Awaitable[web.StreamResponse | None]]
+
+
+def setup(**changes: Any) -> dict[str, Any]:
+    """The settings of a small deployment; `changes` replaces whole parts."""
+    classes = [("record-read", 120, 750, 2), ("transfer-write", 200, 1200, 3), ("statement-export", 1000, 3000, 1)]
+    grades = [("basic", 40, 20, 1, 1), ("priority", 400, 400, 4, 1.8)]
+    return {
+        "Me": 0, "Balancers": 1, "PeriodUs": 2000, "Discovery": "pushed",
+        "RequestClasses": [{"Name": name, "GoalTimeUs": aim * 1000, "DeadlineUs": deadline * 1000, "Effect": "pure",
+                            "Group": "all", "Importance": worth, "LateWorth": 0.2}
+                           for name, aim, deadline, worth in classes],
+        "Grades": [{"Name": name, "BaseRate": rate, "Reserve": reserve, "Proportion": weight, "Price": price}
+                   for name, rate, reserve, weight, price in grades],
+        "Caps": {"MaxAttempts": 3, "ConnectTimeoutUs": 250_000, "ConnIdleUs": 30_000_000, "RetryAfter": True,
+                 "MaxRetryAfterUs": 1_000_000},
+        "Rules": {"GraceToAnswerUs": 8000, "DrainGraceUs": 500_000, "FallMultiple": 2.5, "FallUs": 1_500_000,
+                  "ColdShare": 0.18, "ColdUs": 17_000_000},
+        "Domain": {"Largest": 8, "MeanUnits": 2.0, "WithinShare": 0.4, "BeyondShare": 0.1, "NShards": 3},
+        "Zones": ["hall-a"], "Skus": ["std-1c"], **changes}
+
+
+def run(main: Coroutine[Any, Any, Value]) -> Value:
+    """Run a test's coroutine; a test that hangs fails."""
+    async def limited() -> Value:
+        async with asyncio.timeout(30):
+            return await main
+    return asyncio.run(limited())
+
+
+class Server:
+    """A server of aiohttp's on a free loopback port."""
+
+    def __init__(self) -> None:
+        self.server = web.Server(self.handle, access_log=None, handler_cancellation=True)
+        self.listener: asyncio.Server | None = None
+        self.port = 0
+
+    @property
+    def endpoint(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def open(self) -> None:
+        self.listener = await asyncio.get_running_loop().create_server(self.server, "127.0.0.1", self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            await self.server.shutdown(0.1)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+
+class Brick(Server):
+    """A disk box: it holds one shard, keeps what is put and tells what it has not got with 404."""
+
+    def __init__(self, shard: int, name: str = "") -> None:
+        super().__init__()
+        self.shard, self.name = shard, name or f"s-{shard}"
+        self.objects: dict[str, bytes] = {}
+        self.seen: list[tuple[str, str]] = []           # method and target of all that came
+        self.headers: list[dict[str, str]] = []
+        self.behave: Behaviour | None = None            # in place of the usual, unless it returns None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        self.seen.append((request.method, request.raw_path))
+        self.headers.append(dict(request.headers))
+        if self.behave is not None and (answer := await self.behave(request, body)) is not None:
+            return answer
+        where = request.raw_path.partition("?")[0].split("/", 2)[2]
+        if request.method == "PUT":
+            self.objects[where] = body
+            return web.Response(body=b"ok")
+        if where not in self.objects:
+            return web.Response(status=404)
+        return web.Response(body=self.objects[where])
+
+    def target(self, state: str = "Ready") -> Target:
+        return Target(self.name, self.endpoint, state, "hall-a", "std-1c", self.shard)
+
+
+class DiscoveryAgent(Server):
+    """Discovery: a list with a version, and watches that wait for a newer one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rev = 1
+        self.targets: dict[str, Target] = {}
+        self.changes: list[tuple[int, Target]] = []
+        self.asked: list[str] = []
+        self.news = asyncio.Condition()
+        self.silent = False
+
+    async def tell(self, *targets: Target) -> None:
+        async with self.news:
+            self.rev += 1
+            for target in targets:
+                self.changes.append((self.rev, target))
+                self.targets[target.uid] = target
+                if target.state == "Gone":
+                    del self.targets[target.uid]
+            self.news.notify_all()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.asked.append(request.raw_path)
+        if self.silent:
+            await asyncio.Event().wait()
+        since = request.query.get("since")
+        if since is None:
+            return self._list(True, list(self.targets.values()))
+        try:
+            async with asyncio.timeout(int(request.query["timeout_ms"]) / 1000), self.news:
+                await self.news.wait_for(lambda: self.rev > int(since))
+        except TimeoutError:
+            pass
+        return self._list(False, [target for rev, target in self.changes if rev > int(since)])
+
+    def _list(self, full: bool, targets: list[Target]) -> web.Response:
+        return web.Response(body=msgspec.json.encode(Listing(self.rev, targets, full)))
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for what must come; the test's own limit ends a wait for what does not."""
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+class World:
+    """Bricks, discovery and heads."""
+
+    def __init__(self, bricks: list[Brick]) -> None:
+        self.bricks, self.agent = bricks, DiscoveryAgent()
+        self.services: list[Service] = []
+        self.client = ClientSession()
+
+    async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None) -> Service:
+        """Start a head; the kernel gives its port, which `url` then tells."""
+        config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"), Listing(0, []))
+        service = Service(config, read_settings(json.dumps(settings or setup())), operator or OperatorConfig())
+        self.services.append(service)
+        await service.start()
+        return service
+
+    def url(self, service: Service, listener: int = 0) -> str:
+        host, port = service.listeners[listener].sockets[0].getsockname()
+        return f"http://{host}:{port}"
+
+    async def kill(self, service: Service) -> None:
+        """End a head as a kill does: nothing is answered, connections break."""
+        self.services.remove(service)
+        for listener in service.listeners:
+            listener.close()
+        servers = [service.front.server, *([service.objects.server] if service.objects else [])]
+        for server in servers:
+            for connection in server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        if service.watch is not None:
+            service.watch.cancel()
+        await service.discovery.close()
+        await service.bricks.close()
+
+
+@asynccontextmanager
+async def world(*bricks: Brick) -> AsyncIterator[World]:
+    """Start bricks and discovery; end them and all heads."""
+    made = World(list(bricks))
+    try:
+        for brick in bricks:
+            await brick.open()
+        await made.agent.open()
+        made.agent.targets = {brick.name: brick.target() for brick in bricks}
+        yield made
+    finally:
+        await made.client.close()
+        for service in list(made.services):
+            await made.kill(service)
+        for server in (*bricks, made.agent):
+            await server.close()
+
+
+def headers(number: int = 1, **changes: str) -> dict[str, str]:
+    """The platform's headers of a request."""
+    made = {"X-Txn": f"{number:016x}", "X-Qos-Policy": "priority", "X-Remaining-Ms": "750",
+            "X-Placement": "units=2,shard=0,hosts=1"}
+    made.update({name.replace("_", "-"): value for name, value in changes.items()})
+    return made
