Refuse an unsent retry before half of its time too; hold for 0.45 of it

Lines at fault: Request.__init__ held at least for the aim, which is more than half of a retry's short time.

--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -30,7 +30,7 @@
 LONGEST_REST = 5        # doublings of that rest while trials go on failing: some seconds, as lists are late
 COLD_PART = 0.5         # part of a cold node's reckoned allowance used: units only stand for work
 SLACK_USED = 0.5        # part of a limit's slack used; the rest covers what rounding and clocks may add
-HOLD_PART = 0.48        # part of its time that a request is held unsent
+HOLD_PART = 0.45        # part of its time that a request is held unsent
 COME_BACK = 2.0         # tightest aims after which a refused client is told to come back
 FINE = 10               # looks within the tightest aim at a place where something is held
 NOMINAL = 0.25          # quantile of time per unit, by machine kind, that counts as served without waiting
@@ -189,7 +189,7 @@
         self.place = ""
         self.aim_at = now - elapsed + klass.aim_us
         self.deadline = now + ask.time_left_us
-        self.hold_until = now + min(max(int(HOLD_PART * ask.time_left_us), klass.aim_us), ask.time_left_us)
+        self.hold_until = now + int(HOLD_PART * ask.time_left_us)
         self.attempts = 0
         self.lot = lot                      # from 0 to 1, drawn once
         self.out: dict[int, Book] = {}
