Test exchange and network code with models under random steps; forget departed requests

Seen: the exchange's model found that a request whose client left before anything was sent stayed in Exchange.open for ever. Lines at fault: Exchange.depart closed it without _forget. The model fails before and passes after.

--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -150,6 +150,7 @@
         if request is not None and request.answer is not None:
             self.counters.add("requests_departed")
             self._close(request)
+            self._forget(request)   # one of which nothing is out would else stay for ever
             self._event(api.Departure(name))
 
     def nodes(self, event: api.NodeList) -> None:
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -156,6 +156,7 @@
         self.bricks, self.agent = bricks, DiscoveryAgent()
         self.services: list[Service] = []
         self.client = ClientSession()
+        self.wires: list[Wire] = []
 
     async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None) -> Service:
         """Start a head; the kernel gives its port, which `url` then tells."""
@@ -165,6 +166,13 @@
         await service.start()
         return service
 
+    async def wire(self, service: Service) -> Wire:
+        """Open a client's connection to a head's platform front."""
+        host, _, port = self.url(service).removeprefix("http://").partition(":")
+        wire = Wire(*await asyncio.open_connection(host, int(port)))
+        self.wires.append(wire)
+        return wire
+
     def url(self, service: Service, listener: int = 0) -> str:
         host, port = service.listeners[listener].sockets[0].getsockname()
         return f"http://{host}:{port}"
@@ -197,6 +205,8 @@
         yield made
     finally:
         await made.client.close()
+        for wire in made.wires:
+            wire.close()
         for service in list(made.services):
             await made.kill(service)
         for server in (*bricks, made.agent):
@@ -209,3 +219,27 @@
             "X-Placement": "units=2,shard=0,hosts=1"}
     made.update({name.replace("_", "-"): value for name, value in changes.items()})
     return made
+
+
+class Wire:
+    """A client's connection, byte by byte."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, target: str, fields: dict[str, str], method: str = "GET", body: bytes = b"") -> None:
+        lines = [f"{method} {target} HTTP/1.1", "Host: origin.svc", *map(": ".join, fields.items())]
+        if body or method == "PUT":
+            lines.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def receive(self) -> tuple[int, dict[str, str], bytes]:
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = {name.lower(): text.strip() for name, _, text in (line.partition(":") for line in head[1:] if line)}
+        return int(head[0].split()[1]), fields, await self.reader.readexactly(int(fields.get("content-length", "0")))
+
+    async def ended(self) -> bool:
+        return await self.reader.read(1) == b""
+
+    def close(self) -> None:
+        self.writer.close()
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,216 @@
+"""The exchange against a model: one answer each, one end per attempt, whatever comes in whatever order."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from hophinge import interface as api
+from hophinge.counters import Counters
+from hophinge.exchange import Answer, Attempt, End, Exchange, Verdict
+from tests.test_choice import MS, SETTINGS, T0, ask, node
+
+GRACE = SETTINGS.rules.answer_grace_us
+
+
+class Timer:
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        self.callback = None
+
+
+class Loop:
+    """A loop whose time the test moves."""
+
+    def __init__(self) -> None:
+        self.now, self.order = T0, itertools.count()
+        self.timers: list[tuple[int, int, Timer]] = []
+
+    def now_us(self) -> int:
+        return self.now
+
+    def call_at(self, when_us: int, callback: Callable[[], None]) -> Timer:
+        timer = Timer(callback)
+        heapq.heappush(self.timers, (max(when_us, self.now), next(self.order), timer))
+        return timer
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        self.call_at(self.now, callback)
+
+    def advance(self, span: int) -> None:
+        until = self.now + span
+        while self.timers and self.timers[0][0] <= until:
+            self.now, _, timer = heapq.heappop(self.timers)
+            if timer.callback is not None:
+                timer.callback()
+        self.now = until
+
+
+class Desk:
+    """An exchange between lists: answers by request, attempts as they start, attempts given up."""
+
+    def __init__(self) -> None:
+        self.loop, self.lines = Loop(), list[str]()
+        self.exchange = Exchange(SETTINGS, 7, self.loop, Counters(), self.lines.append)
+        self.exchange.start = self.start
+        self.answers: dict[str, list[Answer]] = {}
+        self.out: list[Attempt] = []
+        self.stopped: list[Attempt] = []
+        self.exchange.nodes(api.NodeList(api.ListKind.SAVED, (node(0), node(1))))
+        self.loop.advance(0)
+
+    def start(self, attempt: Attempt) -> Callable[[], None]:
+        assert attempt.may_go(), "sent for a request that is over, or to a node that drains"
+        self.out.append(attempt)
+        return lambda: self.stopped.append(attempt)
+
+    def arrive(self, name: str, shard: int = 0, left: int = 2000 * MS) -> None:
+        self.answers[name] = []
+        self.exchange.arrive(ask(name, shard=shard, time_left=left), "payload", self.answers[name].append)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        return self.exchange.counters.counts
+
+
+class Model(RuleBasedStateMachine):
+    """Random steps; the model holds who left and until when each answer is due."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.desk = Desk()
+        self.due: dict[str, int] = {}
+        self.left: set[str] = set()
+
+    @rule(shard=st.integers(-1, 1), left=st.sampled_from([0, 30, 500, 2000]))
+    def arrive(self, shard: int, left: int) -> None:
+        name = f"{len(self.due):016x}"
+        self.due[name] = self.desk.loop.now + left * MS + GRACE
+        self.desk.arrive(name, shard, left * MS)
+
+    @precondition(lambda self: self.due)
+    @rule(data=st.data())
+    def depart(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.due)))
+        if not self.desk.answers[name]:
+            self.left.add(name)
+        self.desk.exchange.depart(name)
+
+    @precondition(lambda self: self.desk.out)
+    @rule(data=st.data(), result=st.sampled_from([one for one in api.Result if one is not api.Result.MOOT]))
+    def end(self, data: st.DataObject, result: api.Result) -> None:
+        attempt = data.draw(st.sampled_from(self.desk.out))
+        attempt.end(End(result, b"body"))
+        attempt.end(End(api.Result.OK, b"second"))      # void: an attempt ends once
+
+    @rule(phase=st.sampled_from(list(api.Phase)), kind=st.sampled_from([api.ListKind.CHANGES, api.ListKind.FULL]))
+    def nodes(self, phase: api.Phase, kind: api.ListKind) -> None:
+        self.desk.exchange.nodes(api.NodeList(kind, (node(0, phase),)))
+
+    @rule(span=st.sampled_from([0, 1, 20, 300, 2500]))
+    def wait(self, span: int) -> None:
+        self.desk.loop.advance(span * MS)
+
+    @invariant()
+    def one_answer_in_time(self) -> None:
+        for name, answers in self.desk.answers.items():
+            late = self.due[name] < self.desk.loop.now
+            assert len(answers) == (0 if name in self.left else 1 if late else len(answers[:1]))
+            assert all(answer.body != b"second" for answer in answers)
+
+    def teardown(self) -> None:
+        self.desk.loop.advance(10_000 * MS)
+        self.one_answer_in_time()
+        counts = self.desk.counts
+        assert not self.desk.exchange.open and not self.desk.exchange.unanswered
+        assert not any("Traceback" in line for line in self.desk.lines)
+        assert counts["attempts_sent"] == len(self.desk.out)
+        moot = counts["attempts_moot"]      # what was never sent ends too
+        assert sum(counts[f"attempts_{one.value}"] for one in api.Result) == len(self.desk.out) + moot
+        ends = ("served", "refused", "failed", "departed")
+        assert sum(counts[f"requests_{one}"] for one in ends) == len(self.due)
+
+
+Model.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
+TestModel = Model.TestCase
+
+
+def test_attempt_is_given_up_at_the_deadline_and_the_request_answered() -> None:
+    desk = Desk()
+    desk.arrive("a", left=500 * MS)
+    desk.loop.advance(499 * MS)
+    assert not desk.answers["a"] and not desk.stopped
+    desk.loop.advance(2 * MS)
+    assert [one.verdict for one in desk.answers["a"]] == [Verdict.REFUSED] and desk.stopped == desk.out
+
+
+def test_a_served_answer_names_the_shard_that_served_it() -> None:
+    desk = Desk()
+    desk.arrive("a", shard=-1)
+    desk.loop.advance(0)
+    desk.out[0].end(End(api.Result.OK, b"body"))
+    shard = desk.exchange.shards[desk.out[0].node]
+    assert desk.answers["a"] == [Answer(Verdict.SERVED, b"body", shard=shard)]
+
+
+def test_an_attempt_may_not_go_once_its_node_drains_or_its_request_is_over() -> None:
+    desk = Desk()
+    desk.arrive("a")
+    desk.arrive("b", shard=1)
+    desk.loop.advance(0)
+    first, second = desk.out
+    assert first.may_go() and second.may_go()
+    desk.exchange.nodes(api.NodeList(api.ListKind.CHANGES, (node(0, api.Phase.DRAINING),)))
+    desk.exchange.depart("b")
+    assert not first.may_go() and not second.may_go()
+
+
+def test_a_fault_of_the_module_fails_what_arrived_and_the_head_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    with monkeypatch.context() as patch:
+        patch.setattr(desk.exchange.scheduler, "handle", lambda *_: 1 / 0)
+        desk.arrive("a")
+        desk.loop.advance(0)
+    assert [one.verdict for one in desk.answers["a"]] == [Verdict.FAILED] and "ZeroDivisionError" in desk.lines[0]
+    desk.arrive("b")
+    desk.loop.advance(0)
+    desk.out[0].end(End(api.Result.OK))
+    assert [one.verdict for one in desk.answers["b"]] == [Verdict.SERVED]
+
+
+def test_what_the_module_forgets_is_failed_within_the_grace(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    monkeypatch.setattr(desk.exchange.scheduler, "handle", lambda *_: [])
+    desk.arrive("a", left=100 * MS)
+    desk.loop.advance(100 * MS + GRACE)
+    assert [one.verdict for one in desk.answers["a"]] == [Verdict.FAILED] and desk.counts["requests_overdue"] == 1
+
+
+def test_a_back_that_cannot_start_is_a_failed_connect() -> None:
+    desk = Desk()
+
+    def broken(_: Attempt) -> Callable[[], None]:
+        raise OSError("no more files")
+
+    desk.exchange.start = broken
+    desk.arrive("a", left=100 * MS)
+    desk.loop.advance(200 * MS)
+    assert len(desk.answers["a"]) == 1 and desk.counts["attempts_connect_failed"] > 0
+
+
+def test_cancel_reports_and_stops_an_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    desk.arrive("a")
+    desk.loop.advance(0)
+    monkeypatch.setattr(desk.exchange.scheduler, "handle", lambda *_: [api.Cancel("a", 0), api.Fail("a")])
+    desk.exchange.nodes(api.NodeList(api.ListKind.CHANGES, ()))
+    desk.loop.advance(0)
+    assert desk.stopped == desk.out and desk.counts["attempts_cancelled"] == 1 and len(desk.answers["a"]) == 1
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,379 @@
+"""The network code on loopback: a model of a connection's states under random steps, and each trap by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hophinge.interface import ListKind
+from hophinge.net.discovery import Listing, Target
+from hophinge.net.service import Service
+from tests.stand_in import OBJECT, VOLUME, Brick, Wire, World, headers, run, setup, until, world
+
+READ = f"/record-read/{VOLUME}/{OBJECT}"
+WRITE = f"/transfer-write/{VOLUME}/{OBJECT}"
+AWAY = {"X-Turned-Away": "1"}
+
+
+class Connection:
+    """The model of one client connection: open or closed, what the head must have counted, and its steps."""
+
+    def __init__(self, made: World, service: Service) -> None:
+        self.world, self.service, self.brick = made, service, made.bricks[0]
+        self.wire: Wire | None = None
+        self.number = 0
+        self.counts: Counter[str] = Counter()
+
+    async def step(self, name: str) -> None:
+        if self.wire is None:
+            self.wire = await self.world.wire(self.service)
+        self.number += 1
+        await getattr(self, name)(self.wire, headers(self.number))
+        for key, value in self.counts.items():
+            await until(lambda key=key, value=value: self.service.counters.counts[key] >= value)  # type: ignore[misc]
+            assert self.service.counters.counts[key] == value, key
+        await until(lambda: not self.service.exchange.open)
+
+    async def _served(self, wire: Wire, sent: dict[str, str], body: bytes = b"kept") -> None:
+        self.brick.objects[f"{VOLUME}/{OBJECT}"] = body
+        wire.send(READ, sent)
+        status, _, got = await wire.receive()
+        assert (status, got) == (200, body)
+        self.counts.update(["requests_taken", "requests_served", "attempts_sent", "attempts_ok"])
+
+    async def read(self, wire: Wire, sent: dict[str, str]) -> None:
+        await self._served(wire, sent)
+
+    async def write(self, wire: Wire, sent: dict[str, str]) -> None:
+        wire.send(WRITE, sent, "PUT", bytes(range(256)) * 256)
+        assert (await wire.receive())[0] == 200
+        assert self.brick.objects[f"{VOLUME}/{OBJECT}"] == bytes(range(256)) * 256
+        self.counts.update(["requests_taken", "requests_served", "attempts_sent", "attempts_ok"])
+
+    async def _once(self, wire: Wire, sent: dict[str, str], result: str, answer: web.Response | None) -> None:
+        """The brick's first answer is this one, or a broken connection; the module's next attempt is served."""
+        async def behave(request: web.BaseRequest, _: bytes) -> web.Response | None:
+            self.brick.behave = None
+            if answer is None and request.transport is not None:
+                request.transport.abort()
+            return answer
+
+        self.brick.behave = behave
+        await self._served(wire, sent)
+        self.counts.update(["attempts_sent", f"attempts_{result}"])
+
+    async def error(self, wire: Wire, sent: dict[str, str]) -> None:
+        await self._once(wire, sent, "error", web.Response(status=500))
+
+    async def full(self, wire: Wire, sent: dict[str, str]) -> None:
+        await self._once(wire, sent, "full", web.Response(status=503, headers=AWAY))
+
+    async def reset(self, wire: Wire, sent: dict[str, str]) -> None:
+        await self._once(wire, sent, "reset", None)
+
+    async def ready(self, wire: Wire, _: dict[str, str]) -> None:
+        wire.send("/healthz", {})
+        assert (await wire.receive())[0] == 200
+
+    async def malformed(self, wire: Wire, sent: dict[str, str]) -> None:
+        seen = len(self.brick.seen)
+        wire.send(READ, {**sent, "X-Txn": "odd"})
+        assert (await wire.receive())[0] == 400 and len(self.brick.seen) == seen
+        self.counts["requests_malformed"] += 1
+
+    async def oversize(self, wire: Wire, sent: dict[str, str]) -> None:
+        wire.send(WRITE, sent, "PUT", bytes(64 * 1024 + 1))
+        status, fields, _ = await wire.receive()
+        assert status == 413 and fields["connection"] == "close" and await wire.ended()
+        self.counts["requests_malformed"] += 1
+        self.wire = None
+
+    async def leave(self, wire: Wire, sent: dict[str, str]) -> None:
+        gate = asyncio.Event()
+
+        async def hold(_: web.BaseRequest, __: bytes) -> None:
+            await gate.wait()
+
+        self.brick.behave, seen = hold, len(self.brick.seen)
+        wire.send(READ, sent)
+        await until(lambda: len(self.brick.seen) > seen)
+        wire.close()
+        await until(lambda: self.service.counters.counts["requests_departed"] > self.counts["requests_departed"])
+        self.brick.behave = None
+        gate.set()
+        self.counts.update(["requests_taken", "requests_departed", "attempts_sent", "attempts_ok"])
+        self.wire = None
+
+
+STEPS = ["read", "write", "error", "full", "reset", "ready", "malformed", "oversize", "leave"]
+
+
+@settings(max_examples=25)
+@given(st.lists(st.sampled_from(STEPS), min_size=1, max_size=8))
+def test_a_connection_under_random_steps(steps: list[str]) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            connection = Connection(made, await made.head())
+            for name in steps:
+                await connection.step(name)
+    run(main())
+
+
+def test_what_goes_on_is_the_bytes_that_came() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            wire = await made.wire(await made.head())
+            target = f"{WRITE}?a=%7e%2F..&b=c+d%20e&&=;x"
+            wire.send(target, headers(X_Txn="9B1F03AA5c7e2d41"), "PUT", b"\r\n\0\xff")
+            assert (await wire.receive())[0] == 200
+            brick, = made.bricks
+            assert brick.seen == [("PUT", target)] and b"\r\n\0\xff" in brick.objects.values()
+            sent = brick.headers[0]
+            assert sent["X-Txn"] == "9B1F03AA5c7e2d41" and 600 < int(sent["X-Remaining-Ms"]) <= 750
+            assert not sent.keys() & {"Cookie", "User-Agent", "Accept-Encoding", "X-Qos-Policy"}
+    run(main())
+
+
+@pytest.mark.parametrize(("target", "changes", "status"), [
+    (READ, {"X-Txn": ""}, 400), (READ, {"X-Txn": "9b1f03aa5c7e2d4"}, 400), (READ, {"X-Remaining-Ms": "-1"}, 400),
+    (READ, {"X-Remaining-Ms": "1e3"}, 400), (READ, {"X-Qos-Policy": "gold"}, 400), (READ, {"X-Placement": ""}, 400),
+    (READ, {"X-Placement": "units=9,shard=0,hosts=1"}, 400), (READ, {"X-Placement": "units=0,shard=0,hosts=1"}, 400),
+    (READ, {"X-Placement": "units=nan,shard=0,hosts=1"}, 400), (READ, {"X-Placement": "units=1,shard=-2,hosts=1"}, 400),
+    (f"/unknown/{VOLUME}/{OBJECT}", {}, 404), ("/record-read/short/short", {}, 400), ("/", {}, 400),
+    (f"{READ}/more", {}, 400), (f"{READ}#part", {}, 400)])
+def test_malformed_requests_reach_no_brick(target: str, changes: dict[str, str], status: int,
+                                           capsys: pytest.CaptureFixture[str]) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.send(target, {**headers(), **changes})
+            assert (await wire.receive())[0] == status
+            wire.writer.write(b"not http at all\r\n\r\n")
+            assert (await wire.receive())[0] == 400
+            wire.close()
+            assert not made.bricks[0].seen and service.counters.counts["requests_malformed"] == 1
+    run(main())
+    assert "Traceback" not in "".join(capsys.readouterr())
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_a_kept_connection_that_turns_out_dead_costs_no_hidden_attempt(method: str) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            wire = await made.wire(service)
+            target = READ if method == "GET" else WRITE
+            wire.send(target, headers(1), method)
+            await wire.receive()
+
+            async def die(request: web.BaseRequest, _: bytes) -> None:
+                assert request.transport is not None
+                request.transport.abort()
+
+            brick.behave = die
+            wire.send(target, headers(2), method)
+            assert (await wire.receive())[0] == 503
+            counts = service.counters.counts
+            assert len(brick.seen) == 1 + 3 == counts["attempts_sent"] and counts["attempts_reset"] == 3
+    run(main())
+
+
+def test_redirects_and_encodings_are_not_followed_and_cookies_not_kept() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            wire = await made.wire(service)
+
+            async def odd(_: web.BaseRequest, __: bytes) -> web.Response:
+                return web.Response(body=b"not gzip", headers={"Content-Encoding": "gzip", "Set-Cookie": "a=b"})
+
+            brick.behave = odd
+            for number in (1, 2):
+                wire.send(READ, headers(number))
+                status, _, body = await wire.receive()
+                assert (status, body) == (200, b"not gzip")
+            assert "Cookie" not in brick.headers[1]
+
+            async def move(_: web.BaseRequest, __: bytes) -> web.Response:
+                return web.Response(status=302, headers={"Location": "/healthz"})
+
+            brick.behave = move
+            wire.send(READ, headers(3))
+            assert (await wire.receive())[0] == 503
+            assert {target for _, target in brick.seen} == {READ}
+            assert service.counters.counts["bricks_answered_302"] == 3
+    run(main())
+
+
+def test_meter_and_other_units_reach_the_module() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+
+            async def told(_: web.BaseRequest, __: bytes) -> web.Response:
+                return web.Response(headers={"X-Iops-Used": "150", "X-Rho": "3.5"})
+
+            made.bricks[0].behave = told
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            await wire.receive()
+            await until(lambda: service.exchange.scheduler.volumes[VOLUME].all_use > 0)
+            assert service.exchange.scheduler.volumes[VOLUME].all_use == 1.5 * 400
+    run(main())
+
+
+def test_a_given_up_attempt_closes_its_connection_and_the_request_is_answered_in_time() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, closed = await made.head(), asyncio.Event()
+
+            async def hang(_: web.BaseRequest, __: bytes) -> None:
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    closed.set()
+
+            made.bricks[0].behave = hang
+            wire = await made.wire(service)
+            wire.send(READ, headers(X_Remaining_Ms="100"))
+            assert (await wire.receive())[0] == 503
+            await closed.wait()
+            assert service.counters.counts["attempts_timeout"] == 1 and not service.bricks.session.connector._acquired  # type: ignore[union-attr]
+    run(main())
+
+
+def test_a_refused_connection_is_a_failed_connect() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            await made.bricks[0].close()
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[0] == 503
+            assert service.counters.counts["attempts_connect_failed"] == 3
+    run(main())
+
+
+def test_an_attempt_that_waited_for_its_connection_does_not_go_once_the_drain_is_heard(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0), Brick(1)) as made:
+            service, gate, waiting = await made.head(), asyncio.Event(), asyncio.Event()
+            connector = service.bricks.session.connector
+            create = connector._create_connection  # type: ignore[union-attr]
+
+            async def slow(*parts: object) -> object:
+                waiting.set()
+                await gate.wait()
+                return await create(*parts)  # type: ignore[arg-type]
+
+            monkeypatch.setattr(connector, "_create_connection", slow)
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            await waiting.wait()
+            await made.agent.tell(made.bricks[0].target("Terminating"))
+            await until(lambda: service.exchange.phases["s-0"].value == "draining")
+            gate.set()
+            assert (await wire.receive())[0] == 503
+            assert not made.bricks[0].seen and service.counters.counts["attempts_moot"] == 1
+    run(main())
+
+
+def test_connections_to_bricks_are_bounded_without_a_queue() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            assert service.bricks.session.connector is not None and service.bricks.session.connector.limit == 0
+            service.bricks.most = 0
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[0] == 503 and not made.bricks[0].seen
+            assert service.counters.counts["attempts_without_socket"] == 3
+    run(main())
+
+
+# --- discovery
+
+
+def test_the_watch_is_chained_and_outlives_errors_and_restarts() -> None:
+    async def main() -> None:
+        async with world(Brick(0), Brick(1)) as made:
+            service, agent = await made.head(), made.agent
+            phases = service.exchange.phases
+            assert agent.asked[0] == "/v1/servers"
+            await agent.tell(made.bricks[0].target("Terminating"))
+            await until(lambda: phases["s-0"].value == "draining")
+            await until(lambda: agent.asked[-1] == "/v1/servers?since=2&timeout_ms=20000")
+            await agent.tell(made.bricks[0].target("Gone"))
+            await until(lambda: phases["s-0"].value == "gone")
+            moved = made.bricks[1].target()
+            await agent.tell(Target("s-0", moved.endpoint, "Ready", "hall-a", "std-1c", 0, 1.0, 1_700_000_000_000))
+            await until(lambda: service.directory.endpoints["s-0"] == moved.endpoint and phases["s-0"].value == "on")
+            assert service.exchange.scheduler.books["s-0"].entry.started_us == 1_700_000_000_000_000
+            await agent.close()                             # the agent goes and comes back
+            await until(lambda: service.counters.counts["discovery_errors"] > 0)
+            assert phases["s-0"].value == "on"
+            await agent.open()
+            await agent.tell(made.bricks[1].target("Terminating"))
+            await until(lambda: phases["s-1"].value == "draining")
+    run(main())
+
+
+def test_a_head_starts_from_its_saved_list_while_discovery_is_silent() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            made.agent.silent = True
+            service = await made.head()
+            assert service.front.ready and service.counters.counts["discovery_answers"] == 0
+            service.exchange.nodes(service.directory.take(Listing(0, [made.bricks[0].target()]), ListKind.SAVED))
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[0] == 404 and made.bricks[0].seen
+    run(main())
+
+
+# --- the end
+
+
+def test_after_the_signal_all_is_answered_with_close_and_new_connections_are_still_taken() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, gate = await made.head(), asyncio.Event()
+
+            async def hold(_: web.BaseRequest, __: bytes) -> None:
+                await gate.wait()
+
+            made.bricks[0].behave = hold
+            wire, idle = await made.wire(service), await made.wire(service)
+            wire.send(READ, headers(1, X_Remaining_Ms="3000"))
+            await until(lambda: len(made.bricks[0].seen) == 1)
+            ending = asyncio.create_task(service.finish())
+            await until(lambda: service.front.closing)
+            made.bricks[0].behave = None
+            late = await made.wire(service)
+            for number, one in ((2, idle), (3, late)):
+                one.send(READ, headers(number))
+                status, fields, _ = await one.receive()
+                assert status == 404 and fields["connection"] == "close" and await one.ended()
+            gate.set()
+            status, fields, _ = await wire.receive()
+            assert status == 404 and fields["connection"] == "close" and await wire.ended()
+            await ending
+            made.services.remove(service)
+            assert service.counters.counts["requests_absent"] == 3
+    run(main())
+
+
+def test_settings_of_the_connector() -> None:
+    async def main() -> None:
+        async with world() as made:
+            session = (await made.head(settings=setup())).bricks.session
+            assert session.connector is not None and (session.connector._keepalive_timeout or 0) <= 15
+            assert session._retry_connection is False and session.trust_env is False and not session.auto_decompress
+    run(main())
