--- a/hophinge/counters.py
+++ b/hophinge/counters.py
@@ -2,24 +2,36 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from hophinge.interface import Result
+
+# Every counter there is; one that is not named here cannot be counted, so alerts never wait for a name in vain.
+NAMES = (
+    # the core: requests by how they were answered, attempts by how they ended
+    "requests_taken", "requests_served", "requests_absent", "requests_refused", "requests_failed",
+    "requests_departed", "requests_overdue", "attempts_sent", "attempts_without_socket", "probes_sent",
+    *(f"attempts_{result.value}" for result in Result),
+    # faults that must not happen; each has a traceback in the log
+    "module_faults", "client_faults", "object_faults", "admin_faults",
+    # the wires
+    "requests_malformed", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
+    # the object front and the administration API
+    "object_requests", "object_answers_2xx", "object_answers_3xx", "object_answers_4xx", "object_answers_5xx",
+    "object_truncated", "object_too_many", "admin_requests", "admin_denied",
+    # remote write
+    "remote_write_sent", "remote_write_retries", "remote_write_dropped", "remote_write_rejected",
+)
 
 
 class Counters:
-    """Counts by name; ``lines`` is what is printed on request and at exit."""
+    """Counts by name; ``text`` is what is printed on request and at exit."""
 
     def __init__(self) -> None:
-        self.counts: Counter[str] = Counter()
+        self.counts = dict.fromkeys(NAMES, 0)
 
     def add(self, name: str, number: int = 1) -> None:
         """Count something."""
         self.counts[name] += number
 
-    def most(self, name: str, value: int) -> None:
-        """Keep the largest value seen."""
-        if value > self.counts[name]:
-            self.counts[name] = value
-
     def text(self) -> str:
         """All counts, one `name value` a line, by name."""
         return "".join(f"{name} {value}\n" for name, value in sorted(self.counts.items()))
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -149,7 +149,7 @@
         elif status in (503, 504) and headers.get("X-Turned-Away") == "1":
             result = Result.FULL
         elif status != 500:
-            self.counters.add(f"bricks_answered_{status}")
+            self.counters.add("bricks_answered_oddly")
         used = headers.get("X-Iops-Used")
         return End(result, body if status == 200 else b"", 1 + int(_number(used)) if used else 0,
                    _number(headers.get("X-Rho")), absent=status == 404)
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -9,11 +9,13 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 
 from hophinge import interface as api
+from hophinge.admin import Admin, read_token
 from hophinge.counters import Counters
 from hophinge.exchange import Exchange
 from hophinge.net.client import Bricks
@@ -28,6 +30,9 @@
 from hophinge.settings import read_settings
 from hophinge.tenants import Tenants
 
+if TYPE_CHECKING:
+    from hophinge.remote_write import RemoteWrite
+
 BACKLOG = 512
 FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
@@ -108,12 +113,21 @@
         self.front = Front(self.exchange, self.counters)
         self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
         self.objects: ObjectFront | None = None
+        self.admin: Admin | None = None
         if operator.objects is not None:
             tenants = Tenants(operator.objects.tenants, frozenset(plan.name for plan in settings.plans))
             store = Store(Core(self.exchange, operator.objects))
             self.objects = ObjectFront(store, tenants, operator.objects, self.counters, say)
+            if operator.admin is not None:
+                self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
+        self.remote_write: RemoteWrite | None = None
+        if operator.remote_write is not None:
+            from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
+
+            self.remote_write = RemoteWrite(operator.remote_write, config.name or config.listen, self.counters,
+                                            self.gauges, clock.now_us)
         self.listeners: list[asyncio.Server] = []
-        self.watch: asyncio.Task[None] | None = None
+        self.tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -122,7 +136,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
-        await self.start()
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
         gc.collect()
         gc.freeze()     # what start-up made is never garbage; collections stay short
         await self.stopping.wait()
@@ -132,10 +150,14 @@
     async def start(self) -> None:
         """Listen, and be ready once there is a list."""
         self.exchange.nodes(self.directory.take(self.config.known, api.ListKind.SAVED))
-        self.watch = asyncio.create_task(self.discovery.run())
+        self.tasks.append(asyncio.create_task(self.discovery.run()))
         await self._listen(self.front.server, self.config.listen)
         if self.objects is not None:
             await self._listen(self.objects.server, self.objects.config.listen)
+        if self.admin is not None and self.operator.admin is not None:
+            await self._listen(self.admin.server, self.operator.admin.listen)
+        if self.remote_write is not None:
+            self.tasks.append(asyncio.create_task(self.remote_write.run()))
         try:
             async with asyncio.timeout(FIRST_LIST_S):
                 await self.discovery.heard.wait()
@@ -154,8 +176,9 @@
     def stop(self) -> None:
         """Begin the end: from here on every answer closes its connection."""
         self.front.closing = True
-        if self.objects is not None:
-            self.objects.closing = True
+        for front in (self.objects, self.admin):
+            if front is not None:
+                front.closing = True
         self.stopping.set()
 
     def report(self) -> None:
@@ -172,14 +195,25 @@
         # Each request has its deadline, and each wait of the object front its own limit.
         while self.exchange.unanswered or (self.objects is not None and self.objects.active):
             await asyncio.sleep(DRAIN_LOOK_S)
-        for server in (self.front.server, self.objects and self.objects.server):
-            if server:
-                await server.shutdown(SHUTDOWN_S)
-        if self.watch is not None:
-            self.watch.cancel()
-            await asyncio.gather(self.watch, return_exceptions=True)
-        await self.discovery.close()
-        await self.bricks.close()
+        for front in (self.front, self.objects, self.admin):
+            if front is not None:
+                await front.server.shutdown(SHUTDOWN_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """End what runs beside the serving, and the connections of the server side."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for part in (self.discovery, self.bricks, self.remote_write):
+            if part is not None:
+                await part.close()
+
+    def gauges(self) -> dict[str, float]:
+        """Tell what is now, for remote write."""
+        ready = sum(phase is api.Phase.ON for phase in self.exchange.phases.values())
+        return {"requests_open": self.exchange.unanswered, "attempts_out": len(self.bricks.tasks),
+                "bricks_ready": ready, "object_requests_open": self.objects.active if self.objects else 0}
 
 
 def main() -> int:
@@ -187,7 +221,7 @@
     try:
         config, settings, operator = load(os.environ)
         asyncio.run(serve(config, settings, operator))
-    except (ConfigError, ValueError) as error:
+    except (ConfigError, ValueError, OSError) as error:
         print(f"hophinge: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
     return 0
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -47,6 +47,7 @@
         self.counters.add("object_requests")
         response: web.StreamResponse
         if self.active >= self.config.requests:
+            self.counters.add("object_too_many")
             response = self._error(ObjectError(503, "SlowDown", "Too many requests at once."), BUSY_RETRY_S)
         else:
             self.active += 1
@@ -54,7 +55,7 @@
                 response = await self._answered(request)
             finally:
                 self.active -= 1
-        self.counters.add(f"object_answers_{response.status}")
+        self.counters.add(f"object_answers_{response.status // 100}xx")
         if not response.prepared and (self.closing or (request.can_read_body and not request.content.is_eof())):
             response.force_close()      # what is left of an unread body must not be taken for a request
         return response
--- a/hophinge/tenants.py
+++ b/hophinge/tenants.py
@@ -94,6 +94,15 @@
         self.by_key = {key.id: (tenant, key) for tenant in self.accounts.tenants.values() for key in tenant.keys}
 
     def _save(self) -> None:
+        try:
+            self._replace()
+        except BaseException:
+            self.stamp = None       # what could not be saved does not hold
+            self.accounts = Accounts()
+            self.refresh()
+            raise
+
+    def _replace(self) -> None:
         # Written beside, synced and renamed over: a crash leaves the old file or the new one, never half.
         self.path.parent.mkdir(parents=True, exist_ok=True)
         handle, name = tempfile.mkstemp(dir=self.path.parent, prefix=f".{self.path.name}.")
