--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -106,12 +106,6 @@
         self.counters = Counters()
         clock = LoopClock(asyncio.get_running_loop())
         self.exchange = Exchange(settings, int(config.seed, 16), clock, self.counters, say)
-        self.directory = Directory(settings)
-        most = max(16, (config.limits.sockets - SPARE_SOCKETS) // 2)
-        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, most)
-        self.exchange.start = self.bricks.start
-        self.front = Front(self.exchange, self.counters)
-        self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
         self.objects: ObjectFront | None = None
         self.admin: Admin | None = None
         if operator.objects is not None:
@@ -120,6 +114,13 @@
             self.objects = ObjectFront(store, tenants, operator.objects, self.counters, say)
             if operator.admin is not None:
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
+        # What the configuration can still be refused for lies above; sessions are opened from here on.
+        self.directory = Directory(settings)
+        most = max(16, (config.limits.sockets - SPARE_SOCKETS) // 2)
+        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, most)
+        self.exchange.start = self.bricks.start
+        self.front = Front(self.exchange, self.counters)
+        self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
@@ -221,7 +222,7 @@
     try:
         config, settings, operator = load(os.environ)
         asyncio.run(serve(config, settings, operator))
-    except (ConfigError, ValueError, OSError) as error:
+    except (ConfigError, ValueError, OSError, msgspec.MsgspecError) as error:
         print(f"hophinge: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
     return 0
--- a/hophinge/objects/config.py
+++ b/hophinge/objects/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -55,9 +56,15 @@
     remote_write: RemoteWriteConfig | None = None
 
 
+def _path(kind: type, value: Any) -> Path:
+    if kind is not Path or not isinstance(value, str):
+        raise ValueError("a path is a text")
+    return Path(value)
+
+
 def load(path: str) -> OperatorConfig:
     """Read the file; a path within it is taken from the file's folder."""
-    config = msgspec.toml.decode(Path(path).read_bytes(), type=OperatorConfig)
+    config = msgspec.toml.decode(Path(path).read_bytes(), type=OperatorConfig, dec_hook=_path)
     base = Path(path).resolve().parent
     if config.objects:
         config.objects.tenants = base / config.objects.tenants
--- a/hophinge/tenants.py
+++ b/hophinge/tenants.py
@@ -86,7 +86,12 @@
         stamp = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
         if stamp == self.stamp:
             return
-        self.accounts = msgspec.json.decode(self.path.read_bytes(), type=Accounts)
+        try:
+            self.accounts = msgspec.json.decode(self.path.read_bytes(), type=Accounts)
+        except msgspec.MsgspecError:
+            if self.stamp is None:
+                raise
+            # Somebody's slip in the file while heads serve: what was read before stays in force.
         self.stamp = stamp
         self._index()
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -148,3 +148,14 @@
     here.refresh()
     found = here.authenticate(token)
     assert found is not None and found.name == "alba" and here.authenticate("") is None
+
+
+def test_a_slip_in_the_file_leaves_what_was_read_before_in_force(tmp_path: Path) -> None:
+    path = tmp_path / "tenants.json"
+    tenants = Tenants(path, frozenset({"basic"}))
+    tenants.create("alba")
+    path.write_text("{not json")
+    tenants.refresh()
+    assert tenants.get("alba").name == "alba"
+    with pytest.raises(msgspec.MsgspecError):
+        Tenants(path, frozenset({"basic"}))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from hophinge.objects.config import load
 from tests.stand_in import Brick, Wire, headers, run, setup, world
 from tests.test_net import READ
 
@@ -58,6 +59,23 @@
     assert refused({**config(tmp_path), "HOPHINGE_OPERATOR_FILE": str(path)})
 
 
+@pytest.mark.parametrize(("path", "parts"), [("deploy/objects.toml", 1), ("examples/operator.toml", 2)])
+def test_the_repository_s_own_operator_s_files_are_read(path: str, parts: int) -> None:
+    found = load(str(ROOT / path))
+    assert found.objects is not None and found.objects.tenants.is_absolute()
+    assert sum(one is not None for one in (found.objects, found.admin, found.remote_write)) == parts
+
+
+def test_every_part_of_the_operator_s_file_is_read(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "objects.toml").read_text()
+    head, _, rest = text.partition("# [admin]")
+    uncommented = "[admin]" + "\n".join(line.removeprefix("# ") for line in rest.splitlines())
+    (tmp_path / "all.toml").write_text(head + uncommented)
+    found = load(str(tmp_path / "all.toml"))
+    assert found.admin is not None and found.admin.listen == "127.0.0.1:9081"
+    assert found.remote_write is not None and found.remote_write.queue == 64
+
+
 def test_the_program_serves_prints_its_counters_and_ends_by_a_signal(tmp_path: Path) -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
