--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -111,6 +111,7 @@
 
 
 Start = Callable[[Attempt], Callable[[], None]]
+Probe = Callable[[str, Callable[[api.ProbeResult], None]], None]
 
 
 class Exchange:
@@ -122,7 +123,7 @@
         self.now_us = loop.now_us
         self.scheduler = Scheduler(settings, seed)
         self.start: Start | None = None             # the back; set once it is there
-        self.probe: Callable[[str], None] | None = None
+        self.probe: Probe | None = None
         self.open: dict[str, Open] = {}
         self.phases: dict[str, api.Phase] = {}
         self.shards: dict[str, int] = {}
@@ -232,7 +233,7 @@
             case api.Probe():
                 if self.probe is not None:
                     self.counters.add("probes_sent")
-                    self.probe(action.node)
+                    self.probe(action.node, self.probed)
             case api.Log():
                 self.log(action.text)
             case api.Watch():
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -15,14 +15,17 @@
 
 from hophinge.counters import Counters
 from hophinge.exchange import Attempt, End
-from hophinge.interface import Result, Settings
+from hophinge.interface import ProbeResult, Result, Settings
+from hophinge.net.clock import now_us
 from hophinge.net.payload import MOST_BODY, Payload
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
+PROBE_S = 0.25              # a brick that is up answers a probe beside its queue
+NOWHERE = "127.0.0.1:0"     # where a brick that no list names is asked: it refuses
 CONNECT_US = 250_000        # where the settings state no limit
 PLAIN = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
 
-current: ContextVar[Flight] = ContextVar("current")
+current: ContextVar[Flight | None] = ContextVar("current")      # None: a probe
 
 
 class StaleError(Exception):
@@ -46,7 +49,8 @@
         """Get a connection for a request that may still go."""
         connection = await super().connect(req, traces, timeout)
         # A connection takes up to its time limit to come up; a drain heard or an answer given meanwhile ends it.
-        if not current.get().attempt.may_go():
+        flight = current.get()
+        if flight is not None and not flight.attempt.may_go():
             connection.release()
             raise StaleError
         return connection
@@ -54,11 +58,25 @@
 
 async def _headers_sent(_session: Any, _context: Any, _params: Any) -> None:
     flight = current.get()
-    flight.written = flight.written or flight.headers_suffice
+    if flight is not None and flight.headers_suffice:
+        flight.written = True
 
 
 async def _chunk_sent(_session: Any, _context: Any, _params: Any) -> None:
-    current.get().written = True
+    flight = current.get()
+    if flight is not None:
+        flight.written = True
+
+
+async def _body(response: aiohttp.ClientResponse) -> bytes | None:
+    """Read a body; one that is longer than any may be ends its connection instead of filling the memory."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MOST_BODY:
+            response.close()
+            return None
+    return bytes(body)
 
 
 def _number(text: str | None) -> float:
@@ -68,12 +86,26 @@
         return 0.0
 
 
+def read_report(text: str | None) -> dict[str, float]:
+    """Read a load report, `TEXT inflight=7, queue=2`; what is malformed in it is passed over."""
+    kind, _, rest = (text or "").strip().partition(" ")
+    found: dict[str, float] = {}
+    for item in rest.split(",") if kind == "TEXT" else ():
+        name, _, value = item.strip().partition("=")
+        try:
+            found[name] = float(value)
+        except ValueError:
+            continue
+    return found
+
+
 class Bricks:
     """The client side towards all bricks. Each attempt is a task; giving it up closes its connection."""
 
     def __init__(self, settings: Settings, endpoint: Callable[[str], str | None], counters: Counters,
                  log: Callable[[str], None], most: int) -> None:
         self.endpoint, self.counters, self.log, self.most = endpoint, counters, log, most
+        self.reports = settings.report_in_answers
         self.tasks: set[asyncio.Task[None]] = set()
         allowed = settings.allowed
         trace = aiohttp.TraceConfig()
@@ -134,12 +166,8 @@
         async with self.session.request(
                 payload.method, URL(f"http://{endpoint}{payload.target}", encoded=True), headers=headers,
                 data=payload.body if payload.method == "PUT" else None, allow_redirects=False) as response:
-            body = await response.content.read(MOST_BODY + 1) if (response.content_length or 0) > MOST_BODY \
-                else await response.read()
-            if len(body) > MOST_BODY:
-                response.close()
-                return End(Result.ERROR)
-            return self._end(response, body)
+            body = await _body(response)
+            return End(Result.ERROR) if body is None else self._end(response, body)
 
     def _end(self, response: aiohttp.ClientResponse, body: bytes) -> End:
         status, headers = response.status, response.headers
@@ -152,7 +180,33 @@
             self.counters.add("bricks_answered_oddly")
         used = headers.get("X-Iops-Used")
         return End(result, body if status == 200 else b"", 1 + int(_number(used)) if used else 0,
-                   _number(headers.get("X-Rho")), absent=status == 404)
+                   _number(headers.get("X-Rho")),
+                   read_report(headers.get("X-Pressure")) if self.reports else {}, absent=status == 404)
+
+    def probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
+        """Ask a brick for its load; what comes of it is told once."""
+        task = asyncio.get_running_loop().create_task(self._probe(node, told))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
+        begun, result, report = now_us(), Result.CONNECT_FAILED, dict[str, float]()
+        current.set(None)
+        try:
+            async with asyncio.timeout(PROBE_S), self.session.get(
+                    f"http://{self.endpoint(node) or NOWHERE}/load", allow_redirects=False) as response:
+                body = await _body(response) or b""
+                if response.status == 200:
+                    result = Result.OK
+                    header = response.headers.get("X-Pressure")
+                    report = read_report(header or body.decode("utf-8", "replace").removeprefix("X-Pressure:"))
+                else:
+                    result = Result.ERROR
+        except TimeoutError:
+            result = Result.TIMEOUT
+        except (aiohttp.ClientError, OSError):
+            pass
+        told(ProbeResult(node, result, now_us() - begun, report))
 
     async def close(self) -> None:
         """Give up what is out and close all connections."""
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -118,7 +118,7 @@
         self.directory = Directory(settings)
         most = max(16, (config.limits.sockets - SPARE_SOCKETS) // 2)
         self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, most)
-        self.exchange.start = self.bricks.start
+        self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
         self.front = Front(self.exchange, self.counters)
         self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
         self.remote_write: RemoteWrite | None = None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 
 import pytest
 from aiohttp import web
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hophinge.interface import ListKind
+from hophinge.interface import Action, Event, ListKind, Outcome, Probe, ProbeResult, Result
 from hophinge.net.discovery import Listing, Target
 from hophinge.net.service import Service
 from tests.stand_in import OBJECT, VOLUME, Brick, Wire, World, headers, run, setup, until, world
@@ -298,6 +299,64 @@
     run(main())
 
 
+def test_load_reports_come_by_probes_and_in_answers_where_the_settings_say_so(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            told = setup(Report={"Fields": ["q"], "Source": "answers"})
+            service, events = await made.head(settings=told), list[Event]()
+            scheduler, brick = service.exchange.scheduler, made.bricks[0]
+
+            async def loaded(request: web.BaseRequest, _: bytes) -> web.Response:
+                if request.raw_path == "/load":
+                    return web.Response(text="TEXT inflight=2, queue=4, odd=x")
+                return web.Response(headers={"X-Pressure": "TEXT queue=3, util=0.61"})
+
+            brick.behave = loaded
+            usual = scheduler.handle
+
+            def handle(now_us: int, batch: Iterable[Event]) -> list[Action]:
+                events.extend(batch := list(batch))
+                return usual(now_us, batch)
+
+            monkeypatch.setattr(scheduler, "handle", handle)
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            await wire.receive()
+            await until(lambda: any(isinstance(one, Outcome) and one.report == {"queue": 3, "util": 0.61}
+                                    for one in events))
+            for node, result, report in (("s-0", Result.OK, {"inflight": 2, "queue": 4}),
+                                         ("s-9", Result.CONNECT_FAILED, {})):
+                service.exchange._act(Probe(node), 0)
+                await until(lambda node=node, result=result, report=report: any(  # type: ignore[misc]
+                    isinstance(one, ProbeResult) and (one.node, one.result, one.report) == (node, result, report)
+                    for one in events))
+    run(main())
+
+
+def test_a_brick_s_endless_body_is_broken_off() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, ended = await made.head(), asyncio.Event()
+
+            async def endless(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+                response = web.StreamResponse()
+                await response.prepare(request)
+                try:
+                    while True:
+                        await response.write(bytes(8192))
+                finally:
+                    ended.set()
+
+            made.bricks[0].behave = endless
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[0] == 503
+            await ended.wait()
+            assert service.counters.counts["attempts_error"] == 3
+    run(main())
+
+
 # --- discovery
 
 
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -6,7 +6,7 @@
 import base64
 import hashlib
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from xml.etree import ElementTree
@@ -15,6 +15,8 @@
 import pytest
 from aiohttp import ClientResponse, web
 
+from hophinge.exchange import Answer
+from hophinge.interface import Arrival
 from hophinge.net.service import Service
 from hophinge.objects.config import ObjectConfig, OperatorConfig
 from hophinge.objects.ranges import UnsatisfiableError, parse
@@ -420,6 +422,40 @@
     assert got is None and counts["object_truncated"] == 1 and counts["requests_refused"] > 0
 
 
+def test_each_tenant_s_requests_count_on_its_own_plan(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with store(tmp_path) as (made, service, client):
+            accounts = Tenants(tmp_path / "tenants.json", frozenset({"basic", "priority"}))
+            accounts.create("beith")
+            bucket = accounts.put_volume("beith", "receipts", "basic")
+            other = Client(made, service, accounts.add_key("beith"))
+            asks: list[Arrival] = []
+            arrive = service.exchange.arrive
+
+            def noted(ask: Arrival, payload: object, answer: Callable[[Answer], None]) -> None:
+                asks.append(ask)
+                arrive(ask, payload, answer)
+
+            monkeypatch.setattr(service.exchange, "arrive", noted)
+            big = content(6 * PIECE)
+            for one, body in ((client, big), (other, b"small")):
+                assert await one.status("PUT", "/receipts/a", body) == 200
+                assert (await one.call("GET", "/receipts/a", Range="bytes=0-4"))[1] == body[:5]
+            classes, plans = service.exchange.settings.classes, service.exchange.settings.plans
+            share = Counter((plans[ask.plan].name, classes[ask.klass].name) for ask in asks)
+            # A ranged read costs its manifest and the one piece it touches, whatever the object's size.
+            assert share == {("priority", "transfer-write"): 7, ("priority", "record-read"): 2,
+                             ("basic", "transfer-write"): 2, ("basic", "record-read"): 2}
+            assert {ask.plan for ask in asks if ask.volume == bucket.id} == {0}
+            assert all(ask.units == 1 and ask.time_left_us == classes[ask.klass].deadline_us for ask in asks)
+            assert service.objects is not None
+            assert service.objects.store.core.units(64 * 1024) == service.exchange.settings.most_units
+            assert all(ask.shard == -1 for ask in asks if ask.write and ask.key in {
+                where.partition("/")[2] for brick in made.bricks
+                for where, held in brick.objects.items() if len(held) == PIECE})
+    run(main())
+
+
 @pytest.mark.parametrize(("header", "size", "expected"), [
     (None, 10, None), ("bytes=0-3", 10, (0, 3)), ("bytes=4-", 10, (4, 9)), ("bytes=-3", 10, (7, 9)),
     ("bytes=-30", 10, (0, 9)), ("bytes=8-99", 10, (8, 9)), ("bytes=3-1", 10, None), ("bytes=0-1,4-5", 10, None),
