Close idle connections at the end while earlier requests are still served

Seen by test: an idle connection stayed open until the last request's answer, so it could still take one that a kill then finds unanswered. Line at fault: Service.finish waited first. Ruled out: aiohttp's pre_shutdown, which stops reading such connections without closing them. The three fronts now share net/listener.py.

--- a/hophinge/admin.py
+++ b/hophinge/admin.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from hophinge.counters import Counters
+from hophinge.net.listener import Listener
 from hophinge.tenants import Tenant, TenantError, Tenants, digest
 
 MOST_BODY = 16 * 1024
@@ -39,14 +40,13 @@
     return token
 
 
-class Admin:
+class Admin(Listener):
     """One handler for every connection. A call's write to disk is short and rare, so it is done in place."""
 
     def __init__(self, tenants: Tenants, token: str, counters: Counters, log: Callable[[str], None]) -> None:
+        super().__init__()
         self.tenants, self.token = tenants, digest(token)
         self.counters, self.log = counters, log
-        self.closing = False
-        self.server = web.Server(self.handle, access_log=None)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -69,7 +69,7 @@
                 self.counters.add("admin_faults")
                 self.log(traceback.format_exc())
                 response = _json(500, {"error": "the call failed; the log says why"})
-        if self.closing or (request.can_read_body and not request.content.is_eof()):
+        if request.can_read_body and not request.content.is_eof():
             response.force_close()
         return response
 
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -10,6 +10,7 @@
 from hophinge import interface as api
 from hophinge.counters import Counters
 from hophinge.exchange import Answer, Exchange, Verdict
+from hophinge.net.listener import Listener
 from hophinge.net.payload import MOST_BODY, Payload
 
 # The client counts from when it sent; the answer must be there, written and read, when it stops waiting.
@@ -69,31 +70,28 @@
             write=request.method == "PUT", plan=plan)
 
 
-class Front:
+class Front(Listener):
     """One handler for every connection; a connection carries one request at a time."""
 
     def __init__(self, exchange: Exchange, counters: Counters) -> None:
+        super().__init__()
         self.exchange, self.counters = exchange, counters
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
-        self.ready = self.closing = False
-        # A client that closes its connection has gone: its handler is cancelled, which tells the exchange.
-        self.server = web.Server(self.handle, handler_cancellation=True, access_log=None)
+        self.ready = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         try:
-            response = await self._handle(request)
+            response = await self._take(request)
         except MalformedError as error:
             self.counters.add("requests_malformed")
             response = web.Response(status=error.status, text=f"{error.text}\n")
             if request.can_read_body:
                 response.force_close()      # the rest of an unread body would be taken for the next request
-        if self.closing:
-            response.force_close()
         return response
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _take(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/healthz" and request.method == "GET":
             return web.Response(status=200 if self.ready else 503)
         ask = self.reader.read(request)
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -193,6 +193,11 @@
         await asyncio.sleep(STILL_ARRIVING_S)
         for listener in self.listeners:
             listener.close()
+        # From here on nothing new is taken: a request on a kept connection could outlast what is left to this process.
+        # Idle connections close now, busy ones with their answer.
+        for front in (self.front, self.objects, self.admin):
+            if front is not None:
+                front.close_idle()
         # Each request has its deadline, and each wait of the object front its own limit.
         while self.exchange.unanswered or (self.objects is not None and self.objects.active):
             await asyncio.sleep(DRAIN_LOOK_S)
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from hophinge.counters import Counters
+from hophinge.net.listener import Listener
 from hophinge.net.payload import MOST_BODY
 from hophinge.objects import xml
 from hophinge.objects.config import ObjectConfig
@@ -31,16 +32,15 @@
 TRUNCATES = (CoreFailedError, RefusedError)
 
 
-class ObjectFront:
+class ObjectFront(Listener):
     """One handler for every connection."""
 
     def __init__(self, store: Store, tenants: Tenants, config: ObjectConfig, counters: Counters,
                  log: Callable[[str], None]) -> None:
+        super().__init__()
         self.store, self.tenants, self.config = store, tenants, config
         self.counters, self.log = counters, log
         self.active = 0
-        self.closing = False
-        self.server = web.Server(self.handle, handler_cancellation=True, access_log=None)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; whatever goes wrong, it gets one answer."""
@@ -56,7 +56,7 @@
             finally:
                 self.active -= 1
         self.counters.add(f"object_answers_{response.status // 100}xx")
-        if not response.prepared and (self.closing or (request.can_read_body and not request.content.is_eof())):
+        if not response.prepared and request.can_read_body and not request.content.is_eof():
             response.force_close()      # what is left of an unread body must not be taken for a request
         return response
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -429,6 +429,29 @@
     run(main())
 
 
+def test_a_kept_connection_closes_while_an_earlier_request_is_still_served() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, gate = await made.head(), asyncio.Event()
+            wire, idle = await made.wire(service), await made.wire(service)
+            idle.send("/healthz", {})
+            assert (await idle.receive())[0] == 200
+
+            async def hold(_: web.BaseRequest, __: bytes) -> None:
+                await gate.wait()
+
+            made.bricks[0].behave = hold
+            wire.send(READ, headers(1, X_Remaining_Ms="20000"))
+            await until(lambda: len(made.bricks[0].seen) == 1)
+            ending = asyncio.create_task(service.finish())
+            assert await idle.ended() and service.exchange.unanswered == 1      # long before it is answered
+            gate.set()
+            assert (await wire.receive())[0] == 404 and await wire.ended()
+            await ending
+            made.services.remove(service)
+    run(main())
+
+
 def test_settings_of_the_connector() -> None:
     async def main() -> None:
         async with world() as made:
