Read the configuration again on SIGHUP and move discovery at once

Now the signal is blocked before the slow imports and unblocked once its handler stands, so that an early one is a reload like any other. The file is read again; one that cannot be read is logged and counted and the old kept. A new discovery address is followed at once, with a whole list first (versions of one agent mean nothing to another), and the watch at the old one ends. Requests, books and connections live on. Tests: a hangup with a request open, a half written file, an early hangup; without the change the program ends.

--- a/hophinge/__main__.py
+++ b/hophinge/__main__.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from hophinge.net.service import main
+# SIGHUP's default ends the program. Blocked before the slow imports, one that comes early waits until the service
+# has its handler, and is then a reload like any other.
+signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+from hophinge.net.service import main  # noqa: E402
 
 sys.exit(main())
--- a/hophinge/counters.py
+++ b/hophinge/counters.py
@@ -14,6 +14,7 @@
     "module_faults", "client_faults", "object_faults", "admin_faults",
     # the wires
     "requests_malformed", "requests_too_many", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
+    "reloads", "reloads_failed",
     # the object front and the administration API
     "object_requests", "object_answers_2xx", "object_answers_3xx", "object_answers_4xx", "object_answers_5xx",
     "object_truncated", "object_too_many", "admin_requests", "admin_denied",
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -73,20 +73,30 @@
 
     def __init__(self, address: str, directory: Directory, tell: Callable[[api.NodeList], None],
                  counters: Counters) -> None:
-        self.url = f"http://{address}/v1/servers"
-        self.directory, self.tell, self.counters = directory, tell, counters
+        self.address, self.directory, self.tell, self.counters = address, directory, tell, counters
         self.rev: int | None = None
+        self.task: asyncio.Task[None] | None = None
         self.heard = asyncio.Event()    # the first answer is in
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), trust_env=False, cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None))
 
-    async def run(self) -> None:
-        """Follow the list until cancelled."""
+    def follow(self, address: str) -> None:
+        """Follow the list at an address, begun with a whole one; a watch elsewhere ends at once.
+
+        An agent that is left may go on holding its watch open without a word, and versions of one agent mean nothing
+        to another. The list held stays in force until the new agent has told its own.
+        """
+        if self.task is not None:
+            self.task.cancel()
+        self.address, self.rev = address, None
+        self.task = asyncio.get_running_loop().create_task(self._run(f"http://{address}/v1/servers"))
+
+    async def _run(self, url: str) -> None:
         pause = FIRST_PAUSE_S
         while True:
             try:
-                await self._call()
+                await self._call(url)
             except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
                 self.counters.add("discovery_errors")
                 await asyncio.sleep(pause)
@@ -94,11 +104,10 @@
             else:
                 pause = FIRST_PAUSE_S
 
-    async def _call(self) -> None:
-        if self.rev is None:
-            url, wait = self.url, LIST_S
-        else:
-            url = f"{self.url}?since={self.rev}&timeout_ms={WATCH_MS}"
+    async def _call(self, url: str) -> None:
+        wait = LIST_S
+        if self.rev is not None:
+            url = f"{url}?since={self.rev}&timeout_ms={WATCH_MS}"
             wait = WATCH_MS / 1000 + WATCH_SPARE_S
         async with asyncio.timeout(wait), self.session.get(url, allow_redirects=False) as response:
             response.raise_for_status()
@@ -112,5 +121,8 @@
         self.heard.set()
 
     async def close(self) -> None:
-        """Close the connection."""
+        """End the watch and close its connection."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         await self.session.close()
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -72,17 +72,27 @@
     return host, int(port)
 
 
+def read_config(path: str) -> Config:
+    """Read the configuration file."""
+    try:
+        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
+        address(config.listen), address(config.discovery)
+    except (OSError, ValueError, msgspec.MsgspecError, ConfigError) as error:
+        raise ConfigError(f"EDGE_CONFIG {path!r}: {error}") from error
+    return config
+
+
 def load(environ: Mapping[str, str]) -> tuple[Config, api.Settings, OperatorConfig]:
     """Read the configuration and the operator's file that the environment names."""
     path = environ.get("EDGE_CONFIG", "")
+    config = read_config(path)
     try:
-        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
         config.listen = environ.get("EDGE_LISTEN") or config.listen
         config.discovery = environ.get("EDGE_DISCOVERY") or config.discovery
         address(config.listen), address(config.discovery)
         int(config.seed, 16)
         settings = read_settings(bytes(config.settings))
-    except (OSError, ValueError, msgspec.MsgspecError, ConfigError) as error:
+    except (ValueError, ConfigError) as error:
         raise ConfigError(f"EDGE_CONFIG {path!r}: {error}") from error
     path = environ.get(OPERATOR_FILE, "")
     if not path:
@@ -101,8 +111,8 @@
 class Service:
     """One head."""
 
-    def __init__(self, config: Config, settings: api.Settings, operator: OperatorConfig) -> None:
-        self.config, self.settings, self.operator = config, settings, operator
+    def __init__(self, config: Config, settings: api.Settings, operator: OperatorConfig, path: str = "") -> None:
+        self.config, self.settings, self.operator, self.path = config, settings, operator, path
         self.counters = Counters()
         clock = LoopClock(asyncio.get_running_loop())
         self.exchange = Exchange(settings, int(config.seed, 16), clock, self.counters, say)
@@ -139,6 +149,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         try:
             await self.start()
         except BaseException:
@@ -153,7 +165,7 @@
     async def start(self) -> None:
         """Listen, and be ready once there is a list."""
         self.exchange.nodes(self.directory.take(self.config.known, api.ListKind.SAVED))
-        self.tasks.append(asyncio.create_task(self.discovery.run()))
+        self.discovery.follow(self.config.discovery)
         await self._listen(self.front.server, self.config.listen)
         if self.objects is not None:
             await self._listen(self.objects.server, self.objects.config.listen)
@@ -188,6 +200,24 @@
         """Print the counters."""
         say(self.counters.text() + "end of counters")
 
+    def reload(self) -> None:
+        """Read the configuration file again; open requests, books and connections live on.
+
+        The address of discovery takes effect; all else is what this process was started with. The file rules, as
+        it is what was replaced: a variable that overrides it was set once, at the start.
+        """
+        try:
+            new = read_config(self.path)
+        except ConfigError as error:
+            # Somebody's slip, or a file caught half written: the head goes on with what it has.
+            self.counters.add("reloads_failed")
+            say(f"the configuration is kept as it was: {' '.join(str(error).split())}")
+            return
+        self.counters.add("reloads")
+        if new.discovery != self.discovery.address:
+            say(f"discovery moves from {self.discovery.address} to {new.discovery}")
+            self.discovery.follow(new.discovery)
+
     async def finish(self) -> None:
         """Answer what has been taken, then close everything."""
         self.stop()
@@ -237,4 +267,4 @@
 
 async def serve(config: Config, settings: api.Settings, operator: OperatorConfig) -> None:
     """Make a head in the running loop and run it."""
-    await Service(config, settings, operator).run()
+    await Service(config, settings, operator, os.environ.get("EDGE_CONFIG", "")).run()
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -113,7 +113,7 @@
         self.changes: list[tuple[int, Target]] = []
         self.asked: list[str] = []
         self.news = asyncio.Condition()
-        self.silent = False
+        self.silent, self.watching = False, 0
 
     async def tell(self, *targets: Target) -> None:
         async with self.news:
@@ -132,11 +132,14 @@
         since = request.query.get("since")
         if since is None:
             return self._list(True, list(self.targets.values()))
+        self.watching += 1
         try:
             async with asyncio.timeout(int(request.query["timeout_ms"]) / 1000), self.news:
                 await self.news.wait_for(lambda: self.rev > int(since))
         except TimeoutError:
             pass
+        finally:
+            self.watching -= 1
         return self._list(False, [target for rev, target in self.changes if rev > int(since)])
 
     def _list(self, full: bool, targets: list[Target]) -> web.Response:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -9,13 +9,16 @@
 import socket
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
+from aiohttp import web
 
 from hophinge.objects.config import load
-from tests.stand_in import Brick, Wire, headers, run, setup, world
+from tests.stand_in import Brick, DiscoveryAgent, Wire, headers, run, setup, until, world
 from tests.test_net import READ
 
 ROOT = Path(__file__).parent.parent
@@ -76,6 +79,32 @@
     assert found.remote_write is not None and found.remote_write.queue == 64
 
 
+async def connected() -> Wire:
+    """Wait until the program serves; a connection to it."""
+    while True:
+        try:
+            wire = Wire(*await asyncio.open_connection(HOST, PORT))
+        except OSError:
+            await asyncio.sleep(0.02)
+            continue
+        wire.send("/healthz", {})
+        if (await wire.receive())[0] == 200:
+            return wire
+        wire.close()
+
+
+@asynccontextmanager
+async def program(environ: dict[str, str]) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program in a process of its own, killed if the test leaves it."""
+    process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT, env=environ, stdout=asyncio.subprocess.PIPE)
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
 def test_the_program_serves_prints_its_counters_and_ends_by_a_signal(tmp_path: Path) -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
@@ -83,9 +112,7 @@
             known = {"rev": 1, "all": True, "targets": [
                 {"uid": brick.name, "endpoint": brick.endpoint, "state": "Ready", "pod_group": 0}]}
             environ = config(tmp_path, listen=f"{HOST}:{PORT}", discovery=made.agent.endpoint, known=known)
-            process = await asyncio.create_subprocess_exec(
-                *COMMAND, cwd=ROOT, env=environ, stdout=asyncio.subprocess.PIPE)
-            try:
+            async with program(environ) as process:
                 wire = await connected()
                 brick.objects[READ.split("/", 2)[2]] = b"kept"
                 wire.send(READ, headers())
@@ -99,20 +126,67 @@
                 assert await process.wait() == 0
                 for text in (first, rest):
                     assert b"requests_served 1\n" in text and b"attempts_sent 1\n" in text
-            finally:
-                if process.returncode is None:
-                    process.kill()
-                    await process.wait()
-
-    async def connected() -> Wire:
-        while True:
-            try:
-                wire = Wire(*await asyncio.open_connection(HOST, PORT))
-            except OSError:
-                await asyncio.sleep(0.02)
-                continue
-            wire.send("/healthz", {})
-            if (await wire.receive())[0] == 200:
-                return wire
-            wire.close()
+    run(main())
+
+
+def test_a_hangup_moves_discovery_at_once_and_keeps_all_else(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with world(Brick(0), Brick(1)) as made:
+            brick, other, gate = *made.bricks, asyncio.Event()
+            agent = DiscoveryAgent()
+            await agent.open()
+            environ = config(tmp_path, listen=f"{HOST}:{PORT}", discovery=made.agent.endpoint)
+            environ["EDGE_DISCOVERY"] = made.agent.endpoint
+            made.agent.targets = {brick.name: brick.target()}
+
+            async def hold(_: web.BaseRequest, __: bytes) -> None:
+                await gate.wait()
+
+            brick.behave = hold
+            async with program(environ) as process:
+                assert process.stdout is not None
+                wire = await connected()
+                wire.send(READ, headers(1, X_Remaining_Ms="20000"))
+                await until(lambda: len(brick.seen) == 1)
+                (tmp_path / "config.json").write_text("{")          # half written: logged, and nothing changes
+                process.send_signal(signal.SIGHUP)
+                assert b"kept as it was" in await process.stdout.readline() and not agent.asked
+                agent.targets = {one.name: one.target() for one in made.bricks}
+                config(tmp_path, listen=f"{HOST}:{PORT}", discovery=agent.endpoint)
+                process.send_signal(signal.SIGHUP)
+                await until(lambda: len(agent.asked) == 2)          # a whole list, then a watch
+                assert agent.asked[0] == "/v1/servers"
+                await until(lambda: made.agent.watching == 0)       # the old watch has ended
+                second = await connected()
+                second.send(READ, headers(2, X_Placement="units=2,shard=1,hosts=1"))
+                assert (await second.receive())[0] == 404 and len(other.seen) == 1
+                gate.set()
+                assert (await wire.receive())[0] == 404             # what was open lived on
+                wire.close()
+                second.close()
+                process.send_signal(signal.SIGTERM)
+                assert b"reloads 1\n" in await process.stdout.read() and await process.wait() == 0
+            await agent.close()
+    run(main())
+
+
+def test_a_hangup_before_the_service_runs_does_not_end_the_program(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            environ = config(tmp_path, listen=f"{HOST}:{PORT}", discovery=made.agent.endpoint)
+            async with program(environ) as process:
+                # Blocked signals are inherited by nobody here: the mask shows when the program has set its own.
+                status = Path(f"/proc/{process.pid}/status")
+                await until(lambda: not process.returncode and b"hophinge" in Path(
+                    f"/proc/{process.pid}/cmdline").read_bytes() and blocks(status.read_text()))
+                process.send_signal(signal.SIGHUP)
+                wire = await connected()
+                wire.close()
+                process.send_signal(signal.SIGTERM)
+                assert process.stdout is not None
+                assert b"reloads 1\n" in await process.stdout.read() and await process.wait() == 0
+
+    def blocks(status: str) -> bool:
+        masks = {name: text for name, _, text in (line.partition(":\t") for line in status.splitlines())}
+        return bool(int(masks["SigBlk"], 16) >> (signal.SIGHUP - 1) & 1)
     run(main())
