Check the head and length of each brick answer; pass over malformed figures

net/brick.py now checks each answer before aiohttp sees it, counts the body, ends a connection on surplus bytes, passes 1xx over, and gives up an answer that stands still.

--- /dev/null
+++ b/hophinge/net/brick.py
@@ -0,0 +1,140 @@
+"""One connection to a brick: hands aiohttp a single sound answer to each request, and ends at whatever else comes.
+
+aiohttp's client parser is made to be lenient, and what reaches a connection that waits in the pool it keeps for the
+next request. Here a client must never get what was made for another, so each answer's head is checked and its body
+counted before aiohttp sees them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import Any
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+
+from hophinge.net.payload import MOST_BODY
+
+MOST_HEAD = 16 * 1024       # of an answer, the 1xx heads in front of it among it
+STALL_S = 0.25              # an answer that has begun comes on: a brick works before it answers, not within
+START = b"HTTP/1."
+HEAD = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n\0]*)?\r\n"
+                  rb"((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n)*)\r\n")
+LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([^\r\n]*?)[ \t]*\r$")
+CODING = re.compile(rb"(?im)^transfer-encoding:[ \t]*([^\r\n]*?)[ \t]*\r$")
+CHUNKED = -1
+
+
+class SpoiltError(ClientPayloadError):
+    """An answer that is not one; its request may have run."""
+
+
+def length(head: re.Match[bytes]) -> int | None:
+    """Tell how long an answer's body is, CHUNKED, or None where its head does not say so soundly."""
+    lengths, codings = LENGTH.findall(head[2]), CODING.findall(head[2])
+    if codings:
+        return CHUNKED if [one.lower() for one in codings] == [b"chunked"] and not lengths else None
+    if len(lengths) == 1 and lengths[0].isdigit() and len(lengths[0]) < 10 and int(lengths[0]) <= MOST_BODY:
+        return int(lengths[0])
+    return 0 if not lengths and head[1] != b"200" else None     # a refusal needs no body; its connection ends
+
+
+class BrickConnection(ResponseHandler):
+    """States: idle (no answer is awaited), head, body; `left` counts what the body still lacks."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.state, self.head, self.left, self.passed = "idle", bytearray(), 0, 0
+        self.stall: asyncio.TimerHandle | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Await an answer; called by aiohttp as a request is about to be written."""
+        self.state, self.head, self.passed = "head", bytearray(), 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes off the network."""
+        if self.state == "head":
+            self._take_head(data)
+        elif self.state == "body":
+            self._take_body(data)
+        elif data:
+            # More than the answer was: it must not be taken for the next one.
+            self._should_close = True
+            if self.transport is not None:
+                self.transport.close()
+        if self.state == "idle":
+            self._stalls(False)
+        elif data and self.stall is None:
+            self._stalls(True)
+
+    def _take_head(self, data: bytes) -> None:
+        self.head += data
+        while self.state == "head" and self.head:
+            end = self.head.find(b"\r\n\r\n") + 4
+            whole = HEAD.fullmatch(self.head, 0, end) if end > 3 else None
+            if self.passed + max(len(self.head) if end < 4 else end, 0) > MOST_HEAD:
+                return self._spoil("a head that is too long")
+            if end < 4:
+                if not START.startswith(self.head[:len(START)]):
+                    self._spoil("no head")
+                return None
+            if whole is None:
+                return self._spoil("a malformed head")
+            rest = bytes(self.head[end:])
+            if whole[1][:1] == b"1":
+                if whole[1] == b"101":
+                    return self._spoil("a change of protocol")
+                self.passed += end          # an interim answer in front is passed over
+                self.head = bytearray(rest)
+                continue
+            found = length(whole)
+            if found is None:
+                return self._spoil("no sound length")
+            text = bytes(self.head[:end])
+            if found == 0 and not LENGTH.search(text):
+                self._should_close = True
+                text = text[:-2] + b"Content-Length: 0\r\n\r\n"    # else aiohttp waits for the connection's end
+            self.head, self.left, self.state = bytearray(), found, "body"
+            super().data_received(text)
+            self._take_body(rest)
+        return None
+
+    def _take_body(self, data: bytes) -> None:
+        if self.left == CHUNKED:
+            super().data_received(data)
+            if self.exception() is not None:
+                self._spoil("malformed chunks")     # aiohttp tells the connection, not the body that is being read
+            elif self._payload is None or self._payload.is_eof():
+                self.state = "idle"
+            return
+        own, rest = data[:self.left], data[self.left:]
+        self.left -= len(own)
+        if rest:
+            self._should_close = True       # a second copy or noise: this answer is whole, the connection is done
+        if own:
+            super().data_received(own)
+        if not self.left and self.state == "body":
+            self.state = "idle"
+
+    def _stalls(self, on: bool) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+        if on:
+            self.stall = self._loop.call_later(STALL_S, self._spoil, "an answer that stands still")
+
+    def _spoil(self, why: str) -> None:
+        self.state = "idle"
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(SpoiltError(why))
+        self.set_exception(SpoiltError(why))
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Take the connection's end."""
+        self.state = "idle"
+        self._stalls(False)
+        super().connection_lost(exc)
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -3,25 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import math
 import traceback
 from collections.abc import Callable
 from contextvars import ContextVar
-from typing import Any
+from typing import Any, cast
 
 import aiohttp
 from aiohttp import ClientRequest, ClientTimeout, TCPConnector
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
 
 from hophinge.counters import Counters
 from hophinge.exchange import Attempt, End
 from hophinge.interface import ProbeResult, Result, Settings
+from hophinge.net.brick import BrickConnection
 from hophinge.net.clock import now_us
 from hophinge.net.payload import MOST_BODY, Payload
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
 PROBE_S = 0.25              # a brick that is up answers a probe beside its queue
 NOWHERE = "127.0.0.1:0"     # where a brick that no list names is asked: it refuses
+MOST_FIGURE = 1e9           # of use, units or load; above it a figure is noise
 CONNECT_US = 250_000        # where the settings state no limit
 PLAIN = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
 
@@ -45,9 +50,18 @@
 class Connector(TCPConnector):
     """Asks once more whether an attempt may go when it has its connection, just before its bytes are written."""
 
+    def __init__(self, **params: Any) -> None:
+        super().__init__(**params)
+        # Connections that check their answers; aiohttp has no public place for them.
+        self._factory = cast(functools.partial[ResponseHandler], functools.partial(BrickConnection, self._loop))
+
     async def connect(self, req: ClientRequest, traces: list[Any], timeout: ClientTimeout) -> Connection:
         """Get a connection for a request that may still go."""
         connection = await super().connect(req, traces, timeout)
+        while connection.protocol is not None and connection.protocol.should_close:
+            # It got what nobody had asked for while it waited in the pool; the next answer on it could be another's.
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
         # A connection takes up to its time limit to come up; a drain heard or an answer given meanwhile ends it.
         flight = current.get()
         if flight is not None and not flight.attempt.may_go():
@@ -79,11 +93,13 @@
     return bytes(body)
 
 
-def _number(text: str | None) -> float:
+def _number(text: str | None) -> float | None:
+    """Read a figure; None where it is not one. What cannot be read spoils the figure, never the answer."""
     try:
-        return max(0.0, float(text)) if text else 0.0
+        value = float(text) if text and len(text) < 32 else math.nan
     except ValueError:
-        return 0.0
+        return None
+    return value if 0.0 <= value <= MOST_FIGURE else None       # inf and nan are floats too
 
 
 def read_report(text: str | None) -> dict[str, float]:
@@ -92,10 +108,9 @@
     found: dict[str, float] = {}
     for item in rest.split(",") if kind == "TEXT" else ():
         name, _, value = item.strip().partition("=")
-        try:
-            found[name] = float(value)
-        except ValueError:
-            continue
+        figure = _number(value)
+        if figure is not None:
+            found[name] = figure
     return found
 
 
@@ -178,9 +193,9 @@
             result = Result.FULL
         elif status != 500:
             self.counters.add("bricks_answered_oddly")
-        used = headers.get("X-Iops-Used")
-        return End(result, body if status == 200 else b"", 1 + int(_number(used)) if used else 0,
-                   _number(headers.get("X-Rho")),
+        used = _number(headers.get("X-Iops-Used"))
+        return End(result, body if status == 200 else b"", 0 if used is None else 1 + int(used),
+                   _number(headers.get("X-Rho")) or 0.0,
                    read_report(headers.get("X-Pressure")) if self.reports else {}, absent=status == 404)
 
     def probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -61,6 +61,11 @@
     def endpoint(self) -> str:
         return f"127.0.0.1:{self.port}"
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self.server.connections)
+
     async def open(self) -> None:
         self.listener = await asyncio.get_running_loop().create_server(self.server, "127.0.0.1", self.port)
         self.port = self.listener.sockets[0].getsockname()[1]
