Bound client connections, their heads, bodies and rest, and connections to bricks

net/listener.py: accepts in small batches while there is room (TCP_DEFER_ACCEPT keeps silent ones in the kernel), the connection that rests longest yields, first heads have 1.2 s, rests 2 s, heads 16 KB; a last error is followed by FIN and the rest is thrown away slowly for a second, so that no reset overtakes it. net/brick.py: one bound over all connections to bricks, those of bricks gone are closed. The exchange and the directory forget bricks that are gone.

--- a/hophinge/admin.py
+++ b/hophinge/admin.py
@@ -16,6 +16,7 @@
 from hophinge.tenants import Tenant, TenantError, Tenants, digest
 
 MOST_BODY = 16 * 1024
+CONNECTIONS, IDLE_S = 16, 30.0
 LEAST_TOKEN = 16        # characters; a shorter one is a mistake
 STATUS = {"exists": 409, "missing": 404, "invalid": 400}
 
@@ -44,9 +45,8 @@
     """One handler for every connection. A call's write to disk is short and rare, so it is done in place."""
 
     def __init__(self, tenants: Tenants, token: str, counters: Counters, log: Callable[[str], None]) -> None:
-        super().__init__()
-        self.tenants, self.token = tenants, digest(token)
-        self.counters, self.log = counters, log
+        super().__init__(counters, CONNECTIONS, IDLE_S, IDLE_S)
+        self.tenants, self.token, self.log = tenants, digest(token), log
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
--- a/hophinge/counters.py
+++ b/hophinge/counters.py
@@ -13,7 +13,8 @@
     # faults that must not happen; each has a traceback in the log
     "module_faults", "client_faults", "object_faults", "admin_faults",
     # the wires
-    "requests_malformed", "requests_too_many", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
+    "requests_malformed", "requests_unreadable", "requests_too_many", "connections_yielded", "accepts_failed",
+    "brick_connections_yielded", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
     "reloads", "reloads_failed",
     # the object front and the administration API
     "object_requests", "object_answers_2xx", "object_answers_3xx", "object_answers_4xx", "object_answers_5xx",
--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -87,11 +87,12 @@
 class Attempt:
     """One attempt that is out; ``may_go`` is to be asked just before its bytes are written."""
 
-    __slots__ = ("exchange", "give_up", "node", "number", "request", "since", "stop", "timer")
+    __slots__ = ("exchange", "give_up", "node", "number", "request", "shard", "since", "stop", "timer")
 
     def __init__(self, exchange: Exchange, request: Open, number: int, node: str, since: int, give_up: int) -> None:
         self.exchange, self.request, self.number, self.node = exchange, request, number, node
         self.since, self.give_up = since, give_up
+        self.shard = exchange.shards.get(node, -1)      # its node may be forgotten before it ends
         self.stop: Callable[[], None] | None = None
         self.timer: Timer | None = None
 
@@ -159,10 +160,15 @@
         if event.kind is api.ListKind.FULL:
             named = {entry.node for entry in event.entries}
             for node in self.phases.keys() - named:
-                self.phases[node] = api.Phase.GONE
+                del self.phases[node], self.shards[node]
         for entry in event.entries:
-            self.phases[entry.node] = entry.phase
-            self.shards[entry.node] = entry.shard
+            if entry.phase is api.Phase.GONE:
+                # Nodes are replaced by new ones under new names all the time; one that is gone is not kept.
+                self.phases.pop(entry.node, None)
+                self.shards.pop(entry.node, None)
+            else:
+                self.phases[entry.node] = entry.phase
+                self.shards[entry.node] = entry.shard
         self._event(event)
 
     def probed(self, event: api.ProbeResult) -> None:
@@ -182,7 +188,7 @@
         if end.result is api.Result.OK and not finished:
             finished = True
             verdict = Verdict.ABSENT if end.absent else Verdict.SERVED
-            self._answer(request, Answer(verdict, end.body, shard=self.shards.get(attempt.node, -1)))
+            self._answer(request, Answer(verdict, end.body, shard=attempt.shard))
         self._event(api.Outcome(
             request.ask.request, attempt.number, attempt.node, end.result, self.now_us() - attempt.since, finished,
             end.used, end.elsewhere, end.report))
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -9,11 +9,13 @@
 
 import asyncio
 import re
+from collections.abc import Iterable
 from typing import Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
+from hophinge.counters import Counters
 from hophinge.net.payload import MOST_BODY
 
 MOST_HEAD = 16 * 1024       # of an answer, the 1xx heads in front of it among it
@@ -40,14 +42,60 @@
     return 0 if not lengths and head[1] != b"200" else None     # a refusal needs no body; its connection ends
 
 
+class Roll:
+    """All connections to bricks, the one that is idle longest first among the idle; they are bounded here.
+
+    The pool keeps a connection to a brick that is gone, and all that a busy moment opened, until their time is over.
+    """
+
+    def __init__(self, most: int, counters: Counters) -> None:
+        self.most, self.counters = most, counters
+        self.open: dict[BrickConnection, None] = {}
+
+    def add(self, connection: BrickConnection) -> None:
+        """Note a new connection, or one that has just become idle."""
+        self.open.pop(connection, None)
+        self.open[connection] = None
+        if len(self.open) > self.most:
+            idle = next((one for one in self.open if one.idle), None)
+            if idle is not None:
+                self._end(idle)
+
+    def keep(self, endpoints: Iterable[str]) -> None:
+        """Close idle connections to all bricks but these."""
+        kept = set(endpoints)
+        for one in [one for one in self.open if one.idle and one.endpoint not in kept]:
+            self._end(one)
+
+    def _end(self, connection: BrickConnection) -> None:
+        self.counters.add("brick_connections_yielded")
+        del self.open[connection]
+        connection.force_close()
+        if connection.transport is not None:
+            connection.transport.close()
+
+
 class BrickConnection(ResponseHandler):
-    """States: idle (no answer is awaited), head, body; `left` counts what the body still lacks."""
+    """States: new, idle (no answer is awaited), head, body; `left` counts what the body still lacks."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, roll: Roll) -> None:
         super().__init__(loop)
-        self.state, self.head, self.left, self.passed = "idle", bytearray(), 0, 0
+        self.roll, self.endpoint = roll, ""
+        self.state, self.head, self.left, self.passed = "new", bytearray(), 0, 0
         self.stall: asyncio.TimerHandle | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Whether it waits in the pool."""
+        return self.state == "idle"
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection."""
+        super().connection_made(transport)
+        host, port = transport.get_extra_info("peername")[:2]
+        self.endpoint = f"{host}:{port}"
+        self.roll.add(self)
+
     def set_response_params(self, **params: Any) -> None:
         """Await an answer; called by aiohttp as a request is about to be written."""
         self.state, self.head, self.passed = "head", bytearray(), 0
@@ -66,6 +114,8 @@
                 self.transport.close()
         if self.state == "idle":
             self._stalls(False)
+            if self in self.roll.open:
+                self.roll.add(self)
         elif data and self.stall is None:
             self._stalls(True)
 
@@ -137,4 +187,5 @@
         """Take the connection's end."""
         self.state = "idle"
         self._stalls(False)
+        self.roll.open.pop(self, None)
         super().connection_lost(exc)
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -19,7 +19,7 @@
 from hophinge.counters import Counters
 from hophinge.exchange import Attempt, End
 from hophinge.interface import ProbeResult, Result, Settings
-from hophinge.net.brick import BrickConnection
+from hophinge.net.brick import BrickConnection, Roll
 from hophinge.net.clock import now_us
 from hophinge.net.payload import MOST_BODY, Payload
 
@@ -50,10 +50,11 @@
 class Connector(TCPConnector):
     """Asks once more whether an attempt may go when it has its connection, just before its bytes are written."""
 
-    def __init__(self, **params: Any) -> None:
+    def __init__(self, roll: Roll, **params: Any) -> None:
         super().__init__(**params)
         # Connections that check their answers; aiohttp has no public place for them.
-        self._factory = cast(functools.partial[ResponseHandler], functools.partial(BrickConnection, self._loop))
+        make = functools.partial(BrickConnection, self._loop, roll)
+        self._factory = cast(functools.partial[ResponseHandler], make)
 
     async def connect(self, req: ClientRequest, traces: list[Any], timeout: ClientTimeout) -> Connection:
         """Get a connection for a request that may still go."""
@@ -127,7 +128,9 @@
         trace.on_request_headers_sent.append(_headers_sent)
         trace.on_request_chunk_sent.append(_chunk_sent)
         # No limit of the connector's: it would queue attempts unseen. `most` turns them away instead.
-        connector = Connector(limit=0, keepalive_timeout=IDLE_PART * (allowed.conn_idle_us or 30_000_000) / 1e6)
+        self.roll = Roll(most, counters)
+        idle_s = IDLE_PART * (allowed.conn_idle_us or 30_000_000) / 1e6
+        connector = Connector(self.roll, limit=0, keepalive_timeout=idle_s)
         connect_s = (allowed.connect_timeout_us or CONNECT_US) / 1e6
         self.session = aiohttp.ClientSession(
             connector=connector, auto_decompress=False, trust_env=False, cookie_jar=aiohttp.DummyCookieJar(),
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -57,7 +57,10 @@
         if kind is api.ListKind.FULL:
             self.endpoints = {}
         for target in listing.targets:
-            self.endpoints[target.uid] = target.endpoint
+            if target.state == "Gone":
+                self.endpoints.pop(target.uid, None)
+            else:
+                self.endpoints[target.uid] = target.endpoint
         return api.NodeList(kind, tuple(map(self._entry, listing.targets)))
 
     def _entry(self, target: Target) -> api.NodeEntry:
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -1,30 +1,139 @@
-"""What every front's server does alike: one request at a time on a connection, and a careful end."""
+"""What every front's server does alike: bounded connections, one request at a time on each, and a careful end."""
 
 from __future__ import annotations
 
+import asyncio
+import socket
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
-LINGER_S = 0.5      # for the rest of a body that is not wanted, before its connection closes
+from hophinge.counters import Counters
+
+IDLE_S = 2.0            # a connection with no request on it, or with half a head
+FIRST_S = 1.2           # the same for a first head: the kernel has held a silent connection for a second already
+YIELD_S = 0.05          # the same when connections run out and another asks
+SILENT_S = 0.3          # a connection that has said nothing yet, when connections run out
+LINGER_S = 1.0          # for an error to be read by a client that goes on sending
+DISCARD_S = 0.02        # between reads of what it goes on sending
+MOST_HEAD = 16 * 1024
+BACKLOG = 1024          # connections that the kernel holds until they are taken
+DEFER_S = 1             # it holds one that says nothing for so long; who connects in order to ask does not notice
+BATCH = 16              # taken in one turn of the loop: closing what must yield gets its turn too
+PAUSE_S = 0.01          # before another look when there is no room
+
+
+class ClientConnection(RequestHandler):
+    """One client's connection: its heads are bounded, and it ends so that a last answer can be read."""
+
+    def __init__(self, manager: web.Server, front: Listener, **params: Any) -> None:
+        super().__init__(manager, **params)
+        self.front = front
+        self.taken = self.answered = 0      # requests, malformed ones among them
+        self.head = 0                       # bytes of a head that is not whole yet
+        self.lingering = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection."""
+        super().connection_made(transport)
+        self._keepalive_timeout = self.front.idle_s     # from the first answer on
+        self.front.rests(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Take its end."""
+        self.front.resting.pop(self, None)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes to the parser; what follows a last answer is thrown away, slowly."""
+        if self.lingering:
+            if self.transport is not None:
+                self.transport.pause_reading()
+                self._loop.call_later(DISCARD_S, self._read_on)
+            return
+        before = self._request_count
+        super().data_received(data)
+        if self._request_count != before:
+            self.taken += self._request_count - before
+            self.head = 0
+        elif self.taken == self.answered:
+            self.head += len(data)
+            if self.head > MOST_HEAD and not self.lingering:
+                self.head = 0
+                super().data_received(b"\0")        # no head holds this: the parser ends it, as any malformed one
+                self.taken += 1
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def handle_error(self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
+                     message: str | None = None) -> web.StreamResponse:
+        """Answer what the parser refuses; aiohttp would write a traceback to the log for each."""
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        self.front.counters.add("requests_unreadable")
+        response = web.Response(status=status, text="the request cannot be read\n")
+        response.force_close()
+        return response
+
+    async def finish_response(self, request: web.BaseRequest, resp: web.StreamResponse,
+                              start_time: float | None) -> tuple[web.StreamResponse, bool]:
+        """Write an answer, and after a last one wait for the client to read it.
+
+        Bytes left unread at a close make the kernel reset the connection, and a reset can destroy the answer.
+        """
+        done = await super().finish_response(request, resp, start_time)
+        self.answered += 1
+        transport = self.transport
+        if not resp.keep_alive and transport is not None and not transport.is_closing() and (
+                request.can_read_body or request.method == "UNKNOWN"):
+            self.lingering = True
+            self.front.rests(self)
+            if transport.can_write_eof():
+                transport.write_eof()
+            transport.resume_reading()
+            await asyncio.sleep(LINGER_S)       # the client's own end ends it sooner
+        return done
+
+
+class Server(web.Server):
+    """aiohttp's low-level server with these connections."""
+
+    def __init__(self, front: Listener, first_s: float) -> None:
+        # A client that closes its connection has gone: its handler is cancelled.
+        super().__init__(front.serve, handler_cancellation=True)
+        self.front, self.first_s = front, first_s
+
+    def __call__(self) -> RequestHandler:
+        """Make the protocol of a new connection."""
+        return ClientConnection(self, self.front, loop=self._loop, access_log=None, lingering_time=0.0,
+                                keepalive_timeout=self.first_s, max_line_size=MOST_HEAD // 2,
+                                max_field_size=MOST_HEAD // 2)
 
 
 class Listener:
-    """A low-level server that knows which of its connections are busy."""
+    """A low-level server that knows which of its connections are busy and how many there may be."""
 
-    def __init__(self) -> None:
+    def __init__(self, counters: Counters, most: int = 256, first_s: float = FIRST_S,
+                 idle_s: float = IDLE_S) -> None:
+        self.counters, self.most_connections, self.idle_s = counters, most, idle_s
         self.closing = False
         self.busy: set[Any] = set()
-        # A client that closes its connection has gone: its handler is cancelled.
-        self.server = web.Server(self._handle, handler_cancellation=True, access_log=None, lingering_time=LINGER_S)
+        self.resting: dict[Any, float] = {}     # connections that are not busy, and since when; the oldest first
+        self.server: web.Server = Server(self, first_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         raise NotImplementedError
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request and write its answer."""
         protocol = request.protocol
         self.busy.add(protocol)
+        self.resting.pop(protocol, None)
         try:
             response = await self.handle(request)
             if self.closing and not response.prepared:
@@ -37,6 +146,27 @@
             return response
         finally:
             self.busy.discard(protocol)
+            self.rests(protocol)
+
+    def rests(self, connection: Any) -> None:
+        """Note that no request is open on a connection from now on."""
+        if connection.transport is not None:
+            self.resting.pop(connection, None)
+            self.resting[connection] = asyncio.get_running_loop().time()
+
+    def room(self) -> bool:
+        """Tell whether one more connection may be taken; where not, the one that rests longest yields."""
+        if len(self.server._connections) < self.most_connections:
+            return True
+        now = asyncio.get_running_loop().time()
+        for connection, since in self.resting.items():
+            # One that has had no answer yet may have its first request on the way: closing it would lose that.
+            if now - since >= (YIELD_S if connection.answered else SILENT_S):
+                self.counters.add("connections_yielded")
+                del self.resting[connection]
+                connection.transport.close()
+                break
+        return False
 
     def invite(self, request: web.BaseRequest) -> None:
         """Ask for a body that its client holds back until it knows that it is wanted; aiohttp's server does not."""
@@ -49,6 +179,67 @@
         aiohttp's own pre_shutdown stops reading idle connections but leaves them open: a request sent on one would
         wait for ever.
         """
-        for connection in self.server.connections:
-            if connection not in self.busy and connection.transport is not None:
+        for connection in list(self.resting):
+            if connection.transport is not None and not connection.lingering:
                 connection.transport.close()
+
+
+class Acceptor:
+    """Takes new connections while there is room; the rest wait in the kernel.
+
+    asyncio's own server takes a whole backlog at once, and stops for a second when descriptors run out.
+    """
+
+    def __init__(self, host: str, port: int, front: Listener) -> None:
+        self.loop, self.front = asyncio.get_running_loop(), front
+        self.socket = socket.create_server((host, port), backlog=BACKLOG)
+        self.socket.setblocking(False)
+        if hasattr(socket, "TCP_DEFER_ACCEPT"):
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.pause: asyncio.TimerHandle | None = None
+        self.loop.add_reader(self.socket, self._accept)
+
+    @property
+    def sockets(self) -> list[socket.socket]:
+        """The socket, as asyncio's server tells it."""
+        return [self.socket]
+
+    def _accept(self) -> None:
+        for _ in range(BATCH):
+            if len(self.tasks) >= BATCH or not self.front.room():
+                return self._wait()
+            try:
+                connection, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return None
+            except OSError:     # no descriptor is left
+                self.front.counters.add("accepts_failed")
+                return self._wait()
+            connection.setblocking(False)
+            make: Callable[[], asyncio.BaseProtocol] = self.front.server
+            task = self.loop.create_task(self._take(make, connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return None
+
+    async def _take(self, make: Callable[[], asyncio.BaseProtocol], connection: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(make, connection)
+        except OSError:
+            connection.close()
+
+    def _wait(self) -> None:
+        self.loop.remove_reader(self.socket)
+        self.pause = self.loop.call_later(PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        self.loop.add_reader(self.socket, self._accept)
+
+    def close(self) -> None:
+        """Take no more."""
+        if self.pause is not None:
+            self.pause.cancel()
+        if self.socket.fileno() >= 0:
+            self.loop.remove_reader(self.socket)
+            self.socket.close()
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -19,6 +19,8 @@
 TARGET = re.compile(r"/([^/?#]+)/([0-9a-fA-F]{16})/([0-9a-fA-F]{16})(?:\?[!-\"$-~]*)?", re.ASCII)
 PLACEMENT = re.compile(r"units=([0-9]{1,6}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,6}),hosts=([0-9]{1,6})", re.ASCII)
 REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
+DECISIVE = ("X-Txn", "X-Qos-Policy", "X-Remaining-Ms", "X-Placement")
+BODY_S = 2.0        # for a body to come; it is 64 KiB at most
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
 
 
@@ -41,6 +43,9 @@
     def read(self, request: web.BaseRequest) -> api.Arrival:
         """Read the request's line and headers; the body may still be on its way."""
         headers = request.headers
+        if any(len(headers.getall(name, ())) > 1 for name in DECISIVE):
+            # Which of two would count is anyone's guess, and a brick's may differ from this one.
+            raise MalformedError(400, "a header that must be alone is repeated")
         if request.method not in ("GET", "PUT"):
             raise MalformedError(405, "only GET and PUT are served")
         target = TARGET.fullmatch(request.raw_path)
@@ -73,9 +78,9 @@
 class Front(Listener):
     """One handler for every connection; a connection carries one request at a time."""
 
-    def __init__(self, exchange: Exchange, counters: Counters, most: int) -> None:
-        super().__init__()
-        self.exchange, self.counters, self.most = exchange, counters, most
+    def __init__(self, exchange: Exchange, counters: Counters, most: int, connections: int) -> None:
+        super().__init__(counters, connections)
+        self.exchange, self.most = exchange, most
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
         self.ready = False
@@ -125,10 +130,15 @@
         if (request.content_length or 0) > MOST_BODY:
             raise MalformedError(413, "the body is too large")
         self.invite(request)
+        body = bytearray()
         try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise MalformedError(413, "the body is too large") from error
-        if len(body) > MOST_BODY:
-            raise MalformedError(413, "the body is too large")
-        return body
+            async with asyncio.timeout(BODY_S):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > MOST_BODY:
+                        raise MalformedError(413, "the body is too large")
+        except TimeoutError as error:
+            raise MalformedError(408, "the body does not come") from error
+        except web.RequestPayloadError as error:
+            raise MalformedError(400, "the body is malformed") from error
+        return bytes(body)
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import web
 
 from hophinge import interface as api
 from hophinge.admin import Admin, read_token
@@ -21,6 +20,7 @@
 from hophinge.net.client import Bricks
 from hophinge.net.clock import LoopClock
 from hophinge.net.discovery import Directory, Discovery, Listing
+from hophinge.net.listener import Acceptor, Listener
 from hophinge.net.server import Front
 from hophinge.objects.config import OperatorConfig
 from hophinge.objects.config import load as load_operator
@@ -33,10 +33,9 @@
 if TYPE_CHECKING:
     from hophinge.remote_write import RemoteWrite
 
-BACKLOG = 512
 FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
-SPARE_SOCKETS = 64      # of the limit, for files, discovery and accepts
+SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
 OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
@@ -126,20 +125,19 @@
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
-        # Half for bricks, half for clients: a connection carries one request, so this bounds busy ones on each side.
-        # The module's ceiling of 32 at a brick bounds what is kept idle besides.
+        # Half for bricks, half for clients, idle ones among them: a connection carries one request.
         most = max(16, (config.limits.sockets - SPARE_SOCKETS) // 2)
         self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, most)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
-        self.front = Front(self.exchange, self.counters, most)
-        self.discovery = Discovery(config.discovery, self.directory, self.exchange.nodes, self.counters)
+        self.front = Front(self.exchange, self.counters, most, most)
+        self.discovery = Discovery(config.discovery, self.directory, self.nodes, self.counters)
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
 
             self.remote_write = RemoteWrite(operator.remote_write, config.name or config.listen, self.counters,
                                             self.gauges, clock.now_us)
-        self.listeners: list[asyncio.Server] = []
+        self.listeners: list[Acceptor] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
 
@@ -166,11 +164,11 @@
         """Listen, and be ready once there is a list."""
         self.exchange.nodes(self.directory.take(self.config.known, api.ListKind.SAVED))
         self.discovery.follow(self.config.discovery)
-        await self._listen(self.front.server, self.config.listen)
+        self._listen(self.front, self.config.listen)
         if self.objects is not None:
-            await self._listen(self.objects.server, self.objects.config.listen)
+            self._listen(self.objects, self.objects.config.listen)
         if self.admin is not None and self.operator.admin is not None:
-            await self._listen(self.admin.server, self.operator.admin.listen)
+            self._listen(self.admin, self.operator.admin.listen)
         if self.remote_write is not None:
             self.tasks.append(asyncio.create_task(self.remote_write.run()))
         try:
@@ -180,13 +178,17 @@
             say("discovery is silent; starting from the saved list")
         self.front.ready = True
 
-    async def _listen(self, server: web.Server, where: str) -> None:
+    def nodes(self, event: api.NodeList) -> None:
+        """Take a list of bricks, or what changed in it."""
+        self.exchange.nodes(event)
+        self.bricks.roll.keep(self.directory.endpoints.values())
+
+    def _listen(self, front: Listener, where: str) -> None:
         host, port = address(where)
         try:
-            listener = await asyncio.get_running_loop().create_server(server, host, port, backlog=BACKLOG)
+            self.listeners.append(Acceptor(host, port, front))
         except OSError as error:
             raise ConfigError(f"cannot listen on {where}: {error}") from error
-        self.listeners.append(listener)
 
     def stop(self) -> None:
         """Begin the end: from here on every answer closes its connection."""
--- a/hophinge/objects/config.py
+++ b/hophinge/objects/config.py
@@ -21,6 +21,7 @@
     window: int = 4
     pieces_in_flight: int = 32
     requests: int = 64
+    connections: int = 256
     parts: int = 1000
     idle_s: float = 30.0
 
@@ -28,8 +29,8 @@
         """Check ranges."""
         if not 1 <= self.piece_bytes <= MOST_BODY:
             raise ValueError(f"piece_bytes must be from 1 to {MOST_BODY}")
-        if min(self.window, self.pieces_in_flight, self.requests, self.parts) < 1 or self.idle_s <= 0:
-            raise ValueError("window, pieces_in_flight, requests, parts and idle_s must be above 0")
+        if min(self.window, self.pieces_in_flight, self.requests, self.connections, self.parts) < 1 or self.idle_s <= 0:
+            raise ValueError("window, pieces_in_flight, requests, connections, parts and idle_s must be above 0")
 
 
 class AdminConfig(msgspec.Struct, forbid_unknown_fields=True):
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -37,9 +37,8 @@
 
     def __init__(self, store: Store, tenants: Tenants, config: ObjectConfig, counters: Counters,
                  log: Callable[[str], None]) -> None:
-        super().__init__()
-        self.store, self.tenants, self.config = store, tenants, config
-        self.counters, self.log = counters, log
+        super().__init__(counters, config.connections, config.idle_s, config.idle_s)
+        self.store, self.tenants, self.config, self.log = store, tenants, config, log
         self.active = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
