Run on uvloop; let several resting connections yield at once; give clients three fifths

Listener.room closed one connection per look, and a look came every 10 ms, so 100 a second at most; the connections were at their bound (223 of 384 descriptors in use) while bricks used 106. A sampling profile of a head: of 2,110 samples about a third in the loop itself (call_soon, selectors, transports, timers), 24% in aiohttp's client, 17% in the module.

uvloop's timers may fire up to a millisecond early; the module sets its next timer when the last is due and ignores an early one, so it stopped waking and requests ended by their backstop (502 in two tests). net/clock.py arms an early timer again; a test holds it.

--- a/hophinge/net/clock.py
+++ b/hophinge/net/clock.py
@@ -16,6 +16,30 @@
     return time.monotonic_ns() // 1000 + OFFSET_US
 
 
+class Timer:
+    """A timer that never fires early; uvloop's count whole milliseconds from when the loop's turn began.
+
+    The module sets its next timer when the last one is due, so one that came too early would be the last.
+    """
+
+    __slots__ = ("callback", "handle", "loop", "when_us")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, when_us: int, callback: Callable[[], None]) -> None:
+        self.loop, self.when_us, self.callback = loop, when_us, callback
+        self.handle = loop.call_later(max(0, when_us - now_us()) / 1e6, self._due)
+
+    def _due(self) -> None:
+        left = self.when_us - now_us()
+        if left > 0:
+            self.handle = self.loop.call_later(left / 1e6, self._due)
+        else:
+            self.callback()
+
+    def cancel(self) -> None:
+        """Take the timer back."""
+        self.handle.cancel()
+
+
 class LoopClock:
     """The event loop's timers on the one clock."""
 
@@ -26,9 +50,9 @@
         """Tell the time."""
         return now_us()
 
-    def call_at(self, when_us: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
-        """Call back at a time."""
-        return self.loop.call_later(max(0, when_us - now_us()) / 1e6, callback)
+    def call_at(self, when_us: int, callback: Callable[[], None]) -> Timer:
+        """Call back at a time, never before it."""
+        return Timer(self.loop, when_us, callback)
 
     def call_soon(self, callback: Callable[[], None]) -> None:
         """Call back in the loop's next turn."""
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -159,13 +160,13 @@
         if len(self.server._connections) < self.most_connections:
             return True
         now = asyncio.get_running_loop().time()
-        for connection, since in self.resting.items():
-            # One that has had no answer yet may have its first request on the way: closing it would lose that.
-            if now - since >= (YIELD_S if connection.answered else SILENT_S):
-                self.counters.add("connections_yielded")
-                del self.resting[connection]
-                connection.transport.close()
-                break
+        # One that has had no answer yet may have its first request on the way: closing it would lose that.
+        old = (connection for connection, since in self.resting.items()
+               if now - since >= (YIELD_S if connection.answered else SILENT_S))
+        for connection in list(itertools.islice(old, BATCH)):
+            self.counters.add("connections_yielded")
+            del self.resting[connection]
+            connection.transport.close()
         return False
 
     def invite(self, request: web.BaseRequest) -> None:
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import uvloop
 
 from hophinge import interface as api
 from hophinge.admin import Admin, read_token
@@ -36,6 +37,7 @@
 FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
 SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
+BRICKS_PART = 0.4       # of the rest, for connections to bricks
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
 OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
@@ -125,11 +127,14 @@
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
-        # Half for bricks, half for clients, idle ones among them: a connection carries one request.
-        most = max(16, (config.limits.sockets - SPARE_SOCKETS) // 2)
-        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, most)
+        # A connection carries one request, so these bound busy ones; idle ones are among them. Clients that say
+        # nothing need room besides those that ask, bricks do not.
+        sockets = config.limits.sockets - SPARE_SOCKETS
+        to_bricks = max(16, int(sockets * BRICKS_PART))
+        from_clients = max(16, sockets - to_bricks)
+        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, to_bricks)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
-        self.front = Front(self.exchange, self.counters, most, most)
+        self.front = Front(self.exchange, self.counters, from_clients, from_clients)
         self.discovery = Discovery(config.discovery, self.directory, self.nodes, self.counters)
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
@@ -260,7 +265,9 @@
     """Run a head; a configuration that it cannot start from ends it with 2."""
     try:
         config, settings, operator = load(os.environ)
-        asyncio.run(serve(config, settings, operator))
+        # uvloop: a head has part of a core, and a third of it went to the loop itself.
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config, settings, operator))
     except (ConfigError, ValueError, OSError, msgspec.MsgspecError) as error:
         print(f"hophinge: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+import uvloop
 from aiohttp import ClientSession, web
 
 from hophinge.net.discovery import Listing, Target
@@ -46,7 +47,8 @@
     async def limited() -> Value:
         async with asyncio.timeout(30):
             return await main
-    return asyncio.run(limited())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:      # the loop that the program runs on
+        return runner.run(limited())
 
 
 class Server:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,7 +5,8 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import cast
 from unittest.mock import Mock
 
 import pytest
@@ -16,6 +17,7 @@
 from hophinge.counters import Counters
 from hophinge.interface import Action, Event, ListKind, Outcome, Probe, ProbeResult, Result
 from hophinge.net.brick import BrickConnection, Roll
+from hophinge.net.clock import LoopClock, now_us
 from hophinge.net.discovery import Listing, Target
 from hophinge.net.service import Service
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, Wire, World, headers, run, setup, until, world
@@ -592,6 +594,27 @@
     run(main())
 
 
+def test_a_timer_never_fires_early() -> None:
+    class Hasty:
+        """A loop whose timers fire at once."""
+
+        def __init__(self) -> None:
+            self.delays: list[float] = []
+
+        def call_later(self, delay: float, callback: Callable[[], None]) -> Mock:
+            self.delays.append(delay)
+            asyncio.get_running_loop().call_soon(callback)
+            return Mock()
+
+    async def main() -> None:
+        loop, fired = Hasty(), list[int]()
+        due = now_us() + 3000
+        LoopClock(cast(asyncio.AbstractEventLoop, loop)).call_at(due, lambda: fired.append(now_us()))
+        await until(lambda: bool(fired))
+        assert fired[0] >= due and len(loop.delays) > 1 and loop.delays == sorted(loop.delays, reverse=True)
+    run(main())
+
+
 # --- discovery
 
 
