Take brick answers of up to 2 MiB; time a standstill from the last bytes

A count of how connections to bricks ended in one head: 1,491 of 6,946 answers refused for 'no sound length'; a trace of those heads shows good answers with Content-Length 150519 to 385448. The bound was there before (client.py, _body: a longer body was an error after the whole was sent), and made each such request run up to three times. Also brick.py timed an answer from its first bytes, so a slow large one would have been cut. Ruled out before: idle time (settings state 30 s), the bound on connections (none yielded), departures.

--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -16,7 +16,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from hophinge.counters import Counters
-from hophinge.net.payload import MOST_BODY
+from hophinge.net.payload import MOST_ANSWER
 
 MOST_HEAD = 16 * 1024       # of an answer, the 1xx heads in front of it among it
 STALL_S = 0.25              # an answer that has begun comes on: a brick works before it answers, not within
@@ -37,7 +37,7 @@
     lengths, codings = LENGTH.findall(head[2]), CODING.findall(head[2])
     if codings:
         return CHUNKED if [one.lower() for one in codings] == [b"chunked"] and not lengths else None
-    if len(lengths) == 1 and lengths[0].isdigit() and len(lengths[0]) < 10 and int(lengths[0]) <= MOST_BODY:
+    if len(lengths) == 1 and lengths[0].isdigit() and len(lengths[0]) < 10 and int(lengths[0]) <= MOST_ANSWER:
         return int(lengths[0])
     return 0 if not lengths and head[1] != b"200" else None     # a refusal needs no body; its connection ends
 
@@ -116,7 +116,7 @@
             self._stalls(False)
             if self in self.roll.open:
                 self.roll.add(self)
-        elif data and self.stall is None:
+        elif data:
             self._stalls(True)
 
     def _take_head(self, data: bytes) -> None:
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -22,7 +22,7 @@
 from hophinge.interface import ProbeResult, Result, Settings
 from hophinge.net.brick import BrickConnection, Roll, SpoiltError
 from hophinge.net.clock import now_us
-from hophinge.net.payload import MOST_BODY, Payload
+from hophinge.net.payload import MOST_ANSWER, Payload
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
 PROBE_S = 0.25              # a brick that is up answers a probe beside its queue
@@ -68,7 +68,7 @@
     body = bytearray()
     async for chunk in stream.iter_any():
         body += chunk
-        if len(body) > MOST_BODY:
+        if len(body) > MOST_ANSWER:
             raise SpoiltError("a body that is too long")
     return bytes(body)
 
--- a/hophinge/net/payload.py
+++ b/hophinge/net/payload.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 MOST_BODY = 64 * 1024
+MOST_ANSWER = 2 * 1024 * 1024   # of a brick; more than the protocol's 64 KiB do come, and are good
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 
 from hophinge.counters import Counters
 from hophinge.interface import Action, Event, ListKind, Outcome, Probe, ProbeResult, Refuse, Result, Send
+from hophinge.net import brick as brick_module
 from hophinge.net.brick import BrickConnection, Roll
 from hophinge.net.clock import LoopClock, now_us
 from hophinge.net.discovery import Listing, Target
@@ -449,6 +450,30 @@
       + b"\r\nContent-Length: 4\r\n\r\nkept" for one in (b"inf", b"nan", b"-3", b"TEXT ?", b"9" * 400, b"1e308"))]
 
 
+def test_a_large_answer_that_comes_in_pieces_is_served_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(brick_module, "STALL_S", 0.2)      # the pieces take longer together, none of them alone
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            body = bytes(range(256)) * 1600
+
+            async def slowly(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+                response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+                await response.prepare(request)
+                for at in range(0, len(body), 40_960):
+                    await response.write(body[at:at + 40_960])
+                    await asyncio.sleep(0.03)
+                return response
+
+            made.bricks[0].behave = slowly
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[::2] == (200, body)
+            assert service.counters.counts["attempts_sent"] == 1 and made.bricks[0].connections == 1
+    run(main())
+
+
 def raw(brick: Brick, answer: bytes, stays: bool = True) -> Behaviour:
     """A brick's first answer is these bytes, after which its connection is of no further use, open or not."""
     async def behave(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
