At the end serve kept connections until little time is left, and answer before SIGKILL

The log's own times: SIGTERM at 14.56 s, exit at 15.17, ready again at 17.64 (0.7 to 1.1 s of it the start); each answer after SIGTERM closed its connection, and after 0.6 s all idle ones were closed, though the protocol lets clients use the ones they have while they stay open. Now they are served until 1.3 s before SIGKILL can come, with their time cut to what is left; the objects' and the administration's clients are sent away at once as before.

Kept, as the protocol asks for it. What is left is the restart itself: 2.1 s from the signal to the new start, and the start, of which importing takes 0.5 s.

--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -6,6 +6,7 @@
 import re
 
 from aiohttp import web
+from msgspec import structs
 
 from hophinge import interface as api
 from hophinge.counters import Counters
@@ -84,6 +85,7 @@
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
         self.ready = False
+        self.until_us: int | None = None    # when the last answer is to be out, once the end has begun
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -106,6 +108,9 @@
             response.force_close()
             return response
         ask = self.reader.read(request)
+        if self.until_us is not None:
+            left = max(0, min(ask.time_left_us, self.until_us - self.exchange.now_us()))
+            ask = structs.replace(ask, time_left_us=left)
         body = await self._body(request)
         if ask.request in self.exchange.open:
             raise MalformedError(400, "X-Txn is in use")
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -36,6 +37,9 @@
 
 FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
+LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
+LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
+ANSWER_S = 0.25         # before SIGKILL the last answer is out
 SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
 BRICKS_PART = 0.4       # of the rest, for connections to bricks
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
@@ -201,11 +205,7 @@
             raise ConfigError(f"cannot listen on {where}: {error}") from error
 
     def stop(self) -> None:
-        """Begin the end: from here on every answer closes its connection."""
-        self.front.closing = True
-        for front in (self.objects, self.admin):
-            if front is not None:
-                front.closing = True
+        """Begin the end."""
         self.stopping.set()
 
     def report(self) -> None:
@@ -234,10 +234,24 @@
         """Answer what has been taken, then close everything."""
         self.stop()
         say(f"ending with {self.exchange.unanswered} requests open on {len(self.front.server.connections)} connections")
+        for other in (self.objects, self.admin):
+            if other is not None:
+                other.closing = True        # their clients have other heads to go to
+        # What is taken from now on is answered before the platform would kill this process.
+        longest_us = max(klass.deadline_us for klass in self.settings.classes)
+        kill_s = min(LONGEST_S, longest_us / 1e6) + KILL_S
+        self.front.until_us = self.exchange.now_us() + int((kill_s - ANSWER_S) * 1e6)
         # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
         await asyncio.sleep(STILL_ARRIVING_S)
         for listener in self.listeners:
             listener.close()
+        # The platform's clients have no other head for their volumes: they are served on the connections that they
+        # hold until too little time is left.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, kill_s - LAST_S - STILL_ARRIVING_S)):
+                while self.front.server.connections:
+                    await asyncio.sleep(DRAIN_LOOK_S)
+        self.front.closing = True
         # From here on nothing new is taken: a request on a kept connection could outlast what is left to this process.
         # Idle connections close now, busy ones with their answer.
         for front in (self.front, self.objects, self.admin):
