Let a fifth of the sockets rest: clients that asked once and stay leave room for those that ask

A count of its client connections after 4 s: 148 open, 147 of them at rest, most after one request, none yielded yet. The platform lets clients hold a third of the descriptors (128 of 384) for requests; those that ask once and keep their connection held nearly all of these, until 2 s of rest or until all 207 connections of the head were in use (Listener.room). Ruled out: accepting (no pause before 4 s), early closes (none yielded), the module, the bricks.

Now a fifth of the limit may rest; beyond it the one that rests longest yields, if it has had an answer and rests for 50 ms. A test holds it; without the change all connections stay.

--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -121,6 +121,7 @@
     def __init__(self, counters: Counters, most: int = 256, first_s: float = FIRST_S,
                  idle_s: float = IDLE_S) -> None:
         self.counters, self.most_connections, self.idle_s = counters, most, idle_s
+        self.most_resting = most
         self.closing = False
         self.busy: set[Any] = set()
         self.resting: dict[Any, float] = {}     # connections that are not busy, and since when; the oldest first
@@ -151,22 +152,31 @@
 
     def rests(self, connection: Any) -> None:
         """Note that no request is open on a connection from now on."""
-        if connection.transport is not None:
-            self.resting.pop(connection, None)
-            self.resting[connection] = asyncio.get_running_loop().time()
-
-    def room(self) -> bool:
-        """Tell whether one more connection may be taken; where not, the one that rests longest yields."""
-        if len(self.server._connections) < self.most_connections:
-            return True
+        if connection.transport is None:
+            return
+        self.resting.pop(connection, None)
+        self.resting[connection] = asyncio.get_running_loop().time()
+        # Clients hold a limited number of connections too. Who asked once and stays would use them up long before
+        # the descriptors here, and the rest would find no connection left to ask on.
+        if len(self.resting) > self.most_resting:
+            self._yield(1)
+
+    def _yield(self, number: int) -> None:
+        """Close what rests longest."""
         now = asyncio.get_running_loop().time()
         # One that has had no answer yet may have its first request on the way: closing it would lose that.
         old = (connection for connection, since in self.resting.items()
                if now - since >= (YIELD_S if connection.answered else SILENT_S))
-        for connection in list(itertools.islice(old, BATCH)):
+        for connection in list(itertools.islice(old, number)):
             self.counters.add("connections_yielded")
             del self.resting[connection]
             connection.transport.close()
+
+    def room(self) -> bool:
+        """Tell whether one more connection may be taken; where not, the one that rests longest yields."""
+        if len(self.server._connections) < self.most_connections:
+            return True
+        self._yield(BATCH)
         return False
 
     def invite(self, request: web.BaseRequest) -> None:
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -42,6 +42,7 @@
 ANSWER_S = 0.25         # before SIGKILL the last answer is out
 SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
 BRICKS_PART = 0.4       # of the rest, for connections to bricks
+RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
 OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
@@ -141,6 +142,7 @@
         self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, to_bricks)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
         self.front = Front(self.exchange, self.counters, from_clients, from_clients)
+        self.front.most_resting = max(8, config.limits.sockets // RESTING_PART)
         self.discovery = Discovery(config.discovery, self.directory, self.nodes, self.counters)
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -634,6 +634,24 @@
     run(main())
 
 
+def test_who_asked_once_and_stays_yields_while_others_ask_on() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            service.front.most_resting, often, number = 3, await made.wire(service), 0
+            stay = []
+            for _ in range(8):
+                stay.append(await made.wire(service))
+                for one in (stay[-1], often):
+                    number += 1
+                    one.send(READ, headers(number))
+                    assert (await one.receive())[0] == 404
+                await asyncio.sleep(0.06)       # it rests long enough to yield
+            assert len(service.front.server.connections) <= 5 and service.counters.counts["connections_yielded"] >= 5
+            assert all([await one.ended() for one in stay[:4]])
+    run(main())
+
+
 def test_connections_to_bricks_that_are_gone_or_too_many_are_closed() -> None:
     async def main() -> None:
         async with world(Brick(0), Brick(1), Brick(2)) as made:
