--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -279,6 +279,11 @@
         self._set_timer()
         return self.actions
 
+    def avoided(self, now: int) -> list[str]:
+        """Tell which listed nodes get nothing now by choice: they rest, or have gone silent."""
+        return [node for node, book in self.books.items()
+                if book.entry.phase is Phase.ON and (book.silent or book.rest_until > now)]
+
     def _set_timer(self) -> None:
         """Wake for what is due next; a steady tick would cost gateways times nodes."""
         while self.deadlines and self.deadlines[0][1] not in self.requests:
--- a/hophinge/counters.py
+++ b/hophinge/counters.py
@@ -16,6 +16,8 @@
     "requests_malformed", "requests_unreadable", "requests_too_many", "connections_yielded", "accepts_failed",
     "brick_connections_yielded", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
     "reloads", "reloads_failed",
+    # the second address
+    "control_calls", "control_denied",
     # the object front and the administration API
     "object_requests", "object_answers_2xx", "object_answers_3xx", "object_answers_4xx", "object_answers_5xx",
     "object_truncated", "object_too_many", "admin_requests", "admin_denied",
--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -18,6 +18,7 @@
 from hophinge import interface as api
 from hophinge.choice import Scheduler
 from hophinge.counters import Counters
+from hophinge.figures import Figures
 
 BACKSTOP = 0.5      # part of the answer's grace after which a request that the module forgot is failed
 
@@ -108,6 +109,10 @@
         self.stop: Callable[[], None] | None = None
         self.timer: Timer | None = None
 
+    def written(self) -> None:
+        """Note that its last byte has been handed to the network."""
+        self.exchange.figures.relayed += 1
+
     def may_go(self) -> bool:
         """Guard drains, answered requests and deadlines after a wait for a connection."""
         # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
@@ -134,6 +139,7 @@
                  log: Callable[[str], None]) -> None:
         self.settings, self.loop, self.counters, self.log = settings, loop, counters, log
         self.now_us = loop.now_us
+        self.figures = Figures(klass.name for klass in settings.classes)
         self.scheduler = Scheduler(settings, seed)
         self.start: Start | None = None             # the back; set once it is there
         self.probe: Probe | None = None
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -51,19 +51,22 @@
     def __init__(self, most: int, counters: Counters) -> None:
         self.most, self.counters = most, counters
         self.open: dict[BrickConnection, None] = {}
+        self.kept: set[str] | None = None       # endpoints whose connections may be idle; None: any
 
     def add(self, connection: BrickConnection) -> None:
         """Note a new connection, or one that has just become idle."""
         self.open.pop(connection, None)
         self.open[connection] = None
-        if len(self.open) > self.most:
+        if connection.idle and self.kept is not None and connection.endpoint not in self.kept:
+            self._end(connection)       # its brick went out of use while it was busy
+        elif len(self.open) > self.most:
             idle = next((one for one in self.open if one.idle), None)
             if idle is not None:
                 self._end(idle)
 
     def keep(self, endpoints: Iterable[str]) -> None:
         """Close idle connections to all bricks but these."""
-        kept = set(endpoints)
+        self.kept = kept = set(endpoints)
         for one in [one for one in self.open if one.idle and one.endpoint not in kept]:
             self._end(one)
 
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -57,10 +57,16 @@
 class Flight:
     """One request on its way: whether its last byte has been handed to the network."""
 
-    __slots__ = ("written",)
+    __slots__ = ("tell", "written")
 
-    def __init__(self) -> None:
-        self.written = False
+    def __init__(self, tell: Callable[[], None] | None = None) -> None:
+        self.tell, self.written = tell, False
+
+    def wrote(self) -> None:
+        """Note that it has."""
+        self.written = True
+        if self.tell is not None:
+            self.tell()
 
 
 async def _body(stream: StreamReader) -> bytes:
@@ -143,7 +149,7 @@
 
     async def _run(self, attempt: Attempt) -> None:
         payload: Payload = attempt.request.payload
-        flight, endpoint = Flight(), self.endpoint(attempt.node)
+        flight, endpoint = Flight(attempt.written), self.endpoint(attempt.node)
         length = f"Content-Length: {len(payload.body)}\r\n" if payload.method == "PUT" else ""
 
         def text() -> bytes:
@@ -190,7 +196,7 @@
             request = text()
             protocol.set_response_params(read_until_eof=True, auto_decompress=False)
             transport.write(request)
-            flight.written = True
+            flight.wrote()
             message, stream = await protocol.read()
             answer = Answered(message.code, message.headers, await _body(stream))
         except BaseException:
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -26,6 +26,14 @@
 PAUSE_S = 0.01          # before another look when there is no room
 
 
+def origin_form(target: str) -> str:
+    """Tell a request target's path and query; a client may write the whole URL, as to a proxy."""
+    scheme, mark, rest = target.partition("://")
+    if mark and scheme.lower() in ("http", "https"):
+        return "/" + rest.partition("/")[2]
+    return target
+
+
 class ClientConnection(RequestHandler):
     """One client's connection: its heads are bounded, and it ends so that a last answer can be read."""
 
@@ -143,13 +151,21 @@
             try:
                 await response.prepare(request)     # written here, so that busy means until the last byte
                 await response.write_eof()
+                self.wrote(request, response)
             except ConnectionError:
                 pass        # the client has gone; aiohttp ends the connection
             return response
         finally:
+            self.over(request)
             self.busy.discard(protocol)
             self.rests(protocol)
 
+    def wrote(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Note that an answer's last byte has been handed over."""
+
+    def over(self, request: web.BaseRequest) -> None:
+        """Note that a request has ended, answered or not."""
+
     def rests(self, connection: Any) -> None:
         """Note that no request is open on a connection from now on."""
         if connection.transport is None:
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -11,6 +11,7 @@
 from hophinge import interface as api
 from hophinge.counters import Counters
 from hophinge.exchange import Answer, Exchange, Verdict, giver
+from hophinge.figures import FAULTED, FULFILLED, THROTTLED, Ticket
 from hophinge.net.listener import Listener
 from hophinge.net.payload import MOST_BODY, Payload
 
@@ -22,6 +23,7 @@
 REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
 DECISIVE = ("X-Txn", "X-Qos-Policy", "X-Remaining-Ms", "X-Placement")
 BODY_S = 2.0        # for a body to come; it is 64 KiB at most
+TICKET = web.RequestKey("ticket", Ticket)
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
 
 
@@ -101,19 +103,22 @@
     async def _take(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/healthz" and request.method == "GET":
             return web.Response(status=200 if self.ready else 503)
+        ask = self.reader.read(request)
+        klass = self.exchange.settings.classes[ask.klass].name
         if len(self.busy) > self.most:
             # Sockets are left for bricks and accepts; whoever comes on top is told so, and its connection ends.
             self.counters.add("requests_too_many")
+            request[TICKET] = self.exchange.figures.take(klass)
             response = web.Response(status=503, headers={"Retry-After": "1"})
             response.force_close()
             return response
-        ask = self.reader.read(request)
         if self.until_us is not None:
             left = max(0, min(ask.time_left_us, self.until_us - self.exchange.now_us()))
             ask = structs.replace(ask, time_left_us=left)
         body = await self._body(request)
         if ask.request in self.exchange.open:
             raise MalformedError(400, "X-Txn is in use")
+        request[TICKET] = self.exchange.figures.take(klass)
         done: asyncio.Future[Answer] = self.loop.create_future()
         payload = Payload(request.method, request.raw_path, ask.request, body)
         self.exchange.arrive(ask, payload, giver(done))
@@ -127,6 +132,18 @@
             response.headers["Retry-After"] = f"{answer.retry_after_us / 1e6:.3f}"
         return response
 
+    def wrote(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Count a request by what its client got, once that is on its way whole."""
+        ticket = request.get(TICKET)
+        if ticket is not None:
+            ticket.end({200: FULFILLED, 429: THROTTLED, 503: THROTTLED}.get(response.status, FAULTED))
+
+    def over(self, request: web.BaseRequest) -> None:
+        """End a request whose client has left."""
+        ticket = request.get(TICKET)
+        if ticket is not None:
+            ticket.end(None)
+
     async def _body(self, request: web.BaseRequest) -> bytes:
         if not request.can_read_body:
             return b""
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -21,6 +21,7 @@
 from hophinge.exchange import Exchange
 from hophinge.net.client import Bricks
 from hophinge.net.clock import LoopClock
+from hophinge.net.control import CALLERS, Control
 from hophinge.net.discovery import Directory, Discovery, Listing
 from hophinge.net.listener import Acceptor, Listener
 from hophinge.net.server import Front
@@ -29,6 +30,7 @@
 from hophinge.objects.front import ObjectFront
 from hophinge.objects.pieces import Core
 from hophinge.objects.store import Store
+from hophinge.rotation import Rotation
 from hophinge.settings import read_settings
 from hophinge.tenants import Tenants
 
@@ -70,6 +72,7 @@
     known: Listing
     limits: Limits = msgspec.field(default_factory=Limits)
     name: str = ""
+    control: str = ""
 
 
 def address(text: str) -> tuple[str, int]:
@@ -97,7 +100,9 @@
     try:
         config.listen = environ.get("EDGE_LISTEN") or config.listen
         config.discovery = environ.get("EDGE_DISCOVERY") or config.discovery
-        address(config.listen), address(config.discovery)
+        config.control = environ.get("EDGE_CONTROL") or config.control
+        for one in (config.listen, config.discovery, *filter(None, [config.control])):
+            address(one)
         int(config.seed, 16)
         settings = read_settings(bytes(config.settings))
     except (ValueError, ConfigError) as error:
@@ -136,21 +141,26 @@
         self.directory = Directory(settings)
         # A connection carries one request, so these bound busy ones; idle ones are among them. Clients that say
         # nothing need room besides those that ask, bricks do not.
-        sockets = config.limits.sockets - SPARE_SOCKETS
+        sockets = config.limits.sockets - SPARE_SOCKETS - (CALLERS if config.control else 0)
         to_bricks = max(16, int(sockets * BRICKS_PART))
         from_clients = max(16, sockets - to_bricks)
         self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, to_bricks)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
         self.front = Front(self.exchange, self.counters, from_clients, from_clients)
         self.front.most_resting = max(8, config.limits.sockets // RESTING_PART)
-        self.discovery = Discovery(config.discovery, self.directory, self.nodes, self.counters)
+        self.rotation = Rotation(self.nodes, clock.now_us, settings.rules.cold_us)
+        self.discovery = Discovery(config.discovery, self.directory, self.rotation.take, self.counters)
+        self.figures = self.exchange.figures
+        self.figures.now = self.bricks_now
+        self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
 
             self.remote_write = RemoteWrite(operator.remote_write, config.name or config.listen, self.counters,
-                                            self.gauges, clock.now_us)
-        self.listeners: list[Acceptor] = []
+                                            self.gauges, clock.now_us, self.figures)
+        self.listeners: list[Acceptor] = []         # of clients
+        self.control_listener: Acceptor | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
 
@@ -175,7 +185,9 @@
 
     async def start(self) -> None:
         """Listen, and be ready once there is a list."""
-        self.exchange.nodes(self.directory.take(self.config.known, api.ListKind.SAVED))
+        if self.control is not None:
+            self.control_listener = self._acceptor(self.control, self.config.control)
+        self.rotation.take(self.directory.take(self.config.known, api.ListKind.SAVED))
         self.discovery.follow(self.config.discovery)
         self._listen(self.front, self.config.listen)
         if self.objects is not None:
@@ -197,12 +209,27 @@
     def nodes(self, event: api.NodeList) -> None:
         """Take a list of bricks, or what changed in it."""
         self.exchange.nodes(event)
-        self.bricks.keep(self.directory.endpoints.values())
+        # Connections to a brick that is out by hand go: it is about to be restarted.
+        self.bricks.keep(where for node, where in self.directory.endpoints.items() if not self.rotation.out(node))
+
+    def ready(self) -> bool:
+        """Tell whether this process serves."""
+        return self.front.ready and not self.stopping.is_set()
+
+    def bricks_now(self) -> dict[str, int]:
+        """Tell how many bricks are listed, and how many of them get nothing now, by hand, list or choice."""
+        listed = self.rotation.listed
+        avoided = {node for node in listed if self.exchange.phases.get(node) is not api.Phase.ON}
+        avoided.update(node for node in self.exchange.scheduler.avoided(self.exchange.now_us()) if node in listed)
+        return {"registry_entries": len(listed), "out_of_rotation": len(avoided)}
 
     def _listen(self, front: Listener, where: str) -> None:
+        self.listeners.append(self._acceptor(front, where))
+
+    def _acceptor(self, front: Listener, where: str) -> Acceptor:
         host, port = address(where)
         try:
-            self.listeners.append(Acceptor(host, port, front))
+            return Acceptor(host, port, front)
         except OSError as error:
             raise ConfigError(f"cannot listen on {where}: {error}") from error
 
@@ -256,22 +283,30 @@
         self.front.closing = True
         # From here on nothing new is taken: a request on a kept connection could outlast what is left to this process.
         # Idle connections close now, busy ones with their answer.
-        for front in (self.front, self.objects, self.admin):
-            if front is not None:
-                front.close_idle()
+        for front in self.fronts:
+            front.close_idle()
         # Each request has its deadline, and each wait of the object front its own limit.
         while self.exchange.unanswered or (self.objects is not None and self.objects.active):
             await asyncio.sleep(DRAIN_LOOK_S)
-        for front in (self.front, self.objects, self.admin):
-            if front is not None:
-                await front.server.shutdown(SHUTDOWN_S)
+        if self.control_listener is not None:
+            self.control_listener.close()
+        for served in (*self.fronts, self.control):
+            if served is not None:
+                await served.server.shutdown(SHUTDOWN_S)
         await self.close()
 
+    @property
+    def fronts(self) -> list[Listener]:
+        """The listeners that clients use."""
+        return [front for front in (self.front, self.objects, self.admin) if front is not None]
+
     async def close(self) -> None:
         """End what runs beside the serving, and the connections of the server side."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.control_listener is not None:
+            self.control_listener.close()
         for part in (self.discovery, self.bricks, self.remote_write):
             if part is not None:
                 await part.close()
@@ -279,8 +314,9 @@
     def gauges(self) -> dict[str, float]:
         """Tell what is now, for remote write."""
         ready = sum(phase is api.Phase.ON for phase in self.exchange.phases.values())
-        return {"requests_open": self.exchange.unanswered, "attempts_out": len(self.bricks.tasks),
-                "bricks_ready": ready, "object_requests_open": self.objects.active if self.objects else 0}
+        return {**self.figures.gauges(), "requests_open": self.exchange.unanswered,
+                "attempts_out": len(self.bricks.tasks), "bricks_ready": ready,
+                "object_requests_open": self.objects.active if self.objects else 0}
 
 
 def main() -> int:
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -12,11 +12,14 @@
 
 from hophinge import interface as api
 from hophinge.exchange import Answer, Exchange, Verdict, giver
+from hophinge.figures import FAULTED, FULFILLED, THROTTLED
 from hophinge.net.payload import MOST_BODY, Payload
 from hophinge.objects.config import ObjectConfig
 from hophinge.objects.records import Piece, Run, piece_id
 from hophinge.tenants import Volume
 
+# An absent object is an answer: its node did the work.
+OUTCOMES = {Verdict.SERVED: FULFILLED, Verdict.ABSENT: FULFILLED, Verdict.REFUSED: THROTTLED, Verdict.FAILED: FAULTED}
 LEAST_WAIT_US = 50_000     # before a piece that was refused without advice is asked for again
 
 
@@ -81,13 +84,16 @@
                 gateways=settings.gateways, key=key, time_left_us=deadline if left is None else min(deadline, left),
                 write=body is not None, plan=self.plans[volume.plan])
             target = f"/{settings.classes[klass].name}/{volume.id}/{key}"
+            ticket = self.exchange.figures.take(settings.classes[klass].name)
             done: asyncio.Future[Answer] = loop.create_future()
             self.exchange.arrive(ask, Payload(method, target, txn, body or b""), giver(done))
             try:
                 answer = await done
             except asyncio.CancelledError:
                 self.exchange.depart(txn)
+                ticket.end(None)
                 raise
+        ticket.end(OUTCOMES[answer.verdict])
         if answer.verdict is Verdict.REFUSED:
             raise RefusedError(answer.retry_after_us)
         if answer.verdict is Verdict.FAILED:
--- a/hophinge/remote_write.py
+++ b/hophinge/remote_write.py
@@ -16,6 +16,7 @@
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 
 from hophinge.counters import Counters
+from hophinge.figures import Figures
 from hophinge.objects.config import RemoteWriteConfig
 
 FIRST_PAUSE_S = 0.25
@@ -50,18 +51,26 @@
 WriteRequest = _write_request()
 
 
-def metrics(counters: Counters, gauges: Mapping[str, float]) -> dict[str, float]:
+Series = tuple[str, tuple[tuple[str, str], ...]]     # a metric's name and its own labels
+
+
+def metrics(counters: Counters, gauges: Mapping[str, float], figures: Figures | None = None) -> dict[Series, float]:
     """Name all that is exported: counters end in _total, gauges stand as they are."""
-    found = {f"{PREFIX}{name}_total": float(value) for name, value in counters.counts.items()}
-    return found | {f"{PREFIX}{name}": value for name, value in gauges.items()}
+    found: dict[Series, float] = {(f"{PREFIX}{name}_total", ()): value for name, value in counters.counts.items()}
+    found |= {(f"{PREFIX}{name}", ()): value for name, value in gauges.items()}
+    if figures is not None:
+        found[f"{PREFIX}relayed_total", ()] = figures.relayed
+        found |= {(f"{PREFIX}operations_total", (("class", klass), ("outcome", outcome))): value
+                  for (klass, outcome), value in figures.ended.items()}
+    return found
 
 
-def encode(values: Mapping[str, float], labels: Mapping[str, str], at_ms: int) -> bytes:
+def encode(values: Mapping[Series, float], labels: Mapping[str, str], at_ms: int) -> bytes:
     """Encode one sample of each metric; labels stand in the order of their names, as the protocol asks."""
     request = WriteRequest()
-    for metric, value in values.items():
+    for (metric, own), value in values.items():
         series = request.timeseries.add()
-        for name, text in sorted({"__name__": metric, **labels}.items()):
+        for name, text in sorted({"__name__": metric, **labels, **dict(own)}.items()):
             series.labels.add(name=name, value=text)
         series.samples.add(value=value, timestamp=at_ms)
     return bytes(cramjam.snappy.compress_raw(request.SerializeToString()))
@@ -71,8 +80,10 @@
     """Takes samples and pushes them."""
 
     def __init__(self, config: RemoteWriteConfig, instance: str, counters: Counters,
-                 gauges: Callable[[], Mapping[str, float]], now_us: Callable[[], int]) -> None:
+                 gauges: Callable[[], Mapping[str, float]], now_us: Callable[[], int],
+                 figures: Figures | None = None) -> None:
         self.config, self.counters, self.gauges, self.now_us = config, counters, gauges, now_us
+        self.figures = figures
         self.labels = {"job": "hophinge", "instance": instance}
         self.queue: deque[bytes] = deque()
         self.news = asyncio.Event()
@@ -85,7 +96,7 @@
         if len(self.queue) >= self.config.queue:
             self.queue.popleft()
             self.counters.add("remote_write_dropped")
-        values = metrics(self.counters, self.gauges())
+        values = metrics(self.counters, self.gauges(), self.figures)
         self.queue.append(encode(values, self.labels, self.now_us() // 1000))
         self.news.set()
 
--- /dev/null
+++ b/hophinge/rotation.py
@@ -0,0 +1,83 @@
+"""Bricks taken out by hand: an overlay over what discovery lists, so that no list, change or restart undoes it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from msgspec import Struct
+
+from hophinge.interface import ListKind, NodeEntry, NodeList, Phase
+
+
+class Mark(Struct, frozen=True):
+    """The last call for a brick: when it came, and whether it took the brick out."""
+
+    at_us: int
+    out: bool
+
+
+class Rotation:
+    """The list as discovery told it, the marks set by hand, and their sum, which is what the core is told."""
+
+    def __init__(self, tell: Callable[[NodeList], None], now_us: Callable[[], int], cold_us: int) -> None:
+        self.tell, self.now_us, self.cold_us = tell, now_us, cold_us
+        self.listed: dict[str, NodeEntry] = {}
+        self.marks: dict[str, Mark] = {}
+
+    def take(self, event: NodeList) -> None:
+        """Take a list, or what changed in it, and pass it on with the marks laid over it."""
+        if event.kind is ListKind.FULL:
+            self.listed = {}
+        for entry in event.entries:
+            if entry.phase is Phase.GONE:
+                self.listed.pop(entry.node, None)
+            else:
+                self.listed[entry.node] = entry
+        self._forget()
+        self.tell(NodeList(event.kind, tuple(map(self._laid_over, event.entries))))
+
+    def _laid_over(self, entry: NodeEntry) -> NodeEntry:
+        mark = self.marks.get(entry.node)
+        if mark is None or entry.phase is Phase.GONE:
+            return entry
+        if mark.out:
+            return replace(entry, phase=Phase.DRAINING)
+        # Whoever took it out has had it restarted as a rule, and discovery may not have told yet: it counts as cold.
+        return replace(entry, started_us=max(entry.started_us, mark.at_us))
+
+    def _forget(self) -> None:
+        """Drop the marks of bricks that are back for so long that they count as warm."""
+        then = self.now_us() - self.cold_us
+        self.marks = {node: mark for node, mark in self.marks.items() if mark.out or mark.at_us > then}
+
+    def out(self, node: str) -> bool:
+        """Tell whether a brick is out by hand."""
+        mark = self.marks.get(node)
+        return mark is not None and mark.out
+
+    def down(self, node: str) -> bool:
+        """Take a brick out; False: no such brick. Twice is as good as once."""
+        if self.out(node):
+            return True
+        return node in self.listed and self._set(node, True)
+
+    def up(self, node: str) -> bool:
+        """Use a brick again, however often it was taken out; False: no such brick."""
+        if self.out(node):
+            return self._set(node, False)
+        return node in self.listed
+
+    def _set(self, node: str, out: bool) -> bool:
+        last = self.marks.get(node)     # a call that follows within one tick of the clock is the later one all the same
+        return self.merge({node: Mark(max(self.now_us(), last.at_us + 1 if last else 0), out)})
+
+    def merge(self, marks: Mapping[str, Mark]) -> bool:
+        """Take marks that are newer than those held; tell whether there were any."""
+        newer = {node: mark for node, mark in marks.items()
+                 if node not in self.marks or mark.at_us > self.marks[node].at_us}
+        self.marks.update(newer)
+        changed = tuple(self._laid_over(self.listed[node]) for node in newer if node in self.listed)
+        if changed:
+            self.tell(NodeList(ListKind.CHANGES, changed))
+        return bool(newer)
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -170,7 +170,8 @@
 
     async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None) -> Service:
         """Start a head; the kernel gives its port, which `url` then tells."""
-        config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"), Listing(0, []))
+        config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"), Listing(0, []),
+                        control="127.0.0.1:0")
         service = Service(config, read_settings(json.dumps(settings or setup())), operator or OperatorConfig())
         self.services.append(service)
         await service.start()
@@ -192,7 +193,7 @@
         self.services.remove(service)
         for listener in service.listeners:
             listener.close()
-        for front in (service.front, service.objects, service.admin):
+        for front in (service.front, service.objects, service.admin, service.control):
             for connection in front.server.connections if front is not None else ():
                 if connection.transport is not None:
                     connection.transport.abort()
--- a/tests/test_remote_write.py
+++ b/tests/test_remote_write.py
@@ -146,7 +146,7 @@
         async with world() as made:
             return (await made.head()).gauges()
 
-    exported = metrics(Counters(), run(gauges())).keys()
+    exported = {name for name, _ in metrics(Counters(), run(gauges()))}
     rules = msgspec.yaml.decode((Path(__file__).parent.parent / "deploy" / "alerts.yml").read_bytes())
     alerts = [rule for group in rules["groups"] for rule in group["rules"]]
     assert len({rule["alert"] for rule in alerts}) == len(alerts) >= 8
