--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -86,11 +86,12 @@
         self.own = Gauge()
         self.beyond: dict[str, Gauge] = {}
 
-    def spread(self, gateways: int, now: int) -> None:
+    def spread(self, gateways: int, now: int, processes: int) -> None:
         """Split the limit by the most gateways heard of: whatever they send, the sum stays within it."""
         self.gateways, self.seen = max(self.gateways, gateways), now
-        self.limit.depth = (self.plan.limit_burst + SLACK_USED * self.plan.limit_slack) / self.gateways
-        self.limit.fill(now, self.plan.limit / self.gateways)
+        parts = self.gateways * processes
+        self.limit.depth = (self.plan.limit_burst + SLACK_USED * self.plan.limit_slack) / parts
+        self.limit.fill(now, self.plan.limit / parts)
 
     def within_limit(self, units: float, now: int) -> bool:
         """Tell whether the limit's part of this gateway has these units."""
@@ -233,6 +234,7 @@
         self.taken: deque[int] = deque()
         self.longest: dict[int, int] = {}
         self.version = 0                        # of the node list held
+        self.processes = 1                      # that share this gateway's part: two while it is replaced
         self.deadlines: list[tuple[int, str]] = []
         self.fair: dict[str, tuple[int, float]] = {}
         self.all_spent = self.all_served = 0.0  # by all nodes, for the time per unit of one not heard
@@ -348,7 +350,7 @@
             for name in [name for name, one in self.volumes.items() if self.now - one.seen > FORGET_US]:
                 del self.volumes[name]
             volume = self.volumes[ask.volume] = Volume(settings, ask.plan, self.now)
-        volume.spread(ask.gateways if ask.gateways > 0 else settings.gateways, self.now)
+        volume.spread(ask.gateways if ask.gateways > 0 else settings.gateways, self.now, self.processes)
         klass = settings.classes[ask.klass]
         longest = self.longest[ask.klass] = max(self.longest.get(ask.klass, 0), ask.time_left_us)
         # Less time left than the aim: an impatient client, not one that has waited till all was late.
@@ -536,7 +538,7 @@
         lone = book.silent and self._usual_wait() < PART * self.aim
         if not last or (lone and self.now - last > 2 * SILENT * self.aim):
             return True     # one may go when none is out that may answer; what is silent alone is tried anew
-        if book.silent or book.failures > 1 or len(book.slots) >= CEILING:
+        if book.silent or book.failures > 1 or len(book.slots) >= CEILING // self.processes:
             return False
         unit_us = self._unit_us(book)
         # Many gateways' floors add up: where answers take longer than the part, the floor shrinks with them,
@@ -736,10 +738,10 @@
         unit_us = self._unit_us(book)
         usual = rules.fall_us / unit_us if unit_us > 0 else 0.0
         part = COLD_PART * rules.fall_multiple * warm
-        if sent + units <= max(rules.cold_units, part * usual) / self.settings.gateways:
+        if sent + units <= max(rules.cold_units, part * usual) / (self.settings.gateways * self.processes):
             return True
         # The even part of many gateways is under one request, and a restarted rack would get no reads until
         # it is warm. So each lets through its seeded chance of its reads, one in the rule's time: the
         # sum is that part of what the node is asked for, however many gateways ask and however unevenly, and
         # asks of twice the node's usual power still fit. New objects and late reads need no starting node.
-        return not sent and request.ask.shard >= 0 and now < request.aim_at and request.lot < part
+        return not sent and request.ask.shard >= 0 and now < request.aim_at and request.lot < part / self.processes
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -109,7 +109,7 @@
     """
 
     def __init__(self, settings: Settings, endpoint: Callable[[str], str | None], counters: Counters,
-                 log: Callable[[str], None], most: int) -> None:
+                 log: Callable[[str], None], most: int = 256) -> None:
         self.endpoint, self.counters, self.log, self.most = endpoint, counters, log, most
         self.reports = settings.report_in_answers
         self.tasks: set[asyncio.Task[None]] = set()
--- /dev/null
+++ b/hophinge/net/handover.py
@@ -0,0 +1,107 @@
+"""What the two processes of an upgrade share by files: how many live, and which bricks are out by hand."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from hophinge.rotation import Mark, Rotation
+
+VERSION = 1
+LOOK_S = 0.05           # between looks; the grace on drains is ten times that
+LIVE, MARKS = "live-", "marks.json"
+
+
+class Marks(msgspec.Struct):
+    """The file of marks. A version that is not known is left alone."""
+
+    version: int
+    marks: dict[str, Mark]
+
+
+class Handover:
+    """The files of one process beside the other's.
+
+    Each process holds a file locked while it lives; the kernel lets go of it however the process ends. Marks are
+    merged, the newer counts; who finds that the file lacks a mark writes it whole again, so no write is lost for long.
+    """
+
+    def __init__(self, folder: Path, rotation: Rotation, now_us: Callable[[], int], rest_us: int,
+                 log: Callable[[str], None]) -> None:
+        self.folder, self.rotation, self.now_us, self.rest_us, self.log = folder, rotation, now_us, rest_us, log
+        folder.mkdir(mode=0o700, exist_ok=True)
+        self.file = open(folder / f"new-{os.getpid()}", "w")  # noqa: SIM115
+        fcntl.flock(self.file, fcntl.LOCK_EX)
+        # Seen by others only once it is locked: one that can be locked by another is a dead process's.
+        self.path = folder / f"{LIVE}{os.getpid()}"
+        os.rename(self.file.name, self.path)
+        self.others: list[int] = []
+        self.other_until = 0            # its last requests still count against the rules until then
+        self.seen: tuple[int, int] | None = None
+
+    @property
+    def processes(self) -> int:
+        """How many processes the head's parts are to be shared by."""
+        return max(1 + len(self.others), 2 if self.now_us() < self.other_until else 1)
+
+    def look(self) -> None:
+        """See who lives and what was marked."""
+        self.others = [int(name.removeprefix(LIVE)) for name in os.listdir(self.folder)
+                       if name.startswith(LIVE) and name != self.path.name and self._lives(name)]
+        if self.others:
+            self.other_until = self.now_us() + self.rest_us
+        self._read()
+
+    def _lives(self, name: str) -> bool:
+        try:
+            with open(self.folder / name) as file:
+                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                os.unlink(self.folder / name)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def _read(self) -> None:
+        path = self.folder / MARKS
+        with contextlib.suppress(FileNotFoundError):
+            status = path.stat()
+            if (status.st_mtime_ns, status.st_ino) == self.seen:
+                return
+            self.seen = status.st_mtime_ns, status.st_ino
+            try:
+                found = msgspec.json.decode(path.read_bytes(), type=Marks)
+            except msgspec.MsgspecError as error:
+                self.log(f"{path} is malformed and is written anew: {error}")
+                found = Marks(VERSION, {})
+            if found.version != VERSION:
+                return self.log(f"{path} has version {found.version}, not {VERSION}; bricks out by hand are not shared")
+            self.rotation.merge(found.marks)
+            if any(found.marks.get(node) != mark for node, mark in self.rotation.marks.items()):
+                self.write()
+        return None
+
+    def write(self) -> None:
+        """Put the marks that this process holds in the file's place."""
+        path = self.folder / f"marks-{os.getpid()}"
+        path.write_bytes(msgspec.json.encode(Marks(VERSION, self.rotation.marks)))
+        os.replace(path, self.folder / MARKS)
+
+    def descriptors(self) -> int:
+        """Tell how many descriptors the others hold; the limit is on all together."""
+        held = 0
+        for process in self.others:
+            with contextlib.suppress(OSError):
+                held += len(os.listdir(f"/proc/{process}/fd"))
+        return held
+
+    def close(self) -> None:
+        """Be seen no more."""
+        self.path.unlink(missing_ok=True)
+        self.file.close()
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import socket
 from collections.abc import Callable
@@ -217,11 +218,19 @@
     asyncio's own server takes a whole backlog at once, and stops for a second when descriptors run out.
     """
 
-    def __init__(self, host: str, port: int, front: Listener) -> None:
+    def __init__(self, host: str, port: int, front: Listener, shared: bool = False, fd: int | None = None) -> None:
         self.loop, self.front = asyncio.get_running_loop(), front
-        self.socket = socket.create_server((host, port), backlog=BACKLOG)
+        if fd is None:
+            self.socket = socket.create_server((host, port), backlog=BACKLOG, reuse_port=shared)
+        else:
+            # Held by the platform and by other processes too: it is closed here, never shut down, and whatever
+            # waits in its queue is then another's.
+            self.socket = socket.socket(fileno=fd)
+            if not self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(f"descriptor {fd} does not listen")
         self.socket.setblocking(False)
-        if hasattr(socket, "TCP_DEFER_ACCEPT"):
+        # The queue of a socket of one's own ends with it: it is emptied first, and must then hold all that connected.
+        if hasattr(socket, "TCP_DEFER_ACCEPT") and not shared:
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.pause: asyncio.TimerHandle | None = None
@@ -237,19 +246,32 @@
             if len(self.tasks) >= BATCH or not self.front.room():
                 return self._wait()
             try:
-                connection, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return None
+                if not self._one():
+                    return None
             except OSError:     # no descriptor is left
                 self.front.counters.add("accepts_failed")
                 return self._wait()
-            connection.setblocking(False)
-            make: Callable[[], asyncio.BaseProtocol] = self.front.server
-            task = self.loop.create_task(self._take(make, connection))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
         return None
 
+    def _one(self) -> bool:
+        try:
+            connection, _ = self.socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        connection.setblocking(False)
+        make: Callable[[], asyncio.BaseProtocol] = self.front.server
+        task = self.loop.create_task(self._take(make, connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return True
+
+    def drain(self) -> None:
+        """Take what waits in the queue, then no more: a close would reset it."""
+        with contextlib.suppress(OSError):
+            while self._one():
+                pass
+        self.close()
+
     async def _take(self, make: Callable[[], asyncio.BaseProtocol], connection: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(make, connection)
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -81,9 +81,9 @@
 class Front(Listener):
     """One handler for every connection; a connection carries one request at a time."""
 
-    def __init__(self, exchange: Exchange, counters: Counters, most: int, connections: int) -> None:
-        super().__init__(counters, connections)
-        self.exchange, self.most = exchange, most
+    def __init__(self, exchange: Exchange, counters: Counters) -> None:
+        super().__init__(counters)
+        self.exchange, self.most = exchange, self.most_connections
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
         self.ready = False
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -6,6 +6,7 @@
 import contextlib
 import gc
 import os
+import re
 import signal
 import sys
 from collections.abc import Mapping
@@ -22,6 +23,7 @@
 from hophinge.net.client import Bricks
 from hophinge.net.clock import LoopClock
 from hophinge.net.control import CALLERS, Control
+from hophinge.net.handover import LOOK_S, Handover
 from hophinge.net.discovery import Directory, Discovery, Listing
 from hophinge.net.listener import Acceptor, Listener
 from hophinge.net.server import Front
@@ -42,6 +44,7 @@
 LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
 LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
 ANSWER_S = 0.25         # before SIGKILL the last answer is out
+LEAST_SOCKETS = 16      # for bricks and for clients each, however many another process holds
 SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
 BRICKS_PART = 0.4       # of the rest, for connections to bricks
 RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
@@ -73,6 +76,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     name: str = ""
     control: str = ""
+    accept_fd: int | None = None    # told by the environment alone
 
 
 def address(text: str) -> tuple[str, int]:
@@ -101,6 +105,8 @@
         config.listen = environ.get("EDGE_LISTEN") or config.listen
         config.discovery = environ.get("EDGE_DISCOVERY") or config.discovery
         config.control = environ.get("EDGE_CONTROL") or config.control
+        if text := environ.get("EDGE_ACCEPT_FD"):
+            config.accept_fd = int(text)
         for one in (config.listen, config.discovery, *filter(None, [config.control])):
             address(one)
         int(config.seed, 16)
@@ -139,20 +145,16 @@
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
-        # A connection carries one request, so these bound busy ones; idle ones are among them. Clients that say
-        # nothing need room besides those that ask, bricks do not.
-        sockets = config.limits.sockets - SPARE_SOCKETS - (CALLERS if config.control else 0)
-        to_bricks = max(16, int(sockets * BRICKS_PART))
-        from_clients = max(16, sockets - to_bricks)
-        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, to_bricks)
+        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
-        self.front = Front(self.exchange, self.counters, from_clients, from_clients)
-        self.front.most_resting = max(8, config.limits.sockets // RESTING_PART)
+        self.front = Front(self.exchange, self.counters)
+        self.share(0)
         self.rotation = Rotation(self.nodes, clock.now_us, settings.rules.cold_us)
         self.discovery = Discovery(config.discovery, self.directory, self.rotation.take, self.counters)
         self.figures = self.exchange.figures
         self.figures.now = self.bricks_now
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
+        self.handover: Handover | None = None
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
@@ -188,8 +190,11 @@
         if self.control is not None:
             self.control_listener = self._acceptor(self.control, self.config.control)
         self.rotation.take(self.directory.take(self.config.known, api.ListKind.SAVED))
+        if self.config.accept_fd is not None:
+            self._beside_another()
         self.discovery.follow(self.config.discovery)
-        self._listen(self.front, self.config.listen)
+        if self.config.accept_fd is None:
+            self._listen(self.front, self.config.listen)
         if self.objects is not None:
             self._listen(self.objects, self.objects.config.listen)
         if self.admin is not None and self.operator.admin is not None:
@@ -201,6 +206,9 @@
                 await self.discovery.heard.wait()
         except TimeoutError:
             say("discovery is silent; starting from the saved list")
+        if self.config.accept_fd is not None:
+            # Not before: until then another process may serve what waits there.
+            self._listen(self.front, self.config.listen, self.config.accept_fd)
         self.front.ready = True
         limits = self.config.limits
         say(f"{self.config.name or 'a head'} serves on {self.config.listen}: {limits.cores} cores, "
@@ -223,13 +231,54 @@
         avoided.update(node for node in self.exchange.scheduler.avoided(self.exchange.now_us()) if node in listed)
         return {"registry_entries": len(listed), "out_of_rotation": len(avoided)}
 
-    def _listen(self, front: Listener, where: str) -> None:
-        self.listeners.append(self._acceptor(front, where))
+    def _beside_another(self) -> None:
+        """Share the head's parts and what was set by hand with the process that is replaced, or that replaces this."""
+        folder = os.environ.get("TMPDIR")
+        if not folder:
+            return say("no TMPDIR: bricks out by hand do not outlive an upgrade")
+        name = re.sub(r"[^0-9A-Za-z-]", "_", self.config.name or self.config.listen)
+        self.handover = Handover(Path(folder) / f"hophinge-{name}", self.rotation, self.exchange.now_us,
+                                 self.settings.rules.fall_us, say)
+        self.rotation.marked = self.handover.write
+        self._look()
+        self.tasks.append(asyncio.create_task(self._look_on()))
+
+    def _look(self) -> None:
+        assert self.handover is not None
+        self.handover.look()
+        self.exchange.scheduler.processes = self.handover.processes
+        self.share(self.handover.descriptors())
+
+    async def _look_on(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            try:
+                self._look()
+            except OSError as error:
+                say(f"cannot look for another process: {error}")
+
+    def share(self, elsewhere: int) -> None:
+        """Divide what is left of the descriptors when so many are another process's.
+
+        A connection carries one request, so these bound busy ones; idle ones are among them. Clients that say nothing
+        need room besides those that ask, bricks do not.
+        """
+        left = self.config.limits.sockets - elsewhere
+        sockets = left - SPARE_SOCKETS - (CALLERS if self.config.control else 0)
+        to_bricks = max(LEAST_SOCKETS, int(sockets * BRICKS_PART))
+        self.bricks.most = self.bricks.roll.most = to_bricks
+        self.front.most = self.front.most_connections = max(LEAST_SOCKETS, sockets - to_bricks)
+        self.front.most_resting = max(8, left // RESTING_PART)
+
+    def _listen(self, front: Listener, where: str, fd: int | None = None) -> None:
+        self.listeners.append(self._acceptor(front, where, fd))
 
-    def _acceptor(self, front: Listener, where: str) -> Acceptor:
+    def _acceptor(self, front: Listener, where: str, fd: int | None = None) -> Acceptor:
         host, port = address(where)
+        # Where upgrades are, the other fronts' addresses are used by two processes for a while.
+        shared = self.config.accept_fd is not None and fd is None and front is not self.control
         try:
-            return Acceptor(host, port, front)
+            return Acceptor(host, port, front, shared, fd)
         except OSError as error:
             raise ConfigError(f"cannot listen on {where}: {error}") from error
 
@@ -270,15 +319,27 @@
         longest_us = max(klass.deadline_us for klass in self.settings.classes)
         kill_s = min(LONGEST_S, longest_us / 1e6) + KILL_S
         self.front.until_us = self.exchange.now_us() + int((kill_s - ANSWER_S) * 1e6)
-        # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
-        await asyncio.sleep(STILL_ARRIVING_S)
-        for listener in self.listeners:
-            listener.close()
+        arriving_s = 0.0
+        if self.config.accept_fd is None:
+            # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
+            arriving_s = STILL_ARRIVING_S
+            await asyncio.sleep(arriving_s)
+            for listener in self.listeners:
+                listener.close()
+        else:
+            # Another process takes new connections from now on; the clients of this one are sent there with their
+            # next answer. Idle connections stay: a close could cross a request on its way.
+            self.front.closing = True
+            for listener in self.listeners:
+                if listener.front is self.front:
+                    listener.close()
+                else:
+                    listener.drain()
         # The platform's clients have no other head for their volumes: they are served on the connections that they
         # hold until too little time is left.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, kill_s - LAST_S - STILL_ARRIVING_S)):
-                while self.front.server.connections:
+            async with asyncio.timeout(max(0.0, kill_s - LAST_S - arriving_s)):
+                while self.front.server._connections or any(listener.tasks for listener in self.listeners):
                     await asyncio.sleep(DRAIN_LOOK_S)
         self.front.closing = True
         # From here on nothing new is taken: a request on a kept connection could outlast what is left to this process.
@@ -307,6 +368,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         if self.control_listener is not None:
             self.control_listener.close()
+        if self.handover is not None:
+            self.handover.close()
         for part in (self.discovery, self.bricks, self.remote_write):
             if part is not None:
                 await part.close()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,201 @@
+"""Upgrades: two processes on one listening socket, one set of bricks out by hand, one share of every limit."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import fcntl
+import itertools
+import os
+import signal
+import socket
+from pathlib import Path
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from hophinge.choice import CEILING, Scheduler
+from hophinge.interface import ListKind, NodeEntry, NodeList, Phase, Send
+from hophinge.net.handover import LIVE, MARKS, VERSION, Handover, Marks
+from hophinge.rotation import Mark, Rotation
+from tests.stand_in import OBJECT, VOLUME, Brick, Wire, headers, run, until, world
+from tests.test_choice import SETTINGS, T0, ask
+from tests.test_service import config, program
+
+TARGET = f"/record-read/{VOLUME}/{OBJECT}"
+REST_US = 1_500_000
+
+
+class Desk:
+    """A rotation of one brick and its files; `lives` plays another process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.now, self.lines, self.folder = 1_000_000, list[str](), folder / "hophinge-n0"
+        self.rotation = Rotation(lambda _: None, lambda: self.now, 17_000_000)
+        self.rotation.take(NodeList(ListKind.FULL, (NodeEntry("a", 0, 0, Phase.ON, 1.0, 0),)))
+        self.handover = Handover(self.folder, self.rotation, lambda: self.now, REST_US, self.lines.append)
+        self.rotation.marked = self.handover.write
+
+    def marks(self) -> Marks:
+        return msgspec.json.decode((self.folder / MARKS).read_bytes(), type=Marks)
+
+    def put(self, content: bytes) -> None:
+        (self.folder / "elsewhere").write_bytes(content)
+        os.replace(self.folder / "elsewhere", self.folder / MARKS)
+
+
+def test_who_lives_is_counted_and_who_died_is_not(tmp_path: Path) -> None:
+    desk = Desk(tmp_path)
+    desk.handover.look()
+    assert desk.handover.processes == 1 and desk.handover.descriptors() == 0
+    (desk.folder / f"{LIVE}1").touch()              # left by a process that was killed
+    with open(desk.folder / f"{LIVE}{os.getppid()}", "w") as other:
+        fcntl.flock(other, fcntl.LOCK_EX)
+        desk.handover.look()
+        assert desk.handover.processes == 2 and desk.handover.descriptors() > 0
+        assert not (desk.folder / f"{LIVE}1").exists()
+    desk.handover.look()
+    assert desk.handover.processes == 2             # its last requests still count
+    desk.now += REST_US
+    assert desk.handover.processes == 1 and desk.handover.descriptors() == 0
+    desk.handover.close()
+    assert not list(desk.folder.glob(f"{LIVE}*"))
+
+
+def test_marks_are_shared_and_none_is_lost_when_both_write_at_once(tmp_path: Path) -> None:
+    desk = Desk(tmp_path)
+    assert desk.rotation.down("a")
+    assert desk.marks() == Marks(VERSION, {"a": Mark(1_000_000, True)})
+    desk.put(msgspec.json.encode(Marks(VERSION, {"b": Mark(5, True)})))     # the other had not seen it
+    desk.handover.look()
+    assert desk.rotation.out("a") and desk.rotation.out("b") and desk.marks().marks == desk.rotation.marks
+    desk.put(msgspec.json.encode(Marks(VERSION, {"a": Mark(1_000_001, False), "b": Mark(5, True)})))
+    desk.handover.look()
+    assert not desk.rotation.out("a")
+    desk.handover.close()
+
+
+@pytest.mark.parametrize(("content", "after"), [
+    (b"", True), (b"{", True), (b'{"version": 1, "marks": {"a": 3}}', True), (b'{"version": 2, "marks": {}}', False)])
+def test_a_file_of_marks_that_cannot_be_read_is_told_and_what_is_held_stays(content: bytes, after: bool,
+                                                                           tmp_path: Path) -> None:
+    desk = Desk(tmp_path)
+    desk.rotation.down("a")
+    desk.put(content)
+    desk.handover.look()
+    assert desk.rotation.out("a") and len(desk.lines) == 1
+    # One that is malformed is written anew; another version's belongs to a newer program and is left alone.
+    assert (desk.folder / MARKS).read_bytes() != content if after else (desk.folder / MARKS).read_bytes() == content
+    desk.handover.close()
+
+
+@pytest.mark.parametrize("processes", [1, 2])
+def test_two_processes_give_a_cold_brick_and_a_warm_one_no_more_than_one_does(processes: int) -> None:
+    rules = dataclasses.replace(SETTINGS.rules, cold_units=16.0, cold_us=17_000_000, fall_us=REST_US)
+    settings = dataclasses.replace(SETTINGS, rules=rules)
+    sent = dict.fromkeys(("cold", "warm"), 0.0)
+    for _ in range(processes):
+        scheduler = Scheduler(settings, 1)
+        scheduler.processes = processes
+        nodes = (NodeEntry("cold", 0, 0, Phase.ON, 1.0, T0), NodeEntry("warm", 0, 1, Phase.ON, 1.0, 0))
+        asks = [ask(f"{at:016x}", shard=at % 2, units=0.05) for at in range(4 * CEILING)]
+        asks += [ask(f"{at + 999:016x}", shard=0, units=1.0) for at in range(40)]
+        for action in scheduler.handle(T0 + 1, [NodeList(ListKind.FULL, nodes), *asks]):
+            if isinstance(action, Send):
+                units = next(one.units for one in asks if one.request == action.request)
+                sent[action.node] += units if action.node == "cold" else 1
+    assert 0 < sent["cold"] <= 16.0 / settings.gateways + 1 and 0 < sent["warm"] <= CEILING
+
+
+async def call(port: int, path: str, brick: str = "") -> tuple[int, str]:
+    """Call a process's second address once it listens."""
+    while True:
+        try:
+            wire = Wire(*await asyncio.open_connection("127.0.0.1", port))
+            break
+        except OSError:
+            await asyncio.sleep(0.02)
+    method = "POST" if brick else "GET"
+    wire.writer.write(wire.head(path, {"Content-Length": str(len(brick))}, method) + brick.encode())
+    status, _, body = await wire.receive()
+    wire.close()
+    return status, body.decode()
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as one:
+        return int(one.getsockname()[1])
+
+
+def test_an_upgrade_under_load_meets_no_broken_connection_and_keeps_bricks_out(tmp_path: Path) -> None:
+    async def main() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        port, fd = listening.getsockname()[1], listening.fileno()
+        async with world(Brick(0), Brick(1)) as made:
+            brick, gate = made.bricks[0], asyncio.Event()
+            old_port, new_port = free_port(), free_port()
+            environ = config(tmp_path, listen=f"127.0.0.1:{port}", discovery=made.agent.endpoint)
+            environ |= {"TMPDIR": str(tmp_path), "EDGE_ACCEPT_FD": str(fd)}
+            numbers = itertools.count(1)
+
+            async def ready(control: int) -> None:
+                while (await call(control, "/ops/readiness"))[0] != 200:
+                    await asyncio.sleep(0.02)
+
+            async def open_wire() -> Wire:
+                return Wire(*await asyncio.open_connection("127.0.0.1", port))
+
+            async def ask_on(wire: Wire) -> tuple[int, dict[str, str]]:
+                wire.send(TARGET, headers(next(numbers), X_Placement="units=2,shard=1,hosts=1"))
+                return (await wire.receive())[:2]
+
+            async with program({**environ, "EDGE_CONTROL": f"127.0.0.1:{old_port}"}, fd) as old:
+                await ready(old_port)
+                kept, busy = await open_wire(), await open_wire()
+                assert (await ask_on(kept))[0] == 404
+
+                async def hold(_: web.BaseRequest, __: bytes) -> None:
+                    await gate.wait()
+
+                brick.behave = hold
+                busy.send(TARGET, headers(next(numbers), X_Remaining_Ms="3000"))
+                await until(lambda: len(brick.seen) == 1)
+                async with program({**environ, "EDGE_CONTROL": f"127.0.0.1:{new_port}"}, fd) as new:
+                    await ready(new_port)
+                    assert (await call(new_port, "/ops/bricks/down", "s-0"))[0] == 200     # the old one hears of it
+                    while "edge.out_of_rotation=1\n" not in (await call(old_port, "/ops/stats"))[1]:
+                        await asyncio.sleep(0.01)
+                    old.send_signal(signal.SIGTERM)
+                    while (await call(old_port, "/ops/readiness"))[0] == 200:
+                        await asyncio.sleep(0.01)
+                    status, fields = await ask_on(kept)
+                    assert status == 404 and fields["connection"] == "close" and await kept.ended()
+                    other = await open_wire()
+                    assert (await ask_on(other))[0] == 404          # the socket was not shut down for the new one
+                    gate.set()
+                    status, fields, _ = await busy.receive()        # what was open is answered
+                    assert status == 404 and fields["connection"] == "close"
+                    assert await old.wait() == 0
+                    _, text = await call(new_port, "/ops/stats")
+                    assert "edge.operations.record-read.faulted=1\n" in text and "edge.out_of_rotation=1\n" in text
+                    assert (await call(new_port, "/ops/bricks/up", "s-0"))[0] == 200
+                    brick.behave = None
+                    other.send(TARGET, headers(next(numbers)))
+                    assert (await other.receive())[0] == 404 and len(brick.seen) == 2
+                    for wire in (kept, busy, other):
+                        wire.close()
+                    new.send_signal(signal.SIGTERM)
+                    assert await new.wait() == 0
+                assert listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        listening.close()
+    run(main())
+
+
+@pytest.mark.parametrize("text", ["x", "0", "999"])
+def test_a_descriptor_that_does_not_listen_is_refused_at_the_start(text: str, tmp_path: Path) -> None:
+    async def main() -> None:
+        environ = config(tmp_path) | {"EDGE_ACCEPT_FD": text, "TMPDIR": str(tmp_path)}
+        async with program(environ) as process:
+            assert await process.wait() == 2
+    run(main())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -94,9 +94,10 @@
 
 
 @asynccontextmanager
-async def program(environ: dict[str, str]) -> AsyncIterator[asyncio.subprocess.Process]:
+async def program(environ: dict[str, str], *fds: int) -> AsyncIterator[asyncio.subprocess.Process]:
     """The program in a process of its own, killed if the test leaves it."""
-    process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT, env=environ, stdout=asyncio.subprocess.PIPE)
+    process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT, env=environ, stdout=asyncio.subprocess.PIPE,
+                                                   pass_fds=fds)
     try:
         yield process
     finally:
