--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -268,8 +268,7 @@
                 case Departure():
                     self._finish(event.request)
                 case StreamStarted():
-                    if request := self.requests.get(event.request):
-                        request.started = True
+                    self._stream_started(event)
         self._watch_nodes()
         for place, due in self.again.items():
             if due <= now_us:
@@ -381,31 +380,59 @@
             book.full = False
             self.look[node] = None
 
+    def _stream_started(self, event: StreamStarted) -> None:
+        """From here the client sets the pace: the node's book must not take it for the node's."""
+        request = self.requests.get(event.request)
+        if request is None or (book := request.out.get(event.attempt)) is None:
+            return
+        request.started = True
+        attempt = (event.request, event.attempt)
+        if attempt in book.slots:
+            slot = self._drop(book, attempt)
+            if not event.upward:
+                self._served(book, slot, event.elapsed_us or self.now - slot.sent)
+                book.heard = self.now
+
+    def _drop(self, book: Book, attempt: tuple[str, int]) -> Slot:
+        slot, node = book.drop(attempt, self.now), book.entry.node
+        if not book.slots:
+            del self.busy[node]
+        self._look(node)
+        return slot
+
+    def _served(self, book: Book, slot: Slot, took: int) -> None:
+        """Learn from what a node has done."""
+        # Nodes take requests in turn: what is out twice as long as one answered has lost its answer. A
+        # book that kept room for it would leave an idle node unused until its client gives up.
+        now = self.now
+        for other in book.slots.values():
+            if now - other.sent > 2 * (now - slot.sent):
+                book.units_out -= other.units
+                other.units = 0.0
+        spent = book.learn(slot, now)
+        self.all_spent = self.all_spent * MEMORY_ALL + spent
+        self.all_served = self.all_served * MEMORY_ALL + slot.units
+        self._learn_wait(book, slot, took)
+        if book.silent:
+            book.silent = False
+            self.actions.append(Log(f"node {book.entry.node} answers again"))
+        book.failures = 0
+
     def _outcome(self, event: Outcome) -> None:
         now, request = self.now, self.requests.get(event.request)
         book = self.books.get(event.node)
         attempt = (event.request, event.attempt)
+        if request is not None and request.started:
+            # Its slot went when the stream started. One that broke off on its way up still lacks its answer.
+            request.out.pop(event.attempt, None)
+            if event.result not in NEVER_RAN and request.ran_on is None:
+                request.ran_on = book
+            return self._finish(event.request) if event.finished else self._answer(request)
         if book is None or attempt not in book.slots:
-            return
-        slot = book.drop(attempt, now)
-        if not book.slots:
-            del self.busy[event.node]
-        self._look(event.node)
+            return None
+        slot = self._drop(book, attempt)
         if event.result is Result.OK:
-            # Nodes take requests in turn: what is out twice as long as one answered has lost its answer. A
-            # book that kept room for it would leave an idle node unused until its client gives up.
-            for other in book.slots.values():
-                if now - other.sent > 2 * (now - slot.sent):
-                    book.units_out -= other.units
-                    other.units = 0.0
-            spent = book.learn(slot, now)
-            self.all_spent = self.all_spent * MEMORY_ALL + spent
-            self.all_served = self.all_served * MEMORY_ALL + slot.units
-            self._learn_wait(book, slot, min(event.elapsed_us or now, now - slot.sent))
-            if book.silent:
-                book.silent = False
-                self.actions.append(Log(f"node {event.node} answers again"))
-            book.failures = 0
+            self._served(book, slot, min(event.elapsed_us or now, now - slot.sent))
         elif event.result in FAILED and slot.sent >= book.rest_until:
             # A node that fails quickly looks free, and the list tells of its end seconds late (incident
             # ia4d3c1): it rests longer each time and gets one trial. A flaky node loses some rate.
@@ -414,7 +441,7 @@
         if event.result not in (Result.TIMEOUT, Result.CANCELLED):
             book.heard = now
         if request is None:
-            return
+            return None
         if event.used > 0:
             request.volume.all_use = (event.used - 1) / 100 * request.volume.plan.rate
         request.out.pop(event.attempt, None)
@@ -425,13 +452,14 @@
         if event.result in MAY_RUN_ON and request.klass.in_order and self.rules.settle_us:
             self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
             self.key_rest[request.ask.key] = now + self.rules.settle_us
-        if event.finished or request.done or request.started:
+        if event.finished or request.done:
             self._finish(event.request)
         elif not request.out:
             if self._may_repeat(request) and now + self.wake_us < request.deadline:
                 self._hold(request)
             else:
                 self._answer(request)
+        return None
 
     # --- answers
 
--- a/hophinge/counters.py
+++ b/hophinge/counters.py
@@ -8,7 +8,9 @@
 NAMES = (
     # the core: requests by how they were answered, attempts by how they ended
     "requests_taken", "requests_served", "requests_absent", "requests_refused", "requests_failed",
-    "requests_departed", "requests_overdue", "attempts_sent", "attempts_without_socket", "probes_sent",
+    "requests_departed", "requests_overdue",
+    "answers_streamed", "answers_broken_off", "bodies_streamed",
+    "attempts_sent", "attempts_without_socket", "probes_sent",
     *(f"attempts_{result.value}" for result in Result),
     # faults that must not happen; each has a traceback in the log
     "module_faults", "client_faults", "object_faults", "admin_faults",
--- a/hophinge/exchange.py
+++ b/hophinge/exchange.py
@@ -52,13 +52,28 @@
     ABSENT = "absent"       # a node holds the place where it would be, and it is not there
 
 
-class Answer(Struct, frozen=True, gc=False):
+class Rest(Protocol):
+    """What follows the first part of an answer that has begun; whoever reads sets the pace."""
+
+    @property
+    def length(self) -> int | None:
+        """Tell how long the whole body is, first part included, where its node said so."""
+
+    async def read(self) -> bytes:
+        """Read on; nothing at the end, an error where the answer is spoilt."""
+
+    def close(self) -> None:
+        """Read no more, whether it has ended or not."""
+
+
+class Answer(Struct, frozen=True):
     """The one final answer of a request."""
 
     verdict: Verdict
     body: bytes = b""
     retry_after_us: int = 0
     shard: int = -1         # of the node that served it
+    rest: Rest | None = None    # its reader closes it
 
 
 def giver(done: Future[Answer]) -> Callable[[Answer], None]:
@@ -87,10 +102,11 @@
 class Open:
     """A request from its arrival until it is answered and no attempt of it is out."""
 
-    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent")
+    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "whole")
 
-    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int) -> None:
-        self.ask, self.payload, self.deadline = ask, payload, deadline
+    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int,
+                 whole: bool) -> None:
+        self.ask, self.payload, self.deadline, self.whole = ask, payload, deadline, whole
         self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
         self.attempts: dict[int, Attempt] = {}
         self.sent = 0
@@ -113,14 +129,21 @@
         """Note that its last byte has been handed to the network."""
         self.exchange.figures.relayed += 1
 
+    def begin(self, body: bytes, rest: Rest, heard_us: int) -> bool:
+        """Report that a long answer has begun, and when its head came; False where nobody waits for it."""
+        return self.exchange.begun(self, body, rest, heard_us)
+
     def may_go(self) -> bool:
         """Guard drains, answered requests and deadlines after a wait for a connection."""
         # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
-        return (self.request.answer is not None and self.exchange.now_us() < self.give_up
+        return (self.request.answer is not None
+                and (not self.request.whole or self.exchange.now_us() < self.give_up)
                 and self.exchange.phases.get(self.node) is api.Phase.ON)
 
     def left_us(self) -> int:
         """Tell how long the attempt will be waited for."""
+        if not self.request.whole:
+            return self.request.ask.time_left_us
         return max(0, self.give_up - self.exchange.now_us())
 
     def end(self, end: End) -> None:
@@ -151,19 +174,40 @@
 
     # --- what comes in
 
-    def arrive(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None]) -> None:
-        """Take a request; ``answer`` is called once, never within this call, unless its client departs."""
+    def arrive(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], whole: bool = True) -> None:
+        """Take a request; ``answer`` is called once, never within this call, unless its client departs.
+
+        Where it is not `whole`, its body is still on its way: its one attempt may take that on, and its client's time
+        runs from the body's last byte.
+        """
         if ask.request in self.open:
             raise ValueError(f"request {ask.request} is open already")
-        deadline = self.now_us() + ask.time_left_us
-        request = self.open[ask.request] = Open(ask, payload, answer, deadline)
-        # One answer in time, whatever the module does: it is failed when nothing else has answered by then.
-        grace = int(self.settings.rules.answer_grace_us * BACKSTOP)
-        request.backstop = self.loop.call_at(deadline + grace, lambda: self._overdue(request))
+        request = self.open[ask.request] = Open(ask, payload, answer, self.now_us() + ask.time_left_us, whole)
+        if whole:
+            self._limit(request)
         self.unanswered += 1
         self.counters.add("requests_taken")
         self._event(ask)
 
+    def whole(self, name: str) -> None:
+        """Take the last byte of a request's body."""
+        request = self.open.get(name)
+        if request is None or request.whole or request.answer is None:
+            return
+        request.whole, request.deadline = True, self.now_us() + request.ask.time_left_us
+        self._limit(request)
+        for attempt in request.attempts.values():
+            attempt.give_up = request.deadline
+            self._time(attempt)
+
+    def _limit(self, request: Open) -> None:
+        # One answer in time, whatever the module does: it is failed when nothing else has answered by then.
+        grace = int(self.settings.rules.answer_grace_us * BACKSTOP)
+        request.backstop = self.loop.call_at(request.deadline + grace, lambda: self._overdue(request))
+
+    def _time(self, attempt: Attempt) -> None:
+        attempt.timer = self.loop.call_at(attempt.give_up, lambda: self._stop(attempt, api.Result.TIMEOUT))
+
     def depart(self, name: str) -> None:
         """A request's client has gone: no answer is owed, what is out still ends."""
         request = self.open.get(name)
@@ -193,6 +237,18 @@
         """Take the end of a probe."""
         self._event(event)
 
+    def begun(self, attempt: Attempt, body: bytes, rest: Rest, heard_us: int) -> bool:
+        """Take the first part of an answer that is too long to be held: it is the answer, and no timer cuts it."""
+        request = attempt.request
+        if request.attempts.get(attempt.number) is not attempt or request.answer is None:
+            return False
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.counters.add("answers_streamed")
+        self._event(api.StreamStarted(request.ask.request, attempt.number, heard_us - attempt.since))
+        self._answer(request, Answer(Verdict.SERVED, body, shard=attempt.shard, rest=rest))
+        return True
+
     def ended(self, attempt: Attempt, end: End) -> None:
         """Take the end of an attempt: the first one counts, and the first served answers the request."""
         request = attempt.request
@@ -282,7 +338,10 @@
             attempt.end(End(api.Result.MOOT))
             return
         self.counters.add("attempts_sent")
-        attempt.timer = self.loop.call_at(give_up, lambda: self._stop(attempt, api.Result.TIMEOUT))
+        if request.whole:
+            self._time(attempt)
+        else:
+            self._event(api.StreamStarted(action.request, attempt.number, 0, upward=True))
         try:
             attempt.stop = self.start(attempt)
         except Exception:
--- a/hophinge/interface.py
+++ b/hophinge/interface.py
@@ -204,10 +204,12 @@
 
 
 class StreamStarted(Struct, frozen=True, gc=False):
-    """An attempt's answer has begun to reach the client."""
+    """An attempt's answer has begun to reach the client; upward: its request's body is still on its way instead."""
 
     request: str
     attempt: int
+    elapsed_us: int = 0
+    upward: bool = False
 
 
 class Departure(Struct, frozen=True, gc=False):
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -16,16 +16,20 @@
 from aiohttp.client_proto import ResponseHandler
 
 from hophinge.counters import Counters
-from hophinge.net.payload import MOST_ANSWER
+from hophinge.net.budget import Budget
+from hophinge.net.payload import MOST_LONG
 
 MOST_HEAD = 16 * 1024       # of an answer, the 1xx heads in front of it among it
-STALL_S = 0.25              # an answer that has begun comes on: a brick works before it answers, not within
+STALL_S = 0.5               # an answer that has begun comes on: a brick works before it answers, not within
+STREAM_STALL_S = 5.0        # the same once it is passed on: nothing else could be done with its request
+HIGH = 128 * 1024           # held of one answer; the rest waits in the kernel, and then at the brick
 START = b"HTTP/1."
 HEAD = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n\0]*)?\r\n"
                   rb"((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n)*)\r\n")
 LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([^\r\n]*?)[ \t]*\r$")
 CODING = re.compile(rb"(?im)^transfer-encoding:[ \t]*([^\r\n]*?)[ \t]*\r$")
-CHUNKED = -1
+CLOSE = re.compile(rb"(?im)^connection:[ \t]*close[ \t]*\r$")
+CHUNKED, UNTIL_CLOSE = -1, -2
 
 
 class SpoiltError(ClientPayloadError):
@@ -33,12 +37,14 @@
 
 
 def length(head: re.Match[bytes]) -> int | None:
-    """Tell how long an answer's body is, CHUNKED, or None where its head does not say so soundly."""
+    """Tell how long an answer's body is, CHUNKED, UNTIL_CLOSE, or None where its head does not say so soundly."""
     lengths, codings = LENGTH.findall(head[2]), CODING.findall(head[2])
     if codings:
         return CHUNKED if [one.lower() for one in codings] == [b"chunked"] and not lengths else None
-    if len(lengths) == 1 and lengths[0].isdigit() and len(lengths[0]) < 10 and int(lengths[0]) <= MOST_ANSWER:
+    if len(lengths) == 1 and lengths[0].isdigit() and len(lengths[0]) < 10 and int(lengths[0]) <= MOST_LONG:
         return int(lengths[0])
+    if not lengths and head[1] == b"200" and (CLOSE.search(head[2]) or head[0].startswith(b"HTTP/1.0")):
+        return UNTIL_CLOSE      # announced; a head that merely lost its length does not say so
     return 0 if not lengths and head[1] != b"200" else None     # a refusal needs no body; its connection ends
 
 
@@ -81,9 +87,10 @@
 class BrickConnection(ResponseHandler):
     """States: new, idle (no answer is awaited), head, body; `left` counts what the body still lacks."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, roll: Roll) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, roll: Roll, budget: Budget) -> None:
         super().__init__(loop)
-        self.roll, self.endpoint = roll, ""
+        self.roll, self.endpoint, self.budget = roll, "", budget
+        self.held, self.waits, self.stall_s = 0, False, STALL_S     # bytes not yet read; reading stands still
         self.state, self.head, self.left, self.passed = "new", bytearray(), 0, 0
         self.stall: asyncio.TimerHandle | None = None
 
@@ -101,7 +108,7 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Await an answer; called by aiohttp as a request is about to be written."""
-        self.state, self.head, self.passed = "head", bytearray(), 0
+        self.state, self.head, self.passed, self.stall_s = "head", bytearray(), 0, STALL_S
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -121,6 +128,7 @@
                 self.roll.add(self)
         elif data:
             self._stalls(True)
+        self.weigh()
 
     def _take_head(self, data: bytes) -> None:
         self.head += data
@@ -155,6 +163,9 @@
         return None
 
     def _take_body(self, data: bytes) -> None:
+        if self.left == UNTIL_CLOSE:
+            super().data_received(data)
+            return
         if self.left == CHUNKED:
             super().data_received(data)
             if self.exception() is not None:
@@ -171,12 +182,34 @@
         if not self.left and self.state == "body":
             self.state = "idle"
 
+    def weigh(self) -> None:
+        """Look at what is held, after bytes came or were read: with too much, reading stands still."""
+        payload = self._payload
+        held = payload._size if payload is not None else 0
+        self.budget.held += held - self.held
+        self.held = held
+        waits = held > HIGH or (held > 0 and self.budget.full)
+        if waits == self.waits or self.transport is None or self.transport.is_closing():
+            return
+        self.waits = not self.waits
+        if self.waits:
+            self.transport.pause_reading()
+            self._stalls(False)     # the brick is not to blame for what nobody takes
+        else:
+            self.transport.resume_reading()
+            self._stalls(self.state != "idle")
+
+    def stream(self) -> None:
+        """Note that its answer is passed on from now on."""
+        self.stall_s = STREAM_STALL_S
+        self._stalls(self.state != "idle" and not self.waits)
+
     def _stalls(self, on: bool) -> None:
         if self.stall is not None:
             self.stall.cancel()
             self.stall = None
         if on:
-            self.stall = self._loop.call_later(STALL_S, self._spoil, "an answer that stands still")
+            self.stall = self._loop.call_later(self.stall_s, self._spoil, "an answer that stands still")
 
     def _spoil(self, why: str) -> None:
         self.state = "idle"
@@ -188,7 +221,11 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Take the connection's end."""
+        if self.state == "body" and self.left == UNTIL_CLOSE and exc is not None and self._payload is not None:
+            self._payload.set_exception(SpoiltError("an answer that broke off"))    # only a clean close makes it whole
         self.state = "idle"
         self._stalls(False)
+        self.budget.held -= self.held
+        self.held = 0
         self.roll.open.pop(self, None)
         super().connection_lost(exc)
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -20,12 +20,15 @@
 from hophinge.counters import Counters
 from hophinge.exchange import Attempt, End
 from hophinge.interface import ProbeResult, Result, Settings
-from hophinge.net.brick import BrickConnection, Roll, SpoiltError
+from hophinge.net.brick import STREAM_STALL_S, BrickConnection, Roll, SpoiltError
 from hophinge.net.clock import now_us
-from hophinge.net.payload import MOST_ANSWER, Payload
+from hophinge.net.budget import Budget
+from hophinge.net.payload import HOLD, MOST_LONG, Payload
+from hophinge.net.upload import Upload, UploadError
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
 PROBE_S = 0.25              # a brick that is up answers a probe beside its queue
+HOLD_S = 0.02               # for which an answer of unknown length is held
 NOWHERE = "127.0.0.1:0"     # where a brick that no list names is asked: it refuses
 MOST_FIGURE = 1e9           # of use, units or load; above it a figure is noise
 CONNECT_US = 250_000        # where the settings state no limit
@@ -38,20 +41,21 @@
 class Connector(TCPConnector):
     """aiohttp's pool, whose connections check their answers."""
 
-    def __init__(self, roll: Roll, **params: Any) -> None:
+    def __init__(self, roll: Roll, budget: Budget, **params: Any) -> None:
         super().__init__(**params)
         # aiohttp has no public place for a protocol of one's own.
-        make = functools.partial(BrickConnection, self._loop, roll)
+        make = functools.partial(BrickConnection, self._loop, roll, budget)
         self._factory = cast(functools.partial[ResponseHandler], make)
 
 
 @dataclass(slots=True)
 class Answered:
-    """A brick's answer, whole."""
+    """A brick's answer: whole, or its first part and where the rest is read."""
 
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
+    rest: Following | None = None
 
 
 class Flight:
@@ -69,14 +73,58 @@
             self.tell()
 
 
-async def _body(stream: StreamReader) -> bytes:
-    """Read a body; one in chunks that is longer than any may be ends its connection instead of filling the memory."""
-    body = bytearray()
-    async for chunk in stream.iter_any():
+class Following:
+    """What follows the first part of a long answer. It is read once; how it ended decides over its connection."""
+
+    def __init__(self, protocol: BrickConnection, stream: StreamReader, first: int, length: int | None) -> None:
+        self.protocol, self.stream, self.taken, self.length = protocol, stream, first, length
+        self.done: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        protocol.stream()
+
+    async def read(self) -> bytes:
+        """Read on; nothing at the end."""
+        try:
+            chunk = await self.stream.readany()
+            self.protocol.weigh()
+            self.taken += len(chunk)
+            if self.taken > MOST_LONG:
+                raise SpoiltError("a body that is too long")    # in chunks that never end
+        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
+            self.end(Result.RESET)
+            raise ConnectionResetError("the answer broke off") from error
+        if not chunk:
+            self.end(Result.OK)
+        return chunk
+
+    def close(self) -> None:
+        """Read no more."""
+        self.end(Result.CANCELLED)
+
+    def end(self, result: Result) -> None:
+        """Note how it ended; whoever still reads is told."""
+        if not self.done.done():
+            self.done.set_result(result)
+            if result is not Result.OK:
+                self.stream.set_exception(SpoiltError("nobody reads on"))
+
+
+async def _first(stream: StreamReader, protocol: BrickConnection, length: int | None) -> tuple[bytes, bool]:
+    """Read a body, or what of a long one may be held; tell whether it is whole.
+
+    Bricks may take seconds over a long one, and its client waits for the first bytes. One of unknown length that still
+    comes after a moment is no spoilt one, which stands still or ends.
+    """
+    loop = asyncio.get_running_loop()
+    body, since = b"", loop.time()
+    hold_s = HOLD_S if length is None else math.inf if length <= HOLD else 0.0
+    while True:
+        chunk = await stream.readany()
+        protocol.weigh()
+        if not chunk:
+            return body, True
         body += chunk
-        if len(body) > MOST_ANSWER:
-            raise SpoiltError("a body that is too long")
-    return bytes(body)
+        if len(body) > HOLD or loop.time() - since >= hold_s:
+            return body, stream.at_eof()
 
 
 def _number(text: str | None) -> float | None:
@@ -109,7 +157,7 @@
     """
 
     def __init__(self, settings: Settings, endpoint: Callable[[str], str | None], counters: Counters,
-                 log: Callable[[str], None], most: int = 256) -> None:
+                 log: Callable[[str], None], budget: Budget, most: int = 256) -> None:
         self.endpoint, self.counters, self.log, self.most = endpoint, counters, log, most
         self.reports = settings.report_in_answers
         self.tasks: set[asyncio.Task[None]] = set()
@@ -117,7 +165,7 @@
         # No limit of the connector's: it would queue attempts unseen. `most` turns them away instead.
         self.roll = Roll(most, counters)
         idle_s = IDLE_PART * (allowed.conn_idle_us or 30_000_000) / 1e6
-        self.connector = Connector(self.roll, limit=0, keepalive_timeout=idle_s)
+        self.connector = Connector(self.roll, budget, limit=0, keepalive_timeout=idle_s)
         connect_s = (allowed.connect_timeout_us or CONNECT_US) / 1e6
         self.timeout = ClientTimeout(total=None, connect=connect_s, sock_connect=connect_s)
         self.routes: dict[str, ClientRequest] = {}      # by endpoint: what the connector wants to know of it
@@ -150,7 +198,11 @@
     async def _run(self, attempt: Attempt) -> None:
         payload: Payload = attempt.request.payload
         flight, endpoint = Flight(attempt.written), self.endpoint(attempt.node)
-        length = f"Content-Length: {len(payload.body)}\r\n" if payload.method == "PUT" else ""
+        upload, length = payload.upload, ""
+        if upload is not None and upload.length is None:
+            length = "Transfer-Encoding: chunked\r\n"
+        elif payload.method == "PUT":
+            length = f"Content-Length: {len(payload.body) if upload is None else upload.length}\r\n"
 
         def text() -> bytes:
             # A connection takes up to its time limit to come up; a drain heard or an answer given meanwhile ends it.
@@ -158,17 +210,22 @@
                 raise StaleError
             # The target goes on as the bytes that came.
             return (f"{payload.method} {payload.target} HTTP/1.1\r\nHost: {endpoint}\r\nX-Txn: {payload.txn}\r\n"
-                    f"X-Remaining-Ms: {attempt.left_us() // 1000}\r\n{length}\r\n").encode() + payload.body
+                    f"X-Remaining-Ms: {attempt.left_us() // 1000}\r\n{length}\r\n").encode()
 
         try:
             if endpoint is None:
                 raise StaleError
-            end = self._end(await self._ask(endpoint, text, flight))
+            answer = await self._ask(endpoint, text, flight, attempt)
+            end = self._end(answer)
+            if answer.rest is not None:
+                end = End(await answer.rest.done, b"", end.used, end.elsewhere, end.report)
         except asyncio.CancelledError:
             attempt.end(End(Result.CANCELLED))
             raise
         except StaleError:
             end = End(Result.MOOT)
+        except UploadError:
+            end = End(Result.CONNECT_FAILED)
         except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
             # Once the last byte was handed over the brick may have run it; before, it cannot have.
             end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
@@ -178,12 +235,14 @@
             end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
         attempt.end(end)
 
-    async def _ask(self, endpoint: str, text: Callable[[], bytes], flight: Flight) -> Answered:
+    async def _ask(self, endpoint: str, text: Callable[[], bytes], flight: Flight,
+                   attempt: Attempt | None = None) -> Answered:
         """Write a request to a brick and read its answer; whatever goes wrong, the connection is not used again."""
         route = self.routes.get(endpoint)
         if route is None:
             route = self.routes[endpoint] = ClientRequest(
                 "GET", URL(f"http://{endpoint}"), loop=asyncio.get_running_loop())
+        answer: Answered | None = None
         connection = await self.connector.connect(route, [], self.timeout)
         while connection.protocol is not None and connection.protocol.should_close:
             # It got what nobody had asked for while it waited in the pool; the next answer on it could be another's.
@@ -194,17 +253,52 @@
             if protocol is None or transport is None:
                 raise aiohttp.ServerDisconnectedError
             request = text()
-            protocol.set_response_params(read_until_eof=True, auto_decompress=False)
+            assert isinstance(protocol, BrickConnection)
+            # The stream's own bound is out of reach: what is held is weighed over all connections.
+            protocol.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=2 * MOST_LONG)
             transport.write(request)
+            if attempt is not None:
+                payload: Payload = attempt.request.payload
+                if payload.body:
+                    transport.write(payload.body)       # uvloop sends what one turn writes at once, without a copy
+                if payload.upload is not None:
+                    await self._pass_on(payload.upload, protocol, transport)
             flight.wrote()
             message, stream = await protocol.read()
-            answer = Answered(message.code, message.headers, await _body(stream))
-        except BaseException:
+            heard, stated = now_us(), message.headers.get("Content-Length")
+            length = None if stated is None else int(stated)
+            body, whole = await _first(stream, protocol, length if attempt is not None else 0)
+            answer = Answered(message.code, message.headers, body)
+            if not whole:
+                rest = Following(protocol, stream, len(body), length)
+                if attempt is None or message.code != 200 or not attempt.begin(body, rest, heard):
+                    raise SpoiltError("a long answer that nobody waits for")
+                answer.rest = rest
+                if await asyncio.shield(rest.done) is not Result.OK:
+                    connection.close()
+                    return answer
+        except BaseException as error:
             connection.close()
-            raise
+            if answer is not None and answer.rest is not None:
+                answer.rest.end(Result.CANCELLED)
+            raise error
         connection.release()
         return answer
 
+    async def _pass_on(self, upload: Upload, protocol: BrickConnection, transport: asyncio.Transport) -> None:
+        """Write a body as it comes."""
+        while data := await upload.read():
+            if upload.length is None:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            transport.write(data)
+            async with asyncio.timeout(STREAM_STALL_S):
+                await protocol._drain_helper()
+            if protocol._buffer or not protocol.is_connected():
+                # It has answered what it has not got yet, or ended: in no case has it run the request.
+                raise aiohttp.ServerDisconnectedError
+        if upload.length is None:
+            transport.write(b"0\r\n\r\n")
+
     def _end(self, answer: Answered) -> End:
         status, headers = answer.status, answer.headers
         result = Result.ERROR
--- a/hophinge/net/control.py
+++ b/hophinge/net/control.py
@@ -26,6 +26,7 @@
     def __init__(self, counters: Counters, figures: Figures, rotation: Rotation, ready: Callable[[], bool]) -> None:
         super().__init__(counters, CALLERS, FIRST_S, FIRST_S)
         self.figures, self.rotation, self.ready = figures, rotation, ready
+        self.head_s = FIRST_S
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -16,6 +16,7 @@
 
 IDLE_S = 2.0            # a connection with no request on it, or with half a head
 FIRST_S = 1.2           # the same for a first head: the kernel has held a silent connection for a second already
+HEAD_S = 2.5            # for a head, from its first byte
 YIELD_S = 0.05          # the same when connections run out and another asks
 SILENT_S = 0.3          # a connection that has said nothing yet, when connections run out
 LINGER_S = 1.0          # for an error to be read by a client that goes on sending
@@ -68,13 +69,21 @@
         if self._request_count != before:
             self.taken += self._request_count - before
             self.head = 0
-        elif self.taken == self.answered:
+        elif self.taken == self.answered and data:
+            if not self.head:
+                self._begins()
             self.head += len(data)
             if self.head > MOST_HEAD and not self.lingering:
                 self.head = 0
                 super().data_received(b"\0")        # no head holds this: the parser ends it, as any malformed one
                 self.taken += 1
 
+    def _begins(self) -> None:
+        # A head takes its time, longer than a connection may rest; the timer that runs looks at this when it is due.
+        self._next_keepalive_close_time = max(self._next_keepalive_close_time, self._loop.time() + self.front.head_s)
+        if self.answered:
+            self.front.resting.pop(self, None)      # a client's next request: not the one to yield
+
     def _read_on(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
@@ -131,6 +140,7 @@
                  idle_s: float = IDLE_S) -> None:
         self.counters, self.most_connections, self.idle_s = counters, most, idle_s
         self.most_resting = most
+        self.head_s = max(first_s, HEAD_S)
         self.closing = False
         self.busy: set[Any] = set()
         self.resting: dict[Any, float] = {}     # connections that are not busy, and since when; the oldest first
--- a/hophinge/net/payload.py
+++ b/hophinge/net/payload.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass
 
+from hophinge.net.upload import Upload
+
 MOST_BODY = 64 * 1024
-MOST_ANSWER = 2 * 1024 * 1024   # of a brick; more than the protocol's 64 KiB do come, and are good
+MOST_LONG = 33 * 1024 * 1024    # of a long body or answer
+HOLD = 64 * 1024                # an answer up to here is passed on only once it is whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,3 +19,4 @@
     target: str
     txn: str
     body: bytes
+    upload: Upload | None = None    # in place of a body that is not whole yet
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -4,16 +4,20 @@
 
 import asyncio
 import re
+from collections.abc import AsyncIterator
+from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from msgspec import structs
 
 from hophinge import interface as api
 from hophinge.counters import Counters
-from hophinge.exchange import Answer, Exchange, Verdict, giver
+from hophinge.exchange import Answer, Exchange, Rest, Verdict, giver
 from hophinge.figures import FAULTED, FULFILLED, THROTTLED, Ticket
-from hophinge.net.listener import Listener
-from hophinge.net.payload import MOST_BODY, Payload
+from hophinge.net.budget import Budget
+from hophinge.net.listener import Listener, origin_form
+from hophinge.net.payload import MOST_BODY, MOST_LONG, Payload
+from hophinge.net.upload import Upload
 
 # The client counts from when it sent; the answer must be there, written and read, when it stops waiting.
 MARGIN_US = 6_000
@@ -22,7 +26,11 @@
 PLACEMENT = re.compile(r"units=([0-9]{1,6}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,6}),hosts=([0-9]{1,6})", re.ASCII)
 REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
 DECISIVE = ("X-Txn", "X-Qos-Policy", "X-Remaining-Ms", "X-Placement")
-BODY_S = 2.0        # for a body to come; it is 64 KiB at most
+BODY_S = 4.0        # for a body to come, and more for each byte that has come
+BODY_RATE = 16_000  # bytes a second; slower clients hold a connection for too long
+PIECE_S = 2.2       # for its next bytes
+KEPT = 1024 * 1024  # of a body, while the budget allows: it may be sent again
+READ_S = 10.0       # for a client to read on
 TICKET = web.RequestKey("ticket", Ticket)
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
 
@@ -51,7 +59,7 @@
             raise MalformedError(400, "a header that must be alone is repeated")
         if request.method not in ("GET", "PUT"):
             raise MalformedError(405, "only GET and PUT are served")
-        target = TARGET.fullmatch(request.raw_path)
+        target = TARGET.fullmatch(origin_form(request.raw_path))
         if target is None:
             raise MalformedError(400, "the path is not /class/volume/object")
         klass = self.classes.get(target[1])
@@ -81,8 +89,9 @@
 class Front(Listener):
     """One handler for every connection; a connection carries one request at a time."""
 
-    def __init__(self, exchange: Exchange, counters: Counters) -> None:
+    def __init__(self, exchange: Exchange, counters: Counters, budget: Budget) -> None:
         super().__init__(counters)
+        self.budget = budget
         self.exchange, self.most = exchange, self.most_connections
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
@@ -115,19 +124,39 @@
         if self.until_us is not None:
             left = max(0, min(ask.time_left_us, self.until_us - self.exchange.now_us()))
             ask = structs.replace(ask, time_left_us=left)
-        body = await self._body(request)
-        if ask.request in self.exchange.open:
-            raise MalformedError(400, "X-Txn is in use")
-        request[TICKET] = self.exchange.figures.take(klass)
-        done: asyncio.Future[Answer] = self.loop.create_future()
-        payload = Payload(request.method, request.raw_path, ask.request, body)
-        self.exchange.arrive(ask, payload, giver(done))
+        chunks: list[bytes] = []
+        upload, held = None, 0
         try:
-            answer = await done
-        except asyncio.CancelledError:
-            self.exchange.depart(ask.request)
-            raise
+            whole = await self._body(request, chunks)
+            body = b"".join(chunks)
+            chunks.clear()
+            if whole:
+                held = len(body)
+                self.budget.held += held
+            else:
+                upload, body = Upload(body, request.content_length, self.budget), b""
+                self.counters.add("bodies_streamed")
+            if ask.request in self.exchange.open:
+                raise MalformedError(400, "X-Txn is in use")
+            request[TICKET] = self.exchange.figures.take(klass)
+            done: asyncio.Future[Answer] = self.loop.create_future()
+            payload = Payload(request.method, origin_form(request.raw_path), ask.request, body, upload)
+            self.exchange.arrive(ask, payload, giver(done), upload is None)
+            try:
+                answer = await (done if upload is None else self._fill(request, upload, ask.request, done))
+            except (asyncio.CancelledError, MalformedError):
+                self.exchange.depart(ask.request)
+                raise
+        finally:
+            self.budget.held -= held
+            if upload is not None:
+                upload.end(False)
+                upload.drop()
+        if answer.rest is not None:
+            return await self._pass_on(request, answer, answer.rest)
         response = web.Response(status=STATUS[answer.verdict], body=answer.body)
+        if upload is not None and upload.state != "whole":
+            response.force_close()      # what still comes of the body must not be taken for a request
         if answer.verdict is Verdict.REFUSED and answer.retry_after_us > 0:
             response.headers["Retry-After"] = f"{answer.retry_after_us / 1e6:.3f}"
         return response
@@ -144,23 +173,95 @@
         if ticket is not None:
             ticket.end(None)
 
-    async def _body(self, request: web.BaseRequest) -> bytes:
+    async def _pass_on(self, request: web.BaseRequest, answer: Answer, rest: Rest) -> web.StreamResponse:
+        """Write an answer as it comes; the client's pace is the brick's."""
+        response = web.StreamResponse(status=STATUS[answer.verdict])
+        response.content_length = rest.length       # where it is not known, chunks or the connection's end tell it
+        if self.closing or (rest.length is None and request.version < HttpVersion11):
+            response.force_close()
+        chunk = answer.body
+        try:
+            await response.prepare(request)
+            while chunk:
+                self.budget.held += len(chunk)
+                try:
+                    async with asyncio.timeout(READ_S):
+                        await response.write(chunk)
+                finally:
+                    self.budget.held -= len(chunk)
+                chunk = await rest.read()
+        except (ConnectionError, TimeoutError):
+            # Spoilt, or its client has gone or does not read. The end comes before the stated length or the last
+            # chunk, so whoever is still there can tell.
+            self.counters.add("answers_broken_off")
+            if (ticket := request.get(TICKET)) is not None:
+                ticket.end(FAULTED)
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            rest.close()
+        return response
+
+    async def _body(self, request: web.BaseRequest, body: list[bytes]) -> bool:
+        """Read a body; False where it goes on beyond what may be kept."""
         if not request.can_read_body:
-            return b""
-        if request.method == "GET":
-            raise MalformedError(400, "a read has no body")
-        if (request.content_length or 0) > MOST_BODY:
+            return True
+        if (request.content_length or 0) > MOST_LONG:
             raise MalformedError(413, "the body is too large")
         self.invite(request)
-        body = bytearray()
+        held = 0
         try:
-            async with asyncio.timeout(BODY_S):
-                async for chunk in request.content.iter_any():
-                    body += chunk
-                    if len(body) > MOST_BODY:
-                        raise MalformedError(413, "the body is too large")
+            async for chunk in self._pieces(request):
+                body.append(chunk)
+                held += len(chunk)
+                self.budget.held += len(chunk)
+                if request.method == "GET":
+                    raise MalformedError(400, "a read has no body")
+                if held > MOST_BODY and (held > KEPT or self.budget.full):
+                    return False
+        finally:
+            self.budget.held -= held
+        return True
+
+    async def _pieces(self, request: web.BaseRequest, begun: int = 0) -> AsyncIterator[bytes]:
+        """Read a body piece by piece; who stands still or is far too slow is not waited for."""
+        since, size, content = self.loop.time(), 0, request.content
+        try:
+            while True:
+                until = since + BODY_S + size / BODY_RATE
+                async with asyncio.timeout(max(0.0, min(PIECE_S, until - self.loop.time()))):
+                    chunk = await content.readany()
+                if not chunk:
+                    return
+                size += len(chunk)
+                if begun + size > MOST_LONG:
+                    raise MalformedError(413, "the body is too large")
+                yield chunk
+                # While nobody takes what has come, the client is not to blame.
         except TimeoutError as error:
             raise MalformedError(408, "the body does not come") from error
         except web.RequestPayloadError as error:
             raise MalformedError(400, "the body is malformed") from error
-        return bytes(body)
+
+    async def _fill(self, request: web.BaseRequest, upload: Upload, name: str,
+                    done: asyncio.Future[Answer]) -> Answer:
+        """Pass a body on as it comes, until it is whole or its request is answered."""
+        async def fill() -> None:
+            try:
+                async for chunk in self._pieces(request, upload.held):
+                    await upload.feed(chunk)
+                upload.end(True)
+                self.exchange.whole(name)
+            finally:
+                upload.end(False)       # void after the other
+
+        filling = self.loop.create_task(fill())
+        both: set[asyncio.Future[Any]] = {filling, done}
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            if not done.done():
+                filling.result()        # a body that is none ends its request
+            return await done
+        finally:
+            filling.cancel()
+            await asyncio.gather(filling, return_exceptions=True)
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import gc
 import os
 import re
@@ -20,6 +21,7 @@
 from hophinge.admin import Admin, read_token
 from hophinge.counters import Counters
 from hophinge.exchange import Exchange
+from hophinge.net.budget import Budget
 from hophinge.net.client import Bricks
 from hophinge.net.clock import LoopClock
 from hophinge.net.control import CALLERS, Control
@@ -50,6 +52,10 @@
 RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
+BASE_MB = 36            # of memory, whatever is on its way
+BODIES_PART = 0.4       # of the rest, for bodies on their way; as much again is copies, and what the allocator keeps
+LEAST_BODIES_MB = 2.0
+M_MMAP_THRESHOLD, BUFFER_BYTES = -3, 96 * 1024
 OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
 
 
@@ -145,16 +151,17 @@
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
-        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say)
+        self.budget = Budget(0)
+        self.bricks = Bricks(settings, self.directory.endpoint, self.counters, say, self.budget)
         self.exchange.start, self.exchange.probe = self.bricks.start, self.bricks.probe
-        self.front = Front(self.exchange, self.counters)
+        self.front = Front(self.exchange, self.counters, self.budget)
+        self.handover: Handover | None = None
         self.share(0)
         self.rotation = Rotation(self.nodes, clock.now_us, settings.rules.cold_us)
         self.discovery = Discovery(config.discovery, self.directory, self.rotation.take, self.counters)
         self.figures = self.exchange.figures
         self.figures.now = self.bricks_now
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
-        self.handover: Handover | None = None
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
@@ -258,11 +265,14 @@
                 say(f"cannot look for another process: {error}")
 
     def share(self, elsewhere: int) -> None:
-        """Divide what is left of the descriptors when so many are another process's.
+        """Divide memory for bodies, and what is left of the descriptors when so many are another process's.
 
         A connection carries one request, so these bound busy ones; idle ones are among them. Clients that say nothing
         need room besides those that ask, bricks do not.
         """
+        processes = self.handover.processes if self.handover is not None else 1
+        room = (self.config.limits.memory_mb - processes * BASE_MB) * BODIES_PART / processes
+        self.budget.most = int(max(LEAST_BODIES_MB, room) * 1024 * 1024)
         left = self.config.limits.sockets - elsewhere
         sockets = left - SPARE_SOCKETS - (CALLERS if self.config.control else 0)
         to_bricks = max(LEAST_SOCKETS, int(sockets * BRICKS_PART))
@@ -384,6 +394,9 @@
 
 def main() -> int:
     """Run a head; a configuration that it cannot start from ends it with 2."""
+    with contextlib.suppress(AttributeError, OSError):
+        # Buffers of long bodies go back to the system when they are freed; glibc would keep ever more of them.
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, BUFFER_BYTES)
     try:
         config, settings, operator = load(os.environ)
         # uvloop: a head has part of a core, and a third of it went to the loop itself.
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -10,8 +10,10 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Iterable
 from typing import Any
 
+from msgspec import structs
+
 from hophinge import interface as api
-from hophinge.exchange import Answer, Exchange, Verdict, giver
+from hophinge.exchange import Answer, Exchange, Rest, Verdict, giver
 from hophinge.figures import FAULTED, FULFILLED, THROTTLED
 from hophinge.net.payload import MOST_BODY, Payload
 from hophinge.objects.config import ObjectConfig
@@ -94,12 +96,27 @@
                 ticket.end(None)
                 raise
         ticket.end(OUTCOMES[answer.verdict])
+        if answer.rest is not None:
+            answer = structs.replace(answer, body=await self._whole(answer.body, answer.rest), rest=None)
         if answer.verdict is Verdict.REFUSED:
             raise RefusedError(answer.retry_after_us)
         if answer.verdict is Verdict.FAILED:
             raise CoreFailedError
         return answer
 
+    async def _whole(self, body: bytes, rest: Rest) -> bytes:
+        """Read on in an answer whose length its brick did not say."""
+        try:
+            while len(body) <= MOST_BODY and (chunk := await rest.read()):
+                body += chunk
+        except ConnectionError as error:
+            raise CoreFailedError from error
+        finally:
+            rest.close()
+        if len(body) > MOST_BODY:
+            raise CoreFailedError       # longer than any piece
+        return body
+
     # --- runs of pieces
 
     async def write_run(self, volume: Volume, chunks: AsyncIterator[bytes], budget: Budget) -> Run:
