--- a/hophinge/__main__.py
+++ b/hophinge/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 
@@ -9,6 +10,9 @@
 # has its handler, and is then a reload like any other.
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
+# What imports make is not garbage; looking for some costs a fifth of them. The service looks once it has started.
+gc.disable()
+
 from hophinge.net.service import main  # noqa: E402
 
 sys.exit(main())
--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -22,6 +22,7 @@
 
 GROUP = 9               # members of a key's group: the paper's negotiating group, three times three replicas
 CEILING = 32            # requests out at one node, the design's own ceiling
+FLEET = 256             # requests out at one node by all gateways, where that leaves less than the ceiling
 PART = 0.25             # part of the tightest aim that a node's units out may fill; the rest is for others
 MEMORY = 0.9            # weight kept by what was learned at each new answer: about ten answers count
 MEMORY_ALL = 0.98       # the same for all nodes together: about fifty answers count
@@ -566,7 +567,7 @@
         lone = book.silent and self._usual_wait() < PART * self.aim
         if not last or (lone and self.now - last > 2 * SILENT * self.aim):
             return True     # one may go when none is out that may answer; what is silent alone is tried anew
-        if book.silent or book.failures > 1 or len(book.slots) >= CEILING // self.processes:
+        if book.silent or book.failures > 1 or len(book.slots) >= self._ceiling():
             return False
         unit_us = self._unit_us(book)
         # Many gateways' floors add up: where answers take longer than the part, the floor shrinks with them,
@@ -575,6 +576,9 @@
         bound = max(PART * self.aim / unit_us if unit_us > 0 else 0.0, floor)
         return book.units_out + units <= bound
 
+    def _ceiling(self) -> int:
+        return max(1, min(CEILING, FLEET // self.settings.gateways) // self.processes)
+
     def _group(self, key: str) -> list[Book]:
         """The group of a key: the nodes of least rendezvous hash with it, which also settles ties."""
         books = [book for line in self.shards.values() for book in line]
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -58,6 +58,7 @@
         self.most, self.counters = most, counters
         self.open: dict[BrickConnection, None] = {}
         self.kept: set[str] | None = None       # endpoints whose connections may be idle; None: any
+        self.idle_each = most                   # idle connections to one of them
 
     def add(self, connection: BrickConnection) -> None:
         """Note a new connection, or one that has just become idle."""
@@ -65,7 +66,13 @@
         self.open[connection] = None
         if connection.idle and self.kept is not None and connection.endpoint not in self.kept:
             self._end(connection)       # its brick went out of use while it was busy
-        elif len(self.open) > self.most:
+            return
+        if connection.idle:
+            # What a brick holds is shared by all heads; the one that is idle longest goes.
+            resting = [one for one in self.open if one.endpoint == connection.endpoint and one.idle]
+            if len(resting) > self.idle_each:
+                self._end(resting[0])
+        if len(self.open) > self.most:
             idle = next((one for one in self.open if one.idle), None)
             if idle is not None:
                 self._end(idle)
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import aiohttp
@@ -15,7 +16,9 @@
 WATCH_MS = 20_000
 WATCH_SPARE_S = 1.5     # beyond the wait that the watch itself states
 FIRST_PAUSE_S = 0.02    # after an error; well under the 200 ms within which a watch goes on
-LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 1.0
+LONGEST_ADVICE_S = 5.0  # of a Retry-After that is kept to
+JITTER = (0.5, 1.5)     # parts of a pause: heads that were all turned away at once do not come back at once
 PHASES = {"Ready": api.Phase.ON, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
 
@@ -71,6 +74,15 @@
             self.kinds.get(target.model, 0))
 
 
+def _advice(error: Exception) -> float:
+    """Tell for how long discovery asks its caller to stay away."""
+    headers = error.headers if isinstance(error, aiohttp.ClientResponseError) else None
+    try:
+        return min(LONGEST_ADVICE_S, max(0.0, float(headers.get("Retry-After", "0")))) if headers else 0.0
+    except ValueError:
+        return 0.0
+
+
 class Discovery:
     """The watch. It outlives silence and errors; the list held stays in force meanwhile."""
 
@@ -79,7 +91,7 @@
         self.address, self.directory, self.tell, self.counters = address, directory, tell, counters
         self.rev: int | None = None
         self.task: asyncio.Task[None] | None = None
-        self.heard = asyncio.Event()    # the first answer is in
+        self.heard = asyncio.Event()    # the first answer is in, be it that callers are turned away
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), trust_env=False, cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None))
@@ -100,9 +112,11 @@
         while True:
             try:
                 await self._call(url)
-            except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
                 self.counters.add("discovery_errors")
-                await asyncio.sleep(pause)
+                if self.directory.endpoints and isinstance(error, (aiohttp.ClientError, ConnectionError)):
+                    self.heard.set()    # turned away: who has a list waits for no better one
+                await asyncio.sleep(max(pause * random.uniform(*JITTER), _advice(error) * random.uniform(1, JITTER[1])))
                 pause = min(2 * pause, LONGEST_PAUSE_S)
             else:
                 pause = FIRST_PAUSE_S
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -41,7 +41,7 @@
 if TYPE_CHECKING:
     from hophinge.remote_write import RemoteWrite
 
-FIRST_LIST_S = 1.0      # ready with the saved list alone if discovery is silent for so long
+FIRST_LIST_S = 0.4      # ready with the saved list alone if discovery, which answers at once, is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
 LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
 LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
@@ -52,6 +52,7 @@
 RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
+IDLE_AT_BRICK = 24      # idle connections that all heads together keep to one brick
 BASE_MB = 36            # of memory, whatever is on its way
 BODIES_PART = 0.4       # of the rest, for bodies on their way; as much again is copies, and what the allocator keeps
 LEAST_BODIES_MB = 2.0
@@ -187,6 +188,7 @@
             await self.close()
             raise
         gc.collect()
+        gc.enable()
         gc.freeze()     # what start-up made is never garbage; collections stay short
         await self.stopping.wait()
         await self.finish()
@@ -277,6 +279,7 @@
         sockets = left - SPARE_SOCKETS - (CALLERS if self.config.control else 0)
         to_bricks = max(LEAST_SOCKETS, int(sockets * BRICKS_PART))
         self.bricks.most = self.bricks.roll.most = to_bricks
+        self.bricks.roll.idle_each = max(1, IDLE_AT_BRICK // (self.settings.gateways * processes))
         self.front.most = self.front.most_connections = max(LEAST_SOCKETS, sockets - to_bricks)
         self.front.most_resting = max(8, left // RESTING_PART)
 
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -121,6 +121,7 @@
         self.asked: list[str] = []
         self.news = asyncio.Condition()
         self.silent, self.watching = False, 0
+        self.away = ""                  # callers are turned away with this Retry-After
 
     async def tell(self, *targets: Target) -> None:
         async with self.news:
@@ -136,6 +137,8 @@
         self.asked.append(request.raw_path)
         if self.silent:
             await asyncio.Event().wait()
+        if self.away:
+            return web.Response(status=503, headers={"Retry-After": self.away})
         since = request.query.get("since")
         if since is None:
             return self._list(True, list(self.targets.values()))
@@ -168,9 +171,11 @@
         self.client = ClientSession()
         self.wires: list[Wire] = []
 
-    async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None) -> Service:
+    async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None,
+                   saved: list[Target] | None = None) -> Service:
         """Start a head; the kernel gives its port, which `url` then tells."""
-        config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"), Listing(0, []),
+        config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"),
+                        Listing(0, saved or []),
                         control="127.0.0.1:0")
         service = Service(config, read_settings(json.dumps(settings or setup())), operator or OperatorConfig())
         self.services.append(service)
