--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import itertools
+import math
 import socket
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -36,6 +39,15 @@
     return target
 
 
+def unread(transport: asyncio.BaseTransport) -> bool:
+    """Tell whether bytes wait in the kernel: a request that a busy loop has not come to yet."""
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        return fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)) != bytes(4)
+    except (AttributeError, OSError):
+        return False
+
+
 class ClientConnection(RequestHandler):
     """One client's connection: its heads are bounded, and it ends so that a last answer can be read."""
 
@@ -84,6 +96,20 @@
         if self.answered:
             self.front.resting.pop(self, None)      # a client's next request: not the one to yield
 
+    def retire(self) -> bool:
+        """Close while at rest; False where its next request is here already, which a close would lose."""
+        if self.transport is None or unread(self.transport):
+            return False
+        self.transport.close()
+        return True
+
+    def _process_keepalive(self) -> None:
+        now = self._loop.time()
+        if now >= self._next_keepalive_close_time and not self.head and self.transport is not None and unread(
+                self.transport):
+            self._next_keepalive_close_time = now + YIELD_S
+        super()._process_keepalive()
+
     def _read_on(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
@@ -185,19 +211,21 @@
         self.resting[connection] = asyncio.get_running_loop().time()
         # Clients hold a limited number of connections too. Who asked once and stays would use them up long before
         # the descriptors here, and the rest would find no connection left to ask on.
-        if len(self.resting) > self.most_resting:
-            self._yield(1)
+        # Who has asked again is left alone, as it will once more, and a close could cross that.
+        if len(self.resting) > self.most_resting and not self.closing:
+            self._yield(1, 1)
 
-    def _yield(self, number: int) -> None:
-        """Close what rests longest."""
+    def _yield(self, number: int, most_answered: float = math.inf) -> None:
+        """Close what rests longest, of those that were answered so often at most."""
         now = asyncio.get_running_loop().time()
         # One that has had no answer yet may have its first request on the way: closing it would lose that.
         old = (connection for connection, since in self.resting.items()
-               if now - since >= (YIELD_S if connection.answered else SILENT_S))
+               if connection.answered <= most_answered
+               and now - since >= (YIELD_S if connection.answered else SILENT_S))
         for connection in list(itertools.islice(old, number)):
-            self.counters.add("connections_yielded")
-            del self.resting[connection]
-            connection.transport.close()
+            if connection.retire():
+                self.counters.add("connections_yielded")
+                del self.resting[connection]
 
     def room(self) -> bool:
         """Tell whether one more connection may be taken; where not, the one that rests longest yields."""
@@ -218,8 +246,8 @@
         wait for ever.
         """
         for connection in list(self.resting):
-            if connection.transport is not None and not connection.lingering:
-                connection.transport.close()
+            if not connection.lingering:
+                connection.retire()     # one that is not is answered, and closes with that
 
 
 class Acceptor:
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -45,10 +45,12 @@
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
 LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
 LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
+LAST_BESIDE_S = 0.5     # the same where another process serves: each request that comes here is its connection's last
 ANSWER_S = 0.25         # before SIGKILL the last answer is out
 LEAST_SOCKETS = 16      # for bricks and for clients each, however many another process holds
 SPARE_SOCKETS = 40      # of the limit, for files, discovery and what is just being closed
 BRICKS_PART = 0.4       # of the rest, for connections to bricks
+CLIENTS_PART = 3        # of the limit, what clients hold for requests
 RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
@@ -280,8 +282,11 @@
         to_bricks = max(LEAST_SOCKETS, int(sockets * BRICKS_PART))
         self.bricks.most = self.bricks.roll.most = to_bricks
         self.bricks.roll.idle_each = max(1, IDLE_AT_BRICK // (self.settings.gateways * processes))
-        self.front.most = self.front.most_connections = max(LEAST_SOCKETS, sockets - to_bricks)
-        self.front.most_resting = max(8, left // RESTING_PART)
+        # Clients' connections move from one process to the other: those that the other still counts are on their way.
+        moving = min(sockets - LEAST_SOCKETS, self.config.limits.sockets // CLIENTS_PART + LEAST_SOCKETS)
+        self.front.most = self.front.most_connections = max(
+            LEAST_SOCKETS, sockets - to_bricks, moving if elsewhere else 0)
+        self.front.most_resting = max(8, self.config.limits.sockets // RESTING_PART)
 
     def _listen(self, front: Listener, where: str, fd: int | None = None) -> None:
         self.listeners.append(self._acceptor(front, where, fd))
@@ -332,7 +337,7 @@
         longest_us = max(klass.deadline_us for klass in self.settings.classes)
         kill_s = min(LONGEST_S, longest_us / 1e6) + KILL_S
         self.front.until_us = self.exchange.now_us() + int((kill_s - ANSWER_S) * 1e6)
-        arriving_s = 0.0
+        arriving_s, last_s = 0.0, LAST_S
         if self.config.accept_fd is None:
             # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
             arriving_s = STILL_ARRIVING_S
@@ -342,7 +347,7 @@
         else:
             # Another process takes new connections from now on; the clients of this one are sent there with their
             # next answer. Idle connections stay: a close could cross a request on its way.
-            self.front.closing = True
+            self.front.closing, last_s = True, LAST_BESIDE_S
             for listener in self.listeners:
                 if listener.front is self.front:
                     listener.close()
@@ -351,7 +356,7 @@
         # The platform's clients have no other head for their volumes: they are served on the connections that they
         # hold until too little time is left.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, kill_s - LAST_S - arriving_s)):
+            async with asyncio.timeout(max(0.0, kill_s - last_s - arriving_s)):
                 while self.front.server._connections or any(listener.tasks for listener in self.listeners):
                     await asyncio.sleep(DRAIN_LOOK_S)
         self.front.closing = True
@@ -360,8 +365,9 @@
         for front in self.fronts:
             front.close_idle()
         # Each request has its deadline, and each wait of the object front its own limit.
-        while self.exchange.unanswered or (self.objects is not None and self.objects.active):
+        while self.exchange.unanswered or self.front.busy or (self.objects is not None and self.objects.active):
             await asyncio.sleep(DRAIN_LOOK_S)
+            self.front.close_idle()
         if self.control_listener is not None:
             self.control_listener.close()
         for served in (*self.fronts, self.control):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import cast
@@ -639,6 +640,43 @@
     run(main())
 
 
+def test_a_connection_at_rest_is_not_closed_on_the_request_that_waits_unread_in_the_kernel() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.send(READ, headers(1))
+            assert (await wire.receive())[0] == 404
+            kernel = wire.writer.get_extra_info("socket")
+            os.write(kernel.fileno(), wire.head(READ, headers(2)))      # sent, and the head's loop had no turn yet
+            service.front.close_idle()
+            service.front._yield(1)
+            for connection in list(service.front.resting):
+                connection._next_keepalive_close_time = 0.0
+                connection._process_keepalive()
+            assert (await wire.receive())[0] == 404
+            await until(lambda: len(service.front.resting) == 1)
+            service.front.close_idle()
+            assert await wire.ended()
+    run(main())
+
+
+def test_who_asks_again_and_again_keeps_its_connection_when_many_rest() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, number = await made.head(), itertools.count(1)
+            service.front.most_resting = 1
+            wires = [await made.wire(service) for _ in range(3)]
+            for wire in [wires[0], wires[0], wires[1], wires[1], wires[2]]:
+                wire.send(READ, headers(next(number)))
+                assert (await wire.receive())[0] == 404
+            await asyncio.sleep(0.06)       # all rest long enough to yield
+            wires[0].send(READ, headers(next(number)))
+            assert (await wires[0].receive())[0] == 404 and await wires[2].ended()
+            await until(lambda: len(service.front.resting) == 2)
+    run(main())
+
+
 def test_who_asked_once_and_stays_yields_while_others_ask_on() -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
