--- a/hophinge/choice.py
+++ b/hophinge/choice.py
@@ -169,7 +169,7 @@
 
     def learn(self, slot: Slot, now: int) -> int:
         """Learn the time per unit from a served request: time since the last answer, while work was out."""
-        spent = now - max(slot.sent, self.heard)
+        spent = max(0, now - max(slot.sent, self.heard))
         self.spent = self.spent * MEMORY + spent
         self.served = self.served * MEMORY + slot.units
         self.lag += (now - slot.sent - self.lag) * (1 - MEMORY) * 2
@@ -391,7 +391,8 @@
         if attempt in book.slots:
             slot = self._drop(book, attempt)
             if not event.upward:
-                self._served(book, slot, event.elapsed_us or self.now - slot.sent)
+                done = min(self.now, slot.sent + event.elapsed_us) if event.elapsed_us else self.now
+                self._served(book, slot, done - slot.sent, done)
                 book.heard = self.now
 
     def _drop(self, book: Book, attempt: tuple[str, int]) -> Slot:
@@ -401,8 +402,8 @@
         self._look(node)
         return slot
 
-    def _served(self, book: Book, slot: Slot, took: int) -> None:
-        """Learn from what a node has done."""
+    def _served(self, book: Book, slot: Slot, took: int, done: int) -> None:
+        """Learn from what a node has done, and when it was done."""
         # Nodes take requests in turn: what is out twice as long as one answered has lost its answer. A
         # book that kept room for it would leave an idle node unused until its client gives up.
         now = self.now
@@ -410,7 +411,7 @@
             if now - other.sent > 2 * (now - slot.sent):
                 book.units_out -= other.units
                 other.units = 0.0
-        spent = book.learn(slot, now)
+        spent = book.learn(slot, done)
         self.all_spent = self.all_spent * MEMORY_ALL + spent
         self.all_served = self.all_served * MEMORY_ALL + slot.units
         self._learn_wait(book, slot, took)
@@ -433,7 +434,7 @@
             return None
         slot = self._drop(book, attempt)
         if event.result is Result.OK:
-            self._served(book, slot, min(event.elapsed_us or now, now - slot.sent))
+            self._served(book, slot, min(event.elapsed_us or now, now - slot.sent), now)
         elif event.result in FAILED and slot.sent >= book.rest_until:
             # A node that fails quickly looks free, and the list tells of its end seconds late (incident
             # ia4d3c1): it rests longer each time and gets one trial. A flaky node loses some rate.
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -58,7 +58,7 @@
         self.most, self.counters = most, counters
         self.open: dict[BrickConnection, None] = {}
         self.kept: set[str] | None = None       # endpoints whose connections may be idle; None: any
-        self.idle_each = most                   # idle connections to one of them
+        self.each = most                        # connections to one of them, beyond which idle ones go
 
     def add(self, connection: BrickConnection) -> None:
         """Note a new connection, or one that has just become idle."""
@@ -68,9 +68,11 @@
             self._end(connection)       # its brick went out of use while it was busy
             return
         if connection.idle:
-            # What a brick holds is shared by all heads; the one that is idle longest goes.
-            resting = [one for one in self.open if one.endpoint == connection.endpoint and one.idle]
-            if len(resting) > self.idle_each:
+            # What a brick holds is shared by all heads, and long answers take part of that: while this head has its
+            # part, idle ones go, the one that is idle longest first, but for one.
+            there = [one for one in self.open if one.endpoint == connection.endpoint]
+            resting = [one for one in there if one.idle]
+            if len(there) > self.each and len(resting) > 1:
                 self._end(resting[0])
         if len(self.open) > self.most:
             idle = next((one for one in self.open if one.idle), None)
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -54,7 +54,8 @@
 RESTING_PART = 5        # of the limit may rest: clients may hold a third of it for requests
 DRAIN_LOOK_S = 0.02     # between looks at what is still unanswered at the end
 SHUTDOWN_S = 2.0        # for answers on their way out
-IDLE_AT_BRICK = 24      # idle connections that all heads together keep to one brick
+AT_BRICK = 24           # connections to one brick, of all heads together, beyond which none are kept idle
+FEW_HEADS = 8           # whose requests never filled a brick's table: opening anew costs more than what stays idle
 BASE_MB = 36            # of memory, whatever is on its way
 BODIES_PART = 0.4       # of the rest, for bodies on their way; as much again is copies, and what the allocator keeps
 LEAST_BODIES_MB = 2.0
@@ -281,7 +282,8 @@
         sockets = left - SPARE_SOCKETS - (CALLERS if self.config.control else 0)
         to_bricks = max(LEAST_SOCKETS, int(sockets * BRICKS_PART))
         self.bricks.most = self.bricks.roll.most = to_bricks
-        self.bricks.roll.idle_each = max(1, IDLE_AT_BRICK // (self.settings.gateways * processes))
+        heads = self.settings.gateways * processes
+        self.bricks.roll.each = max(1, AT_BRICK // heads) if heads > FEW_HEADS else to_bricks
         # Clients' connections move from one process to the other: those that the other still counts are on their way.
         moving = min(sockets - LEAST_SOCKETS, self.config.limits.sockets // CLIENTS_PART + LEAST_SOCKETS)
         self.front.most = self.front.most_connections = max(
