--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -199,3 +199,42 @@
         async with program(environ) as process:
             assert await process.wait() == 2
     run(main())
+
+
+def test_the_other_fronts_go_on_through_an_upgrade(tmp_path: Path) -> None:
+    async def main() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        objects, admin, controls = free_port(), free_port(), [free_port(), free_port()]
+        (tmp_path / "token").write_text("a token that is long enough")
+        (tmp_path / "operator.toml").write_text(
+            f'[objects]\nlisten = "127.0.0.1:{objects}"\ntenants = "tenants.json"\nread_class = "record-read"\n'
+            f'write_class = "transfer-write"\n[admin]\nlisten = "127.0.0.1:{admin}"\ntoken_file = "token"\n')
+        async with world(Brick(0)) as made:
+            environ = config(tmp_path, discovery=made.agent.endpoint) | {
+                "TMPDIR": str(tmp_path), "EDGE_ACCEPT_FD": str(listening.fileno()),
+                "HOPHINGE_OPERATOR_FILE": str(tmp_path / "operator.toml")}
+
+            async def asked(port: int) -> int:
+                wire = Wire(*await asyncio.open_connection("127.0.0.1", port))
+                wire.send("/bucket/name" if port == objects else "/v1/tenants", {})
+                status = (await wire.receive())[0]
+                wire.close()
+                return status
+
+            async def start(control: int) -> None:
+                while (await call(control, "/ops/readiness"))[0] != 200:
+                    await asyncio.sleep(0.02)
+
+            async with (program({**environ, "EDGE_CONTROL": f"127.0.0.1:{controls[0]}"}, listening.fileno()) as old,
+                        program({**environ, "EDGE_CONTROL": f"127.0.0.1:{controls[1]}"}, listening.fileno()) as new):
+                for control in controls:
+                    await start(control)
+                for at in range(40):
+                    if at == 10:
+                        old.send_signal(signal.SIGTERM)
+                        assert await old.wait() == 0
+                    assert (await asked(objects), await asked(admin)) == (403, 401)
+                new.send_signal(signal.SIGTERM)
+                assert await new.wait() == 0
+        listening.close()
+    run(main())
