--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -44,7 +44,7 @@
     try:
         descriptor = transport.get_extra_info("socket").fileno()
         return fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4)) != bytes(4)
-    except (AttributeError, OSError):
+    except (AttributeError, OSError, ValueError):       # closed already: it has no descriptor
         return False
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -656,6 +656,8 @@
                 connection._process_keepalive()
             assert (await wire.receive())[0] == 404
             await until(lambda: len(service.front.resting) == 1)
+            connection = next(iter(service.front.resting))
+            connection.transport.abort()        # it has closed, and its end is not told yet
             service.front.close_idle()
             assert await wire.ended()
     run(main())
