An old process closes long-resting connections one by one; a new one takes all that move

The head with most had 125 client connections at SIGTERM, while its new process was bounded to about 117: it yields 16 resting ones at a time then. Ruled out: old processes killed before their end (all printed their counters).

--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -239,6 +239,13 @@
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def thin(self, rested_s: float) -> None:
+        """Close the connection that rests longest, if it has for so long."""
+        now = asyncio.get_running_loop().time()
+        connection, since = next(iter(self.resting.items()), (None, now))
+        if connection is not None and now - since >= rested_s and connection.retire():
+            del self.resting[connection]
+
     def close_idle(self) -> None:
         """Close what is between requests, from the end's beginning on; the rest closes with its answer.
 
--- a/hophinge/net/service.py
+++ b/hophinge/net/service.py
@@ -45,6 +45,7 @@
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
 LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
 LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
+RESTED_S = 0.3          # a connection that has rested for so long is not the next to be used
 LAST_BESIDE_S = 0.5     # the same where another process serves: each request that comes here is its connection's last
 ANSWER_S = 0.25         # before SIGKILL the last answer is out
 LEAST_SOCKETS = 16      # for bricks and for clients each, however many another process holds
@@ -284,8 +285,9 @@
         self.bricks.most = self.bricks.roll.most = to_bricks
         heads = self.settings.gateways * processes
         self.bricks.roll.each = max(1, AT_BRICK // heads) if heads > FEW_HEADS else to_bricks
-        # Clients' connections move from one process to the other: those that the other still counts are on their way.
-        moving = min(sockets - LEAST_SOCKETS, self.config.limits.sockets // CLIENTS_PART + LEAST_SOCKETS)
+        # Clients' connections move from one process to the other: those that the other still counts are on their way,
+        # and a bound below what clients hold would close them and let new ones wait just then.
+        moving = min(left - SPARE_SOCKETS, self.config.limits.sockets // CLIENTS_PART + LEAST_SOCKETS)
         self.front.most = self.front.most_connections = max(
             LEAST_SOCKETS, sockets - to_bricks, moving if elsewhere else 0)
         self.front.most_resting = max(8, self.config.limits.sockets // RESTING_PART)
@@ -361,6 +363,10 @@
             async with asyncio.timeout(max(0.0, kill_s - last_s - arriving_s)):
                 while self.front.server._connections or any(listener.tasks for listener in self.listeners):
                     await asyncio.sleep(DRAIN_LOOK_S)
+                    if self.front.closing:
+                        # Closed all at once at the end, they would cross all that a client which was busy for a
+                        # moment sends; one by one, the least used first, hardly any.
+                        self.front.thin(RESTED_S)
         self.front.closing = True
         # From here on nothing new is taken: a request on a kept connection could outlast what is left to this process.
         # Idle connections close now, busy ones with their answer.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -663,6 +663,22 @@
     run(main())
 
 
+def test_at_an_upgrade_s_end_connections_close_one_by_one_the_least_used_first() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wires = [await made.wire(service) for _ in range(3)]
+            for number, wire in enumerate([*wires, wires[0]]):
+                wire.send(READ, headers(number))
+                assert (await wire.receive())[0] == 404
+            await until(lambda: len(service.front.resting) == 3)
+            service.front.thin(60.0)
+            assert len(service.front.resting) == 3      # none has rested for so long
+            service.front.thin(0.0)
+            assert await wires[1].ended() and len(service.front.resting) == 2
+    run(main())
+
+
 def test_who_asks_again_and_again_keeps_its_connection_when_many_rest() -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
