Do not close a connection whose request is read but whose handler does not run yet

Seen by a probe of how client connections end: ten were closed for others while one request on each was read and unanswered. Between a head's last byte and its handler's first step lies a turn of the loop in which the connection still counted as resting. At fault: ClientConnection.retire, and the plain close before it. Ruled out by the same probe: ends on first requests (2) and ends while closing (2). The test was seen to fail without the change.

--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -98,7 +98,8 @@
 
     def retire(self) -> bool:
         """Close while at rest; False where its next request is here already, which a close would lose."""
-        if self.transport is None or unread(self.transport):
+        # A request that has been read counts as open only once its handler runs, a turn of the loop later.
+        if self.transport is None or self.taken > self.answered or unread(self.transport):
             return False
         self.transport.close()
         return True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -663,6 +663,23 @@
     run(main())
 
 
+def test_a_connection_is_not_closed_on_a_request_whose_handler_does_not_run_yet() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.send(READ, headers(1))
+            assert (await wire.receive())[0] == 404
+            await until(lambda: len(service.front.resting) == 1)
+            connection = next(iter(service.front.resting))
+            connection.data_received(wire.head(READ, headers(2)))
+            service.front._yield(1)
+            service.front.thin(0.0)
+            service.front.close_idle()
+            assert (await wire.receive())[0] == 404
+    run(main())
+
+
 def test_at_an_upgrade_s_end_connections_close_one_by_one_the_least_used_first() -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
