Layout by floors: core, head, objects, telemetry, cli; import-linter holds the directions

The composition root stood in net/ and imported upwards, remote write took its settings from the object front, and the administration API stood below what it uses: new subsystems had nowhere to go.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. CI is .ci/run; the platform uses deploy/balancer.toml.
 PYTHON = .venv/bin/python
-.PHONY: build tools test lint run objects toy
+.PHONY: build tools test lint run objects toy demo bench
 
 build:
 	cmp -s requirements.txt .venv/requirements.txt || (rm -rf .venv && python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/)
@@ -8,12 +8,14 @@
 tools: build
 	.venv/bin/pip -q install -r .ci/tools.txt
 
-test: tools
+# everything, from a fresh clone: style, types, the directions of imports, tests
+test: lint
 	$(PYTHON) -m pytest -q
 
 lint: tools
 	.venv/bin/ruff check .
 	.venv/bin/mypy
+	.venv/bin/lint-imports --no-cache
 
 # a head on the example's configuration; the toy platform is to run beside it
 run: build
--- /dev/null
+++ b/hophinge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line; a head starts without it."""
--- /dev/null
+++ b/hophinge/control/__init__.py
@@ -0,0 +1,1 @@
+"""Streamed configuration: the control service, what a head keeps of it, and the stream between them."""
--- a/hophinge/choice.py
+++ b/hophinge/core/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of hophinge; the types it works with are in hophinge/interface.py.
+"""Every decision of hophinge; the types it works with are in hophinge/core/interface.py.
 
 A new object's key is hashed to a group of nodes, and of these the one whose book frees earliest takes it.
 A book holds when the units sent to its node from here should be done. What may not go yet is held, and leaves
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from hophinge.interface import (
+from hophinge.core.interface import (
     Action, Arrival, DedupScope, Departure, Discovery, Effect, Event, Fail, ListKind, Log, NodeEntry,
     NodeList, Outcome, Phase, Refuse, RequestClass, Result, Send, SetTimer, Settings,
     StreamStarted, TimerDue, Watch,
--- a/hophinge/counters.py
+++ b/hophinge/core/counters.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hophinge.interface import Result
+from hophinge.core.interface import Result
 
 # Every counter there is; one that is not named here cannot be counted, so alerts never wait for a name in vain.
 NAMES = (
--- a/hophinge/exchange.py
+++ b/hophinge/core/exchange.py
@@ -15,10 +15,10 @@
 
 from msgspec import Struct
 
-from hophinge import interface as api
-from hophinge.choice import Scheduler
-from hophinge.counters import Counters
-from hophinge.figures import Figures
+from hophinge.core import interface as api
+from hophinge.core.choice import Scheduler
+from hophinge.core.counters import Counters
+from hophinge.core.figures import Figures
 
 BACKSTOP = 0.5      # part of the answer's grace after which a request that the module forgot is failed
 
--- a/hophinge/rotation.py
+++ b/hophinge/core/rotation.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from hophinge.interface import ListKind, NodeEntry, NodeList, Phase
+from hophinge.core.interface import ListKind, NodeEntry, NodeList, Phase
 
 
 class Mark(Struct, frozen=True):
--- a/hophinge/settings.py
+++ b/hophinge/core/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hophinge import interface as api
+from hophinge.core import interface as api
 
 EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 REPORT_FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "rate",
--- a/hophinge/adapter.py
+++ b/hophinge/head/adapter.py
@@ -1,4 +1,4 @@
-"""The wire adapter: ``python -m hophinge.adapter`` hosts independent schedulers on the simulator's wire."""
+"""The wire adapter: ``python -m hophinge.head.adapter`` hosts independent schedulers on the simulator's wire."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Mapping
 from typing import TextIO
 
-from hophinge import interface as api
-from hophinge.choice import Scheduler
-from hophinge.settings import REPORT_FIELDS, read_settings
+from hophinge.core import interface as api
+from hophinge.core.choice import Scheduler
+from hophinge.core.settings import REPORT_FIELDS, read_settings
 
 PHASES = {"on": api.Phase.ON, "fading": api.Phase.DRAINING, "off": api.Phase.GONE}
 KINDS = {"Partial": api.ListKind.CHANGES, "Complete": api.ListKind.FULL, "Persisted": api.ListKind.SAVED,
--- a/hophinge/net/handover.py
+++ b/hophinge/head/handover.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from hophinge.rotation import Mark, Rotation
+from hophinge.core.rotation import Mark, Rotation
 
 VERSION = 1
 LOOK_S = 0.05           # between looks; the grace on drains is ten times that
--- a/hophinge/net/service.py
+++ b/hophinge/head/service.py
@@ -17,29 +17,29 @@
 import msgspec
 import uvloop
 
-from hophinge import interface as api
-from hophinge.admin import Admin, read_token
-from hophinge.counters import Counters
-from hophinge.exchange import Exchange
+from hophinge.core import interface as api
+from hophinge.objects.admin import Admin, read_token
+from hophinge.core.counters import Counters
+from hophinge.core.exchange import Exchange
 from hophinge.net.budget import Budget
 from hophinge.net.client import Bricks
 from hophinge.net.clock import LoopClock
 from hophinge.net.control import CALLERS, Control
-from hophinge.net.handover import LOOK_S, Handover
+from hophinge.head.handover import LOOK_S, Handover
 from hophinge.net.discovery import Directory, Discovery, Listing
 from hophinge.net.listener import Acceptor, Listener
 from hophinge.net.server import Front
-from hophinge.objects.config import OperatorConfig
-from hophinge.objects.config import load as load_operator
+from hophinge.head.operator import OperatorConfig
+from hophinge.head.operator import load as load_operator
 from hophinge.objects.front import ObjectFront
 from hophinge.objects.pieces import Core
 from hophinge.objects.store import Store
-from hophinge.rotation import Rotation
-from hophinge.settings import read_settings
-from hophinge.tenants import Tenants
+from hophinge.core.rotation import Rotation
+from hophinge.core.settings import read_settings
+from hophinge.objects.tenants import Tenants
 
 if TYPE_CHECKING:
-    from hophinge.remote_write import RemoteWrite
+    from hophinge.telemetry.remote_write import RemoteWrite
 
 FIRST_LIST_S = 0.4      # ready with the saved list alone if discovery, which answers at once, is silent for so long
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
@@ -169,7 +169,7 @@
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
-            from hophinge.remote_write import RemoteWrite   # its libraries cost memory, so only where it is on
+            from hophinge.telemetry.remote_write import RemoteWrite   # its libraries cost memory
 
             self.remote_write = RemoteWrite(operator.remote_write, config.name or config.listen, self.counters,
                                             self.gauges, clock.now_us, self.figures)
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -15,7 +15,7 @@
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
-from hophinge.counters import Counters
+from hophinge.core.counters import Counters
 from hophinge.net.budget import Budget
 from hophinge.net.payload import MOST_LONG
 
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -17,9 +17,9 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from hophinge.counters import Counters
-from hophinge.exchange import Attempt, End
-from hophinge.interface import ProbeResult, Result, Settings
+from hophinge.core.counters import Counters
+from hophinge.core.exchange import Attempt, End
+from hophinge.core.interface import ProbeResult, Result, Settings
 from hophinge.net.brick import STREAM_STALL_S, BrickConnection, Roll, SpoiltError
 from hophinge.net.clock import now_us
 from hophinge.net.budget import Budget
--- a/hophinge/net/control.py
+++ b/hophinge/net/control.py
@@ -8,10 +8,10 @@
 
 from aiohttp import web
 
-from hophinge.counters import Counters
-from hophinge.figures import Figures
+from hophinge.core.counters import Counters
+from hophinge.core.figures import Figures
 from hophinge.net.listener import Listener, origin_form
-from hophinge.rotation import Rotation
+from hophinge.core.rotation import Rotation
 
 CALLERS = 16            # connections at once; clients' load has no part in them
 FIRST_S = 0.8           # for a head to come
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -9,8 +9,8 @@
 import aiohttp
 import msgspec
 
-from hophinge import interface as api
-from hophinge.counters import Counters
+from hophinge.core import interface as api
+from hophinge.core.counters import Counters
 
 LIST_S = 2.0            # a whole list is answered at once, or discovery is down
 WATCH_MS = 20_000
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from hophinge.counters import Counters
+from hophinge.core.counters import Counters
 
 IDLE_S = 2.0            # a connection with no request on it, or with half a head
 FIRST_S = 1.2           # the same for a first head: the kernel has held a silent connection for a second already
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -10,10 +10,10 @@
 from aiohttp import HttpVersion11, web
 from msgspec import structs
 
-from hophinge import interface as api
-from hophinge.counters import Counters
-from hophinge.exchange import Answer, Exchange, Rest, Verdict, giver
-from hophinge.figures import FAULTED, FULFILLED, THROTTLED, Ticket
+from hophinge.core import interface as api
+from hophinge.core.counters import Counters
+from hophinge.core.exchange import Answer, Exchange, Rest, Verdict, giver
+from hophinge.core.figures import FAULTED, FULFILLED, THROTTLED, Ticket
 from hophinge.net.budget import Budget
 from hophinge.net.listener import Listener, origin_form
 from hophinge.net.payload import MOST_BODY, MOST_LONG, Payload
--- a/hophinge/admin.py
+++ b/hophinge/objects/admin.py
@@ -11,9 +11,9 @@
 import msgspec
 from aiohttp import web
 
-from hophinge.counters import Counters
+from hophinge.core.counters import Counters
 from hophinge.net.listener import Listener
-from hophinge.tenants import Tenant, TenantError, Tenants, digest
+from hophinge.objects.tenants import Tenant, TenantError, Tenants, digest
 
 MOST_BODY = 16 * 1024
 CONNECTIONS, IDLE_S = 16, 30.0
--- a/hophinge/objects/config.py
+++ b/hophinge/objects/config.py
@@ -1,9 +1,8 @@
-"""The operator's file that switches the object front on."""
+"""The settings of the object front and of the administration API, parts of the operator's file."""
 
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -38,39 +37,3 @@
 
     listen: str
     token_file: Path
-
-
-class RemoteWriteConfig(msgspec.Struct, forbid_unknown_fields=True):
-    """Where counters are pushed."""
-
-    url: str
-    interval_s: float = 15.0
-    queue: int = 64
-    timeout_s: float = 10.0
-
-
-class OperatorConfig(msgspec.Struct, forbid_unknown_fields=True):
-    """The whole file; a part that is absent is off."""
-
-    objects: ObjectConfig | None = None
-    admin: AdminConfig | None = None
-    remote_write: RemoteWriteConfig | None = None
-
-
-def _path(kind: type, value: Any) -> Path:
-    if kind is not Path or not isinstance(value, str):
-        raise ValueError("a path is a text")
-    return Path(value)
-
-
-def load(path: str) -> OperatorConfig:
-    """Read the file; a path within it is taken from the file's folder."""
-    config = msgspec.toml.decode(Path(path).read_bytes(), type=OperatorConfig, dec_hook=_path)
-    base = Path(path).resolve().parent
-    if config.objects:
-        config.objects.tenants = base / config.objects.tenants
-    if config.admin:
-        config.admin.token_file = base / config.admin.token_file
-        if config.objects is None:
-            raise ValueError("[admin] needs [objects], whose tenants it keeps")
-    return config
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -13,7 +13,7 @@
 
 from aiohttp import web
 
-from hophinge.counters import Counters
+from hophinge.core.counters import Counters
 from hophinge.net.listener import Listener
 from hophinge.net.payload import MOST_BODY
 from hophinge.objects import xml
@@ -22,7 +22,7 @@
 from hophinge.objects.ranges import UnsatisfiableError, parse
 from hophinge.objects.records import Manifest
 from hophinge.objects.store import ObjectError, Store
-from hophinge.tenants import Tenants, Volume
+from hophinge.objects.tenants import Tenants, Volume
 
 MOST_NAME = 1024        # bytes of an object's name
 BUSY_RETRY_S = 1        # advice when a head has as many object requests as it takes
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -12,13 +12,13 @@
 
 from msgspec import structs
 
-from hophinge import interface as api
-from hophinge.exchange import Answer, Exchange, Rest, Verdict, giver
-from hophinge.figures import FAULTED, FULFILLED, THROTTLED
+from hophinge.core import interface as api
+from hophinge.core.exchange import Answer, Exchange, Rest, Verdict, giver
+from hophinge.core.figures import FAULTED, FULFILLED, THROTTLED
 from hophinge.net.payload import MOST_BODY, Payload
 from hophinge.objects.config import ObjectConfig
 from hophinge.objects.records import Piece, Run, piece_id
-from hophinge.tenants import Volume
+from hophinge.objects.tenants import Volume
 
 # An absent object is an answer: its node did the work.
 OUTCOMES = {Verdict.SERVED: FULFILLED, Verdict.ABSENT: FULFILLED, Verdict.REFUSED: THROTTLED, Verdict.FAILED: FAULTED}
--- a/hophinge/objects/store.py
+++ b/hophinge/objects/store.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hophinge.exchange import Verdict
+from hophinge.core.exchange import Verdict
 from hophinge.net.payload import MOST_BODY
 from hophinge.objects.pieces import Budget, Core, CoreFailedError, end
 from hophinge.objects.records import (
@@ -25,7 +25,7 @@
     shard_of,
     upload_id,
 )
-from hophinge.tenants import Volume
+from hophinge.objects.tenants import Volume
 
 LIST_PAGE = 100     # part numbers looked up for one page of a list
 
--- /dev/null
+++ b/hophinge/state/__init__.py
@@ -0,0 +1,1 @@
+"""The one way to write a file that must last."""
--- /dev/null
+++ b/hophinge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What a head tells about itself beside the serving."""
--- a/hophinge/remote_write.py
+++ b/hophinge/telemetry/remote_write.py
@@ -15,9 +15,9 @@
 import cramjam
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 
-from hophinge.counters import Counters
-from hophinge.figures import Figures
-from hophinge.objects.config import RemoteWriteConfig
+from hophinge.core.counters import Counters
+from hophinge.core.figures import Figures
+from hophinge.telemetry.config import RemoteWriteConfig
 
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 30.0
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -13,9 +13,9 @@
 from aiohttp import ClientSession, web
 
 from hophinge.net.discovery import Listing, Target
-from hophinge.net.service import Config, Service
-from hophinge.objects.config import OperatorConfig
-from hophinge.settings import read_settings
+from hophinge.head.service import Config, Service
+from hophinge.head.operator import OperatorConfig
+from hophinge.core.settings import read_settings
 
 VOLUME = "00000003b4d60021"
 OBJECT = "7f3a9c21e0b4d655"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from hophinge.adapter import serve
+from hophinge.head.adapter import serve
 
 SETUP = {
     "Me": 0, "Balancers": 1, "PeriodUs": 2000, "Discovery": "pushed", "Novelty": 1,
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,8 +11,9 @@
 import msgspec
 import pytest
 
-from hophinge.objects.config import AdminConfig, ObjectConfig, OperatorConfig
-from hophinge.tenants import TenantError, Tenants
+from hophinge.head.operator import OperatorConfig
+from hophinge.objects.config import AdminConfig, ObjectConfig
+from hophinge.objects.tenants import TenantError, Tenants
 from tests.stand_in import Brick, World, run, world
 
 TOKEN = "a-token-of-the-operator"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from hophinge.choice import GROUP, Scheduler
-from hophinge.interface import (
+from hophinge.core.choice import GROUP, Scheduler
+from hophinge.core.interface import (
     Action,
     Allowed,
     Arrival,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from hophinge.interface import ListKind, NodeEntry, NodeList, Phase
+from hophinge.core.interface import ListKind, NodeEntry, NodeList, Phase
 from hophinge.net.control import CALLERS
-from hophinge.net.service import Service
-from hophinge.rotation import Mark, Rotation
+from hophinge.head.service import Service
+from hophinge.core.rotation import Mark, Rotation
 from tests.stand_in import OBJECT, VOLUME, Brick, Wire, World, headers, run, until, world
 from tests.test_net import READ
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -11,9 +11,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from hophinge import interface as api
-from hophinge.counters import Counters
-from hophinge.exchange import Answer, Attempt, End, Exchange, Verdict
+from hophinge.core import interface as api
+from hophinge.core.counters import Counters
+from hophinge.core.exchange import Answer, Attempt, End, Exchange, Verdict
 from tests.test_choice import MS, SETTINGS, T0, ask, node
 
 GRACE = SETTINGS.rules.answer_grace_us
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,10 +15,10 @@
 import pytest
 from aiohttp import web
 
-from hophinge.choice import CEILING, Scheduler
-from hophinge.interface import ListKind, NodeEntry, NodeList, Phase, Send
-from hophinge.net.handover import LIVE, MARKS, VERSION, Handover, Marks
-from hophinge.rotation import Mark, Rotation
+from hophinge.core.choice import CEILING, Scheduler
+from hophinge.core.interface import ListKind, NodeEntry, NodeList, Phase, Send
+from hophinge.head.handover import LIVE, MARKS, VERSION, Handover, Marks
+from hophinge.core.rotation import Mark, Rotation
 from tests.stand_in import OBJECT, VOLUME, Brick, Wire, headers, run, until, world
 from tests.test_choice import SETTINGS, T0, ask
 from tests.test_service import config, program
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -8,8 +8,8 @@
 import pytest
 from aiohttp import web
 
-from hophinge.choice import FLEET
-from hophinge.interface import Send
+from hophinge.core.choice import FLEET
+from hophinge.core.interface import Send
 from tests.stand_in import Brick, headers, run, setup, until, world
 from tests.test_choice import SETTINGS, Gateway, ask, node
 from tests.test_net import READ
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,15 +15,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hophinge.counters import Counters
-from hophinge.interface import Action, Event, ListKind, Outcome, Probe, ProbeResult, Refuse, Result, Send
+from hophinge.core.counters import Counters
+from hophinge.core.interface import Action, Event, ListKind, Outcome, Probe, ProbeResult, Refuse, Result, Send
 from hophinge.net import brick as brick_module
 from hophinge.net.brick import BrickConnection, Roll
 from hophinge.net.budget import Budget
 from hophinge.net.clock import LoopClock, now_us
 from hophinge.net.discovery import Listing, Target
 from hophinge.net.payload import MOST_LONG
-from hophinge.net.service import Service
+from hophinge.head.service import Service
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, Wire, World, headers, run, setup, until, world
 
 READ = f"/record-read/{VOLUME}/{OBJECT}"
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -15,12 +15,13 @@
 import pytest
 from aiohttp import ClientResponse, web
 
-from hophinge.exchange import Answer
-from hophinge.interface import Arrival
-from hophinge.net.service import Service
-from hophinge.objects.config import ObjectConfig, OperatorConfig
+from hophinge.core.exchange import Answer
+from hophinge.core.interface import Arrival
+from hophinge.head.service import Service
+from hophinge.head.operator import OperatorConfig
+from hophinge.objects.config import ObjectConfig
 from hophinge.objects.ranges import UnsatisfiableError, parse
-from hophinge.tenants import Tenants
+from hophinge.objects.tenants import Tenants
 from tests.stand_in import Brick, World, run, until, world
 
 PIECE = 1000
--- a/tests/test_remote_write.py
+++ b/tests/test_remote_write.py
@@ -12,9 +12,10 @@
 import pytest
 from aiohttp import web
 
-from hophinge.counters import Counters
-from hophinge.objects.config import OperatorConfig, RemoteWriteConfig
-from hophinge.remote_write import PREFIX, RemoteWrite, WriteRequest, metrics
+from hophinge.core.counters import Counters
+from hophinge.head.operator import OperatorConfig
+from hophinge.telemetry.config import RemoteWriteConfig
+from hophinge.telemetry.remote_write import PREFIX, RemoteWrite, WriteRequest, metrics
 from tests.stand_in import Brick, Server, headers, run, until, world
 from tests.test_net import READ
 
@@ -105,7 +106,7 @@
 @pytest.mark.parametrize(("status", "tries"), [(500, 2), (503, 2), (429, 2), (400, 1), (404, 1)])
 def test_what_may_pass_is_sent_again_and_what_may_not_is_dropped(
         status: int, tries: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("hophinge.remote_write.FIRST_PAUSE_S", 0.01)
+    monkeypatch.setattr("hophinge.telemetry.remote_write.FIRST_PAUSE_S", 0.01)
 
     async def main() -> None:
         receiver, counters = Receiver(), Counters()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,7 +17,7 @@
 import pytest
 from aiohttp import web
 
-from hophinge.objects.config import load
+from hophinge.head.operator import load
 from tests.stand_in import Brick, DiscoveryAgent, Wire, headers, run, setup, until, world
 from tests.test_net import READ
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,9 +10,9 @@
 import pytest
 from aiohttp import web
 
-from hophinge.interface import Outcome, Result, Send, StreamStarted
+from hophinge.core.interface import Outcome, Result, Send, StreamStarted
 from hophinge.net import server as server_module
-from hophinge.net.service import Service
+from hophinge.head.service import Service
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, Wire, World, headers, run, until, world
 from tests.test_choice import MS, Gateway, finals, node
 from tests.test_choice import ask as choice_ask
