Routing: service document, pools, routes, limits, retry budgets and outliers beside the module

Routes, pools, plans, limits and retries did not exist: nothing but a volume's plan held a tenant, and a file of settings copied by hand was all that told a head what to do.

A request keeps its version's Pass until its final answer. The module asks a request's Bounds (nodes, further attempts, second copy) and still chooses server, retry and refusal; where none are given nothing changes. A dry budget is answered at once. Second copies exist only where the platform allows them and the document states a time.

--- a/hophinge/core/choice.py
+++ b/hophinge/core/choice.py
@@ -12,11 +12,12 @@
 import random
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 from hashlib import blake2b
 
 from hophinge.core.interface import (
-    Action, Arrival, DedupScope, Departure, Discovery, Effect, Event, Fail, ListKind, Log, NodeEntry,
-    NodeList, Outcome, Phase, Refuse, RequestClass, Result, Send, SetTimer, Settings,
+    Action, Arrival, Cancel, DedupScope, Departure, Discovery, Effect, Event, Fail, ListKind, Log, NodeEntry,
+    NodeList, Outcome, Phase, Plan, Refuse, RequestClass, Result, Send, SetTimer, Settings,
     StreamStarted, TimerDue, Watch,
 )
 
@@ -79,7 +80,7 @@
     """What this gateway knows of one volume: its plan's stores, its use here and everywhere."""
 
     def __init__(self, settings: Settings, plan_number: int, now: int) -> None:
-        self.plan = settings.plans[plan_number]
+        self.number, self.plan = plan_number, settings.plans[plan_number]
         self.gateways, self.seen = 1, now
         self.reserve = Bucket(0.0, self.plan.reserve + settings.most_units, settings.most_units, now)
         self.limit = Bucket(0.0, 0.0, 0.0, now)
@@ -185,8 +186,8 @@
 class Request:
     """A request from its arrival until its answer is given and no attempt is out."""
 
-    __slots__ = ("aim_at", "ask", "attempts", "charged", "deadline", "done", "group", "hold_until", "klass", "lot",
-                 "out", "place", "queue", "ran_at", "ran_on", "started", "version", "volume")
+    __slots__ = ("aim_at", "ask", "attempts", "charged", "copied", "deadline", "done", "group", "hold_until", "klass",
+                 "lot", "out", "place", "queue", "ran_at", "ran_on", "started", "version", "volume")
 
     def __init__(self, ask: Arrival, klass: RequestClass, volume: Volume, now: int, elapsed: int,
                  lot: float) -> None:
@@ -200,10 +201,10 @@
         self.lot = lot                      # from 0 to 1, drawn once
         self.out: dict[int, Book] = {}
         self.group: list[Book] = []
-        self.version = -1                   # of the node list that the group was formed from
+        self.version = -1, 0                # of the node list and bounds that the group was formed from
         self.ran_on: Book | None = None     # where the first attempt went that may have run
         self.ran_at = 0
-        self.done = self.started = self.charged = False
+        self.done = self.started = self.charged = self.copied = False
 
 
 Ready = tuple[float, int, str, Request, Book | None]
@@ -237,6 +238,7 @@
         self.version = 0                        # of the node list held
         self.processes = 1                      # that share this gateway's part: two while it is replaced
         self.deadlines: list[tuple[int, str]] = []
+        self.copies: list[tuple[int, str]] = []     # when a second copy may go
         self.fair: dict[str, tuple[int, float]] = {}
         self.all_spent = self.all_served = 0.0  # by all nodes, for the time per unit of one not heard
         self.nominal: dict[int, float] = {}     # time per unit without waiting, by machine kind
@@ -271,6 +273,7 @@
                 case StreamStarted():
                     self._stream_started(event)
         self._watch_nodes()
+        self._copy()
         for place, due in self.again.items():
             if due <= now_us:
                 self.look[place] = None
@@ -281,6 +284,13 @@
         self._set_timer()
         return self.actions
 
+    def replan(self, plans: tuple[Plan, ...]) -> None:
+        """Go on under changed figures of the same plans; what was taken stays taken."""
+        self.settings = replace(self.settings, plans=plans)
+        for volume in self.volumes.values():
+            volume.plan = plans[volume.number]
+            volume.reserve.depth = volume.plan.reserve + self.settings.most_units
+
     def avoided(self, now: int) -> list[str]:
         """Tell which listed nodes get nothing now by choice: they rest, or have gone silent."""
         return [node for node, book in self.books.items()
@@ -295,6 +305,7 @@
         due += [max(self.woke_at, at) + int(SILENT * self.aim) + 1 for at in heard]
         if self.deadlines:
             due.append(self.deadlines[0][0] - self.lead_us)
+        due += [at for at, _ in self.copies[:1]]
         if self.settings.discovery is Discovery.ON_REQUEST and self.watch_due >= 0:
             due.append(self.watch_due)
         if due and (not self.timer_at or min(due) < self.timer_at):
@@ -364,15 +375,40 @@
 
     def _hold(self, request: Request) -> None:
         ask, bound = request.ask, request.ran_on
+        if request.queue is not None:
+            request.queue.pop(ask.request, None)
         if ask.shard < 0 and bound is None:
             request.queue = self.fresh
         else:
-            books = self.shards.get(bound.entry.shard if ask.shard < 0 and bound else ask.shard)
+            there = self.shards.get(bound.entry.shard if ask.shard < 0 and bound else ask.shard, [])
+            books = [book for book in there if self._within(request, book)]
             request.queue = books[-1].held if books else self.lost
             request.place = books[-1].entry.node if books else "?"
         request.queue[ask.request] = request
         self.look[request.place] = None
 
+    def _copy(self) -> None:
+        """Hold again, for a second copy, what has been out for as long as its bounds state."""
+        while self.copies and self.copies[0][0] <= self.now:
+            request = self.requests.get(heapq.heappop(self.copies)[1])
+            if request is None or request.done or request.started or len(request.out) != 1 or request.attempts != 1:
+                continue
+            others = any(self._may_take(request, book) for line in self.shards.values() for book in line)
+            if others and self._may_repeat(request) and self._budget(request):
+                request.copied = True
+                self._hold(request)
+
+    def _within(self, request: Request, book: Book) -> bool:
+        """Whether a request's bounds, and its copy that is out, leave it a node."""
+        ask, ran_on = request.ask, request.ran_on
+        if book in request.out.values():
+            return False
+        shard = ask.shard if ask.shard >= 0 or ran_on is None else ran_on.entry.shard
+        return ask.bounds is None or ask.bounds.takes(book.entry.node, shard)
+
+    def _budget(self, request: Request) -> bool:
+        return request.ask.bounds is None or request.ask.bounds.repeat(self.now, request.attempts)
+
     def _look(self, node: str) -> None:
         """Look at a node's held requests, and at new objects, as something changed there."""
         self.full = False
@@ -455,9 +491,11 @@
             self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
             self.key_rest[request.ask.key] = now + self.rules.settle_us
         if event.finished or request.done:
+            if self.settings.allowed.cancel:
+                self.actions += [Cancel(event.request, copy) for copy in request.out]
             self._finish(event.request)
         elif not request.out:
-            if self._may_repeat(request) and now + self.wake_us < request.deadline:
+            if self._may_repeat(request) and now + self.wake_us < request.deadline and self._budget(request):
                 self._hold(request)
             else:
                 self._answer(request)
@@ -580,9 +618,12 @@
     def _ceiling(self) -> int:
         return max(1, min(CEILING, FLEET // self.settings.gateways) // self.processes)
 
-    def _group(self, key: str) -> list[Book]:
+    def _group(self, request: Request) -> list[Book]:
         """The group of a key: the nodes of least rendezvous hash with it, which also settles ties."""
+        key = request.ask.key or request.ask.request
         books = [book for line in self.shards.values() for book in line]
+        if request.out or request.ask.bounds is not None:
+            books = [book for book in books if self._within(request, book)]
         books.sort(key=lambda book: blake2b(f"{key}\0{book.entry.node}".encode(), digest_size=8).digest())
         return books[:GROUP]
 
@@ -675,8 +716,9 @@
     def _place(self, request: Request) -> bool:
         """A new object goes to the member of its key's group whose book, with it, frees earliest."""
         units, now = request.ask.units, self.now
-        if request.version != self.version:
-            request.version, request.group = self.version, self._group(request.ask.key or request.ask.request)
+        version = self.version, request.ask.bounds.version if request.ask.bounds is not None else 0
+        if request.version != version or request.copied:
+            request.version, request.group = version, self._group(request)
         members = [book for book in request.group if not book.full and not book.silent and self._open(book)]
         members.sort(key=lambda book: max(book.free, now + self._wait(book)) + units * self._unit_us(book))
         return any(self._send(request, book) for book in members)
@@ -713,6 +755,9 @@
         self.busy[book.entry.node] = book
         request.out[request.attempts] = book
         request.attempts += 1
+        copies = self.settings.allowed.second_copies and request.klass.effect is Effect.SAFE
+        if copies and ask.bounds is not None and ask.bounds.second_copy_us and not request.klass.in_order:
+            heapq.heappush(self.copies, (now + ask.bounds.second_copy_us, ask.request))
         self.actions.append(Send(ask.request, book.entry.node, 0))
         return True
 
@@ -720,8 +765,8 @@
         """The rules that look at the request alone; none looks at what a send would be worth."""
         ask, klass, rules, now = request.ask, request.klass, self.rules, self.now
         # Answered once: nothing is sent for a request that has its answer, or whose client gives up.
-        # One attempt at a time, which also keeps within what forbids second copies.
-        if request.done or request.started or now >= request.deadline or request.out:
+        # One attempt at a time but for a second copy, which also keeps within what forbids those.
+        if request.done or request.started or now >= request.deadline or len(request.out) > request.copied:
             return False
         if request.attempts:
             if not self._may_repeat(request):
@@ -750,6 +795,8 @@
     def _may_take(self, request: Request, book: Book) -> bool:
         """The rules that look at the node."""
         rules, now = self.rules, self.now
+        if not self._within(request, book):
+            return False
         # No double effect: a keyed request that may have run stays with the nodes that drop its repeat.
         if request.ran_on is not None and request.klass.effect is not Effect.SAFE:
             there, here = request.ran_on.entry, book.entry
--- a/hophinge/core/exchange.py
+++ b/hophinge/core/exchange.py
@@ -13,7 +13,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from hophinge.core import interface as api
 from hophinge.core.choice import Scheduler
@@ -151,6 +151,22 @@
         self.exchange.ended(self, end)
 
 
+class Gate(Protocol):
+    """Whoever stands before the module: it turns requests away and narrows what the module may choose from."""
+
+    def admit(self, now_us: int, ask: api.Arrival) -> api.Bounds | int:
+        """Tell a request's bounds, or after how many microseconds it may come again where it is refused."""
+
+    def answered(self, now_us: int, bounds: api.Bounds) -> None:
+        """Note that a request has its final answer, or that its client has gone."""
+
+    def ended(self, now_us: int, node: str, result: api.Result) -> None:
+        """Note how an attempt at a node ended."""
+
+    def nodes(self, now_us: int, event: api.NodeList) -> None:
+        """Take a node list, or what changed in it."""
+
+
 Start = Callable[[Attempt], Callable[[], None]]
 Probe = Callable[[str, Callable[[api.ProbeResult], None]], None]
 
@@ -166,6 +182,7 @@
         self.scheduler = Scheduler(settings, seed)
         self.start: Start | None = None             # the back; set once it is there
         self.probe: Probe | None = None
+        self.gate: Gate | None = None
         self.open: dict[str, Open] = {}
         self.phases: dict[str, api.Phase] = {}
         self.shards: dict[str, int] = {}
@@ -187,6 +204,14 @@
             self._limit(request)
         self.unanswered += 1
         self.counters.add("requests_taken")
+        if self.gate is not None:
+            bounds = self.gate.admit(self.now_us(), ask)
+            if isinstance(bounds, int):
+                self.counters.add("requests_turned_away")
+                advice = min(bounds, self.settings.allowed.retry_after_us)
+                self.loop.call_soon(lambda: self._answer(request, Answer(Verdict.REFUSED, retry_after_us=advice)))
+                return
+            ask = request.ask = structs.replace(ask, bounds=bounds)
         self._event(ask)
 
     def whole(self, name: str) -> None:
@@ -231,6 +256,8 @@
             else:
                 self.phases[entry.node] = entry.phase
                 self.shards[entry.node] = entry.shard
+        if self.gate is not None:
+            self.gate.nodes(self.now_us(), event)
         self._event(event)
 
     def probed(self, event: api.ProbeResult) -> None:
@@ -258,6 +285,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.counters.add(f"attempts_{end.result.value}")
+        if self.gate is not None:
+            self.gate.ended(self.now_us(), attempt.node, end.result)
         finished = request.answer is None
         if end.result is api.Result.OK and not finished:
             finished = True
@@ -333,6 +362,8 @@
         request.sent += 1
         request.attempts[attempt.number] = attempt
         shard, most = request.ask.shard, self.settings.allowed.attempts
+        if (bounds := request.ask.bounds) is not None and 0 < bounds.attempts < (most or request.sent):
+            most = bounds.attempts
         if (not attempt.may_go() or 0 < most < request.sent or 0 <= shard != self.shards.get(action.node)
                 or self.start is None):
             attempt.end(End(api.Result.MOOT))
@@ -373,6 +404,8 @@
 
     def _close(self, request: Open) -> None:
         request.answer = None
+        if self.gate is not None and request.ask.bounds is not None:
+            self.gate.answered(self.now_us(), request.ask.bounds)
         if request.backstop is not None:
             request.backstop.cancel()
         self.unanswered -= 1
--- a/hophinge/core/interface.py
+++ b/hophinge/core/interface.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -174,6 +175,28 @@
     entries: tuple[NodeEntry, ...]
 
 
+class Bounds(Protocol):
+    """What one request may use, as whoever narrows the module's choice has it; the module never goes beyond."""
+
+    @property
+    def attempts(self) -> int:
+        """Tell how many attempts it may have, the first among them; 0: as the deployment allows."""
+
+    @property
+    def second_copy_us(self) -> int:
+        """Tell after how long a second copy may go while the first is out; 0: none."""
+
+    @property
+    def version(self) -> int:
+        """Tell a number that changes with the nodes that may be taken."""
+
+    def takes(self, node: str, shard: int) -> bool:
+        """Tell whether a node may be used; shard is negative where any will do."""
+
+    def repeat(self, now_us: int, attempts: int) -> bool:
+        """Take one attempt beyond the so many that it had from its budget; False: there is none left."""
+
+
 class Arrival(Struct, frozen=True, gc=False):
     """A client's request; shard is negative for a new object, time_left_us is what its client still waits."""
 
@@ -187,6 +210,8 @@
     time_left_us: int
     write: bool
     plan: int
+    tenant: str = ""
+    bounds: Bounds | None = None
 
 
 class Outcome(Struct, frozen=True):
--- /dev/null
+++ b/hophinge/routing/limits.py
@@ -0,0 +1,103 @@
+"""What scopes may take at this head: rates with a burst, and open requests. Each request passes all limits that fit.
+
+A state lives on when a version changes its limit: what was taken stays taken, so a raised limit gives nothing twice
+and a lowered one is owed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hophinge.routing.records import Limit
+
+LEAST_ADVICE_US = 10_000    # a refused client is told at least so long, or it would ask again at once
+FIRST_HELD_US = 100_000     # a request is open for about so long, until some have ended
+HELD_WEIGHT = 0.1           # of the newest in how long requests are open
+
+
+class State:
+    """One limit's bucket and its open requests; a level below 0 is owed."""
+
+    __slots__ = ("at", "held_us", "level", "limit", "open", "refused")
+
+    def __init__(self, limit: Limit, now_us: int) -> None:
+        self.limit, self.at = limit, now_us
+        self.level = self.depth
+        self.open = self.refused = 0
+        self.held_us = float(FIRST_HELD_US)
+
+    @property
+    def depth(self) -> float:
+        """Tell how many units may be saved up."""
+        return self.limit.rate * self.limit.burst_us / 1e6
+
+    def fill(self, now_us: int) -> float:
+        """Bring the bucket up to now; a clock that went back adds nothing."""
+        self.level = min(self.depth, self.level + self.limit.rate * max(0, now_us - self.at) / 1e6)
+        self.at = now_us
+        return self.level
+
+    def change(self, limit: Limit, now_us: int) -> None:
+        """Go on under another version's figures."""
+        self.fill(now_us)
+        grown = not self.limit.rate and limit.rate
+        self.limit = limit
+        self.level = self.depth if grown else min(self.level, self.depth)
+
+    def wait_us(self, units: float, now_us: int) -> int:
+        """Tell when a request may come; 0: now."""
+        wait = 0.0
+        # A request larger than the burst passes a full bucket and leaves it owing, or it would never pass.
+        wanted = min(units, self.depth)
+        if self.limit.rate and self.fill(now_us) < wanted:
+            wait = (wanted - self.level) / self.limit.rate * 1e6
+        if self.limit.open and self.open >= self.limit.open:
+            # By Little's law one of them ends about every so often.
+            wait = max(wait, self.held_us / self.limit.open)
+        return max(LEAST_ADVICE_US, int(wait) + 1) if wait > 0 else 0
+
+    def take(self, units: float) -> None:
+        """Count a request in."""
+        self.level -= units if self.limit.rate else 0.0
+        self.open += 1
+
+    def release(self, held_us: int) -> None:
+        """Count a request out that was open for so long."""
+        self.open -= 1
+        self.held_us += (held_us - self.held_us) * HELD_WEIGHT
+
+
+class Limiter:
+    """The states of all limits in force."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, State] = {}
+
+    def change(self, limits: Iterable[Limit], gone: Iterable[str], now_us: int) -> None:
+        """Take up changed limits and forget removed ones; requests that are open in those still end there."""
+        for key in gone:
+            self.states.pop(key, None)
+        for limit in limits:
+            if (state := self.states.get(limit.key)) is not None:
+                state.change(limit, now_us)
+
+    def state(self, limit: Limit, now_us: int) -> State:
+        """Tell a limit's state; it is made when first asked for, so that quiet tenants cost nothing."""
+        state = self.states.get(limit.key)
+        if state is None:
+            state = self.states[limit.key] = State(limit, now_us)
+        return state
+
+    def admit(self, limits: Iterable[Limit], units: float, now_us: int) -> tuple[tuple[State, ...], int]:
+        """Take a request under all of its limits, or under none; the wait is 0 where it is taken."""
+        states = tuple([self.state(limit, now_us) for limit in limits])
+        wait = 0
+        for state in states:
+            if (own := state.wait_us(units, now_us)) > 0:
+                state.refused += 1
+                wait = max(wait, own)
+        if wait:
+            return (), wait
+        for state in states:
+            state.take(units)
+        return states, 0
--- /dev/null
+++ b/hophinge/routing/router.py
@@ -0,0 +1,259 @@
+"""The router: what a request may use under the version that it came under. It narrows; the module chooses.
+
+Events in, answers out; time is an argument. One step takes up a whole version: a request is looked up in one table,
+and keeps what it was given until its final answer, whatever versions come meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+from hophinge.core.interface import Arrival, Bounds, ListKind, NodeEntry, NodeList, Phase, Result, Settings
+from hophinge.core.interface import Plan as PlatformPlan
+from hophinge.routing.eject import Ejector
+from hophinge.routing.limits import Limiter, State
+from hophinge.routing.records import Pool, Route
+from hophinge.routing.retries import Budget, Budgets
+from hophinge.routing.table import EMPTY, Table
+
+ERRORS = frozenset({Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET})
+JUDGED = ERRORS | {Result.OK}       # FULL, CANCELLED and MOOT tell nothing of a brick's soundness
+NO_BRICKS_US = 500_000              # advice where no brick of a request's pools is live
+ALL: tuple[str, ...] = ()           # the pools of a request without a route: every brick
+
+
+class View:
+    """Bricks that may be used now; changed in place, so that requests which wait see what has become of them."""
+
+    __slots__ = ("nodes", "shards", "version")
+
+    def __init__(self) -> None:
+        self.nodes: frozenset[str] = frozenset()
+        self.shards: frozenset[int] = frozenset()
+        self.version = 0
+
+
+class Level:
+    """One step of a route's order: the pool that it begins with, and those that fill it up."""
+
+    __slots__ = ("pool", "view")
+
+    def __init__(self, pool: Pool | None) -> None:
+        self.pool, self.view = pool, View()
+
+
+class Pass:
+    """What one request was given when it came."""
+
+    __slots__ = ("attempts", "budget", "pool", "second_copy_us", "since", "states", "table", "view")
+
+    def __init__(self, table: Table, view: View, pool: str, states: tuple[State, ...], budget: Budget | None,
+                 since: int) -> None:
+        self.table, self.view, self.pool, self.states, self.budget = table, view, pool, states, budget
+        self.since = since
+        self.attempts = budget.rule.attempts if budget is not None else 0
+        self.second_copy_us = budget.rule.second_copy_us if budget is not None else 0
+
+    @property
+    def version(self) -> int:
+        """Tell a number that changes with the nodes that may be taken."""
+        return self.view.version
+
+    def takes(self, node: str, shard: int) -> bool:
+        """Tell whether a node may be used.
+
+        Data lies where it lies: a request bound to a shard that none of its pools' bricks holds may follow it.
+        """
+        return node in self.view.nodes or (shard >= 0 and shard not in self.view.shards)
+
+    def repeat(self, now_us: int, attempts: int) -> bool:
+        """Take one attempt beyond the so many that it had from the budget."""
+        if self.budget is None:
+            return True
+        if 0 < self.attempts <= attempts or not self.budget.allows(now_us):
+            return False
+        self.budget.repeated(now_us)
+        return True
+
+
+class Router:
+    """Routes, pools, limits, retry budgets and outliers of one head."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.classes = tuple(klass.name for klass in settings.classes)
+        self.table = EMPTY
+        self.entries: dict[str, NodeEntry] = {}
+        self.limiter, self.budgets, self.ejector = Limiter(), Budgets(), Ejector()
+        self.open: dict[str, int] = {}              # requests by pool
+        self.versions: dict[tuple[int, int], int] = {}     # requests by version, this one's and those that drain
+        self.chains: dict[tuple[int, int], dict[tuple[str, ...], list[Level]]] = {}
+        self.tables: dict[tuple[int, int], Table] = {}
+        self.step = 0
+        self.spilled = self.followed = self.refused_limit = self.refused_pools = 0
+
+    # --- versions
+
+    def take_up(self, table: Table, now_us: int) -> tuple[PlatformPlan, ...]:
+        """Put a version in force, in one step; tell the plans as they are now."""
+        before = {limit.key: limit for limit in self.table.limits}
+        after = {limit.key: limit for limit in table.limits}
+        self.limiter.change((limit for key, limit in after.items() if before.get(key) != limit),
+                            before.keys() - after.keys(), now_us)
+        self.budgets.change({rule.key: rule for rule in table.retries.values()})
+        self.table = table
+        self.tables[table.version] = table
+        self.ejector.change(table.eject, now_us)
+        self._forget()
+        self._look()
+        return self.plans()
+
+    def plans(self) -> tuple[PlatformPlan, ...]:
+        """Tell the platform's plans with what the version lowers."""
+        made = []
+        for plan in self.settings.plans:
+            own = self.table.plans.get(plan.name)
+            if own is not None:
+                plan = replace(plan, reserve=min(plan.reserve, own.reserve) if own.reserve >= 0 else plan.reserve,
+                               weight=min(plan.weight, own.weight) if own.weight >= 0 else plan.weight)
+            made.append(plan)
+        return tuple(made)
+
+    def _forget(self) -> None:
+        """Drop versions of which no request is open."""
+        for version in [one for one in self.tables if one != self.table.version and not self.versions.get(one)]:
+            del self.tables[version]
+            self.chains.pop(version, None)
+            self.versions.pop(version, None)
+
+    # --- bricks
+
+    def nodes(self, now_us: int, event: NodeList) -> None:
+        """Take a node list, or what changed in it."""
+        if event.kind is ListKind.ERROR:
+            return
+        if event.kind is ListKind.FULL:
+            self.entries = {}
+        for entry in event.entries:
+            if entry.phase is Phase.GONE:
+                self.entries.pop(entry.node, None)
+            else:
+                self.entries[entry.node] = entry
+        self.ejector.list((node for node, entry in self.entries.items() if entry.phase is Phase.ON), now_us)
+        self._look()
+
+    def ended(self, now_us: int, node: str, result: Result) -> None:
+        """Note how an attempt at a node ended."""
+        if result in JUDGED and self.ejector.ended(node, result in ERRORS, now_us):
+            self._look()
+
+    def _look(self) -> None:
+        """Bring every view in use up to what is live and sound now."""
+        self.step += 1
+        for version, chains in self.chains.items():
+            for levels in chains.values():
+                self._fill(self.tables[version], levels)
+
+    def _members(self, pool: Pool) -> set[str]:
+        zones = {at for at, name in enumerate(self.settings.zones) if name in pool.zones}
+        kinds = {at for at, name in enumerate(self.settings.kinds) if name in pool.kinds}
+        return {node for node, entry in self.entries.items() if entry.phase is Phase.ON
+                and (not pool.zones or entry.zone in zones) and (not pool.kinds or entry.kind in kinds)
+                and (not pool.bricks or node in pool.bricks)}
+
+    def _fill(self, table: Table, levels: list[Level]) -> None:
+        out = self.ejector.out
+        live = [self._members(level.pool) if level.pool is not None
+                else {node for node, entry in self.entries.items() if entry.phase is Phase.ON} for level in levels]
+        for at, level in enumerate(levels):
+            nodes: set[str] = set()
+            least = level.pool.at_least if level.pool is not None else 1
+            for members in live[at:]:
+                nodes |= {node for node in members if node not in out}
+                if len(nodes) >= least:
+                    break
+            # An ejected brick is better than none: ejecting takes a choice away only where there is another.
+            nodes = nodes or set().union(*live[at:])
+            shards = {self.entries[node].shard for node in nodes}
+            if nodes != level.view.nodes or shards != level.view.shards:
+                level.view.nodes, level.view.shards = frozenset(nodes), frozenset(shards)
+                level.view.version = self.step
+
+    def _levels(self, table: Table, pools: tuple[str, ...]) -> list[Level]:
+        chains = self.chains.setdefault(table.version, {})
+        levels = chains.get(pools)
+        if levels is None:
+            levels = chains[pools] = [Level(table.pools[name]) for name in pools] or [Level(None)]
+            self.tables.setdefault(table.version, table)
+            self._fill(table, levels)
+        return levels
+
+    # --- requests
+
+    def admit(self, now_us: int, ask: Arrival) -> Bounds | int:
+        """Tell a request's bounds, or after how many microseconds it may come again where it is refused."""
+        if self.ejector.lapse(now_us):
+            self._look()
+        table, klass, volume = self.table, self.classes[ask.klass], ask.volume.lower()
+        tenant = ask.tenant or table.owners.get(volume, "")
+        route = table.routes.find(tenant, volume, klass)
+        level = self._level(table, route, ask.shard)
+        if level is None:
+            self.refused_pools += 1
+            return NO_BRICKS_US
+        # The last step that can refuse: what it takes is given back by `answered` alone.
+        states, wait_us = self.limiter.admit(table.limits.all(tenant, volume, klass), ask.units, now_us)
+        if wait_us:
+            self.refused_limit += 1
+            return wait_us
+        pool = level.pool.name if level.pool is not None else ""
+        if route is not None and pool != route.pools[0]:
+            self.spilled += 1
+        if ask.shard >= 0 and ask.shard not in level.view.shards:
+            self.followed += 1
+        rule = table.retries_of(klass)
+        budget = self.budgets.of(rule) if rule is not None else None
+        if budget is not None:
+            budget.took(now_us)
+        self.open[pool] = self.open.get(pool, 0) + 1
+        self.versions[table.version] = self.versions.get(table.version, 0) + 1
+        return Pass(table, level.view, pool, states, budget, now_us)
+
+    def _level(self, table: Table, route: Route | None, shard: int) -> Level | None:
+        """Tell where in its route's order a request goes; None: nowhere."""
+        levels = self._levels(table, route.pools if route is not None else ALL)
+        if shard >= 0:
+            return next((level for level in levels if shard in level.view.shards), levels[0])
+        usable = [level for level in levels if level.view.nodes]
+        for level in usable:
+            bound = level.pool.open if level.pool is not None else 0
+            if not bound or self.open.get(level.pool.name if level.pool else "", 0) < bound * len(level.view.nodes):
+                return level
+        if usable:
+            return usable[0]        # all are full: the first one's queue is the module's to keep or to refuse
+        if route is None or route.otherwise == "any":
+            return self._levels(table, ALL)[0]
+        return None
+
+    def answered(self, now_us: int, bounds: Bounds) -> None:
+        """Give back what an answered request holds."""
+        assert isinstance(bounds, Pass)
+        for state in bounds.states:
+            state.release(now_us - bounds.since)
+        self.open[bounds.pool] -= 1
+        if not self.open[bounds.pool]:
+            del self.open[bounds.pool]
+        version = bounds.table.version
+        self.versions[version] -= 1
+        if not self.versions[version] and version != self.table.version:
+            self._forget()
+
+    def figures(self) -> Mapping[str, Any]:
+        """Tell what it has done, for staff."""
+        return {"spilled": self.spilled, "followed_their_data": self.followed, "refused_by_limit": self.refused_limit,
+                "refused_without_brick": self.refused_pools, "ejected": self.ejector.ejected,
+                "ejections_spared": self.ejector.spared, "resting": len(self.ejector.out),
+                "repeats_denied": sum(budget.denied for budget in self.budgets.budgets.values()),
+                "draining_versions": sum(version != self.table.version for version in self.versions)}
--- /dev/null
+++ b/hophinge/routing/table.py
@@ -0,0 +1,149 @@
+"""One version of the service document, compiled: what a request is looked up in, whole and never changed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from hophinge.core.interface import Settings
+from hophinge.routing.forms import faults
+from hophinge.routing.index import Index
+from hophinge.routing.records import Eject, Limit, Plan, Pool, Record, Retries, Route, Tenant
+
+PLATFORM = "the platform"
+Value = TypeVar("Value")
+
+
+@dataclass(frozen=True)
+class Facts:
+    """What one head has: a version that needs more is turned down there."""
+
+    zones: frozenset[str]
+    kinds: frozenset[str]
+    classes: frozenset[str]
+    plans: Mapping[str, tuple[float, float]]    # reserve (units/s) and weight by name
+    attempts: int                               # 0: no bound
+    second_copies: bool
+
+    @classmethod
+    def of(cls, settings: Settings) -> Facts:
+        """Tell the facts of a head's settings."""
+        return cls(frozenset(settings.zones), frozenset(settings.kinds),
+                   frozenset(klass.name for klass in settings.classes),
+                   {plan.name: (plan.reserve, plan.weight) for plan in settings.plans},
+                   settings.allowed.attempts, settings.allowed.second_copies)
+
+
+def turned_down(looked_at: Iterable[Record], facts: Facts) -> list[str]:
+    """Tell why a head with these facts cannot run the records, each reason with the form's name."""
+    reasons = []
+    for record in looked_at:
+        why: list[str] = []
+        if isinstance(record, Pool):
+            why += [f"no zone {zone} here" for zone in record.zones if zone not in facts.zones]
+            why += [f"no machine kind {kind} here" for kind in record.kinds if kind not in facts.kinds]
+        elif isinstance(record, Route | Limit):
+            if record.scope.klass and record.scope.klass not in facts.classes:
+                why.append(f"no class {record.scope.klass} here")
+        elif isinstance(record, Retries):
+            if record.klass and record.klass not in facts.classes:
+                why.append(f"no class {record.klass} here")
+            if 0 < facts.attempts < record.attempts:
+                why.append(f"{record.attempts} attempts; {PLATFORM} allows {facts.attempts}")
+            if record.second_copy_us and not facts.second_copies:
+                why.append(f"a second copy; {PLATFORM} allows none")
+        elif isinstance(record, Plan):
+            own = facts.plans.get(record.name)
+            if own is None:
+                why.append("no such plan here")
+            elif record.reserve > own[0]:
+                why.append(f"reserves {record.reserve:g} units/s; {PLATFORM} states {own[0]:g}")
+            elif record.weight > own[1]:
+                why.append(f"has weight {record.weight:g}; {PLATFORM} states {own[1]:g}")
+        reasons += [f"{record.key}: {text}" for text in why]
+    return reasons
+
+
+@dataclass(frozen=True)
+class Table:
+    """A version's records, ready for look-ups; `version` is (epoch, number)."""
+
+    version: tuple[int, int] = (0, 0)
+    pools: Mapping[str, Pool] = field(default_factory=dict)
+    routes: Index[Route] = field(default_factory=lambda: Index({}))
+    limits: Index[Limit] = field(default_factory=lambda: Index({}))
+    retries: Mapping[str, Retries] = field(default_factory=dict)
+    owners: Mapping[str, str] = field(default_factory=dict)
+    plans: Mapping[str, Plan] = field(default_factory=dict)
+    eject: Eject | None = None
+
+    def changed(self, version: tuple[int, int], changes: Mapping[str, Record | None],
+                before: Mapping[str, Record]) -> Table:
+        """Make the next version: records set anew or, with None, removed; `before` tells what a removed one was.
+
+        Costs a copy of the maps that change and nothing for those that don't.
+        """
+        pools, retries, plans = dict(self.pools), dict(self.retries), dict(self.plans)
+        owners, eject = self.owners, self.eject
+        routes: list[tuple[Route, bool]] = []
+        limits: list[tuple[Limit, bool]] = []
+        tenants: list[tuple[Tenant, bool]] = []
+        for name, record in changes.items():
+            there = record is not None
+            one = record if record is not None else before[name]
+            if isinstance(one, Route):
+                routes.append((one, there))
+            elif isinstance(one, Limit):
+                limits.append((one, there))
+            elif isinstance(one, Tenant):
+                if isinstance(old := before.get(name), Tenant):
+                    tenants.append((old, False))
+                if there:
+                    tenants.append((one, True))
+            elif isinstance(one, Eject):
+                eject = one if there else None
+            elif isinstance(one, Pool):
+                _set(pools, one.name, one if there else None)
+            elif isinstance(one, Retries):
+                _set(retries, one.klass, one if there else None)
+            elif isinstance(one, Plan):
+                _set(plans, one.name, one if there else None)
+        if tenants:
+            owners = dict(owners)
+            for tenant, there in sorted(tenants, key=lambda row: row[1]):     # removals first: a volume may move
+                for volume in tenant.volumes:
+                    if there:
+                        owners[volume] = tenant.name
+                    elif owners.get(volume) == tenant.name:
+                        del owners[volume]
+        return Table(
+            version, pools, self.routes.changed((one.scope, one if there else None) for one, there in routes),
+            self.limits.changed((one.scope, one if there else None) for one, there in limits),
+            retries, owners, plans, eject)
+
+    def retries_of(self, klass: str) -> Retries | None:
+        """Tell the form of a class, or the one for all."""
+        return self.retries.get(klass) or self.retries.get("")
+
+
+def _set(rows: dict[str, Value], name: str, value: Value | None) -> None:
+    if value is None:
+        rows.pop(name, None)
+    else:
+        rows[name] = value
+
+
+EMPTY = Table()
+
+
+def check(records: Mapping[str, Record], changed: Iterable[str], facts: Facts) -> list[str]:
+    """Tell why a set of records cannot run at a head; only what changed is looked at, and who names what changed."""
+    names = set(changed)
+    looked_at = [records[name] for name in names if name in records]
+    reasons = turned_down(looked_at, facts)
+    # A pool that went, or a tenant that changed, can spoil what others say; those are few beside routes.
+    if any(name.startswith(("pool/", "tenant/")) for name in names):
+        looked_at = list(records.values())
+    reasons += [f"{key}: {text}" for key, text in faults(looked_at, records)]
+    return sorted(reasons)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -123,7 +123,8 @@
     groups = []
     for nodes in (many, many[::-1]):
         gate = Gateway(nodes=nodes)
-        groups.append([book.entry.node for book in gate.scheduler._group("key")])
+        gate.at(0, ask("a", shard=-1, key="key"))
+        groups.append([book.entry.node for book in gate.scheduler._group(gate.scheduler.requests["a"])])
     assert groups[0] == groups[1] and len(groups[0]) == GROUP
 
 
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,148 @@
+"""The service document: each mistake with its place, all of a file at once, and nothing that hangs or breaks."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hophinge.routing import records
+from hophinge.routing.forms import read
+from hophinge.routing.quantities import EXAMPLES, UNITS, QuantityError, quantity, written
+
+EXAMPLE = (Path(__file__).parent.parent / "examples" / "service.sexp").read_bytes()
+HEAD = "(hophinge 1)\n"
+
+
+def lines(text: str) -> list[str]:
+    return read((HEAD + text).encode()).lines("f")
+
+
+def test_the_example_holds_every_form_and_no_mistake() -> None:
+    document = read(EXAMPLE)
+    assert document.lines("f") == []
+    assert {key.partition("/")[0] for key in document.records} == {
+        "plan", "pool", "tenant", "route", "limit", "retries", "eject", "rollout"}
+    limit = document.records["limit/alba/*/*"]
+    assert isinstance(limit, records.Limit)
+    assert (limit.rate, limit.burst_us, limit.open) == (120.0, 2_000_000, 64)
+
+
+@pytest.mark.parametrize(("text", "place", "words"), [
+    ("(limit (rate 120))", "2:14", "120 has no unit; write it like 120 units/s"),
+    ("(limit (rate 120 ms))", "2:14", "ms measures a time, wanted is a rate"),
+    ("(limit (rate 120 parsecs))", "2:14", "'parsecs' is no unit"),
+    ("(limit (rate -1 units/s))", "2:14", "no number"),
+    ("(limit (rate 1e9 units/s))", "2:14", "no number"),
+    ("(limit (open 1.5 requests))", "2:14", "whole number"),
+    ("(limit (burst 1 s) (open 2 requests))", "2:1", "saved up from a rate"),
+    ("(limit)", "2:1", "needs (rate 120 units/s)"),
+    ("(limit x (open 2 requests))", "2:8", "bracketed parts only"),
+    ("(retries (budget 120 %))", "2:18", "over 100 %"),
+    ("(retries (attempts 2 requests))", "2:20", "without unit"),
+    ("(shard a)", "2:1", "'shard' is no form; there are plan, pool"),
+    ("(plan a)\n (plan a)", "3:2", "plan/a is given twice, first in line 2"),
+    ("(route (pools gone))", "2:1", "the pool gone is nowhere defined"),
+    ("(pool a (zones x) (zones y))", "2:19", "twice in one form"),
+    ("(pool a (zones x x))", "2:18", "x stands twice"),
+    ("(pool a (zones x) (colour red))", "2:19", "has no part (colour ...); it may have zones, kinds"),
+    ("(pool a)", "2:1", "needs (zones ...)"),
+    ("(pool a b (zones x))", "2:9", "takes one name"),
+    ("(pool (zones x))", "2:1", "takes one name"),
+    ("(pool a/b (zones x))", "2:7", "no name of a pool"),
+    ("(pool a (zones))", "2:9", "(zones) is empty"),
+    ("(pool a (zones (x)))", "2:9", "takes words, not forms"),
+    ("(pool a ((x)))", "2:9", "begins with its word"),
+    ("()", "2:1", "a form begins with its word"),
+    ("stray", "2:1", "stands outside of any form"),
+    ("(hophinge 1)", "2:1", "stands once"),
+    ("(eject (errors 50 %) (over 2 s) (rest 1 s))", "2:1", "needs (at-most 20 %)"),
+    ("(eject (errors 50 %) (over 2 s) (rest 2 min) (at-most 30 %) (least 0 requests))", "2:68", "from 1 requests"),
+    ("(rollout (waves 50 % 10 % 100 %))", "2:10", "shares rise and end with 100 %"),
+    ("(tenant a (volumes 0000000000000001))(tenant b (volumes 0000000000000001))", "2:38", "belongs to a already"),
+    ("(pool a (zones hall-a)", "2:1", "the file ends within this form; close it with ')'"),
+    ("(pool a (zones hall-a)))", "2:24", "closes nothing"),
+    ('(pool a (zones "hall))', "2:16", "does not end on its line"),
+])
+def test_a_mistake_is_told_with_its_place_and_what_would_be_right(text: str, place: str, words: str) -> None:
+    told = lines(text)
+    assert len(told) == 1, told
+    assert told[0].startswith(f"f:{place}: ") and words in told[0], told
+
+
+def test_all_mistakes_of_a_file_at_once_in_its_order() -> None:
+    told = lines("(limit (rate 1))\n(pool a (zones x)))\n(shard)\n(retries (budget 200 %))\n(plan b")
+    assert [line.split(":")[1] for line in told] == ["2", "3", "4", "5", "6"]
+
+
+def test_a_file_for_another_version_and_an_empty_one() -> None:
+    assert "not 2" in read(b"(hophinge 2)").lines("f")[0]
+    assert "begins with (hophinge 1)" in read(b"").lines("f")[0]
+    assert "begins with (hophinge 1)" in read(b"(plan a)").lines("f")[0]
+
+
+def test_bytes_that_are_no_utf_8_and_brackets_without_end() -> None:
+    told = read(b"(hophinge 1)\n(pool \xff)").lines("f")
+    assert told == ["f:2:7: byte 0xff is no UTF-8; save the file as UTF-8"]
+    since = time.perf_counter()
+    told = read(b"(" * 10_000_000).lines("f")
+    assert len(told) == 1 and told[0].startswith("f:1:9: brackets are nested deeper than 8")
+    assert len(read(b")" * 1_000_000).lines("f")) == 100
+    assert "at most" in read(b" " * (32 * 1024 * 1024 + 1)).lines("f")[0]
+    assert time.perf_counter() - since < 10     # bounded work, whatever the size
+
+
+def test_a_file_cut_anywhere_is_told_or_still_whole() -> None:
+    # A cut between two forms leaves a document; each other one has a mistake, and none raises.
+    whole = EXAMPLE.decode().splitlines(keepends=True)
+    text = "".join(line for line in whole if not line.startswith(";"))
+    before = 0
+    for cut in range(len(text)):
+        document = read(text[:cut].encode())
+        balanced = text[:cut].count("(") == text[:cut].count(")")
+        inside = not balanced and not text[:cut].rstrip().endswith(";")
+        assert bool(document.lines("f")) >= inside, cut
+        before += inside
+    assert before > 500
+
+
+@given(st.text(alphabet='()"; %ab1.\\\n', max_size=60))
+def test_no_text_raises_and_each_mistake_has_a_place_within_it(text: str) -> None:
+    document = read(text.encode())
+    rows = text.split("\n")
+    for mistake in document.mistakes:
+        assert 1 <= mistake.line <= len(rows) and 1 <= mistake.column <= len(rows[mistake.line - 1]) + 1
+
+
+@given(st.binary(max_size=40))
+def test_no_bytes_raise(raw: bytes) -> None:
+    assert read(raw).lines("f") or raw.strip().startswith(b"(hophinge")
+
+
+@given(st.sampled_from(sorted(EXAMPLES)), st.integers(0, 10**7))
+def test_a_quantity_that_is_written_is_read_back(dimension: str, number: int) -> None:
+    value = number / 100 if dimension == "share" else float(number)
+    if dimension == "share":
+        value = min(1.0, value / 100)
+    assert quantity(written(value, dimension).split(), dimension) == pytest.approx(value, rel=1e-9)
+
+
+def test_units_that_stand_right_after_their_number() -> None:
+    assert quantity(["80ms"], "time") == 80_000 and quantity(["20%"], "share") == 0.2
+    assert quantity(["64", "KiB"], "size") == 65536 and quantity(["2", "MiB"], "size") == 2 * 1024 ** 2
+    assert {"ms", "s", "%", "units/s", "requests", "bricks", "KiB", "MiB"} <= UNITS.keys()
+    with pytest.raises(QuantityError, match="stands after"):
+        quantity(["1", "s", "2"], "time")
+
+
+def test_records_come_back_as_they_were_and_hash_alike() -> None:
+    for name, record in read(EXAMPLE).records.items():
+        body = records.encode(record)
+        assert records.decode(body) == record and records.encode(records.decode(body)) == body
+        assert records.fingerprint(name, body) != records.fingerprint(name + "x", body)
+        assert records.fingerprint(name, body) != records.fingerprint(name, body + b" ")
+    with pytest.raises(ValueError):
+        records.decode(b'{"type":"odd"}')
