Streamed configuration: xDS incremental stream, control service, last good version, command line

Versions of the service document reach heads over DeltaAggregatedResources (envoy's published messages, grpcio): records as differences, then a Version whose count and sum of fingerprints tell that all are there. The head's side is a machine without I/O (received, checked, in force, turned down, stale), the service's are two (one stream; the rollout in waves); SQLite stores a version whole with its course before a head hears of it. The last good version lasts in a checksummed file that is replaced, never changed. A head applies a version in one step of its loop. Without the operator's [stream] none of it is imported.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,9 @@
 objects: build
 	HOPHINGE_OPERATOR_FILE=examples/operator.toml EDGE_CONFIG=examples/config.json $(PYTHON) -m hophinge
 
+# all of it in one command: starts, writes and reads an object, pushes versions, tells what happens, ends by itself
+demo: build
+	$(PYTHON) -m hophinge demo
+
 toy: build
 	$(PYTHON) examples/toy_server.py
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -68,14 +68,31 @@
         return web.Response(body=msgspec.json.encode(listing), content_type="application/json")
 
 
+class Platform:
+    """What is served until it is closed."""
+
+    def __init__(self, discovery: Discovery, servers: list[asyncio.Server]) -> None:
+        self.discovery, self.servers = discovery, servers
+
+    def close(self) -> None:
+        """Take no more."""
+        for server in self.servers:
+            server.close()
+
+
+async def serve(bricks: list[Brick], port: int) -> Platform:
+    """Start bricks, and discovery on a port."""
+    loop = asyncio.get_running_loop()
+    discovery = Discovery(bricks)
+    handlers = [(discovery.handle, port), *((brick.handle, brick.port) for brick in bricks)]
+    return Platform(discovery, [await loop.create_server(web.Server(handle), HOST, where)
+                                for handle, where in handlers])
+
+
 async def main() -> None:
     """Serve until interrupted."""
     loop = asyncio.get_running_loop()
-    bricks = [Brick(shard, port) for shard, port in enumerate(BRICKS)]
-    discovery = Discovery(bricks)
-    await loop.create_server(web.Server(discovery.handle), HOST, DISCOVERY)
-    for brick in bricks:
-        await loop.create_server(web.Server(brick.handle), HOST, brick.port)
+    discovery = (await serve([Brick(shard, port) for shard, port in enumerate(BRICKS)], DISCOVERY)).discovery
     loop.add_signal_handler(signal.SIGUSR1, discovery.drain)
     stop = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
--- a/hophinge/__main__.py
+++ b/hophinge/__main__.py
@@ -1,4 +1,4 @@
-"""The real head: ``python -m hophinge``."""
+"""The real head: ``python -m hophinge``. With words it is the command line: ``python -m hophinge check FILE``."""
 
 from __future__ import annotations
 
@@ -6,6 +6,11 @@
 import signal
 import sys
 
+if len(sys.argv) > 1:
+    from hophinge.cli.main import main as command
+
+    sys.exit(command())
+
 # SIGHUP's default ends the program. Blocked before the slow imports, one that comes early waits until the service
 # has its handler, and is then a reload like any other.
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- /dev/null
+++ b/hophinge/cli/main.py
@@ -0,0 +1,230 @@
+"""The command line: words, tables and logs. Each word imports what it needs, so that a mistake is told at once."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import structlog
+import typer
+from rich.console import Console
+from rich.table import Table
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+                  help="A head for shared storage, and the service that streams its configuration.")
+control = typer.Typer(no_args_is_help=True, help="The control service and what staff ask of it.")
+app.add_typer(control, name="control")
+
+Address = Annotated[str, typer.Option(help="host:port of the control service", envvar="HOPHINGE_CONTROL")]
+TokenFile = Annotated[Path, typer.Option("--token-file", help="holds the token of staff, alone or as NAME TOKEN",
+                                         envvar="HOPHINGE_TOKEN_FILE")]
+DEFAULT_ADDRESS = "127.0.0.1:9700"
+out = Console(highlight=False)
+
+
+def fail(text: str, status: int = 2) -> typer.Exit:
+    """Say what is wrong in one line on standard error; the result is to be raised."""
+    print(f"hophinge: {' '.join(text.split())}", file=sys.stderr)
+    return typer.Exit(status)
+
+
+def logging(as_json: bool) -> Any:
+    """Set structured logs up, as JSON lines or for a person, and tell the logger."""
+    renderer: Any = structlog.processors.JSONRenderer() if as_json else structlog.dev.ConsoleRenderer(
+        colors=sys.stderr.isatty())
+    stamp = structlog.processors.TimeStamper(fmt="iso", utc=True)
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, stamp, renderer],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+    return structlog.get_logger()
+
+
+@app.command()
+def run(config: Annotated[Path | None, typer.Option(help="the head's JSON file; else EDGE_CONFIG names it")] = None,
+        operator: Annotated[Path | None, typer.Option(help="the operator's TOML file")] = None) -> None:
+    """Run a head, as `python -m hophinge` without words does."""
+    environ = dict(os.environ)
+    if config is not None:
+        environ["EDGE_CONFIG"] = str(config)
+    if operator is not None:
+        environ["HOPHINGE_OPERATOR_FILE"] = str(operator)
+    sys.stdout.flush()
+    os.execve(sys.executable, [sys.executable, "-m", "hophinge"], environ)
+
+
+@app.command()
+def check(files: Annotated[list[Path], typer.Argument(help="service documents")]) -> None:
+    """Check service documents; each mistake is one line FILE:LINE:COLUMN: what is wrong, and the status is 2."""
+    from hophinge.routing.forms import read
+
+    wrong = False
+    for file in files:
+        try:
+            document = read(file.read_bytes())
+        except OSError as error:
+            raise fail(f"{file}: {error.strerror}") from error
+        for line in document.lines(str(file)):
+            wrong = True
+            print(line, file=sys.stderr)
+        if not document.mistakes:
+            kinds: dict[str, int] = {}
+            for name in document.records:
+                kinds[name.partition("/")[0]] = kinds.get(name.partition("/")[0], 0) + 1
+            print(f"{file}: good; " + ", ".join(f"{count} {kind}" for kind, count in sorted(kinds.items())))
+    if wrong:
+        raise typer.Exit(2)
+
+
+@app.command()
+def demo() -> None:
+    """Start bricks, discovery, a control service and a head on loopback, use them, and end by itself."""
+    from hophinge.cli.demo import main as play
+
+    raise typer.Exit(asyncio.run(play(out)))
+
+
+@control.command()
+def serve(store: Annotated[Path, typer.Option(help="the file that holds all versions; made where there is none")],
+          heads: Annotated[Path, typer.Option(help="tokens of heads, NAME TOKEN a line")],
+          staff: Annotated[Path, typer.Option(help="tokens of staff, NAME TOKEN a line")],
+          listen: Annotated[str, typer.Option(help="host:port")] = DEFAULT_ADDRESS,
+          new_epoch: Annotated[bool, typer.Option(help="after the store was restored from a backup")] = False,
+          json: Annotated[bool, typer.Option(help="logs as JSON lines")] = False) -> None:
+    """Serve versions to heads until SIGTERM."""
+    import uvloop
+
+    from hophinge.control.service import read_tokens
+    from hophinge.control.service import serve as main_
+    from hophinge.control.store import Store, StoreError
+
+    log = logging(json)
+    try:
+        of_heads, of_staff = read_tokens(heads), read_tokens(staff)
+        if of_heads.keys() & of_staff.keys():
+            raise fail("a token stands among those of heads and those of staff")
+        held = Store(store, new_epoch)
+    except (OSError, ValueError, StoreError) as error:
+        raise fail(str(error)) from error
+
+    async def main() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        await main_(held, of_heads, of_staff, listen, lambda text: log.info(text), stopping)
+
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(main())
+    except OSError as error:
+        raise fail(str(error)) from error
+
+
+def ask(address: str, token_file: Path, method: str, **body: Any) -> dict[str, Any]:
+    """Make one call of staff."""
+    from hophinge.control.client import call
+
+    try:
+        words = token_file.read_text().split()
+        if not words:
+            raise fail(f"{token_file}: no token")
+        data = asyncio.run(call(address, words[-1], method, msgspec.json.encode(body)))
+    except (OSError, ValueError) as error:      # a ConnectionError is an OSError
+        raise fail(str(error), 1) from error
+    return msgspec.json.decode(data, type=dict[str, Any])
+
+
+@control.command()
+def push(file: Path, token_file: TokenFile, address: Address = DEFAULT_ADDRESS,
+         note: Annotated[str, typer.Option(help="why, for the history")] = "",
+         expect: Annotated[str, typer.Option(help="only if this is the newest version, as in 1.17")] = "") -> None:
+    """Push a service document as the next version."""
+    try:
+        text = file.read_bytes().decode()
+    except OSError as error:
+        raise fail(f"{file}: {error.strerror}") from error
+    except UnicodeDecodeError:
+        check([file])
+        raise
+    done = ask(address, token_file, "Push", text=text, name=str(file), note=note, expect=expect)
+    if mistakes := done.get("mistakes"):
+        for line in mistakes:
+            print(line, file=sys.stderr)
+        raise typer.Exit(2)
+    print(f"version {done['version']}" + (" holds this already" if done.get("unchanged") else ""))
+
+
+@control.command()
+def status(token_file: TokenFile, address: Address = DEFAULT_ADDRESS,
+           json: Annotated[bool, typer.Option(help="as JSON")] = False) -> None:
+    """Tell which head runs what, and where the rollout stands; status 3 while a rollout is held."""
+    told = ask(address, token_file, "Status")
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(told), indent=1).decode())
+    else:
+        reason = f": {told['reason']}" if told["reason"] else ""
+        out.print(f"version {told['target']} is {told['stage']}, wave {told['wave']} of {told['last_wave']}{reason}; "
+                  f"stable is {told['stable']}, epoch {told['epoch']}", markup=False)
+        table = Table("head", "here", "runs", "wanted", "requests", "failed", "turned down")
+        for head in told["heads"]:
+            table.add_row(head["name"], "yes" if head["connected"] else "no", head["runs"], head["wanted"],
+                          f"{head['taken']:.0f}", f"{head['failed']:.0f}",
+                          f"{head['turned_down']}: {head['reason']}" if head["reason"] else "")
+        out.print(table)
+    if told["stage"] == "held":
+        raise typer.Exit(3)
+
+
+@control.command()
+def history(token_file: TokenFile, address: Address = DEFAULT_ADDRESS,
+            most: Annotated[int, typer.Option(help="rows")] = 20,
+            json: Annotated[bool, typer.Option(help="as JSON")] = False) -> None:
+    """Tell the newest versions and what was done with them."""
+    import datetime
+
+    told = ask(address, token_file, "History", most=most)
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(told), indent=1).decode())
+        return
+
+    def when(ms: int) -> str:
+        return datetime.datetime.fromtimestamp(ms / 1000, datetime.UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+    table = Table("version", "pushed (UTC)", "by", "changed", "removed", "note")
+    for row in told["versions"]:
+        table.add_row(row["version"], when(row["pushed_ms"]), row["who"], str(row["changed"]), str(row["removed"]),
+                      row["note"])
+    out.print(table)
+    table = Table("at (UTC)", "by", "what", "detail")
+    for row in told["audit"]:
+        table.add_row(when(row["at_ms"]), row["who"], row["what"], row["detail"])
+    out.print(table)
+
+
+@control.command()
+def rollback(to: Annotated[str, typer.Argument(help="a former version, as in 1.17")], token_file: TokenFile,
+             address: Address = DEFAULT_ADDRESS,
+             at_once: Annotated[bool, typer.Option(help="to all heads, without waves")] = False) -> None:
+    """Push the content of a former version as the next one."""
+    done = ask(address, token_file, "Rollback", to=to, at_once=at_once)
+    print(f"version {done['version']} has the content of {to}")
+
+
+@control.command()
+def resume(token_file: TokenFile, address: Address = DEFAULT_ADDRESS) -> None:
+    """Go on with a held rollout."""
+    print(f"version {ask(address, token_file, 'Resume')['version']} goes on")
+
+
+def main() -> int:
+    """Run the command line; tells the exit status."""
+    try:
+        app(prog_name="hophinge", standalone_mode=True)
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- /dev/null
+++ b/hophinge/control/lastgood.py
@@ -0,0 +1,47 @@
+"""The last good version of a head: taken at start, so that a head needs no control service to serve as before."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from hophinge.control.wire import Version
+from hophinge.routing import records
+from hophinge.state import files
+
+KIND, FORM = "last-good", 1
+
+
+class LastGood(msgspec.Struct, frozen=True, array_like=True):
+    """A version and its records: by name, the version of each and its JSON."""
+
+    version: Version
+    kept_ms: int                # of the head's clock, since 1970
+    rows: list[tuple[str, str, bytes]]
+
+
+def save(path: Path, good: LastGood, disk: files.Disk = files.DISK) -> None:
+    """Write a version; raises OSError, and then the one before it stays."""
+    files.save(path, KIND, FORM, msgspec.msgpack.encode(good), disk)
+
+
+def load(path: Path) -> LastGood | None:
+    """Read the last good version; None where there is none, UnusableError where it cannot be trusted."""
+    found = files.load(path, KIND, range(1, FORM + 1))
+    if found is None:
+        return None
+    try:
+        good = msgspec.msgpack.decode(found[1], type=LastGood)
+    except msgspec.MsgspecError as error:
+        raise files.UnusableError(f"{path}: {error}") from error
+    total = sum(records.fingerprint(name, body) for name, _, body in good.rows) % records.SUM
+    if total != good.version.sum or len(good.rows) != good.version.count:
+        raise files.UnusableError(f"{path}: its records are not those of its version")
+    return good
+
+
+def rows(held: Mapping[str, tuple[str, int, bytes]]) -> list[tuple[str, str, bytes]]:
+    """Tell what is held as rows of a last good version."""
+    return [(name, version, body) for name, (version, _, body) in held.items()]
--- a/hophinge/core/interface.py
+++ b/hophinge/core/interface.py
@@ -210,7 +210,6 @@
     time_left_us: int
     write: bool
     plan: int
-    tenant: str = ""
     bounds: Bounds | None = None
 
 
--- a/hophinge/head/operator.py
+++ b/hophinge/head/operator.py
@@ -11,12 +11,30 @@
 from hophinge.telemetry.config import RemoteWriteConfig
 
 
+class StreamConfig(msgspec.Struct, forbid_unknown_fields=True):
+    """Where a head's configuration comes from; see deploy/stream.toml for what the settings mean."""
+
+    endpoints: list[str]
+    token_file: Path
+    folder: Path
+    silence_s: float = 6.0
+    stale_s: float = 300.0
+
+    def __post_init__(self) -> None:
+        """Check ranges."""
+        if not self.endpoints or any(":" not in one for one in self.endpoints):
+            raise ValueError("endpoints must name host:port, once or more")
+        if not 3.0 <= self.silence_s <= 3600 or not 1.0 <= self.stale_s <= 30 * 24 * 3600:
+            raise ValueError("silence_s must be from 3 to 3600, stale_s from 1 to 2592000")
+
+
 class OperatorConfig(msgspec.Struct, forbid_unknown_fields=True):
     """The whole file; a part that is absent is off."""
 
     objects: ObjectConfig | None = None
     admin: AdminConfig | None = None
     remote_write: RemoteWriteConfig | None = None
+    stream: StreamConfig | None = None
 
 
 def _path(kind: type, value: Any) -> Path:
@@ -31,6 +49,9 @@
     base = Path(path).resolve().parent
     if config.objects:
         config.objects.tenants = base / config.objects.tenants
+    if config.stream:
+        config.stream.token_file = base / config.stream.token_file
+        config.stream.folder = base / config.stream.folder
     if config.admin:
         config.admin.token_file = base / config.admin.token_file
         if config.objects is None:
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -39,6 +39,7 @@
 from hophinge.objects.tenants import Tenants
 
 if TYPE_CHECKING:
+    from hophinge.head.streamed import Streamed
     from hophinge.telemetry.remote_write import RemoteWrite
 
 FIRST_LIST_S = 0.4      # ready with the saved list alone if discovery, which answers at once, is silent for so long
@@ -154,6 +155,12 @@
             self.objects = ObjectFront(store, tenants, operator.objects, self.counters, say)
             if operator.admin is not None:
                 self.admin = Admin(tenants, read_token(operator.admin.token_file), self.counters, say)
+        self.streamed: Streamed | None = None
+        if operator.stream is not None:
+            from hophinge.head.streamed import Streamed     # its libraries cost memory
+
+            self.streamed = Streamed(operator.stream, config.name or config.listen, self.exchange,
+                                     int(config.seed, 16), say, tenants.owner if self.objects is not None else None)
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
         self.budget = Budget(0)
@@ -167,6 +174,8 @@
         self.figures = self.exchange.figures
         self.figures.now = self.bricks_now
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
+        if self.control is not None and self.streamed is not None:
+            self.control.tells["/ops/config"] = self.streamed.status
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.telemetry.remote_write import RemoteWrite   # its libraries cost memory
@@ -203,6 +212,9 @@
         if self.control is not None:
             self.control_listener = self._acceptor(self.control, self.config.control)
         self.rotation.take(self.directory.take(self.config.known, api.ListKind.SAVED))
+        if self.streamed is not None:
+            self.streamed.client.restore()
+            self.tasks.append(asyncio.create_task(self.streamed.client.run()))
         if self.config.accept_fd is not None:
             self._beside_another()
         self.discovery.follow(self.config.discovery)
@@ -397,7 +409,8 @@
             self.control_listener.close()
         if self.handover is not None:
             self.handover.close()
-        for part in (self.discovery, self.bricks, self.remote_write):
+        follower = self.streamed.client if self.streamed is not None else None
+        for part in (self.discovery, self.bricks, self.remote_write, follower):
             if part is not None:
                 await part.close()
 
--- /dev/null
+++ b/hophinge/head/streamed.py
@@ -0,0 +1,51 @@
+"""Streamed configuration at a head: the router before its module, and the stream that tells it what to do."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+import msgspec
+
+from hophinge.control.client import Client
+from hophinge.control.follower import Follower
+from hophinge.core.exchange import Exchange
+from hophinge.head.operator import StreamConfig
+from hophinge.routing.router import Router
+from hophinge.routing.table import Facts, Table
+
+LEAST_TOKEN = 16        # characters
+
+
+class Streamed:
+    """What one head has of it."""
+
+    def __init__(self, config: StreamConfig, name: str, exchange: Exchange, seed: int, log: Callable[[str], None],
+                 owner: Callable[[str], str] | None) -> None:
+        token = config.token_file.read_text().strip()
+        if len(token) < LEAST_TOKEN or not token.isascii():
+            raise ValueError(f"{config.token_file}: a token has {LEAST_TOKEN} ASCII characters or more")
+        self.exchange = exchange
+        self.router = Router(exchange.settings)
+        if owner is not None:
+            self.router.owner = owner
+        exchange.gate = self.router
+        self.follower = Follower(name, config.endpoints, Facts.of(exchange.settings), seed,
+                                 int(config.silence_s * 1e6), int(config.stale_s * 1e6))
+        path = config.folder / f"last-good-{re.sub(r'[^0-9A-Za-z-]', '_', name)}.state"
+        self.client = Client(self.follower, token, path, self.apply, exchange.now_us,
+                             lambda text: log(f"configuration: {text}"), self.figures)
+
+    def apply(self, table: Table) -> None:
+        """Put a version in force: one step between two turns of the loop."""
+        self.exchange.scheduler.replan(self.router.take_up(table, self.exchange.now_us()))
+
+    def figures(self) -> dict[str, float]:
+        """Tell the control service what the rollout is judged by."""
+        counts = self.exchange.counters.counts
+        return {"taken": counts["requests_taken"], "failed": counts["requests_failed"]}
+
+    def status(self) -> str:
+        """Tell staff what runs here, as JSON."""
+        rows = {**self.follower.status(self.exchange.now_us()), "routing": self.router.figures()}
+        return msgspec.json.format(msgspec.json.encode(rows), indent=1).decode() + "\n"
--- a/hophinge/net/control.py
+++ b/hophinge/net/control.py
@@ -27,6 +27,7 @@
         super().__init__(counters, CALLERS, FIRST_S, FIRST_S)
         self.figures, self.rotation, self.ready = figures, rotation, ready
         self.head_s = FIRST_S
+        self.tells: dict[str, Callable[[], str]] = {}       # what else is told, by path
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
@@ -38,11 +39,14 @@
 
     async def _answer(self, request: web.BaseRequest) -> tuple[int, str]:
         path = origin_form(request.raw_path).partition("?")[0]
-        method = CALLS.get(path)
+        tell = self.tells.get(path)
+        method = "GET" if tell is not None else CALLS.get(path)
         if method is None:
             return 404, "no such call\n"
         if request.method != method:
             return 405, f"only {method} is served here\n"
+        if tell is not None:
+            return 200, tell()
         if path == "/ops/readiness":
             return (200, "ready\n") if self.ready() else (503, "not ready\n")
         if path == "/ops/stats":
--- a/hophinge/objects/tenants.py
+++ b/hophinge/objects/tenants.py
@@ -75,6 +75,7 @@
         self.accounts = Accounts()
         self.stamp: tuple[int, int, int] | None = None
         self.by_key: dict[str, tuple[Tenant, Key]] = {}
+        self.owners: dict[str, str] = {}        # tenants by volume
         self.refresh()
 
     def refresh(self) -> None:
@@ -96,8 +97,14 @@
         self._index()
 
     def _index(self) -> None:
+        self.owners = {volume.id: tenant.name for tenant in self.accounts.tenants.values()
+                       for volume in tenant.volumes.values()}
         self.by_key = {key.id: (tenant, key) for tenant in self.accounts.tenants.values() for key in tenant.keys}
 
+    def owner(self, volume: str) -> str:
+        """Tell the tenant of a volume; nothing where it is no bucket's."""
+        return self.owners.get(volume, "")
+
     def _save(self) -> None:
         try:
             self._replace()
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -85,6 +85,7 @@
         self.settings = settings
         self.classes = tuple(klass.name for klass in settings.classes)
         self.table = EMPTY
+        self.owner: Callable[[str], str] = lambda volume: ""    # of a volume that no form gives to a tenant
         self.entries: dict[str, NodeEntry] = {}
         self.limiter, self.budgets, self.ejector = Limiter(), Budgets(), Ejector()
         self.open: dict[str, int] = {}              # requests by pool
@@ -197,7 +198,7 @@
         if self.ejector.lapse(now_us):
             self._look()
         table, klass, volume = self.table, self.classes[ask.klass], ask.volume.lower()
-        tenant = ask.tenant or table.owners.get(volume, "")
+        tenant = table.owners.get(volume) or self.owner(volume)
         route = table.routes.find(tenant, volume, klass)
         level = self._level(table, route, ask.shard)
         if level is None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -48,11 +48,12 @@
 
 def ask(name: str, tenant: str = "", shard: int = -1, units: float = 2.0, klass: int = SAFE,
         volume: str = "00000000000000aa") -> Arrival:
-    return Arrival(name, units, volume, klass, shard, 1, name, 2000 * MS, klass != SAFE, 0, tenant)
+    return Arrival(name, units, tenant or volume, klass, shard, 1, name, 2000 * MS, klass != SAFE, 0)
 
 
 def router(text: str, *entries: NodeEntry) -> Router:
     made = Router(NAMED)
+    made.owner = lambda volume: volume if volume in ("alba", "other") else ""
     made.nodes(T0, NodeList(ListKind.FULL, entries or tuple(brick(at, at // 3) for at in range(6))))
     made.take_up(table(text), T0)
     return made
