--- a/hophinge/control/client.py
+++ b/hophinge/control/client.py
@@ -131,7 +131,7 @@
         if self.path is None:
             return
         # Taken now: what is held may be another version's when the disk is ready.
-        self.to_keep = lastgood.LastGood(action.version, int(time.time() * 1000), lastgood.rows(self.follower.held))
+        self.to_keep = lastgood.made(action.version, self.follower.held, int(time.time() * 1000))
         if self.keeping is None or self.keeping.done():
             self.keeping = asyncio.create_task(self._write_kept(self.path))
 
@@ -141,9 +141,9 @@
             try:
                 await asyncio.to_thread(lastgood.save, path, good, self.disk)
                 error = ""
-            except OSError as failed:
-                error = failed.strerror or str(failed)
-            self._do(self.follower.keep_done(good.version.order, error))
+            except Exception as failed:     # whatever it is, staff must hear that a restart would not find it
+                error = getattr(failed, "strerror", None) or repr(failed)
+            self._do(self.follower.keep_done(good.order, error))
 
 
 async def call(address: str, token: str, method: str, body: bytes, timeout_s: float = 10.0) -> bytes:
--- a/hophinge/control/lastgood.py
+++ b/hophinge/control/lastgood.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hophinge.control.wire import Version
+from hophinge.control.wire import Order, Version
 from hophinge.routing import records
 from hophinge.state import files
 
@@ -17,10 +17,22 @@
 class LastGood(msgspec.Struct, frozen=True, array_like=True):
     """A version and its records: by name, the version of each and its JSON."""
 
-    version: Version
+    order: Order
+    sum: bytes                  # of its records' fingerprints, 16 bytes; msgpack's numbers end at 64 bits
     kept_ms: int                # of the head's clock, since 1970
     rows: list[tuple[str, str, bytes]]
 
+    @property
+    def version(self) -> Version:
+        """Tell the version as the stream does."""
+        return Version(self.order, len(self.rows), int.from_bytes(self.sum, "big"))
+
+
+def made(version: Version, held: Mapping[str, tuple[str, int, bytes]], now_ms: int) -> LastGood:
+    """Make one of what is held by name: each record's version, fingerprint and JSON."""
+    return LastGood(version.order, version.sum.to_bytes(16, "big"), now_ms,
+                    [(name, text, body) for name, (text, _, body) in held.items()])
+
 
 def save(path: Path, good: LastGood, disk: files.Disk = files.DISK) -> None:
     """Write a version; raises OSError, and then the one before it stays."""
@@ -37,11 +49,6 @@
     except msgspec.MsgspecError as error:
         raise files.UnusableError(f"{path}: {error}") from error
     total = sum(records.fingerprint(name, body) for name, _, body in good.rows) % records.SUM
-    if total != good.version.sum or len(good.rows) != good.version.count:
+    if total != good.version.sum:
         raise files.UnusableError(f"{path}: its records are not those of its version")
     return good
-
-
-def rows(held: Mapping[str, tuple[str, int, bytes]]) -> list[tuple[str, str, bytes]]:
-    """Tell what is held as rows of a last good version."""
-    return [(name, version, body) for name, (version, _, body) in held.items()]
