--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -172,11 +172,11 @@
         self.wires: list[Wire] = []
 
     async def head(self, operator: OperatorConfig | None = None, settings: dict[str, Any] | None = None,
-                   saved: list[Target] | None = None) -> Service:
+                   saved: list[Target] | None = None, name: str = "") -> Service:
         """Start a head; the kernel gives its port, which `url` then tells."""
         config = Config("127.0.0.1:0", self.agent.endpoint, "8c1f30d27a5be964", msgspec.Raw(b"{}"),
                         Listing(0, saved or []),
-                        control="127.0.0.1:0")
+                        control="127.0.0.1:0", name=name)
         service = Service(config, read_settings(json.dumps(settings or setup())), operator or OperatorConfig())
         self.services.append(service)
         await service.start()
