--- a/hophinge/control/follower.py
+++ b/hophinge/control/follower.py
@@ -20,7 +20,7 @@
 from hophinge.routing.table import EMPTY, Facts, Table, check
 
 FIRST_PAUSE_US = 200_000        # before the next attempt to connect
-LONGEST_PAUSE_US = 10_000_000
+LONGEST_PAUSE_US = 1_500_000    # a thousand heads then knock some 700 times a second, and are back within two
 JITTER = (0.5, 1.5)             # parts of a pause: heads that lost one service do not come back at once
 CONNECT_US = 3_000_000          # for a stream to give its first response
 COMPLETE_US = 1_000_000         # for records that come behind their version
@@ -319,10 +319,10 @@
         if version.order in self.resynced:
             return self._turn_down(version, f"its records do not add up to it, twice ({told}): truncated or mixed up")
         self.resynced.add(version.order)
-        nonce = self.wanted_nonce
+        # No answer: whoever sent it must not take a loss on the way for a fault of the version.
         self._drop_all()
-        actions: list[Action] = [self._answer(nonce, f"its records do not add up ({told}); asking for all anew")]
-        actions += [Close("records do not add up"), *self.closed(now_us, "records do not add up")]
+        actions: list[Action] = [Log(f"version {_name(version.order)} does not add up ({told}); asking for all anew"),
+                                 Close("records do not add up"), *self.closed(now_us, "records do not add up")]
         self.endpoint_at = (self.endpoint_at - 1) % len(self.endpoints)     # the service itself is there
         return actions
 
--- a/hophinge/routing/index.py
+++ b/hophinge/routing/index.py
@@ -55,6 +55,10 @@
         for rows in self._maps.values():
             yield from rows.values()
 
+    def get(self, scope: Scope) -> Value | None:
+        """Tell the value of just this scope."""
+        return self._maps.get(mask(scope), {}).get((scope.tenant, scope.volume, scope.klass))
+
     def all(self, tenant: str, volume: str, klass: str) -> Iterator[Value]:
         """Tell every value whose scope fits, the most specific first."""
         for by_tenant, by_volume, by_class, rows in self._order:
--- a/hophinge/routing/limits.py
+++ b/hophinge/routing/limits.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from hophinge.routing.records import Limit
+from hophinge.routing.records import Limit, Scope
 
 LEAST_ADVICE_US = 10_000    # a refused client is told at least so long, or it would ask again at once
 FIRST_HELD_US = 100_000     # a request is open for about so long, until some have ended
 HELD_WEIGHT = 0.1           # of the newest in how long requests are open
+SPARE_STATES = 256          # of removed limits, before a look for them is worth it
 
 
 class State:
@@ -73,19 +74,21 @@
     def __init__(self) -> None:
         self.states: dict[str, State] = {}
 
-    def change(self, limits: Iterable[Limit], gone: Iterable[str], now_us: int) -> None:
-        """Take up changed limits and forget removed ones; requests that are open in those still end there."""
-        for key in gone:
-            self.states.pop(key, None)
-        for limit in limits:
-            if (state := self.states.get(limit.key)) is not None:
-                state.change(limit, now_us)
+    def forget(self, known: Callable[[Scope], Limit | None], size: int) -> None:
+        """Drop states of removed limits, once they are many; requests that are open in those still end there."""
+        if len(self.states) > 2 * size + SPARE_STATES:
+            self.states = {key: state for key, state in self.states.items() if known(state.limit.scope) is not None}
 
     def state(self, limit: Limit, now_us: int) -> State:
-        """Tell a limit's state; it is made when first asked for, so that quiet tenants cost nothing."""
+        """Tell a limit's state; it is made when first asked for, so that quiet tenants cost nothing.
+
+        A version that changes a limit costs nothing either: its state goes on under the new figures when next used.
+        """
         state = self.states.get(limit.key)
         if state is None:
             state = self.states[limit.key] = State(limit, now_us)
+        elif state.limit is not limit:
+            state.change(limit, now_us)
         return state
 
     def admit(self, limits: Iterable[Limit], units: float, now_us: int) -> tuple[tuple[State, ...], int]:
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -99,10 +99,7 @@
 
     def take_up(self, table: Table, now_us: int) -> tuple[PlatformPlan, ...]:
         """Put a version in force, in one step; tell the plans as they are now."""
-        before = {limit.key: limit for limit in self.table.limits}
-        after = {limit.key: limit for limit in table.limits}
-        self.limiter.change((limit for key, limit in after.items() if before.get(key) != limit),
-                            before.keys() - after.keys(), now_us)
+        self.limiter.forget(table.limits.get, table.limits.size)
         self.budgets.change({rule.key: rule for rule in table.retries.values()})
         self.table = table
         self.tables[table.version] = table
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -167,13 +167,22 @@
         bound += rate * span / S
         now += span
         rate = new
-        limiter.change([Limit(Scope(), rate, S)], (), now)
         states, wait = limiter.admit([Limit(Scope(), rate, S)], units, now)
         assert bool(states) != bool(wait)
         taken += units if states else 0.0
         assert taken <= bound + 1e-6
 
 
+def test_states_of_removed_limits_are_dropped_once_they_are_many() -> None:
+    limiter = Limiter()
+    for at in range(600):
+        assert limiter.admit([Limit(Scope(f"t{at}"), open=1)], 1.0, T0)[0]
+    left = Index.of([(Scope("t7"), Limit(Scope("t7"), open=1))])
+    limiter.forget(left.get, left.size)
+    assert list(limiter.states) == ["limit/t7/*/*"]
+    assert limiter.admit([Limit(Scope("t7"), open=1)], 1.0, T0)[1] > 0      # and it is still full
+
+
 def test_a_clock_that_goes_back_gives_nothing_and_takes_nothing() -> None:
     limiter, limit = Limiter(), Limit(Scope(), 10.0, S)
     assert limiter.admit([limit], 10.0, T0)[0]
