--- a/hophinge/core/choice.py
+++ b/hophinge/core/choice.py
@@ -273,7 +273,8 @@
                 case StreamStarted():
                     self._stream_started(event)
         self._watch_nodes()
-        self._copy()
+        if self.copies:
+            self._copy()
         for place, due in self.again.items():
             if due <= now_us:
                 self.look[place] = None
@@ -305,7 +306,8 @@
         due += [max(self.woke_at, at) + int(SILENT * self.aim) + 1 for at in heard]
         if self.deadlines:
             due.append(self.deadlines[0][0] - self.lead_us)
-        due += [at for at, _ in self.copies[:1]]
+        if self.copies:
+            due.append(self.copies[0][0])
         if self.settings.discovery is Discovery.ON_REQUEST and self.watch_due >= 0:
             due.append(self.watch_due)
         if due and (not self.timer_at or min(due) < self.timer_at):
@@ -381,7 +383,7 @@
             request.queue = self.fresh
         else:
             there = self.shards.get(bound.entry.shard if ask.shard < 0 and bound else ask.shard, [])
-            books = [book for book in there if self._within(request, book)]
+            books = there if ask.bounds is None else [book for book in there if self._within(request, book)]
             request.queue = books[-1].held if books else self.lost
             request.place = books[-1].entry.node if books else "?"
         request.queue[ask.request] = request
@@ -622,7 +624,7 @@
         """The group of a key: the nodes of least rendezvous hash with it, which also settles ties."""
         key = request.ask.key or request.ask.request
         books = [book for line in self.shards.values() for book in line]
-        if request.out or request.ask.bounds is not None:
+        if request.ask.bounds is not None:
             books = [book for book in books if self._within(request, book)]
         books.sort(key=lambda book: blake2b(f"{key}\0{book.entry.node}".encode(), digest_size=8).digest())
         return books[:GROUP]
@@ -795,7 +797,7 @@
     def _may_take(self, request: Request, book: Book) -> bool:
         """The rules that look at the node."""
         rules, now = self.rules, self.now
-        if not self._within(request, book):
+        if request.ask.bounds is not None and not self._within(request, book):
             return False
         # No double effect: a keyed request that may have run stays with the nodes that drop its repeat.
         if request.ran_on is not None and request.klass.effect is not Effect.SAFE:
