--- a/hophinge/control/follower.py
+++ b/hophinge/control/follower.py
@@ -23,6 +23,7 @@
 LONGEST_PAUSE_US = 1_500_000    # a thousand heads then knock some 700 times a second, and are back within two
 JITTER = (0.5, 1.5)             # parts of a pause: heads that lost one service do not come back at once
 CONNECT_US = 3_000_000          # for a stream to give its first response
+SOUND_US = 5_000_000            # a stream that ends sooner was none: pauses go on growing
 COMPLETE_US = 1_000_000         # for records that come behind their version
 MOST_REFUSED = 64               # versions that were turned down and are remembered
 LONGEST_REASON = 2000           # characters
@@ -106,6 +107,7 @@
         self.endpoint_at, self.failures = 0, 0
         self.connected = self.opening = False
         self.heard_us = 0           # last response of any stream
+        self.opened_us = 0          # first response of the open one
         self.due_us = 0
         self.stale_told = False
         self.counts = dict.fromkeys(("taken_up", "turned_down", "truncated", "connects", "failovers", "replayed"), 0)
@@ -144,7 +146,7 @@
         """Take the end of a stream, or of an attempt to open one."""
         if not self.opening and not self.connected:
             return []
-        lived = self.connected
+        lived = self.connected and now_us - self.opened_us >= SOUND_US
         self.opening = self.connected = False
         self.wanted = None      # whoever answers next tells it again
         if self.state is State.RECEIVED:
@@ -186,6 +188,8 @@
         """Take a response; each gets its one answer, at once or when its version is decided."""
         if not self.opening and not self.connected:
             return []
+        if self.opening:
+            self.opened_us = now_us
         self.opening, self.connected = False, True
         self.heard_us, self.stale_told = now_us, False
         actions = (self._records if response.kind is Kind.RECORD else self._version)(now_us, response)
@@ -321,6 +325,7 @@
         self.resynced.add(version.order)
         # No answer: whoever sent it must not take a loss on the way for a fault of the version.
         self._drop_all()
+        self.failures = 0       # happens once for a version, so the shortest pause will do
         actions: list[Action] = [Log(f"version {_name(version.order)} does not add up ({told}); asking for all anew"),
                                  Close("records do not add up"), *self.closed(now_us, "records do not add up")]
         self.endpoint_at = (self.endpoint_at - 1) % len(self.endpoints)     # the service itself is there
--- a/hophinge/control/rollout.py
+++ b/hophinge/control/rollout.py
@@ -40,6 +40,7 @@
     failed: float = 0.0
     since_taken: float = 0.0    # the same when it took up the version that is rolled out
     since_failed: float = 0.0
+    usual: float = 0.0          # part of its requests that failed before it took up the version
 
 
 class Course(msgspec.Struct):
@@ -127,6 +128,7 @@
         """Note what a head has in force."""
         head = self.heads[name]
         head.runs, head.seen_us, head.reason = order, now_us, ""
+        head.usual = head.failed / head.taken if head.taken >= LEAST_TAKEN else 0.0
         head.since_taken, head.since_failed = head.taken, head.failed
 
     def counted(self, name: str, taken: float, failed: float, now_us: int) -> None:
@@ -197,7 +199,8 @@
         there = [head for head in members if head.runs == self.course.target]
         taken = sum(head.taken - head.since_taken for head in there)
         failed = sum(head.failed - head.since_failed for head in there)
-        if taken >= LEAST_TAKEN and failed > self.rule.failures * taken:
-            return (f"{failed:g} of {taken:g} requests failed where it runs, "
-                    f"over the stated {100 * self.rule.failures:g} %")
+        usual = sum(head.usual * (head.taken - head.since_taken) for head in there)
+        if taken >= LEAST_TAKEN and failed > usual + self.rule.failures * taken:
+            return (f"{failed:g} of {taken:g} requests failed where it runs, {usual:.0f} by what was usual there; "
+                    f"over the stated {100 * self.rule.failures:g} % more")
         return ""
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -419,7 +419,8 @@
         ready = sum(phase is api.Phase.ON for phase in self.exchange.phases.values())
         return {**self.figures.gauges(), "requests_open": self.exchange.unanswered,
                 "attempts_out": len(self.bricks.tasks), "bricks_ready": ready,
-                "object_requests_open": self.objects.active if self.objects else 0}
+                "object_requests_open": self.objects.active if self.objects else 0,
+                **(self.streamed.gauges() if self.streamed is not None else {})}
 
 
 def main() -> int:
--- a/hophinge/head/streamed.py
+++ b/hophinge/head/streamed.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from hophinge.control.client import Client
-from hophinge.control.follower import Follower
+from hophinge.control.follower import Follower, State
 from hophinge.core.exchange import Exchange
 from hophinge.head.operator import StreamConfig
 from hophinge.routing.router import Router
@@ -43,7 +43,18 @@
     def figures(self) -> dict[str, float]:
         """Tell the control service what the rollout is judged by."""
         counts = self.exchange.counters.counts
-        return {"taken": counts["requests_taken"], "failed": counts["requests_failed"]}
+        # What a limit refuses is meant; what finds no brick, or no time, may be the version's fault.
+        failed = counts["requests_failed"] + counts["requests_refused"] - self.router.refused_limit
+        return {"taken": counts["requests_taken"], "failed": failed}
+
+    def gauges(self) -> dict[str, float]:
+        """Tell what alerts look at."""
+        follower = self.follower
+        return {"config_stale": follower.stale_told, "config_turned_down": follower.state is State.TURNED_DOWN,
+                "config_connected": follower.connected, "config_not_kept": bool(follower.keep_error),
+                "config_version": follower.version.order[1] if follower.version else 0,
+                "bricks_resting": len(self.router.ejector.out), "limits_refused_total": self.router.refused_limit,
+                "pools_refused_total": self.router.refused_pools}
 
     def status(self) -> str:
         """Tell staff what runs here, as JSON."""
--- a/hophinge/routing/records.py
+++ b/hophinge/routing/records.py
@@ -132,7 +132,7 @@
     waves: tuple[float, ...] = (1.0,)       # shares of the known heads, rising
     hold_us: int = 0                        # from the last acknowledgement of a wave to the next wave
     patience_us: int = 10_000_000           # for a wave's connected heads to answer
-    failures: float = 1.0                   # part of a wave's requests that fails, beyond which it is trouble
+    failures: float = 1.0                   # part of its requests that fails beyond what was usual: trouble
     on_trouble: str = "hold"                # or "rollback"
 
     @property
--- a/tests/test_remote_write.py
+++ b/tests/test_remote_write.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from hophinge.core.counters import Counters
-from hophinge.head.operator import OperatorConfig
+from hophinge.head.operator import OperatorConfig, StreamConfig
 from hophinge.telemetry.config import RemoteWriteConfig
 from hophinge.telemetry.remote_write import PREFIX, RemoteWrite, WriteRequest, metrics
 from tests.stand_in import Brick, Server, headers, run, until, world
@@ -142,10 +142,12 @@
     run(main())
 
 
-def test_alert_rules_name_metrics_that_are_exported() -> None:
+def test_alert_rules_name_metrics_that_are_exported(tmp_path: Path) -> None:
     async def gauges() -> dict[str, float]:
         async with world() as made:
-            return (await made.head()).gauges()
+            (tmp_path / "token").write_text("a-token-of-heads-1")
+            stream = StreamConfig(["127.0.0.1:9"], tmp_path / "token", tmp_path)
+            return (await made.head(OperatorConfig(stream=stream))).gauges()
 
     exported = {name for name, _ in metrics(Counters(), run(gauges()))}
     rules = msgspec.yaml.decode((Path(__file__).parent.parent / "deploy" / "alerts.yml").read_bytes())
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -278,6 +278,15 @@
     assert line.head.connected and not line.head.status(line.now)["stale"]
 
 
+def test_a_stream_that_ends_as_soon_as_it_is_open_is_asked_for_ever_more_slowly() -> None:
+    line = Line()       # another head of this name takes its place each time
+    for _ in range(100):
+        line.deliver()
+        line.cut()
+        line.wait(line.head.due_us - line.now)
+    assert line.connects >= 100 and line.now > 100 * S
+
+
 def test_heads_do_not_come_back_at_the_same_moment() -> None:
     dues = set()
     for seed in range(20):
@@ -533,6 +542,21 @@
     assert len(fleet.undone) == 1 and fleet.rollout.course.stage is Stage.HELD and fleet.count(bad) <= 1
 
 
+def test_failures_that_were_usual_before_the_version_are_not_its_own() -> None:
+    fleet = Fleet(WAVES)
+    fleet.push()
+    fleet.run(8 * S)
+    fleet.rollout.counted("n3", 1000.0, 300.0, fleet.now)
+    fleet.push()
+    fleet.step()
+    fleet.rollout.counted("n3", 1200.0, 360.0, fleet.now)       # 30 % as before
+    fleet.step()
+    assert not fleet.undone
+    fleet.rollout.counted("n3", 1400.0, 460.0, fleet.now)
+    fleet.step()
+    assert len(fleet.undone) == 1
+
+
 def test_a_head_that_was_away_joins_where_its_wave_stands() -> None:
     fleet = Fleet(Rule(first=("n0",), waves=(1.0,), hold_us=3 * S))
     first = fleet.push()
--- a/tests/test_streamed.py
+++ b/tests/test_streamed.py
@@ -190,6 +190,47 @@
     run(main())
 
 
+def test_a_version_kept_long_ago_serves_and_is_marked_stale(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with installation(tmp_path) as here:
+            head = await here.head("n0")
+            await here.push(GOOD)
+            await until(lambda: follower(head).kept == (1, 1))
+            await here.made.kill(head)
+            path = tmp_path / "state" / "last-good-n0.state"
+            kept = lastgood.load(path)
+            assert kept is not None
+            lastgood.save(path, msgspec.structs.replace(kept, kept_ms=kept.kept_ms - 3600 * 1000))
+            again = await here.head("n0", endpoints=["127.0.0.1:9"])
+            assert follower(again).running == "1.1" and follower(again).status(0)["stale"]
+            assert again.streamed is not None and again.streamed.gauges()["config_stale"]
+            assert await write(here, again, 1) == 200
+    run(main())
+
+
+def test_a_version_under_which_requests_fail_is_rolled_back_by_itself(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with installation(tmp_path) as here:
+            heads = [await here.head(f"n{at}") for at in range(2)]
+            rule = "(rollout (first n0) (waves 100 %) (hold 4 s) (failures 20 %) (on-trouble rollback))"
+            await here.push(GOOD)
+            for head in heads:
+                await here.runs(head, "1.1")
+            assert here.service is not None
+            rollout = here.service.rollout
+            await until(lambda: rollout.course.stage.value == "done")
+            # A pool of bricks that nobody has: good by all checks, and every write is refused under it.
+            await here.push("(hophinge 1) (pool gone (bricks s-99)) (route (pools gone))" + rule)
+            await here.runs(heads[0], "1.2")
+            codes = [await write(here, heads[0], at) for at in range(1, 41)]
+            assert set(codes) == {503} and follower(heads[1]).running == "1.1"
+            await here.runs(heads[0], "1.3")
+            await here.runs(heads[1], "1.3")
+            assert await write(here, heads[0], 50) == 200
+            assert any("rolled back: 40 of 40 requests failed" in line for line in here.log)
+    run(main())
+
+
 class Full(Disk):
     """A disk that has no room left."""
 
@@ -343,6 +384,35 @@
     store.close()
 
 
+def test_a_service_killed_while_it_sends_a_large_version_sends_all_of_it_when_it_is_back(tmp_path: Path) -> None:
+    big = GOOD + "".join(f"(limit (tenant t{at}) (open 9 requests))" for at in range(4000))
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            here = Installation(tmp_path, made)
+            process, here.port = serving(tmp_path)
+            head = await here.head("n0")
+            await until(lambda: follower(head).connected)
+            try:
+                await here.push(big)
+                await until(lambda: 0 < len(follower(head).held) < 4002)       # some records are here, not all
+                process.kill()
+                await until(lambda: not follower(head).connected)
+                assert follower(head).running == "none" and follower(head).held
+                process.wait()
+                assert process.stderr is not None
+                process.stderr.close()
+                process, here.port = serving(tmp_path, here.port)
+                await here.runs(head, "1.1")
+                assert len(follower(head).held) == 4002
+            finally:
+                process.kill()
+                process.wait()
+                assert process.stderr is not None
+                process.stderr.close()
+    run(main())
+
+
 def test_a_head_killed_at_any_moment_of_a_storm_of_versions_starts_from_a_whole_one(tmp_path: Path) -> None:
     process, port = serving(tmp_path)
     (tmp_path / "token").write_text(HEADS)
