A control service whose store is full refuses pushes whole and owes its decisions until they are stored

A wave that could not be written was lost: the rollout's own state had moved on, so nothing was aimed and nothing stored again; and a push that was stored answered with an error when the wave after it failed. Decisions are owed until they are stored, a failing store is told as such (nothing was stored), two processes of one head write their last good version beside each other, and what killed ones left is removed.

--- a/hophinge/control/client.py
+++ b/hophinge/control/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
@@ -14,7 +15,7 @@
 from hophinge.control import lastgood, wire
 from hophinge.control.follower import Action, Apply, Close, Connect, Follower, Keep, Log, Tell
 from hophinge.routing.table import Table
-from hophinge.state.files import DISK, Disk, UnusableError
+from hophinge.state.files import DISK, Disk, UnusableError, tidy
 
 OPTIONS = (("grpc.max_receive_message_length", wire.MOST_MESSAGE), ("grpc.keepalive_time_ms", 10_000),
            ("grpc.keepalive_timeout_ms", 5_000), ("grpc.enable_retries", 0), ("grpc.use_local_subchannel_pool", 1),
@@ -44,6 +45,7 @@
             return
         try:
             self.path.parent.mkdir(parents=True, exist_ok=True)
+            tidy(self.path)
             good = lastgood.load(self.path)
         except (UnusableError, OSError) as error:
             self.log(f"no last good version: {error}")
@@ -117,6 +119,9 @@
             raise
         except (grpc.RpcError, wire.WireError, asyncio.InvalidStateError, OSError) as error:
             reason = error.details() or str(error.code()) if isinstance(error, AIO.AioRpcError) else str(error)
+        except Exception as error:      # a fault of ours: what is in force goes on, and staff hear of it
+            self.log(traceback.format_exc())
+            reason = repr(error)
         self.stream = None
         self._do(self.follower.closed(self.now_us(), " ".join(reason.split())[:200]))
 
--- a/hophinge/control/service.py
+++ b/hophinge/control/service.py
@@ -6,6 +6,7 @@
 import contextlib
 import hmac
 import re
+import sqlite3
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
@@ -24,6 +25,7 @@
 from hophinge.routing.forms import read
 
 LOOK_S = 0.05           # between looks at the rollout; a wave's end is seen within this time
+AGAIN_S = 0.5           # after the store failed
 BEAT_S = 2.0            # an empty response to a head that got nothing else; heads take longer silence for an end
 MOST_STREAMS = 2000
 MOST_HISTORY = 1000
@@ -59,6 +61,7 @@
         course = store.course()
         known = [(name, (seen - self.zero_ms) * 1000) for name, seen in store.heads()]
         self.rollout = Rollout(course, store.rule(course.target), known)
+        self.owed = Decision()
         self.server: grpc.aio.Server | None = None
         self.port = 0
         self.ticking: asyncio.Task[None] | None = None
@@ -103,18 +106,21 @@
 
     async def _tick(self) -> None:
         while True:
-            try:
-                self._decided(self.rollout.tick(self.now_us()))
-            except Exception as error:      # a full disk must not end the rollout for good
-                self.log(f"the rollout stands still: {error}")
-                await asyncio.sleep(1.0)
-            await asyncio.sleep(LOOK_S)
+            self._decided(self.rollout.tick(self.now_us()))
+            await asyncio.sleep(AGAIN_S if self.owed != Decision() else LOOK_S)
 
     def _decided(self, decision: Decision) -> None:
-        """Store a decision, then let heads hear of it."""
-        if decision.roll_back:
-            self._undo(decision.roll_back)
-        elif decision.changed:
+        """Store a decision, then let heads hear of it; one that could not be stored is owed until it is."""
+        self.owed = Decision(decision.changed or self.owed.changed, decision.roll_back or self.owed.roll_back)
+        try:
+            self._carry_out()
+        except Exception as error:      # a full disk must not end the rollout for good, nor what led to this
+            self.log(f"the rollout stands still: {error}")
+
+    def _carry_out(self) -> None:
+        if self.owed.roll_back:
+            self._undo(self.owed.roll_back)
+        elif self.owed.changed:
             course = self.rollout.course
             what = {"held": "hold", "done": "done"}.get(course.stage.value, "wave")
             news = course.reason or f"wave {course.wave}, {len(course.reached)} heads"
@@ -122,6 +128,7 @@
             self.store.set_course(course, "control service", what, detail, self.now_ms())
             if course.reason:
                 self.log(f"version {_name(course.target)} is held: {course.reason}")
+            self.owed = Decision()
             self._aim()
 
     def _undo(self, reason: str) -> None:
@@ -137,6 +144,7 @@
         snapshot = self.store.push(bodies, rule, who, note, source, self.now_ms(),
                                    lambda order: self.rollout.planned(order, undoes))
         self.rollout.push(self.rollout.planned(snapshot.order, undoes), rule, self.now_us())
+        self.owed = Decision()      # of the course before
         self.log(f"version {_name(snapshot.order)} is stored: {note or who}")
         course = self.rollout.course
         self.store.forget({course.stable, course.target, *(stream.publisher.base.order for stream in
@@ -230,6 +238,10 @@
                 await context.abort(grpc.StatusCode.UNAUTHENTICATED, "the token is not one of staff")
             try:
                 return msgspec.json.encode(call(who or "", msgspec.json.decode(body, type=dict[str, Any])))
+            except sqlite3.Error as error:
+                self.log(f"the store fails: {error}")
+                await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, f"nothing was stored: {error}")
+                raise
             except (StoreError, ValueError, KeyError) as error:
                 await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
                 raise
--- a/hophinge/state/files.py
+++ b/hophinge/state/files.py
@@ -11,10 +11,12 @@
 import hashlib
 import os
 import re
+import time
 from pathlib import Path
 
 HEADER = re.compile(rb"hophinge-state ([a-z-]{1,32}) ([0-9]{1,4}) ([0-9]{1,12}) ([0-9a-f]{64})\n", re.ASCII)
 LONGEST_HEADER = 160
+WRITING_S = 60.0        # no write of one file takes so long
 MOST_BYTES = 512 * 1024 * 1024      # a larger file is none of ours
 
 
@@ -59,7 +61,8 @@
 def save(path: Path, kind: str, form: int, payload: bytes, disk: Disk = DISK) -> None:
     """Replace a file; raises OSError, and then the file is as it was."""
     header = f"hophinge-state {kind} {form} {len(payload)} {_sum(kind, form, payload)}\n".encode()
-    beside = path.with_name(f".{path.name}.new")
+    # Two processes of one head may write at once during an upgrade: each beside, under a name of its own.
+    beside = path.with_name(f".{path.name}.{os.getpid()}.new")
     try:
         disk.write(beside, header + payload)
         disk.rename(beside, path)
@@ -70,6 +73,14 @@
     disk.sync_folder(path.parent)
 
 
+def tidy(path: Path) -> None:
+    """Remove what killed processes left beside a file; what was touched in the last minute may still be written."""
+    for left in path.parent.glob(f".{path.name}.*.new"):
+        with contextlib.suppress(OSError):
+            if time.time() - left.stat().st_mtime > WRITING_S:
+                left.unlink()
+
+
 def load(path: Path, kind: str, forms: range) -> tuple[int, bytes] | None:
     """Read a file's form and payload; None where there is none, UnusableError where it cannot be trusted."""
     try:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import random
 from collections import deque
 from collections.abc import Iterable
@@ -411,6 +412,18 @@
     assert lastgood.load(path) == new and len(points) > 1000
 
 
+def test_two_processes_write_beside_each_other_and_what_killed_ones_left_is_removed(tmp_path: Path) -> None:
+    path, old = tmp_path / "f.state", tmp_path / ".f.state.1.new"
+    young = tmp_path / ".f.state.2.new"
+    for left in (old, young):
+        left.write_bytes(b"half")
+    os.utime(old, (0, 0))
+    lastgood.save(path, good((1, 1), GOOD))
+    files.tidy(path)
+    assert young.read_bytes() == b"half" and not old.exists()
+    assert lastgood.load(path) == good((1, 1), GOOD)
+
+
 def test_a_file_that_is_torn_foreign_or_of_another_form_is_told_from_a_good_one(tmp_path: Path) -> None:
     path = tmp_path / "last-good.state"
     assert lastgood.load(path) is None
--- a/tests/test_streamed.py
+++ b/tests/test_streamed.py
@@ -231,6 +231,40 @@
     run(main())
 
 
+def test_a_full_store_refuses_pushes_whole_and_a_rollout_goes_on_once_there_is_room(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with installation(tmp_path) as here:
+            heads = [await here.head(f"n{at}") for at in range(2)]
+            await here.push(GOOD)
+            for head in heads:
+                await here.runs(head, "1.1")
+            assert here.service is not None
+            store, rollout = here.service.store, here.service.rollout
+            await until(lambda: rollout.course.stage.value == "done")
+            pages = store.db.execute("PRAGMA page_count").fetchone()[0]
+            store.db.execute(f"PRAGMA max_page_count = {pages}")
+            big = GOOD + "".join(f"(limit (tenant t{at}) (open 1 requests))" for at in range(2000))
+            with pytest.raises(ConnectionError, match="nothing was stored: database or disk is full"):
+                await here.push(big)
+            assert [row["version"] for row in store.history(9)] == ["1.1"] and follower(heads[0]).running == "1.1"
+            store.db.execute("PRAGMA max_page_count = 1000000")
+            kept = store.set_course
+            fails = 3
+
+            def set_course(*args: Any) -> None:
+                nonlocal fails
+                fails -= 1
+                if fails >= 0:
+                    raise OSError("no room")
+                kept(*args)
+
+            store.set_course = set_course       # type: ignore[method-assign,assignment]
+            await here.push(big + "(rollout (first n0) (waves 100 %))")
+            await here.runs(heads[1], "1.2")
+            assert fails < 0 and any("stands still: no room" in line for line in here.log)
+    run(main())
+
+
 class Full(Disk):
     """A disk that has no room left."""
 
