Shares of a tenant's reserve follow its demand between heads, by leases whose sum never passes it

Heads share nothing, so each had its even part of a reserve wherever the demand was. Heads with (spare (leases on)) ask at each beat of the stream, tell their demand, and get their share as a lease. What takes ends before what gives: low shares count from receipt, high ones from the ask. A head that has just started has nothing until it is told or any promise of the process before has ended; a control service that has just started grants nothing until any high share has ended.

Two real heads follow a moved demand in a test over sockets. Staff see tenants at /ops/tenants.

--- a/hophinge/control/client.py
+++ b/hophinge/control/client.py
@@ -38,6 +38,8 @@
         self.to_keep: lastgood.LastGood | None = None
         self.news = asyncio.Event()
         self.bytes_in = self.bytes_out = 0
+        self.ask_lease: Callable[[], dict[str, float]] = dict       # figures of an ask; none: no ask
+        self.take_lease: Callable[[bytes], None] = lambda json: None
 
     def restore(self) -> None:
         """Take the last good version from its file, before a head serves."""
@@ -110,7 +112,14 @@
                     while (data := await call.read()) is not AIO.EOF:
                         self.bytes_in += len(data)
                         self.follower.figures = self.figures()
-                        self._do(self.follower.received(self.now_us(), wire.decode_response(data)))
+                        response = wire.decode_response(data)
+                        if response.kind is not wire.Kind.LEASE:
+                            self._do(self.follower.received(self.now_us(), response))
+                        elif response.resources:
+                            self.take_lease(wire.record_json(response.resources[0].body))
+                        # The service beats: each beat is a time to ask for shares, if this head has any to ask for.
+                        if response.nonce == wire.BEAT and (asks := self.ask_lease()):
+                            outgoing.put_nowait(wire.Request(wire.Kind.LEASE, head=self.follower.head, figures=asks))
                 finally:
                     writing.cancel()
                     await asyncio.gather(writing, return_exceptions=True)
--- a/hophinge/control/store.py
+++ b/hophinge/control/store.py
@@ -22,6 +22,7 @@
 from hophinge.routing import records
 
 FORM = 1
+SERIALS = 10 ** 9       # leases that one start of the service may give
 KEPT = 16       # snapshots held in memory beside those in use
 
 SCHEMA = """
@@ -32,6 +33,7 @@
   WITHOUT ROWID;
 CREATE TABLE course(one INTEGER PRIMARY KEY CHECK(one = 1), body BLOB NOT NULL);
 CREATE TABLE head(name TEXT PRIMARY KEY, seen_ms INTEGER);
+CREATE TABLE block(id INTEGER PRIMARY KEY AUTOINCREMENT);
 CREATE TABLE audit(id INTEGER PRIMARY KEY AUTOINCREMENT, at_ms INTEGER, who TEXT, what TEXT, detail TEXT);
 """
 
@@ -164,6 +166,13 @@
         return [{"version": f"{epoch}.{number}", "pushed_ms": pushed, "who": who, "note": note, "changed": changed,
                  "removed": removed} for epoch, number, pushed, who, note, changed, removed in rows]
 
+    def serials(self) -> int:
+        """Tell a number for leases that is above any that was ever used, whatever the clocks say."""
+        with self._transaction():
+            self.db.execute("INSERT INTO block DEFAULT VALUES")
+            block = int(self.db.execute("SELECT max(id) FROM block").fetchone()[0])
+        return block * SERIALS
+
     # --- course, heads, audit
 
     def course(self) -> Course:
--- a/hophinge/control/wire.py
+++ b/hophinge/control/wire.py
@@ -1,8 +1,8 @@
 """The stream's messages: xDS v3's incremental form (DeltaDiscoveryRequest and -Response), with two resource types.
 
 `hophinge.config.v1.Record` is one form of the service document, `hophinge.config.v1.Version` says which records
-belong together. Both are protobuf messages; the first holds the record as JSON, which msgspec reads ten times as fast
-as a message for each form would be.
+belong together. A third, `hophinge.config.v1.Lease`, answers a head that asks for its shares of reserves. All are
+protobuf messages; the first and the last hold JSON, so that each form is described once, in `routing/records.py`.
 """
 
 from __future__ import annotations
@@ -22,6 +22,9 @@
 ADMIN = "hophinge.control.v1.Admin"     # JSON both ways, beside the stream
 MOST_MESSAGE = 16 * 1024 * 1024         # bytes; a response of 500 records is some 100 KB
 VERSION_NAME = "version"                # the one resource of its type
+LEASE_NAME = "lease"
+BEAT = "beat"                           # the nonce of a response that holds nothing
+DEMAND = "demand/"                      # before a tenant, in the figures of an ask for leases
 
 
 class Kind(Enum):
@@ -29,6 +32,7 @@
 
     RECORD = "type.googleapis.com/hophinge.config.v1.Record"
     VERSION = "type.googleapis.com/hophinge.config.v1.Version"
+    LEASE = "type.googleapis.com/hophinge.config.v1.Lease"
 
 
 KINDS = {kind.value: kind for kind in Kind}
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -175,7 +175,7 @@
         self.figures.now = self.bricks_now
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
         if self.control is not None and self.streamed is not None:
-            self.control.tells["/ops/config"] = self.streamed.status
+            self.control.tells |= {"/ops/config": self.streamed.status, "/ops/tenants": self.streamed.tenants}
         self.remote_write: RemoteWrite | None = None
         if operator.remote_write is not None:
             from hophinge.telemetry.remote_write import RemoteWrite   # its libraries cost memory
--- a/hophinge/head/streamed.py
+++ b/hophinge/head/streamed.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import re
+import secrets
 from collections.abc import Callable
 
 import msgspec
 
+from hophinge.control import wire
 from hophinge.control.client import Client
 from hophinge.control.follower import Follower, State
 from hophinge.core.exchange import Exchange
 from hophinge.head.operator import StreamConfig
 from hophinge.routing.router import Router
 from hophinge.routing.table import Facts, Table
+from hophinge.tenancy.leases import Holder, Lease
 
 LEAST_TOKEN = 16        # characters
+MOST_SHOWN = 100        # tenants in what staff are told; the rest is summed
+MOST_TOLD = 500         # tenants whose demand one ask tells
 
 
 class Streamed:
@@ -32,9 +37,36 @@
         exchange.gate = self.router
         self.follower = Follower(name, config.endpoints, Facts.of(exchange.settings), seed,
                                  int(config.silence_s * 1e6), int(config.stale_s * 1e6))
+        self.holder = Holder(exchange.settings.gateways, secrets.randbits(48), exchange.now_us())
+        self.demand_since = exchange.now_us()
         path = config.folder / f"last-good-{re.sub(r'[^0-9A-Za-z-]', '_', name)}.state"
         self.client = Client(self.follower, token, path, self.apply, exchange.now_us,
                              lambda text: log(f"configuration: {text}"), self.figures)
+        self.client.ask_lease, self.client.take_lease, self.router.part = self.ask_lease, self.take_lease, self.part
+
+    def _leases(self) -> bool:
+        spare = self.router.table.spare
+        return spare is not None and spare.leases
+
+    def part(self, tenant: str) -> float:
+        """Tell this head's part of a tenant's reserve."""
+        return self.holder.share(tenant, self.exchange.now_us()) if self._leases() else self.holder.even
+
+    def ask_lease(self) -> dict[str, float]:
+        """Tell the figures of an ask for shares; none where the version in force has no leases."""
+        if not self._leases() or self.router.admission is None:
+            return {}
+        now = self.exchange.now_us()
+        asked, held = self.holder.ask(now)
+        span_s, self.demand_since = max(0.1, (now - self.demand_since) / 1e6), now
+        # The largest are told; for the others the even part will do.
+        largest = sorted(self.router.admission.demand().items(), key=lambda row: -row[1])[:MOST_TOLD]
+        return {"heads": self.exchange.settings.gateways, "process": self.holder.process, "asked": asked, "held": held,
+                "span_s": span_s, **{wire.DEMAND + tenant: units for tenant, units in largest if tenant}}
+
+    def take_lease(self, json: bytes) -> None:
+        """Take a lease off the stream."""
+        self.holder.take(self.exchange.now_us(), msgspec.json.decode(json, type=Lease))
 
     def apply(self, table: Table) -> None:
         """Put a version in force: one step between two turns of the loop."""
@@ -56,6 +88,11 @@
                 "bricks_resting": len(self.router.ejector.out), "limits_refused_total": self.router.refused_limit,
                 "pools_refused_total": self.router.refused_pools}
 
+    def tenants(self) -> str:
+        """Tell staff what tenants get here, as JSON."""
+        rows = {"leases": self._leases(), "serial": self.holder.serial, **self.router.usage(MOST_SHOWN)}
+        return msgspec.json.format(msgspec.json.encode(rows), indent=1).decode() + "\n"
+
     def status(self) -> str:
         """Tell staff what runs here, as JSON."""
         rows = {**self.follower.status(self.exchange.now_us()), "routing": self.router.figures()}
--- a/hophinge/routing/forms.py
+++ b/hophinge/routing/forms.py
@@ -218,7 +218,8 @@
 def _spare(part: Fields) -> Record:
     part.nameless()
     return Spare(part.quantity("depth", "units", 1.0, 1.0, 1e6, needed=True), part.time("wait", 50_000, 1000),
-                 int(part.quantity("queue", "requests", 256, 1, 1e6)))
+                 int(part.quantity("queue", "requests", 256, 1, 1e6)), part.choice("leases", ("off", "on")) == "on",
+                 part.quantity("capacity", "rate", 0.0, 0.001))
 
 
 def _rollout(part: Fields) -> Record:
--- a/hophinge/routing/records.py
+++ b/hophinge/routing/records.py
@@ -119,6 +119,8 @@
     depth: float                # units at the module at once, reserved ones too, beyond which no spare one leaves
     wait_us: int = 50_000       # at most, for a turn
     queue: int = 256            # requests of one tenant that may wait
+    leases: bool = False        # shares of reserves follow demand between heads; else each head has its even part
+    capacity: float = 0.0       # units/s of one head, which all reserves together must fit; 0: not known
 
     @property
     def key(self) -> str:
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -100,6 +100,7 @@
         self.tables: dict[tuple[int, int], Table] = {}
         self.admission: Admission | None = None
         self.passes: dict[int, Pass] = {}           # that wait, by their ticket
+        self.part: Callable[[str], float] = lambda tenant: 1 / settings.gateways     # of its reserve, at this head
         self.step = 0
         self.spilled = self.followed = self.refused_limit = self.refused_pools = self.refused_share = 0
 
@@ -130,11 +131,11 @@
         self.admission.spare = spare
 
     def _shares(self, tenant: str) -> Shares:
-        """Tell what a tenant may count on here: this head's even part of its reserve."""
+        """Tell what a tenant may count on here: this head's part of its reserve."""
         form = self.table.tenants.get(tenant)
         if form is None:
             return NO_SHARES
-        return Shares(form.reserve / self.settings.gateways, form.weight, form.queue)
+        return Shares(form.reserve * self.part(tenant), form.weight, form.queue)
 
     def plans(self) -> tuple[PlatformPlan, ...]:
         """Tell the platform's plans with what the version lowers."""
@@ -315,6 +316,20 @@
         if not self.versions[version] and version != self.table.version:
             self._forget()
 
+    def usage(self, most: int) -> dict[str, Any]:
+        """Tell what the busiest tenants got at this head; of the rest, the sum."""
+        accounts = self.admission.accounts if self.admission is not None else {}
+        rows = sorted(accounts.items(), key=lambda row: -(row[1].usage.reserved + row[1].usage.spare))
+        told = {name or "(none)": {
+            "reserve": round(account.reserve.total.rate, 3), "reserved_units": round(account.usage.reserved, 3),
+            "spare_units": round(account.usage.spare, 3), "lent_units": round(account.reserve.lent, 3),
+            "refused": account.usage.refused, "waiting": account.waiting, "waited_us": account.usage.waited_us,
+        } for name, account in rows[:most]}
+        rest = rows[most:]
+        return {"tenants": told, "others": {
+            "tenants": len(rest), "units": round(sum(one.usage.reserved + one.usage.spare for _, one in rest), 3),
+            "refused": sum(one.usage.refused for _, one in rest)}}
+
     def figures(self) -> Mapping[str, Any]:
         """Tell what it has done, for staff."""
         return {"spilled": self.spilled, "followed_their_data": self.followed, "refused_by_limit": self.refused_limit,
--- a/hophinge/tenancy/admission.py
+++ b/hophinge/tenancy/admission.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
@@ -101,13 +100,14 @@
         self.inside = 0.0                           # units at the module, reserved ones too
         self.expiries: list[tuple[int, int, Ticket]] = []
         self.count = 0
-        self.done: deque[tuple[Ticket, int]] = deque()      # that waited: 0 admitted, else when to come back
+        self.asked: dict[str, float] = {}           # units by tenant, since `demand` was last told
 
     # --- what comes
 
     def arrive(self, now_us: int, ask: Ask) -> tuple[Verdict, Ticket, int]:
         """Take a request; the last is when to come back, in microseconds, where it is refused."""
         account, shares = self._account(ask.tenant, now_us)
+        self.asked[ask.tenant] = self.asked.get(ask.tenant, 0.0) + ask.units
         ticket = Ticket(ask, account, now_us)
         if account.reserve.take(ask.volume, ask.reserve, self.most_units, ask.units, now_us):
             account.usage.reserved += ask.units
@@ -131,6 +131,11 @@
         heapq.heappush(self.expiries, (ticket.until, self.count, ticket))
         return Verdict.WAITS, ticket, 0
 
+    def demand(self) -> dict[str, float]:
+        """Tell the units that each tenant has asked for since this was last called."""
+        asked, self.asked = self.asked, {}
+        return asked
+
     def left(self, now_us: int, ticket: Ticket) -> None:
         """Take the end of a request: answered, or its client has gone."""
         if ticket.inside:
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import itertools
+import json
 import random
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
+import pytest
 from aiohttp import ClientSession, TCPConnector, web
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -280,6 +282,34 @@
     assert surge.refused["c"] > 0
 
 
+def test_a_reserve_changed_within_a_surge_holds_from_then_on_and_what_is_owed_stays_owed() -> None:
+    shares = {"a": Shares(30.0, 1.0, 64), "c": Shares(30.0, 1.0, 64)}
+    head = Head(shares, Spare(2.0, 50 * MS), 100.0)
+
+    def reserved(seconds: int) -> float:
+        """Ask as c at ten times its reserve, and tell the units a second that its reserve gave it."""
+        since, usage = head.now, head.admission.accounts["c"].usage.reserved if head.admission.accounts else 0.0
+        for step in range(seconds * 200):
+            head.until(since + step * 5 * MS)
+            head.ask("c", 1.5)
+            if step % 8 == 0:
+                head.ask("a")
+        return (head.admission.accounts["c"].usage.reserved - usage) / seconds
+
+    assert 28 <= reserved(4) <= 33
+    inside = head.admission.inside
+    shares["c"] = Shares(60.0, 1.0, 64)
+    assert head.admission.inside == inside          # what was admitted stays
+    assert 57 <= reserved(4) <= 63                  # from now on, without a second's worth at once
+    shares["c"] = Shares(5.0, 1.0, 64)
+    assert 4 <= reserved(4) <= 8
+    level = head.admission.accounts["c"].reserve.total.level
+    assert level < 8.0
+    shares["c"] = Shares(30.0, 1.0, 64)
+    head.ask("c", 8.0)
+    assert head.admission.accounts["c"].reserve.total.level <= level + 0.5     # a raise gives nothing back
+
+
 def test_spare_is_shared_by_weight() -> None:
     weights = {"a": 1.0, "b": 2.0, "c": 5.0}
     head = Head({name: Shares(0.0, weight, 32) for name, weight in weights.items()}, Spare(8.0, 200 * MS), 100.0)
@@ -388,6 +418,11 @@
             codes = Counter(await asyncio.gather(*tasks[:11]))
             assert codes == {200: 4, 503: 7} and not router.passes and not router.open
             assert router.admission.inside == 0 and router.figures()["refused_beyond_share"] == 7
+            assert head.control_listener is not None
+            place, port = head.control_listener.sockets[0].getsockname()
+            async with client.get(f"http://{place}:{port}/ops/tenants") as answer:
+                told = json.loads(await answer.text())["tenants"]["aa"]
+            assert (told["spare_units"], told["refused"], told["waiting"]) == (4.0, 7, 0)
             # Without the form nothing waits any more.
             gate.clear()
             tasks = [asyncio.create_task(put(here, head, client, "aa", at)) for at in range(20, 28)]
@@ -399,6 +434,49 @@
     run(main())
 
 
+def test_shares_of_a_reserve_follow_demand_between_heads_and_promises_that_cannot_be_kept_are_told(
+        tmp_path: Path) -> None:
+    async def main() -> None:
+        async with installation(tmp_path) as here, ClientSession(connector=TCPConnector(limit=0)) as client:
+            heads = [await here.head(f"n{at}", {**SETTINGS, "Balancers": 2}) for at in range(2)]
+            spare = "(spare (depth 100 units) (leases on) (capacity 50 units/s))"
+            tenant = "(tenant aa (volumes 00000000000000aa) (reserve {} units/s))"
+            with pytest.raises(ConnectionError, match=r"with 2 heads the tenants' reserves add up to 120 units/s; the "
+                                                      r"heads do 100: lower reserves by 20"):
+                await here.push(GOOD + spare + tenant.format(120))
+            await here.push(GOOD + spare + tenant.format(40))
+            for head in heads:
+                await here.runs(head, "1.1")
+            holders = [head.streamed.holder for head in heads if head.streamed is not None]
+
+            def shares() -> list[float]:
+                return [holder.share("aa", heads[0].exchange.now_us()) for holder in holders]
+
+            assert shares() == [0.0, 0.0]       # they have just started, and nothing told them what is safe
+            await until(lambda: here.service is not None and here.service.issuer is not None)
+            assert here.service is not None and here.service.issuer is not None
+            here.service.issuer.quiet_until = 0     # nobody was ever granted anything here
+            await until(lambda: min(shares()) > 0)
+            since, number = asyncio.get_running_loop().time(), itertools.count(1)
+
+            async def ask_on() -> None:
+                while True:
+                    await put(here, heads[0], client, "aa", next(number))
+                    await asyncio.sleep(0.02)
+
+            asking = asyncio.create_task(ask_on())
+            most = 0.0
+            while shares()[0] < 0.8:
+                most = max(most, sum(shares()))
+                await asyncio.sleep(0.01)
+            assert most <= 1 + 1e-9 and asyncio.get_running_loop().time() - since < 15
+            router = heads[0].streamed.router if heads[0].streamed is not None else None
+            assert router is not None and router._shares("aa").reserve > 0.8 * 40
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+    run(main())
+
+
 def test_a_surge_at_a_real_head_is_refused_to_its_own_tenant(tmp_path: Path) -> None:
     async def main() -> None:
         async with installation(tmp_path) as here, ClientSession(connector=TCPConnector(limit=0)) as client:
