--- a/examples/service.sexp
+++ b/examples/service.sexp
@@ -11,8 +11,13 @@
 (pool hall-b (zones hall-b) (at-least 2 bricks))
 (pool anywhere (zones hall-a hall-b hall-c))
 
-; Whose volumes these are on the platform's front; buckets of the object API know their tenant.
-(tenant alba (volumes 00000003b4d60021 00000003b4d60022))
+; Whose volumes these are on the platform's front; buckets of the object API know their tenant. A reserve is over all
+; heads and passes at once; what is spare is shared by weight.
+(tenant alba (volumes 00000003b4d60021 00000003b4d60022) (reserve 40 units/s) (weight 2))
+
+; What no reserve takes waits its turn at the head, while so many units are at its bricks; as many as the bricks do at
+; once, less a few that are left to reserves. With leases, shares of reserves follow demand between heads.
+(spare (depth 4 units) (wait 50 ms) (queue 256 requests) (leases off))
 
 (route (tenant alba) (class transfer-write) (pools hall-a hall-b))
 (route (tenant alba) (pools hall-a anywhere) (else any))
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -25,7 +25,7 @@
     document = read(EXAMPLE)
     assert document.lines("f") == []
     assert {key.partition("/")[0] for key in document.records} == {
-        "plan", "pool", "tenant", "route", "limit", "retries", "eject", "rollout"}
+        "plan", "pool", "tenant", "route", "limit", "retries", "eject", "spare", "rollout"}
     limit = document.records["limit/alba/*/*"]
     assert isinstance(limit, records.Limit)
     assert (limit.rate, limit.burst_us, limit.open) == (120.0, 2_000_000, 64)
