--- a/hophinge/routing/quantities.py
+++ b/hophinge/routing/quantities.py
@@ -15,7 +15,8 @@
     "units/s": ("rate", 1.0), "requests/s": ("request rate", 1.0),
     "units": ("units", 1.0), "requests": ("requests", 1.0), "request": ("requests", 1.0),
     "bricks": ("bricks", 1.0), "brick": ("bricks", 1.0), "heads": ("heads", 1.0), "head": ("heads", 1.0),
-    "B/s": ("byte rate", 1.0), "KiB/s": ("byte rate", 1024.0), "MiB/s": ("byte rate", 1024.0 ** 2), "GiB/s": ("byte rate", 1024.0 ** 3),
+    "B/s": ("byte rate", 1.0), "KiB/s": ("byte rate", 1024.0),
+    "MiB/s": ("byte rate", 1024.0 ** 2), "GiB/s": ("byte rate", 1024.0 ** 3),
     "B": ("size", 1.0), "KiB": ("size", 1024.0), "MiB": ("size", 1024.0 ** 2), "GiB": ("size", 1024.0 ** 3),
 }
 EXAMPLES = {"time": "80 ms", "share": "20 %", "rate": "120 units/s", "request rate": "50 requests/s",
