--- a/hophinge/control/publisher.py
+++ b/hophinge/control/publisher.py
@@ -2,7 +2,7 @@
 
 A version goes out as the difference to what the head holds: records first, in parts, the version itself last. One is
 on its way at a time; of versions that come meanwhile only the newest is sent. One that its head turned down is not
-sent again on this stream, and `Rollout` does not aim it at that head again.
+sent again on this stream; a new stream offers it once more, as the head may be another build by then.
 """
 
 from __future__ import annotations
@@ -60,12 +60,12 @@
     """Responses as bytes for the step from one version to another, made once for all heads that take it."""
 
     def __init__(self) -> None:
-        self.cached: OrderedDict[tuple[int, int], tuple[bytes, ...]] = OrderedDict()
+        self.cached: OrderedDict[tuple[Version | None, Version], tuple[bytes, ...]] = OrderedDict()
         self.made = 0
 
     def step(self, before: Snapshot | None, after: Snapshot) -> tuple[bytes, ...]:
         """Tell the responses of a step; a None before is a head that holds nothing."""
-        key = id(before), id(after)
+        key = before.version if before is not None else None, after.version
         parts = self.cached.get(key)
         if parts is None:
             held = {name: row[0] for name, row in before.rows.items()} if before is not None else {}
--- a/hophinge/head/streamed.py
+++ b/hophinge/head/streamed.py
@@ -82,9 +82,10 @@
     def figures(self) -> dict[str, float]:
         """Tell the control service what the rollout is judged by."""
         counts = self.exchange.counters.counts
-        # What a limit refuses is meant; what finds no brick, or no time, may be the version's fault.
-        failed = counts["requests_failed"] + counts["requests_refused"] - self.router.refused_limit
-        return {"taken": counts["requests_taken"], "failed": failed}
+        # What a limit or a share refuses is meant; what finds no brick, or no time, may be the version's fault.
+        meant = self.router.refused_limit + self.router.refused_share
+        return {"taken": counts["requests_taken"],
+                "failed": counts["requests_failed"] + counts["requests_refused"] - meant}
 
     def gauges(self) -> dict[str, float]:
         """Tell what alerts look at."""
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -91,6 +91,7 @@
         self.settings = settings
         self.classes = tuple(klass.name for klass in settings.classes)
         self.table = EMPTY
+        self.lowered = settings.plans       # the platform's plans with what the version in force lowers
         self.owner: Callable[[str], str] = lambda volume: ""    # of a volume that no form gives to a tenant
         self.entries: dict[str, NodeEntry] = {}
         self.limiter, self.budgets, self.ejector = Limiter(), Budgets(), Ejector()
@@ -116,7 +117,8 @@
         self._share(table)
         self._forget()
         self._look()
-        return self.plans()
+        self.lowered = self.plans()
+        return self.lowered
 
     def _share(self, table: Table) -> None:
         """Begin, change or end sharing what is spare."""
@@ -237,7 +239,7 @@
             return wait_us
         ticket, waits = None, False
         if self.admission is not None and table.spare is not None:
-            verdict, ticket, wait_us = self.admission.arrive(now_us, self._ask(table, ask, tenant, volume))
+            verdict, ticket, wait_us = self.admission.arrive(now_us, self._ask(ask, tenant, volume))
             if verdict is Verdict.REFUSED:
                 for state in states:
                     state.give_back(ask.units)
@@ -262,13 +264,10 @@
             return Waits(made)
         return made
 
-    def _ask(self, table: Table, ask: Arrival, tenant: str, volume: str) -> Ask:
-        plan, klass = self.settings.plans[ask.plan], self.settings.classes[ask.klass]
-        lowered = table.plans.get(plan.name)
-        reserve = min(plan.reserve, lowered.reserve) if lowered is not None and lowered.reserve >= 0 else plan.reserve
-        weight = min(plan.weight, lowered.weight) if lowered is not None and lowered.weight >= 0 else plan.weight
+    def _ask(self, ask: Arrival, tenant: str, volume: str) -> Ask:
+        plan, klass = self.lowered[ask.plan], self.settings.classes[ask.klass]
         heads = ask.gateways if ask.gateways > 0 else self.settings.gateways
-        return Ask(tenant, volume, ask.units, klass.worth * plan.price, reserve / heads, weight,
+        return Ask(tenant, volume, ask.units, klass.worth * plan.price, plan.reserve / heads, plan.weight,
                    int(PATIENCE * ask.time_left_us))
 
     def turn(self, now_us: int) -> list[tuple[str, int]]:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -129,6 +129,15 @@
     assert line.head.state is State.IN_FORCE and line.head.running == "1.2"
 
 
+def test_responses_are_shared_by_versions_never_by_where_they_lay_in_memory() -> None:
+    parts = Parts()
+    for number in range(1, 200):        # each snapshot is dropped at once, and the next one takes its place
+        frames = parts.step(None, snapshot((1, number), GOOD[:1 + number % 5]))
+        assert wire.read_version(wire.decode_response(frames[-1]).resources[0].body).order == (1, number)
+    made = parts.made
+    assert parts.step(None, snapshot((1, 199), GOOD[:5])) == frames and parts.made == made
+
+
 @pytest.mark.parametrize("bad", BAD)
 def test_a_bad_version_is_turned_down_with_its_reason_and_the_last_good_goes_on(bad: Record) -> None:
     line = Line()
