What is planned and leased is decided in tenancy/, not beside the control service's sockets

The socket module of the control service kept demand, chose when to plan, scaled plans by the heads that are here and chose what to grant. That is tenancy/allotment.py now, without I/O; the service turns a request into an ask and a lease into a response.

A comment on the time that a response takes a head, which nothing had measured, is gone.

--- a/hophinge/control/publisher.py
+++ b/hophinge/control/publisher.py
@@ -19,7 +19,7 @@
 )
 from hophinge.routing import records
 
-PART = 500              # records in one response: some 100 KB, a few milliseconds of a head's loop
+PART = 500              # records in one response: some 100 KB; a head reads one in one turn of its loop
 MOST_CACHED = 16        # differences kept; heads in step share them
 
 
--- a/hophinge/control/service.py
+++ b/hophinge/control/service.py
@@ -23,11 +23,10 @@
 from hophinge.control.wire import Kind, Order, Response
 from hophinge.routing import records
 from hophinge.routing.forms import read
-from hophinge.tenancy.leases import Issuer
-from hophinge.tenancy.planner import Demand, fits, plan
+from hophinge.tenancy.allotment import Allotment, LeaseAsk
+from hophinge.tenancy.planner import fits
 
 LOOK_S = 0.05           # between looks at the rollout; a wave's end is seen within this time
-PLAN_US = 1_000_000     # between plans of shares
 AGAIN_S = 0.5           # after the store failed
 BEAT_S = 2.0            # an empty response to a head that got nothing else; heads take longer silence for an end
 MOST_STREAMS = 2000
@@ -65,10 +64,7 @@
         known = [(name, (seen - self.zero_ms) * 1000) for name, seen in store.heads()]
         self.rollout = Rollout(course, store.rule(course.target), known)
         self.owed = Decision()
-        self.issuer: Issuer | None = None
-        self.demand = Demand()
-        self.planned: dict[str, dict[str, float]] = {}
-        self.planned_at = 0
+        self.allotment = Allotment(store.serials, log)
         self.reserves: tuple[Order, dict[str, float], float] = ((0, 0), {}, 0.0)
         self.server: grpc.aio.Server | None = None
         self.port = 0
@@ -188,7 +184,7 @@
             if name and self.streams.get(name) is stream:
                 del self.streams[name]
                 self.rollout.gone(name, self.now_us())
-                self.demand.gone(name)
+                self.allotment.demand.gone(name)
 
     async def _read(self, stream: Stream, requests: AsyncIterator[bytes]) -> None:
         async for data in requests:
@@ -211,46 +207,24 @@
     # --- shares of reserves
 
     def _leased(self, head: str, figures: Mapping[str, float]) -> list[bytes]:
-        """Answer a head that asks for its shares, with what is safe of what is planned."""
-        heads, process, asked, held = (int(figures.get(name, 0)) for name in ("heads", "process", "asked", "held"))
-        if heads < 1 or self.streams.get(head) is None:
+        """Answer a head that asks for its shares."""
+        snapshot = self.store.snapshots.get(self.rollout.course.target)
+        if snapshot is None:
             return []
-        if self.issuer is None or self.issuer.heads != heads:
-            if self.issuer is not None:
-                self.log(f"{head} counts {heads} heads, another {self.issuer.heads}: shares begin anew")
-            # Also where the count has changed: what was granted by another one must have ended first.
-            self.issuer = Issuer(heads, self.store.serials(), self.now_us())
-        now, span_s = self.now_us(), max(0.1, figures.get("span_s", 1.0))
-        self.demand.report(head, {name.removeprefix(wire.DEMAND): units / span_s for name, units in figures.items()
-                                  if name.startswith(wire.DEMAND)})
-        if now - self.planned_at >= PLAN_US:
-            self.planned_at, self.planned = now, self._plan()
-        wanted = {tenant: parts[head] for tenant, parts in self.planned.items() if head in parts}
-        lease = self.issuer.grant(now, head, process, asked, held, wanted)
+        if self.reserves[0] != snapshot.order:
+            self.reserves = snapshot.order, *reserves_of(row[2] for row in snapshot.rows.values())
+        heads, process, asked, held = (int(figures.get(name, 0)) for name in ("heads", "process", "asked", "held"))
+        span_s = max(0.1, figures.get("span_s", 1.0))
+        demand = {name.removeprefix(wire.DEMAND): units / span_s for name, units in figures.items()
+                  if name.startswith(wire.DEMAND)}
+        lease = self.allotment.answer(self.now_us(), LeaseAsk(head, heads, process, asked, held, demand),
+                                      *self.reserves[1:], self.streams.keys())
         if lease is None:
             return []
         body = wire.record_body(msgspec.json.encode(lease))
         name = f"lease/{lease.serial}"
         return [wire.encode_response(Response(Kind.LEASE, name, (wire.Resource(wire.LEASE_NAME, name, body),)))]
 
-    def _plan(self) -> dict[str, dict[str, float]]:
-        """Plan shares over the heads that are here; a plan that fails leaves each its even part."""
-        snapshot = self.store.snapshots.get(self.rollout.course.target)
-        if snapshot is None or self.issuer is None:
-            return {}
-        if self.reserves[0] != snapshot.order:
-            self.reserves = snapshot.order, *reserves_of(row[2] for row in snapshot.rows.values())
-        _, reserves, capacity = self.reserves
-        heads = dict.fromkeys(self.streams, capacity or sum(reserves.values()) or 1.0)
-        try:
-            parts = plan(reserves, heads, self.demand.rates)
-        except ValueError as error:
-            self.log(f"shares stay even: {error}")
-            return {}
-        # Heads that are away keep their even parts, which the issuer sees to; the rest is planned among those here.
-        here = len(heads) / max(self.issuer.heads, len(heads))
-        return {tenant: {head: part * here for head, part in shares.items()} for tenant, shares in parts.items()}
-
     def _happened(self, stream: Stream, event: Subscribed | Acked | TurnedDown) -> None:
         name, now = stream.publisher.head, self.now_us()
         match event:
@@ -315,7 +289,8 @@
         assert isinstance(rule, records.Rollout)
         bodies = {name: records.encode(record) for name, record in document.records.items()}
         promised, capacity = reserves_of(bodies.values())
-        count = self.issuer.heads if self.issuer is not None else max(1, len(self.streams))
+        issuer = self.allotment.issuer
+        count = issuer.heads if issuer is not None else max(1, len(self.streams))
         if capacity and (misfit := fits(promised, dict.fromkeys(map(str, range(count)), capacity))) is not None:
             raise StoreError(f"with {count} heads {misfit}")
         same = newest is not None and bodies == {name: row[2] for name, row in newest.rows.items()}
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -454,9 +454,9 @@
                 return [holder.share("aa", heads[0].exchange.now_us()) for holder in holders]
 
             assert shares() == [0.0, 0.0]       # they have just started, and nothing told them what is safe
-            await until(lambda: here.service is not None and here.service.issuer is not None)
-            assert here.service is not None and here.service.issuer is not None
-            here.service.issuer.quiet_until = 0     # nobody was ever granted anything here
+            await until(lambda: here.service is not None and here.service.allotment.issuer is not None)
+            assert here.service is not None and here.service.allotment.issuer is not None
+            here.service.allotment.issuer.quiet_until = 0     # nobody was ever granted anything here
             await until(lambda: min(shares()) > 0)
             since, number = asyncio.get_running_loop().time(), itertools.count(1)
 
