A write's Idempotency-Key goes on to bricks as it came, and none is repeated without one

A doubled, over-long (1024 bytes) or unprintable key is told with 400. A keyed write without a key is not repeated once it may have run (Arrival.keyless). The object front's own keyed writes bear their id.

--- a/hophinge/core/choice.py
+++ b/hophinge/core/choice.py
@@ -788,7 +788,8 @@
         if request.ran_on is None or request.klass.effect is Effect.SAFE:
             return True
         window = request.ran_at + request.klass.dedup_window_us
-        return request.klass.effect is Effect.KEYED and self.now + self.settings.tick_us < window
+        keyed = request.klass.effect is Effect.KEYED and not request.ask.keyless
+        return keyed and self.now + self.settings.tick_us < window
 
     def _may_take(self, request: Request, book: Book) -> bool:
         """The rules that look at the node."""
--- a/hophinge/core/interface.py
+++ b/hophinge/core/interface.py
@@ -217,6 +217,7 @@
     write: bool
     plan: int
     bounds: Bounds | None = None
+    keyless: bool = False       # bears no key that nodes could drop a repeat by, whatever its class says
 
 
 class Outcome(Struct, frozen=True):
--- a/hophinge/net/payload.py
+++ b/hophinge/net/payload.py
@@ -8,6 +8,7 @@
 
 MOST_BODY = 64 * 1024
 MOST_LONG = 33 * 1024 * 1024    # of a long body or answer
+KEY = "Idempotency-Key"
 HOLD = 64 * 1024                # an answer up to here is passed on only once it is whole
 
 
@@ -19,4 +20,10 @@
     target: str
     txn: str
     body: bytes
+    key_line: bytes = b""          # `Idempotency-Key` with its line end, as a keyed class's client wrote it
     upload: Upload | None = None    # in place of a body that is not whole yet
+
+
+def key_line(value: bytes) -> bytes:
+    """Make the line that bears a request's key."""
+    return b"%b: %b\r\n" % (KEY.encode(), value)
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import AsyncIterator
 from typing import Any, Protocol
 
@@ -17,15 +16,9 @@
 from hophinge.net.budget import Budget
 from hophinge.net.listener import IN, OUT, Listener, Pace, origin_form
 from hophinge.net.payload import MOST_BODY, MOST_LONG, Payload
+from hophinge.net.reader import MalformedError, Reader, read_key
 from hophinge.net.upload import Upload
 
-# The client counts from when it sent; the answer must be there, written and read, when it stops waiting.
-MARGIN_US = 6_000
-ID = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
-TARGET = re.compile(r"/([^/?#]+)/([0-9a-fA-F]{16})/([0-9a-fA-F]{16})(?:\?[!-\"$-~]*)?", re.ASCII)
-PLACEMENT = re.compile(r"units=([0-9]{1,6}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,6}),hosts=([0-9]{1,6})", re.ASCII)
-REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
-DECISIVE = ("X-Txn", "X-Qos-Policy", "X-Remaining-Ms", "X-Placement")
 BODY_S = 4.0        # for a body to come, and more for each byte that has come
 BODY_RATE = 16_000  # bytes a second; slower clients hold a connection for too long
 PIECE_S = 2.2       # for its next bytes
@@ -36,57 +29,6 @@
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
 
 
-class MalformedError(Exception):
-    """A request that cannot be one of a client's, and the status that says so."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status, self.text = status, text
-
-
-class Reader:
-    """Takes out of a request what the decisions need."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.classes = {klass.name: at for at, klass in enumerate(settings.classes)}
-        self.plans = {plan.name: at for at, plan in enumerate(settings.plans)}
-        self.most_units = settings.most_units
-
-    def read(self, request: web.BaseRequest) -> api.Arrival:
-        """Read the request's line and headers; the body may still be on its way."""
-        headers = request.headers
-        if any(len(headers.getall(name, ())) > 1 for name in DECISIVE):
-            # Which of two would count is anyone's guess, and a brick's may differ from this one.
-            raise MalformedError(400, "a header that must be alone is repeated")
-        if request.method not in ("GET", "PUT"):
-            raise MalformedError(405, "only GET and PUT are served")
-        target = TARGET.fullmatch(origin_form(request.raw_path))
-        if target is None:
-            raise MalformedError(400, "the path is not /class/volume/object")
-        klass = self.classes.get(target[1])
-        if klass is None:
-            raise MalformedError(404, "no such class")
-        plan = self.plans.get(headers.get("X-Qos-Policy", ""))
-        if plan is None:
-            raise MalformedError(400, "X-Qos-Policy names no plan")
-        txn = headers.get("X-Txn", "")
-        if not ID.fullmatch(txn):
-            raise MalformedError(400, "X-Txn is not 16 hex digits")
-        placement = PLACEMENT.fullmatch(headers.get("X-Placement", ""))
-        if placement is None:
-            raise MalformedError(400, "X-Placement is malformed")
-        units = float(placement[1])
-        if not 0 < units <= self.most_units:
-            raise MalformedError(400, "X-Placement's units are out of range")
-        left = headers.get("X-Remaining-Ms", "")
-        if not REMAINING.fullmatch(left):
-            raise MalformedError(400, "X-Remaining-Ms is malformed")
-        return api.Arrival(
-            request=txn, units=units, volume=target[2], klass=klass, shard=int(placement[2]),
-            gateways=int(placement[3]), key=target[3], time_left_us=max(0, int(left) * 1000 - MARGIN_US),
-            write=request.method == "PUT", plan=plan)
-
-
 class Watch(Protocol):
     """Who looks on for tenants, where there are any."""
 
@@ -125,7 +67,7 @@
     async def _take(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/healthz" and request.method == "GET":
             return web.Response(status=200 if self.ready else 503)
-        ask = self.reader.read(request)
+        ask, key = self.reader.read(request), read_key(request)
         klass = self.exchange.settings.classes[ask.klass].name
         if len(self.busy) > self.most:
             # Sockets are left for bricks and accepts; whoever comes on top is told so, and its connection ends.
@@ -161,7 +103,7 @@
                 raise MalformedError(400, "X-Txn is in use")
             request[TICKET] = self.exchange.figures.take(klass)
             done: asyncio.Future[Answer] = self.loop.create_future()
-            payload = Payload(request.method, origin_form(request.raw_path), ask.request, body, upload)
+            payload = Payload(request.method, origin_form(request.raw_path), ask.request, body, key, upload)
             self.exchange.arrive(ask, payload, giver(done), upload is None)
             try:
                 answer = await (done if upload is None else self._fill(request, upload, ask, done, klass))
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -15,7 +15,7 @@
 from hophinge.core import interface as api
 from hophinge.core.exchange import Answer, Exchange, Rest, Verdict, giver
 from hophinge.core.figures import FAULTED, FULFILLED, THROTTLED
-from hophinge.net.payload import MOST_BODY, Payload
+from hophinge.net.payload import MOST_BODY, Payload, key_line
 from hophinge.objects.config import ObjectConfig
 from hophinge.objects.records import Piece, Run, piece_id
 from hophinge.objects.tenants import Volume
@@ -89,7 +89,10 @@
             target = f"/{settings.classes[klass].name}/{volume.id}/{key}"
             ticket = self.exchange.figures.take(settings.classes[klass].name)
             done: asyncio.Future[Answer] = loop.create_future()
-            self.exchange.arrive(ask, Payload(method, target, txn, body or b""), giver(done))
+            # A keyed class's repeats are dropped by this call's own id.
+            keyed = settings.classes[klass].effect is api.Effect.KEYED
+            payload = Payload(method, target, txn, body or b"", key_line(txn.encode()) if keyed else b"")
+            self.exchange.arrive(ask, payload, giver(done))
             try:
                 answer = await done
             except asyncio.CancelledError:
