Common ground for processes that hold together: errors with remedies, types of members and entries

Need: four parts (members, agreed drains, scorers, popularity) are built side by side and must meet in the same types before they start.

--- a/hophinge/core/interface.py
+++ b/hophinge/core/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -197,6 +197,40 @@
         """Take one attempt beyond the so many that it had from its budget; False: there is none left."""
 
 
+class Seen(Protocol):
+    """A node as the module's book has it, to be read and never written."""
+
+    @property
+    def entry(self) -> NodeEntry:
+        """Tell its entry in the list."""
+
+    @property
+    def free(self) -> float:
+        """Tell when what was sent to it from here should be done, in microseconds."""
+
+    @property
+    def units_out(self) -> float:
+        """Tell the units sent to it from here and not answered."""
+
+    @property
+    def lag(self) -> float:
+        """Tell what its answers took lately, in microseconds."""
+
+    @property
+    def failures(self) -> int:
+        """Tell its trials in a row that failed."""
+
+    def warmth(self, now: int, cold_us: int) -> float:
+        """Tell how far it has warmed up since it started, from 0 to 1."""
+
+
+class Scorers(Protocol):
+    """Whoever adds times to nodes before the one that frees earliest is chosen; it can bring in none."""
+
+    def added_us(self, now_us: int, ask: Arrival, nodes: Sequence[Seen]) -> Mapping[str, float]:
+        """Tell added microseconds by node, 0 or more; a node that is not named gets none. It never raises."""
+
+
 class Waits(Struct, frozen=True):
     """A request that is not let in yet; the gate's `turn` tells what becomes of it."""
 
--- a/hophinge/core/settings.py
+++ b/hophinge/core/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hophinge.core import interface as api
+from hophinge.core.errors import HophingeError
 
 EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 REPORT_FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "rate",
@@ -16,9 +17,12 @@
 Value = TypeVar("Value")
 
 
-class SettingsError(ValueError):
+class SettingsError(HophingeError, ValueError):
     """Settings that do not have the form that their page gives."""
 
+    code = "settings-unreadable"
+    remedy = "Mend the value that is named in the configuration's settings; the running process keeps what it has."
+
 
 class Table:
     """An object of the settings; an absent or null value is 0, false or empty, a value of another type an error."""
--- a/hophinge/head/config.py
+++ b/hophinge/head/config.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hophinge.core import interface as api
+from hophinge.core.errors import HophingeError
 from hophinge.core.settings import read_settings
 from hophinge.head.lean import OPERATOR_FILE
 from hophinge.head.operator import OperatorConfig
@@ -16,9 +17,12 @@
 from hophinge.net.discovery import Listing
 
 
-class ConfigError(Exception):
+class ConfigError(HophingeError):
     """A configuration that a head cannot start from."""
 
+    code = "configuration-unusable"
+    remedy = "Mend the file or variable that is named and start the head again; it has taken nothing."
+
 
 class Limits(msgspec.Struct):
     """What the machine allows."""
--- a/hophinge/head/operator.py
+++ b/hophinge/head/operator.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hophinge.head.sections import ClusterConfig, PopularityConfig, ScoringConfig
 from hophinge.objects.config import AdminConfig, ObjectConfig
 from hophinge.telemetry.config import RemoteWriteConfig
 
@@ -21,7 +22,6 @@
     stale_s: float = 300.0
     accounts: bool = False      # the control service owns the tenants' accounts
 
-
     def __post_init__(self) -> None:
         """Check ranges."""
         if not self.endpoints or any(":" not in one for one in self.endpoints):
@@ -37,6 +37,9 @@
     admin: AdminConfig | None = None
     remote_write: RemoteWriteConfig | None = None
     stream: StreamConfig | None = None
+    cluster: ClusterConfig | None = None
+    scoring: ScoringConfig | None = None
+    popularity: PopularityConfig | None = None
 
 
 def _path(kind: type, value: Any) -> Path:
@@ -54,6 +57,10 @@
     if config.stream:
         config.stream.token_file = base / config.stream.token_file
         config.stream.folder = base / config.stream.folder
+    if config.cluster:
+        config.cluster.key_file = base / config.cluster.key_file
+    if config.popularity:
+        config.popularity.secret_file = base / config.popularity.secret_file
     if config.admin:
         config.admin.token_file = base / config.admin.token_file
         if config.objects is None:
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -18,6 +18,7 @@
 
 from hophinge.core import interface as api
 from hophinge.core.counters import Counters
+from hophinge.core.errors import told
 from hophinge.core.exchange import Exchange
 from hophinge.net.budget import Budget
 from hophinge.net.client import Bricks
@@ -390,7 +391,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, settings, operator))
     except (ConfigError, ValueError, OSError, msgspec.MsgspecError) as error:
-        print(f"hophinge: {' '.join(str(error).split())}", file=sys.stderr)
+        print(f"hophinge: {told(error)}", file=sys.stderr)
         return 2
     return 0
 
--- a/hophinge/net/reader.py
+++ b/hophinge/net/reader.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from hophinge.core import interface as api
+from hophinge.core.errors import HophingeError
 from hophinge.net.listener import origin_form
 from hophinge.net.payload import KEY, key_line
 
@@ -21,9 +22,12 @@
 DECISIVE = ("X-Txn", "X-Qos-Policy", "X-Remaining-Ms", "X-Placement", KEY)
 
 
-class MalformedError(Exception):
+class MalformedError(HophingeError):
     """A request that cannot be one of a client's, and the status that says so."""
 
+    code = "request-malformed"
+    remedy = "Have the client send the request as the platform's protocol says; the head serves others meanwhile."
+
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status, self.text = status, text
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,55 @@
+"""The house's own rules: errors say what to do and are listed, long files only shrink."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+import re
+import subprocess
+from pathlib import Path
+
+import hophinge
+from hophinge.core.errors import HophingeError, told, types
+from hophinge.core.settings import SettingsError
+
+ROOT = Path(__file__).parent.parent
+MOST_LINES = 250
+ROW = re.compile(r"^\| `([a-z0-9-]+)` \| .+ \| (.+) \|$", re.MULTILINE)
+
+
+def test_every_error_has_a_code_of_its_own_a_remedy_and_an_entry() -> None:
+    for module in pkgutil.walk_packages(hophinge.__path__, "hophinge."):
+        if not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
+    kinds = [kind for kind in types() if kind.__module__.startswith("hophinge.")]
+    listed = dict(ROW.findall((ROOT / "docs" / "operate" / "errors.md").read_text()))
+    assert len(kinds) >= 3
+    for kind in kinds:
+        own = {"code", "remedy"} <= vars(kind).keys()
+        assert own and kind.remedy.endswith("."), f"{kind.__name__} lacks a code or a remedy of its own"
+        assert listed.get(kind.code) == kind.remedy, f"docs/operate/errors.md lacks {kind.code} with its remedy"
+    assert len({kind.code for kind in kinds}) == len(kinds)
+    assert listed.keys() == {kind.code for kind in kinds}, "docs/operate/errors.md lists what is no error any more"
+
+
+def test_an_error_is_told_as_one_line_with_its_remedy() -> None:
+    assert told(SettingsError("Caps:\n no number")) == (
+        f"Caps: no number [settings-unreadable] {SettingsError.remedy}")
+    assert told(OSError("disk full")) == "disk full" and told(ValueError()) == "ValueError"
+    assert not HophingeError.code       # the base is none that is raised
+
+
+def test_no_file_is_over_250_lines_but_those_listed_and_they_only_shrink() -> None:
+    """Run in a checkout; what is split or shrunk is taken off the list, or down to its new length, with its commit."""
+    allowed = {name: int(lines) for name, lines in (
+        row.split() for row in (ROOT / ".ci" / "long-files.txt").read_text().splitlines())}
+    names = subprocess.run(["git", "ls-files", "hophinge/*.py", "tests/*.py", "benchmarks/*.py", "examples/*.py"],
+                           cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    assert names
+    long = {}
+    for name in names:
+        if (ROOT / name).exists():      # not one that is being removed
+            lines = len((ROOT / name).read_text().splitlines())
+            if lines > MOST_LINES:
+                long[name] = lines
+    assert long == allowed
