--- /dev/null
+++ b/hophinge/core/choice/scheduler.py
@@ -0,0 +1,72 @@
+"""The scheduler: one moment's events in, actions out, and the one timer that wakes it for what is due next."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import replace
+
+from hophinge.core import interface as api
+from hophinge.core.choice.leaving import Leaving
+from hophinge.core.choice.nodes import FINE, SILENT
+
+
+
+class Scheduler(Leaving):
+    """The decisions of one gateway. It reads no clock and does no I/O."""
+
+    def handle(self, now_us: int, events: Iterable[api.Event]) -> list[api.Action]:
+        """Take what came in at one moment and tell what to do."""
+        self.now, self.actions = now_us, []
+        for event in events:
+            match event:
+                case api.Arrival():
+                    self._arrival(event)
+                case api.Outcome():
+                    self._outcome(event)
+                case api.NodeList():
+                    self._node_list(event)
+                case api.TimerDue():
+                    if self.timer_at <= now_us:
+                        # A gateway that stood still accuses no node of the silence meanwhile.
+                        late = self.timer_at and now_us - self.timer_at > self.aim // FINE
+                        self.timer_at, self.woke_at = 0, now_us if late else self.woke_at
+                case api.Departure():
+                    self._finish(event.request)
+                case api.StreamStarted():
+                    self._stream_started(event)
+        self._watch_nodes()
+        self._copy()
+        self.look |= {place: None for place, due in self.again.items() if due <= now_us}
+        while self.look:
+            places, self.look = list(self.look), {}
+            self._dispatch(places)
+        self._expire()
+        self._set_timer()
+        return self.actions
+
+    def replan(self, plans: tuple[api.Plan, ...]) -> None:
+        """Go on under changed figures of the same plans; what was taken stays taken."""
+        self.settings = replace(self.settings, plans=plans)
+        for volume in self.volumes.values():
+            volume.plan = plans[volume.number]
+            volume.reserve.depth = volume.plan.reserve + self.settings.most_units
+
+    def avoided(self, now: int) -> list[str]:
+        """Tell which listed nodes get nothing now by choice: they rest, or have gone silent."""
+        return [node for node, book in self.books.items()
+                if book.entry.phase is api.Phase.ON and (book.silent or book.rest_until > now)]
+
+    def _set_timer(self) -> None:
+        """Wake for what is due next; a steady tick would cost gateways times nodes."""
+        while self.deadlines and self.deadlines[0][1] not in self.requests:
+            heapq.heappop(self.deadlines)
+        due = list(self.again.values())
+        heard = [book.quiet_since() for book in self.busy.values() if not book.silent]
+        due += [max(self.woke_at, at) + int(SILENT * self.aim) + 1 for at in heard]
+        due += [at - self.lead_us for at, _ in self.deadlines[:1]] + [at for at, _ in self.copies[:1]]
+        if self.settings.discovery is api.Discovery.ON_REQUEST and self.watch_due >= 0:
+            due.append(self.watch_due)
+        if due and (not self.timer_at or min(due) < self.timer_at):
+            self.timer_at = max(min(due), self.now + self.settings.tick_us)
+            self.actions.append(api.SetTimer(0, self.timer_at - self.now))
--- /dev/null
+++ b/hophinge/core/choice/volumes.py
@@ -0,0 +1,67 @@
+"""Volumes: what a plan gives one, its limit and its reserve here, and what it used lately."""
+
+from __future__ import annotations
+
+import math
+
+from hophinge.core import interface as api
+
+SLACK_USED = 0.5        # part of a limit's slack used; the rest covers what rounding and clocks may add
+USE_MEMORY_S = 1.0      # seconds over which a volume's use counts: worth is dealt out second by second
+
+
+class Bucket:
+    """A store of units that fills at a rate; it starts empty, as a predecessor may have spent it."""
+
+    def __init__(self, rate: float, depth: float, level: float, now: int) -> None:
+        self.rate, self.depth, self.level, self.at = rate, depth, level, now
+
+    def fill(self, now: int, rate: float) -> float:
+        """Bring the store up to now and tell its level."""
+        self.level = min(self.depth, self.level + self.rate * (now - self.at) / 1e6)
+        self.rate, self.at = rate, now
+        return self.level
+
+
+class Gauge:
+    """Units that fade with time; its value is about the rate of the last while."""
+
+    def __init__(self) -> None:
+        self.units, self.at = 0.0, 0
+
+    def add(self, now: int, units: float) -> None:
+        """Count units."""
+        self.units, self.at = self.rate(now) + units / USE_MEMORY_S, now
+
+    def rate(self, now: int) -> float:
+        """Units a second, lately."""
+        return self.units * math.exp((self.at - now) / 1e6 / USE_MEMORY_S)
+
+
+class Volume:
+    """What this gateway knows of one volume: its plan's stores, its use here and everywhere."""
+
+    def __init__(self, settings: api.Settings, plan_number: int, now: int) -> None:
+        self.number, self.plan = plan_number, settings.plans[plan_number]
+        self.gateways, self.seen = 1, now
+        self.reserve = Bucket(0.0, self.plan.reserve + settings.most_units, settings.most_units, now)
+        self.limit = Bucket(0.0, 0.0, 0.0, now)
+        self.all_use, self.own = 0.0, Gauge()
+        self.beyond: dict[str, Gauge] = {}
+
+    def spread(self, gateways: int, now: int, processes: int) -> None:
+        """Split the limit by the most gateways heard of: whatever they send, the sum stays within it."""
+        self.gateways, self.seen = max(self.gateways, gateways), now
+        parts = self.gateways * processes
+        self.limit.depth = (self.plan.limit_burst + SLACK_USED * self.plan.limit_slack) / parts
+        self.limit.fill(now, self.plan.limit / parts)
+
+    def within_limit(self, units: float, now: int) -> bool:
+        """Tell whether the limit's part of this gateway has these units."""
+        return self.plan.limit <= 0 or self.limit.fill(now, self.limit.rate) >= units
+
+    def reserve_left(self, now: int) -> float:
+        """Reserve still due here: this gateway's part is its part of the volume's use, by the meter."""
+        own = self.own.rate(now)
+        part = max(own / max(own, self.all_use, 1e-9), 1 / self.gateways)
+        return self.reserve.fill(now, self.plan.reserve * part)
