head/service.py by concern: composition, limits, signals and end apart, no import circle

A head's configuration, composition, signals and end stood in one file of 401 lines, and config, lean and service imported each other in a circle.

head/service.py keeps the head itself (start, readiness, lists), head/compose.py makes what the operator's file switches on, head/limits.py divides sockets and memory as a function of figures alone, head/ending.py holds what happens from SIGTERM until the last answer, head/main.py the process with its signals; the environment's names that lean and config both need lie in head/environment.py.

--- /dev/null
+++ b/hophinge/head/compose.py
@@ -0,0 +1,67 @@
+"""Makes the parts of a head that the operator's file switches on; what is off is not even imported."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from hophinge.core.counters import Counters
+from hophinge.core.exchange import Exchange
+from hophinge.head.config import Config
+from hophinge.head.operator import OperatorConfig
+
+if TYPE_CHECKING:
+    from hophinge.admin.front import AdminFront
+    from hophinge.head.accounts import HeadAccounts
+    from hophinge.head.streamed import Streamed
+    from hophinge.objects.front import ObjectFront
+    from hophinge.telemetry.remote_write import RemoteWrite
+
+
+class Parts:
+    """What is on; made before a session is opened, as the file can still be refused for any of it."""
+
+    def __init__(self, config: Config, operator: OperatorConfig, exchange: Exchange, counters: Counters,
+                 log: Callable[[str], None]) -> None:
+        self.objects: ObjectFront | None = None
+        self.admin: AdminFront | None = None
+        self.accounts: HeadAccounts | None = None
+        self.streamed: Streamed | None = None
+        copied = operator.stream is not None and operator.stream.accounts
+        if operator.objects is not None or copied:
+            from hophinge.head.accounts import HeadAccounts     # SQLite, and what the platform's head has no use for
+
+            folder = operator.stream.folder if operator.stream is not None else Path()
+            ledger = operator.objects.tenants.with_suffix(".db") if operator.objects else folder / "accounts.db"
+            self.accounts = HeadAccounts(ledger, operator.objects.tenants if operator.objects else None, copied,
+                                         counters, log)
+        if operator.objects is not None and self.accounts is not None:
+            from hophinge.objects.front import ObjectFront
+            from hophinge.objects.pieces import Core
+            from hophinge.objects.store import Store
+
+            store = Store(Core(exchange, operator.objects))
+            store.core.used = self.accounts.units
+            self.objects = ObjectFront(store, self.accounts, operator.objects, counters, log)
+            self.accounts.front, self.accounts.store = self.objects, store
+            if operator.admin is not None:
+                from hophinge.head.administration import administration
+
+                self.admin = administration(self.accounts, operator.admin, exchange.settings, counters, log)
+        if operator.stream is not None:
+            from hophinge.head.streamed import Streamed     # its libraries cost memory
+
+            self.streamed = Streamed(operator.stream, config.name or config.listen, exchange,
+                                     int(config.seed, 16), log, self.accounts)
+
+
+def remote_write(config: Config, operator: OperatorConfig, exchange: Exchange, counters: Counters,
+                 gauges: Callable[[], dict[str, float]], accounts: HeadAccounts | None) -> RemoteWrite | None:
+    """Make what sends the head's figures to a store of metrics, where it is on."""
+    if operator.remote_write is None:
+        return None
+    from hophinge.telemetry.remote_write import RemoteWrite   # its libraries cost memory
+
+    return RemoteWrite(operator.remote_write, config.name or config.listen, counters, gauges, exchange.now_us,
+                       exchange.figures, accounts.series if accounts is not None else dict)
--- a/hophinge/head/config.py
+++ b/hophinge/head/config.py
@@ -10,7 +10,7 @@
 from hophinge.core import interface as api
 from hophinge.core.errors import HophingeError
 from hophinge.core.settings import read_settings
-from hophinge.head.lean import OPERATOR_FILE
+from hophinge.head.environment import CONFIG_FILE, OPERATOR_FILE
 from hophinge.head.operator import OperatorConfig
 from hophinge.head.operator import load as load_operator
 from hophinge.net.address import split
@@ -60,13 +60,13 @@
         config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
         address(config.listen), address(config.discovery)
     except (OSError, ValueError, msgspec.MsgspecError, ConfigError) as error:
-        raise ConfigError(f"EDGE_CONFIG {path!r}: {error}") from error
+        raise ConfigError(f"{CONFIG_FILE} {path!r}: {error}") from error
     return config
 
 
 def load(environ: Mapping[str, str]) -> tuple[Config, api.Settings, OperatorConfig]:
     """Read the configuration and the operator's file that the environment names."""
-    path = environ.get("EDGE_CONFIG", "")
+    path = environ.get(CONFIG_FILE, "")
     config = read_config(path)
     try:
         config.listen = environ.get("EDGE_LISTEN") or config.listen
@@ -79,7 +79,7 @@
         int(config.seed, 16)
         settings = read_settings(bytes(config.settings))
     except (ValueError, ConfigError) as error:
-        raise ConfigError(f"EDGE_CONFIG {path!r}: {error}") from error
+        raise ConfigError(f"{CONFIG_FILE} {path!r}: {error}") from error
     path = environ.get(OPERATOR_FILE, "")
     if not path:
         return config, settings, OperatorConfig()
--- a/hophinge/head/lean.py
+++ b/hophinge/head/lean.py
@@ -9,7 +9,8 @@
 import os
 from collections.abc import Callable, MutableMapping
 
-OPERATOR_FILE = "HOPHINGE_OPERATOR_FILE"
+from hophinge.head.environment import OPERATOR_FILE
+
 CERTIFICATES = ("SSL_CERT_FILE", "SSL_CERT_DIR")        # OpenSSL's own names
 
 
@@ -19,7 +20,7 @@
     if not environ.get(OPERATOR_FILE):
         environ.update(dict.fromkeys(CERTIFICATES, os.devnull))
     try:
-        from hophinge.head.service import main
+        from hophinge.head.main import main
     finally:
         for name, text in kept.items():
             if text is None:
