net: a client's connection, the acceptor and the reading of answers each in a file of its own

net/listener.py (347 lines) and net/client.py (342) each held several concerns.

net/connection.py is one client's connection, net/acceptor.py takes new ones off the socket, net/listener.py keeps the bounds; net/answer.py reads what a brick answers, net/client.py keeps the attempts. What the first two need of a listener is a protocol each. Code, order and timing as they were; Acceptor stays importable from net/listener.py.

--- a/hophinge/cli/service.py
+++ b/hophinge/cli/service.py
@@ -15,7 +15,7 @@
 from hophinge.control.store import Store
 from hophinge.core.counters import Counters
 from hophinge.head.config import address
-from hophinge.net.listener import Acceptor
+from hophinge.net.acceptor import Acceptor
 from hophinge.state.ledger import Ledger
 from hophinge.state.rows import Row
 from hophinge.tenancy.accounts import Accounts
--- a/hophinge/head/ending.py
+++ b/hophinge/head/ending.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING
 
 from hophinge.core.exchange import Exchange
-from hophinge.net.listener import Acceptor, Listener
+from hophinge.net.acceptor import Acceptor
+from hophinge.net.listener import Listener
 from hophinge.net.server import Front
 
 if TYPE_CHECKING:
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -18,7 +18,8 @@
 from hophinge.head import compose, ending, limits
 from hophinge.head.handover import LOOK_S, Handover
 from hophinge.net.discovery import Directory, Discovery
-from hophinge.net.listener import Acceptor, Listener
+from hophinge.net.acceptor import Acceptor
+from hophinge.net.listener import Listener
 from hophinge.net.server import Front
 from hophinge.head.config import Config, ConfigError, address, read_config
 from hophinge.head.operator import OperatorConfig
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -4,33 +4,29 @@
 
 import asyncio
 import functools
-import math
 import traceback
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import aiohttp
-from aiohttp import ClientRequest, ClientTimeout, StreamReader, TCPConnector
+from aiohttp import ClientRequest, ClientTimeout, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
-from multidict import CIMultiDictProxy
 from yarl import URL
 
 from hophinge.core.counters import Counters
 from hophinge.core.exchange import Attempt, End
 from hophinge.core.interface import ProbeResult, Result, Settings
+from hophinge.net.answer import Answered, Following, first, read_end, read_report
 from hophinge.net.brick import STREAM_STALL_S, BrickConnection, Roll, SpoiltError
 from hophinge.net.clock import now_us
 from hophinge.net.budget import Budget
-from hophinge.net.payload import HOLD, MOST_LONG, Payload
+from hophinge.net.payload import MOST_LONG, Payload
 from hophinge.net.upload import Upload, UploadError
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
 PROBE_S = 0.25              # a brick that is up answers a probe beside its queue
-HOLD_S = 0.02               # for which an answer of unknown length is held
 NOWHERE = "127.0.0.1:0"     # where a brick that no list names is asked: it refuses
-MOST_FIGURE = 1e9           # of use, units or load; above it a figure is noise
 CONNECT_US = 250_000        # where the settings state no limit
 
 
@@ -48,16 +44,6 @@
         self._factory = cast(functools.partial[ResponseHandler], make)
 
 
-@dataclass(slots=True)
-class Answered:
-    """A brick's answer: whole, or its first part and where the rest is read."""
-
-    status: int
-    headers: CIMultiDictProxy[str]
-    body: bytes
-    rest: Following | None = None
-
-
 class Flight:
     """One request on its way: whether its last byte has been handed to the network."""
 
@@ -73,81 +59,6 @@
             self.tell()
 
 
-class Following:
-    """What follows the first part of a long answer. It is read once; how it ended decides over its connection."""
-
-    def __init__(self, protocol: BrickConnection, stream: StreamReader, first: int, length: int | None) -> None:
-        self.protocol, self.stream, self.taken, self.length = protocol, stream, first, length
-        self.done: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
-        protocol.stream()
-
-    async def read(self) -> bytes:
-        """Read on; nothing at the end."""
-        try:
-            chunk = await self.stream.readany()
-            self.protocol.weigh()
-            self.taken += len(chunk)
-            if self.taken > MOST_LONG:
-                raise SpoiltError("a body that is too long")    # in chunks that never end
-        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
-            self.end(Result.RESET)
-            raise ConnectionResetError("the answer broke off") from error
-        if not chunk:
-            self.end(Result.OK)
-        return chunk
-
-    def close(self) -> None:
-        """Read no more."""
-        self.end(Result.CANCELLED)
-
-    def end(self, result: Result) -> None:
-        """Note how it ended; whoever still reads is told."""
-        if not self.done.done():
-            self.done.set_result(result)
-            if result is not Result.OK:
-                self.stream.set_exception(SpoiltError("nobody reads on"))
-
-
-async def _first(stream: StreamReader, protocol: BrickConnection, length: int | None) -> tuple[bytes, bool]:
-    """Read a body, or what of a long one may be held; tell whether it is whole.
-
-    Bricks may take seconds over a long one, and its client waits for the first bytes. One of unknown length that still
-    comes after a moment is no spoilt one, which stands still or ends.
-    """
-    loop = asyncio.get_running_loop()
-    body, since = b"", loop.time()
-    hold_s = HOLD_S if length is None else math.inf if length <= HOLD else 0.0
-    while True:
-        chunk = await stream.readany()
-        protocol.weigh()
-        if not chunk:
-            return body, True
-        body += chunk
-        if len(body) > HOLD or loop.time() - since >= hold_s:
-            return body, stream.at_eof()
-
-
-def _number(text: str | None) -> float | None:
-    """Read a figure; None where it is not one. What cannot be read spoils the figure, never the answer."""
-    try:
-        value = float(text) if text and len(text) < 32 else math.nan
-    except ValueError:
-        return None
-    return value if 0.0 <= value <= MOST_FIGURE else None       # inf and nan are floats too
-
-
-def read_report(text: str | None) -> dict[str, float]:
-    """Read a load report, `TEXT inflight=7, queue=2`; what is malformed in it is passed over."""
-    kind, _, rest = (text or "").strip().partition(" ")
-    found: dict[str, float] = {}
-    for item in rest.split(",") if kind == "TEXT" else ():
-        name, _, value = item.strip().partition("=")
-        figure = _number(value)
-        if figure is not None:
-            found[name] = figure
-    return found
-
-
 class Bricks:
     """The client side towards all bricks. Each attempt is a task; giving it up closes its connection.
 
@@ -216,7 +127,7 @@
             if endpoint is None:
                 raise StaleError
             answer = await self._ask(endpoint, text, flight, attempt)
-            end = self._end(answer)
+            end = read_end(answer, self.reports, self.counters)
             if answer.rest is not None:
                 end = End(await answer.rest.done, b"", end.used, end.elsewhere, end.report)
         except asyncio.CancelledError:
@@ -267,7 +178,7 @@
             message, stream = await protocol.read()
             heard, stated = now_us(), message.headers.get("Content-Length")
             length = None if stated is None else int(stated)
-            body, whole = await _first(stream, protocol, length if attempt is not None else 0)
+            body, whole = await first(stream, protocol, length if attempt is not None else 0)
             answer = Answered(message.code, message.headers, body)
             if not whole:
                 rest = Following(protocol, stream, len(body), length)
@@ -299,20 +210,6 @@
         if upload.length is None:
             transport.write(b"0\r\n\r\n")
 
-    def _end(self, answer: Answered) -> End:
-        status, headers = answer.status, answer.headers
-        result = Result.ERROR
-        if status in (200, 404):
-            result = Result.OK      # 404: the brick looked and holds no such object
-        elif status in (503, 504) and headers.get("X-Turned-Away") == "1":
-            result = Result.FULL
-        elif status != 500:
-            self.counters.add("bricks_answered_oddly")
-        used = _number(headers.get("X-Iops-Used"))
-        return End(result, answer.body if status == 200 else b"", 0 if used is None else 1 + int(used),
-                   _number(headers.get("X-Rho")) or 0.0,
-                   read_report(headers.get("X-Pressure")) if self.reports else {}, absent=status == 404)
-
     def probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
         """Ask a brick for its load; what comes of it is told once."""
         self._task(self._probe(node, told))
