--- /dev/null
+++ b/tests/test_net_answers.py
@@ -0,0 +1,162 @@
+"""What bricks answer: sound, spoilt, in pieces and without an end; only what was asked for is handed on."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from unittest.mock import Mock
+
+import pytest
+from aiohttp import ClientPayloadError, web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hophinge.core.counters import Counters
+from hophinge.net import brick as brick_module
+from hophinge.net.brick import BrickConnection, Roll
+from hophinge.net.budget import Budget
+from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, headers, run, setup, until, world
+from tests.test_net import READ
+
+SOUND = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkept"
+SPOILT = [
+    b"\xcen\x02\xab\x9d\x1c noise \r\n\r\n", b"ICY 200 OK\r\nContent-Length: 4\r\n\r\nkept",
+    b"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nkept",
+    b"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nkept",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 4\r\n\r\nkept",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nkept",
+    b"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nkept", b"HTTP/1.1 200 OK\r\n\r\nkept",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nkept\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nkept\r\nzz\r\n", b"HTTP/1.1 200 OK\r\nX-A: b",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + bytes(100_000),
+    b"HTTP/1.1 200 OK\r\nX-A: " + b"a" * 20_000,
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nkept", b"HTTP/1.1 101 Switching\r\n\r\n" + SOUND]
+
+GOOD = [
+    SOUND, SOUND + SOUND, SOUND + b"\0noise",
+    b"HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 102 P\r\n\r\n" + SOUND,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nkept\r\n0\r\n\r\n",
+    *(b"HTTP/1.1 200 OK\r\nX-Iops-Used: " + one + b"\r\nX-Rho: " + one + b"\r\nX-Pressure: TEXT queue=" + one
+      + b"\r\nContent-Length: 4\r\n\r\nkept" for one in (b"inf", b"nan", b"-3", b"TEXT ?", b"9" * 400, b"1e308"))]
+
+
+def test_a_brick_s_endless_body_is_broken_off() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, ended = await made.head(), asyncio.Event()
+
+            async def endless(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+                response = web.StreamResponse()
+                await response.prepare(request)
+                try:
+                    while True:
+                        await response.write(bytes(8192))
+                finally:
+                    ended.set()
+
+            made.bricks[0].behave = endless
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[0] == 200         # it began like any long one
+            with pytest.raises(asyncio.IncompleteReadError):
+                while size := int(await wire.reader.readuntil(b"\r\n"), 16):
+                    await wire.reader.readexactly(size + 2)
+            await ended.wait()
+            assert service.counters.counts["attempts_reset"] == 1
+    run(main())
+
+
+def test_a_large_answer_that_comes_in_pieces_is_served_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(brick_module, "STALL_S", 0.5)      # the pieces take longer together, none of them alone
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            body = bytes(range(256)) * 1600
+
+            async def slowly(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+                response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+                await response.prepare(request)
+                for at in range(0, len(body), 40_960):
+                    await response.write(body[at:at + 40_960])
+                    await asyncio.sleep(0.06)
+                return response
+
+            made.bricks[0].behave = slowly
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[::2] == (200, body)
+            assert service.counters.counts["attempts_sent"] == 1 and made.bricks[0].connections == 1
+    run(main())
+
+
+def raw(brick: Brick, answer: bytes, stays: bool = True) -> Behaviour:
+    """A brick's first answer is these bytes, after which its connection is of no further use, open or not."""
+    async def behave(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
+        brick.behave = None
+        assert request.transport is not None
+        request.transport.write(answer)
+        if not stays:
+            request.transport.close()
+        await asyncio.Event().wait()
+        return None
+    return behave
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(answer: bytes) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            brick.objects[f"{VOLUME}/{OBJECT}"] = b"true"
+            brick.behave = raw(brick, answer)
+            wire = await made.wire(service)
+            wire.send(READ, headers())
+            assert (await wire.receive())[::2] == (200, b"true")
+            counts = service.counters.counts
+            assert (counts["attempts_reset"], counts["attempts_ok"], counts["client_faults"]) == (1, 1, 0)
+            await until(lambda: brick.connections == 1)    # the spoilt one's connection is closed, not reused
+    run(main())
+
+
+@pytest.mark.parametrize("answer", GOOD)
+def test_a_good_answer_is_served_whatever_comes_with_it(answer: bytes) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            told = setup(Report={"Fields": ["q"], "Source": "answers"})
+            service, brick = await made.head(settings=told), made.bricks[0]
+            brick.objects[f"{VOLUME}/{OBJECT}"] = b"true"
+            brick.behave = raw(brick, answer, stays=GOOD.index(answer) in (1, 2))
+            wire = await made.wire(service)
+            for number, body in ((1, b"kept"), (2, b"true"), (3, b"true")):
+                wire.send(READ, headers(number))
+                assert (await wire.receive())[::2] == (200, body)
+            assert service.counters.counts["attempts_ok"] == 3 and not service.counters.counts["client_faults"]
+    run(main())
+
+
+@given(data=st.data())
+@settings(max_examples=60, deadline=None, derandomize=True)
+def test_a_brick_s_connection_under_random_bytes_and_cuts(data: st.DataObject) -> None:
+    """The model: the first answer's own bytes are handed on if it is sound, nothing of what follows ever is."""
+    sound = data.draw(st.booleans())
+    answer = data.draw(st.sampled_from(GOOD[:4] if sound else SPOILT[:8]))
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(answer)), max_size=4)))
+
+    async def main() -> None:
+        connection = BrickConnection(asyncio.get_running_loop(), Roll(1, Counters()), Budget(1 << 30))
+        connection.connection_made(Mock(is_closing=lambda: False, get_extra_info={"peername": ("127.0.0.1", 1)}.get))
+        connection.set_response_params(read_until_eof=True, auto_decompress=False)
+        for begin, end in itertools.pairwise([0, *cuts, len(answer)]):
+            connection.data_received(answer[begin:end])
+        if sound:
+            message, body = await connection.read()
+            assert message.code == 200 and await body.read() == b"kept"
+            assert connection.should_close == (not answer.endswith(b"\r\n\r\nkept") or answer.count(b"kept") > 1)
+        else:
+            with pytest.raises(ClientPayloadError):
+                _, body = await connection.read()
+                await body.read()
+            assert connection.should_close
+        connection.connection_lost(None)
+    run(main())
--- /dev/null
+++ b/tests/test_net_end.py
@@ -0,0 +1,76 @@
+"""The end of a head: who is still served, and which connections close when."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.stand_in import Brick, headers, held_by, run, until, world
+from tests.test_net import READ
+
+
+def test_after_the_signal_new_connections_are_still_taken_and_kept_ones_served_until_little_time_is_left() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, gate, brick = await made.head(), asyncio.Event(), made.bricks[0]
+
+            brick.behave = held_by(gate)
+            wire, kept = await made.wire(service), await made.wire(service)
+            wire.send(READ, headers(1, X_Remaining_Ms="3000"))
+            await until(lambda: len(brick.seen) == 1)
+            ending = asyncio.create_task(service.finish())
+            await until(lambda: service.front.until_us is not None)
+            brick.behave = None
+            late = await made.wire(service)
+            for number, one in ((2, kept), (3, late)):
+                one.send(READ, headers(number))
+                status, fields, _ = await one.receive()
+                assert status == 404 and "connection" not in fields
+            gate.set()
+            assert (await wire.receive())[0] == 404
+            await until(lambda: service.listeners[0].socket.fileno() < 0)
+            kept.send(READ, headers(4, X_Remaining_Ms="30000"))
+            assert (await kept.receive())[0] == 404     # after the listener has closed, and in the time that is left
+            assert int(brick.headers[-1]["X-Remaining-Ms"]) < 3700
+            await until(lambda: service.front.closing)
+            assert await kept.ended() and await late.ended() and await wire.ended()
+            await ending
+            made.services.remove(service)
+            assert service.counters.counts["requests_absent"] == 4
+    run(main())
+
+
+def test_a_kept_connection_closes_while_an_earlier_request_is_still_served() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, gate = await made.head(), asyncio.Event()
+            wire, idle = await made.wire(service), await made.wire(service)
+            idle.send("/healthz", {})
+            assert (await idle.receive())[0] == 200
+
+            made.bricks[0].behave = held_by(gate)
+            wire.send(READ, headers(1, X_Remaining_Ms="20000"))
+            await until(lambda: len(made.bricks[0].seen) == 1)
+            ending = asyncio.create_task(service.finish())
+            assert await idle.ended() and service.exchange.unanswered == 1      # long before it is answered
+            gate.set()
+            assert (await wire.receive())[0] == 404 and await wire.ended()
+            await ending
+            made.services.remove(service)
+    run(main())
+
+
+def test_at_an_upgrade_s_end_connections_close_one_by_one_the_least_used_first() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wires = [await made.wire(service) for _ in range(3)]
+            for number, wire in enumerate([*wires, wires[0]]):
+                wire.send(READ, headers(number))
+                assert (await wire.receive())[0] == 404
+            await until(lambda: len(service.front.resting) == 3)
+            service.front.thin(60.0)
+            assert len(service.front.resting) == 3      # none has rested for so long
+            service.front.thin(0.0)
+            assert await wires[1].ended()
+            await until(lambda: len(service.front.resting) == 2)
+    run(main())
