objects/front.py by concern: what a request says, what it does, and the one answer that it gets

objects/asked.py reads query and headers and makes documents, objects/requests.py carries each request out, objects/front.py keeps that whatever goes wrong gets one answer. What is asked of the accounts is tenants.Admission, as that module has Accounts already. Code, order and timing as they were.

--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -1,77 +1,34 @@
-"""The object API over HTTP: S3's names, verbs and status codes on aiohttp's low-level server."""
+"""The object API over HTTP: S3's status codes on aiohttp's low-level server; whatever goes wrong gets one answer."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
-import binascii
-import re
 import traceback
-from collections.abc import AsyncIterator, Awaitable, Callable
-from email.utils import formatdate
-from typing import Any, Protocol
-from urllib.parse import parse_qs, unquote
+from collections.abc import Callable
+from typing import Any
 
 from aiohttp import web
 
 from hophinge.core.counters import Counters
-from hophinge.net.listener import IN, OUT, Listener, Pace
-from hophinge.net.payload import MOST_BODY
-from hophinge.objects import xml
+from hophinge.objects.asked import failure
 from hophinge.objects.config import ObjectConfig
-from hophinge.objects.pieces import Budget, CoreFailedError, RefusedError
-from hophinge.objects.ranges import UnsatisfiableError, parse
-from hophinge.objects.records import Manifest
+from hophinge.objects.pieces import CoreFailedError, RefusedError
+from hophinge.objects.requests import GUEST, ObjectRequests
 from hophinge.objects.store import ObjectError, Store
-from hophinge.objects.tenants import Guest, Volume
+from hophinge.objects.tenants import Admission
 
-MOST_NAME = 1024        # bytes of an object's name
 BUSY_RETRY_S = 1        # advice when a head has as many object requests as it takes
-LIST_DEFAULT = 100
-UPLOAD = re.compile(r"[0-9a-f]{32}", re.ASCII)
-REMAINING = re.compile(r"[0-9]{1,9}", re.ASCII)
-GUEST = web.RequestKey("guest", Guest)
-TRUNCATES = (CoreFailedError, RefusedError)
 
 
-class Accounts(Protocol):
-    """What the front asks of the accounts."""
-
-    def admit(self, token: str, bucket: str, request: object, connection: object) -> Guest:
-        """Tell whose key this is and its bucket's volume; raises ObjectError, also where a bound is reached."""
-
-    def dropped(self, holder: object) -> None:
-        """Note the end of a connection or request."""
-
-    def opens(self, guest: Guest, name: str) -> Awaitable[None]:
-        """Ask for room for one more upload; raises ObjectError where there is none."""
-
-    def opened(self, guest: Guest, name: str, upload: str) -> None:
-        """Note an open upload."""
-
-    def closed(self, upload: str) -> None:
-        """Note that an upload was completed or aborted."""
-
-    def moved(self, guest: Guest, way: int, size: int) -> None:
-        """Count bytes."""
-
-    def ended(self, guest: Guest, status: int) -> None:
-        """Count a request's end."""
-
-
-class ObjectFront(Listener):
+class ObjectFront(ObjectRequests):
     """One handler for every connection."""
 
-    def __init__(self, store: Store, accounts: Accounts, config: ObjectConfig, counters: Counters,
+    def __init__(self, store: Store, accounts: Admission, config: ObjectConfig, counters: Counters,
                  log: Callable[[str], None]) -> None:
-        super().__init__(counters, config.connections, config.idle_s, config.idle_s)
-        self.store, self.accounts, self.config, self.log = store, accounts, config, log
-        self.gone = accounts.dropped
+        super().__init__(store, accounts, config, counters)
+        self.log, self.gone = log, accounts.dropped
         self.active = 0
-        # By tenant, the requests whose answer has not begun; they end at once with their tenant.
-        self.waiting: dict[str, set[asyncio.Task[Any]]] = {}
         self.cut: set[asyncio.Task[Any]] = set()
-        self.pace: Pace | None = None       # of bodies, both ways
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; whatever goes wrong, it gets one answer."""
@@ -79,7 +36,7 @@
         response: web.StreamResponse
         if self.active >= self.config.requests:
             self.counters.add("object_too_many")
-            response = self._error(ObjectError(503, "SlowDown", "Too many requests at once."), BUSY_RETRY_S)
+            response = failure(ObjectError(503, "SlowDown", "Too many requests at once."), BUSY_RETRY_S)
         else:
             self.active += 1
             task = asyncio.current_task()
@@ -90,7 +47,7 @@
                 if task not in self.cut:
                     raise
                 task.uncancel()
-                response = self._error(ObjectError(403, "AccessDenied", "The account is not served any more."))
+                response = failure(ObjectError(403, "AccessDenied", "The account is not served any more."))
                 response.force_close()      # its body is read by nobody
             finally:
                 self.active -= 1
@@ -111,256 +68,18 @@
             self.cut.add(task)
             task.cancel()
 
-    def _begins(self, request: web.BaseRequest) -> None:
-        """Note that a request waits no longer."""
-        task = asyncio.current_task()
-        tasks = self.waiting.get(request[GUEST].tenant)
-        if tasks is not None and task is not None:
-            tasks.discard(task)
-            if not tasks:
-                del self.waiting[request[GUEST].tenant]
-
     async def _answered(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await self._route(request)
         except ObjectError as error:
-            return self._error(error, error.retry_s)
+            return failure(error, error.retry_s)
         except RefusedError as refused:
             # The module gave a request up: told at once, with when to come back.
             text = "The core refused the request; it is safe to repeat."
-            return self._error(ObjectError(503, "SlowDown", text), max(refused.retry_after_us, 1) / 1e6)
+            return failure(ObjectError(503, "SlowDown", text), max(refused.retry_after_us, 1) / 1e6)
         except CoreFailedError:
-            return self._error(ObjectError(500, "InternalError", "The request failed; it may have taken effect."))
+            return failure(ObjectError(500, "InternalError", "The request failed; it may have taken effect."))
         except Exception:
             self.counters.add("object_faults")
             self.log(traceback.format_exc())
-            return self._error(ObjectError(500, "InternalError", "The request failed; it may have taken effect."))
-
-    # --- requests
-
-    async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
-        raw, _, query_text = request.raw_path.partition("?")
-        if raw == "/healthz" and request.method == "GET":
-            return web.Response(status=503 if self.closing else 200)
-        bucket, _, quoted = raw.removeprefix("/").partition("/")
-        try:
-            name = unquote(quoted, errors="strict")
-            query = parse_qs(query_text, keep_blank_values=True, max_num_fields=16, errors="strict")
-        except ValueError as error:
-            raise ObjectError(400, "InvalidURI", "The path or query is not UTF-8.") from error
-        guest = self._guest(request, unquote(bucket))
-        volume = guest.volume
-        if not name:
-            raise ObjectError(501, "NotImplemented", "Buckets are made by the administration API and not listed.")
-        if len(name.encode()) > MOST_NAME:
-            raise ObjectError(400, "KeyTooLongError", f"An object's name has at most {MOST_NAME} bytes.")
-        budget = self._budget(request)
-        match request.method, "uploads" in query, "uploadId" in query:
-            case "POST", True, False:
-                return await self._initiate(request, guest, bucket, name, budget)
-            case "POST", False, True:
-                return await self._complete(request, volume, bucket, name, self._upload(query), budget)
-            case "PUT", False, True:
-                return await self._put_part(request, volume, name, query, budget)
-            case "GET", False, True:
-                return await self._list_parts(volume, bucket, name, query, budget)
-            case "DELETE", False, True:
-                await self.store.abort(volume, name, self._upload(query), budget)
-                self.accounts.closed(self._upload(query))
-                return web.Response(status=204)
-            case "PUT", False, False:
-                manifest = await self.store.put(volume, name, self._type(request), self._chunks(request, volume),
-                                                self._md5(request), budget)
-                return web.Response(headers={"ETag": f'"{manifest.etag}"'})
-            case ("GET" | "HEAD"), False, False:
-                return await self._get(request, volume, name, budget)
-            case "DELETE", False, False:
-                await self.store.delete(volume, name, budget)
-                return web.Response(status=204)
-        raise ObjectError(405, "MethodNotAllowed", "The method is not allowed here.")
-
-    def _guest(self, request: web.BaseRequest, bucket: str) -> Guest:
-        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-        task = asyncio.current_task()
-        assert task is not None
-        guest = self.accounts.admit(token.strip() if scheme.lower() == "bearer" else "", bucket, task,
-                                    request.protocol)
-        request[GUEST] = guest
-        self.waiting.setdefault(guest.tenant, set()).add(task)
-        return guest
-
-    def _budget(self, request: web.BaseRequest) -> Budget:
-        text = request.headers.get("X-Remaining-Ms")
-        if text is not None and not REMAINING.fullmatch(text):
-            raise ObjectError(400, "InvalidArgument", "X-Remaining-Ms is malformed.")
-        return Budget(self.store.core.exchange.now_us(), None if text is None else int(text))
-
-    def _upload(self, query: dict[str, list[str]]) -> str:
-        upload = query["uploadId"][0]
-        if not UPLOAD.fullmatch(upload):
-            raise ObjectError(404, "NoSuchUpload", "The upload does not exist.")
-        return upload
-
-    def _number(self, query: dict[str, list[str]], name: str, default: int) -> int:
-        text = query.get(name, [str(default)])[0]
-        if not (text.isascii() and text.isdigit() and len(text) < 10):
-            raise ObjectError(400, "InvalidArgument", f"{name} is not a number.")
-        return int(text)
-
-    def _type(self, request: web.BaseRequest) -> str:
-        return request.headers.get("Content-Type", "application/octet-stream")[:256]
-
-    def _md5(self, request: web.BaseRequest) -> str:
-        text = request.headers.get("Content-MD5")
-        if text is None:
-            return ""
-        try:
-            value = base64.b64decode(text, validate=True)
-        except binascii.Error:
-            value = b""
-        if len(value) != 16:
-            raise ObjectError(400, "InvalidDigest", "Content-MD5 is malformed.")
-        return value.hex()
-
-    async def _chunks(self, request: web.BaseRequest, volume: Volume | None = None) -> AsyncIterator[bytes]:
-        """Cut a body into pieces; a client that stops sending is not waited for for ever."""
-        self.invite(request)
-        size, buffer = self.config.piece_bytes, bytearray()
-        while True:
-            try:
-                async with asyncio.timeout(self.config.idle_s):
-                    data = await request.content.readany()
-            except TimeoutError as error:
-                raise ObjectError(408, "RequestTimeout", "The body stopped coming.") from error
-            if not data:
-                break
-            buffer += data
-            if GUEST in request:
-                self.accounts.moved(request[GUEST], IN, len(data))
-            if self.pace is not None and volume is not None:
-                await self.pace(volume.id, self.config.write_class, IN, len(data))
-            while len(buffer) >= size:
-                yield bytes(buffer[:size])
-                del buffer[:size]
-        if buffer:
-            yield bytes(buffer)
-
-    async def _body(self, request: web.BaseRequest) -> bytes:
-        body = bytearray()
-        async for chunk in self._chunks(request):
-            body += chunk
-            if len(body) > MOST_BODY:
-                raise ObjectError(413, "EntityTooLarge", "The list is too long.")
-        return bytes(body)
-
-    # --- answers
-
-    async def _get(self, request: web.BaseRequest, volume: Volume, name: str, budget: Budget) -> web.StreamResponse:
-        manifest = await self.store.head(volume, name, budget)
-        etag = f'"{manifest.etag}"'
-        headers = {"ETag": etag, "Accept-Ranges": "bytes", "Content-Type": manifest.content_type,
-                   "Last-Modified": formatdate(manifest.modified, usegmt=True)}
-        if _matches(request.headers.get("If-None-Match"), etag):
-            return web.Response(status=304, headers={"ETag": etag})
-        if "If-Match" in request.headers and not _matches(request.headers["If-Match"], etag):
-            raise ObjectError(412, "PreconditionFailed", "The object has another ETag.")
-        asked = request.headers.get("Range")
-        if request.headers.get("If-Range", etag) != etag:
-            asked = None
-        try:
-            found = parse(asked, manifest.size)
-        except UnsatisfiableError:
-            error = self._error(ObjectError(416, "InvalidRange", "No byte of the range is in the object."))
-            error.headers["Content-Range"] = f"bytes */{manifest.size}"
-            return error
-        first, last = found or (0, manifest.size - 1)
-        response = web.StreamResponse(status=206 if found else 200, headers=headers)
-        response.content_length = last + 1 - first
-        if found:
-            response.headers["Content-Range"] = f"bytes {first}-{last}/{manifest.size}"
-        if self.closing:
-            response.force_close()
-        if request.method == "HEAD" or not manifest.size:
-            await response.prepare(request)
-            await response.write_eof()
-            return response
-        return await self._stream(request, response, volume, manifest, (first, last), budget)
-
-    async def _stream(self, request: web.BaseRequest, response: web.StreamResponse, volume: Volume,
-                      manifest: Manifest, span: tuple[int, int], budget: Budget) -> web.StreamResponse:
-        chunks = self.store.read(volume, manifest, *span, budget)
-        try:
-            async for chunk in chunks:      # the first one is there before the status goes out
-                if not response.prepared:
-                    self._begins(request)
-                    await response.prepare(request)
-                self.accounts.moved(request[GUEST], OUT, len(chunk))
-                async with asyncio.timeout(self.config.idle_s):
-                    await response.write(chunk)
-                if self.pace is not None:
-                    await self.pace(volume.id, self.config.read_class, OUT, len(chunk))
-            await response.write_eof()
-        except (*TRUNCATES, TimeoutError):
-            if not response.prepared:
-                raise
-            # The status is out: the client sees that it got less than Content-Length says.
-            self.counters.add("object_truncated")
-            if request.transport is not None:
-                request.transport.abort()
-        finally:
-            await chunks.aclose()
-        return response
-
-    async def _initiate(self, request: web.BaseRequest, guest: Guest, bucket: str, name: str,
-                        budget: Budget) -> web.Response:
-        await self.accounts.opens(guest, name)
-        upload = await self.store.initiate(guest.volume, name, self._type(request), budget)
-        self.accounts.opened(guest, name, upload)
-        return _xml("InitiateMultipartUploadResult", [("Bucket", bucket), ("Key", name), ("UploadId", upload)])
-
-    async def _put_part(self, request: web.BaseRequest, volume: Volume, name: str, query: dict[str, list[str]],
-                        budget: Budget) -> web.Response:
-        upload, number = self._upload(query), self._number(query, "partNumber", 0)
-        part = await self.store.put_part(volume, name, upload, number, self._chunks(request, volume),
-                                         self._md5(request), budget)
-        return web.Response(headers={"ETag": f'"{part.etag}"'})
-
-    async def _list_parts(self, volume: Volume, bucket: str, name: str, query: dict[str, list[str]],
-                          budget: Budget) -> web.Response:
-        upload, after = self._upload(query), self._number(query, "part-number-marker", 0)
-        most = max(1, self._number(query, "max-parts", LIST_DEFAULT))
-        found, more = await self.store.list_parts(volume, name, upload, after, most, budget)
-        rows: list[xml.Node] = [
-            ("Bucket", bucket), ("Key", name), ("UploadId", upload), ("PartNumberMarker", str(after)),
-            ("MaxParts", str(most)), ("IsTruncated", "false" if more is None else "true")]
-        if more is not None:
-            rows.append(("NextPartNumberMarker", str(more)))
-        rows += [("Part", [("PartNumber", str(number)), ("LastModified", xml.date(part.modified)),
-                           ("ETag", f'"{part.etag}"'), ("Size", str(part.size))]) for number, part in found]
-        return _xml("ListPartsResult", rows)
-
-    async def _complete(self, request: web.BaseRequest, volume: Volume, bucket: str, name: str, upload: str,
-                        budget: Budget) -> web.Response:
-        try:
-            wanted = xml.parts(await self._body(request))
-        except ValueError as error:
-            raise ObjectError(400, "MalformedXML", f"The list of parts is malformed: {error}.") from error
-        etag = await self.store.complete(volume, name, upload, wanted, budget)
-        self.accounts.closed(upload)
-        return _xml("CompleteMultipartUploadResult",
-                    [("Location", f"/{bucket}/{name}"), ("Bucket", bucket), ("Key", name), ("ETag", f'"{etag}"')])
-
-    def _error(self, error: ObjectError, retry_s: float = 0) -> web.Response:
-        body = xml.document("Error", [("Code", error.code), ("Message", error.text)], namespace="")
-        response = web.Response(status=error.status, body=body, content_type="application/xml")
-        if retry_s:
-            response.headers["Retry-After"] = f"{retry_s:.3f}".rstrip("0").rstrip(".")
-        return response
-
-
-def _xml(name: str, nodes: list[xml.Node]) -> web.Response:
-    return web.Response(body=xml.document(name, nodes), content_type="application/xml")
-
-
-def _matches(header: str | None, etag: str) -> bool:
-    return header is not None and (header.strip() == "*" or etag in (one.strip() for one in header.split(",")))
+            return failure(ObjectError(500, "InternalError", "The request failed; it may have taken effect."))
--- a/hophinge/objects/tenants.py
+++ b/hophinge/objects/tenants.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
 from pathlib import Path
+from typing import Protocol
 
 import msgspec
 
@@ -27,6 +28,31 @@
     volume: Volume
 
 
+class Admission(Protocol):
+    """What the front asks of the accounts."""
+
+    def admit(self, token: str, bucket: str, request: object, connection: object) -> Guest:
+        """Tell whose key this is and its bucket's volume; raises ObjectError, also where a bound is reached."""
+
+    def dropped(self, holder: object) -> None:
+        """Note the end of a connection or request."""
+
+    def opens(self, guest: Guest, name: str) -> Awaitable[None]:
+        """Ask for room for one more upload; raises ObjectError where there is none."""
+
+    def opened(self, guest: Guest, name: str, upload: str) -> None:
+        """Note an open upload."""
+
+    def closed(self, upload: str) -> None:
+        """Note that an upload was completed or aborted."""
+
+    def moved(self, guest: Guest, way: int, size: int) -> None:
+        """Count bytes."""
+
+    def ended(self, guest: Guest, status: int) -> None:
+        """Count a request's end."""
+
+
 class OldKey(msgspec.Struct):
     """An access key: its public id and the digest of its secret."""
 
