Interface and exchange as packages of files by concern

Settings, nodes, events and protocols lie apart under hophinge.core.interface; types, open requests with their attempts, the turn of the loop and what comes in under hophinge.core.exchange. Every name is exported where it was; no import changes elsewhere.

--- /dev/null
+++ b/hophinge/core/exchange/attempts.py
@@ -0,0 +1,92 @@
+"""Open requests, and the attempts of each that are out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from hophinge.core import interface as api
+from hophinge.core.exchange.types import Answer, End, Rest, Timer
+from hophinge.core.figures import Figures
+
+
+class Owner(Protocol):
+    """The exchange as one of its attempts needs it."""
+
+    @property
+    def figures(self) -> Figures:
+        """Tell where work is counted."""
+
+    @property
+    def phases(self) -> dict[str, api.Phase]:
+        """Tell the phase of each node listed."""
+
+    @property
+    def shards(self) -> dict[str, int]:
+        """Tell the shard of each node listed."""
+
+    @property
+    def now_us(self) -> Callable[[], int]:
+        """Tell the clock."""
+
+    def begun(self, attempt: Attempt, body: bytes, rest: Rest, heard_us: int) -> bool:
+        """Take the first part of an answer that is too long to be held."""
+
+    def ended(self, attempt: Attempt, end: End) -> None:
+        """Take the end of an attempt."""
+
+
+class Open:
+    """A request from its arrival until it is answered and no attempt of it is out."""
+
+    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "whole")
+
+    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int,
+                 whole: bool) -> None:
+        self.ask, self.payload, self.deadline, self.whole = ask, payload, deadline, whole
+        self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
+        self.attempts: dict[int, Attempt] = {}
+        self.sent = 0
+        self.backstop: Timer | None = None
+
+
+class Attempt:
+    """One attempt that is out; ``may_go`` is to be asked just before its bytes are written."""
+
+    __slots__ = ("exchange", "give_up", "node", "number", "request", "shard", "since", "stop", "timer")
+
+    def __init__(self, exchange: Owner, request: Open, number: int, node: str, since: int, give_up: int) -> None:
+        self.exchange, self.request, self.number, self.node = exchange, request, number, node
+        self.since, self.give_up = since, give_up
+        self.shard = exchange.shards.get(node, -1)      # its node may be forgotten before it ends
+        self.stop: Callable[[], None] | None = None
+        self.timer: Timer | None = None
+
+    def written(self) -> None:
+        """Note that its last byte has been handed to the network."""
+        self.exchange.figures.relayed += 1
+
+    def begin(self, body: bytes, rest: Rest, heard_us: int) -> bool:
+        """Report that a long answer has begun, and when its head came; False where nobody waits for it."""
+        return self.exchange.begun(self, body, rest, heard_us)
+
+    def may_go(self) -> bool:
+        """Guard drains, answered requests and deadlines after a wait for a connection."""
+        # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
+        return (self.request.answer is not None
+                and (not self.request.whole or self.exchange.now_us() < self.give_up)
+                and self.exchange.phases.get(self.node) is api.Phase.ON)
+
+    def left_us(self) -> int:
+        """Tell how long the attempt will be waited for."""
+        if not self.request.whole:
+            return self.request.ask.time_left_us
+        return max(0, self.give_up - self.exchange.now_us())
+
+    def end(self, end: End) -> None:
+        """Report the end; whatever comes after the first one is void."""
+        self.exchange.ended(self, end)
+
+
+Start = Callable[[Attempt], Callable[[], None]]
+Probe = Callable[[str, Callable[[api.ProbeResult], None]], None]
--- a/hophinge/core/exchange.py
+++ b/hophinge/core/exchange/turns.py
@@ -1,185 +1,24 @@
-"""The exchange: the one place where the client side and the server side meet.
-
-It owns the open requests and their attempts, drives the Scheduler with what happened in one turn of the loop as
-one batch, carries out its actions through callbacks, and gives each request one final answer. It knows no wire:
-what a front passes on with a request (its payload) goes to the back as it came.
-"""
+"""Turns of the loop: events to the module as one batch, its actions carried out, one answer for each request."""
 
 from __future__ import annotations
 
 import traceback
-from asyncio import Future
 from collections.abc import Callable
-from enum import Enum
-from typing import Any, Protocol
 
-from msgspec import Struct, structs
+from msgspec import structs
 
 from hophinge.core import interface as api
 from hophinge.core.choice import Scheduler
 from hophinge.core.counters import Counters
+from hophinge.core.exchange.attempts import Attempt, Open, Probe, Start
+from hophinge.core.exchange.types import Answer, End, Gate, Loop, Rest, Verdict
 from hophinge.core.figures import Figures
 
 BACKSTOP = 0.5      # part of the answer's grace after which a request that the module forgot is failed
 
 
-class Timer(Protocol):
-    """A timer that can be taken back."""
-
-    def cancel(self) -> None:
-        """Take the timer back."""
-
-
-class Loop(Protocol):
-    """Time as the exchange needs it; every wait is a timer of its own."""
-
-    def now_us(self) -> int:
-        """Tell the time on the one clock."""
-
-    def call_at(self, when_us: int, callback: Callable[[], None]) -> Timer:
-        """Call back at a time."""
-
-    def call_soon(self, callback: Callable[[], None]) -> None:
-        """Call back in the loop's next turn."""
-
-
-class Verdict(Enum):
-    """How a request ended for its client."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-    ABSENT = "absent"       # a node holds the place where it would be, and it is not there
-
-
-class Rest(Protocol):
-    """What follows the first part of an answer that has begun; whoever reads sets the pace."""
-
-    @property
-    def length(self) -> int | None:
-        """Tell how long the whole body is, first part included, where its node said so."""
-
-    async def read(self) -> bytes:
-        """Read on; nothing at the end, an error where the answer is spoilt."""
-
-    def close(self) -> None:
-        """Read no more, whether it has ended or not."""
-
-
-class Answer(Struct, frozen=True):
-    """The one final answer of a request."""
-
-    verdict: Verdict
-    body: bytes = b""
-    retry_after_us: int = 0
-    shard: int = -1         # of the node that served it
-    rest: Rest | None = None    # its reader closes it
-
-
-def giver(done: Future[Answer]) -> Callable[[Answer], None]:
-    """Make the `answer` of a front that awaits it in a future.
-
-    The future of a client that has gone is cancelled before its front gets to say so: there is nobody to tell then.
-    """
-    def give(answer: Answer) -> None:
-        if not done.done():
-            done.set_result(answer)
-
-    return give
-
-
-class End(Struct, frozen=True):
-    """How an attempt ended, as the back saw it."""
-
-    result: api.Result
-    body: bytes = b""
-    used: int = 0
-    elsewhere: float = 0.0
-    report: dict[str, float] = {}
-    absent: bool = False    # with OK: the node did its work and found nothing
-
-
-class Open:
-    """A request from its arrival until it is answered and no attempt of it is out."""
-
-    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "whole")
-
-    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int,
-                 whole: bool) -> None:
-        self.ask, self.payload, self.deadline, self.whole = ask, payload, deadline, whole
-        self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
-        self.attempts: dict[int, Attempt] = {}
-        self.sent = 0
-        self.backstop: Timer | None = None
-
-
-class Attempt:
-    """One attempt that is out; ``may_go`` is to be asked just before its bytes are written."""
-
-    __slots__ = ("exchange", "give_up", "node", "number", "request", "shard", "since", "stop", "timer")
-
-    def __init__(self, exchange: Exchange, request: Open, number: int, node: str, since: int, give_up: int) -> None:
-        self.exchange, self.request, self.number, self.node = exchange, request, number, node
-        self.since, self.give_up = since, give_up
-        self.shard = exchange.shards.get(node, -1)      # its node may be forgotten before it ends
-        self.stop: Callable[[], None] | None = None
-        self.timer: Timer | None = None
-
-    def written(self) -> None:
-        """Note that its last byte has been handed to the network."""
-        self.exchange.figures.relayed += 1
-
-    def begin(self, body: bytes, rest: Rest, heard_us: int) -> bool:
-        """Report that a long answer has begun, and when its head came; False where nobody waits for it."""
-        return self.exchange.begun(self, body, rest, heard_us)
-
-    def may_go(self) -> bool:
-        """Guard drains, answered requests and deadlines after a wait for a connection."""
-        # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
-        return (self.request.answer is not None
-                and (not self.request.whole or self.exchange.now_us() < self.give_up)
-                and self.exchange.phases.get(self.node) is api.Phase.ON)
-
-    def left_us(self) -> int:
-        """Tell how long the attempt will be waited for."""
-        if not self.request.whole:
-            return self.request.ask.time_left_us
-        return max(0, self.give_up - self.exchange.now_us())
-
-    def end(self, end: End) -> None:
-        """Report the end; whatever comes after the first one is void."""
-        self.exchange.ended(self, end)
-
-
-class Gate(Protocol):
-    """Whoever stands before the module: it turns requests away and narrows what the module may choose from."""
-
-    def admit(self, now_us: int, ask: api.Arrival) -> api.Bounds | api.Waits | int:
-        """Tell a request's bounds, or after how many microseconds it may come again where it is refused."""
-
-    def turn(self, now_us: int) -> list[tuple[str, int]]:
-        """Tell which requests wait no longer: 0 where one is let in, else after how long it may come again."""
-
-    @property
-    def due_us(self) -> int:
-        """Tell when `turn` is to be called at the latest; 0: nothing waits."""
-
-    def answered(self, now_us: int, bounds: api.Bounds) -> None:
-        """Note that a request has its final answer, or that its client has gone."""
-
-    def ended(self, now_us: int, node: str, result: api.Result) -> None:
-        """Note how an attempt at a node ended."""
-
-    def nodes(self, now_us: int, event: api.NodeList) -> None:
-        """Take a node list, or what changed in it."""
-
-
-Start = Callable[[Attempt], Callable[[], None]]
-Probe = Callable[[str, Callable[[api.ProbeResult], None]], None]
-
-
-class Exchange:
-    """The open requests of one head."""
+class Turns:
+    """What is open, what the next turn takes to the module, and what comes of it."""
 
     def __init__(self, settings: api.Settings, seed: int, loop: Loop, counters: Counters,
                  log: Callable[[str], None]) -> None:
@@ -198,34 +37,6 @@
         self.events: list[api.Event] = []
         self.unanswered = 0
 
-    # --- what comes in
-
-    def arrive(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], whole: bool = True) -> None:
-        """Take a request; ``answer`` is called once, never within this call, unless its client departs.
-
-        Where it is not `whole`, its body is still on its way: its one attempt may take that on, and its client's time
-        runs from the body's last byte.
-        """
-        if ask.request in self.open:
-            raise ValueError(f"request {ask.request} is open already")
-        request = self.open[ask.request] = Open(ask, payload, answer, self.now_us() + ask.time_left_us, whole)
-        if whole:
-            self._limit(request)
-        self.unanswered += 1
-        self.counters.add("requests_taken")
-        if self.gate is not None:
-            bounds = self.gate.admit(self.now_us(), ask)
-            if isinstance(bounds, int):
-                advice = bounds
-                self.loop.call_soon(lambda: self._turn_away(request, advice))
-                return
-            if isinstance(bounds, api.Waits):
-                self.counters.add("requests_waited")
-                request.ask = structs.replace(ask, bounds=bounds.bounds)
-                return self._gate_timer()
-            ask = request.ask = structs.replace(ask, bounds=bounds)
-        self._event(ask)
-
     def _turn_away(self, request: Open, advice_us: int) -> None:
         if request.answer is not None:
             self.counters.add("requests_turned_away")
@@ -264,17 +75,6 @@
             self._event(request.ask)
         self._gate_timer()
 
-    def whole(self, name: str) -> None:
-        """Take the last byte of a request's body."""
-        request = self.open.get(name)
-        if request is None or request.whole or request.answer is None:
-            return
-        request.whole, request.deadline = True, self.now_us() + request.ask.time_left_us
-        self._limit(request)
-        for attempt in request.attempts.values():
-            attempt.give_up = request.deadline
-            self._time(attempt)
-
     def _limit(self, request: Open) -> None:
         # One answer in time, whatever the module does: it is failed when nothing else has answered by then.
         grace = int(self.settings.rules.answer_grace_us * BACKSTOP)
@@ -283,33 +83,6 @@
     def _time(self, attempt: Attempt) -> None:
         attempt.timer = self.loop.call_at(attempt.give_up, lambda: self._stop(attempt, api.Result.TIMEOUT))
 
-    def depart(self, name: str) -> None:
-        """A request's client has gone: no answer is owed, what is out still ends."""
-        request = self.open.get(name)
-        if request is not None and request.answer is not None:
-            self.counters.add("requests_departed")
-            self._close(request)
-            self._forget(request)   # one of which nothing is out would else stay for ever
-            self._event(api.Departure(name))
-
-    def nodes(self, event: api.NodeList) -> None:
-        """Take a node list, or what changed in it."""
-        if event.kind is api.ListKind.FULL:
-            named = {entry.node for entry in event.entries}
-            for node in self.phases.keys() - named:
-                del self.phases[node], self.shards[node]
-        for entry in event.entries:
-            if entry.phase is api.Phase.GONE:
-                # Nodes are replaced by new ones under new names all the time; one that is gone is not kept.
-                self.phases.pop(entry.node, None)
-                self.shards.pop(entry.node, None)
-            else:
-                self.phases[entry.node] = entry.phase
-                self.shards[entry.node] = entry.shard
-        if self.gate is not None:
-            self.gate.nodes(self.now_us(), event)
-        self._event(event)
-
     def probed(self, event: api.ProbeResult) -> None:
         """Take the end of a probe."""
         self._event(event)
@@ -347,8 +120,6 @@
             end.used, end.elsewhere, end.report))
         self._forget(request)
 
-    # --- the batch
-
     def _event(self, event: api.Event) -> None:
         if not self.events:
             self.loop.call_soon(self._turn)
@@ -435,8 +206,6 @@
         if attempt.stop is not None:
             attempt.stop()
 
-    # --- answers
-
     def _overdue(self, request: Open) -> None:
         if request.answer is not None:
             self.counters.add("requests_overdue")
--- /dev/null
+++ b/hophinge/core/interface/__init__.py
@@ -0,0 +1,19 @@
+"""The interface of hophinge: settings, events and actions, in whole microseconds. Nothing is decided.
+
+A figure that a deployment does not state is 0, a list that it does not state is empty.
+"""
+
+from hophinge.core.interface.events import (
+    Action, Arrival, Cancel, Departure, Event, Fail, Log, Outcome, Probe, ProbeResult, Refuse, Send, SetTimer,
+    StreamStarted, TimerDue, Waits, Watch,
+)
+from hophinge.core.interface.nodes import ListKind, NodeEntry, NodeList, Phase, Result
+from hophinge.core.interface.protocols import Bounds, Scorers, Seen
+from hophinge.core.interface.settings import Allowed, DedupScope, Discovery, Effect, Plan, RequestClass, Rules, Settings
+
+__all__ = [
+    "Action", "Allowed", "Arrival", "Bounds", "Cancel", "DedupScope", "Departure", "Discovery", "Effect", "Event",
+    "Fail", "ListKind", "Log", "NodeEntry", "NodeList", "Outcome", "Phase", "Plan", "Probe", "ProbeResult",
+    "Refuse", "RequestClass", "Result", "Rules", "Scorers", "Seen", "Send", "SetTimer", "Settings", "StreamStarted",
+    "TimerDue", "Waits", "Watch",
+]
