--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -50,8 +50,8 @@
     def _dispatch(self, places: list[str]) -> None:
         """Let what is held at some places go, that of most worth first."""
         ready: list[Ready] = []
-        books = [(place, self.books.get(place)) for place in places]
-        queues = [(place, book, book.held if book else {} if place else self.fresh) for place, book in books]
+        queues = [(place, book := self.books.get(place), book.held if book else {} if place else self.fresh)
+                  for place in places]
         for place, book, held in queues:
             if self.again.get(place, self.now) <= self.now:
                 self.again.pop(place, None)
--- a/hophinge/core/choice/scheduler.py
+++ b/hophinge/core/choice/scheduler.py
@@ -64,7 +64,8 @@
         due = list(self.again.values())
         heard = [book.quiet_since() for book in self.busy.values() if not book.silent]
         due += [max(self.woke_at, at) + int(SILENT * self.aim) + 1 for at in heard]
-        due += [at - self.lead_us for at, _ in self.deadlines[:1]] + [at for at, _ in self.copies[:1]]
+        due += [self.deadlines[0][0] - self.lead_us] if self.deadlines else []
+        due += self.copies[0][:1] if self.copies else ()
         if self.settings.discovery is api.Discovery.ON_REQUEST and self.watch_due >= 0:
             due.append(self.watch_due)
         if due and (not self.timer_at or min(due) < self.timer_at):
