A silent watch is asked again in time; a read that lies elsewhere is refused at once, its brick goes on

Ruled out: long answers (2 s of 2.1 s are the brick's or the client's own pace), slow uploads, drains.

Change: net/pace.py decides waits too. Pushed lists come from an agent beside: watches of 1 s, 0.3 s spare, and while it says nothing a call beside the others each 0.1 s; asked-for lists: a wait by the heads' number (2 to 20 s) and 1.5 s spare, under the 2 s after which it counts as told. A 504 to a request that names a shard is Result.MISPLACED: nothing against the brick, answered at once, no advice to stay away. Without a shard it is full, as before.

--- a/hophinge/core/choice/requests.py
+++ b/hophinge/core/choice/requests.py
@@ -13,7 +13,7 @@
 LONGEST_REST = 5        # doublings of that rest while trials go on failing: some seconds, as lists are late
 COME_BACK = 2.0         # tightest aims after which a refused client is told to come back
 FORGET_US = 60_000_000  # a volume unheard of for a minute is forgotten; no request lives that long
-NEVER_RAN = frozenset({api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT})
+NEVER_RAN = frozenset({api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT, api.Result.MISPLACED})
 FAILED = frozenset({api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.ERROR, api.Result.RESET})
 MAY_RUN_ON = frozenset({api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED})
 
@@ -153,17 +153,18 @@
         elif not request.out:
             # Another connection that takes as long to fail would leave its client unanswered past half of its time.
             last = request.deadline - self.wake_us if request.wrote else request.hold_until - event.elapsed_us
-            if self._may_repeat(request) and now < last and self._budget(request):
+            away = event.result is api.Result.MISPLACED     # its client asks again elsewhere, the sooner the better
+            if not away and self._may_repeat(request) and now < last and self._budget(request):
                 self._hold(request)
             else:
-                self._answer(request)
+                self._answer(request, 0.0 if away else COME_BACK)
 
-    def _answer(self, request: Request) -> None:
-        """Refuse where a repeat is harmless, else fail."""
+    def _answer(self, request: Request, rest: float = COME_BACK) -> None:
+        """Refuse where a repeat is harmless, else fail; `rest`: aims after which a refused client may come back."""
         effect, name = request.klass.effect, request.ask.request
         safe = not request.attempts or (request.ran_on is None and not request.out)
         keyed = effect is api.Effect.KEYED and request.klass.scope is api.DedupScope.ALL
-        advice = min(int(COME_BACK * self.aim), self.settings.allowed.retry_after_us)
+        advice = min(int(rest * self.aim), self.settings.allowed.retry_after_us)
         harmless = safe or effect is api.Effect.SAFE or keyed
         self.actions.append(api.Refuse(name, advice) if harmless else api.Fail(name))
         self._finish(name)
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -55,7 +55,8 @@
         self.share(0)
         self.rotation = Rotation(self.nodes, clock.now_us, settings.rules.cold_us)
         self.discovery = Discovery(config.discovery, self.directory, self.rotation.take, self.counters,
-                                   settings.gateways, int(config.seed, 16), say)
+                                   settings.gateways, int(config.seed, 16), say,
+                                   settings.discovery is api.Discovery.PUSHED)
         self.figures = self.exchange.figures
         self.figures.now = self.bricks_now
         self.control = Control(self.counters, self.figures, self.rotation, self.ready) if config.control else None
--- a/hophinge/net/answer.py
+++ b/hophinge/net/answer.py
@@ -106,14 +106,16 @@
     return found
 
 
-def read_end(answer: Answered, reports: bool, counters: Counters) -> End:
-    """Tell what an answer means for its attempt; `reports`: it may bear its brick's load."""
+def read_end(answer: Answered, reports: bool, counters: Counters, placed: bool = False) -> End:
+    """Tell what an answer means for its attempt; `reports`: it may bear a load; `placed`: the request named a shard."""
     status, headers = answer.status, answer.headers
     result = Result.ERROR
     if status in (200, 404):
         result = Result.OK      # 404: the brick looked and holds no such object
     elif status in (503, 504) and headers.get("X-Turned-Away") == "1":
-        result = Result.FULL
+        # A brick without room says 503. With 504 it takes others' work all the same: this request is over, or its data
+        # lies elsewhere, and no other attempt at the shard that it names would find it.
+        result = Result.MISPLACED if status == 504 and placed else Result.FULL
     elif status != 500:
         counters.add("bricks_answered_oddly")
     used = _number(headers.get("X-Iops-Used"))
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -127,7 +127,7 @@
             if endpoint is None:
                 raise StaleError
             answer = await self._ask(endpoint, text, flight, attempt)
-            end = read_end(answer, self.reports, self.counters)
+            end = read_end(answer, self.reports, self.counters, attempt.request.ask.shard >= 0)
             if answer.rest is not None:
                 end = End(await answer.rest.done, b"", end.used, end.elsewhere, end.report)
         except asyncio.CancelledError:
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -12,12 +12,8 @@
 from hophinge.core import interface as api
 from hophinge.core.counters import Counters
 from hophinge.net.address import split
-from hophinge.net.pace import CallPace
+from hophinge.net.pace import BESIDE_S, MOST_BESIDE, CallPace
 
-LIST_S = 6.0            # calls wait in turn; who gives up has cost discovery as much and begins at the queue's end
-WATCH_MS = 20_000
-FIRST_WATCH_MS = 100    # of the first: who has the list already is ready after it
-WATCH_SPARE_S = 2.5     # beyond the wait that the watch itself states; what it had to tell counts as told after 2 s
 PHASES = {"Ready": api.Phase.ON, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
 
@@ -115,11 +111,11 @@
 
     def __init__(self, address: str, directory: Directory, tell: Callable[[api.NodeList], None],
                  counters: Counters, heads: int = 1, seed: int = 0,
-                 log: Callable[[str], None] = lambda text: None) -> None:
+                 log: Callable[[str], None] = lambda text: None, pushed: bool = False) -> None:
         self.address, self.directory, self.tell, self.counters = address, directory, tell, counters
         self.rev: int | None = None
         self.log, self.trouble = log, ""    # what the calls that failed last ended with
-        self.pace = CallPace(heads, random.Random(seed))
+        self.pace = CallPace(heads, random.Random(seed), pushed)
         self.task: asyncio.Task[None] | None = None
         self.heard = asyncio.Event()    # the first answer is in, be it that callers are turned away
         self.session = aiohttp.ClientSession(
@@ -135,6 +131,7 @@
         if self.task is not None:
             self.task.cancel()
         self.address, self.rev = address, rev
+        self.pace.begun()
         self.task = asyncio.get_running_loop().create_task(self._run(f"http://{address}/v1/servers"))
 
     async def _run(self, url: str) -> None:
@@ -148,6 +145,8 @@
                 if isinstance(error, aiohttp.ClientResponseError):
                     reason, pause_s = f"status {error.status}", self.pace.turned_away(_advice(error))
                 else:
+                    if isinstance(error, TimeoutError):
+                        self.pace.said_nothing()
                     reason, pause_s = f"{type(error).__name__} {error}".strip(), self.pace.failed()
                 self._note(reason)
                 await asyncio.sleep(pause_s)
@@ -162,15 +161,32 @@
                      else f"discovery at {self.address} answers again")
             self.trouble = trouble
 
-    async def _call(self, url: str) -> None:
-        wait = LIST_S
-        if self.rev is not None:
-            watch_ms, spare_s = (WATCH_MS, WATCH_SPARE_S) if self.heard.is_set() else (FIRST_WATCH_MS, LIST_S)
-            url = f"{url}?since={self.rev}&timeout_ms={watch_ms}"
-            wait = watch_ms / 1000 + spare_s
-        async with asyncio.timeout(wait), self.session.get(url, allow_redirects=False) as response:
+    async def _ask(self, url: str) -> tuple[Listing, int]:
+        wait_s, limit_s = self.pace.waits(self.rev is not None, self.heard.is_set())
+        if wait_s:
+            url = f"{url}?since={self.rev}&timeout_ms={round(wait_s * 1000)}"
+        async with asyncio.timeout(limit_s), self.session.get(url, allow_redirects=False) as response:
             response.raise_for_status()
-            listing, left_out = read_listing(await response.read(), self.rev is None)
+            return read_listing(await response.read(), self.rev is None)
+
+    async def _first_of(self, url: str) -> tuple[Listing, int]:
+        """Ask beside calls that say nothing, until one is answered: none knows when the agent is back."""
+        calls: set[asyncio.Task[tuple[Listing, int]]] = set()
+        try:
+            while True:
+                if len(calls) < MOST_BESIDE:
+                    calls.add(asyncio.get_running_loop().create_task(self._ask(url)))
+                done, calls = await asyncio.wait(calls, timeout=BESIDE_S, return_when=asyncio.FIRST_COMPLETED)
+                for call in done:
+                    if not isinstance(call.exception(), TimeoutError):
+                        return call.result()
+        finally:
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _call(self, url: str) -> None:
+        listing, left_out = await (self._first_of(url) if self.pace.beside else self._ask(url))
         self.counters.add("discovery_answers")
         self.counters.add("discovery_entries_left_out", left_out)
         # An answer to a call for the whole list is one even if it does not say so.
--- a/hophinge/net/pace.py
+++ b/hophinge/net/pace.py
@@ -1,8 +1,11 @@
-"""When a head asks discovery again, and for what: decided without I/O, for the fleet that asks beside it.
+"""When a head asks discovery again, how long it waits, and what it holds for broken: decided without I/O.
 
 One discovery serves all heads in turn. A call that it turns away costs it about as much as one that it serves, so
 heads that all come back within a second keep it busy with nothing but refusals, and nobody hears a list again. Each
 head therefore stays away for its part of what the fleet may ask, drawn by lot so that equal heads spread.
+
+Where lists are pushed, an agent on the head's own machine answers at once and at no cost, and what it has counts as
+told at once, also right after an outage. There the waits are short, and beside a call that says nothing others go out.
 """
 
 from __future__ import annotations
@@ -15,22 +18,60 @@
 FIRST_TURNED_S = 4.0        # the first pause of one turned away at most: it counts as told after 6 s
 JITTER = (0.5, 1.5)         # parts of a pause
 LONGEST_ADVICE_S = 5.0      # of a Retry-After that is kept to
+LIST_S = 6.0                # for a list asked for; who gives up begins at the queue's end
+SHORT_S, LONG_S = 2.0, 20.0     # a watch's wait, by what all heads' calls together cost discovery
+SPARE_S = 1.5               # beyond the wait that a watch states; what it had to tell counts as told after 2 s
+FIRST_WATCH_S = 0.1         # of the first: who has the list already is ready after it
+PUSHED_WATCH_S, PUSHED_SPARE_S, PUSHED_LIST_S = 1.0, 0.3, 1.0   # of an agent beside, which has no queue
+PUSHED_PAUSE_S = 0.1        # the longest after errors of such an agent: under every drain's grace
+BESIDE_S = 0.1              # after which another call goes out beside those that say nothing
+MOST_BESIDE = 10            # such calls at once; each waits `PUSHED_LIST_S`
 
 
 class CallPace:
-    """The pauses of one head's calls to discovery."""
+    """The pauses and waits of one head's calls to discovery."""
 
-    def __init__(self, heads: int, lots: random.Random) -> None:
-        """Set up for so many heads that share one discovery; `lots` draws the jitter."""
-        self.lots = lots
+    def __init__(self, heads: int, lots: random.Random, pushed: bool = False) -> None:
+        """Set up for so many heads that share one discovery; `lots` draws the jitter; `pushed`: an agent answers."""
+        self.lots, self.pushed = lots, pushed
         # Pauses whose mean is half a chained call's time for each head let two calls through in that time.
         self.first_turned_s = max(FIRST_PAUSE_S, min(FIRST_TURNED_S, heads * CHAINED_S / 2))
         self.longest_turned_s = max(LONGEST_PAUSE_S, heads * CHAINED_S * 2)
+        # Waits that end sooner find silence sooner, and cost discovery as many calls more.
+        self.watch_s = PUSHED_WATCH_S if pushed else min(LONG_S, max(SHORT_S, heads * CHAINED_S / 2))
+        self.longest_pause_s = PUSHED_PAUSE_S if pushed else LONGEST_PAUSE_S
         self.errors = self.turned = 0
+        self.silent = pushed        # until its first answer, which may come late after an outage
+
+    @property
+    def beside(self) -> bool:
+        """Tell whether calls go out beside each other now: an agent that costs nothing has said nothing."""
+        return self.pushed and self.silent
+
+    def waits(self, held: bool, heard: bool) -> tuple[float, float]:
+        """Tell the wait in seconds that the next call asks for, 0 where it asks for the whole list, and its limit.
+
+        `held`: there is a version to ask from; `heard`: there has been an answer since the start.
+        """
+        limit = PUSHED_LIST_S if self.pushed else LIST_S
+        if not held:
+            return 0.0, limit
+        if not heard or self.beside:
+            return FIRST_WATCH_S, FIRST_WATCH_S + limit
+        return self.watch_s, self.watch_s + (PUSHED_SPARE_S if self.pushed else SPARE_S)
 
     def answered(self) -> None:
         """Note an answer: the next error begins anew."""
         self.errors = self.turned = 0
+        self.silent = False
+
+    def begun(self) -> None:
+        """Note that another address is asked from now on."""
+        self.silent = self.pushed
+
+    def said_nothing(self) -> None:
+        """Note a call that ended at its limit."""
+        self.silent = True
 
     def turned_away(self, advice_s: float = 0.0) -> float:
         """Tell the pause in seconds after a call that was turned away, with the Retry-After that came with it."""
@@ -41,6 +82,6 @@
 
     def failed(self) -> float:
         """Tell the pause in seconds after an error on the wire, a silence or an answer that is no list."""
-        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.errors, 16))
+        pause = min(self.longest_pause_s, FIRST_PAUSE_S * 2.0 ** min(self.errors, 16))
         self.errors += 1
         return pause * self.lots.uniform(*JITTER)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -18,7 +18,7 @@
             assert agent.asked[0] == "/v1/servers"
             await agent.tell(made.bricks[0].target("Terminating"))
             await until(lambda: phases["s-0"].value == "draining")
-            await until(lambda: agent.asked[-1] == "/v1/servers?since=2&timeout_ms=20000")
+            await until(lambda: agent.asked[-1] == "/v1/servers?since=2&timeout_ms=1000")
             await agent.tell(made.bricks[0].target("Gone"))
             await until(lambda: "s-0" not in phases and "s-0" not in service.directory.endpoints)
             moved = made.bricks[1].target()
@@ -36,7 +36,7 @@
 
 def test_a_head_that_has_a_list_asks_for_what_changed_since_and_for_all_where_the_count_is_another(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("hophinge.net.discovery.WATCH_MS", 100)
+    monkeypatch.setattr("hophinge.net.pace.PUSHED_WATCH_S", 0.1)
 
     async def main() -> None:
         async with world(Brick(0), Brick(1)) as made:
