Members by SWIM with local health, entries by owner, sealed datagrams within a bound of bytes

Need: heads that work together must know who is there and pass on what each owns, whatever breaks. Change: hophinge/cluster decides without I/O (probes, suspicion, refutation, rivals for a name, streams of entries made whole by digests, a bucket of bytes by rank); hophinge/peers carries it over UDP; hophinge/head/cluster.py composes it.

--- /dev/null
+++ b/hophinge/cluster/reconcile.py
@@ -0,0 +1,180 @@
+"""Comparing what two members hold, and making the one whole that knows less: what rumours missed arrives this way.
+
+Marks of buckets first, rows of buckets that differ, then only what lies above a row: two that agree pay one datagram.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hophinge.cluster.core import Core
+from hophinge.cluster.copies import deltas, take
+from hophinge.cluster.messages import DEAD, TOPICS, Delta, Digest, Part, Record, Row, Summary, encoded, packed
+from hophinge.cluster.roster import BUCKETS, bucket
+from hophinge.cluster.shelf import PARTIAL
+from hophinge.cluster.wire import ROOM
+
+BUCKETS_AT_ONCE = 4         # whose rows are sent for one summary
+MOST_DATAGRAMS = 12         # sent in answer to one digest: the next comparison goes on from there
+MOST_ROWS = 60              # of one digest; a reader takes 64
+DIGEST_BYTES = 150          # of a digest without its rows, two names among it
+HIGHEST_COUNT = 2 ** 48     # of a stream: beyond it only a liar counts, and a new start counts from 0
+
+
+class Reconciler:
+    """Compares with a random member each period; `word` takes records' place in membership."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.differed = False
+        self.overruled_us = -core.tuning.overrule_us
+
+    def begin(self) -> None:
+        """Compare from now on."""
+        self.core.later(self.core.rng.randrange(1, self.core.tuning.sync_us), self.turn)
+
+    def turn(self) -> None:
+        """Compare with one member, sooner again where the last time showed differences."""
+        core = self.core
+        others = core.roster.others()
+        if others:
+            core.say(core.rng.choice(others).address, [self.summary()])
+        core.later(core.jitter(core.tuning.hurry_us if self.differed else core.tuning.sync_us), self.turn)
+        self.differed = False
+
+    def summary(self) -> Summary:
+        """Tell all buckets' marks."""
+        return Summary(list(self.core.roster.buckets))
+
+    def compared(self, source: str, summary: Summary) -> None:
+        """Send rows of buckets that differ, in no order that two comparisons would share."""
+        mine = self.core.roster.buckets
+        if len(summary.marks) != BUCKETS:
+            return self.core.count("summaries_of_other_form")
+        differ = [number for number in range(BUCKETS) if mine[number] != summary.marks[number]]
+        self.differed |= bool(differ)
+        for number in self.core.rng.sample(differ, min(BUCKETS_AT_ONCE, len(differ))):
+            for digest in self._digests(number):
+                if not self.core.say(source, [digest], fill=False):
+                    return
+
+    def digest(self, source: str, digest: Digest) -> None:
+        """Send what the other lacks, and ask for what it has more of."""
+        core = self.core
+        wanted: list[Row] = []
+        answer: list[Part] = []
+        for row in digest.rows:
+            record = core.roster.record(row.name)
+            if record is None or row.incarnation > record.incarnation:
+                if record is not None and record.name == core.roster.me:
+                    answer.append(record)       # it knows a higher one: let it say so, to be refuted
+                if not row.incarnation > core.roster.grave(row.name):
+                    answer.append(Record(row.name, source, core.roster.grave(row.name), DEAD))
+                else:
+                    wanted.append(self._row(record) if record is not None else Row(row.name, 0))
+            elif row.incarnation < record.incarnation or not record.counts:
+                answer.append(record)
+                if record.counts:
+                    answer += self._above(record, Row(row.name, 0) if not self._same_start(row, record) else row)
+            else:
+                answer += self._above(record, row)
+                if self._below(record, row):
+                    wanted.append(self._row(record))
+        if digest.whole:
+            listed = {row.name for row in digest.rows}
+            for record in core.roster.of_bucket(digest.bucket):
+                if digest.first <= record.name and record.name not in listed and (
+                        not digest.last or record.name < digest.last):
+                    answer += [record, *self._above(record, Row(record.name, 0))]
+            if wanted:
+                core.say(source, [Digest(digest.bucket, wanted[:MOST_ROWS // 2], False)], fill=False)
+        self.differed |= bool(answer or wanted)
+        self._send(source, answer)
+
+    def delta(self, source: str, delta: Delta) -> None:
+        """Take entries of a member that counts; ask for what lies before them."""
+        core = self.core
+        if delta.topic >= len(TOPICS):
+            return core.count("unknown_topics")
+        if delta.owner == core.roster.me:
+            if delta.start == core.start:
+                self._overrule(delta.topic, delta.upto, 0, False)
+            return
+        record = core.roster.record(delta.owner)
+        if record is None or not record.counts or record.start != delta.start:
+            return core.count("deltas_of_others")
+        core.shelf.now_us = core.now_us
+        if not take(core.shelf, delta):
+            core.count("deltas_with_a_gap")
+            core.say(source, [Digest(bucket(delta.owner), [self._row(record)], False)], delta.topic + 1, fill=False)
+
+    def _overrule(self, topic: int, high: int, mark: int, compare: bool) -> None:
+        """Where others hold more of one's own than one has said, or something else, say it all anew above that."""
+        core = self.core
+        held = core.shelf.stream(core.roster.me, topic)
+        mine = (held.high, held.mark) if held is not None else (0, 0)
+        other = compare and high == mine[0] and mark not in (PARTIAL, mine[1])
+        if (high <= mine[0] and not other) or core.now_us - self.overruled_us < core.tuning.overrule_us:
+            return
+        self.overruled_us = core.now_us
+        core.count("own_entries_overruled")
+        if high < HIGHEST_COUNT:
+            core.shelf.overrule(topic, high)
+
+    def _row(self, record: Record) -> Row:
+        return Row(record.name, record.incarnation, *self.core.shelf.marks(record.name))
+
+    @staticmethod
+    def _same_start(row: Row, record: Record) -> bool:
+        return Record(row.name, "", row.incarnation).start == record.start
+
+    def _above(self, record: Record, row: Row) -> Iterable[Delta]:
+        """Tell what of a member's entries lies above a row."""
+        for topic in range(len(TOPICS)):
+            start = record.start if row.incarnation else -1
+            high = row.highs[topic] if topic < len(row.highs) else 0
+            if record.name == self.core.roster.me and topic < len(row.marks) and self._same_start(row, record):
+                self._overrule(topic, high, row.marks[topic], True)
+            yield from deltas(self.core.shelf, record.name, topic, start, high)
+
+    def _below(self, record: Record, row: Row) -> bool:
+        """Tell whether a row knows more of a member's entries than is held here."""
+        highs, _ = self.core.shelf.marks(record.name)
+        return any(high > (highs[topic] if topic < len(highs) else 0)
+                   for topic, high in enumerate(row.highs[:len(TOPICS)]))
+
+    def _digests(self, number: int) -> Iterable[Digest]:
+        """Tell all rows of a bucket, in as many datagrams as they need."""
+        rows: list[Row] = []
+        first, size = "", 0
+        for record in self.core.roster.of_bucket(number):
+            row = self._row(record)
+            more = len(encoded(row))
+            if rows and (size + more > ROOM - DIGEST_BYTES or len(rows) == MOST_ROWS):
+                yield Digest(number, rows, True, first, row.name)
+                rows, first, size = [], row.name, 0
+            rows.append(row)
+            size += more
+        yield Digest(number, rows, True, first)
+
+    def _send(self, source: str, parts: list[Part]) -> None:
+        """Send records first, then entries by topic, packed, within the bounds of one answer."""
+        parts.sort(key=lambda part: part.topic + 1 if isinstance(part, Delta) else 0)
+        batch: list[Part] = []
+        size = sent = 0
+        rank = 0
+        for part in parts:
+            more = len(packed(part))
+            own = part.topic + 1 if isinstance(part, Delta) else 0
+            if batch and (size + more > ROOM or own != rank):
+                if not self.core.say(source, batch, rank, fill=False):
+                    return
+                sent += 1
+                if sent == MOST_DATAGRAMS:
+                    return
+                batch, size = [], 0
+            rank = own
+            batch.append(part)
+            size += more
+        if batch:
+            self.core.say(source, batch, rank, fill=False)
--- /dev/null
+++ b/hophinge/head/cluster.py
@@ -0,0 +1,75 @@
+"""Composition of a member from `[cluster]`: its endpoint, its hearers, and what is told of it to operators."""
+
+from __future__ import annotations
+
+import importlib.metadata
+from collections.abc import Callable
+from typing import Any
+
+from hophinge.cluster.interface import Board, Hearer, Role, Sight
+from hophinge.cluster.tuning import Limits, Tuning
+from hophinge.core.errors import HophingeError, told
+from hophinge.head.sections import ClusterConfig
+from hophinge.peers.endpoint import Endpoint
+
+
+def build_of_program() -> str:
+    """Tell this program's version as members show it."""
+    try:
+        return importlib.metadata.version("hophinge")
+    except importlib.metadata.PackageNotFoundError:
+        return "source"     # run from a checkout that was never installed
+
+
+class Member:
+    """One process among its peers. `sight` and `board` are what other parts rest on."""
+
+    def __init__(self, config: ClusterConfig, name: str, say: Callable[[str], None], *, role: Role = Role.HEAD,
+                 build: str = "", tuning: Tuning | None = None) -> None:
+        """Take the socket and read the keys; raises a HophingeError that names the setting. Needs a running loop."""
+        self.say = say
+        self.endpoint = Endpoint(
+            config.name or name, config.listen, config.seeds, config.key_file, advertise=config.advertise,
+            zone=config.zone, role=role, build=build or build_of_program(), tuning=tuning, say=say,
+            limits=Limits(config.bytes_s, config.members, config.entries, config.entry_bytes))
+
+    @property
+    def sight(self) -> Sight:
+        """Tell who the members are."""
+        return self.endpoint.machine
+
+    @property
+    def board(self) -> Board:
+        """Tell the entries."""
+        return self.endpoint.machine
+
+    def hear(self, hearer: Hearer) -> None:
+        """Tell a hearer of all changes from now on."""
+        self.endpoint.hearers.append(hearer)
+
+    def start(self) -> None:
+        """Begin to reach others; without any, this process goes on alone."""
+        self.endpoint.start()
+        self.say(f"{self.sight.me} is a member at {self.endpoint.address}")
+
+    def reload(self) -> None:
+        """Read the keys again, at SIGHUP; an unusable file leaves them as they were and is told."""
+        try:
+            self.endpoint.reload()
+        except HophingeError as error:
+            self.say(f"the cluster's keys are kept as they were: {told(error)}")
+
+    def leave(self) -> None:
+        """Tell others that this process leaves, at its end."""
+        self.endpoint.leave()
+
+    def status(self) -> dict[str, Any]:
+        """Tell members and counters, for `/ops/cluster`."""
+        core = self.endpoint.machine.core
+        failed = self.endpoint.failed
+        return {"name": self.sight.me, "address": self.endpoint.address, "health": core.health,
+                "stepped_back": failed.told() if failed is not None else "",
+                "members": [{"name": one.name, "address": one.address, "standing": one.standing.value,
+                             "incarnation": one.incarnation, "zone": one.zone, "role": one.role.value,
+                             "build": one.build} for one in self.sight.members()],
+                "counters": dict(sorted(core.counters.items()))}
