--- a/hophinge/cluster/budget.py
+++ b/hophinge/cluster/budget.py
@@ -5,8 +5,8 @@
 HEADERS = 28            # bytes of IPv4 and UDP that each datagram has besides
 BURST_PART = 0.4        # of a second's bytes may go at once; the rest flows in over the second
 LEAST_BURST = 1_300     # bytes: one datagram with its headers
-RANKS = 4               # membership, then the topics in their order
-RESERVE_PART = 0.2      # of the bucket that each rank leaves to those before it
+PROBES, NEWS, FIRST_TOPIC = 0, 1, 2     # ranks: probes and answers, words about members, then topics in their order
+RESERVE_PART = 0.16     # of the bucket that each rank leaves to those before it
 
 
 class Budget:
--- a/hophinge/cluster/core.py
+++ b/hophinge/cluster/core.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from hophinge.cluster.actions import Action, Agenda, Changed, Send, Told
-from hophinge.cluster.budget import HEADERS, Budget
+from hophinge.cluster.budget import FIRST_TOPIC, HEADERS, NEWS, PROBES, Budget
 from hophinge.cluster.interface import Entry
 from hophinge.cluster.messages import SUSPECT, TOPICS, Part, Record, packed
 from hophinge.cluster.roster import Roster
@@ -16,6 +16,7 @@
 from hophinge.cluster.tuning import Limits, Tuning
 from hophinge.cluster.wire import FIXED, MOST_BYTES, seal
 
+RANKS = ("probes", "members", *(topic.value for topic in TOPICS))
 PIGGYBACK = 500         # bytes of a probe's datagram: news beyond that goes with rounds of news
 
 
@@ -74,7 +75,7 @@
             self.out.append(Changed(record.member()))
         return True
 
-    def say(self, address: str, parts: Sequence[Part], rank: int = 0, fill: bool = True) -> bool:
+    def say(self, address: str, parts: Sequence[Part], rank: int = PROBES, fill: bool = True) -> bool:
         """Send parts, and news where there is room; False where the bound of bytes leaves none."""
         if self.silent:
             return False
@@ -82,15 +83,15 @@
         data = [packed(part) for part in parts]
         used = FIXED + len(self.roster.me.encode()) + 3 + sum(map(len, data))
         if used > self.budget.room(rank) or used > MOST_BYTES:
-            self.count(f"unsent_{'membership' if not rank else TOPICS[rank - 1].value}")
+            self.count(f"unsent_{RANKS[rank]}")
             return False
         if fill:
             room = (PIGGYBACK if parts else MOST_BYTES) - used
             count = len(self.roster.live)
-            for level in range(rank, len(TOPICS) + 1):
+            for level in range(max(rank, NEWS), len(RANKS)):
                 room = min(room, self.budget.room(level) - used)
-                more = (self.rumours.of_members(room, self.tuning.sends(count)) if not level else
-                        self.rumours.of_topic(level - 1, room, count.bit_length() + 1))
+                more = (self.rumours.of_members(room, self.tuning.sends(count)) if level == NEWS else
+                        self.rumours.of_topic(level - FIRST_TOPIC, room, count.bit_length() + 1))
                 data += more
                 room -= sum(map(len, more))
                 used += sum(map(len, more))
@@ -105,8 +106,8 @@
         return True
 
     def suspicion_us(self, confirmations: int) -> int:
-        """Tell how long a suspicion lasts here and now."""
-        return self.scaled(self.tuning.suspicion_us(len(self.roster.live), confirmations))
+        """Tell how long a suspicion lasts among those that count now."""
+        return self.tuning.suspicion_us(len(self.roster.live), confirmations)
 
     def standing(self, name: str, standing: int, by: str) -> None:
         """Hold the same incarnation of a member under another standing."""
--- a/hophinge/cluster/membership.py
+++ b/hophinge/cluster/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hophinge.cluster.budget import NEWS
 from hophinge.cluster.core import Core
 from hophinge.cluster.messages import ALIVE, DEAD, LEFT, START_BITS, SUSPECT, Clash, Record
 from hophinge.cluster.prober import Prober
@@ -56,9 +57,9 @@
             elif record.standing == known.standing == SUSPECT:
                 self._confirmed(record)
             elif not known.counts and record.counts:
-                core.say(source, [known], fill=False)
+                core.say(source, [known], NEWS, fill=False)
         elif direct or not known.counts:
-            core.say(source, [known], fill=False)       # it has missed something: let it count above, or learn
+            core.say(source, [known], NEWS, fill=False)       # it has missed something: let it count above, or learn
 
     def about_me(self, record: Record) -> None:
         """Refute what others hold of this process, and speak to a namesake."""
@@ -118,7 +119,7 @@
         if record.incarnation <= grave:
             if record.counts:
                 # A stale word about somebody forgotten: whoever it is has to count above it to come back.
-                core.say(source, [Record(record.name, record.address, grave, DEAD)], fill=False)
+                core.say(source, [Record(record.name, record.address, grave, DEAD)], NEWS, fill=False)
         elif record.standing == SUSPECT:
             if core.put(Record(record.name, record.address, record.incarnation, ALIVE, record.zone, record.role,
                                record.build)):
@@ -207,7 +208,7 @@
             if not answered:
                 return self._take(record)
             core.count("deaths_doubted")
-            core.say(now.record.address, [record], fill=False)
+            core.say(now.record.address, [record], NEWS, fill=False)
 
         self.prober.verify(record.name, done)
 
@@ -221,4 +222,4 @@
             if record.name not in self.prober.urgent:
                 self.prober.urgent.append(record.name)
             if source:
-                core.say(source, [held.record], fill=False)
+                core.say(source, [held.record], NEWS, fill=False)
--- a/hophinge/cluster/prober.py
+++ b/hophinge/cluster/prober.py
@@ -9,11 +9,13 @@
 
 from msgspec import Struct
 
+from hophinge.cluster.budget import NEWS, PROBES
 from hophinge.cluster.core import Core
 from hophinge.cluster.messages import Ack, Nack, Ping, PingRequest, Record
 
 NACK_PART = 0.8         # of the time for a probe: a helper says by then that it has heard nothing
 SEQ = 2 ** 32
+ATTEMPTS = 3            # within a period: the first directly, the others by helpers too
 
 
 class Probe(Struct):
@@ -76,13 +78,14 @@
         seq = core.rng.randrange(SEQ)
         probe = self.probes[seq] = Probe(record.name, record.incarnation, core.now_us)
         sent = self.ping(seq, record)
-        core.later(min(core.scaled(core.tuning.timeout_us), period // 2), lambda: self._ask(seq, probe))
+        for attempt in range(1, ATTEMPTS):
+            core.later(core.scaled(core.tuning.timeout_us * attempt), lambda: self._ask(seq, probe))
         core.later(period - 1, lambda: self._end(seq, probe, sent))
 
-    def ping(self, seq: int, record: Record) -> bool:
+    def ping(self, seq: int, record: Record, rank: int = PROBES) -> bool:
         """Send a ping; who is suspected is told so with it."""
         parts = [Ping(seq, record.name, self.core.roster.own)]
-        return self.core.say(record.address, [*parts, record] if record.standing else parts)
+        return self.core.say(record.address, [*parts, record] if record.standing else parts, rank)
 
     def verify(self, name: str, done: Callable[[bool], None]) -> None:
         """Ask a member twice whether it lives, and tell whether it has answered."""
@@ -90,11 +93,11 @@
         record = core.roster.held[name].record
         seq, time_us = core.rng.randrange(SEQ), core.scaled(core.tuning.timeout_us)
         probe = self.probes[seq] = Probe(name, record.incarnation, core.now_us)
-        sent = self.ping(seq, record)
+        sent = self.ping(seq, record, NEWS)
 
         def again() -> None:
             if not probe.answered:
-                self.ping(seq, record)
+                self.ping(seq, record, NEWS)
 
         def end() -> None:
             self.probes.pop(seq, None)
@@ -126,7 +129,9 @@
         if probe.answered:
             core.doubt(-1)
         elif not self._stale(probe):
-            core.doubt(probe.helpers - probe.nacks if probe.helpers else 1)
+            # Where helpers say that they are silent for others too, the fault is not one's own. Not one point for each
+            # that is silent, as Lifeguard has it: where most are dead, nobody would ever find out.
+            core.doubt(0 if probe.nacks else 1)
             if sent:
                 core.count("probes_failed")
                 self.failed(probe.name, probe.incarnation)
--- a/hophinge/cluster/reconcile.py
+++ b/hophinge/cluster/reconcile.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+from hophinge.cluster.budget import FIRST_TOPIC, NEWS
 from hophinge.cluster.core import Core
 from hophinge.cluster.copies import deltas, take
 from hophinge.cluster.messages import DEAD, TOPICS, Delta, Digest, Part, Record, Row, Summary, encoded, packed
@@ -38,7 +39,7 @@
         core = self.core
         others = core.roster.others()
         if others:
-            core.say(core.rng.choice(others).address, [self.summary()])
+            core.say(core.rng.choice(others).address, [self.summary()], NEWS)
         core.later(core.jitter(core.tuning.hurry_us if self.differed else core.tuning.sync_us), self.turn)
         self.differed = False
 
@@ -55,7 +56,7 @@
         self.differed |= bool(differ)
         for number in self.core.rng.sample(differ, min(BUCKETS_AT_ONCE, len(differ))):
             for digest in self._digests(number):
-                if not self.core.say(source, [digest], fill=False):
+                if not self.core.say(source, [digest], NEWS, fill=False):
                     return
 
     def digest(self, source: str, digest: Digest) -> None:
@@ -87,7 +88,7 @@
                         not digest.last or record.name < digest.last):
                     answer += [record, *self._above(record, Row(record.name, 0))]
             if wanted:
-                core.say(source, [Digest(digest.bucket, wanted[:MOST_ROWS // 2], False)], fill=False)
+                core.say(source, [Digest(digest.bucket, wanted[:MOST_ROWS // 2], False)], NEWS, fill=False)
         self.differed |= bool(answer or wanted)
         self._send(source, answer)
 
@@ -106,7 +107,8 @@
         core.shelf.now_us = core.now_us
         if not take(core.shelf, delta):
             core.count("deltas_with_a_gap")
-            core.say(source, [Digest(bucket(delta.owner), [self._row(record)], False)], delta.topic + 1, fill=False)
+            lacking = Digest(bucket(delta.owner), [self._row(record)], False)
+            core.say(source, [lacking], FIRST_TOPIC + delta.topic, fill=False)
 
     def _overrule(self, topic: int, high: int, mark: int, compare: bool) -> None:
         """Where others hold more of one's own than one has said, or something else, say it all anew above that."""
@@ -162,10 +164,10 @@
         parts.sort(key=lambda part: part.topic + 1 if isinstance(part, Delta) else 0)
         batch: list[Part] = []
         size = sent = 0
-        rank = 0
+        rank = NEWS
         for part in parts:
             more = len(packed(part))
-            own = part.topic + 1 if isinstance(part, Delta) else 0
+            own = FIRST_TOPIC + part.topic if isinstance(part, Delta) else NEWS
             if batch and (size + more > ROOM or own != rank):
                 if not self.core.say(source, batch, rank, fill=False):
                     return
--- a/hophinge/cluster/rumours.py
+++ b/hophinge/cluster/rumours.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from hophinge.cluster.budget import FIRST_TOPIC, NEWS
 from hophinge.cluster.copies import newest
 from hophinge.cluster.messages import TOPICS, Record, packed
 from hophinge.cluster.shelf import Shelf
@@ -45,10 +46,10 @@
 
     @property
     def rank(self) -> int | None:
-        """Tell the rank of the first news there is: 0 of members, then the topics; None where there is none."""
+        """Tell the rank of the first news there is: of members, then the topics; None where there is none."""
         if self.members:
-            return 0
-        return next((rank for rank, streams in enumerate(self.streams, 1) if streams), None)
+            return NEWS
+        return next((rank for rank, streams in enumerate(self.streams, FIRST_TOPIC) if streams), None)
 
     def of_members(self, room: int, sends: int) -> list[bytes]:
         """Take what is to be told of members, in so much room; each goes out so often."""
--- a/hophinge/cluster/tuning.py
+++ b/hophinge/cluster/tuning.py
@@ -29,7 +29,7 @@
     patience: float = 4.0               # the longest is so many times the shortest, until others confirm
     spread_us: int = 200_000            # between rounds of news, while there is any
     fanout: int = 3                     # members told in one round
-    repeat: int = 4                     # a piece of news goes out so often, times log10 of the members, and 2
+    repeat: int = 3                     # a piece of news goes out so often, times log10 of the members, and 2
     sync_us: int = SECOND               # between comparisons with a random member
     hurry_us: int = 250_000             # the same while the last comparison found differences
     rejoin_us: int = 5 * SECOND         # between tries to reach a seed or a dead member again
@@ -56,4 +56,4 @@
 
     def sends(self, members: int) -> int:
         """Tell how often one process passes a piece of news on."""
-        return self.repeat * math.ceil(math.log10(members + 1)) + 2
+        return math.ceil(self.repeat * math.log10(members + 1)) + 2
