--- a/hophinge/cluster/budget.py
+++ b/hophinge/cluster/budget.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 HEADERS = 28            # bytes of IPv4 and UDP that each datagram has besides
-BURST_PART = 0.4        # of a second's bytes may go at once; the rest flows in over the second
+BURST_PART = 0.25      # of a second's bytes may go at once; the rest flows in over the second
 LEAST_BURST = 1_300     # bytes: one datagram with its headers
 PROBES, NEWS, FIRST_TOPIC = 0, 1, 2     # ranks: probes and answers, words about members, then topics in their order
+PUSH_PART = 0.75        # of the bucket: below, entries of later topics go only to those that lack them
 RESERVE_PART = 0.16     # of the bucket that each rank leaves to those before it
 
 
@@ -27,6 +28,10 @@
         """Tell how many bytes a datagram of a rank may have now, headers taken off; a rank's last may dip below."""
         return int(self.level) - HEADERS if self.level >= self.most * RESERVE_PART * rank else 0
 
+    def push(self, rank: int) -> int:
+        """Tell how many bytes news may have that others can also ask for: of later topics only with bytes to spare."""
+        return self.room(rank) if rank <= FIRST_TOPIC or self.level >= self.most * PUSH_PART else 0
+
     def spend(self, size: int) -> None:
         """Take what was sent."""
         self.level -= size + HEADERS
--- a/hophinge/cluster/core.py
+++ b/hophinge/cluster/core.py
@@ -89,7 +89,7 @@
             room = (PIGGYBACK if parts else MOST_BYTES) - used
             count = len(self.roster.live)
             for level in range(max(rank, NEWS), len(RANKS)):
-                room = min(room, self.budget.room(level) - used)
+                room = min(room, self.budget.push(level) - used)
                 more = (self.rumours.of_members(room, self.tuning.sends(count)) if level == NEWS else
                         self.rumours.of_topic(level - FIRST_TOPIC, room, count.bit_length() + 1))
                 data += more
@@ -105,6 +105,12 @@
         self.out.append(Send(address, datagram))
         return True
 
+    @property
+    def spare(self) -> bool:
+        """Tell whether there are bytes to spare for what matters least."""
+        self.budget.now(self.now_us)
+        return self.budget.room(len(RANKS) - 1) > 0
+
     def suspicion_us(self, confirmations: int) -> int:
         """Tell how long a suspicion lasts among those that count now."""
         return self.tuning.suspicion_us(len(self.roster.live), confirmations)
--- a/hophinge/cluster/machine.py
+++ b/hophinge/cluster/machine.py
@@ -71,7 +71,7 @@
 
     def members(self) -> tuple[Member, ...]:
         """Tell all members that are not forgotten, by name."""
-        return tuple(self.core.roster.held[name].record.member() for name in sorted(self.core.roster.held))
+        return tuple(self.core.roster.members())
 
     def put(self, topic: Topic, key: str, value: bytes) -> None:
         """Set an own entry; raises EntryRefusedError and changes nothing where there is no room for it."""
--- a/hophinge/cluster/messages.py
+++ b/hophinge/cluster/messages.py
@@ -18,6 +18,7 @@
 STANDINGS = (Standing.ALIVE, Standing.SUSPECT, Standing.DEAD, Standing.LEFT)
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 TOPICS = tuple(Topic)
+ROLES = {role.value: role for role in Role}
 
 Name: TypeAlias = Annotated[str, Meta(min_length=1, max_length=NAME_BYTES)]
 Label: TypeAlias = Annotated[str, Meta(max_length=128)]
@@ -56,8 +57,8 @@
 
     def member(self) -> Member:
         """Tell it as other parts see it; a role of a newer version counts as a head."""
-        role = Role(self.role) if self.role in {one.value for one in Role} else Role.HEAD
-        return Member(self.name, self.address, self.incarnation, STANDINGS[self.standing], self.zone, role, self.build)
+        return Member(self.name, self.address, self.incarnation, STANDINGS[self.standing], self.zone,
+                      ROLES.get(self.role, Role.HEAD), self.build)
 
 
 class Ping(Part, frozen=True):
--- a/hophinge/cluster/reconcile.py
+++ b/hophinge/cluster/reconcile.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
 
 from hophinge.cluster.budget import FIRST_TOPIC, NEWS
 from hophinge.cluster.core import Core
@@ -40,7 +41,8 @@
         others = core.roster.others()
         if others:
             core.say(core.rng.choice(others).address, [self.summary()], NEWS)
-        core.later(core.jitter(core.tuning.hurry_us if self.differed else core.tuning.sync_us), self.turn)
+        hurry = self.differed and core.spare
+        core.later(core.jitter(core.tuning.hurry_us if hurry else core.tuning.sync_us), self.turn)
         self.differed = False
 
     def summary(self) -> Summary:
@@ -54,32 +56,33 @@
             return self.core.count("summaries_of_other_form")
         differ = [number for number in range(BUCKETS) if mine[number] != summary.marks[number]]
         self.differed |= bool(differ)
-        for number in self.core.rng.sample(differ, min(BUCKETS_AT_ONCE, len(differ))):
-            for digest in self._digests(number):
-                if not self.core.say(source, [digest], NEWS, fill=False):
-                    return
+        # Rows that lead to entries which nobody has the bytes to send would only take those bytes.
+        most = BUCKETS_AT_ONCE if self.core.spare else 1
+        self._send(source, (digest for number in self.core.rng.sample(differ, min(most, len(differ)))
+                            for digest in self._digests(number)))
 
     def digest(self, source: str, digest: Digest) -> None:
         """Send what the other lacks, and ask for what it has more of."""
         core = self.core
         wanted: list[Row] = []
-        answer: list[Part] = []
+        records: list[Record] = []
+        lacking: list[tuple[Record, Row]] = []
         # Drawn anew: two that answer one member at once should not send it the same first.
         for row in core.rng.sample(digest.rows, len(digest.rows)):
             record = core.roster.record(row.name)
             if record is None or row.incarnation > record.incarnation:
                 if record is not None and record.name == core.roster.me:
-                    answer.append(record)       # it knows a higher one: let it say so, to be refuted
+                    records.append(record)      # it knows a higher one: let it say so, to be refuted
                 if not row.incarnation > core.roster.grave(row.name):
-                    answer.append(Record(row.name, source, core.roster.grave(row.name), DEAD))
+                    records.append(Record(row.name, source, core.roster.grave(row.name), DEAD))
                 else:
                     wanted.append(self._row(record) if record is not None else Row(row.name, 0))
             elif row.incarnation < record.incarnation or not record.counts:
-                answer.append(record)
+                records.append(record)
                 if record.counts:
-                    answer += self._above(record, Row(row.name, 0) if not self._same_start(row, record) else row)
+                    lacking.append((record, row if self._same_start(row, record) else Row(row.name, 0)))
             else:
-                answer += self._above(record, row)
+                lacking.append((record, row))
                 if self._below(record, row):
                     wanted.append(self._row(record))
         if digest.whole:
@@ -87,11 +90,16 @@
             for record in core.roster.of_bucket(digest.bucket):
                 if digest.first <= record.name and record.name not in listed and (
                         not digest.last or record.name < digest.last):
-                    answer += [record, *self._above(record, Row(record.name, 0))]
+                    records.append(record)
+                    lacking.append((record, Row(record.name, 0)))
             if wanted:
                 core.say(source, [Digest(digest.bucket, wanted[:MOST_ROWS // 2], False)], NEWS, fill=False)
-        self.differed |= bool(answer or wanted)
-        self._send(source, answer)
+        for record, row in lacking:
+            if record.name == core.roster.me and self._same_start(row, record):
+                for topic, (high, mark) in enumerate(zip(row.highs[:len(TOPICS)], row.marks, strict=False)):
+                    self._overrule(topic, high, mark, True)
+        parts = itertools.chain(records, self._above(lacking))
+        self.differed |= self._send(source, parts) or bool(wanted)
 
     def delta(self, source: str, delta: Delta) -> None:
         """Take entries of a member that counts; ask for what lies before them."""
@@ -105,7 +113,9 @@
         record = core.roster.record(delta.owner)
         if record is None or not record.counts or record.start != delta.start:
             return core.count("deltas_of_others")
-        core.shelf.now_us = core.now_us
+        held = core.shelf.stream(delta.owner, delta.topic)
+        if held is not None and delta.upto <= held.high:
+            core.rumours.known(delta.owner, delta.topic)
         if not take(core.shelf, delta):
             core.count("deltas_with_a_gap")
             lacking = Digest(bucket(delta.owner), [self._row(record)], False)
@@ -131,14 +141,12 @@
     def _same_start(row: Row, record: Record) -> bool:
         return Record(row.name, "", row.incarnation).start == record.start
 
-    def _above(self, record: Record, row: Row) -> Iterable[Delta]:
-        """Tell what of a member's entries lies above a row."""
+    def _above(self, lacking: Sequence[tuple[Record, Row]]) -> Iterator[Delta]:
+        """Tell what of members' entries lies above rows, by topic."""
         for topic in range(len(TOPICS)):
-            start = record.start if row.incarnation else -1
-            high = row.highs[topic] if topic < len(row.highs) else 0
-            if record.name == self.core.roster.me and topic < len(row.marks) and self._same_start(row, record):
-                self._overrule(topic, high, row.marks[topic], True)
-            yield from deltas(self.core.shelf, record.name, topic, start, high)
+            for record, row in lacking:
+                high = row.highs[topic] if topic < len(row.highs) else 0
+                yield from deltas(self.core.shelf, record.name, topic, record.start if row.incarnation else -1, high)
 
     def _below(self, record: Record, row: Row) -> bool:
         """Tell whether a row knows more of a member's entries than is held here."""
@@ -146,7 +154,7 @@
         return any(high > (highs[topic] if topic < len(highs) else 0)
                    for topic, high in enumerate(row.highs[:len(TOPICS)]))
 
-    def _digests(self, number: int) -> Iterable[Digest]:
+    def _digests(self, number: int) -> Iterator[Digest]:
         """Tell all rows of a bucket, in as many datagrams as they need."""
         rows: list[Row] = []
         first, size = "", 0
@@ -160,9 +168,8 @@
             size += more
         yield Digest(number, rows, True, first)
 
-    def _send(self, source: str, parts: list[Part]) -> None:
-        """Send records first, then entries by topic, packed, within the bounds of one answer."""
-        parts.sort(key=lambda part: part.topic + 1 if isinstance(part, Delta) else 0)
+    def _send(self, source: str, parts: Iterable[Part]) -> bool:
+        """Send parts, packed, as many as the bounds of one answer allow; tells whether there were any."""
         batch: list[Part] = []
         size = sent = 0
         rank = NEWS
@@ -170,14 +177,13 @@
             more = len(packed(part))
             own = FIRST_TOPIC + part.topic if isinstance(part, Delta) else NEWS
             if batch and (size + more > ROOM or own != rank):
-                if not self.core.say(source, batch, rank, fill=False):
-                    return
                 sent += 1
-                if sent == MOST_DATAGRAMS:
-                    return
+                if not self.core.say(source, batch, rank, fill=False) or sent == MOST_DATAGRAMS:
+                    return True
                 batch, size = [], 0
             rank = own
             batch.append(part)
             size += more
         if batch:
             self.core.say(source, batch, rank, fill=False)
+        return bool(batch)
--- a/hophinge/cluster/roster.py
+++ b/hophinge/cluster/roster.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 
+from hophinge.cluster.interface import Member
 from hophinge.cluster.messages import Record
 
 BUCKETS = 32            # by which members are compared: of 1,000 members about 31 in each, two datagrams of rows
@@ -25,6 +26,7 @@
     verifying: bool = False             # a word that it is dead is being checked
     rival: Record | None = None         # a newer process under its name at another address
     mark: int = 0                       # as it stands in its bucket
+    member: Member | None = None        # the record as other parts see it
 
 
 def bucket(name: str) -> int:
@@ -69,6 +71,7 @@
             if held.record.incarnation != record.incarnation or not record.counts:
                 held.accusers = set()
             held.record, held.since_us, held.verifying = record, now_us, False
+        held.member = record.member()
         if record.counts:
             self.live[record.name] = None
         else:
@@ -87,6 +90,11 @@
         self.buckets[bucket(name)] ^= held.mark ^ mark
         held.mark = mark
 
+    def members(self) -> Iterator[Member]:
+        """Tell all members, by name."""
+        for name in sorted(self.held):
+            yield self.held[name].member or self.held[name].record.member()
+
     def forget(self, name: str, now_us: int) -> None:
         """Strike a member off, and remember its incarnation against those that still speak of it."""
         held = self.held.pop(name)
--- a/hophinge/cluster/rumours.py
+++ b/hophinge/cluster/rumours.py
@@ -44,6 +44,12 @@
             base = min(base, news.base)
         self.streams[topic][owner] = News(0, base=base)
 
+    def known(self, owner: str, topic: int) -> None:
+        """Somebody has told what is held here already: it need not go out so often any more."""
+        news = self.streams[topic].get(owner)
+        if news is not None:
+            news.sends += 1
+
     def forget(self, name: str) -> None:
         """Spread nothing more of a member."""
         self.members.pop(name, None)
