--- a/hophinge/cluster/membership.py
+++ b/hophinge/cluster/membership.py
@@ -141,7 +141,7 @@
         core.put(self._accusation(record, by))
         core.count("suspicions" if by == core.roster.me else "suspicions_heard")
         held = core.roster.held[record.name]
-        held.accusers, held.slept_us = {by}, core.slept_us
+        held.accusers, held.slept_us = frozenset({by}), core.slept_us
         self._watch(record.name, record.incarnation, held.since_us)
 
     @staticmethod
@@ -152,7 +152,7 @@
     def _confirmed(self, record: Record) -> None:
         held = self.core.roster.held[record.name]
         if record.by not in held.accusers and len(held.accusers) < MOST_ACCUSERS:
-            held.accusers.add(record.by)
+            held.accusers |= {record.by}
             self.core.rumours.member(record)
             self._watch(record.name, record.incarnation, held.since_us)
 
--- a/hophinge/cluster/roster.py
+++ b/hophinge/cluster/roster.py
@@ -21,7 +21,7 @@
     record: Record
     since_us: int
     heard_us: int = -1
-    accusers: set[str] = set()
+    accusers: frozenset[str] = frozenset()
     slept_us: int = 0                   # how long this process had stood still in all when a suspicion began
     verifying: bool = False             # a word that it is dead is being checked
     rival: Record | None = None         # a newer process under its name at another address
@@ -63,13 +63,13 @@
             if len(self.held) >= self.most and record.name != self.me:
                 self.count("members_over_bound")
                 return False
-            held = self.held[record.name] = Held(record, now_us, accusers=set())
+            held = self.held[record.name] = Held(record, now_us)
             self.graves.pop(record.name, None)
         else:
             if held.record.start != record.start:
                 held.heard_us, held.rival = -1, None
             if held.record.incarnation != record.incarnation or not record.counts:
-                held.accusers = set()
+                held.accusers = frozenset()
             held.record, held.since_us, held.verifying = record, now_us, False
         held.member = record.member()
         if record.counts:
--- a/hophinge/peers/endpoint.py
+++ b/hophinge/peers/endpoint.py
@@ -67,11 +67,10 @@
         except OSError as error:
             self.socket.close()
             raise ClusterUnusableError(f"listen: cannot take {listen}: {error.strerror or error}") from error
-        own_host, own_port = split(advertise, "advertise") if advertise else self.socket.getsockname()[:2]
-        if own_host == "0.0.0.0":
-            self.socket.close()
-            raise ClusterUnusableError("advertise: is needed where listen is 0.0.0.0: peers must know where to answer")
         try:
+            own_host, own_port = split(advertise, "advertise") if advertise else self.socket.getsockname()[:2]
+            if own_host == "0.0.0.0":
+                raise ClusterUnusableError("advertise: is needed where listen is 0.0.0.0: peers answer there")
             own_host = socket.gethostbyname(own_host)
             self.machine = Cluster(name, f"{own_host}:{own_port}", time.time_ns() // 100_000, [], keys,
                                    random.Random(os.urandom(16)), self.now_us(), zone=zone, role=role, build=build,
@@ -79,6 +78,9 @@
         except OSError as error:
             self.socket.close()
             raise ClusterUnusableError(f"advertise: {own_host} has no address: {error}") from error
+        except ClusterUnusableError:
+            self.socket.close()
+            raise
         self.hearers: list[Hearer] = []
         self.failed: NameTakenError | None = None       # why it has stepped back
         self.over = asyncio.Event()                     # it has left, or stepped back
--- /dev/null
+++ b/tests/test_peers_endpoint.py
@@ -0,0 +1,160 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hophinge.cluster.errors import ClusterUnusableError, KeysUnusableError
+from hophinge.cluster.interface import Entry, Member, Topic
+from hophinge.cluster.messages import Ack, Part, Ping, Record, packed
+from hophinge.cluster.wire import Opener, seal
+from hophinge.peers import endpoint
+from hophinge.peers.endpoint import Endpoint
+from tests.cluster_member import KEY
+
+Make = Callable[..., Endpoint]
+
+
+class Heard:
+    def __init__(self) -> None:
+        self.members: list[str] = []
+        self.entries: list[tuple[str, bool]] = []
+
+    def member(self, now_us: int, member: Member) -> None:
+        self.members.append(f"{member.name} {member.standing.value}")
+
+    def entry(self, now_us: int, entry: Entry, gone: bool) -> None:
+        self.entries.append((entry.key, gone))
+
+
+class Broken(Heard):
+    def member(self, now_us: int, member: Member) -> None:
+        raise RuntimeError("broken")
+
+
+@pytest.fixture
+def key_file(tmp_path: Path) -> Path:
+    path = tmp_path / "key"
+    path.write_text(KEY)
+    return path
+
+
+async def until(state: Callable[[], bool]) -> None:
+    async with asyncio.timeout(30):
+        while not state():
+            await asyncio.sleep(0.01)
+
+
+def test_two_endpoints_meet_by_name_of_a_seed_and_a_broken_hearer_harms_nobody(key_file: Path) -> None:
+    async def main() -> None:
+        said: list[str] = []
+        one = Endpoint("one", "127.0.0.1:0", [], key_file, say=said.append)
+        other = Endpoint("other", "127.0.0.1:0", [one.address.replace("127.0.0.1", "localhost"), "no.such.host.:1"],
+                         key_file, zone="z2")
+        heard = Heard()
+        one.hearers += [Broken(), heard]
+        for member in (one, other):
+            member.start()
+        await until(lambda: "other alive" in heard.members)
+        assert any("RuntimeError: broken" in line for line in said)
+        other.machine.put(Topic.WEIGHTS, "k", b"v")
+        await until(lambda: ("k", False) in heard.entries)
+        assert [found.zone for found in one.machine.members()] == ["", "z2"]
+        other.leave()
+        await until(lambda: "other left" in heard.members)
+        other.leave()
+        one.close()
+
+    asyncio.run(main())
+
+
+def test_a_flood_of_strangers_has_a_bounded_share_of_the_loop(key_file: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Counted in turns, not in time: after each full turn the socket is left alone until its pause is over."""
+    async def main() -> None:
+        one = Endpoint("one", "127.0.0.1:0", [], key_file)
+        one.start()
+        flood = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        host, port = one.address.split(":")
+        monkeypatch.setattr(endpoint, "PAUSE_S", 60.0)
+        for number in range(64):
+            flood.sendto(bytes([number]) * (1 + number * 24), (host, int(port)))
+        counters = one.machine.core.counters
+
+        def dropped() -> int:
+            return sum(count for name, count in counters.items() if name.startswith("dropped_"))
+
+        await until(lambda: dropped() > 0)
+        assert dropped() <= endpoint.AT_ONCE
+        for _ in range(20):     # turns of the loop, none of which reads on
+            await asyncio.sleep(0)
+        assert dropped() <= endpoint.AT_ONCE
+        monkeypatch.setattr(endpoint, "PAUSE_S", 0.0)
+        one._read_on()
+        await until(lambda: dropped() == 64)
+        assert counters["dropped_too_long"] and counters["dropped_unknown"] and counters["dropped_too_short"]
+        assert len(one.machine.members()) == 1 and not counters["bytes_received"]
+        # One with the key is answered though the flood goes on.
+        record = Record("peer", f"127.0.0.1:{flood.getsockname()[1]}", 1 << 40)
+        flood.sendto(seal(KEY.encode(), "peer", 1 << 22, 1, [packed(Ping(7, "one", record))]), (host, int(port)))
+        flood.setblocking(False)
+        opener = Opener([KEY.encode()], 5, lambda name: None)
+        answers: list[Part] = []
+
+        def answered() -> bool:
+            flood.sendto(b"x" * 500, (host, int(port)))
+            while True:
+                try:
+                    opened = opener.open(flood.recv(2000))
+                except BlockingIOError:
+                    return any(isinstance(part, Ack) and part.seq == 7 for part in answers)
+                answers.extend(opened.parts if opened else [])
+
+        await until(answered)
+        flood.close()
+        one.close()
+
+    asyncio.run(main())
+
+
+WRONG: list[tuple[dict[str, Any], type[Exception], str]] = [
+    ({"listen": "127.0.0.1"}, ClusterUnusableError, "listen"),
+    ({"listen": "127.0.0.1:x"}, ClusterUnusableError, "listen"),
+    ({"listen": "192.0.2.1:0"}, ClusterUnusableError, "cannot take 192.0.2.1:0"),
+    ({"listen": "0.0.0.0:0"}, ClusterUnusableError, "advertise"),
+    ({"seeds": ["nowhere"]}, ClusterUnusableError, "seeds"),
+    ({"advertise": "no.such.host.:1"}, ClusterUnusableError, "advertise"), ({"name": ""}, ClusterUnusableError, "name"),
+    ({"name": "n" * 65}, ClusterUnusableError, "name"),
+    ({"key_file": Path("/nowhere")}, KeysUnusableError, "/nowhere"),
+]
+
+
+@pytest.mark.parametrize(("given", "error", "place"), WRONG, ids=lambda one: str(one)[:40])
+def test_what_cannot_be_carried_out_is_told_with_its_setting(
+        key_file: Path, given: dict[str, Any], error: type[Exception], place: str) -> None:
+    async def main() -> None:
+        settings: dict[str, Any] = {"name": "one", "listen": "127.0.0.1:0", "seeds": [], "key_file": key_file} | given
+        with pytest.raises(error, match=place):
+            Endpoint(**settings)
+
+    asyncio.run(main())
+
+
+def test_an_unusable_key_file_leaves_the_keys_as_they_were(key_file: Path) -> None:
+    async def main() -> None:
+        one = Endpoint("one", "127.0.0.1:0", [], key_file)
+        before = list(one.machine.opener.keys)
+        for text in (b"short", b"\xff\xfe" * 20, b""):
+            key_file.write_bytes(text)
+            with pytest.raises(KeysUnusableError, match=str(key_file)):
+                one.reload()
+            assert one.machine.opener.keys == one.machine.core.keys == before
+        key_file.write_text(f"{KEY} new\n\n{KEY}\n")
+        one.reload()
+        assert one.machine.core.keys == [f"{KEY} new".encode(), KEY.encode()]
+        one.close()
+
+    asyncio.run(main())
