--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -162,8 +162,8 @@
         print(json.dumps(row))
         print(f"{only}: {time.monotonic() - began:.0f} s", file=sys.stderr)
         return
-    text = ["# Members: what was measured", "", "One command, `python benchmarks/cluster.py`; seeds are fixed. In virtual",
-            "time a way takes 0.2 to 2 ms; one member in fifty is killed, all at once, and of ten one."]
+    text = ["# Members: what was measured", "", "One command, `python benchmarks/cluster.py`; seeds are fixed. In",
+            "virtual time a way takes 0.2 to 2 ms; one member in fifty is killed, all at once, and of ten one."]
     titles = {"members": "Virtual time: deaths and suspicions",
               "split": "Virtual time: a split of 20 s in two halves heals",
               "real": "Real processes on loopback, one killed three times, beside other work"}
