--- a/tests/test_peers_endpoint.py
+++ b/tests/test_peers_endpoint.py
@@ -12,6 +12,8 @@
 from hophinge.cluster.interface import Entry, Member, Topic
 from hophinge.cluster.messages import Ack, Part, Ping, Record, packed
 from hophinge.cluster.wire import Opener, seal
+from hophinge.head import operator
+from hophinge.head.sections import ClusterConfig
 from hophinge.peers import endpoint
 from hophinge.peers.endpoint import Endpoint
 from tests.cluster_member import KEY
@@ -158,3 +160,10 @@
         one.close()
 
     asyncio.run(main())
+
+
+def test_the_example_of_an_operators_file_is_read_and_has_the_defaults() -> None:
+    path = Path(__file__).parent.parent / "deploy" / "cluster.toml"
+    config = operator.load(str(path)).cluster
+    assert config is not None
+    assert config == ClusterConfig(config.listen, config.seeds, path.parent / "../cluster.key")
