--- a/hophinge/cluster/core.py
+++ b/hophinge/cluster/core.py
@@ -28,6 +28,7 @@
         self.limits, self.tuning, self.rng, self.keys = limits, tuning, rng, list(keys)
         self.now_us = self.begun_us = now_us
         self.start = me.start
+        self.reference = me.start           # what others' starts are held against
         self.starts = {me.start}            # of this process: it may have to count above what others remember
         self.sent = 0
         self.agenda = Agenda()
--- a/hophinge/cluster/membership.py
+++ b/hophinge/cluster/membership.py
@@ -31,7 +31,10 @@
         if record.name == core.roster.me:
             return self.about_me(record)
         direct = sender == record.name
-        if record.start > core.start + (OWN_AHEAD if direct else HEARSAY_AHEAD):
+        if direct and len(core.roster.live) == 1:
+            # The first that is met: this process's own clock may never have been set.
+            core.reference = max(core.reference, record.start)
+        if record.start > core.reference + (OWN_AHEAD if direct else HEARSAY_AHEAD):
             return core.count("starts_too_far_ahead")
         held = core.roster.held.get(record.name)
         if held is None:
@@ -68,7 +71,7 @@
             self.clashed_us = core.now_us
             core.count("namesakes_met")
             core.say(record.address, [Clash(own, core.now_us - core.begun_us, record.start)], fill=False)
-        if self.leaving or record.start > core.start + OWN_AHEAD - 1:
+        if self.leaving or record.start >= core.reference + OWN_AHEAD:
             return
         if record.incarnation > own.incarnation or (record.incarnation == own.incarnation and record.standing):
             if record.standing:
--- a/tests/test_cluster_members.py
+++ b/tests/test_cluster_members.py
@@ -31,6 +31,18 @@
     scenarios.younger_steps_back(clock_back=True)
 
 
+def test_a_process_whose_clock_was_never_set_joins_and_comes_back() -> None:
+    net = Network(29)
+    now = 18_000_000_000_000
+    nodes = [net.start(f"n{number}", ["n0:7000"], start=now + number) for number in range(4)]
+    last = net.start("last", ["n0:7000"], start=0)
+    assert net.until(lambda: net.agreed([*nodes, last]), 20)
+    net.kill(last)
+    assert net.until(lambda: net.agreed(nodes), 30)
+    again = net.start("last", ["n0:7000"], start=0)
+    assert net.until(lambda: net.agreed([*nodes, again]), 30)
+
+
 def test_thirty_in_a_hundred_lost_doubled_and_reordered_hold_nobody_dead() -> None:
     net = Network(21)
     nodes = net.fleet(30)
