Scorers: interface, guard, three at work, weights merged with peers' by a trimmed mean

Need: heads learn of failing and slow bricks one by one, each at its own cost. Scorers add bounded times to candidates; what they learn is shared, and f liars among n move nothing up to a quarter.

--- /dev/null
+++ b/hophinge/head/scoring.py
@@ -0,0 +1,183 @@
+"""Scorers of a head: found by their names in the operator's file, wired to the module, the exchange and the board."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from collections.abc import Callable, Sequence
+from types import ModuleType
+from typing import Any
+
+import msgspec
+import pluggy
+
+from hophinge.cluster.interface import Board, Topic
+from hophinge.core import interface as api
+from hophinge.core.errors import HophingeError
+from hophinge.core.exchange import Exchange
+from hophinge.head.sections import ScoringConfig
+from hophinge.popularity.interface import Demand
+from hophinge.scoring import latency, outlook, suspicion
+from hophinge.scoring.encoding import MOST_SCORER
+from hophinge.scoring.engine import Drop, Engine, Put
+from hophinge.scoring.errors import (
+    ScorerInterfaceError, ScorerParametersError, ScorerUnknownError, ScorerUnusableError,
+)
+from hophinge.scoring.interface import GROUP, INTERFACE, PROJECT, Kind, Scorer, Setting, Spec, Surroundings
+
+TICK_S = 1.0            # between merges: long against an answer, short against a repair
+BUILT_IN: dict[str, ModuleType] = {"latency": latency, "suspicion": suspicion, "outlook": outlook}
+
+
+def find(name: str) -> Kind:
+    """Find a scorer by its name: built in, else by entry points of installed packages; no other one is imported."""
+    manager = pluggy.PluginManager(PROJECT)
+    manager.add_hookspecs(Spec)
+    try:
+        if name in BUILT_IN:
+            manager.register(BUILT_IN[name], name)
+        elif not manager.load_setuptools_entrypoints(GROUP, name):
+            raise ScorerUnknownError(f"[scoring] scorers: there is no scorer {name!r}")
+        kinds = manager.hook.hophinge_scorer()
+    except HophingeError:
+        raise
+    except Exception as error:      # another package's import or code
+        raise ScorerUnusableError(f"scorer {name!r} cannot be loaded: {type(error).__name__}: {error}") from error
+    if len(kinds) != 1 or not isinstance(kinds[0], Kind):
+        raise ScorerUnusableError(f"{len(kinds)} plug-ins bring a scorer {name!r}, or one brings something else")
+    kind: Kind = kinds[0]
+    if kind.name != name or not 0 < len(name) <= MOST_SCORER or not isinstance(kind.parameters, type):
+        raise ScorerUnusableError(f"the plug-in of scorer {name!r} brings {kind.name!r}, or states no parameters")
+    if kind.interface != INTERFACE:
+        raise ScorerInterfaceError(
+            f"scorer {name!r} was made for version {kind.interface} of the interface, this is {INTERFACE}")
+    return kind
+
+
+def parameters(kind: Kind, rows: dict[str, Any]) -> Any:
+    """Check a scorer's parameters against the form that it states."""
+    place = f"[scoring.parameters.{kind.name}]"
+    # Checked here too, as a package's form may let unknown keys pass: one that is misspelt would do nothing.
+    known = [field.encode_name for field in msgspec.structs.fields(kind.parameters)]
+    for key in rows:
+        if key not in known:
+            raise ScorerParametersError(f"{place} {key}: there is no such key; there are: {', '.join(known) or 'none'}")
+    try:
+        return msgspec.convert(rows, kind.parameters)
+    except msgspec.ValidationError as error:
+        what, _, path = str(error).partition(" - at `$")
+        key = re.sub(r"^\.|`$", "", path)
+        raise ScorerParametersError(f"{place} {key + ': ' if key else ''}{what}") from error
+
+
+def make(config: ScoringConfig, setting: Setting) -> tuple[dict[str, Scorer], dict[str, str]]:
+    """Make the scorers of a configuration; tells besides the versions of their weights."""
+    scorers: dict[str, Scorer] = {}
+    versions = {}
+    for name in config.scorers:
+        if name in scorers:
+            raise ScorerParametersError(f"[scoring] scorers: {name!r} is named twice")
+        kind = find(name)
+        checked = parameters(kind, config.parameters.get(name, {}))
+        try:
+            scorers[name] = kind.make(checked, setting)
+        except Exception as error:
+            raise ScorerUnusableError(f"scorer {name!r} cannot be made: {type(error).__name__}: {error}") from error
+        versions[name] = kind.weights
+    for name in config.parameters:
+        if name not in scorers:
+            raise ScorerParametersError(f"[scoring.parameters.{name}]: scorers does not name {name!r}")
+    return scorers, versions
+
+
+class Scoring:
+    """Scorers at work in one head; raises a HophingeError where they cannot be made."""
+
+    def __init__(self, config: ScoringConfig, exchange: Exchange, log: Callable[[str], None],
+                 clock_ns: Callable[[], int] = time.perf_counter_ns) -> None:
+        settings = exchange.settings
+        aim_us = min(klass.aim_us for klass in settings.classes)
+        setting = Setting(aim_us, aim_us * config.most_part)
+        self.config, self.exchange, self.log = config, exchange, log
+        self.surroundings = Surroundings(settings.rules.cold_us)
+        scorers, versions = make(config, setting)
+        self.engine = Engine(scorers, versions, setting.most_us, config.budget_us, clock_ns, log, self.surroundings)
+        self.board: Board | None = None
+        self.refused = ""           # why the board took no entry, as it was last logged
+        exchange.scheduler.scorers = self.engine
+        exchange.heard = self.heard
+
+    def share(self, me: str, board: Board) -> None:
+        """Share weights with peers as the member `me`, where the configuration says so."""
+        if self.config.share:
+            self.board = board
+            self.engine.share_as(me)
+
+    def expect(self, demand: Demand) -> None:
+        """Use predicted demand."""
+        self.surroundings.demand = demand.wanted
+
+    def heard(self, node: str, result: api.Result, elapsed_us: int) -> None:
+        """Take how an attempt ended; the exchange's hook."""
+        self.engine.heard(self.exchange.now_us(), node, result, elapsed_us)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Learn, merge and tell peers; what goes wrong is logged, as nothing of it may end the head."""
+        try:
+            entries = self.board.entries(Topic.WEIGHTS) if self.board is not None else ()
+            self._carry_out(self.engine.tick(self.exchange.now_us(), self.exchange.phases, entries))
+        except Exception as error:
+            self._refused(f"scorers' tick failed: {type(error).__name__}: {error}")
+
+    def _carry_out(self, actions: Sequence[Put | Drop]) -> None:
+        if self.board is None:
+            return
+        for action in actions:
+            try:
+                if isinstance(action, Put):
+                    self.board.put(Topic.WEIGHTS, action.key, action.value)
+                else:
+                    self.board.drop(Topic.WEIGHTS, action.key)
+            except HophingeError as error:
+                self._refused(error.told())     # tried again with the next tick
+                continue
+            self.engine.done(action)
+
+    def _refused(self, what: str) -> None:
+        if what != self.refused:
+            self.refused = what
+            self.log(what)
+
+    def status(self) -> str:
+        """Tell staff what scorers do here, as JSON."""
+        now, reader = self.exchange.now_us(), self.engine.reader
+        rows: dict[str, Any] = {
+            "interface": INTERFACE, "most_us": self.engine.guard.most_us, "budget_us": self.config.budget_us,
+            "scorers": {one.name: {
+                "at_work": one.pauses.may(now), "off_until_told": one.pauses.off,
+                "back_in_s": max(0, one.pauses.until_us - now) / 1e6, "mistakes": one.pauses.mistakes, **one.counts,
+            } for one in self.engine.guard.scorers},
+        }
+        if reader is not None:
+            rows["peers"] = {name: {owner: {"trust": round(peer.agreement.trust, 3),
+                                            "counts_for": round(peer.freshness(now), 3), "bricks": len(peer.words())}
+                                    for owner, peer in shared.peers.items()}
+                             for name, shared in self.engine.shared.items()}
+            rows |= {"entries_bad": reader.bad, "entries_of_other_versions": reader.other_versions,
+                     "bricks_without_room": self.engine.left_out}
+        return msgspec.json.format(msgspec.json.encode(rows), indent=1).decode() + "\n"
+
+    def gauges(self) -> dict[str, float]:
+        """Tell what alerts look at."""
+        now, reader = self.exchange.now_us(), self.engine.reader
+        scorers = self.engine.guard.scorers
+        return {"scorers_left_out": sum(not one.pauses.may(now) for one in scorers),
+                "scorers_off": sum(one.pauses.off for one in scorers),
+                "weights_bad_total": sum(reader.bad.values()) if reader is not None else 0}
--- /dev/null
+++ b/hophinge/scoring/engine.py
@@ -0,0 +1,88 @@
+"""Scorers at work in one head: asked at each choice, told of each end, and once a second merged with what peers say."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+
+from msgspec import Struct
+
+from hophinge.cluster.interface import Entry
+from hophinge.core import interface as api
+from hophinge.scoring import encoding
+from hophinge.scoring.guard import Guard
+from hophinge.scoring.interface import Scorer, Surroundings
+from hophinge.scoring.merge import hearsay
+from hophinge.scoring.sharing import BEAT_US, Merge, Reader, Shared
+
+
+class Put(Struct, frozen=True):
+    """Set an own entry under the topic of weights."""
+
+    key: str
+    value: bytes
+
+
+class Drop(Struct, frozen=True):
+    """Take an own entry back."""
+
+    key: str
+
+
+class Engine:
+    """The module's `Scorers`, and whoever hears outcomes; it never raises to either."""
+
+    def __init__(self, scorers: Mapping[str, Scorer], versions: Mapping[str, str], most_us: float, budget_us: float,
+                 clock_ns: Callable[[], int], log: Callable[[str], None], surroundings: Surroundings,
+                 merge: Merge = hearsay) -> None:
+        self.guard = Guard(scorers, most_us, budget_us, clock_ns, log)
+        self.surroundings = surroundings
+        self.shared = {name: Shared(version, merge) for name, version in versions.items() if version}
+        self.reader: Reader | None = None           # where there are peers
+        self.told: dict[str, bytes] = {}            # own entries as they were last set
+        self.left_out = 0                           # bricks that an own entry had no room for, lately
+
+    def share_as(self, me: str) -> None:
+        """Share weights from now on, as this member."""
+        self.reader = Reader(me, self.shared)
+
+    def added_us(self, now_us: int, ask: api.Arrival, nodes: Sequence[api.Seen]) -> dict[str, float]:
+        """Tell added microseconds by candidate; see hophinge/core/interface.py."""
+        return self.guard.added_us(now_us, ask, nodes, self.surroundings)
+
+    def heard(self, now_us: int, node: str, result: api.Result, elapsed_us: int) -> None:
+        """Take how an attempt ended."""
+        self.guard.heard(now_us, node, result, elapsed_us)
+
+    def tick(self, now_us: int, nodes: Container[str], entries: Iterable[Entry] = ()) -> list[Put | Drop]:
+        """Learn, merge and tell what to set on the board; `nodes` are the bricks that are listed here."""
+        self.guard.tick(now_us, nodes)
+        if self.reader is None:
+            return []
+        self.reader.read(now_us, entries)
+        wanted: dict[str, bytes] = {}
+        self.left_out = 0
+        for name, shared in self.shared.items():
+            if not self.guard.named(name).pauses.may(now_us):
+                continue        # who is left out says nothing, rather than that all is well
+            own = self.guard.weights(now_us, name)
+            shared.judge(now_us, own)
+            self.guard.merged(now_us, name, shared.weights(now_us, own, nodes))
+            values, left_out = encoding.encode(
+                shared.version, now_us // BEAT_US, {node: one.value for node, one in own.items() if node in nodes})
+            self.left_out += left_out
+            wanted |= {encoding.key(name, chunk): value for chunk, value in values.items()}
+        actions: list[Put | Drop] = [Drop(key) for key in self.told.keys() - wanted.keys()]
+        actions += [Put(key, value) for key, value in wanted.items() if self.told.get(key) != value]
+        return actions
+
+    def done(self, action: Put | Drop) -> None:
+        """Take that an action was carried out; one that was not comes again with the next tick."""
+        if isinstance(action, Put):
+            self.told[action.key] = action.value
+        else:
+            self.told.pop(action.key, None)
+
+    def resume(self) -> None:
+        """Take an operator's word that scorers which were left out may be asked again."""
+        for one in self.guard.scorers:
+            one.pauses.told_on()
--- /dev/null
+++ b/hophinge/scoring/guard.py
@@ -0,0 +1,154 @@
+"""The guard round scorers: whatever one does, a choice gets added times within the clamp, and no request notices.
+
+Python cannot stop a call that runs in the same thread. One that never returns hangs the head; one that returns too late
+has held up one choice and is left out from then on, by growing pauses and at last until an operator says otherwise.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Container, Mapping, Sequence
+
+from hophinge.core import interface as api
+from hophinge.scoring.interface import Scorer, Surroundings, View, Weight
+from hophinge.scoring.pauses import Pauses
+
+REASONS = ("raised", "form", "length", "not_a_number", "infinite", "negative", "slow")
+LEARNING_PART = 100     # budgets of a choice that a tick or a merge may take: it holds up no one request for long
+NUMBERS = frozenset({float, int})
+
+
+class MisbehaviourError(Exception):
+    """What a scorer returned cannot be used."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Guarded:
+    """One scorer, its standing and its counts."""
+
+    def __init__(self, name: str, scorer: Scorer) -> None:
+        self.name, self.scorer, self.pauses = name, scorer, Pauses()
+        self.counts = dict.fromkeys((*REASONS, "asked", "left_out"), 0)
+
+
+def checked(times: object, number: int) -> list[float]:
+    """Check what a scorer returned; a plain list or tuple alone, as any other may do anything while it is read."""
+    if type(times) is not list and type(times) is not tuple:
+        raise MisbehaviourError("form")
+    if len(times) != number:
+        raise MisbehaviourError("length")
+    if not NUMBERS.issuperset(map(type, times)):
+        raise MisbehaviourError("not_a_number")
+    values = list(map(float, times))
+    total = sum(values)
+    if math.isnan(total):
+        raise MisbehaviourError("not_a_number" if any(map(math.isnan, values)) else "infinite")
+    if math.isinf(total):
+        raise MisbehaviourError("infinite")
+    if values and min(values) < 0.0:
+        raise MisbehaviourError("negative")
+    return values
+
+
+class Guard:
+    """All scorers at work."""
+
+    def __init__(self, scorers: Mapping[str, Scorer], most_us: float, budget_us: float, clock_ns: Callable[[], int],
+                 log: Callable[[str], None]) -> None:
+        if not most_us > 0 or not budget_us > 0:
+            raise ValueError("the clamp and the budget of scorers must be above 0")
+        self.most_us, self.budget_ns = most_us, int(budget_us * 1000)
+        self.clock_ns, self.log = clock_ns, log
+        self.scorers = [Guarded(name, scorer) for name, scorer in scorers.items()]
+
+    def added_us(self, now_us: int, ask: api.Arrival, nodes: Sequence[api.Seen],
+                 surroundings: Surroundings) -> dict[str, float]:
+        """Tell added microseconds by candidate, from 0 to the clamp, all scorers together."""
+        view = View(now_us, ask, nodes, surroundings)
+        names = view.nodes      # the guard's own word for who is a candidate, whatever a scorer does to the view
+        most, sums = self.most_us, None
+        for one in self.scorers:
+            values = self._ask(one, view, now_us, len(names))
+            if values is not None:
+                sums = values if sums is None else [a + b for a, b in zip(sums, values, strict=True)]
+        if sums is None:
+            return {}
+        return {node: value if value < most else most for node, value in zip(names, sums, strict=True) if value}
+
+    def heard(self, now_us: int, node: str, result: api.Result, elapsed_us: int) -> None:
+        """Tell all scorers how an attempt ended."""
+        for one in self.scorers:
+            self._call(one, now_us, 1, lambda scorer: scorer.heard(now_us, node, result, elapsed_us))
+
+    def tick(self, now_us: int, nodes: Container[str]) -> None:
+        """Let all scorers do what is due."""
+        for one in self.scorers:
+            self._call(one, now_us, LEARNING_PART, lambda scorer: scorer.tick(now_us, nodes))
+
+    def weights(self, now_us: int, name: str) -> dict[str, Weight]:
+        """Tell a scorer's own weights; those that are no weights are left out."""
+        found: dict[str, Weight] = {}
+
+        def read(scorer: Scorer) -> None:
+            for node, weight in list(scorer.weights(now_us).items()):
+                value, evidence = float(weight.value), float(weight.evidence)
+                if not 0.0 <= value <= 1.0 or not 0.0 <= evidence < math.inf or not isinstance(node, str):
+                    raise MisbehaviourError("not_a_number")
+                found[node] = Weight(value, evidence)
+
+        one = self.named(name)
+        return found if self._call(one, now_us, LEARNING_PART, read) else {}
+
+    def merged(self, now_us: int, name: str, weights: Mapping[str, float]) -> None:
+        """Give a scorer its merged weights."""
+        self._call(self.named(name), now_us, LEARNING_PART, lambda scorer: scorer.merged(now_us, weights))
+
+    def named(self, name: str) -> Guarded:
+        """Find a scorer."""
+        return next(one for one in self.scorers if one.name == name)
+
+    def _ask(self, one: Guarded, view: View, now_us: int, number: int) -> list[float] | None:
+        if not one.pauses.may(now_us):
+            one.counts["left_out"] += 1
+            return None
+        one.counts["asked"] += 1
+        since = self.clock_ns()
+        try:
+            values = checked(one.scorer.added_us(view), number)
+        except BaseException as error:      # a plug-in that raises SystemExit must not end the head either
+            self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
+            return None
+        if self.clock_ns() - since > self.budget_ns:
+            self._wrong(one, now_us, "slow", None)
+            return None
+        one.pauses.went_well()
+        most = self.most_us
+        # Each alone is clamped too: one that adds a hundred years must not drown the others' differences.
+        return [value if value < most else most for value in values]
+
+    def _call(self, one: Guarded, now_us: int, budgets: int, call: Callable[[Scorer], None]) -> bool:
+        if not one.pauses.may(now_us):
+            return False
+        since = self.clock_ns()
+        try:
+            call(one.scorer)
+        except BaseException as error:
+            self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
+            return False
+        if self.clock_ns() - since > self.budget_ns * budgets:
+            self._wrong(one, now_us, "slow", None)
+            return False
+        return True
+
+    def _wrong(self, one: Guarded, now_us: int, reason: str, error: BaseException | None) -> None:
+        one.counts[reason] += 1
+        one.pauses.went_wrong(now_us, reason == "slow")
+        try:
+            what = f"{type(error).__name__}: {error}"[:200] if reason == "raised" else reason
+        except BaseException:               # an error whose text raises
+            what = reason
+        until = "until it is told on" if one.pauses.off else f"for {(one.pauses.until_us - now_us) // 1_000_000} s"
+        self.log(f"scorer {one.name} is left out {until}: {what}")
--- /dev/null
+++ b/hophinge/scoring/interface.py
@@ -0,0 +1,179 @@
+"""The public interface of scorers: what one sees of a choice, what it may say, and how a package brings one.
+
+A scorer adds times to candidates that the module has found permissible; the one that then frees earliest is chosen. It
+can bring in none, and nothing that it does wrong reaches a request: see hophinge/scoring/guard.py.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Mapping, Sequence
+from typing import Any, TypeVar
+
+import pluggy
+from msgspec import Struct
+
+from hophinge.core import interface as api
+
+INTERFACE = 1                       # grows where a scorer written for the one before would no longer work
+GROUP = "hophinge.scorers"          # of entry points
+PROJECT = "hophinge"
+
+scorer_spec = pluggy.HookspecMarker(PROJECT)
+scorer_impl = pluggy.HookimplMarker(PROJECT)
+
+Value = TypeVar("Value")
+
+
+def _no_demand(key: str) -> float:
+    return 0.0
+
+
+class Surroundings:
+    """What a head knows besides its books; whoever composes the head sets it, and changes it as it learns."""
+
+    def __init__(self, cold_us: int = 0) -> None:
+        self.cold_us = cold_us                                      # for which a started brick counts as cold
+        self.drains: Container[str] = frozenset()                   # bricks that are being drained, or soon will be
+        self.demand: Callable[[str], float] = _no_demand            # predicted requests a second by key
+
+
+class View:
+    """The candidates of one choice, to be read: one tuple a property, all in the order of `nodes`.
+
+    A property is made when it is first read and shared by all scorers of the choice; what none reads costs nothing.
+    """
+
+    __slots__ = ("_ask", "_kept", "_nodes", "_seen", "_surroundings", "now_us")
+
+    def __init__(self, now_us: int, ask: api.Arrival, seen: Sequence[api.Seen], surroundings: Surroundings) -> None:
+        self.now_us = now_us                    # on the head's one clock
+        self._ask, self._seen, self._surroundings = ask, seen, surroundings
+        self._kept: dict[str, Any] = {}
+        self._nodes = tuple([one.entry.node for one in seen])
+
+    def __len__(self) -> int:
+        return len(self._nodes)
+
+    def _column(self, name: str, read: Callable[[api.Seen], Value]) -> tuple[Value, ...]:
+        kept: tuple[Value, ...] | None = self._kept.get(name)
+        if kept is None:
+            kept = self._kept[name] = tuple([read(one) for one in self._seen])
+        return kept
+
+    @property
+    def key(self) -> str:
+        """Tell the key of the object that looks for a place."""
+        return self._ask.key
+
+    @property
+    def units(self) -> float:
+        """Tell the units of work that the request is worth."""
+        return self._ask.units
+
+    @property
+    def nodes(self) -> tuple[str, ...]:
+        """Tell the candidates' names."""
+        return self._nodes
+
+    @property
+    def zones(self) -> tuple[int, ...]:
+        """Tell their zones, by the numbers of the node list."""
+        return self._column("zones", lambda one: one.entry.zone)
+
+    @property
+    def wait_us(self) -> tuple[float, ...]:
+        """Tell in how many microseconds what was sent there from here should be done, by the head's book."""
+        now = self.now_us
+        return self._column("wait_us", lambda one: max(0.0, one.free - now))
+
+    @property
+    def lag_us(self) -> tuple[float, ...]:
+        """Tell what their answers took lately, in microseconds; 0.0 where none was heard."""
+        return self._column("lag_us", lambda one: one.lag)
+
+    @property
+    def units_out(self) -> tuple[float, ...]:
+        """Tell the units sent there from here and not answered."""
+        return self._column("units_out", lambda one: one.units_out)
+
+    @property
+    def failures(self) -> tuple[int, ...]:
+        """Tell their trials in a row that failed."""
+        return self._column("failures", lambda one: one.failures)
+
+    @property
+    def warmth(self) -> tuple[float, ...]:
+        """Tell how far each has warmed up since it started, from 0 to 1."""
+        now, cold_us = self.now_us, self._surroundings.cold_us
+        return self._column("warmth", lambda one: one.warmth(now, cold_us))
+
+    @property
+    def draining(self) -> tuple[bool, ...]:
+        """Tell which are being drained, or soon will be."""
+        drains = self._surroundings.drains
+        return self._column("draining", lambda one: one.entry.node in drains)
+
+    @property
+    def demand(self) -> float:
+        """Tell the key's predicted requests a second; 0.0 where nothing is known."""
+        kept: float | None = self._kept.get("demand")
+        if kept is None:
+            kept = self._kept["demand"] = self._surroundings.demand(self._ask.key)
+        return kept
+
+
+class Weight(Struct, frozen=True, gc=False):
+    """What a scorer has learned of a brick: 0.0 neutral, 1.0 the worst; evidence: own answers that it rests on."""
+
+    value: float
+    evidence: float
+
+
+class Scorer:
+    """Base of scorers; all calls come from one thread, and none may wait for anything."""
+
+    def added_us(self, view: View) -> list[float]:
+        """Tell added microseconds for each candidate, in the order of `view.nodes`: floats, 0.0 or more."""
+        raise NotImplementedError
+
+    def heard(self, now_us: int, node: str, result: api.Result, elapsed_us: int) -> None:
+        """Take how an attempt at a brick ended, from this head's own answers."""
+        return
+
+    def tick(self, now_us: int, nodes: Container[str]) -> None:
+        """Do what need not be done while a request waits: once a second; what is not in `nodes` may be forgotten."""
+        return
+
+    def weights(self, now_us: int) -> Mapping[str, Weight]:
+        """Tell own weights by brick, to be shared; a brick that is not named is neutral."""
+        return {}
+
+    def merged(self, now_us: int, weights: Mapping[str, float]) -> None:
+        """Take own weights merged with what peers say, by brick; a brick that is not named is neutral."""
+        return
+
+
+class Setting(Struct, frozen=True):
+    """What a scorer is told when it is made, in microseconds."""
+
+    aim_us: int         # the tightest aim of the installation's classes
+    most_us: float      # the longest time that all scorers together may add
+
+
+class Kind(Struct, frozen=True):
+    """How a package brings a scorer."""
+
+    name: str                                       # by which [scoring] names it
+    interface: int                                  # INTERFACE of the version that it was written for
+    parameters: type[Struct]                        # the form of [scoring.parameters.NAME]
+    make: Callable[[Any, Setting], Scorer]          # from the checked parameters
+    weights: str = ""                               # version of what its weights mean; empty: it shares none
+
+
+class Spec:
+    """What a plug-in is asked for."""
+
+    @scorer_spec
+    def hophinge_scorer(self) -> Kind:
+        """Tell the scorer that this plug-in brings."""
+        raise NotImplementedError
--- /dev/null
+++ b/hophinge/scoring/merge.py
@@ -0,0 +1,88 @@
+"""How own weights and peers' words become the weights that are used, and what f liars among n peers can move.
+
+n words on a brick, one of each peer that speaks at all (one that leaves a brick out says that it is neutral); g of them
+are taken off at either end, and of the rest the mean is taken by trust. With f <= g liars each word that is left lies
+between honest words, whatever trust says; with more the bound is `most_moved`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from msgspec import Struct
+
+from hophinge.scoring.interface import Weight
+
+TRIM = 0.25             # part of the words taken off at either end, one at least
+LEAST_WORDS = 3         # fewer are filled up with neutral ones: one peer alone moves nothing
+HEARSAY = 3.0           # own answers that all peers' words together count as much as
+OWN_MOST = 8.0          # own answers that count at most: a brick may have failed since many good ones
+NEUTRAL = 1.0           # answers that the neutral weight counts as: who knows nothing assumes nothing
+LEAST_TRUST = 0.1       # part of full trust that a peer keeps: its word may still be the one honest one
+FADE = 0.98             # part of former agreement that is left at each merge, once a second: half in 35 s
+APART = 0.25            # weights further apart than this disagree; a brick both hold for better than it tells nothing
+SURE = 5.0              # own answers from which one's own weight judges a peer's
+
+
+def trimmed(number: int) -> int:
+    """Tell how many words are taken off at either end."""
+    return max(1, int(number * TRIM))
+
+
+def hearsay(words: Sequence[tuple[float, float]]) -> float:
+    """Tell what peers say together, from (weight, trust) of each."""
+    kept = sorted(words) + [(0.0, 1.0)] * (LEAST_WORDS - len(words))
+    if len(words) < LEAST_WORDS:
+        kept.sort()
+    cut = trimmed(len(kept))
+    kept = kept[cut:len(kept) - cut]
+    total = sum(trust for _, trust in kept)
+    return sum(value * trust for value, trust in kept) / total
+
+
+def combined(own: Weight | None, heard: float, peers_part: float) -> float:
+    """Tell the weight to use; peers_part, from 0 to 1, is how much of the peers' word has not aged away.
+
+    Peers can accuse, as far as one's own answers leave it open; they cannot praise: what a head has seen fail itself
+    needs no one's leave, and without peers its own weights are used as they are.
+    """
+    evidence = min(own.evidence, OWN_MOST) if own is not None else 0.0
+    value = own.value if own is not None else 0.0
+    told = HEARSAY * peers_part
+    return max(value, (evidence * value + told * heard) / (evidence + told + NEUTRAL))
+
+
+def most_moved(liars: int, peers: int, evidence: float, least_trust: float = LEAST_TRUST) -> float:
+    """Tell by how much so many liars among so many peers raise the weight of a brick that is neutral to all others."""
+    words = max(peers, LEAST_WORDS)
+    cut = trimmed(words)
+    part = HEARSAY / (min(evidence, OWN_MOST) + HEARSAY + NEUTRAL)
+    lies, honest = max(0, liars - cut), words - liars - cut
+    if honest <= 0:
+        return part if lies else 0.0
+    return part * lies / (lies + honest * least_trust)
+
+
+class Agreement(Struct):
+    """How often a peer's words and one's own agreed, lately."""
+
+    agreed: float = 0.0
+    differed: float = 0.0
+
+    @property
+    def trust(self) -> float:
+        """Tell a peer's trust: one that nothing is known of has half of it."""
+        return max(LEAST_TRUST, (self.agreed + 1.0) / (self.agreed + self.differed + 2.0))
+
+    def compare(self, own: Mapping[str, Weight], said: Mapping[str, float]) -> None:
+        """Count where both have something to say; bricks that are well to both would make any liar look honest."""
+        self.agreed *= FADE
+        self.differed *= FADE
+        for node, weight in own.items():
+            if weight.evidence < SURE:
+                continue
+            word = said.get(node, 0.0)
+            if abs(word - weight.value) > APART:
+                self.differed += 1.0
+            elif max(word, weight.value) > APART:
+                self.agreed += 1.0
--- /dev/null
+++ b/hophinge/scoring/sharing.py
@@ -0,0 +1,143 @@
+"""What peers say of bricks: read from the board, aged, judged by one's own answers, and merged for one scorer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+
+from hophinge.cluster.interface import Entry, Topic
+from hophinge.scoring import encoding
+from hophinge.scoring.interface import Weight
+from hophinge.scoring.merge import Agreement, combined, hearsay
+
+BEAT_US = 5_000_000         # between changes of entry 0, that show that a member still speaks
+FRESH_US = 15_000_000       # three beats, some of which may be lost, before a word begins to age
+HALF_LIFE_US = 5_000_000    # in which it then comes to count for half
+FORGOTTEN_US = 60_000_000   # it has counted for less than a hundredth for ten seconds
+MOST_MERGED = 200           # bricks that are merged in one tick
+MOST_OWNERS = 1_000         # whose words and mistakes are kept, the default bound on members
+
+Merge = Callable[[Sequence[tuple[float, float]]], float]
+
+
+class Peer:
+    """One member's words for one scorer."""
+
+    __slots__ = ("agreement", "chunks", "heard_us")
+
+    def __init__(self, now_us: int) -> None:
+        self.heard_us = now_us                      # when anything of it last changed, by the own clock
+        self.chunks: dict[int, dict[str, float]] = {}
+        self.agreement = Agreement()
+
+    def words(self) -> dict[str, float]:
+        """Tell all its weights."""
+        found: dict[str, float] = {}
+        for chunk in self.chunks.values():
+            found |= chunk
+        return found
+
+    def freshness(self, now_us: int) -> float:
+        """Tell how much its word still counts, from 1 down to 0."""
+        age = now_us - self.heard_us - FRESH_US
+        return 1.0 if age <= 0 else 0.0 if age > FORGOTTEN_US - FRESH_US else 2.0 ** (-age / HALF_LIFE_US)
+
+
+class Shared:
+    """All that peers say for one scorer."""
+
+    def __init__(self, version: str, merge: Merge = hearsay) -> None:
+        self.version, self.merge = version, merge
+        self.peers: dict[str, Peer] = {}
+
+    def take(self, now_us: int, owner: str, chunk: int, version: str, words: dict[str, float]) -> None:
+        """Take a peer's entry as it now is."""
+        if owner not in self.peers and len(self.peers) >= MOST_OWNERS:
+            return
+        peer = self.peers.setdefault(owner, Peer(now_us))
+        peer.heard_us = now_us
+        peer.chunks[chunk] = words
+
+    def gone(self, owner: str, chunk: int) -> None:
+        """Take that a peer's entry is no more; its judgement stays until the peer is forgotten."""
+        if (peer := self.peers.get(owner)) is not None:
+            peer.chunks.pop(chunk, None)
+
+    def judge(self, now_us: int, own: Mapping[str, Weight]) -> None:
+        """Compare fresh words with one's own answers; forget who has long been silent."""
+        for owner, peer in list(self.peers.items()):
+            if now_us - peer.heard_us > FORGOTTEN_US:
+                del self.peers[owner]
+            elif peer.chunks and now_us - peer.heard_us <= FRESH_US:
+                peer.agreement.compare(own, peer.words())
+
+    def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str]) -> dict[str, float]:
+        """Tell the weights to use, of bricks that this head has in its own list; neutral ones are left out."""
+        heard: list[tuple[dict[str, float], float, float]] = []
+        named: dict[str, int] = {node: 0 for node, weight in own.items() if weight.value > 0.0}
+        fresh = 0.0
+        for peer in self.peers.values():
+            part = peer.freshness(now_us)
+            if peer.chunks and part > 0.0:
+                heard.append((peer.words(), part, peer.agreement.trust))
+                fresh += part
+                for node in heard[-1][0]:
+                    named[node] = named.get(node, 0) + 1
+        found = {node: own[node].value for node in named if node in own and node in nodes}
+        # What few say is cut off by the merge anyway; a flood of accusations must not keep this head from its work.
+        told = [node for node, number in named.items() if number and node in nodes]
+        for node in sorted(told, key=lambda node: (-named[node], node))[:MOST_MERGED]:
+            words = [(said.get(node, 0.0) * part, trust) for said, part, trust in heard]
+            found[node] = combined(own.get(node), self.merge(words), fresh / len(heard))
+        return {node: weight for node, weight in found.items() if weight > 0.0}
+
+
+class Reader:
+    """Entries of the board as they change, sorted to scorers; what is none is dropped and counted by owner."""
+
+    def __init__(self, me: str, shared: Mapping[str, Shared]) -> None:
+        self.me, self.shared = me, shared
+        self.versions: dict[tuple[str, str], tuple[int, int]] = {}
+        self.bad: dict[str, int] = {}               # entries dropped, by owner
+        self.other_versions: dict[str, int] = {}    # entries of another version of a scorer, by owner
+
+    def read(self, now_us: int, entries: Iterable[Entry]) -> None:
+        """Take all entries that are held now; those that have not changed cost a look."""
+        held: set[tuple[str, str]] = set()
+        for entry in entries:
+            if entry.owner == self.me or entry.topic is not Topic.WEIGHTS:
+                continue
+            at = entry.owner, entry.key
+            held.add(at)
+            if self.versions.get(at) != entry.version:
+                self.versions[at] = entry.version
+                self._take(now_us, entry)
+        for at in self.versions.keys() - held:
+            del self.versions[at]
+            self._gone(*at)
+
+    def _take(self, now_us: int, entry: Entry) -> None:
+        try:
+            scorer, chunk = encoding.place(entry.key)
+            version, words = encoding.decode(chunk, entry.value)
+        except encoding.UnusableError:
+            self._count(self.bad, entry.owner)
+            return self._gone(entry.owner, entry.key)       # what it said before is not its word any more
+        shared = self.shared.get(scorer)
+        if shared is None:
+            return None                                     # a scorer that is not at work here
+        if version != shared.version:
+            self._count(self.other_versions, entry.owner)
+            return self._gone(entry.owner, entry.key)
+        return shared.take(now_us, entry.owner, chunk, version, words)
+
+    def _gone(self, owner: str, key: str) -> None:
+        try:
+            scorer, chunk = encoding.place(key)
+        except encoding.UnusableError:
+            return
+        if (shared := self.shared.get(scorer)) is not None:
+            shared.gone(owner, chunk)
+
+    def _count(self, counts: dict[str, int], owner: str) -> None:
+        if owner in counts or len(counts) < MOST_OWNERS:
+            counts[owner] = counts.get(owner, 0) + 1
