--- a/hophinge/scoring/engine.py
+++ b/hophinge/scoring/engine.py
@@ -62,9 +62,9 @@
         wanted: dict[str, bytes] = {}
         self.left_out = 0
         for name, shared in self.shared.items():
-            if not self.guard.named(name).pauses.may(now_us):
-                continue        # who is left out says nothing, rather than that all is well
             own = self.guard.weights(now_us, name)
+            if own is None:
+                continue        # who is left out says nothing, rather than that all is well
             shared.judge(now_us, own)
             self.guard.merged(now_us, name, shared.weights(now_us, own, nodes))
             values, left_out = encoding.encode(
--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -88,8 +88,8 @@
         for one in self.scorers:
             self._call(one, now_us, LEARNING_PART, lambda scorer: scorer.tick(now_us, nodes))
 
-    def weights(self, now_us: int, name: str) -> dict[str, Weight]:
-        """Tell a scorer's own weights; those that are no weights are left out."""
+    def weights(self, now_us: int, name: str) -> dict[str, Weight] | None:
+        """Tell a scorer's own weights; None where it is left out, or they are none."""
         found: dict[str, Weight] = {}
 
         def read(scorer: Scorer) -> None:
@@ -100,7 +100,7 @@
                 found[node] = Weight(value, evidence)
 
         one = self.named(name)
-        return found if self._call(one, now_us, LEARNING_PART, read) else {}
+        return found if self._call(one, now_us, LEARNING_PART, read) else None
 
     def merged(self, now_us: int, name: str, weights: Mapping[str, float]) -> None:
         """Give a scorer its merged weights."""
--- a/hophinge/scoring/interface.py
+++ b/hophinge/scoring/interface.py
@@ -45,11 +45,24 @@
 
     __slots__ = ("_ask", "_kept", "_nodes", "_seen", "_surroundings", "now_us")
 
+    now_us: int                             # on the head's one clock
+    _ask: api.Arrival
+    _seen: Sequence[api.Seen]
+    _surroundings: Surroundings
+    _kept: dict[str, Any]
+    _nodes: tuple[str, ...]
+
     def __init__(self, now_us: int, ask: api.Arrival, seen: Sequence[api.Seen], surroundings: Surroundings) -> None:
-        self.now_us = now_us                    # on the head's one clock
-        self._ask, self._seen, self._surroundings = ask, seen, surroundings
-        self._kept: dict[str, Any] = {}
-        self._nodes = tuple([one.entry.node for one in seen])
+        put = object.__setattr__
+        put(self, "now_us", now_us)
+        put(self, "_ask", ask)
+        put(self, "_seen", seen)
+        put(self, "_surroundings", surroundings)
+        put(self, "_kept", {})
+        put(self, "_nodes", tuple([one.entry.node for one in seen]))
+
+    def __setattr__(self, name: str, value: object) -> None:
+        raise AttributeError("a view is only read")     # what one scorer changes, the next would see
 
     def __len__(self) -> int:
         return len(self._nodes)
--- /dev/null
+++ b/tests/scoring_parts.py
@@ -0,0 +1,68 @@
+"""Stand-ins for tests of scorers: a clock, candidates, a board that several heads share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from hophinge.cluster.interface import Entry, Topic
+from hophinge.core.choice import Book
+from hophinge.core.interface import Arrival, NodeEntry, Phase
+from hophinge.scoring.engine import Engine, Put
+from hophinge.scoring.interface import Scorer, Setting, Surroundings, View
+
+MOST_US = 75_000.0
+SETTING = Setting(300_000, MOST_US)
+ASK = Arrival("r", 1.0, "v", 0, -1, 1, "key", 1_000_000, True, 0)
+
+
+class Clock:
+    """Nanoseconds that stand still but for what a slow scorer takes."""
+
+    def __init__(self) -> None:
+        self.ns = 0
+
+    def __call__(self) -> int:
+        return self.ns
+
+
+def books(*names: str, started_us: int = 0) -> list[Book]:
+    return [Book(NodeEntry(name, at % 3, at, Phase.ON, 1.0, started_us)) for at, name in enumerate(names)]
+
+
+class Says(Scorer):
+    """A scorer that does as it is told."""
+
+    def __init__(self, say: Callable[[View], object]) -> None:
+        self.say = say
+
+    def added_us(self, view: View) -> list[float]:
+        return self.say(view)  # type: ignore[return-value]    # what misbehaves keeps to no type
+
+
+def engine(scorers: Mapping[str, Scorer], clock: Clock | None = None, log: list[str] | None = None,
+           versions: Mapping[str, str] | None = None, surroundings: Surroundings | None = None) -> Engine:
+    return Engine(scorers, versions or {}, MOST_US, 200.0, clock or Clock(), ([] if log is None else log).append,
+                  surroundings or Surroundings())
+
+
+class Wall:
+    """What all boards of a fleet hold; each change is heard at once."""
+
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, str], Entry] = {}
+        self.count = 0
+
+    def put(self, owner: str, key: str, value: bytes) -> None:
+        self.count += 1
+        self.held[owner, key] = Entry(owner, Topic.WEIGHTS, key, (1, self.count), value)
+
+    def entries(self) -> Iterable[Entry]:
+        return list(self.held.values())
+
+    def tick(self, now_us: int, name: str, head: Engine, nodes: Iterable[str]) -> None:
+        for action in head.tick(now_us, set(nodes), self.entries()):
+            if isinstance(action, Put):
+                self.put(name, action.key, action.value)
+            else:
+                del self.held[name, action.key]
+            head.done(action)
--- /dev/null
+++ b/tests/test_scoring_guard.py
@@ -0,0 +1,193 @@
+"""Whatever a scorer does, a choice gets times within the clamp, of candidates alone, and the others' word stands."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from hophinge.core.interface import Result
+from hophinge.scoring import guard
+from hophinge.scoring.interface import Scorer, View, Weight
+from hophinge.scoring.pauses import FIRST_PAUSE_US, LONGEST_PAUSE_US, OFF_AFTER_SLOW, PROBATION, Pauses
+from tests.scoring_parts import ASK, MOST_US, Clock, Says, books, engine
+
+T0 = 50_000_000
+NAMES = ("a", "b", "c", "d")
+
+
+class UntellableError(Exception):
+    def __str__(self) -> str:
+        raise RuntimeError("not even this")
+
+
+class EvilList(list[float]):
+    def __len__(self) -> int:
+        raise SystemExit
+
+    def __iter__(self) -> Any:
+        while True:
+            yield 0.0
+
+
+class EvilFloat(float):
+    def __add__(self, other: Any) -> Any:
+        raise KeyboardInterrupt
+
+    __radd__ = __lt__ = __gt__ = __add__
+
+    def __float__(self) -> float:
+        raise KeyboardInterrupt
+
+
+def raising(error: BaseException) -> Callable[[View], object]:
+    def say(view: View) -> object:
+        raise error
+    return say
+
+
+def meddle(view: View) -> object:
+    for name in ("_nodes", "_seen", "_kept", "now_us", "nodes"):
+        with contextlib.suppress(AttributeError):
+            setattr(view, name, ("intruder",))
+    return [1.0] * len(view)
+
+
+def recurse(view: View) -> object:
+    return recurse(view)
+
+
+NUMBER = st.one_of(
+    st.floats(), st.integers(), st.booleans(), st.none(), st.text(max_size=3), st.just(10 ** 400),
+    st.just(EvilFloat(1.0)), st.floats(0, 1e6), st.complex_numbers())
+RETURNED = st.one_of(
+    st.lists(NUMBER, min_size=4, max_size=4), st.lists(NUMBER, max_size=9),
+    st.lists(st.floats(0), min_size=4, max_size=4), st.just(None), st.just("abcd"),
+    st.just(EvilList([1.0] * 4)), st.just({"a": 1.0}),
+    st.just(iter([1.0] * 4)), st.tuples(NUMBER, NUMBER, NUMBER, NUMBER)).map(lambda value: lambda view: value)
+RAISED = st.sampled_from([ValueError("no"), UntellableError(), SystemExit(1), KeyboardInterrupt(), GeneratorExit(),
+                          MemoryError(), StopIteration()]).map(raising)
+BEHAVIOUR = st.one_of(RETURNED, RAISED, st.just(meddle), st.just(recurse))
+
+
+def check(behaviours: list[Callable[[View], object]]) -> None:
+    """The promise: never raises, names candidates alone, within the clamp; the good scorer's word stands."""
+    good = Says(lambda view: [{"a": 10.0, "c": 20.0}.get(node, 0.0) for node in view.nodes])
+    scorers: dict[str, Scorer] = {f"s{at}": Says(say) for at, say in enumerate(behaviours)}
+    head = engine(scorers | {"good": good})
+    for step in range(3):
+        added = head.added_us(T0 + step, ASK, books(*NAMES))
+        assert added.keys() <= set(NAMES)
+        assert all(isinstance(time, float) and 0.0 < time <= MOST_US for time in added.values())
+        assert added["a"] >= 10.0 and added["c"] >= 20.0
+    wrong = [one for one in head.guard.scorers if one.pauses.mistakes]
+    assert not any(one.name == "good" for one in wrong)
+    if len(wrong) == len(behaviours):
+        assert head.added_us(T0 + 4, ASK, books(*NAMES)) == {"a": 10.0, "c": 20.0}
+
+
+@given(st.lists(BEHAVIOUR, max_size=3))
+@example([raising(KeyboardInterrupt())])
+@example([lambda view: [10 ** 400, 1.0, 1.0, 1.0]])
+@example([lambda view: [1e308, 1e308, 1e308, 1e308]])
+@example([lambda view: [MOST_US, MOST_US, MOST_US, MOST_US], lambda view: [MOST_US] * 4])
+def test_no_misbehaviour_raises_brings_a_brick_in_or_leaves_the_clamp(
+        behaviours: list[Callable[[View], object]]) -> None:
+    check(behaviours)
+
+
+def test_the_check_catches_a_guard_without_its_clamp(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = guard.Guard.__init__
+
+    def unclamped(self: guard.Guard, scorers: Any, most_us: float, *rest: Any) -> None:
+        real(self, scorers, most_us, *rest)
+        self.most_us = math.inf
+
+    monkeypatch.setattr(guard.Guard, "__init__", unclamped)
+    with pytest.raises(AssertionError):
+        check([lambda view: [MOST_US * 2] * 4])
+
+
+def test_the_check_catches_a_guard_that_looks_at_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(guard, "checked", lambda times, number: list(times))
+    with pytest.raises((AssertionError, ValueError, TypeError)):
+        check([lambda view: [math.nan] * 4, lambda view: [-1.0] * 9])
+
+
+@pytest.mark.parametrize(("reason", "say"), [
+    ("raised", raising(ValueError())), ("form", lambda view: None), ("form", lambda view: EvilList([0.0] * 4)),
+    ("length", lambda view: [0.0]), ("not_a_number", lambda view: [math.nan, 0.0, 0.0, 0.0]),
+    ("not_a_number", lambda view: [True, 0.0, 0.0, 0.0]), ("infinite", lambda view: [math.inf, 0.0, 0.0, 0.0]),
+    ("negative", lambda view: [0.0, 0.0, 5.0, -1.0])])
+def test_mistakes_are_counted_by_reason_and_logged_once_a_pause(reason: str, say: Callable[[View], object]) -> None:
+    log: list[str] = []
+    head = engine({"odd": Says(say)}, log=log)
+    for step in range(5):
+        assert head.added_us(T0 + step, ASK, books(*NAMES)) == {}
+    counts = head.guard.scorers[0].counts
+    assert counts[reason] == 1 and counts["left_out"] == 4 and len(log) == 1 and "odd" in log[0]
+
+
+def test_a_slow_scorer_is_left_out_by_growing_pauses_comes_back_and_is_off_at_last() -> None:
+    clock, slow = Clock(), [True]
+
+    def say(view: View) -> object:
+        clock.ns += 201_000 if slow[0] else 1_000
+        return [5.0] * len(view)
+
+    head = engine({"slow": Says(say)}, clock)
+    one, now = head.guard.scorers[0], T0
+    assert head.added_us(now, ASK, books("a")) == {} and not one.pauses.may(now + FIRST_PAUSE_US - 1)
+    now += FIRST_PAUSE_US
+    assert head.added_us(now, ASK, books("a")) == {} and not one.pauses.may(now + 2 * FIRST_PAUSE_US - 1)
+    slow[0] = False
+    now += 2 * FIRST_PAUSE_US
+    for _ in range(PROBATION):
+        assert head.added_us(now, ASK, books("a")) == {"a": 5.0}
+    assert one.pauses.mistakes == 0 and one.counts["slow"] == 2
+    slow[0] = True
+    for _ in range(OFF_AFTER_SLOW):
+        head.added_us(now, ASK, books("a"))
+        now += LONGEST_PAUSE_US
+    assert one.pauses.off and one.counts["slow"] == 2 + OFF_AFTER_SLOW
+    slow[0] = False
+    assert head.added_us(now + 100 * LONGEST_PAUSE_US, ASK, books("a")) == {}
+    head.resume()
+    assert head.added_us(now, ASK, books("a")) == {"a": 5.0}
+
+
+def test_pauses_have_a_cap_and_a_scorer_that_raises_is_never_off_for_good() -> None:
+    pauses, now = Pauses(), 0
+    for _ in range(40):
+        pauses.went_wrong(now, slow=False)
+        assert 0 < pauses.until_us - now <= LONGEST_PAUSE_US
+        now = pauses.until_us
+    assert pauses.may(now)
+
+
+class BadLearner(Scorer):
+    """One that errs wherever it is not asked for times."""
+
+    def added_us(self, view: View) -> list[float]:
+        return [1.0] * len(view)
+
+    def heard(self, now_us: int, node: str, result: Result, elapsed_us: int) -> None:
+        raise OSError("learning")
+
+    def weights(self, now_us: int) -> dict[str, Weight]:
+        return {"a": Weight(math.nan, 1.0)}
+
+
+def test_mistakes_beside_a_choice_are_guarded_too_and_who_is_left_out_tells_peers_nothing() -> None:
+    head = engine({"bad": BadLearner()}, versions={"bad": "1"})
+    head.share_as("me")
+    assert head.tick(T0, {"a"}) == [] and head.guard.scorers[0].counts["not_a_number"] == 1
+    now = T0 + FIRST_PAUSE_US
+    head.heard(now, "a", Result.OK, 5)
+    assert head.guard.scorers[0].counts["raised"] == 1
+    assert head.added_us(now, ASK, books("a")) == {}
--- /dev/null
+++ b/tests/test_scoring_merge.py
@@ -0,0 +1,119 @@
+"""What liars, silence and other versions can move, against the bounds that are stated."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hophinge.scoring import merge
+from hophinge.scoring.interface import Weight
+from hophinge.scoring.merge import (
+    HEARSAY, LEAST_TRUST, NEUTRAL, OWN_MOST, Agreement, combined, hearsay, most_moved, trimmed,
+)
+
+WORD = st.tuples(st.floats(0, 1), st.floats(LEAST_TRUST, 1))
+LITTLE = 1e-9
+
+
+def check_liars(honest: list[tuple[float, float]], lies: list[tuple[float, float]]) -> None:
+    """The promise: with f <= g what is heard lies between honest words (and neutral ones that fill up)."""
+    words = honest + lies
+    fill = [0.0] * (merge.LEAST_WORDS - len(words))
+    values = [value for value, _ in honest] + fill
+    if values and len(lies) <= trimmed(max(len(words), merge.LEAST_WORDS)):
+        assert min(values) - LITTLE <= hearsay(words) <= max(values) + LITTLE
+
+
+@given(st.lists(WORD, max_size=20), st.lists(WORD, max_size=6))
+def test_up_to_a_quarter_of_liars_move_nothing_beyond_what_honest_peers_say(
+        honest: list[tuple[float, float]], lies: list[tuple[float, float]]) -> None:
+    check_liars(honest, lies)
+
+
+def plain(words: Sequence[tuple[float, float]]) -> float:
+    return sum(value for value, _ in words) / len(words) if words else 0.0
+
+
+def test_the_check_catches_a_merge_without_its_trim(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(globals(), "hearsay", plain)
+    with pytest.raises(AssertionError):
+        check_liars([(0.0, 0.5)] * 9, [(1.0, 1.0)])
+
+
+def moved(liars: int, peers: int, evidence: float, honest_trust: float) -> float:
+    """By how much liars raise a brick that is neutral to all others."""
+    own = Weight(0.0, evidence) if evidence else None
+    return combined(own, hearsay([(1.0, 1.0)] * liars + [(0.0, honest_trust)] * (peers - liars)), 1.0)
+
+
+@pytest.mark.parametrize("peers", [1, 2, 3, 5, 9, 19, 39])
+@pytest.mark.parametrize("evidence", [0.0, 1.0, 8.0, 1000.0])
+def test_the_stated_bound_holds_for_each_number_of_liars(peers: int, evidence: float) -> None:
+    for liars in range(peers + 1):
+        bound = most_moved(liars, peers, evidence)
+        for trust in (LEAST_TRUST, 0.3, 1.0):
+            assert moved(liars, peers, evidence, trust) <= bound + LITTLE
+        assert moved(liars, peers, evidence, LEAST_TRUST) == pytest.approx(bound)      # and it is no looser than that
+        if liars <= trimmed(max(peers, merge.LEAST_WORDS)):
+            assert bound == 0.0
+        assert bound <= HEARSAY / (HEARSAY + NEUTRAL + min(evidence, OWN_MOST))
+
+
+def test_the_bound_catches_a_merge_without_its_trim(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(merge, "trimmed", lambda number: 0)
+    assert moved(1, 9, 0.0, 1.0) > 0.0 and moved(1, 9, 0.0, 0.3) > 0.0
+
+
+@given(st.floats(0, 1), st.floats(0, 1e6), st.floats(0, 1), st.floats(0, 1))
+def test_own_evidence_outweighs_hearsay(value: float, evidence: float, heard: float, part: float) -> None:
+    check_own(value, evidence, heard, part)
+
+
+def check_own(value: float, evidence: float, heard: float, part: float) -> None:
+    """The promise: peers never praise, and accuse by no more than their part against own answers."""
+    weight = combined(Weight(value, evidence), heard, part)
+    assert value <= weight <= max(value, heard) + LITTLE
+    assert weight - value <= HEARSAY / (HEARSAY + NEUTRAL + min(evidence, OWN_MOST)) + LITTLE
+    if evidence >= OWN_MOST:
+        assert weight - value <= (1.0 - value) / 2 + LITTLE      # the larger part is one's own
+
+
+def test_the_check_catches_an_own_word_outweighed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(globals(), "combined", lambda own, heard, part: heard)
+    with pytest.raises(AssertionError):
+        check_own(0.0, 100.0, 1.0, 1.0)
+    with pytest.raises(AssertionError):
+        check_own(1.0, 100.0, 0.0, 1.0)
+
+
+def test_words_that_have_aged_weigh_less_until_they_weigh_nothing() -> None:
+    weights = [combined(Weight(0.0, 2.0), 1.0 * part, part) for part in (1.0, 0.5, 0.1, 0.0)]
+    assert weights == sorted(weights, reverse=True) and weights[0] == 0.5 and weights[-1] == 0.0
+    assert combined(Weight(0.7, 2.0), 0.0, 0.0) == 0.7      # alone, own weights are used as they are
+
+
+def test_trust_follows_agreement_on_bricks_that_one_of_the_two_accuses() -> None:
+    rng = random.Random(5)
+    friend, liar, idle = Agreement(), Agreement(), Agreement()
+    for _ in range(100):
+        own = {f"n{at}": Weight(0.9 if at == 3 else 0.0, 20.0) for at in range(50)}
+        friend.compare(own, {"n3": 0.8 + 0.1 * rng.random()})
+        liar.compare(own, {"n7": 1.0})
+        idle.compare({node: Weight(0.0, 20.0) for node in own}, {})
+    assert friend.trust > 0.9 and liar.trust == LEAST_TRUST and idle.trust == 0.5
+
+
+def test_a_brick_of_which_little_is_known_here_judges_nobody() -> None:
+    peer = Agreement()
+    peer.compare({"a": Weight(0.0, merge.SURE - 1)}, {"a": 1.0})
+    assert peer.trust == 0.5
+
+
+def test_trust_weighs_among_the_words_that_are_left() -> None:
+    words = [(0.0, 1.0)] * 4 + [(1.0, LEAST_TRUST)] * 4
+    believed = [(0.0, LEAST_TRUST)] * 4 + [(1.0, 1.0)] * 4
+    assert hearsay(words) < 0.15 and hearsay(believed) > 0.85
