--- a/hophinge/scoring/suspicion.py
+++ b/hophinge/scoring/suspicion.py
@@ -55,6 +55,7 @@
         self.time_us = setting.most_us * parameters.most_part
         self.records: dict[str, Record] = {}
         self.levels: dict[str, float] = {}      # that are used now, from 0 to 1, neutral ones left out
+        self.beyond: dict[str, float] = {}      # what peers' words add to own levels
 
     def added_us(self, view: View) -> list[float]:
         """Look levels up; they change with each end that is heard."""
@@ -72,10 +73,9 @@
         record.evidence += 1.0
         before = record.level
         record.level = min(self.full, max(0.0, before + (self.step if result in FAILED else -self.relief)))
-        if before != record.level:
-            # What peers say stands until the next merge; the own word moves at once.
-            moved = self.levels.get(node, 0.0) + (record.level - before) / self.full
-            self._use(node, min(1.0, max(moved, record.level / self.full)))
+        if before or record.level:
+            # What peers say beyond it stands until the next merge; the own word moves at once.
+            self._use(node, min(1.0, record.level / self.full + self.beyond.get(node, 0.0)))
 
     def tick(self, now_us: int, nodes: Container[str]) -> None:
         """Let suspicion fade."""
@@ -92,6 +92,8 @@
     def merged(self, now_us: int, weights: Mapping[str, float]) -> None:
         """Take the levels as they are used."""
         self.levels = {node: level for node, level in weights.items() if level > 0.0}
+        own = {node: record.level / self.full for node, record in self.records.items()}
+        self.beyond = {node: more for node, level in weights.items() if (more := level - own.get(node, 0.0)) > 0.0}
 
     def _use(self, node: str, level: float) -> None:
         if level > 0.0:
--- /dev/null
+++ b/tests/test_scoring_sharing.py
@@ -0,0 +1,213 @@
+"""Heads that share weights through a board: accusers, liars, silence, other versions, entries that are none."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hophinge.cluster.interface import MOST_VALUE, Entry, Topic
+from hophinge.core.interface import Result
+from hophinge.scoring import encoding
+from hophinge.scoring.engine import Engine
+from hophinge.scoring.merge import HEARSAY, NEUTRAL, OWN_MOST, most_moved
+from hophinge.scoring.sharing import BEAT_US, FORGOTTEN_US, FRESH_US, HALF_LIFE_US
+from hophinge.scoring.suspicion import Parameters, Suspicion
+from tests.scoring_parts import ASK, MOST_US, SETTING, Wall, books, engine
+
+T0 = 50_000_000
+S = 1_000_000
+BRICKS = [f"brick-{number}" for number in range(12)]
+BAD, GOOD = BRICKS[0], BRICKS[1]
+VERSION = "suspicion-1"
+
+
+def heads(number: int) -> dict[str, Engine]:
+    found = {}
+    for at in range(number):
+        found[f"h{at}"] = engine({"suspicion": Suspicion(Parameters(), SETTING)}, versions={"suspicion": VERSION})
+        found[f"h{at}"].share_as(f"h{at}")
+    return found
+
+
+def added(head: Engine, now: int, node: str) -> float:
+    return head.added_us(now, ASK, books(*BRICKS)).get(node, 0.0)
+
+
+def hear(head: Engine, now: int, node: str, result: Result, times: int) -> None:
+    for _ in range(times):
+        head.heard(now, node, result, 10_000)
+
+
+def lie(wall: Wall, liar: str, beat: int, words: dict[str, float]) -> None:
+    for chunk, value in encoding.encode(VERSION, beat, words)[0].items():
+        wall.put(liar, encoding.key("suspicion", chunk), value)
+
+
+def run(fleet: dict[str, Engine], wall: Wall, now: int, seconds: int, liars: int = 0, accused: str = GOOD) -> int:
+    """Go on second by second; liars accuse one brick with all they have."""
+    for _ in range(seconds):
+        now += S
+        for at in range(liars):
+            lie(wall, f"liar{at}", now // BEAT_US, {accused: 1.0})
+        for name, head in fleet.items():
+            wall.tick(now, name, head, BRICKS)
+    return now
+
+
+def test_a_head_learns_of_a_failing_brick_that_it_has_never_asked() -> None:
+    fleet, wall = heads(10), Wall()
+    asked = list(fleet.values())[:7]
+    for head in asked:
+        hear(head, T0, BAD, Result.ERROR, 4)
+    now = run(fleet, wall, T0, 2)
+    rest = [added(head, now, BAD) for head in list(fleet.values())[7:]]
+    assert min(rest) > 0.2 * MOST_US and max(added(head, now, GOOD) for head in fleet.values()) == 0.0
+    assert min(added(head, now, BAD) for head in asked) > 0.8 * MOST_US
+
+
+def check_liars(liars: int, peers: int) -> None:
+    """The promise, through the whole: liars add to a healthy brick no more than the bound, for who knows it and not."""
+    fleet, wall = heads(peers + 1 - liars), Wall()
+    knows, knows_not = list(fleet.values())[:2]
+    now = T0
+    for _ in range(30):
+        for head in fleet.values():
+            if head is not knows_not:
+                hear(head, now, GOOD, Result.OK, 10)
+        now = run(fleet, wall, now, 1, liars)
+    small = 1e-6
+    assert added(knows_not, now, GOOD) <= most_moved(liars, peers, 0.0) * MOST_US + small
+    assert added(knows, now, GOOD) <= most_moved(liars, peers, OWN_MOST) * MOST_US + small
+    trust = knows.shared["suspicion"].peers
+    assert all(trust[f"liar{at}"].agreement.trust <= 0.1 for at in range(liars))
+
+
+def test_liars_move_a_healthy_brick_by_no_more_than_the_bound() -> None:
+    for liars in (1, 2, 3, 5, 8):
+        check_liars(liars, 9)
+
+
+def test_a_liar_that_praises_a_dead_brick_moves_nothing() -> None:
+    honest, wall = heads(6), Wall()
+    for head in honest.values():
+        hear(head, T0, BAD, Result.CONNECT_FAILED, 5)
+    alone = [added(head, T0, BAD) for head in honest.values()]
+    now = run(honest, wall, T0, 1, liars=2, accused=GOOD)
+    faded = 2 ** -0.1
+    for before, head in zip(alone, honest.values(), strict=True):
+        assert added(head, now, BAD) >= before * faded - 1e-6
+
+
+def test_what_peers_said_ages_to_neutral_when_they_fall_silent() -> None:
+    fleet, wall = heads(10), Wall()
+    quiet = fleet["h9"]
+    for head in list(fleet.values())[:9]:
+        hear(head, T0, BAD, Result.ERROR, 6)
+    now = run(fleet, wall, T0, 1)
+    first = added(quiet, now, BAD)
+    seen = []
+    for _ in range(FORGOTTEN_US // S + 5):
+        now = run({"h9": quiet}, wall, now, 1)
+        seen.append(added(quiet, now, BAD))
+    assert first > 0.5 * MOST_US and seen[FRESH_US // S - 2] == first
+    assert seen == sorted(seen, reverse=True) and seen[-1] == 0.0
+    assert seen[(FRESH_US + 2 * HALF_LIFE_US) // S] < first / 2
+    assert not quiet.shared["suspicion"].peers
+
+
+def test_a_head_whose_peers_are_all_gone_uses_its_own_weights_as_they_are() -> None:
+    shared, alone = heads(1)["h0"], engine({"suspicion": Suspicion(Parameters(), SETTING)})
+    for head in (shared, alone):
+        hear(head, T0, BAD, Result.ERROR, 2)
+    wall = Wall()
+    wall.tick(T0 + S, "h0", shared, BRICKS)
+    alone.tick(T0 + S, set(BRICKS))
+    assert added(shared, T0 + S, BAD) == added(alone, T0 + S, BAD) > 0.0
+
+
+def test_words_of_another_version_are_ignored_and_counted_not_mixed() -> None:
+    head, wall = heads(1)["h0"], Wall()
+    for at in range(9):
+        for chunk, value in encoding.encode("suspicion-2", 1, {GOOD: 1.0})[0].items():
+            wall.put(f"new{at}", encoding.key("suspicion", chunk), value)
+    wall.tick(T0, "h0", head, BRICKS)
+    assert added(head, T0, GOOD) == 0.0 and not head.shared["suspicion"].peers
+    assert head.reader is not None and len(head.reader.other_versions) == 9 and not head.reader.bad
+    # One that is upgraded while it runs takes back what it said under the old version.
+    for at in range(9):
+        lie(wall, f"new{at}", 2, {GOOD: 1.0})
+    wall.tick(T0 + S, "h0", head, BRICKS)
+    assert added(head, T0 + S, GOOD) > 0.5 * MOST_US
+    for at in range(9):
+        for chunk, value in encoding.encode("suspicion-2", 3, {GOOD: 1.0})[0].items():
+            wall.put(f"new{at}", encoding.key("suspicion", chunk), value)
+    wall.tick(T0 + 2 * S, "h0", head, BRICKS)
+    assert added(head, T0 + 2 * S, GOOD) == 0.0
+
+
+def test_entries_that_are_none_are_dropped_and_counted_by_their_owner() -> None:
+    head, wall = heads(1)["h0"], Wall()
+    good = encoding.encode(VERSION, 1, {})[0][0]
+    table = encoding.Table
+    wrong = [b"", b"\xc1", good[:-1], b"x" * (MOST_VALUE + 1),
+             encoding.ENCODER.encode(table(1, VERSION, 0, {GOOD: 51})),
+             encoding.ENCODER.encode(table(1, VERSION, 0, {GOOD: -1})),
+             encoding.ENCODER.encode(table(2, VERSION, 0, {})),
+             encoding.ENCODER.encode([1, VERSION, 0, {GOOD: 1e300}]),
+             encoding.ENCODER.encode([1, VERSION, 0, {}, "more"])]
+    for at, value in enumerate(wrong):
+        wall.put(f"odd{at}", encoding.key("suspicion", encoding.chunk_of(GOOD)), value)
+    wall.put("key", "suspicion/99", good)
+    wall.tick(T0, "h0", head, BRICKS)
+    assert head.reader is not None
+    assert head.reader.bad == {**{f"odd{at}": 1 for at in range(len(wrong))}, "key": 1}
+    wall.tick(T0 + S, "h0", head, BRICKS)       # what has not changed is not counted again
+    assert sum(head.reader.bad.values()) == len(wrong) + 1
+
+
+def test_bricks_that_this_head_does_not_list_are_not_taken_up_from_hearsay() -> None:
+    head, wall = heads(1)["h0"], Wall()
+    for at in range(9):
+        lie(wall, f"p{at}", 1, {"elsewhere": 1.0, GOOD: 1.0})
+    wall.tick(T0, "h0", head, BRICKS)
+    levels = head.guard.named("suspicion").scorer.levels  # type: ignore[attr-defined]   # of Suspicion
+    assert levels.keys() == {GOOD} and levels[GOOD] <= HEARSAY / (HEARSAY + NEUTRAL)
+
+
+def test_an_entry_changes_only_with_its_bricks_and_the_beat_only_entry_0() -> None:
+    head, wall = heads(1)["h0"], Wall()
+    wall.tick(T0, "h0", head, BRICKS)
+    hear(head, T0, BAD, Result.ERROR, 1)
+    wall.tick(T0, "h0", head, BRICKS)
+    assert wall.count == 2 and len(wall.held) == 1 + (encoding.chunk_of(BAD) != 0)
+    wall.tick(T0, "h0", head, BRICKS)
+    assert wall.count == 2
+
+
+@given(st.dictionaries(st.text(min_size=1, max_size=128), st.floats(0, 1), max_size=120), st.integers(0, 2 ** 40))
+def test_entries_fit_come_back_as_they_were_and_keep_the_worst(weights: dict[str, float], beat: int) -> None:
+    try:
+        values, left_out = encoding.encode(VERSION, beat, weights)
+    except UnicodeEncodeError:
+        return      # no name of a brick: the list's decoder takes no lone surrogates
+    assert all(len(value) <= MOST_VALUE for value in values.values()) and 0 in values
+    found: dict[str, float] = {}
+    for chunk, value in values.items():
+        version, part = encoding.decode(chunk, value)
+        assert version == VERSION and not found.keys() & part.keys()
+        found |= part
+    told = {node: weight for node, weight in weights.items() if round(weight * encoding.STEPS)}
+    assert len(found) == len(told) - left_out
+    assert all(abs(told[node] - weight) <= 0.5 / encoding.STEPS + 1e-9 for node, weight in found.items())
+    for node, weight in told.items():
+        if node not in found:
+            kept = [at for other, at in found.items() if encoding.chunk_of(other) == encoding.chunk_of(node)]
+            assert all(at >= weight - 0.5 / encoding.STEPS - 1e-9 for at in kept)
+
+
+@given(st.binary(max_size=MOST_VALUE + 10), st.text(max_size=12))
+def test_no_bytes_of_a_peer_raise(value: bytes, key: str) -> None:
+    head = heads(1)["h0"]
+    for at, name in enumerate((key, "suspicion/0")):
+        head.tick(T0 + at, set(BRICKS), [Entry("peer", Topic.WEIGHTS, name, (1, at), value)])
+    assert head.reader is not None and head.reader.bad.get("peer", 0) + len(head.shared["suspicion"].peers) >= 1
