--- a/hophinge/head/scoring.py
+++ b/hophinge/head/scoring.py
@@ -6,6 +6,7 @@
 import re
 import time
 from collections.abc import Callable, Sequence
+from importlib.metadata import entry_points
 from types import ModuleType
 from typing import Any
 
@@ -37,6 +38,9 @@
     try:
         if name in BUILT_IN:
             manager.register(BUILT_IN[name], name)
+        elif len(bring := {point.value for point in entry_points(group=GROUP, name=name)}) > 1:
+            # pluggy would take the first that it finds, which changes with the order of folders.
+            raise ScorerUnusableError(f"scorer {name!r} is brought by several: {', '.join(sorted(bring))}")
         elif not manager.load_setuptools_entrypoints(GROUP, name):
             raise ScorerUnknownError(f"[scoring] scorers: there is no scorer {name!r}")
         kinds = manager.hook.hophinge_scorer()
@@ -45,7 +49,7 @@
     except Exception as error:      # another package's import or code
         raise ScorerUnusableError(f"scorer {name!r} cannot be loaded: {type(error).__name__}: {error}") from error
     if len(kinds) != 1 or not isinstance(kinds[0], Kind):
-        raise ScorerUnusableError(f"{len(kinds)} plug-ins bring a scorer {name!r}, or one brings something else")
+        raise ScorerUnusableError(f"the package of scorer {name!r} has no hophinge_scorer, or it tells no Kind")
     kind: Kind = kinds[0]
     if kind.name != name or not 0 < len(name) <= MOST_SCORER or not isinstance(kind.parameters, type):
         raise ScorerUnusableError(f"the plug-in of scorer {name!r} brings {kind.name!r}, or states no parameters")
