--- a/hophinge/scoring/merge.py
+++ b/hophinge/scoring/merge.py
@@ -1,8 +1,8 @@
 """How own weights and peers' words become the weights that are used, and what f liars among n peers can move.
 
-n words on a brick, one of each peer that speaks at all (one that leaves a brick out says that it is neutral); g of them
-are taken off at either end, and of the rest the mean is taken by trust. With f <= g liars each word that is left lies
-between honest words, whatever trust says; with more the bound is `most_moved`.
+n words on a brick, one of each peer that speaks at all (one that leaves a brick out says that it is neutral); a third of
+them, g, is taken off at either end, and of the rest the mean is taken by trust. With f <= g liars each word that is left
+lies between honest words, whatever trust says; with more the bound is `most_moved`.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 
 from hophinge.scoring.interface import Weight
 
-TRIM = 0.25             # part of the words taken off at either end, one at least
+TRIM = 3                # of so many words one is taken off at either end
 LEAST_WORDS = 3         # fewer are filled up with neutral ones: one peer alone moves nothing
 HEARSAY = 3.0           # own answers that all peers' words together count as much as
 OWN_MOST = 8.0          # own answers that count at most: a brick may have failed since many good ones
+LEAST_ADDED = 0.05      # less than this peers add nothing: where bricks are idle the least time decides who is chosen
 NEUTRAL = 1.0           # answers that the neutral weight counts as: who knows nothing assumes nothing
 LEAST_TRUST = 0.1       # part of full trust that a peer keeps: its word may still be the one honest one
 FADE = 0.98             # part of former agreement that is left at each merge, once a second: half in 35 s
@@ -26,7 +27,7 @@
 
 def trimmed(number: int) -> int:
     """Tell how many words are taken off at either end."""
-    return max(1, int(number * TRIM))
+    return max(1, number // TRIM)
 
 
 def hearsay(words: Sequence[tuple[float, float]]) -> float:
@@ -49,18 +50,21 @@
     evidence = min(own.evidence, OWN_MOST) if own is not None else 0.0
     value = own.value if own is not None else 0.0
     told = HEARSAY * peers_part
-    return max(value, (evidence * value + told * heard) / (evidence + told + NEUTRAL))
+    weight = (evidence * value + told * heard) / (evidence + told + NEUTRAL)
+    return weight if weight - value >= LEAST_ADDED else value
 
 
-def most_moved(liars: int, peers: int, evidence: float, least_trust: float = LEAST_TRUST) -> float:
-    """Tell by how much so many liars among so many peers raise the weight of a brick that is neutral to all others."""
+def most_moved(liars: int, peers: int, evidence: float, liars_trust: float = 1.0, others: float = LEAST_TRUST) -> float:
+    """Tell by how much so many liars among so many peers raise the weight of a brick that is neutral to all others.
+
+    Without trusts given it is the worst: liars trusted in full, all others hardly.
+    """
     words = max(peers, LEAST_WORDS)
     cut = trimmed(words)
     part = HEARSAY / (min(evidence, OWN_MOST) + HEARSAY + NEUTRAL)
     lies, honest = max(0, liars - cut), words - liars - cut
-    if honest <= 0:
-        return part if lies else 0.0
-    return part * lies / (lies + honest * least_trust)
+    most = part * lies * liars_trust / (lies * liars_trust + max(0, honest) * others) if lies else 0.0
+    return most if most >= LEAST_ADDED else 0.0
 
 
 class Agreement(Struct):
