--- a/benchmarks/scoring.py
+++ b/benchmarks/scoring.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -95,8 +96,8 @@
         more = [[with_ - none for none, with_ in zip(found[0], found[number], strict=True)] for number in (1, 3)]
         rows.append(f"| {size} | {spread(found[0])} | {spread(found[1])} | {spread(found[3])} | "
                     f"{statistics.median(more[0]):.1f} | {statistics.median(more[1]):.1f} |")
-    return ["| candidates | none, us | one, us | three, us | one adds | three add |", "| --- | --- | --- | --- | --- | --- |",
-            *rows]
+    return ["| candidates | none, us | one, us | three, us | one adds | three add |",
+            "| --- | --- | --- | --- | --- | --- |", *rows]
 
 
 def requests() -> list[str]:
@@ -146,10 +147,14 @@
                     words = {names[at]: rng.random() for at in range(told)}
                     for chunk, value in encoding.encode(model.VERSIONS[scorer], 1, words)[0].items():
                         count += 1
-                        entries.append(Entry(f"p{number}", Topic.WEIGHTS, encoding.key(scorer, chunk), (1, count), value))
-            first = timed(1, lambda: head.tick(T0 + 1_000_000, frozenset(names), entries))
-            again = [timed(1, lambda at=at: head.tick(T0 + (2 + at) * 1_000_000, frozenset(names), entries))
-                     for at in range(5)]
+                        key = encoding.key(scorer, chunk)
+                        entries.append(Entry(f"p{number}", Topic.WEIGHTS, key, (1, count), value))
+            one = partial(head.tick, nodes=frozenset(names), entries=entries)
+            since = T0 + 1_000_000
+            first = timed(1, partial(one, since))
+            while head.reader is not None and len(head.reader.versions) < len(entries):     # some are read later
+                one(since)
+            again = [timed(1, partial(one, since + at * 1_000_000)) for at in range(1, 6)]
             rows.append(f"| {peers} | {bricks} | {label} | {len(entries)} | {first / 1000:.1f} | "
                         f"{statistics.median(again) / 1000:.1f} |")
     return ["| peers | bricks | each peer accuses | entries | first tick, ms | each further one, ms |",
@@ -210,7 +215,8 @@
     met = [end[0] for end in ends]
     error = statistics.stdev(met) / len(met) ** 0.5
     means = [statistics.fmean(end[at] for end in ends) for at in range(1, 5)]
-    return f"{statistics.fmean(met):.1f} ± {error:.1f} | {means[0]:.1f} | {means[1]:.2f} | {means[2]:.2f} | {means[3]:.0f}"
+    return (f"{statistics.fmean(met):.1f} ± {error:.1f} | {means[0]:.1f} | {means[1]:.2f} | {means[2]:.2f} | "
+            f"{means[3]:.0f}")
 
 
 def merges(pool: ProcessPoolExecutor) -> list[str]:
@@ -252,8 +258,8 @@
 ## Requests that meet a failing brick
 
 Ten heads with their real modules in virtual time, {model.BRICKS} bricks that work {model.WORK_US // 1000} ms for a
-request on the mean; one fails requests within 2 ms from the eighth second on. Entries are heard 0.5 s late, ticks are 1 s
-apart. A liar is one of the ten heads, accuses one healthy brick with all that it has, and leaves out the failing one.
+request on the mean; one fails requests within 2 ms from the eighth second on. Entries are heard 0.5 s late, ticks are
+1 s apart. A liar is one of the ten heads, accuses one healthy brick with all that it has, and leaves out the failing one.
 Means over {len(SEEDS)} seeds, with the standard error. Shares are of what honest heads sent, 1 is an even one.
 """, *fleet(pool), """
 ## Ways to merge
--- a/benchmarks/scoring_model.py
+++ b/benchmarks/scoring_model.py
@@ -13,13 +13,13 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from hophinge.cluster.interface import Entry, Topic  # noqa: E402
-from hophinge.core import interface as api  # noqa: E402
-from hophinge.core.choice import Scheduler  # noqa: E402
-from hophinge.scoring import encoding, latency, outlook, suspicion  # noqa: E402
-from hophinge.scoring.engine import Engine, Put  # noqa: E402
-from hophinge.scoring.interface import Scorer, Setting, Surroundings  # noqa: E402
-from hophinge.scoring.sharing import BEAT_US, Merge  # noqa: E402
+from hophinge.cluster.interface import Entry, Topic
+from hophinge.core import interface as api
+from hophinge.core.choice import Scheduler
+from hophinge.scoring import encoding, latency, outlook, suspicion
+from hophinge.scoring.engine import Engine, Put
+from hophinge.scoring.interface import Scorer, Setting, Surroundings
+from hophinge.scoring.sharing import BEAT_US, Merge
 
 S, MS = 1_000_000, 1_000
 HEADS, BRICKS = 10, 24
--- a/examples/scorer/test_own_zone.py
+++ b/examples/scorer/test_own_zone.py
@@ -14,7 +14,7 @@
     """The way is added for those of other zones alone."""
     books = [Book(NodeEntry(f"brick-{zone}", zone, zone, Phase.ON, 1.0, 0)) for zone in (0, 1, 2, 1)]
     scorer = OwnZone(Parameters(zone=1, beyond_us=3_000.0), Setting(300_000, 75_000.0))
-    assert scorer.added_us(View(0, ASK, books, Surroundings())) == [3_000.0, 0.0, 3_000.0, 0.0]
+    assert scorer.added_us(View.of(0, ASK, books, Surroundings())) == [3_000.0, 0.0, 3_000.0, 0.0]
 
 
 def test_the_package_brings_what_its_entry_point_says() -> None:
--- a/hophinge/head/scoring.py
+++ b/hophinge/head/scoring.py
@@ -171,7 +171,7 @@
         }
         if reader is not None:
             rows["peers"] = {name: {owner: {"trust": round(peer.agreement.trust, 3),
-                                            "counts_for": round(peer.freshness(now), 3), "bricks": len(peer.words())}
+                                            "counts_for": round(peer.freshness(now), 3), "bricks": len(peer.words)}
                                     for owner, peer in shared.peers.items()}
                              for name, shared in self.engine.shared.items()}
             rows |= {"entries_bad": reader.bad, "entries_of_other_versions": reader.other_versions,
--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -14,7 +14,7 @@
 from hophinge.scoring.pauses import Pauses
 
 REASONS = ("raised", "form", "length", "not_a_number", "infinite", "negative", "slow")
-LEARNING_PART = 100     # budgets of a choice that a tick or a merge may take: it holds up no one request for long
+LEARNING_NS = 50_000_000    # that a tick, or taking or telling weights, may take, once a second and beside requests
 NUMBERS = frozenset({float, int})
 
 
@@ -31,6 +31,7 @@
 
     def __init__(self, name: str, scorer: Scorer) -> None:
         self.name, self.scorer, self.pauses = name, scorer, Pauses()
+        self.hears = type(scorer).heard is not Scorer.heard
         self.counts = dict.fromkeys((*REASONS, "asked", "left_out"), 0)
 
 
@@ -42,13 +43,15 @@
         raise MisbehaviourError("length")
     if not NUMBERS.issuperset(map(type, times)):
         raise MisbehaviourError("not_a_number")
-    values = list(map(float, times))
-    total = sum(values)
+    values = [float(time) for time in times]
+    if not values:
+        return values
+    total = sum(values)     # finite only where each is; it may also be infinite of finite ones that no clamp is near
     if math.isnan(total):
         raise MisbehaviourError("not_a_number" if any(map(math.isnan, values)) else "infinite")
     if math.isinf(total):
         raise MisbehaviourError("infinite")
-    if values and min(values) < 0.0:
+    if min(values) < 0.0:
         raise MisbehaviourError("negative")
     return values
 
@@ -67,7 +70,7 @@
     def added_us(self, now_us: int, ask: api.Arrival, nodes: Sequence[api.Seen],
                  surroundings: Surroundings) -> dict[str, float]:
         """Tell added microseconds by candidate, from 0 to the clamp, all scorers together."""
-        view = View(now_us, ask, nodes, surroundings)
+        view = View.of(now_us, ask, nodes, surroundings)
         names = view.nodes      # the guard's own word for who is a candidate, whatever a scorer does to the view
         most, sums = self.most_us, None
         for one in self.scorers:
@@ -76,17 +79,20 @@
                 sums = values if sums is None else [a + b for a, b in zip(sums, values, strict=True)]
         if sums is None:
             return {}
+        if not any(sums):
+            return {}
         return {node: value if value < most else most for node, value in zip(names, sums, strict=True) if value}
 
     def heard(self, now_us: int, node: str, result: api.Result, elapsed_us: int) -> None:
         """Tell all scorers how an attempt ended."""
         for one in self.scorers:
-            self._call(one, now_us, 1, lambda scorer: scorer.heard(now_us, node, result, elapsed_us))
+            if one.hears:
+                self._call(one, now_us, self.budget_ns, lambda scorer: scorer.heard(now_us, node, result, elapsed_us))
 
     def tick(self, now_us: int, nodes: Container[str]) -> None:
         """Let all scorers do what is due."""
         for one in self.scorers:
-            self._call(one, now_us, LEARNING_PART, lambda scorer: scorer.tick(now_us, nodes))
+            self._call(one, now_us, LEARNING_NS, lambda scorer: scorer.tick(now_us, nodes))
 
     def weights(self, now_us: int, name: str) -> dict[str, Weight] | None:
         """Tell a scorer's own weights; None where it is left out, or they are none."""
@@ -100,11 +106,11 @@
                 found[node] = Weight(value, evidence)
 
         one = self.named(name)
-        return found if self._call(one, now_us, LEARNING_PART, read) else None
+        return found if self._call(one, now_us, LEARNING_NS, read) else None
 
     def merged(self, now_us: int, name: str, weights: Mapping[str, float]) -> None:
         """Give a scorer its merged weights."""
-        self._call(self.named(name), now_us, LEARNING_PART, lambda scorer: scorer.merged(now_us, weights))
+        self._call(self.named(name), now_us, LEARNING_NS, lambda scorer: scorer.merged(now_us, weights))
 
     def named(self, name: str) -> Guarded:
         """Find a scorer."""
@@ -127,9 +133,9 @@
         one.pauses.went_well()
         most = self.most_us
         # Each alone is clamped too: one that adds a hundred years must not drown the others' differences.
-        return [value if value < most else most for value in values]
+        return values if max(values, default=0.0) <= most else [min(value, most) for value in values]
 
-    def _call(self, one: Guarded, now_us: int, budgets: int, call: Callable[[Scorer], None]) -> bool:
+    def _call(self, one: Guarded, now_us: int, budget_ns: int, call: Callable[[Scorer], None]) -> bool:
         if not one.pauses.may(now_us):
             return False
         since = self.clock_ns()
@@ -138,7 +144,7 @@
         except BaseException as error:
             self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
             return False
-        if self.clock_ns() - since > self.budget_ns * budgets:
+        if self.clock_ns() - since > budget_ns:
             self._wrong(one, now_us, "slow", None)
             return False
         return True
--- a/hophinge/scoring/interface.py
+++ b/hophinge/scoring/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Mapping, Sequence
+from collections.abc import Callable, Collection, Container, Mapping, Sequence
 from typing import Any, TypeVar
 
 import pluggy
@@ -33,39 +33,30 @@
 
     def __init__(self, cold_us: int = 0) -> None:
         self.cold_us = cold_us                                      # for which a started brick counts as cold
-        self.drains: Container[str] = frozenset()                   # bricks that are being drained, or soon will be
+        self.drains: Collection[str] = frozenset()                  # bricks that are being drained, or soon will be
         self.demand: Callable[[str], float] = _no_demand            # predicted requests a second by key
 
 
-class View:
+class View(Struct, frozen=True):
     """The candidates of one choice, to be read: one tuple a property, all in the order of `nodes`.
 
     A property is made when it is first read and shared by all scorers of the choice; what none reads costs nothing.
     """
 
-    __slots__ = ("_ask", "_kept", "_nodes", "_seen", "_surroundings", "now_us")
-
-    now_us: int                             # on the head's one clock
+    now_us: int                                     # on the head's one clock
+    nodes: tuple[str, ...]                          # the candidates' names
     _ask: api.Arrival
     _seen: Sequence[api.Seen]
     _surroundings: Surroundings
     _kept: dict[str, Any]
-    _nodes: tuple[str, ...]
-
-    def __init__(self, now_us: int, ask: api.Arrival, seen: Sequence[api.Seen], surroundings: Surroundings) -> None:
-        put = object.__setattr__
-        put(self, "now_us", now_us)
-        put(self, "_ask", ask)
-        put(self, "_seen", seen)
-        put(self, "_surroundings", surroundings)
-        put(self, "_kept", {})
-        put(self, "_nodes", tuple([one.entry.node for one in seen]))
 
-    def __setattr__(self, name: str, value: object) -> None:
-        raise AttributeError("a view is only read")     # what one scorer changes, the next would see
+    @classmethod
+    def of(cls, now_us: int, ask: api.Arrival, seen: Sequence[api.Seen], surroundings: Surroundings) -> View:
+        """Make the view of a choice."""
+        return cls(now_us, tuple([one.entry.node for one in seen]), ask, seen, surroundings, {})
 
     def __len__(self) -> int:
-        return len(self._nodes)
+        return len(self.nodes)
 
     def _column(self, name: str, read: Callable[[api.Seen], Value]) -> tuple[Value, ...]:
         kept: tuple[Value, ...] | None = self._kept.get(name)
@@ -83,11 +74,6 @@
         """Tell the units of work that the request is worth."""
         return self._ask.units
 
-    @property
-    def nodes(self) -> tuple[str, ...]:
-        """Tell the candidates' names."""
-        return self._nodes
-
     @property
     def zones(self) -> tuple[int, ...]:
         """Tell their zones, by the numbers of the node list."""
@@ -124,7 +110,7 @@
     def draining(self) -> tuple[bool, ...]:
         """Tell which are being drained, or soon will be."""
         drains = self._surroundings.drains
-        return self._column("draining", lambda one: one.entry.node in drains)
+        return self._column("draining", lambda one: one.entry.node in drains) if drains else (False,) * len(self.nodes)
 
     @property
     def demand(self) -> float:
--- a/hophinge/scoring/latency.py
+++ b/hophinge/scoring/latency.py
@@ -37,6 +37,7 @@
         self.parameters, self.setting = parameters, setting
         self.half_life_us = parameters.half_life_s * 1e6
         self.sketches: dict[str, Sketch] = {}
+        self.quantiles: dict[str, float] = {}   # they change with answers alone: decay counts all down alike
         self.usual_us = 0.0                     # the median of the bricks' quantiles
         self.own: dict[str, Weight] = {}
         self.times: dict[str, float] = {}       # that are added now
@@ -53,16 +54,21 @@
             if sketch is None:
                 sketch = self.sketches[node] = Sketch(self.half_life_us, now_us)
             sketch.add(now_us, elapsed_us)
+            self.quantiles.pop(node, None)
 
     def tick(self, now_us: int, nodes: Container[str]) -> None:
         """Compare the bricks' quantiles; a brick of too few answers is not compared."""
         for node in [node for node in self.sketches if node not in nodes]:
             del self.sketches[node]
+            self.quantiles.pop(node, None)
         found = {}
         for node, sketch in self.sketches.items():
             evidence = sketch.evidence(now_us)
             if evidence >= LEAST_ANSWERS:
-                found[node] = sketch.quantile_us(self.parameters.quantile), evidence
+                at = self.quantiles.get(node)
+                if at is None:
+                    at = self.quantiles[node] = sketch.quantile_us(self.parameters.quantile)
+                found[node] = at, evidence
         self.usual_us = statistics.median(at for at, _ in found.values()) if found else 0.0
         allowed = self.usual_us * self.parameters.tolerance
         self.own = {node: Weight(max(0.0, 1.0 - allowed / at), evidence) for node, (at, evidence) in found.items()}
--- a/hophinge/scoring/merge.py
+++ b/hophinge/scoring/merge.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from msgspec import Struct
 
@@ -78,15 +78,17 @@
         """Tell a peer's trust: one that nothing is known of has half of it."""
         return max(LEAST_TRUST, (self.agreed + 1.0) / (self.agreed + self.differed + 2.0))
 
-    def compare(self, own: Mapping[str, Weight], said: Mapping[str, float]) -> None:
-        """Count where both have something to say; bricks that are well to both would make any liar look honest."""
+    def compare(self, sure: Mapping[str, float], accused: Collection[str], said: Mapping[str, float]) -> None:
+        """Count where one of both accuses; bricks that are well to both would make any liar look honest.
+
+        `sure` are own weights that rest on enough answers, `accused` those of them that are above APART.
+        """
         self.agreed *= FADE
         self.differed *= FADE
-        for node, weight in own.items():
-            if weight.evidence < SURE:
-                continue
-            word = said.get(node, 0.0)
-            if abs(word - weight.value) > APART:
-                self.differed += 1.0
-            elif max(word, weight.value) > APART:
-                self.agreed += 1.0
+        for node, word in said.items():
+            if (own := sure.get(node)) is not None and (word > APART or own > APART):
+                if abs(word - own) > APART:
+                    self.differed += 1.0
+                else:
+                    self.agreed += 1.0
+        self.differed += sum(node not in said for node in accused)
--- a/hophinge/scoring/sharing.py
+++ b/hophinge/scoring/sharing.py
@@ -7,13 +7,14 @@
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.scoring import encoding
 from hophinge.scoring.interface import Weight
-from hophinge.scoring.merge import Agreement, combined, hearsay
+from hophinge.scoring.merge import APART, LEAST_WORDS, SURE, Agreement, combined, hearsay, trimmed
 
 BEAT_US = 5_000_000         # between changes of entry 0, that show that a member still speaks
 FRESH_US = 15_000_000       # three beats, some of which may be lost, before a word begins to age
 HALF_LIFE_US = 5_000_000    # in which it then comes to count for half
 FORGOTTEN_US = 60_000_000   # it has counted for less than a hundredth for ten seconds
-MOST_MERGED = 200           # bricks that are merged in one tick
+MOST_WORDS = 50_000         # that are merged in one tick: some tens of milliseconds
+MOST_TAKEN = 500            # entries that are read in one tick; others that have changed are read in the next
 MOST_OWNERS = 1_000         # whose words and mistakes are kept, the default bound on members
 
 Merge = Callable[[Sequence[tuple[float, float]]], float]
@@ -22,19 +23,21 @@
 class Peer:
     """One member's words for one scorer."""
 
-    __slots__ = ("agreement", "chunks", "heard_us")
+    __slots__ = ("agreement", "chunks", "heard_us", "words")
 
     def __init__(self, now_us: int) -> None:
         self.heard_us = now_us                      # when anything of it last changed, by the own clock
         self.chunks: dict[int, dict[str, float]] = {}
+        self.words: dict[str, float] = {}           # all its weights
         self.agreement = Agreement()
 
-    def words(self) -> dict[str, float]:
-        """Tell all its weights."""
-        found: dict[str, float] = {}
-        for chunk in self.chunks.values():
-            found |= chunk
-        return found
+    def say(self, chunk: int, words: dict[str, float] | None) -> None:
+        """Take one entry's weights, or that it is no more."""
+        if words is None:
+            self.chunks.pop(chunk, None)
+        else:
+            self.chunks[chunk] = words
+        self.words = {node: word for part in self.chunks.values() for node, word in part.items()}
 
     def freshness(self, now_us: int) -> float:
         """Tell how much its word still counts, from 1 down to 0."""
@@ -55,20 +58,22 @@
             return
         peer = self.peers.setdefault(owner, Peer(now_us))
         peer.heard_us = now_us
-        peer.chunks[chunk] = words
+        peer.say(chunk, words)
 
     def gone(self, owner: str, chunk: int) -> None:
         """Take that a peer's entry is no more; its judgement stays until the peer is forgotten."""
         if (peer := self.peers.get(owner)) is not None:
-            peer.chunks.pop(chunk, None)
+            peer.say(chunk, None)
 
     def judge(self, now_us: int, own: Mapping[str, Weight]) -> None:
         """Compare fresh words with one's own answers; forget who has long been silent."""
+        sure = {node: weight.value for node, weight in own.items() if weight.evidence >= SURE}
+        accused = [node for node, value in sure.items() if value > APART]
         for owner, peer in list(self.peers.items()):
             if now_us - peer.heard_us > FORGOTTEN_US:
                 del self.peers[owner]
             elif peer.chunks and now_us - peer.heard_us <= FRESH_US:
-                peer.agreement.compare(own, peer.words())
+                peer.agreement.compare(sure, accused, peer.words)
 
     def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str]) -> dict[str, float]:
         """Tell the weights to use, of bricks that this head has in its own list; neutral ones are left out."""
@@ -78,14 +83,15 @@
         for peer in self.peers.values():
             part = peer.freshness(now_us)
             if peer.chunks and part > 0.0:
-                heard.append((peer.words(), part, peer.agreement.trust))
+                heard.append((peer.words, part, peer.agreement.trust))
                 fresh += part
                 for node in heard[-1][0]:
                     named[node] = named.get(node, 0) + 1
         found = {node: own[node].value for node in named if node in own and node in nodes}
-        # What few say is cut off by the merge anyway; a flood of accusations must not keep this head from its work.
-        told = [node for node, number in named.items() if number and node in nodes]
-        for node in sorted(told, key=lambda node: (-named[node], node))[:MOST_MERGED]:
+        # What too few say is cut off by the merge anyway; a flood of accusations must not keep this head from its work.
+        few = trimmed(max(len(heard), LEAST_WORDS)) if self.merge is hearsay else 0
+        told = [node for node, number in named.items() if number > few and node in nodes]
+        for node in sorted(told, key=lambda node: (-named[node], node))[:MOST_WORDS // max(1, len(heard))]:
             words = [(said.get(node, 0.0) * part, trust) for said, part, trust in heard]
             found[node] = combined(own.get(node), self.merge(words), fresh / len(heard))
         return {node: weight for node, weight in found.items() if weight > 0.0}
@@ -103,12 +109,14 @@
     def read(self, now_us: int, entries: Iterable[Entry]) -> None:
         """Take all entries that are held now; those that have not changed cost a look."""
         held: set[tuple[str, str]] = set()
+        taken = 0
         for entry in entries:
             if entry.owner == self.me or entry.topic is not Topic.WEIGHTS:
                 continue
             at = entry.owner, entry.key
             held.add(at)
-            if self.versions.get(at) != entry.version:
+            if self.versions.get(at) != entry.version and taken < MOST_TAKEN:
+                taken += 1
                 self.versions[at] = entry.version
                 self._take(now_us, entry)
         for at in self.versions.keys() - held:
--- a/tests/test_scoring_guard.py
+++ b/tests/test_scoring_guard.py
@@ -52,7 +52,7 @@
 
 
 def meddle(view: View) -> object:
-    for name in ("_nodes", "_seen", "_kept", "now_us", "nodes"):
+    for name in ("_seen", "_kept", "now_us", "nodes"):
         with contextlib.suppress(AttributeError):
             setattr(view, name, ("intruder",))
     return [1.0] * len(view)
--- a/tests/test_scoring_merge.py
+++ b/tests/test_scoring_merge.py
@@ -14,6 +14,7 @@
 from hophinge.scoring.merge import (
     HEARSAY, LEAST_TRUST, NEUTRAL, OWN_MOST, Agreement, combined, hearsay, most_moved, trimmed,
 )
+from hophinge.scoring.sharing import Shared
 
 WORD = st.tuples(st.floats(0, 1), st.floats(LEAST_TRUST, 1))
 LITTLE = 1e-9
@@ -101,18 +102,22 @@
 def test_trust_follows_agreement_on_bricks_that_one_of_the_two_accuses() -> None:
     rng = random.Random(5)
     friend, liar, idle = Agreement(), Agreement(), Agreement()
+    own = {f"n{at}": 0.9 if at == 3 else 0.0 for at in range(50)}
     for _ in range(100):
-        own = {f"n{at}": Weight(0.9 if at == 3 else 0.0, 20.0) for at in range(50)}
-        friend.compare(own, {"n3": 0.8 + 0.1 * rng.random()})
-        liar.compare(own, {"n7": 1.0})
-        idle.compare({node: Weight(0.0, 20.0) for node in own}, {})
+        friend.compare(own, ["n3"], {"n3": 0.8 + 0.1 * rng.random()})
+        liar.compare(own, ["n3"], {"n7": 1.0})
+        idle.compare(dict.fromkeys(own, 0.0), [], {"n5": merge.APART / 2})
     assert friend.trust > 0.9 and liar.trust == LEAST_TRUST and idle.trust == 0.5
 
 
 def test_a_brick_of_which_little_is_known_here_judges_nobody() -> None:
-    peer = Agreement()
-    peer.compare({"a": Weight(0.0, merge.SURE - 1)}, {"a": 1.0})
-    assert peer.trust == 0.5
+    shared = Shared("1")
+    for owner in ("a", "b"):
+        shared.take(0, owner, 0, "1", {"n": 1.0})
+    shared.judge(1, {"n": Weight(0.0, merge.SURE - 1)})
+    assert shared.peers["a"].agreement.trust == 0.5
+    shared.judge(1, {"n": Weight(0.0, merge.SURE)})
+    assert shared.peers["a"].agreement.trust < 0.5
 
 
 def test_trust_weighs_among_the_words_that_are_left() -> None:
--- a/tests/test_scoring_scorers.py
+++ b/tests/test_scoring_scorers.py
@@ -21,7 +21,7 @@
 
 
 def view(now: int = T0, surroundings: Surroundings | None = None, started_us: int = 0) -> View:
-    return View(now, ASK, books(*NAMES, started_us=started_us), surroundings or Surroundings(10 * S))
+    return View.of(now, ASK, books(*NAMES, started_us=started_us), surroundings or Surroundings(10 * S))
 
 
 def test_the_sketch_tells_quantiles_to_a_tenth() -> None:
@@ -129,7 +129,7 @@
         return 4.0
 
     around.demand = demand
-    one = View(T0, ASK, seen, around)
+    one = View.of(T0, ASK, seen, around)
     assert (one.nodes, one.zones, one.wait_us, one.lag_us, one.units_out, one.failures, one.warmth, one.draining) == (
         ("a", "b"), (0, 1), (2_000.0, 0.0), (0.0, 7_000.0), (2.0, 0.0), (0, 3), (1.0, 1.0), (False, False))
     assert (one.demand, one.demand, one.key, one.units, len(one)) == (4.0, 4.0, "key", 1.0, 2) and asked == ["key"]
