--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -35,25 +35,22 @@
         self.counts = dict.fromkeys((*REASONS, "asked", "left_out"), 0)
 
 
-def checked(times: object, number: int) -> list[float]:
+def checked(times: object, number: int) -> Sequence[float]:
     """Check what a scorer returned; a plain list or tuple alone, as any other may do anything while it is read."""
     if type(times) is not list and type(times) is not tuple:
         raise MisbehaviourError("form")
     if len(times) != number:
         raise MisbehaviourError("length")
-    if not NUMBERS.issuperset(map(type, times)):
+    kinds = set(map(type, times))
+    if not kinds <= NUMBERS:
         raise MisbehaviourError("not_a_number")
-    values = [float(time) for time in times]
-    if not values:
+    values: Sequence[float] = times if int not in kinds else [float(time) for time in times]
+    # The sum is finite only where each is; it may also be infinite of finite ones that no clamp is near.
+    if not values or (sum(values) < math.inf and min(values) >= 0.0):
         return values
-    total = sum(values)     # finite only where each is; it may also be infinite of finite ones that no clamp is near
-    if math.isnan(total):
-        raise MisbehaviourError("not_a_number" if any(map(math.isnan, values)) else "infinite")
-    if math.isinf(total):
-        raise MisbehaviourError("infinite")
-    if min(values) < 0.0:
-        raise MisbehaviourError("negative")
-    return values
+    if any(map(math.isnan, values)):
+        raise MisbehaviourError("not_a_number")
+    raise MisbehaviourError("negative" if min(values) < 0.0 else "infinite")
 
 
 class Guard:
@@ -72,7 +69,8 @@
         """Tell added microseconds by candidate, from 0 to the clamp, all scorers together."""
         view = View.of(now_us, ask, nodes, surroundings)
         names = view.nodes      # the guard's own word for who is a candidate, whatever a scorer does to the view
-        most, sums = self.most_us, None
+        most = self.most_us
+        sums: Sequence[float] | None = None
         for one in self.scorers:
             values = self._ask(one, view, now_us, len(names))
             if values is not None:
@@ -116,7 +114,7 @@
         """Find a scorer."""
         return next(one for one in self.scorers if one.name == name)
 
-    def _ask(self, one: Guarded, view: View, now_us: int, number: int) -> list[float] | None:
+    def _ask(self, one: Guarded, view: View, now_us: int, number: int) -> Sequence[float] | None:
         if not one.pauses.may(now_us):
             one.counts["left_out"] += 1
             return None
--- a/hophinge/scoring/interface.py
+++ b/hophinge/scoring/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Container, Mapping, Sequence
-from typing import Any, TypeVar
+from typing import Any
 
 import pluggy
 from msgspec import Struct
@@ -21,8 +21,6 @@
 scorer_spec = pluggy.HookspecMarker(PROJECT)
 scorer_impl = pluggy.HookimplMarker(PROJECT)
 
-Value = TypeVar("Value")
-
 
 def _no_demand(key: str) -> float:
     return 0.0
@@ -58,12 +56,6 @@
     def __len__(self) -> int:
         return len(self.nodes)
 
-    def _column(self, name: str, read: Callable[[api.Seen], Value]) -> tuple[Value, ...]:
-        kept: tuple[Value, ...] | None = self._kept.get(name)
-        if kept is None:
-            kept = self._kept[name] = tuple([read(one) for one in self._seen])
-        return kept
-
     @property
     def key(self) -> str:
         """Tell the key of the object that looks for a place."""
@@ -77,40 +69,61 @@
     @property
     def zones(self) -> tuple[int, ...]:
         """Tell their zones, by the numbers of the node list."""
-        return self._column("zones", lambda one: one.entry.zone)
+        kept: tuple[int, ...] | None = self._kept.get("zones")
+        if kept is None:
+            kept = self._kept["zones"] = tuple([one.entry.zone for one in self._seen])
+        return kept
 
     @property
     def wait_us(self) -> tuple[float, ...]:
         """Tell in how many microseconds what was sent there from here should be done, by the head's book."""
         now = self.now_us
-        return self._column("wait_us", lambda one: max(0.0, one.free - now))
+        kept: tuple[float, ...] | None = self._kept.get("wait_us")
+        if kept is None:
+            kept = self._kept["wait_us"] = tuple([max(0.0, one.free - now) for one in self._seen])
+        return kept
 
     @property
     def lag_us(self) -> tuple[float, ...]:
         """Tell what their answers took lately, in microseconds; 0.0 where none was heard."""
-        return self._column("lag_us", lambda one: one.lag)
+        kept: tuple[float, ...] | None = self._kept.get("lag_us")
+        if kept is None:
+            kept = self._kept["lag_us"] = tuple([one.lag for one in self._seen])
+        return kept
 
     @property
     def units_out(self) -> tuple[float, ...]:
         """Tell the units sent there from here and not answered."""
-        return self._column("units_out", lambda one: one.units_out)
+        kept: tuple[float, ...] | None = self._kept.get("units_out")
+        if kept is None:
+            kept = self._kept["units_out"] = tuple([one.units_out for one in self._seen])
+        return kept
 
     @property
     def failures(self) -> tuple[int, ...]:
         """Tell their trials in a row that failed."""
-        return self._column("failures", lambda one: one.failures)
+        kept: tuple[int, ...] | None = self._kept.get("failures")
+        if kept is None:
+            kept = self._kept["failures"] = tuple([one.failures for one in self._seen])
+        return kept
 
     @property
     def warmth(self) -> tuple[float, ...]:
         """Tell how far each has warmed up since it started, from 0 to 1."""
         now, cold_us = self.now_us, self._surroundings.cold_us
-        return self._column("warmth", lambda one: one.warmth(now, cold_us))
+        kept: tuple[float, ...] | None = self._kept.get("warmth")
+        if kept is None:
+            kept = self._kept["warmth"] = tuple([one.warmth(now, cold_us) for one in self._seen])
+        return kept
 
     @property
     def draining(self) -> tuple[bool, ...]:
         """Tell which are being drained, or soon will be."""
-        drains = self._surroundings.drains
-        return self._column("draining", lambda one: one.entry.node in drains) if drains else (False,) * len(self.nodes)
+        kept: tuple[bool, ...] | None = self._kept.get("draining")
+        if kept is None:
+            drains = self._surroundings.drains
+            kept = self._kept["draining"] = tuple([node in drains for node in self.nodes])
+        return kept
 
     @property
     def demand(self) -> float:
--- a/hophinge/scoring/merge.py
+++ b/hophinge/scoring/merge.py
@@ -1,8 +1,8 @@
 """How own weights and peers' words become the weights that are used, and what f liars among n peers can move.
 
-n words on a brick, one of each peer that speaks at all (one that leaves a brick out says that it is neutral); a third of
-them, g, is taken off at either end, and of the rest the mean is taken by trust. With f <= g liars each word that is left
-lies between honest words, whatever trust says; with more the bound is `most_moved`.
+n words on a brick, one of each peer that speaks at all (one that leaves a brick out says that it is neutral); a third
+of them, g, is taken off at either end, and of the rest the mean is taken by trust. With f <= g liars each word that is
+left lies between honest words, whatever trust says; with more the bound is `most_moved`.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/hophinge/scoring/testing.py
@@ -0,0 +1,40 @@
+"""Stand-ins for the tests of scorers: candidates and views without a head."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from msgspec import Struct
+
+from hophinge.core import interface as api
+from hophinge.scoring.interface import Surroundings, View
+
+
+class Candidate(Struct, frozen=True):
+    """A candidate as a test wants it; times in microseconds, `free` on the clock of the view."""
+
+    node: str
+    zone: int = 0
+    free: float = 0.0
+    units_out: float = 0.0
+    lag: float = 0.0
+    failures: int = 0
+    warm: float = 1.0       # from 0 to 1
+
+    @property
+    def entry(self) -> api.NodeEntry:
+        """Tell its entry in the node list."""
+        return api.NodeEntry(self.node, self.zone, 0, api.Phase.ON, 1.0, 0)
+
+    def warmth(self, now: int, cold_us: int) -> float:
+        """Tell how far it has warmed up."""
+        return self.warm
+
+
+def view(candidates: Sequence[Candidate], now_us: int = 0, key: str = "key", units: float = 1.0,
+         drains: Collection[str] = (), demand: float = 0.0) -> View:
+    """Make a view of a choice among candidates."""
+    around = Surroundings()
+    around.drains, around.demand = drains, lambda asked: demand if asked == key else 0.0
+    ask = api.Arrival("request", units, "volume", 0, -1, 1, key, 1_000_000, True, 0)
+    return View.of(now_us, ask, candidates, around)
--- a/tests/scoring_parts.py
+++ b/tests/scoring_parts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from hophinge.cluster.interface import Entry, Topic
-from hophinge.core.choice import Book
+from hophinge.core.choice.books import Book
 from hophinge.core.interface import Arrival, NodeEntry, Phase
 from hophinge.scoring.engine import Engine, Put
 from hophinge.scoring.interface import Scorer, Setting, Surroundings, View
