--- a/hophinge/scoring/merge.py
+++ b/hophinge/scoring/merge.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
+from itertools import islice
 
 from msgspec import Struct
 
@@ -78,14 +79,16 @@
         """Tell a peer's trust: one that nothing is known of has half of it."""
         return max(LEAST_TRUST, (self.agreed + 1.0) / (self.agreed + self.differed + 2.0))
 
-    def compare(self, sure: Mapping[str, float], accused: Collection[str], said: Mapping[str, float]) -> None:
+    def compare(self, sure: Mapping[str, float], accused: Collection[str], said: Mapping[str, float],
+                most: int = 1_000) -> None:
         """Count where one of both accuses; bricks that are well to both would make any liar look honest.
 
-        `sure` are own weights that rest on enough answers, `accused` those of them that are above APART.
+        `sure` are own weights that rest on enough answers, `accused` those of them that are above APART; of a
+        peer's words so many are looked at.
         """
         self.agreed *= FADE
         self.differed *= FADE
-        for node, word in said.items():
+        for node, word in islice(said.items(), most):
             if (own := sure.get(node)) is not None and (word > APART or own > APART):
                 if abs(word - own) > APART:
                     self.differed += 1.0
--- a/hophinge/scoring/sharing.py
+++ b/hophinge/scoring/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+from itertools import islice
 
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.scoring import encoding
@@ -13,7 +14,7 @@
 FRESH_US = 15_000_000       # three beats, some of which may be lost, before a word begins to age
 HALF_LIFE_US = 5_000_000    # in which it then comes to count for half
 FORGOTTEN_US = 60_000_000   # it has counted for less than a hundredth for ten seconds
-MOST_WORDS = 50_000         # that are merged in one tick: some tens of milliseconds
+MOST_WORDS = 50_000         # that are looked at for one purpose in one tick: some tens of milliseconds
 MOST_TAKEN = 500            # entries that are read in one tick; others that have changed are read in the next
 MOST_OWNERS = 1_000         # whose words and mistakes are kept, the default bound on members
 
@@ -73,19 +74,19 @@
             if now_us - peer.heard_us > FORGOTTEN_US:
                 del self.peers[owner]
             elif peer.chunks and now_us - peer.heard_us <= FRESH_US:
-                peer.agreement.compare(sure, accused, peer.words)
+                peer.agreement.compare(sure, accused, peer.words, MOST_WORDS // len(self.peers))
 
     def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str]) -> dict[str, float]:
         """Tell the weights to use, of bricks that this head has in its own list; neutral ones are left out."""
         heard: list[tuple[dict[str, float], float, float]] = []
         named: dict[str, int] = {node: 0 for node, weight in own.items() if weight.value > 0.0}
-        fresh = 0.0
+        fresh, most = 0.0, MOST_WORDS // max(1, len(self.peers))
         for peer in self.peers.values():
             part = peer.freshness(now_us)
             if peer.chunks and part > 0.0:
                 heard.append((peer.words, part, peer.agreement.trust))
                 fresh += part
-                for node in heard[-1][0]:
+                for node in islice(peer.words, most):
                     named[node] = named.get(node, 0) + 1
         found = {node: own[node].value for node in named if node in own and node in nodes}
         # What too few say is cut off by the merge anyway; a flood of accusations must not keep this head from its work.
