--- a/hophinge/scoring/sharing.py
+++ b/hophinge/scoring/sharing.py
@@ -14,7 +14,7 @@
 FRESH_US = 15_000_000       # three beats, some of which may be lost, before a word begins to age
 HALF_LIFE_US = 5_000_000    # in which it then comes to count for half
 FORGOTTEN_US = 60_000_000   # it has counted for less than a hundredth for ten seconds
-MOST_WORDS = 50_000         # that are looked at for one purpose in one tick: some tens of milliseconds
+MOST_WORDS = 20_000         # that are looked at for one purpose in one tick: some tens of milliseconds
 MOST_TAKEN = 500            # entries that are read in one tick; others that have changed are read in the next
 MOST_OWNERS = 1_000         # whose words and mistakes are kept, the default bound on members
 
@@ -69,12 +69,13 @@
     def judge(self, now_us: int, own: Mapping[str, Weight]) -> None:
         """Compare fresh words with one's own answers; forget who has long been silent."""
         sure = {node: weight.value for node, weight in own.items() if weight.evidence >= SURE}
-        accused = [node for node, value in sure.items() if value > APART]
+        most = MOST_WORDS // max(1, len(self.peers))
+        accused = [node for node, value in sure.items() if value > APART][:most]
         for owner, peer in list(self.peers.items()):
             if now_us - peer.heard_us > FORGOTTEN_US:
                 del self.peers[owner]
             elif peer.chunks and now_us - peer.heard_us <= FRESH_US:
-                peer.agreement.compare(sure, accused, peer.words, MOST_WORDS // len(self.peers))
+                peer.agreement.compare(sure, accused, peer.words, most)
 
     def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str]) -> dict[str, float]:
         """Tell the weights to use, of bricks that this head has in its own list; neutral ones are left out."""
