--- /dev/null
+++ b/tests/test_scoring_model.py
@@ -0,0 +1,138 @@
+"""Random steps over a fleet with liars: weights stay inside their bounds in every history."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from hophinge.core.interface import Result
+from hophinge.scoring import encoding, sharing
+from hophinge.scoring.engine import Engine
+from hophinge.scoring.merge import most_moved
+from hophinge.scoring.suspicion import Parameters, Suspicion
+from tests.scoring_parts import ASK, MOST_US, SETTING, Wall, books, engine
+
+T0, S = 50_000_000, 1_000_000
+BRICKS = [f"brick-{number}" for number in range(6)]
+SOUND, FAILING = BRICKS[:4], BRICKS[4:]
+HEADS, LIARS = 6, 4
+LITTLE = 1e-9
+VERSION = "suspicion-1"
+SOME_HEADS = st.frozensets(st.integers(0, HEADS - 1), min_size=1)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Honest heads never fail at a sound brick; liars put what they like, at most four of them among ten."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.wall, self.beat = T0, Wall(), 0
+        self.heads: dict[str, tuple[Engine, Suspicion]] = {}
+        for at in range(HEADS):
+            self.start(f"h{at}")
+
+    def start(self, name: str) -> None:
+        scorer = Suspicion(Parameters(), SETTING)
+        head = engine({"suspicion": scorer}, versions={"suspicion": VERSION})
+        head.share_as(name)
+        self.heads[name] = head, scorer
+
+    @rule(who=SOME_HEADS, brick=st.sampled_from(BRICKS), times=st.integers(1, 12))
+    def end(self, who: frozenset[int], brick: str, times: int) -> None:
+        result = Result.ERROR if brick in FAILING else Result.OK
+        for at in who:
+            for _ in range(times):
+                self.heads[f"h{at}"][0].heard(self.now, brick, result, 5_000)
+
+    @rule(seconds=st.sampled_from([0, 1, 1, 1, 5, 20, 70]), who=SOME_HEADS)
+    def tick(self, seconds: int, who: frozenset[int]) -> None:
+        """Time passes; some heads tick, others have stopped or are cut off."""
+        self.now += seconds * S
+        for at in sorted(who):
+            name = f"h{at}"
+            head, scorer = self.heads[name]
+            self.wall.tick(self.now, name, head, BRICKS)
+            self.check(head, scorer)
+
+    @rule(head=st.integers(0, HEADS - 1))
+    def restart(self, head: int) -> None:
+        self.start(f"h{head}")
+
+    @rule(who=st.frozensets(st.integers(0, LIARS - 1), min_size=1), version=st.sampled_from([VERSION, "suspicion-2"]),
+          words=st.dictionaries(st.sampled_from(BRICKS), st.sampled_from([0.0, 0.1, 1.0]), max_size=6))
+    def lie(self, who: frozenset[int], version: str, words: dict[str, float]) -> None:
+        self.beat += 1
+        for chunk, value in encoding.encode(version, self.beat, words)[0].items():
+            for liar in who:
+                self.wall.put(f"l{liar}", encoding.key("suspicion", chunk), value)
+
+    @rule(liar=st.integers(0, LIARS - 1), chunk=st.integers(0, 9), value=st.binary(max_size=40))
+    def babble(self, liar: int, chunk: int, value: bytes) -> None:
+        self.wall.put(f"l{liar}", f"suspicion/{chunk}", value)
+
+    @rule(liar=st.integers(0, LIARS - 1))
+    def vanish(self, liar: int) -> None:
+        for at in [at for at in self.wall.held if at[0] == f"l{liar}"]:
+            del self.wall.held[at]
+
+    def check(self, head: Engine, scorer: Suspicion) -> None:
+        """The promises on a sound brick's weight and on a failing one's, right after a merge."""
+        speak = [owner for owner, peer in head.shared["suspicion"].peers.items()
+                 if peer.chunks and peer.freshness(self.now) > 0.0]
+        liars = sum(owner.startswith("l") for owner in speak)
+        bound = most_moved(liars, len(speak), 0.0)
+        if liars <= max(1, len(speak) // 3):
+            assert bound == 0.0
+        for brick in SOUND:
+            assert scorer.levels.get(brick, 0.0) <= bound + LITTLE
+        own = head.guard.weights(self.now, "suspicion") or {}
+        for brick in FAILING:
+            if brick in own:
+                assert scorer.levels.get(brick, 0.0) >= own[brick].value - LITTLE
+
+    @invariant()
+    def clamped(self) -> None:
+        for head, _ in self.heads.values():
+            added = head.added_us(self.now, ASK, books(*BRICKS))
+            assert all(0.0 < time <= MOST_US for time in added.values())
+            assert not any(one.pauses.mistakes for one in head.guard.scorers)
+
+
+def run(phases: Sequence[Phase] = tuple(Phase)) -> None:
+    run_state_machine_as_test(Fleet, settings=settings(
+        max_examples=100, stateful_step_count=30, derandomize=True, deadline=None, database=None, phases=phases))
+
+
+def test_weights_stay_inside_their_bounds_in_every_history() -> None:
+    run()
+
+
+def untrimmed(words: Sequence[tuple[float, float]]) -> float:
+    return sum(value * trust for value, trust in words) / sum(trust for _, trust in words)
+
+
+def outweighed(own: Any, heard: float, part: float) -> float:
+    return heard
+
+
+@pytest.mark.parametrize(("name", "mutant"), [("trim", untrimmed), ("own", outweighed)])
+def test_the_model_catches_a_merge_without_trim_and_an_own_word_outweighed(
+        name: str, mutant: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    if name == "trim":
+        real = sharing.Shared.__init__
+        monkeypatch.setattr(sharing.Shared, "__init__", lambda self, version, merge: real(self, version, mutant))
+    else:
+        monkeypatch.setattr(sharing, "combined", mutant)
+    with pytest.raises(AssertionError):
+        run([Phase.generate])       # nobody reads the smallest history of a mutant
+
+
+def test_the_model_comes_to_histories_where_liars_are_too_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(globals(), "most_moved", lambda liars, peers, evidence: 0.0)
+    with pytest.raises(AssertionError):
+        run([Phase.generate])       # nobody reads the smallest history of a mutant
