--- a/benchmarks/scoring.py
+++ b/benchmarks/scoring.py
@@ -46,6 +46,14 @@
     "busy, 600 requests/s, fails 40 %": {"rate": 600.0, "seconds": 16, "fail_part": 0.4},
     "quiet, 60 requests/s, fails 40 %": {"rate": 60.0, "seconds": 60, "fail_part": 0.4},
     "quiet, fails all, heads replaced every 4 s": {"rate": 60.0, "seconds": 60, "fail_part": 1.0, "restarts": True}}
+WAYS: dict[str, dict[str, Any]] = {
+    "no scorers": {"scored": False, "shared": False}, "own weights": {"scored": True, "shared": False},
+    "shared": {"scored": True, "shared": True}, "shared, 1 liar": {"scored": True, "shared": True, "liars": 1},
+    "shared, 3 liars": {"scored": True, "shared": True, "liars": 3}}
+SPANS = 6
+MENDED: dict[str, dict[str, Any]] = {
+    "300 requests/s": {"rate": 300.0, "seconds": 88, "fail_part": 0.4, "mended": 28},
+    "60 requests/s": {"rate": 60.0, "seconds": 88, "fail_part": 0.4, "mended": 28}}
 QUIET = list(HISTORIES)[2:]
 
 
@@ -60,20 +68,34 @@
 
 def fleet(pool: ProcessPoolExecutor) -> list[str]:
     """Tell what heads meet, with weights of their own, shared ones, and liars."""
-    ways: dict[str, dict[str, Any]] = {
-        "no scorers": {"scored": False, "shared": False}, "own weights": {"scored": True, "shared": False},
-        "shared": {"scored": True, "shared": True}, "shared, 1 liar": {"scored": True, "shared": True, "liars": 1},
-        "shared, 3 liars": {"scored": True, "shared": True, "liars": 3}}
     rows = ["| history | weights | met the failing brick | not served | share of the failing one | of the accused one "
             "| p99, ms | told by a head, bytes/s |", "| --- | --- | --- | --- | --- | --- | --- | --- |"]
     for name, words in HISTORIES.items():
-        for label, way in ways.items():
+        for label, way in WAYS.items():
             ends = list(pool.map(history, [(seed, words | way, "trimmed by thirds, by trust") for seed in SEEDS]))
             rows.append(f"| {name} | {label} | {cells(ends)} | "
                         f"{statistics.fmean(end[5] for end in ends) / words['seconds'] / model.HEADS:.0f} |")
     return rows
 
 
+def back(job: tuple[int, dict[str, Any]]) -> list[float]:
+    """Tell the share of a brick that works again, by spans of 10 s."""
+    one = model.Model(job[0], **job[1]).run()
+    return [one.by_span[span] * model.BRICKS / max(1, one.all_by_span[span]) for span in range(SPANS)]
+
+
+def recovery(pool: ProcessPoolExecutor) -> list[str]:
+    """Tell how soon a brick that works again is used as before."""
+    ends = " | ".join(f"{10 * span} to {10 * span + 10} s" for span in range(SPANS))
+    rows = [f"| history | weights | {ends} |", "| --- " * (SPANS + 2) + "|"]
+    for name, words in MENDED.items():
+        for label, way in list(WAYS.items())[:3]:
+            found = list(pool.map(back, [(seed, words | way) for seed in SEEDS]))
+            parts = " | ".join(f"{statistics.fmean(column):.2f}" for column in zip(*found, strict=True))
+            rows.append(f"| {name} | {label} | {parts} |")
+    return rows
+
+
 def cells(ends: Sequence[tuple[int, int, float, float, float, int]]) -> str:
     """Tell histories' ends as cells: means, and for who met the brick the standard error."""
     met = [end[0] for end in ends]
@@ -128,6 +150,10 @@
 served. Means over {len(SEEDS)} seeds, with the standard error. Shares are of what honest heads sent, 1 is an even one;
 in quiet histories they stray by 0.1 by chance.
 """, *fleet(pool), """
+## A brick that works again
+
+It failed 40 % of its requests from the eighth to the twenty-eighth second. Its share of what is sent, by time since.
+""", *recovery(pool), """
 ## Ways to merge
 
 The last of the histories above with its seeds, each way in place of the other in the whole.
--- a/benchmarks/scoring_model.py
+++ b/benchmarks/scoring_model.py
@@ -76,11 +76,16 @@
 class Model:
     """One history; `met` counts requests that met a failure, by second since the brick began to fail."""
 
+    NEVER = 10 ** 12
+
     def __init__(self, seed: int, scored: bool, shared: bool, rate: float, seconds: int, fail_part: float,
-                 liars: int = 0, merge: Merge | None = None,                 restarts: bool = False) -> None:
+                 liars: int = 0, merge: Merge | None = None, restarts: bool = False, mended: int = 0) -> None:
         self.random, self.liars = random.Random(seed), liars
         self.make: Callable[[int], Head] = lambda number: Head(number, seed + number, scored, shared, merge)
         self.heads = [self.make(number) for number in range(HEADS)]
+        self.mended = mended * S or self.NEVER     # when the brick fails no more
+        self.by_span: Counter[int] = Counter()     # sends to it, by 10 s since then
+        self.all_by_span: Counter[int] = Counter()
         self.restarts, self.rate, self.until, self.fail_part = restarts, rate, seconds * S, fail_part
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -144,7 +149,11 @@
         node, sent = action.node, self.now
         if self.now >= FAIL_FROM and head.number >= self.liars:
             self.placed[node] += 1
-        if node == FAILING and self.now >= FAIL_FROM and self.random.random() < self.fail_part:
+            if self.now >= self.mended:
+                span = (self.now - self.mended) // (10 * S)
+                self.by_span[span] += node == FAILING
+                self.all_by_span[span] += 1
+        if node == FAILING and FAIL_FROM <= self.now < self.mended and self.random.random() < self.fail_part:
             result, done = api.Result.ERROR, self.now + FAIL_US
         else:
             result = api.Result.OK
