--- a/hophinge/load/rig/relay.py
+++ b/hophinge/load/rig/relay.py
@@ -49,7 +49,8 @@
         self.ports: dict[str, Port] = {}
         self.real: dict[str, Address] = {}
         self.names: dict[Address, str] = {}
-        self.sent: Counter[str] = Counter()     # bytes by sender, as they came
+        self.sent: Counter[str] = Counter()     # bytes by sender, as they came, headers not counted
+        self.datagrams: Counter[str] = Counter()
         self.waiting = 0
         self.servers: list[asyncio.Server] = []
         self.streams: set[asyncio.Task[None]] = set()
@@ -82,6 +83,7 @@
         """Let a datagram come as often and as late as the network says."""
         source = self.names.get(came_from[:2], STRANGER)
         self.sent[source] += len(data)
+        self.datagrams[source] += 1
         if target == STRANGER:
             return
         for after_us in self.network.fate(source, target):
--- a/tests/test_rig_network.py
+++ b/tests/test_rig_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 from typing import cast
 
@@ -184,3 +185,42 @@
         await relay.close()
         server.close()
     run(main())
+
+
+@pytest.mark.parametrize("mutant", ["lots in turn", "a cut forgets", "a cut both ways"])
+def test_mutants_of_the_network_are_caught(mutant: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lots drawn in turn by all links; a cut that does not count what it takes; a cut one way that cuts both."""
+    if mutant == "lots in turn":
+        dice = random.Random(1)
+        monkeypatch.setattr("hophinge.load.rig.fates.lots", lambda *_: tuple(dice.random() for _ in range(5)))
+        order = [("a", "b"), ("a", "c")] * 20
+        assert history(1, order) != history(1, sorted(order))
+    elif mutant == "a cut forgets":
+        real = Network.fate
+        monkeypatch.setattr(Network, "fate", lambda self, *link: () if link in self.cuts else real(self, *link))
+        assert fates_round_a_cut() != fates_without()
+    else:
+        monkeypatch.setattr(Network, "cut", lambda self, one, other, both=True: self.cuts.update(
+            {(a, b) for a in one for b in other} | {(b, a) for a in one for b in other}))
+        with pytest.raises(AssertionError):
+            test_a_split_by_zone_and_a_cut_one_way()
+
+
+def fates_without() -> list[tuple[int, ...]]:
+    network = Network(4)
+    network.set(ROUGH)
+    return [network.fate("a", "b") for _ in range(40)][20:]
+
+
+def fates_round_a_cut() -> list[tuple[int, ...]]:
+    """The fates after a cut that took the first twenty."""
+    network = Network(4)
+    network.set(ROUGH)
+    network.cut({"a"}, {"b"})
+    assert not any(network.fate("a", "b") for _ in range(20))
+    network.heal()
+    return [network.fate("a", "b") for _ in range(20)]
+
+
+def test_a_cut_counts_on_so_that_what_comes_after_it_is_the_same() -> None:
+    assert fates_round_a_cut() == fates_without()
