--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -191,23 +191,30 @@
         return one.rows
 
 
-async def main() -> None:
-    """Measure all, and write the table."""
-    with tempfile.TemporaryDirectory(prefix="hophinge-together-") as folder:
-        before = await starts(Path(folder), PLAN)
-        print("\n".join(before), flush=True)
-        sizes = [await fleet(Path(folder) / str(count), count) for count in SIZES]
+def table(before: list[str], sizes: dict[int, dict[str, str]]) -> str:
+    """Write what is measured so far."""
     lines = ["# Heads among peers", "",
              f"`python benchmarks/together.py`; {len(os.sched_getaffinity(0))} cores, load average "
              f"{os.getloadavg()[0]:.0f} at the end. Median (least to most). Real heads with `[cluster]` of 20,000 "
              f"bytes/s, all datagrams through the rig's relay, {RATE:g} requests/s to each head that runs; no request "
              "is asked again. Bytes are of datagrams with 28 bytes of headers each.", "",
-             "| | " + " | ".join(f"{count} heads" for count in SIZES) + " |", "| --- " * (len(SIZES) + 1) + "|"]
-    for row in sizes[0]:
-        lines.append(f"| {row} | " + " | ".join(one[row] for one in sizes) + " |")
+             "| | " + " | ".join(f"{count} heads" for count in sizes) + " |", "| --- " * (len(sizes) + 1) + "|"]
+    for row in next(iter(sizes.values())):
+        lines.append(f"| {row} | " + " | ".join(one[row] for one in sizes.values()) + " |")
     lines += ["", "A platform's head, which has no operator's file, before the cluster came into the program and now; "
               f"{ROUNDS} starts each, in turn:", "", *before]
-    TABLE.write_text("\n".join(lines) + "\n")
+    return "\n".join(lines) + "\n"
+
+
+async def main() -> None:
+    """Measure all, and write the table; what is measured stands there also where a later part fails."""
+    sizes: dict[int, dict[str, str]] = {}
+    with tempfile.TemporaryDirectory(prefix="hophinge-together-") as folder:
+        before = await starts(Path(folder), PLAN)
+        print("\n".join(before), flush=True)
+        for count in SIZES:
+            sizes[count] = await fleet(Path(folder) / str(count), count)
+            TABLE.write_text(table(before, sizes))
 
 
 if __name__ == "__main__":
