--- /dev/null
+++ b/hophinge/popularity/predict.py
@@ -0,0 +1,245 @@
+"""What will be asked for in the next span: several courses an object may take, weighed by how well each foretold it.
+
+Each course is a gamma filter: it holds a rate's belief as a shape and a sum of exposure, discounts it each span, moves
+it by its growth, and so foretells the next count as a negative binomial. What the count then was is the evidence by
+which courses are weighed. The rates of decay are an object's own, drawn towards its publisher's usual ones while it is
+young and its own counts say little.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+LAST, STEADY, EXPONENTIAL, POWER, DAILY = range(5)
+COURSES = ("last", "steady", "exponential", "power", "daily")
+DISCOUNTS = (0.15, 0.85, 0.55, 0.65, 0.3)      # of what was known, each span; by trying out on the tuning seeds
+MOST_SHAPE = 60.0       # a belief is never surer than this: sources change faster than a filter would have it
+FORGET = 0.9            # of evidence for courses, each span: ten spans say which course an object takes
+RATE_FORGET = 0.85      # of what an object's own decay was reckoned from
+PRIOR_RATIOS = 6.0      # of such evidence that the publisher's usual decay counts for
+PRIOR_FIRST = 1.0       # shape of what a publisher's new object is held for
+MOST_GROWTH, LEAST_GROWTH = 2.0, 0.3   # of a rate in one span: a fit to two odd counts must not run away
+PHASES = 24             # buckets of a day
+FIRST_OF_ALL = 0.5      # requests in its first span, where a publisher is not known at all
+Z90 = 1.645
+IDLE_RATE = 0.02        # requests a span below which an object is not followed on
+SEASON_DAYS = 0.5       # a bucket's weight of yesterday when it is met again
+
+
+class Prediction(Struct, frozen=True):
+    """Requests in the next span: the mean, and bounds that hold nine times in ten."""
+
+    mean: float
+    low: float
+    high: float
+
+
+class Usual(Struct):
+    """How a publisher's objects go as a rule: their first span, and both kinds of decay."""
+
+    first: float = FIRST_OF_ALL
+    seen: float = 1.0
+    exp_ratio: float = 0.0
+    exp_weight: float = 1.0
+    pow_ratio: float = 0.0
+    pow_weight: float = 1.0
+
+
+class Course(Struct):
+    """One object's beliefs."""
+
+    tenant: str
+    age: int
+    last: float
+    shapes: list[float]
+    exposures: list[float]
+    evidence: list[float]
+    means: list[float]
+    mean: float = 0.0
+    low: float = 0.0
+    high: float = 0.0
+    exp_ratio: float = 0.0
+    exp_weight: float = 0.0
+    pow_ratio: float = 0.0
+    pow_weight: float = 0.0
+    day: list[float] | None = None      # by bucket, the rate when it was met last; below 0: not met yet
+
+
+def _log_likelihood(count: float, shape: float, exposure: float) -> float:
+    """Tell a negative binomial's log probability of a count."""
+    return (math.lgamma(count + shape) - math.lgamma(shape) - math.lgamma(count + 1.0)
+            + shape * math.log(exposure / (exposure + 1.0)) - count * math.log(exposure + 1.0))
+
+
+class Season:
+    """A site's daily wave, from all its requests: by how much the next span's should differ."""
+
+    def __init__(self, spans_a_day: int) -> None:
+        self.spans_a_day = max(PHASES, spans_a_day)
+        self.span = 0
+        self.levels = [-1.0] * PHASES
+
+    def bucket(self, ahead: int = 0) -> int:
+        """Tell the bucket of the day of a span to come; 0: of the one that closes."""
+        return (self.span + ahead) % self.spans_a_day * PHASES // self.spans_a_day
+
+    def close(self, total: float) -> float:
+        """Take a span's total; tell the growth to expect from it to the next."""
+        here, then = self.bucket(), self.bucket(1)
+        self.span += 1
+        part = min(1.0, SEASON_DAYS * PHASES / self.spans_a_day)
+        known = self.levels[here]
+        ratio = 1.0
+        # Only what a whole day showed counts: before that a rise may be anything.
+        if here != then and self.levels[then] >= 0.0 and known >= 0.0 and self.span > self.spans_a_day:
+            ratio = (self.levels[then] + 1.0) / (known + 1.0)
+        self.levels[here] = total if known < 0.0 else known + part * (total - known)
+        return min(MOST_GROWTH, max(LEAST_GROWTH, ratio))
+
+
+class Predictor:
+    """Predictions of one site, over spans of one length."""
+
+    def __init__(self, spans_a_day: int) -> None:
+        self.season = Season(spans_a_day)
+        self.growth = 1.0       # that the daily wave alone lets expect from the closed span to the next
+        self.grown = 1.0        # the same for the span that has closed
+        self.courses: dict[bytes, Course] = {}
+        self.usual: dict[str, Usual] = {}
+        self.here = self.then = 0
+
+    def begin(self, total: float) -> None:
+        """Close a span whose requests were so many; `observe` then takes them by key."""
+        self.here, self.then = self.season.bucket(), self.season.bucket(1)
+        self.grown, self.growth = self.growth, self.season.close(total)
+
+    def predict(self, key: bytes) -> Prediction | None:
+        """Tell the next span's requests for a key; nothing where it is not followed."""
+        course = self.courses.get(key)
+        return None if course is None else Prediction(course.mean, course.low, course.high)
+
+    def weights(self, key: bytes) -> dict[str, float]:
+        """Tell how much each course counts for a key."""
+        course = self.courses.get(key)
+        return {} if course is None else dict(zip(COURSES, _weights(course.evidence), strict=True))
+
+    def new(self, tenant: str) -> Prediction:
+        """Tell the first span's requests for an object that its publisher has just made."""
+        usual = self.usual.get(tenant, Usual())
+        return _interval(usual.first, usual.first + usual.first ** 2 / PRIOR_FIRST)
+
+    def forget(self, key: bytes) -> None:
+        """Follow a key no longer."""
+        self.courses.pop(key, None)
+
+    def observe(self, key: bytes, tenant: str, count: float) -> Prediction:
+        """Take a key's requests in the span that has closed, and foretell its next."""
+        course = self.courses.get(key)
+        if course is None and count <= 0.0:
+            return Prediction(0.0, 0.0, 0.0)    # quiet, and not followed: nothing to learn from
+        usual = self.usual.get(tenant)
+        if usual is None:
+            usual = self.usual[tenant] = Usual()
+        if course is None:
+            course = self.courses[key] = self._made(tenant, count, usual)
+        else:
+            self._weigh(course, count)
+            self._fit(course, usual, count)
+            course.age += 1
+        self._day(course, count)
+        course.last = count
+        self._foretell(course, usual)
+        if course.mean < IDLE_RATE and count <= 0.0:
+            del self.courses[key]
+        return Prediction(course.mean, course.low, course.high)
+
+    def _made(self, tenant: str, count: float, usual: Usual) -> Course:
+        usual.seen = min(50.0, usual.seen + 1.0)
+        usual.first += (count - usual.first) / usual.seen
+        exposure = PRIOR_FIRST / max(usual.first, 0.01)
+        return Course(tenant, 0, count, [PRIOR_FIRST + count] * len(COURSES), [exposure + 1.0] * len(COURSES),
+                      [0.0] * len(COURSES), [0.0] * len(COURSES))
+
+    def _weigh(self, course: Course, count: float) -> None:
+        """Weigh the courses by what each foretold, then take the count into their beliefs."""
+        for at in range(len(COURSES)):
+            shape, exposure = course.shapes[at], course.exposures[at]
+            course.evidence[at] = FORGET * course.evidence[at] + _log_likelihood(count, shape, exposure)
+            course.shapes[at], course.exposures[at] = shape + count, exposure + 1.0
+
+    def _fit(self, course: Course, usual: Usual, count: float) -> None:
+        """Reckon decay from the last two counts: its own, and what its publisher's objects do as a rule."""
+        both = course.last + count
+        if both <= 0.0:
+            return
+        # A ratio of counts is known as well as the smaller allows; the site's own wave is taken out first.
+        ratio = math.log((count + 0.5) / (course.last + 0.5) / self.grown)
+        weight = min(50.0, (course.last + 0.5) * (count + 0.5) / (both + 1.0))
+        step = math.log((course.age + 2.0) / (course.age + 1.0))
+        course.exp_ratio = RATE_FORGET * course.exp_ratio + weight * ratio
+        course.exp_weight = RATE_FORGET * course.exp_weight + weight
+        course.pow_ratio = RATE_FORGET * course.pow_ratio + weight * ratio * step
+        course.pow_weight = RATE_FORGET * course.pow_weight + weight * step * step
+        usual.exp_ratio += weight * ratio
+        usual.exp_weight += weight
+        usual.pow_ratio += weight * ratio * step
+        usual.pow_weight += weight * step * step
+        if usual.exp_weight > 1e4:      # so that a publisher's ways may change
+            usual.exp_ratio, usual.exp_weight = usual.exp_ratio / 2, usual.exp_weight / 2
+            usual.pow_ratio, usual.pow_weight = usual.pow_ratio / 2, usual.pow_weight / 2
+
+    def _day(self, course: Course, count: float) -> None:
+        if course.day is None:
+            if course.age * PHASES < self.season.spans_a_day:
+                return          # most objects do not live for an hour: they keep no day
+            course.day = [-1.0] * PHASES
+        known = course.day[self.here]
+        part = min(1.0, 2.0 * PHASES / self.season.spans_a_day)
+        course.day[self.here] = count if known < 0.0 else known + part * (count - known)
+
+    def _foretell(self, course: Course, usual: Usual) -> None:
+        drawn = PRIOR_RATIOS
+        exp_rate = ((course.exp_ratio + drawn * usual.exp_ratio / usual.exp_weight) / (course.exp_weight + drawn))
+        step = math.log((course.age + 2.0) / (course.age + 1.0))
+        drawn_pow = drawn * step * step
+        power = ((course.pow_ratio + drawn_pow * usual.pow_ratio / usual.pow_weight)
+                 / (course.pow_weight + drawn_pow))
+        growths: Sequence[float] = (1.0, self.growth, math.exp(exp_rate) * self.growth,
+                                    math.exp(power * step) * self.growth, self.growth)
+        for at, growth in enumerate(growths):
+            growth = min(MOST_GROWTH, max(LEAST_GROWTH, growth))
+            shape = DISCOUNTS[at] * course.shapes[at]
+            exposure = DISCOUNTS[at] * course.exposures[at]
+            if at == DAILY and course.day is not None and course.day[self.then] >= 0.0:
+                shape = 5.0
+                exposure = shape / max(0.05, course.day[self.then])
+                growth = 1.0
+            most = min(1.0, MOST_SHAPE / max(shape, 1e-9))
+            course.shapes[at] = max(0.02, shape * most)
+            course.exposures[at] = max(1e-6, exposure * most / growth)
+            course.means[at] = course.shapes[at] / course.exposures[at]
+        weights = _weights(course.evidence)
+        mean = sum(weight * one for weight, one in zip(weights, course.means, strict=True))
+        square = sum(weight * (one + one * one / shape + one * one) for weight, one, shape in zip(
+            weights, course.means, course.shapes, strict=True))
+        found = _interval(mean, max(mean, square - mean * mean))
+        course.mean, course.low, course.high = found.mean, found.low, found.high
+
+
+def _weights(evidence: list[float]) -> list[float]:
+    most = max(evidence)
+    parts = [math.exp(one - most) for one in evidence]
+    total = sum(parts)
+    return [one / total for one in parts]
+
+
+def _interval(mean: float, variance: float) -> Prediction:
+    """Tell a skewed interval: the logarithm of the count and a half is taken for normal, by its moments."""
+    shifted = mean + 0.5
+    spread = math.sqrt(math.log1p(variance / (shifted * shifted)))
+    centre = math.log(shifted) - spread * spread / 2.0
+    low = math.floor(max(0.0, math.exp(centre - Z90 * spread) - 0.5))
+    return Prediction(mean, low, math.ceil(max(0.0, math.exp(centre + Z90 * spread) - 0.5)))
