--- /dev/null
+++ b/hophinge/head/popularity.py
@@ -0,0 +1,231 @@
+"""Popularity at a head: counts what its object front reads, tells peers, foretells, and fetches beforehand."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from hophinge.cluster.interface import Board, Role, Sight, Standing, Topic
+from hophinge.core import interface as api
+from hophinge.core.counters import Counters
+from hophinge.core.errors import HophingeError, told
+from hophinge.head.sections import PopularityConfig
+from hophinge.objects.beforehand import Fetcher
+from hophinge.objects.cache import Object, PieceCache
+from hophinge.objects.records import Manifest, manifest_id, shard_of
+from hophinge.objects.store import Store
+from hophinge.objects.tenants import Volume
+from hophinge.popularity.keys import Keys, Locator
+from hophinge.popularity.planner import Facts, Planner, Source
+from hophinge.popularity.site import DAY_US, SPAN_US, Site
+
+TICK_S = 0.5            # between looks at peers, spans and what might be fetched
+STEP = 100              # predictions made at once: about a millisecond, in which no request is served
+PLAN_TICKS = 4          # between plans, where the last one was carried out
+MOST_SECRET = 4096      # bytes of the file
+
+
+class SecretUnusableError(HophingeError):
+    """The installation's secret cannot be used."""
+
+    code = "popularity-secret-unusable"
+    remedy = ("Put the installation's secret, the same at each head and at least 16 bytes long, into the file that "
+              "[popularity] names, readable by the head.")
+
+
+def read_secret(path: Path) -> bytes:
+    """Read the installation's secret."""
+    try:
+        with path.open("rb") as file:
+            secret = file.read(MOST_SECRET).strip()
+        Keys(secret)
+    except (OSError, ValueError) as error:
+        raise SecretUnusableError(f"[popularity] secret_file {str(path)!r}: {error}") from error
+    return secret
+
+
+def drains(board: Board) -> Callable[[str], bool]:
+    """Make the predicate of bricks that some member says are in a drain: the entry's key or value names them."""
+    def draining(node: str) -> bool:
+        name = node.encode()
+        return any(entry.key == node or name in entry.value for entry in board.entries(Topic.DRAINS))
+
+    return draining
+
+
+class HeadPopularity:
+    """What a head does about popularity; alone, without sight and board, it goes by its own counts."""
+
+    def __init__(self, config: PopularityConfig, store: Store, owner_of: Callable[[str], tuple[str, str] | None],
+                 counters: Counters, log: Callable[[str], None], sight: Sight | None = None,
+                 board: Board | None = None, span_us: int = SPAN_US, day_us: int = DAY_US) -> None:
+        """`owner_of` tells a volume's tenant and plan; it knows the volumes that this head serves."""
+        self.config, self.store, self.owner_of, self.counters, self.log = config, store, owner_of, counters, log
+        self.sight, self.board = sight, board
+        self.exchange = store.core.exchange
+        me = sight.me if sight is not None else ""
+        zone = next((one.zone for one in sight.members() if one.name == me), "") if sight is not None else ""
+        self.site = Site(Keys(read_secret(config.secret_file)), config.count_bytes, config.tenant_part, me, zone,
+                         span_us, day_us)
+        self.cache = PieceCache(config.cache_bytes, config.tenant_part, lambda volume: (owner_of(volume) or ("",))[0],
+                                lambda one: self.site.wanted_object(one))
+        self.cache.tell = self._asked_for
+        now_us = self.exchange.now_us()
+        self.planner = Planner(me, zone, config.fetch_bytes_s, config.tenant_part, now_us)
+        if board is not None:
+            self.planner.draining = drains(board)
+        self.fetcher = Fetcher(store.core, self.cache, self.planner, self.facts)
+        store.watcher, store.core.cache = self, self.cache
+        self.closes_us = now_us + span_us
+        self.words: dict[Object, str] = {}          # of what was fetched on a peer's word: whose
+        self.taken: dict[tuple[str, str], tuple[int, int]] = {}     # versions of pages that were looked at
+        self.told = 0                               # pages that are on the board
+        self.tried: dict[bytes, int] = {}           # in which span a fetch was tried
+        self.refusals = 0
+
+    # --- what the store tells
+
+    def _locator(self, volume: Volume, name: str) -> Locator:
+        return Locator(volume.id, manifest_id(name), shard_of(volume.id, name, self.store.core.shards))
+
+    def version(self, volume: Volume, name: str, manifest: Manifest) -> None:
+        """Take an object's manifest as it is now; one without an ETag is that of a deleted object."""
+        locator = self._locator(volume, name)
+        self.cache.seen(volume.id, locator.manifest, manifest)
+        if manifest.etag:
+            self.site.note(locator, (self.owner_of(volume.id) or ("",))[0], manifest.size)
+        else:
+            self.site.gone(locator)
+
+    def read(self, volume: Volume, manifest: Manifest, first: int, last: int) -> None:
+        """Count a read that begins."""
+        one = self.cache.object_of(volume.id, manifest.runs[0]) if manifest.runs else None
+        key = self.site.by_object.get(one) if one is not None else None
+        if key is not None:
+            self.site.asked(self.exchange.now_us(), key)
+
+    def wanted(self, key: str) -> float:
+        """Tell predicted requests a second for what a brick is asked for; 0.0 where nothing is known."""
+        return self.site.wanted(key)
+
+    def _asked_for(self, one: Object, useful: bool) -> None:
+        self.counters.add("beforehand_useful" if useful else "beforehand_useless")
+        owner = self.words.pop(one, "")
+        if owner:
+            self.site.trust(owner, useful)
+
+    # --- facts
+
+    def facts(self) -> Facts:
+        """Tell what this head sees now; a brick has to spare what a full body takes, less what is out there."""
+        now_us, exchange = self.exchange.now_us(), self.exchange
+        refused = exchange.counters.counts["requests_refused"] - self.fetcher.refused
+        overloaded, self.refusals = refused > self.refusals, refused
+        sources: dict[int, list[Source]] = {}
+        for name, book in exchange.scheduler.books.items():
+            idle = book.free <= now_us or not book.units_out
+            spare = exchange.settings.most_units - book.units_out if idle and not book.failures else 0.0
+            warm = book.warmth(now_us, exchange.settings.rules.cold_us) >= 1.0
+            sources.setdefault(book.entry.shard, []).append(
+                Source(name, book.entry.shard, book.entry.phase is api.Phase.ON, warm, spare))
+        return Facts(max(0, exchange.unanswered - self.fetcher.out), overloaded, sources)
+
+    # --- the loop
+
+    async def run(self) -> None:
+        """Go on until cancelled; a fault costs popularity, never a request."""
+        ticks = 0
+        while True:
+            await asyncio.sleep(TICK_S)
+            try:
+                self.tick()
+                ticks += 1
+                if ticks % PLAN_TICKS == 0:
+                    await self.fetch()
+            except Exception as error:
+                self.counters.add("popularity_faults")
+                self.log(f"popularity: {told(error)}")
+
+    def tick(self) -> None:
+        """Hear peers, close a span that is over, and foretell a few keys."""
+        now_us = self.exchange.now_us()
+        self._hear(now_us)
+        self.site.step(STEP)
+        if now_us >= self.closes_us:
+            self.closes_us = max(self.closes_us + self.site.span_us, now_us)
+            self.tried = {key: span for key, span in self.tried.items() if span >= self.site.span}
+            self._tell(self.site.close(now_us, self.owner_of))
+
+    def _hear(self, now_us: int) -> None:
+        if self.board is None or self.sight is None:
+            return
+        members = self.sight.members()
+        zones = {one.name: one.zone for one in members if one.counts}
+        heads = sum(one.zone == self.site.zone and one.role is Role.HEAD and one.standing is Standing.ALIVE
+                    for one in members)
+        self.planner.share(now_us, heads)
+        seen = {}
+        for entry in self.board.entries(Topic.POPULARITY):
+            if entry.owner == self.site.me or entry.owner not in zones:
+                continue
+            place = entry.owner, entry.key
+            seen[place] = entry.version
+            if self.taken.get(place) != entry.version:
+                self.site.hearsay.take(now_us, entry.owner, zones[entry.owner], entry.version, entry.value)
+        self.taken = seen
+        for owner in self.site.hearsay.owners.keys() - zones.keys():
+            self.site.hearsay.drop(owner)
+
+    def _tell(self, made: list[bytes]) -> None:
+        if self.board is None:
+            return
+        try:
+            for number, page in enumerate(made):
+                self.board.put(Topic.POPULARITY, str(number), page)
+            for number in range(len(made), self.told):
+                self.board.drop(Topic.POPULARITY, str(number))
+            self.told = len(made)
+        except HophingeError as error:
+            # Peers then go by what they have; it is only a hint.
+            self.counters.add("popularity_untold")
+            self.log(f"popularity is not told: {told(error)}")
+
+    async def fetch(self) -> None:
+        """Carry out a plan, one read at a time; what does not come to its turn is planned anew."""
+        if not self.config.cache_bytes or not self.config.fetch_bytes_s:
+            return
+        members = self.sight.members() if self.sight is not None else ()
+        fresh = (one for one in self.site.candidates(
+            lambda at: self.cache.holds((at.volume, at.manifest)), self.store.core.units) if one.key not in self.tried)
+        for one in self.planner.plan(self.exchange.now_us(), members, self.facts(), fresh):
+            known = self.site.known.get(one.key)
+            owner = self.owner_of(known.locator.volume) if known is not None else None
+            if known is None or owner is None:
+                continue
+            self.tried[one.key] = self.site.span
+            if word := self.site.by_word(one.key):
+                self.words[known.locator.volume, known.locator.manifest] = word
+            manifest = await self.fetcher.fetch(one, known.locator, Volume(known.locator.volume, owner[1]))
+            if manifest is not None and manifest.etag:
+                known.size = manifest.size
+            elif manifest is not None:
+                self.site.gone(known.locator)
+            if self.planner.busy(self.exchange.now_us(), self.facts()):
+                break
+
+    # --- what operators and tenants see
+
+    def status(self) -> dict[str, object]:
+        """Tell operators how it goes; no object is named."""
+        cache, fetcher = self.cache, self.fetcher
+        return {"span": self.site.span, "counters": len(self.site.sketch), "followed": len(self.site.predictor.courses),
+                "peers": len(self.site.hearsay.owners), "malformed": self.site.hearsay.malformed,
+                "kept_bytes": cache.size, "kept_pieces": len(cache.held), "hits": cache.hits, "misses": cache.misses,
+                "fetched_objects": fetcher.objects, "fetched_bytes": fetcher.bytes, "fetches_refused": fetcher.refused,
+                "useful": cache.useful, "useless": cache.useless,
+                "held_back": {why.value: count for why, count in self.planner.held_back.items()}}
+
+    def tenant(self, tenant: str) -> dict[str, float]:
+        """Tell a tenant its own figures."""
+        return {**self.site.tenant(self.exchange.now_us(), tenant), "kept_bytes": self.cache.sizes.get(tenant, 0)}
--- /dev/null
+++ b/hophinge/objects/beforehand.py
@@ -0,0 +1,76 @@
+"""Fetches beforehand: an object's manifest and pieces into this head's cache, one read at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import msgspec
+
+from hophinge.core.exchange import Verdict
+from hophinge.objects.cache import OVERHEAD, PieceCache
+from hophinge.objects.pieces import Budget, Core, CoreFailedError, RefusedError
+from hophinge.objects.records import Manifest
+from hophinge.objects.tenants import Volume
+from hophinge.popularity.keys import Locator
+from hophinge.popularity.planner import Candidate, Facts, Planner, Why
+
+RECORD_BYTES = 4096     # taken from budgets for a manifest, whose size is not known before
+
+
+class Fetcher:
+    """Carries out a plan; asks the planner before each read, for facts change while an object is fetched."""
+
+    def __init__(self, core: Core, cache: PieceCache, planner: Planner, facts: Callable[[], Facts]) -> None:
+        self.core, self.cache, self.planner, self.facts = core, cache, planner, facts
+        self.out = 0            # reads of its own that are out: they are not others' requests
+        self.objects = self.bytes = self.refused = 0
+
+    async def fetch(self, one: Candidate, locator: Locator, volume: Volume) -> Manifest | None:
+        """Fetch an object as far as budgets and bricks allow; tells its manifest, or nothing where none was read."""
+        body = await self._read(one, locator.shard, RECORD_BYTES, partial(self._manifest, volume, locator))
+        if body is None:
+            return None
+        try:
+            manifest = msgspec.msgpack.decode(body, type=Manifest) if body else Manifest()
+        except msgspec.MsgspecError:
+            return None
+        self.cache.seen(locator.volume, locator.manifest, manifest)
+        if not manifest.etag:
+            return manifest         # deleted: there is nothing to fetch
+        self.objects += 1
+        for run in manifest.runs:
+            for at, piece in enumerate(run.pieces):
+                if self.cache.has(volume.id, run, at):
+                    continue
+                if not self.cache.would_keep((locator.volume, locator.manifest), piece.size + OVERHEAD):
+                    return manifest
+                piece_read = partial(self.core.read_piece, volume, run, at, self._budget(), True)
+                read = await self._read(one, piece.shard, piece.size, piece_read)
+                if read is None:
+                    return manifest
+                self.bytes += piece.size
+        return manifest
+
+    def _budget(self) -> Budget:
+        return Budget(self.core.exchange.now_us(), None)
+
+    async def _manifest(self, volume: Volume, locator: Locator) -> bytes:
+        answer = await self.core.call(volume, locator.manifest, locator.shard, None, 1, self._budget(), True)
+        return b"" if answer.verdict is Verdict.ABSENT else answer.body
+
+    async def _read(self, one: Candidate, shard: int, size: int, read: Callable[[], Awaitable[bytes]]) -> bytes | None:
+        now_us = self.core.exchange.now_us()
+        why: Why | None = self.planner.may(now_us, one.tenant, shard, size, self.core.units(size), self.facts())
+        if why is not None:
+            return None
+        self.planner.spend(now_us, one.tenant, size)
+        self.out += 1
+        try:
+            return await read()
+        except (RefusedError, CoreFailedError):
+            self.refused += 1
+            self.planner.refused(self.core.exchange.now_us())
+            return None
+        finally:
+            self.out -= 1
--- a/hophinge/objects/cache.py
+++ b/hophinge/objects/cache.py
@@ -87,6 +87,11 @@
         while len(self.objects) > MOST_OBJECTS:
             self.version(next(iter(self.objects)), ())
 
+    def holds(self, one: Object) -> bool:
+        """Tell whether any piece of an object is kept."""
+        known = self.objects.get(one)
+        return known is not None and bool(known.kept)
+
     def object_of(self, volume: str, run: Run) -> Object | None:
         """Tell whose run it is, where its manifest was seen."""
         return self.runs.get((volume, run.token))
@@ -134,19 +139,35 @@
         self.sizes[known.tenant] = self.sizes.get(known.tenant, 0) + size
         return True
 
+    def would_keep(self, one: Object, size: int) -> bool:
+        """Tell whether a piece of an object, so many bytes, would be kept if it were fetched beforehand now."""
+        known = self.objects.get(one)
+        if known is None or size > min(self.most, self.most_each):
+            return False
+        worth = self.wanted(one) / size
+        if self.sizes.get(known.tenant, 0) + size > self.most_each:
+            return self._victim(worth, one, True, known.tenant) is not None
+        return self.size + size <= self.most or self._victim(worth, one, True, None) is not None
+
     def _make_room(self, worth: float, one: Object, beforehand: bool, tenant: str | None) -> bool:
-        """Let the piece of least demand a byte go, of those used longest ago; False where the newcomer has less.
+        victim = self._victim(worth, one, beforehand, tenant)
+        if victim is not None:
+            self._drop(victim)
+        return victim is not None
+
+    def _victim(self, worth: float, one: Object, beforehand: bool, tenant: str | None) -> Place | None:
+        """Tell the piece of least demand a byte, of those used longest ago; none where the newcomer has less.
 
         Where nothing is known of demand, both count 0 and the one used longest ago goes.
         """
         old = itertools.islice((place for place, held in self.held.items()
                                 if tenant is None or held.tenant == tenant), SAMPLE)
-        least, victim = min(((self.wanted(self.held[place].object) / (len(self.held[place].body) + OVERHEAD), at, place)
-                             for at, place in enumerate(old)), key=lambda row: row[:2])[::2]
+        least, _, victim = min(((self.wanted(self.held[place].object) / (len(self.held[place].body) + OVERHEAD), at,
+                                 place) for at, place in enumerate(old)), key=lambda row: row[:2])
+        # An object that pushes out its own pieces would never be whole.
         if worth < least or (beforehand and worth <= least) or self.held[victim].object == one:
-            return False    # an object that pushes out its own pieces would never be whole
-        self._drop(victim)
-        return True
+            return None
+        return victim
 
     def _drop(self, place: Place) -> None:
         held = self.held.pop(place)
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -8,7 +8,7 @@
 import zlib
 from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from msgspec import structs
 
@@ -22,6 +22,7 @@
 
 # An absent object is an answer: its node did the work.
 OUTCOMES = {Verdict.SERVED: FULFILLED, Verdict.ABSENT: FULFILLED, Verdict.REFUSED: THROTTLED, Verdict.FAILED: FAULTED}
+BEFOREHAND = "beforehand"   # the volume that fetches beforehand count on: no tenant's use, reserve or limit is touched
 LEAST_WAIT_US = 50_000     # before a piece that was refused without advice is asked for again
 
 
@@ -48,6 +49,16 @@
         return None if self.until is None else max(0, self.until - now_us)
 
 
+class Kept(Protocol):
+    """Pieces kept at this head."""
+
+    def get(self, volume: str, run: Run, at: int) -> bytes | None:
+        """Tell a piece that is kept."""
+
+    def put(self, volume: str, run: Run, at: int, body: bytes, beforehand: bool = False) -> bool:
+        """Keep a piece that was read; tells whether it is kept."""
+
+
 class Core:
     """Requests of the object front to the exchange; what is in flight is bounded over all of them."""
 
@@ -62,6 +73,13 @@
         if settings.shards < 1:
             raise ValueError("the settings state no number of shards")
         self.read_class, self.write_class = classes[config.read_class], classes[config.write_class]
+        # Fetches beforehand: the plan and the class of least worth, of classes that read.
+        reads = [at for at, klass in enumerate(settings.classes) if at == self.read_class or (
+            at != self.write_class and klass.effect is api.Effect.SAFE and not klass.in_order and not klass.stream)]
+        self.least_class = min(reads, key=lambda at: settings.classes[at].worth * settings.classes[at].late_worth)
+        self.least_plan = min(self.plans.values(), key=lambda at: (
+            settings.plans[at].price, settings.plans[at].reserve, settings.plans[at].weight))
+        self.cache: Kept | None = None
         self.shards = settings.shards
         self.in_flight = asyncio.Semaphore(config.pieces_in_flight)
         self.used: Callable[[str, float], None] = lambda volume, units: None     # told of what was served
@@ -71,23 +89,31 @@
         most = self.exchange.settings.most_units
         return min(most, max(1.0, math.ceil(size / MOST_BODY * most)))
 
-    async def call(self, volume: Volume, key: str, shard: int, body: bytes | None, size: int, budget: Budget) -> Answer:
-        """Run one request on the core; raise what is neither served nor absent."""
+    async def call(self, volume: Volume, key: str, shard: int, body: bytes | None, size: int, budget: Budget,
+                   beforehand: bool = False) -> Answer:
+        """Run one request on the core; raise what is neither served nor absent.
+
+        One `beforehand` is nobody's: it comes as the least worth, as if its client had waited past the aim already.
+        """
         async with self.in_flight:
             settings, loop = self.exchange.settings, asyncio.get_running_loop()
-            klass = self.read_class if body is None else self.write_class
+            klass = self.least_class if beforehand else self.read_class if body is None else self.write_class
             method = "GET" if body is None else "PUT"
             left = budget.left_us(self.exchange.now_us())
             deadline = settings.classes[klass].deadline_us
             if left == 0:
                 raise CoreFailedError
+            if beforehand:
+                aim = settings.classes[klass].aim_us
+                left = min(deadline, max(aim + 1, deadline - aim))
             txn = secrets.token_hex(8)
             ask = api.Arrival(
-                request=txn, units=self.units(size), volume=volume.id, klass=klass, shard=shard,
-                gateways=settings.gateways, key=key, time_left_us=deadline if left is None else min(deadline, left),
-                write=body is not None, plan=self.plans[volume.plan])
+                request=txn, units=self.units(size), volume=BEFOREHAND if beforehand else volume.id, klass=klass,
+                shard=shard, gateways=settings.gateways, key=key,
+                time_left_us=deadline if left is None else min(deadline, left), write=body is not None,
+                plan=self.least_plan if beforehand else self.plans[volume.plan])
             target = f"/{settings.classes[klass].name}/{volume.id}/{key}"
-            ticket = self.exchange.figures.take(settings.classes[klass].name)
+            ticket = None if beforehand else self.exchange.figures.take(settings.classes[klass].name)
             done: asyncio.Future[Answer] = loop.create_future()
             # A keyed class's repeats are dropped by this call's own id.
             keyed = settings.classes[klass].effect is api.Effect.KEYED
@@ -97,12 +123,14 @@
                 answer = await done
             except asyncio.CancelledError:
                 self.exchange.depart(txn)
-                ticket.end(None)
+                if ticket is not None:
+                    ticket.end(None)
                 raise
-        ticket.end(OUTCOMES[answer.verdict])
+        if ticket is not None:
+            ticket.end(OUTCOMES[answer.verdict])
         if answer.rest is not None:
             answer = structs.replace(answer, body=await self._whole(answer.body, answer.rest), rest=None)
-        if answer.verdict in (Verdict.SERVED, Verdict.ABSENT):
+        if answer.verdict in (Verdict.SERVED, Verdict.ABSENT) and not beforehand:
             self.used(volume.id, ask.units)
         if answer.verdict is Verdict.REFUSED:
             raise RefusedError(answer.retry_after_us)
@@ -151,12 +179,16 @@
         finally:
             await end(pieces)
 
-    async def read_piece(self, volume: Volume, run: Run, at: int, budget: Budget) -> bytes:
-        """Read one piece and check that it is what was written."""
+    async def read_piece(self, volume: Volume, run: Run, at: int, budget: Budget, beforehand: bool = False) -> bytes:
+        """Read one piece, from this head's own if it is kept, and check that it is what was written."""
         piece = run.pieces[at]
-        answer = await self.call(volume, piece_id(run.token, at), piece.shard, None, piece.size, budget)
+        if self.cache is not None and not beforehand and (kept := self.cache.get(volume.id, run, at)) is not None:
+            return kept
+        answer = await self.call(volume, piece_id(run.token, at), piece.shard, None, piece.size, budget, beforehand)
         if len(answer.body) != piece.size or zlib.crc32(answer.body) != piece.crc:
             raise CoreFailedError
+        if self.cache is not None:
+            self.cache.put(volume.id, run, at, answer.body, beforehand)
         return answer.body
 
     async def read_range(self, volume: Volume, runs: list[Run], first: int, last: int,
--- a/hophinge/objects/store.py
+++ b/hophinge/objects/store.py
@@ -8,7 +8,7 @@
 import secrets
 import time
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import msgspec
 
@@ -50,11 +50,22 @@
     return ObjectError(404, "NoSuchUpload", "The upload does not exist, was aborted or is complete.")
 
 
+class Watcher(Protocol):
+    """Whoever wants to know which objects are read, and of each version that bricks told or took."""
+
+    def version(self, volume: Volume, name: str, manifest: Manifest) -> None:
+        """Take an object's manifest as it is now; one without an ETag is that of a deleted object."""
+
+    def read(self, volume: Volume, manifest: Manifest, first: int, last: int) -> None:
+        """Take a read that begins; its manifest was told just before."""
+
+
 class Store:
     """All operations; nothing is kept here between two of them, so any head can go on with any upload."""
 
     def __init__(self, core: Core, clock: Callable[[], float] = time.time) -> None:
         self.core, self.clock = core, clock
+        self.watcher: Watcher | None = None
 
     # --- records
 
@@ -76,12 +87,16 @@
         answer = await self.core.call(volume, key, shard, body, len(body), budget)
         if answer.verdict is not Verdict.SERVED:
             raise CoreFailedError
+        if self.watcher is not None and isinstance(record, Manifest):
+            self.watcher.version(volume, name, record)
 
     # --- objects
 
     async def head(self, volume: Volume, name: str, budget: Budget) -> Manifest:
         """Find an object."""
         manifest = await self._get(Manifest, volume, name, manifest_id(name), budget)
+        if self.watcher is not None:
+            self.watcher.version(volume, name, manifest or Manifest())
         if manifest is None or not manifest.etag:
             raise no_such_key()
         return manifest
@@ -89,6 +104,8 @@
     def read(self, volume: Volume, manifest: Manifest, first: int, last: int,
              budget: Budget) -> AsyncGenerator[bytes, None]:
         """Read a range, ends included."""
+        if self.watcher is not None:
+            self.watcher.read(volume, manifest, first, last)
         return self.core.read_range(volume, manifest.runs, first, last, budget)
 
     async def put(self, volume: Volume, name: str, content_type: str, chunks: AsyncIterator[bytes],
--- a/hophinge/popularity/keys.py
+++ b/hophinge/popularity/keys.py
@@ -1,10 +1,10 @@
 """Names of objects as they may leave a process: hashed and sealed with a secret of the installation.
 
-A key alone lets heads sum up what they count, and tells a listener nothing without the secret. What a brick is asked for
-(its locator, which bears no name either) goes along sealed, so that a site can fetch what it never saw. Key and seal
-are the synthetic-IV construction (RFC 5297's idea, BLAKE2b as the function): the key is the locator's keyed hash, and
-what hides the locator follows from the key, so the same object gives the same bytes everywhere and no pad is used for
-two locators.
+A key alone lets heads sum up what they count, and tells a listener nothing without the secret. What a brick is asked
+for (its locator, which bears no name either) goes along sealed, so that a site can fetch what it never saw. Key and
+seal are the synthetic-IV construction (RFC 5297's idea, BLAKE2b as the function): the key is the locator's keyed hash,
+and what hides the locator follows from the key, so the same object gives the same bytes everywhere and no pad is used
+for two locators.
 """
 
 from __future__ import annotations
--- a/hophinge/popularity/predict.py
+++ b/hophinge/popularity/predict.py
@@ -13,6 +13,8 @@
 
 from msgspec import Struct
 
+from hophinge.popularity.season import LEAST_GROWTH, MOST_GROWTH, PHASES, Season
+
 LAST, STEADY, EXPONENTIAL, POWER, DAILY = range(5)
 COURSES = ("last", "steady", "exponential", "power", "daily")
 DISCOUNTS = (0.15, 0.85, 0.55, 0.65, 0.3)      # of what was known, each span; by trying out on the tuning seeds
@@ -21,12 +23,9 @@
 RATE_FORGET = 0.85      # of what an object's own decay was reckoned from
 PRIOR_RATIOS = 6.0      # of such evidence that the publisher's usual decay counts for
 PRIOR_FIRST = 1.0       # shape of what a publisher's new object is held for
-MOST_GROWTH, LEAST_GROWTH = 2.0, 0.3   # of a rate in one span: a fit to two odd counts must not run away
-PHASES = 24             # buckets of a day
 FIRST_OF_ALL = 0.5      # requests in its first span, where a publisher is not known at all
 Z90 = 1.645
 IDLE_RATE = 0.02        # requests a span below which an object is not followed on
-SEASON_DAYS = 0.5       # a bucket's weight of yesterday when it is met again
 
 
 class Prediction(Struct, frozen=True):
@@ -74,32 +73,6 @@
             + shape * math.log(exposure / (exposure + 1.0)) - count * math.log(exposure + 1.0))
 
 
-class Season:
-    """A site's daily wave, from all its requests: by how much the next span's should differ."""
-
-    def __init__(self, spans_a_day: int) -> None:
-        self.spans_a_day = max(PHASES, spans_a_day)
-        self.span = 0
-        self.levels = [-1.0] * PHASES
-
-    def bucket(self, ahead: int = 0) -> int:
-        """Tell the bucket of the day of a span to come; 0: of the one that closes."""
-        return (self.span + ahead) % self.spans_a_day * PHASES // self.spans_a_day
-
-    def close(self, total: float) -> float:
-        """Take a span's total; tell the growth to expect from it to the next."""
-        here, then = self.bucket(), self.bucket(1)
-        self.span += 1
-        part = min(1.0, SEASON_DAYS * PHASES / self.spans_a_day)
-        known = self.levels[here]
-        ratio = 1.0
-        # Only what a whole day showed counts: before that a rise may be anything.
-        if here != then and self.levels[then] >= 0.0 and known >= 0.0 and self.span > self.spans_a_day:
-            ratio = (self.levels[then] + 1.0) / (known + 1.0)
-        self.levels[here] = total if known < 0.0 else known + part * (total - known)
-        return min(MOST_GROWTH, max(LEAST_GROWTH, ratio))
-
-
 class Predictor:
     """Predictions of one site, over spans of one length."""
 
@@ -131,6 +104,13 @@
         usual = self.usual.get(tenant, Usual())
         return _interval(usual.first, usual.first + usual.first ** 2 / PRIOR_FIRST)
 
+    def bound(self, most: int) -> None:
+        """Follow at most so many objects, those with the largest means."""
+        if len(self.courses) > most:
+            least = sorted((course.mean, key) for key, course in self.courses.items())
+            for _, key in least[:len(least) - most]:
+                del self.courses[key]
+
     def forget(self, key: bytes) -> None:
         """Follow a key no longer."""
         self.courses.pop(key, None)
--- a/hophinge/popularity/sketch.py
+++ b/hophinge/popularity/sketch.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import heapq
+import math
 from msgspec import Struct
 
-COUNTER_BYTES = 420     # of memory for one counter with its key, its place in a heap and dictionaries (measured)
 MOST_POWER = 60.0       # half-lives after which weights are scaled down: 2 ** 60 keeps doubles exact enough
 
 LOOK_EACH = 64          # evictions; parts differ little after so few
@@ -69,7 +69,7 @@
         if power > MOST_POWER:
             self._rescale(now_us, power)
             power = 0.0
-        return 2.0 ** max(0.0, power)
+        return math.exp2(power) if power > 0.0 else 1.0
 
     def _rescale(self, now_us: int, power: float) -> None:
         scale = 2.0 ** -min(power, 1000.0)
