--- a/hophinge/head/popularity.py
+++ b/hophinge/head/popularity.py
@@ -21,7 +21,7 @@
 from hophinge.popularity.site import DAY_US, SPAN_US, Site
 
 TICK_S = 0.5            # between looks at peers, spans and what might be fetched
-STEP = 100              # predictions made at once: about a millisecond, in which no request is served
+STEP, REST_S = 25, 0.02 # predictions made at once, and the rest after: a millisecond in twenty, so that nobody waits
 PLAN_TICKS = 4          # between plans, where the last one was carried out
 MOST_SECRET = 4096      # bytes of the file
 
@@ -140,6 +140,8 @@
             await asyncio.sleep(TICK_S)
             try:
                 self.tick()
+                while self.site.step(STEP):
+                    await asyncio.sleep(REST_S)
                 ticks += 1
                 if ticks % PLAN_TICKS == 0:
                     await self.fetch()
@@ -148,10 +150,9 @@
                 self.log(f"popularity: {told(error)}")
 
     def tick(self) -> None:
-        """Hear peers, close a span that is over, and foretell a few keys."""
+        """Hear peers, and close a span that is over; `Site.step` then foretells."""
         now_us = self.exchange.now_us()
         self._hear(now_us)
-        self.site.step(STEP)
         if now_us >= self.closes_us:
             self.closes_us = max(self.closes_us + self.site.span_us, now_us)
             self.tried = {key: span for key, span in self.tried.items() if span >= self.site.span}
