--- a/hophinge/popularity/predict.py
+++ b/hophinge/popularity/predict.py
@@ -18,6 +18,7 @@
 LAST, STEADY, EXPONENTIAL, POWER, DAILY = range(5)
 COURSES = ("last", "steady", "exponential", "power", "daily")
 DISCOUNTS = (0.15, 0.85, 0.55, 0.65, 0.3)      # of what was known, each span; by trying out on the tuning seeds
+LEAST_SHAPE = 0.002     # of a belief that nothing comes: one that is surer would be a course that nothing refutes
 MOST_SHAPE = 60.0       # a belief is never surer than this: sources change faster than a filter would have it
 FORGET = 0.9            # of evidence for courses, each span: ten spans say which course an object takes
 RATE_FORGET = 0.85      # of what an object's own decay was reckoned from
@@ -198,7 +199,7 @@
                 exposure = shape / max(0.05, course.day[self.then])
                 growth = 1.0
             most = min(1.0, MOST_SHAPE / max(shape, 1e-9))
-            course.shapes[at] = max(0.02, shape * most)
+            course.shapes[at] = max(LEAST_SHAPE, shape * most)
             course.exposures[at] = max(1e-6, exposure * most / growth)
             course.means[at] = course.shapes[at] / course.exposures[at]
         weights = _weights(course.evidence)
