--- /dev/null
+++ b/tests/test_cache.py
@@ -0,0 +1,226 @@
+"""The cache of pieces below the object API's reads: bounds by tenant, eviction by demand, and never a stale version."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from hophinge.core.counters import Counters
+from hophinge.head.popularity import HeadPopularity
+from hophinge.head.sections import PopularityConfig
+from hophinge.head.service import Service
+from hophinge.objects import cache as cache_module
+from hophinge.objects.cache import OVERHEAD, PieceCache
+from hophinge.objects.records import Manifest, Piece, Run
+from tests import books
+from tests.stand_in import Brick, World, run, world
+from tests.test_objects import PIECE, Client, operator
+
+VOLUME = "00000003b4d60021"
+BODY = 100
+EACH = BODY + OVERHEAD
+
+
+def a_run(token: int, pieces: int = 1) -> Run:
+    return Run(token.to_bytes(8, "big"), [Piece(0, BODY, 0)] * pieces)
+
+
+def manifest(*runs: Run) -> Manifest:
+    return Manifest("etag", 1, 0, "", "", list(runs))
+
+
+def held(cache: PieceCache) -> list[int]:
+    return [int.from_bytes(token, "big") for _, token, __ in cache.held]
+
+
+# --- by itself
+
+def test_pieces_of_a_version_that_is_gone_are_dropped_and_unknown_ones_never_taken() -> None:
+    cache, one, two = PieceCache(100 * EACH), a_run(1, 2), a_run(2)
+    assert not cache.put(VOLUME, one, 0, b"x" * BODY)       # its manifest was not seen
+    cache.seen(VOLUME, "m", manifest(one))
+    assert cache.put(VOLUME, one, 0, b"x" * BODY) and cache.get(VOLUME, one, 0) == b"x" * BODY
+    assert cache.get(VOLUME, one, 1) is None and cache.get("other", one, 0) is None and cache.holds((VOLUME, "m"))
+    cache.seen(VOLUME, "m", manifest(one, two))             # a longer version keeps what it shares
+    assert cache.has(VOLUME, one, 0)
+    cache.seen(VOLUME, "m", manifest(two))
+    assert not cache.held and cache.size == 0 and not cache.sizes
+    assert not cache.put(VOLUME, one, 0, b"x" * BODY)       # a slow reader of the old version
+    assert cache.put(VOLUME, two, 0, b"y" * BODY)
+    cache.seen(VOLUME, "m", Manifest())                     # deleted
+    assert not cache.held and not cache.objects and not cache.runs
+
+
+def test_what_is_least_wanted_a_byte_goes_and_the_oldest_where_nothing_is_known() -> None:
+    wanted: dict[str, float] = {}
+    cache = PieceCache(3 * EACH, wanted=lambda one: wanted.get(one[1], 0.0))
+    for at in range(5):
+        cache.seen(VOLUME, str(at), manifest(a_run(at)))
+        if at < 3:
+            cache.put(VOLUME, a_run(at), 0, b"x" * BODY)
+    cache.get(VOLUME, a_run(0), 0)
+    assert cache.put(VOLUME, a_run(3), 0, b"x" * BODY) and held(cache) == [2, 0, 3]
+    wanted |= {"0": 1.0, "2": 3.0, "3": 2.0, "4": 1.5}
+    assert not cache.would_keep((VOLUME, "1"), EACH) and not cache.put(VOLUME, a_run(1), 0, b"x" * BODY)
+    assert cache.would_keep((VOLUME, "4"), EACH) and cache.put(VOLUME, a_run(4), 0, b"x" * BODY, beforehand=True)
+    assert held(cache) == [2, 3, 4]
+    told: list[tuple[str, bool]] = []
+    cache.tell = lambda one, useful: told.append((one[1], useful))
+    cache.get(VOLUME, a_run(4), 0)
+    cache.get(VOLUME, a_run(4), 0)
+    assert told == [("4", True)] and (cache.useful, cache.useless) == (1, 0)
+
+
+def check_bounds(seed: int) -> None:
+    lots, tenants = random.Random(seed), {"a": "one", "b": "two"}
+    cache = PieceCache(10 * EACH, 0.6, lambda volume: tenants[volume], lambda one: float(hash(one) % 3))
+    for _ in range(300):
+        volume, name = lots.choice("ab"), str(lots.randrange(12))
+        token = lots.randrange(4) * 100 + int(name)
+        if lots.random() < 0.3:
+            cache.seen(volume, name, manifest(a_run(token, 3)) if lots.random() < 0.8 else Manifest())
+        cache.put(volume, a_run(token, 3), lots.randrange(3), b"x" * lots.randrange(2 * BODY), lots.random() < 0.5)
+        assert cache.size == sum(len(one.body) + OVERHEAD for one in cache.held.values()) <= 10 * EACH
+        for tenant, size in cache.sizes.items():
+            assert size == sum(len(one.body) + OVERHEAD for one in cache.held.values()
+                               if one.tenant == tenant) <= 6 * EACH
+        assert {place for known in cache.objects.values() for place in known.kept} == cache.held.keys()
+        assert all(one in cache.objects for one in cache.runs.values())
+    cache.forget_tenant("one")
+    assert set(cache.sizes) <= {"two"}
+
+
+@given(st.integers(0, 1 << 32))
+@settings(max_examples=30, deadline=None)
+def test_bytes_stay_in_bounds_in_all_and_by_tenant(seed: int) -> None:
+    check_bounds(seed)
+
+
+def test_a_tenant_s_bound_that_is_ignored_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    make = PieceCache.__init__
+
+    def unbounded(self: PieceCache, most: int, part: float, *more: object) -> None:
+        make(self, most, 1.0, *more)    # type: ignore[arg-type]  # a mutant: the tenant's part is not looked at
+
+    monkeypatch.setattr(PieceCache, "__init__", unbounded)
+    with pytest.raises(AssertionError):
+        for seed in range(5):
+            check_bounds(seed)
+
+
+def test_known_objects_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(cache_module, "MOST_OBJECTS", 3)
+    cache = PieceCache(100 * EACH)
+    for at in range(6):
+        cache.seen(VOLUME, str(at), manifest(a_run(at)))
+        cache.put(VOLUME, a_run(at), 0, b"x" * BODY)
+    assert held(cache) == [3, 4, 5] and len(cache.runs) == 3
+
+
+# --- heads on one set of bricks
+
+def popularity(folder: Path, service: Service, cache_bytes: int = 1_000_000) -> HeadPopularity:
+    """Switch popularity on at a head."""
+    secret = folder / "popularity.key"
+    secret.write_bytes(b"the installation's secret")
+    assert service.objects is not None and service.accounts is not None
+    accounts = service.accounts.accounts
+
+    def owner_of(volume: str) -> tuple[str, str] | None:
+        bucket = accounts.volumes.get(volume)
+        return (bucket.tenant, bucket.plan) if bucket is not None else None
+
+    return HeadPopularity(PopularityConfig(secret, cache_bytes=cache_bytes), service.objects.store, owner_of,
+                          Counters(), lambda text: None)
+
+
+@asynccontextmanager
+async def heads(folder: Path, count: int, cache_bytes: int = 1_000_000) -> AsyncIterator[
+        tuple[World, list[Client], list[HeadPopularity]]]:
+    token = books.tenant(folder / "tenants.db")
+    async with world(Brick(0), Brick(1), Brick(2)) as made:
+        services = [await made.head(operator(folder)) for _ in range(count)]
+        yield (made, [Client(made, service, token) for service in services],
+               [popularity(folder, service, cache_bytes) for service in services])
+
+
+async def steps(clients: list[Client], seed: int, count: int = 120) -> None:
+    """Read, overwrite and delete at random heads, some of it at once; whatever is read is what was written last."""
+    lots, now, number = random.Random(seed), dict[str, bytes | None](), 0
+    for _ in range(count):
+        name = f"/receipts/{lots.randrange(4)}"
+        old, act = now.get(name), lots.random()
+        if act < 0.3:
+            number += 1
+            body = f"{number}:".encode() * lots.randrange(1, 2 * PIECE // 3)
+            reader, writer = lots.sample(clients, 2)
+            (got, before), status = await asyncio.gather(
+                reader.call("GET", name), writer.status("PUT", name, body))
+            assert status == 200 and (got.status, before) in ((404, before), (200, old), (200, body))
+            now[name] = body
+        elif act < 0.4:
+            assert await lots.choice(clients).status("DELETE", name) == 204
+            now[name] = None
+        else:
+            for client in lots.sample(clients, 2):
+                got, body = await client.call("GET", name)
+                wanted = now.get(name)
+                assert (got.status, body) == (200, wanted) if wanted is not None else got.status == 404
+
+
+def test_several_heads_never_serve_what_was_overwritten_or_deleted(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with heads(tmp_path, 3, 6 * (PIECE + OVERHEAD)) as (_, clients, popular):
+            await steps(clients, 1)
+            assert sum(one.cache.hits for one in popular) > 20
+    run(main())
+
+
+def test_a_cache_keyed_by_name_alone_is_caught(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with heads(tmp_path, 3) as (_, clients, __):
+            await steps(clients, 1)
+
+    by_name: dict[tuple[PieceCache, str, int], bytes] = {}
+
+    def get(self: PieceCache, volume: str, run: Run, at: int) -> bytes | None:
+        one = self.object_of(volume, run)
+        return by_name.get((self, one[1], at)) if one is not None else None
+
+    def put(self: PieceCache, volume: str, run: Run, at: int, body: bytes, beforehand: bool = False) -> bool:
+        one = self.object_of(volume, run)
+        if one is not None:
+            by_name[self, one[1], at] = body
+        return True
+
+    monkeypatch.setattr(PieceCache, "get", get)
+    monkeypatch.setattr(PieceCache, "put", put)
+    with pytest.raises((AssertionError, aiohttp.ClientError)):
+        run(main())
+
+
+def test_a_second_read_asks_bricks_for_the_manifest_alone_and_a_head_that_returns_starts_empty(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with heads(tmp_path, 1) as (made, (client,), (popular,)):
+            body = b"x" * (5 * PIECE)
+            assert await client.status("PUT", "/receipts/a", body) == 200
+            seen = []
+            for _ in range(3):
+                before = sum(len(brick.seen) for brick in made.bricks)
+                assert (await client.call("GET", "/receipts/a"))[1] == body
+                seen.append(sum(len(brick.seen) for brick in made.bricks) - before)
+            assert seen == [6, 1, 1] and popular.cache.hits == 10
+            assert (await client.call("GET", "/receipts/a", Range="bytes=10-1999"))[1] == body[10:2000]
+            await made.kill(made.services[0])
+            returned = await made.head(operator(tmp_path))
+            assert not popularity(tmp_path, returned).cache.held
+            client.at(returned)
+            assert (await client.call("GET", "/receipts/a"))[1] == body
+    run(main())
