--- a/hophinge/head/popularity.py
+++ b/hophinge/head/popularity.py
@@ -8,7 +8,6 @@
 
 from hophinge.cluster.interface import Board, Role, Sight, Standing, Topic
 from hophinge.core import interface as api
-from hophinge.core.counters import Counters
 from hophinge.core.errors import HophingeError, told
 from hophinge.head.sections import PopularityConfig
 from hophinge.objects.beforehand import Fetcher
@@ -23,6 +22,8 @@
 TICK_S = 0.5            # between looks at peers, spans and what might be fetched
 STEP, REST_S = 25, 0.02 # predictions made at once, and the rest after: a millisecond in twenty, so that nobody waits
 PLAN_TICKS = 4          # between plans, where the last one was carried out
+SPARE_WAIT = 0.25       # tightest aims of others' work at a brick beyond which it has nothing to spare
+WAIT_FADES = 4.0        # tightest aims after which a wait that was seen says nothing
 MOST_SECRET = 4096      # bytes of the file
 
 
@@ -58,10 +59,11 @@
     """What a head does about popularity; alone, without sight and board, it goes by its own counts."""
 
     def __init__(self, config: PopularityConfig, store: Store, owner_of: Callable[[str], tuple[str, str] | None],
-                 counters: Counters, log: Callable[[str], None], sight: Sight | None = None,
+                 log: Callable[[str], None], sight: Sight | None = None,
                  board: Board | None = None, span_us: int = SPAN_US, day_us: int = DAY_US) -> None:
         """`owner_of` tells a volume's tenant and plan; it knows the volumes that this head serves."""
-        self.config, self.store, self.owner_of, self.counters, self.log = config, store, owner_of, counters, log
+        self.config, self.store, self.owner_of, self.log = config, store, owner_of, log
+        self.faults = self.untold = 0       # of this part, and pages that the board had no room for
         self.sight, self.board = sight, board
         self.exchange = store.core.exchange
         me = sight.me if sight is not None else ""
@@ -82,6 +84,7 @@
         self.taken: dict[tuple[str, str], tuple[int, int]] = {}     # versions of pages that were looked at
         self.told = 0                               # pages that are on the board
         self.tried: dict[bytes, int] = {}           # in which span a fetch was tried
+        self.unfinished: set[bytes] = set()         # whose fetch broke off
         self.refusals = 0
 
     # --- what the store tells
@@ -110,7 +113,6 @@
         return self.site.wanted(key)
 
     def _asked_for(self, one: Object, useful: bool) -> None:
-        self.counters.add("beforehand_useful" if useful else "beforehand_useless")
         owner = self.words.pop(one, "")
         if owner:
             self.site.trust(owner, useful)
@@ -123,9 +125,11 @@
         refused = exchange.counters.counts["requests_refused"] - self.fetcher.refused
         overloaded, self.refusals = refused > self.refusals, refused
         sources: dict[int, list[Source]] = {}
+        aim = exchange.scheduler.aim
         for name, book in exchange.scheduler.books.items():
-            idle = book.free <= now_us or not book.units_out
-            spare = exchange.settings.most_units - book.units_out if idle and not book.failures else 0.0
+            queued = book.wait > SPARE_WAIT * aim and now_us - book.wait_at < WAIT_FADES * aim
+            waits = book.held or book.full or book.failures or queued
+            spare = 0.0 if waits else exchange.settings.most_units - book.units_out
             warm = book.warmth(now_us, exchange.settings.rules.cold_us) >= 1.0
             sources.setdefault(book.entry.shard, []).append(
                 Source(name, book.entry.shard, book.entry.phase is api.Phase.ON, warm, spare))
@@ -146,7 +150,7 @@
                 if ticks % PLAN_TICKS == 0:
                     await self.fetch()
             except Exception as error:
-                self.counters.add("popularity_faults")
+                self.faults += 1
                 self.log(f"popularity: {told(error)}")
 
     def tick(self) -> None:
@@ -189,7 +193,7 @@
             self.told = len(made)
         except HophingeError as error:
             # Peers then go by what they have; it is only a hint.
-            self.counters.add("popularity_untold")
+            self.untold += 1
             self.log(f"popularity is not told: {told(error)}")
 
     async def fetch(self) -> None:
@@ -197,8 +201,9 @@
         if not self.config.cache_bytes or not self.config.fetch_bytes_s:
             return
         members = self.sight.members() if self.sight is not None else ()
-        fresh = (one for one in self.site.candidates(
-            lambda at: self.cache.holds((at.volume, at.manifest)), self.store.core.units) if one.key not in self.tried)
+        self.unfinished &= self.site.known.keys()
+        fresh = (one for one in self.site.candidates(self.store.core.units) if one.key not in self.tried and (
+            one.key in self.unfinished or not self.cache.holds(self.site.object(one.key))))
         for one in self.planner.plan(self.exchange.now_us(), members, self.facts(), fresh):
             known = self.site.known.get(one.key)
             owner = self.owner_of(known.locator.volume) if known is not None else None
@@ -207,7 +212,8 @@
             self.tried[one.key] = self.site.span
             if word := self.site.by_word(one.key):
                 self.words[known.locator.volume, known.locator.manifest] = word
-            manifest = await self.fetcher.fetch(one, known.locator, Volume(known.locator.volume, owner[1]))
+            manifest, whole = await self.fetcher.fetch(one, known.locator, Volume(known.locator.volume, owner[1]))
+            (self.unfinished.discard if whole else self.unfinished.add)(one.key)
             if manifest is not None and manifest.etag:
                 known.size = manifest.size
             elif manifest is not None:
@@ -224,7 +230,7 @@
                 "peers": len(self.site.hearsay.owners), "malformed": self.site.hearsay.malformed,
                 "kept_bytes": cache.size, "kept_pieces": len(cache.held), "hits": cache.hits, "misses": cache.misses,
                 "fetched_objects": fetcher.objects, "fetched_bytes": fetcher.bytes, "fetches_refused": fetcher.refused,
-                "useful": cache.useful, "useless": cache.useless,
+                "faults": self.faults, "untold": self.untold, "useful": cache.useful, "useless": cache.useless,
                 "held_back": {why.value: count for why, count in self.planner.held_back.items()}}
 
     def tenant(self, tenant: str) -> dict[str, float]:
--- a/hophinge/objects/beforehand.py
+++ b/hophinge/objects/beforehand.py
@@ -16,6 +16,7 @@
 from hophinge.popularity.planner import Candidate, Facts, Planner, Why
 
 RECORD_BYTES = 4096     # taken from budgets for a manifest, whose size is not known before
+ELSEWHERE = (Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)      # speak against one brick: other pieces may lie elsewhere
 
 
 class Fetcher:
@@ -26,31 +27,39 @@
         self.out = 0            # reads of its own that are out: they are not others' requests
         self.objects = self.bytes = self.refused = 0
 
-    async def fetch(self, one: Candidate, locator: Locator, volume: Volume) -> Manifest | None:
-        """Fetch an object as far as budgets and bricks allow; tells its manifest, or nothing where none was read."""
+    async def fetch(self, one: Candidate, locator: Locator, volume: Volume) -> tuple[Manifest | None, bool]:
+        """Fetch an object as far as budgets and bricks allow.
+
+        Tells its manifest, if it was read, and whether nothing is left to fetch. A piece that its brick has nothing to
+        spare for is left to whoever asks for it, or to a later fetch.
+        """
         body = await self._read(one, locator.shard, RECORD_BYTES, partial(self._manifest, volume, locator))
-        if body is None:
-            return None
+        if not isinstance(body, bytes):
+            return None, False
         try:
             manifest = msgspec.msgpack.decode(body, type=Manifest) if body else Manifest()
         except msgspec.MsgspecError:
-            return None
+            return None, True
         self.cache.seen(locator.volume, locator.manifest, manifest)
         if not manifest.etag:
-            return manifest         # deleted: there is nothing to fetch
+            return manifest, True       # deleted: there is nothing to fetch
         self.objects += 1
+        whole = True
         for run in manifest.runs:
             for at, piece in enumerate(run.pieces):
                 if self.cache.has(volume.id, run, at):
                     continue
                 if not self.cache.would_keep((locator.volume, locator.manifest), piece.size + OVERHEAD):
-                    return manifest
+                    return manifest, True
                 piece_read = partial(self.core.read_piece, volume, run, at, self._budget(), True)
                 read = await self._read(one, piece.shard, piece.size, piece_read)
-                if read is None:
-                    return manifest
-                self.bytes += piece.size
-        return manifest
+                if isinstance(read, bytes):
+                    self.bytes += piece.size
+                    continue
+                whole = False
+                if read not in ELSEWHERE:
+                    return manifest, False
+        return manifest, whole
 
     def _budget(self) -> Budget:
         return Budget(self.core.exchange.now_us(), None)
@@ -59,11 +68,11 @@
         answer = await self.core.call(volume, locator.manifest, locator.shard, None, 1, self._budget(), True)
         return b"" if answer.verdict is Verdict.ABSENT else answer.body
 
-    async def _read(self, one: Candidate, shard: int, size: int, read: Callable[[], Awaitable[bytes]]) -> bytes | None:
+    async def _read(self, one: Candidate, shard: int, size: int, read: Callable[[], Awaitable[bytes]]) -> bytes | Why:
         now_us = self.core.exchange.now_us()
-        why: Why | None = self.planner.may(now_us, one.tenant, shard, size, self.core.units(size), self.facts())
+        why = self.planner.may(now_us, one.tenant, shard, size, self.core.units(size), self.facts())
         if why is not None:
-            return None
+            return why
         self.planner.spend(now_us, one.tenant, size)
         self.out += 1
         try:
@@ -71,6 +80,6 @@
         except (RefusedError, CoreFailedError):
             self.refused += 1
             self.planner.refused(self.core.exchange.now_us())
-            return None
+            return Why.BUSY
         finally:
             self.out -= 1
--- a/hophinge/popularity/rumour.py
+++ b/hophinge/popularity/rumour.py
@@ -116,14 +116,14 @@
         """Tell by which factor each owner's claims count.
 
         What an owner's claims sum up to counts up to what it says it served, and that up to `CLAIM_FACTOR` times the
-        lower median of what all owners, this process among them, say. So a liar adds at most that to all keys together,
-        and as long as liars are fewer than half, that median is at most an honest owner's figure.
+        lower median of what all owners that served anything, this process among them, say. So a liar adds at most that
+        to all keys together, and while liars are fewer than half of those, that median is at most an honest owner's.
         """
         served = {owner: max((page.served for page in told.all()), default=0.0)
                   for owner, told in self.owners.items()}
-        figures = sorted([*served.values(), *([] if own_served is None else [own_served])])
+        figures = sorted(one for one in [*served.values(), own_served or 0.0] if one > 0.0)
         if not figures:
-            return {}
+            return dict.fromkeys(served, 0.0)
         most = CLAIM_FACTOR * figures[(len(figures) - 1) // 2]
         found = {}
         for owner, told in self.owners.items():
--- a/hophinge/popularity/site.py
+++ b/hophinge/popularity/site.py
@@ -17,6 +17,7 @@
 HALF_LIFE_SPANS = 10        # of counts: what was asked for an hour ago counts a sixtieth
 KEEP_SPANS = 3              # what a peer said counts so long without a new word
 BYTES_EACH = 2500           # of memory for a counter with its course and two known objects (measured)
+SERVED_MEMORY = 0.9         # a span: a quiet minute must not make peers' claims look large, or count without bound
 FIRST_TRUST = 0.5           # of another site's demand that is expected here, before experience
 TRUST_WEIGHT = 4.0          # fetches that this first guess counts for
 TRUST_MEMORY = 200.0        # fetches that experience with one owner reaches back
@@ -46,7 +47,7 @@
         self.by_object: dict[tuple[str, str], bytes] = {}       # by volume and id of the manifest
         self.by_manifest: dict[str, bytes] = {}     # two volumes may have one name: a hint, and never whose count it is
         self.span, self.served = 0, 0.0
-        self.last_served = 0.0                              # of the span that has closed
+        self.usual_served = 0.0                             # requests a span of late, which peers' claims are held to
         self.due: list[tuple[bytes, str, float]] = []       # counts of the closed span that are not looked at yet
         self.elsewhere: dict[bytes, float] = {}             # a key's mean requests a span at other sites
         self.trusts: dict[str, tuple[float, float]] = {}    # by owner: fetches on its word that were asked for, and all
@@ -104,10 +105,10 @@
         self.step(len(self.due))
         self.hearsay.lapse(now_us)
         own = self.sketch.close_span()
-        self.last_served = self.served
+        self.usual_served = max(SERVED_MEMORY * self.usual_served, self.served)
         trust = {owner: 1.0 if told.zone == self.zone else self.trusted(owner)
                  for owner, told in self.hearsay.owners.items()}
-        sums = self.hearsay.sums(self.served, trust)
+        sums = self.hearsay.sums(self.usual_served, trust)
         here, others = sums.pop(self.zone, {}), sums
         self._learn(owner_of, self.hearsay.sealed())
         self.elsewhere = {}
@@ -189,9 +190,14 @@
             return ""
         return next(iter(self.hearsay.claimants(key)), "")
 
-    def candidates(self, held: Callable[[Locator], bool], units: Callable[[int], float]) -> Iterable[Candidate]:
-        """Tell what might be fetched: what is expected and not kept here."""
+    def object(self, key: bytes) -> tuple[str, str]:
+        """Tell a known key's volume and the id of its manifest."""
+        locator = self.known[key].locator
+        return locator.volume, locator.manifest
+
+    def candidates(self, units: Callable[[int], float]) -> Iterable[Candidate]:
+        """Tell what is expected; whoever asks knows what is kept already."""
         for key, one in self.known.items():
             expected = self.expected(key)
-            if expected > 0.0 and not held(one.locator):
+            if expected > 0.0:
                 yield Candidate(key, one.tenant, one.locator.shard, one.size, units(one.size), expected)
--- /dev/null
+++ b/tests/popular.py
@@ -0,0 +1,137 @@
+"""Heads with popularity on stand-in bricks, and members and entries as all of them have them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+
+from hophinge.cluster.interface import Entry, Member, Standing, Topic
+from hophinge.core.errors import HophingeError
+from hophinge.head.popularity import HeadPopularity
+from hophinge.head.sections import PopularityConfig
+from tests import books
+from tests.stand_in import Brick, World, world
+from tests.test_objects import PIECE, Client, operator
+
+SECRET = b"the installation's secret"
+
+
+class Peers:
+    """Members and entries as all of them have them."""
+
+    def __init__(self, zones: dict[str, str]) -> None:
+        self.zones = zones
+        self.held: dict[tuple[str, Topic, str], Entry] = {}
+        self.count = 0
+        self.full = False
+
+
+class FullError(HophingeError):
+    pass
+
+
+class View:
+    """One member's sight and board."""
+
+    def __init__(self, peers: Peers, me: str) -> None:
+        self.peers, self.me = peers, me
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(Member(name, "", 1, Standing.ALIVE, zone) for name, zone in sorted(self.peers.zones.items()))
+
+    def put(self, topic: Topic, key: str, value: bytes) -> None:
+        if self.peers.full:
+            raise FullError("no room")
+        assert len(value) <= 900
+        self.peers.count += 1
+        self.peers.held[self.me, topic, key] = Entry(self.me, topic, key, (1, self.peers.count), value)
+
+    def drop(self, topic: Topic, key: str) -> None:
+        self.peers.held.pop((self.me, topic, key), None)
+
+    def entries(self, topic: Topic) -> Iterable[Entry]:
+        return [entry for entry in self.peers.held.values() if entry.topic is topic]
+
+
+class Installation:
+    """Heads with popularity, a client for each, and what they share."""
+
+    def __init__(self, made: World, folder: Path, peers: Peers) -> None:
+        self.world, self.folder, self.peers = made, folder, peers
+        self.clients: dict[str, Client] = {}
+        self.popular: dict[str, HeadPopularity] = {}
+
+    async def head(self, name: str, token: str, config: PopularityConfig, alone: bool = False) -> None:
+        service = await self.world.head(operator(self.folder))
+        assert service.accounts is not None and service.objects is not None
+        buckets, view = service.accounts.accounts.volumes, View(self.peers, name)
+
+        def owner_of(volume: str) -> tuple[str, str] | None:
+            return (buckets[volume].tenant, buckets[volume].plan) if volume in buckets else None
+
+        self.clients[name] = Client(self.world, service, token)
+        self.popular[name] = HeadPopularity(
+            config, service.objects.store, owner_of, lambda text: None, None if alone else view,
+            None if alone else view)
+
+    def close_spans(self) -> None:
+        """End a span at each head, and let each hear what the others then told."""
+        for one in self.popular.values():
+            one.closes_us = 0
+            one.tick()
+        for one in self.popular.values():
+            one._hear(one.exchange.now_us())
+        for one in self.popular.values():
+            one.site.close(one.exchange.now_us(), one.owner_of)
+            while one.site.step(10):
+                pass
+
+    async def fetch(self, name: str, whole: int) -> None:
+        """Fetch until so many objects are whole: on a busy machine a brick may have nothing to spare at first."""
+        one = self.popular[name]
+
+        def done() -> int:
+            return sum(sum(place in one.cache.held for place in (
+                (where[0], token, at) for at in range(3))) == 3
+                for where, known in one.cache.objects.items() for token in known.runs)
+
+        while done() < whole:
+            one.tried.clear()
+            one.planner.paused_us = 0
+            await one.fetch()
+            await asyncio.sleep(0.005)
+
+    def beforehand(self) -> list[tuple[str, str]]:
+        """Tell by brick what was fetched beforehand: those reads bear the class of least worth."""
+        return [(brick.name, target) for brick in self.world.bricks for _, target in brick.seen
+                if target.startswith("/statement-export/")]
+
+    async def crowd(self, name: str, paths: Iterable[str], count: int = 5) -> None:
+        for path in paths:
+            for _ in range(count):
+                assert await self.clients[name].status("GET", path) == 200
+
+
+@asynccontextmanager
+async def installation(folder: Path, zones: dict[str, str], cache_bytes: int = 1_000_000, tenant_part: float = 0.5,
+                       fetch_bytes_s: float = 1e6, alone: bool = False) -> AsyncIterator[Installation]:
+    secret = folder / "popularity.key"
+    secret.write_bytes(SECRET)
+    config = PopularityConfig(secret, cache_bytes=cache_bytes, tenant_part=tenant_part, fetch_bytes_s=fetch_bytes_s)
+    token = books.tenant(folder / "tenants.db")
+    async with world(Brick(0), Brick(1), Brick(2)) as made:
+        built = Installation(made, folder, Peers(zones))
+        for name in zones:
+            if not name.startswith("liar"):
+                await built.head(name, token, config, alone)
+        yield built
+
+
+async def put(client: Client, *names: str, size: int = 3 * PIECE) -> list[str]:
+    paths = [f"/receipts/{name}" for name in names]
+    for path in paths:
+        assert await client.status("PUT", path, path.encode() * (size // len(path))) == 200
+    return paths
