--- a/hophinge/objects/cache.py
+++ b/hophinge/objects/cache.py
@@ -16,6 +16,8 @@
 from hophinge.objects.records import Manifest, Run
 
 SAMPLE = 16             # of the pieces used longest ago, the one of least demand a byte goes
+MARGIN = 4.0            # times a victim's demand a byte that what nobody asked for must promise: what is chosen for its
+#                         prediction is overrated, and what is given up for its own underrated
 OVERHEAD = 200          # bytes that a kept piece takes beside its body
 MOST_OBJECTS = 50_000   # whose runs are known; beyond, those seen longest ago are forgotten with their pieces
 
@@ -165,7 +167,7 @@
         least, _, victim = min(((self.wanted(self.held[place].object) / (len(self.held[place].body) + OVERHEAD), at,
                                  place) for at, place in enumerate(old)), key=lambda row: row[:2])
         # An object that pushes out its own pieces would never be whole.
-        if worth < least or (beforehand and worth <= least) or self.held[victim].object == one:
+        if worth < least or (beforehand and worth <= MARGIN * least) or self.held[victim].object == one:
             return None
         return victim
 
--- a/hophinge/popularity/planner.py
+++ b/hophinge/popularity/planner.py
@@ -18,8 +18,9 @@
 from hophinge.cluster.interface import Member, Role, Standing
 
 BURST_S = 10.0          # of budget that may be saved up: what a span left over serves the next, not a night's
-LEAST_CHANCE = 0.2      # that an object is asked for in the span; below, four fetches in five would be for nothing
-QUIET = 4               # requests unanswered at this head from which nothing is fetched: others may be waiting
+LEAST_CHANCE = 0.4      # that an object is asked for in the span; below, most fetches would be for nothing
+QUIET = 8               # requests unanswered at this head from which nothing is fetched: two objects' reads at once
+REST_US = 50_000        # after so many were seen
 PAUSE_US = 2_000_000    # after overload was seen; a queue that has just emptied fills again
 
 
@@ -134,8 +135,10 @@
 
     def busy(self, now_us: int, facts: Facts) -> bool:
         """Tell whether fetches are to rest because of others' requests."""
-        if facts.overloaded or facts.unanswered >= QUIET:
+        if facts.overloaded:
             self.paused_us = now_us + PAUSE_US
+        elif facts.unanswered >= QUIET:
+            self.paused_us = max(self.paused_us, now_us + REST_US)
         return now_us < self.paused_us
 
     def source(self, shard: int, units: float, facts: Facts) -> Why | None:
--- a/hophinge/popularity/predict.py
+++ b/hophinge/popularity/predict.py
@@ -11,20 +11,24 @@
 import math
 from collections.abc import Sequence
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from hophinge.popularity.season import LEAST_GROWTH, MOST_GROWTH, PHASES, Season
 
 LAST, STEADY, EXPONENTIAL, POWER, DAILY = range(5)
 COURSES = ("last", "steady", "exponential", "power", "daily")
-DISCOUNTS = (0.15, 0.85, 0.55, 0.65, 0.3)      # of what was known, each span; by trying out on the tuning seeds
+DISCOUNTS = (0.3, 0.9, 0.8, 0.8, 0.3)       # of what was known, each span; by trying out on the tuning seeds
 LEAST_SHAPE = 0.002     # of a belief that nothing comes: one that is surer would be a course that nothing refutes
 MOST_SHAPE = 60.0       # a belief is never surer than this: sources change faster than a filter would have it
-FORGET = 0.9            # of evidence for courses, each span: ten spans say which course an object takes
-RATE_FORGET = 0.85      # of what an object's own decay was reckoned from
-PRIOR_RATIOS = 6.0      # of such evidence that the publisher's usual decay counts for
+FORGET = 0.95           # of evidence for courses, each span: twenty spans say which course an object takes
+RATE_FORGET = 0.93      # of what an object's own decay was reckoned from
+PRIOR_RATIOS = 60.0     # of such evidence that the publisher's usual decay counts for
 PRIOR_FIRST = 1.0       # shape of what a publisher's new object is held for
 FIRST_OF_ALL = 0.5      # requests in its first span, where a publisher is not known at all
+LEAST_LIKELIHOOD = -30.0    # of one span, logarithmic: no course is ruled out for ever by one odd count
+YOUNG = 4               # spans of age up to which an object shows how its publisher's objects begin
+YOUNG_WORTH = 8.0       # spans' evidence that this counts for at first
+YOUNG_PART = 0.03       # of each such span's word in it
 Z90 = 1.645
 IDLE_RATE = 0.02        # requests a span below which an object is not followed on
 
@@ -46,6 +50,8 @@
     exp_weight: float = 1.0
     pow_ratio: float = 0.0
     pow_weight: float = 1.0
+    # The mean log likelihood of each course while objects are young.
+    evidence: list[float] = field(default_factory=lambda: [0.0] * len(COURSES))
 
 
 class Course(Struct):
@@ -127,7 +133,7 @@
         if course is None:
             course = self.courses[key] = self._made(tenant, count, usual)
         else:
-            self._weigh(course, count)
+            self._weigh(course, usual, count)
             self._fit(course, usual, count)
             course.age += 1
         self._day(course, count)
@@ -142,13 +148,16 @@
         usual.first += (count - usual.first) / usual.seen
         exposure = PRIOR_FIRST / max(usual.first, 0.01)
         return Course(tenant, 0, count, [PRIOR_FIRST + count] * len(COURSES), [exposure + 1.0] * len(COURSES),
-                      [0.0] * len(COURSES), [0.0] * len(COURSES))
+                      [YOUNG_WORTH * one for one in usual.evidence], [0.0] * len(COURSES))
 
-    def _weigh(self, course: Course, count: float) -> None:
+    def _weigh(self, course: Course, usual: Usual, count: float) -> None:
         """Weigh the courses by what each foretold, then take the count into their beliefs."""
         for at in range(len(COURSES)):
             shape, exposure = course.shapes[at], course.exposures[at]
-            course.evidence[at] = FORGET * course.evidence[at] + _log_likelihood(count, shape, exposure)
+            likelihood = max(LEAST_LIKELIHOOD, _log_likelihood(count, shape, exposure))
+            course.evidence[at] = FORGET * course.evidence[at] + likelihood
+            if course.age < YOUNG:
+                usual.evidence[at] += YOUNG_PART * (likelihood - usual.evidence[at])
             course.shapes[at], course.exposures[at] = shape + count, exposure + 1.0
 
     def _fit(self, course: Course, usual: Usual, count: float) -> None:
--- a/hophinge/popularity/site.py
+++ b/hophinge/popularity/site.py
@@ -170,9 +170,13 @@
     # --- what is asked
 
     def expected(self, key: bytes) -> float:
-        """Tell the requests in the next span. What was asked for here goes by that; only else others' word counts."""
-        course = self.predictor.courses.get(key)
-        return course.mean if course is not None else self.elsewhere.get(key, 0.0)
+        """Tell the requests in the next span. What was asked for here goes by that; only else others' word counts.
+
+        What came in the open span is the least that is expected, or a crowd would be seen a span late.
+        """
+        course, counter = self.predictor.courses.get(key), self.sketch.counters.get(key)
+        found = course.mean if course is not None else self.elsewhere.get(key, 0.0)
+        return found if counter is None else max(found, counter.span)
 
     def wanted(self, key: str) -> float:
         """Tell predicted requests a second for the id of an object's manifest, which is what bricks are asked for."""
@@ -196,8 +200,13 @@
         return locator.volume, locator.manifest
 
     def candidates(self, units: Callable[[int], float]) -> Iterable[Candidate]:
-        """Tell what is expected; whoever asks knows what is kept already."""
+        """Tell what is worth a fetch; whoever asks knows what is kept already.
+
+        What was asked for here of late is kept as a rule, so of what is not, only what nine times in ten will be asked
+        for: the rest of it is overrated more often than not. What is known by peers' word alone goes by its mean.
+        """
         for key, one in self.known.items():
-            expected = self.expected(key)
+            course = self.predictor.courses.get(key)
+            expected = self.expected(key) if course is None or course.low >= 1.0 else 0.0
             if expected > 0.0:
                 yield Candidate(key, one.tenant, one.locator.shard, one.size, units(one.size), expected)
