--- a/benchmarks/popularity.py
+++ b/benchmarks/popularity.py
@@ -259,9 +259,10 @@
                 (replay.all_bytes - replay.hit_bytes + replay.fetched) / replay.all_bytes))
     rows = []
     for policy, runs in found.items():
-        hits, first, cold, byte_hits, fetched, useful, read = (100 * float(one) for one in np.mean(runs, axis=0))
-        worth = f"{useful:.0f} %" if fetched > 0 else "-"
-        rows.append(f"| {policy} | {hits:.1f} % | {first:.1f} % | {cold:.1f} % | {byte_hits:.1f} % | {fetched:.1f} % | {worth} | {read:.1f} % |")
+        mean = [100 * float(one) for one in np.mean(runs, axis=0)]
+        worth = f"{mean[5]:.0f} %" if mean[4] > 0 else "-"
+        parts = " | ".join(f"{one:.1f} %" for one in mean[:5])
+        rows.append(f"| {policy} | {parts} | {worth} | {mean[6]:.1f} % |")
     return rows
 
 
--- a/hophinge/objects/beforehand.py
+++ b/hophinge/objects/beforehand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -16,6 +17,8 @@
 from hophinge.popularity.planner import Candidate, Facts, Planner, Why
 
 RECORD_BYTES = 4096     # taken from budgets for a manifest, whose size is not known before
+REST_TIMES = 3          # as long as a read took, nothing is read after it: a brick or head that is slower is asked less
+MOST_REST_S = 0.5
 ELSEWHERE = (Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)      # speak against one brick: other pieces may lie elsewhere
 
 
@@ -76,10 +79,12 @@
         self.planner.spend(now_us, one.tenant, size)
         self.out += 1
         try:
-            return await read()
+            body = await read()
         except (RefusedError, CoreFailedError):
             self.refused += 1
             self.planner.refused(self.core.exchange.now_us())
             return Why.BUSY
         finally:
             self.out -= 1
+        await asyncio.sleep(min(MOST_REST_S, REST_TIMES * (self.core.exchange.now_us() - now_us) / 1e6))
+        return body
