Cluster, scorers and popularity at a head, each by its section of the operator's file

Need: the parts that decide and their sockets were there, and no head made them.

Change: head/together.py makes the member, the scorers and popularity and joins them (weights and counts on the board, predicted demand to scorers); compose.Parts imports it only where a section is there. The exchange tells who listens how each attempt ended (heard). /ops/cluster and /ops/scoring tell staff; SIGHUP reads the cluster's keys again; a head that ends leaves.

Measured: tests/test_together_heads.py and test_together_members.py (real processes: kills in numbers, splits, loss, a stopped head, floods, seeds that are all dead) pass with it.

--- a/hophinge/core/exchange/turns.py
+++ b/hophinge/core/exchange/turns.py
@@ -29,6 +29,7 @@
         self.start: Start | None = None             # the back; set once it is there
         self.probe: Probe | None = None
         self.gate: Gate | None = None
+        self.heard: Callable[[str, api.Result, int], None] | None = None    # told how each attempt at a node ended
         self.gate_soon = False                      # its turn comes in the loop's next one
         self.gate_at = 0                            # when a timer calls it
         self.open: dict[str, Open] = {}
@@ -110,6 +111,8 @@
         self.counters.add(f"attempts_{end.result.value}")
         if self.gate is not None:
             self.gate.ended(self.now_us(), attempt.node, end.result)
+        if self.heard is not None:
+            self.heard(attempt.node, end.result, self.now_us() - attempt.since)
         finished = request.answer is None
         if end.result is api.Result.OK and not finished:
             finished = True
--- a/hophinge/head/compose.py
+++ b/hophinge/head/compose.py
@@ -15,6 +15,7 @@
     from hophinge.admin.front import AdminFront
     from hophinge.head.accounts import HeadAccounts
     from hophinge.head.streamed import Streamed
+    from hophinge.head.together import Together
     from hophinge.objects.front import ObjectFront
     from hophinge.telemetry.remote_write import RemoteWrite
 
@@ -28,6 +29,7 @@
         self.admin: AdminFront | None = None
         self.accounts: HeadAccounts | None = None
         self.streamed: Streamed | None = None
+        self.together: Together | None = None
         copied = operator.stream is not None and operator.stream.accounts
         if operator.objects is not None or copied:
             from hophinge.head.accounts import HeadAccounts     # SQLite, and what the platform's head has no use for
@@ -54,6 +56,18 @@
 
             self.streamed = Streamed(operator.stream, config.name or config.listen, exchange,
                                      int(config.seed, 16), log, self.accounts)
+        if operator.cluster is not None or operator.scoring is not None or operator.popularity is not None:
+            from hophinge.head.together import Together
+
+            self.together = Together(config, operator, exchange, log,
+                                     self.objects.store if self.objects is not None else None, self.accounts)
+
+    def tells(self) -> dict[str, Callable[[], str]]:
+        """Tell what else staff may ask of at the second address, by path."""
+        found: dict[str, Callable[[], str]] = self.together.tells() if self.together is not None else {}
+        if self.streamed is not None:
+            found |= {"/ops/config": self.streamed.status, "/ops/tenants": self.streamed.tenants}
+        return found
 
 
 def remote_write(config: Config, operator: OperatorConfig, exchange: Exchange, counters: Counters,
--- a/hophinge/head/main.py
+++ b/hophinge/head/main.py
@@ -14,8 +14,8 @@
 import uvloop
 
 from hophinge.core import interface as api
-from hophinge.core.errors import told
-from hophinge.head.config import Config, ConfigError, load
+from hophinge.core.errors import HophingeError, told
+from hophinge.head.config import Config, load
 from hophinge.head.environment import CONFIG_FILE
 from hophinge.head.operator import OperatorConfig
 from hophinge.head.service import Service
@@ -33,7 +33,7 @@
         # uvloop: a head has part of a core, and a third of it went to the loop itself.
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, settings, operator))
-    except (ConfigError, ValueError, OSError, msgspec.MsgspecError) as error:
+    except (HophingeError, ValueError, OSError, msgspec.MsgspecError) as error:
         print(f"hophinge: {told(error)}", file=sys.stderr)
         return 2
     return 0
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -44,7 +44,7 @@
         self.exchange = Exchange(settings, int(config.seed, 16), clock, self.counters, say)
         parts = compose.Parts(config, operator, self.exchange, self.counters, say)
         self.objects, self.admin = parts.objects, parts.admin
-        self.accounts, self.streamed = parts.accounts, parts.streamed
+        self.accounts, self.streamed, self.together = parts.accounts, parts.streamed, parts.together
         # What the configuration can still be refused for lies above; sessions are opened from here on.
         self.directory = Directory(settings)
         self.budget = Budget(0)
@@ -64,8 +64,8 @@
             self.front.pace = self.streamed.pace
             if self.objects is not None:
                 self.objects.pace = self.streamed.pace
-        if self.control is not None and self.streamed is not None:
-            self.control.tells |= {"/ops/config": self.streamed.status, "/ops/tenants": self.streamed.tenants}
+        if self.control is not None:
+            self.control.tells |= parts.tells()
         self.remote_write = compose.remote_write(config, operator, self.exchange, self.counters, self.gauges,
                                                  self.accounts)
         self.listeners: list[Acceptor] = []         # of clients
@@ -93,6 +93,8 @@
             self._listen(self.admin, self.operator.admin.listen)
         if self.remote_write is not None:
             self.tasks.append(asyncio.create_task(self.remote_write.run()))
+        if self.together is not None:
+            self.tasks += self.together.start()
         if self.accounts is not None:
             self.front.watch, self.front.gone = self.accounts, self.accounts.dropped
             self.tasks += self.accounts.tasks()
@@ -188,8 +190,8 @@
     def reload(self) -> None:
         """Read the configuration file again; open requests, books and connections live on.
 
-        The address of discovery takes effect; all else is what this process was started with. The file rules, as
-        it is what was replaced: a variable that overrides it was set once, at the start.
+        The address of discovery takes effect, and the cluster's keys; all else is what this process was started with.
+        The file rules, as it is what was replaced: a variable that overrides it was set once, at the start.
         """
         try:
             new = read_config(self.path)
@@ -202,6 +204,8 @@
         if new.discovery != self.discovery.address:
             say(f"discovery moves from {self.discovery.address} to {new.discovery}")
             self.discovery.follow(new.discovery)
+        if self.together is not None:
+            self.together.reload()
 
     async def finish(self) -> None:
         """Answer what has been taken, then close everything."""
@@ -233,8 +237,9 @@
         for part in (self.discovery, self.bricks, self.remote_write, follower):
             if part is not None:
                 await part.close()
-        if self.accounts is not None:
-            self.accounts.close()
+        for held in (self.together, self.accounts):
+            if held is not None:
+                held.close()
 
     def gauges(self) -> dict[str, float]:
         """Tell what is now, for remote write."""
--- /dev/null
+++ b/hophinge/head/together.py
@@ -0,0 +1,81 @@
+"""Makes what a head does together with other processes; each part is off, and not imported, without its section."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hophinge.core.exchange import Exchange
+from hophinge.head.config import Config, ConfigError
+from hophinge.head.operator import OperatorConfig
+
+if TYPE_CHECKING:
+    from hophinge.head.accounts import HeadAccounts
+    from hophinge.head.cluster import Member
+    from hophinge.head.popularity import HeadPopularity
+    from hophinge.head.scoring import Scoring
+    from hophinge.objects.store import Store
+
+
+class Together:
+    """A head's place among its peers, its scorers and what it knows of popularity."""
+
+    def __init__(self, config: Config, operator: OperatorConfig, exchange: Exchange, log: Callable[[str], None],
+                 store: Store | None = None, accounts: HeadAccounts | None = None) -> None:
+        """Take the member's socket; raises a HophingeError that names the setting. Needs a running loop."""
+        self.member: Member | None = None
+        self.scoring: Scoring | None = None
+        self.popularity: HeadPopularity | None = None
+        if operator.scoring is not None:
+            from hophinge.head.scoring import Scoring
+
+            self.scoring = Scoring(operator.scoring, exchange, log)
+        if operator.cluster is not None:
+            from hophinge.head.cluster import Member
+
+            self.member = Member(operator.cluster, config.name or config.listen, log)
+            if self.scoring is not None:
+                self.scoring.share(self.member.sight.me, self.member.board)
+        if operator.popularity is not None:
+            if store is None or accounts is None:
+                raise ConfigError("[popularity] needs [objects], whose reads it counts")
+            from hophinge.head.popularity import HeadPopularity
+
+            def owner_of(volume: str) -> tuple[str, str] | None:
+                held = accounts.accounts.volumes.get(volume)
+                return (held.tenant, held.plan) if held is not None else None
+
+            sight, board = (self.member.sight, self.member.board) if self.member is not None else (None, None)
+            self.popularity = HeadPopularity(operator.popularity, store, owner_of, log, sight, board)
+            if self.scoring is not None:
+                self.scoring.expect(self.popularity)
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Reach others, and tell what runs on until it is cancelled."""
+        if self.member is not None:
+            self.member.start()
+        return [asyncio.create_task(part.run()) for part in (self.scoring, self.popularity) if part is not None]
+
+    def reload(self) -> None:
+        """Read the keys of the cluster again."""
+        if self.member is not None:
+            self.member.reload()
+
+    def close(self) -> None:
+        """Leave."""
+        if self.member is not None:
+            self.member.leave()
+            self.member.endpoint.close()
+
+    def tells(self) -> dict[str, Callable[[], str]]:
+        """Tell what staff may ask of it at the second address."""
+        found: dict[str, Callable[[], str]] = {}
+        member = self.member
+        if member is not None:
+            found["/ops/cluster"] = lambda: msgspec.json.format(msgspec.json.encode(member.status())).decode() + "\n"
+        if self.scoring is not None:
+            found["/ops/scoring"] = self.scoring.status
+        return found
--- a/tests/test_together_heads.py
+++ b/tests/test_together_heads.py
@@ -75,7 +75,7 @@
                     heard.append(data)
                 carry(source, target, data)
 
-            made.relay.carry = tapped       # type: ignore[method-assign]  # listens to what is carried
+            made.relay.carry = tapped       # type: ignore[method-assign, assignment]  # listens to what is carried
 
             async def enough() -> tuple[bool, str]:
                 return len(heard) >= 5, f"{len(heard)} datagrams"
@@ -124,7 +124,7 @@
             await until([made.ready("alone"), made.ready("n0")], BOUND_S)
             await until([made.serves("alone"), made.serves("n0")], BOUND_S)
             found = await asyncio.gather(served(made, "alone", 1, REQUESTS), served(made, "n0", 1, REQUESTS))
-            assert found == [REQUESTS, REQUESTS]
+            assert list(found) == [REQUESTS, REQUESTS]
             assert standings((await made.ask("n0", "/ops/cluster"))[1]) == {"n0": "alive"}
             assert (await made.ask("alone", "/ops/cluster"))[0] == 404
             # Its memory is bounded, and it ends in order.
