--- /dev/null
+++ b/tests/test_popularity_planner.py
@@ -0,0 +1,149 @@
+"""The planner of fetches: budgets, sources, owners."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from hophinge.cluster.interface import Member, Role, Standing
+from hophinge.popularity.planner import (
+    BURST_S,
+    PAUSE_US,
+    QUIET,
+    REST_US,
+    Bytes,
+    Candidate,
+    Facts,
+    Planner,
+    Source,
+    Why,
+    chance,
+    owner,
+)
+
+
+def member(name: str, standing: Standing = Standing.ALIVE, zone: str = "z", role: Role = Role.HEAD) -> Member:
+    return Member(name, "", 1, standing, zone, role)
+
+
+def brick(shard: int, on: bool = True, warm: bool = True, spare: float = 8.0) -> Source:
+    return Source(f"s-{shard}", shard, on, warm, spare)
+
+
+def facts(*bricks: Source, unanswered: int = 0, overloaded: bool = False) -> Facts:
+    sources: dict[int, list[Source]] = {}
+    for one in bricks:
+        sources.setdefault(one.shard, []).append(one)
+    return Facts(unanswered, overloaded, sources)
+
+
+def candidate(at: int, tenant: str = "t", shard: int = 0, size: int = 100, expected: float = 5.0) -> Candidate:
+    return Candidate(at.to_bytes(8, "big"), tenant, shard, size, 1.0, expected)
+
+
+def test_each_object_has_one_owner_and_members_that_go_move_only_their_own() -> None:
+    members = [member(f"h{at}") for at in range(5)] + [
+        member("other", zone="y"), member("control", role=Role.CONTROL), member("ill", Standing.SUSPECT)]
+    owners = {at: owner(at.to_bytes(8, "big"), members, "z") for at in range(500)}
+    assert set(owners.values()) == {f"h{at}" for at in range(5)}
+    fewer = {at: owner(at.to_bytes(8, "big"), members[1:], "z") for at in range(500)}
+    assert all(fewer[at] == owners[at] for at in owners if owners[at] != "h0")
+    planners = [Planner(f"h{at}", "z", 1e6, 1.0, 0) for at in range(5)]
+    plans = [planner.plan(0, members, facts(brick(0, spare=1e9)), map(candidate, range(40))) for planner in planners]
+    found = [one.key for plan in plans for one in plan]
+    assert len(found) == len(set(found)) == 40
+
+
+def check_budgets(lots: random.Random, make: type[Planner] = Planner) -> None:
+    """Whatever happens, never more bytes than rate and burst, in all and of a tenant; never from an unfit brick."""
+    rate, part = 1000.0, lots.choice((0.3, 0.5, 1.0))
+    planner, now, spent = make("me", "", rate, part, 0), 0, {"a": 0, "b": 0}
+    drained: set[str] = set()
+    planner.draining = lambda node: node in drained
+    for _ in range(80):
+        now += lots.randrange(0, 2_000_000)
+        drained = {f"s-{shard}" for shard in range(3) if lots.random() < 0.3}
+        seen = facts(*(brick(shard, lots.random() < 0.9, lots.random() < 0.8, lots.choice((0.0, 2.0, 8.0)))
+                       for shard in range(3)), unanswered=lots.randrange(QUIET + 2))
+        for one in planner.plan(now, [], seen, [
+                candidate(at, lots.choice("ab"), lots.randrange(4), lots.randrange(1, 6000)) for at in range(20)]):
+            why = planner.may(now, one.tenant, one.shard, one.size, one.units, seen)
+            if why is None:
+                source = seen.sources[one.shard][0]
+                assert source.node not in drained and source.on and source.warm and source.spare_units >= one.units
+                assert seen.unanswered < QUIET
+                planner.spend(now, one.tenant, one.size)
+                spent[one.tenant] += one.size
+        most = rate * (now / 1e6 + BURST_S)
+        assert sum(spent.values()) <= most + 1 and max(spent.values()) <= part * most + 1
+
+
+@given(st.integers(0, 1 << 32))
+@settings(max_examples=60, deadline=None)
+def test_no_plan_goes_over_a_budget_or_to_an_unfit_brick(seed: int) -> None:
+    check_budgets(random.Random(seed))
+
+
+class Spendthrift(Planner):
+    """A mutant: the tenant's budget is ignored."""
+
+    def _of(self, tenant: str, now_us: int) -> Bytes:
+        return Bytes(1e12, now_us)
+
+
+class Drainer(Planner):
+    """A mutant: drains are not looked at."""
+
+    def source(self, shard: int, units: float, facts: Facts) -> Why | None:
+        why = super().source(shard, units, facts)
+        return None if why is Why.DRAIN else why
+
+
+class Warmer(Planner):
+    """A mutant: cold bricks are read."""
+
+    def source(self, shard: int, units: float, facts: Facts) -> Why | None:
+        why = super().source(shard, units, facts)
+        return None if why is Why.COLD else why
+
+
+@pytest.mark.parametrize("mutant", [Spendthrift, Drainer, Warmer])
+def test_a_budget_drain_or_cold_brick_that_is_ignored_is_caught(mutant: type[Planner]) -> None:
+    with pytest.raises(AssertionError):
+        for seed in range(30):
+            check_budgets(random.Random(seed), mutant)
+
+
+def test_fetches_stop_first_under_overload_and_rest_after_it() -> None:
+    planner, quiet = Planner("me", "", 1e6, 1.0, 0), facts(brick(0))
+    assert planner.plan(0, [], quiet, [candidate(1)])
+    now = 0
+    for bad, rest in ((facts(brick(0), unanswered=QUIET), REST_US), (facts(brick(0), overloaded=True), PAUSE_US)):
+        assert not planner.plan(now, [], bad, [candidate(1)])
+        assert planner.may(now + rest - 1, "t", 0, 1, 1.0, quiet) is Why.BUSY
+        now += rest
+        assert planner.may(now, "t", 0, 1, 1.0, quiet) is None
+    planner.refused(now)
+    assert planner.may(now + PAUSE_US - 1, "t", 0, 1, 1.0, quiet) is Why.BUSY
+    assert planner.may(now + PAUSE_US, "t", 7, 1, 1.0, quiet) is Why.UNKNOWN
+
+
+def test_what_saves_most_work_a_byte_goes_first_and_a_loud_tenant_leaves_room() -> None:
+    planner = Planner("me", "", 100.0, 0.5, 0)      # saved up: 1000 bytes, 500 of a tenant
+    loud = [candidate(at, "loud", size=100, expected=1e6) for at in range(50)]
+    plan = planner.plan(0, [], facts(brick(0, spare=1e9)), [
+        *loud, candidate(100, "calm", size=100, expected=0.6), candidate(101, "calm", size=50, expected=2.0),
+        candidate(102, "calm", size=50, expected=0.01)])
+    assert [one.tenant for one in plan].count("loud") == 5
+    assert [one.key[-1] for one in plan if one.tenant == "calm"] == [101, 100]
+    assert plan[0].key[-1] == 101 and chance(0.0) == 0.0 and chance(1e9) == 1.0
+
+
+def test_heads_of_a_site_share_its_bytes() -> None:
+    planner = Planner("me", "z", 1000.0, 0.5, 0)
+    assert planner.may(0, "t", 0, 5000, 1.0, facts(brick(0))) is None
+    planner.share(0, 4)
+    assert planner.may(0, "t", 0, 1251, 1.0, facts(brick(0))) is Why.TENANT
+    assert planner.may(0, "t", 0, 2501, 1.0, facts(brick(0))) is Why.SITE
