--- a/hophinge/scoring/sharing.py
+++ b/hophinge/scoring/sharing.py
@@ -66,6 +66,12 @@
         if (peer := self.peers.get(owner)) is not None:
             peer.say(chunk, None)
 
+    def begin_anew(self, owner: str) -> None:
+        """Take that a peer which was gone speaks again: what it said before is not its word any more."""
+        if (peer := self.peers.get(owner)) is not None:
+            peer.chunks = {}
+            peer.words = {}
+
     def judge(self, now_us: int, own: Mapping[str, Weight]) -> None:
         """Compare fresh words with one's own answers; forget who has long been silent."""
         sure = {node: weight.value for node, weight in own.items() if weight.evidence >= SURE}
@@ -105,6 +111,7 @@
     def __init__(self, me: str, shared: Mapping[str, Shared]) -> None:
         self.me, self.shared = me, shared
         self.versions: dict[tuple[str, str], tuple[int, int]] = {}
+        self.left: set[str] = set()                 # owners of which all entries are gone
         self.bad: dict[str, int] = {}               # entries dropped, by owner
         self.other_versions: dict[str, int] = {}    # entries of another version of a scorer, by owner
 
@@ -121,11 +128,22 @@
                 taken += 1
                 self.versions[at] = entry.version
                 self._take(now_us, entry)
+        speak = {owner for owner, _ in held}
         for at in self.versions.keys() - held:
             del self.versions[at]
-            self._gone(*at)
+            # Who takes an entry back says so. Of a member that is gone all are; what it said last ages, as of one that
+            # has fallen silent: else a split would make the few that are left the judges of everything at once.
+            if at[0] in speak:
+                self._gone(*at)
+            else:
+                self.left.add(at[0])
+        self.left = {owner for owner in self.left if any(owner in shared.peers for shared in self.shared.values())}
 
     def _take(self, now_us: int, entry: Entry) -> None:
+        if entry.owner in self.left:
+            self.left.discard(entry.owner)
+            for one in self.shared.values():
+                one.begin_anew(entry.owner)
         try:
             scorer, chunk = encoding.place(entry.key)
             version, words = encoding.decode(chunk, entry.value)
--- a/tests/test_scoring_sharing.py
+++ b/tests/test_scoring_sharing.py
@@ -115,6 +115,24 @@
     assert not quiet.shared["suspicion"].peers
 
 
+def test_members_that_are_gone_age_like_silent_ones_and_begin_anew_when_they_return() -> None:
+    fleet, wall = heads(10), Wall()
+    quiet = fleet["h9"]
+    for head in list(fleet.values())[:9]:
+        hear(head, T0, BAD, Result.ERROR, 6)
+    now = run(fleet, wall, T0, 1)
+    first = added(quiet, now, BAD)
+    wall.held.clear()
+    assert added(quiet, run({"h9": quiet}, wall, now, 5), BAD) == first > 0.5 * MOST_US
+    for at in range(9):
+        lie(wall, f"h{at}", 1, {GOOD: 0.02} if encoding.chunk_of(GOOD) != encoding.chunk_of(BAD) else {})
+    now = run({"h9": quiet}, wall, now + 5 * S, 1)
+    assert added(quiet, now, BAD) == 0.0 and len(quiet.shared["suspicion"].peers) == 9
+    wall.held.clear()
+    run({"h9": quiet}, wall, now, FORGOTTEN_US // S + 2)
+    assert quiet.reader is not None and not quiet.reader.left and not quiet.shared["suspicion"].peers
+
+
 def test_a_head_whose_peers_are_all_gone_uses_its_own_weights_as_they_are() -> None:
     shared, alone = heads(1)["h0"], engine({"suspicion": Suspicion(Parameters(), SETTING)})
     for head in (shared, alone):
