--- /dev/null
+++ b/hophinge/maintenance/coordinator.py
@@ -0,0 +1,242 @@
+"""The issuer of permits as a whole: reports and the document come in, what was stored goes out as words to heads.
+
+Nothing is told that is not stored: each step hands its rows to the keeper first and takes them only when that has
+returned. All that is told is made of the table as it stands, so whoever ends between the two tells it when it starts
+again, and a step that failed is made again by the next `tick`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Protocol
+
+import msgspec
+
+from hophinge.maintenance.drains import DRAINED, Drains, Verdict, owing
+from hophinge.maintenance.permits import Answer, Ask, Floor, Kind, Permit, Permits, State
+from hophinge.maintenance.releases import Course, Outcome, Releases, Stage
+from hophinge.maintenance.sights import Head, Sights, brick_floors, head_floor
+from hophinge.maintenance.watch import HeadView
+from hophinge.maintenance.words import Report, Word
+from hophinge.routing.bounds import Maintenance, Outage, Release
+from hophinge.routing.records import Record
+
+RELEASE, OUTAGE = "release ", "outage "
+
+
+class Keeper(Protocol):
+    """Where promises last."""
+
+    def keep(self, permits: Sequence[Permit], courses: Sequence[Course]) -> None:
+        """Store rows in one transaction; raises, and then nothing is stored."""
+
+    def zone(self, head: str, zone: str) -> None:
+        """Store a head's zone."""
+
+
+class Coordinator:
+    """One installation's; `fence` is above that of every process that had this store before."""
+
+    def __init__(self, issuer: str, fence: int, permits: Iterable[Permit], courses: Iterable[Course],
+                 zones: Mapping[str, str], keeper: Keeper, now_us: int) -> None:
+        self.issuer, self.fence, self.keeper = issuer, fence, keeper
+        self.permits, self.releases, self.drains = Permits(permits, fence, now_us), Releases(courses), Drains()
+        self.sights = Sights(zones)
+        self.rule = Maintenance()
+        self.outages: dict[str, Outage] = {}
+        self.forms: dict[str, Release] = {}
+        self.records: tuple[Record, ...] = ()
+        self.reserves: dict[str, float] = {}                # of tenants that have an account
+        self.reasons: dict[tuple[Kind, str], str] = {}      # why who wants to go out has to wait
+        self.told: dict[str, Word] = {}
+
+    # --- what comes in
+
+    def document(self, upkeep: Iterable[Record], records: Iterable[Record], reserves: Mapping[str, float]) -> None:
+        """Take the forms on maintenance, and those that tell what pools must carry."""
+        rows = list(upkeep)
+        self.rule = next((one for one in rows if isinstance(one, Maintenance)), Maintenance())
+        self.outages = {one.name: one for one in rows if isinstance(one, Outage)}
+        self.forms = {one.name: one for one in rows if isinstance(one, Release)}
+        self.records, self.reserves = tuple(records), dict(reserves)
+
+    def connected(self, name: str, speaks: bool, size: int) -> None:
+        """Note a head's stream; `size` is how many heads the installation counts, 0: nobody has told."""
+        head = self.sights.heads.setdefault(name, Head())
+        head.connected, head.speaks, head.report = True, speaks, None
+        self.sights.size = size
+        self.told.pop(name, None)
+
+    def gone(self, name: str) -> None:
+        """Note the end of a head's stream."""
+        if (head := self.sights.heads.get(name)) is not None:
+            head.connected, head.report = False, None
+
+    def report(self, name: str, report: Report) -> None:
+        """Take what a head says; what it says replaces what it said."""
+        head = self.sights.heads[name]
+        if report.zone and report.zone != head.zone:
+            self.keeper.zone(name, report.zone)
+            head.zone = report.zone
+        head.report = report
+        self.drains.take(name, report.statements, True, self.permits.held)
+        for other, statements in report.heard.items():
+            # A head that has a line to here speaks for itself: what others have heard of it may be of a former process.
+            if (known := self.sights.heads.get(other)) is None or not known.connected:
+                self.drains.take(other, statements, False, self.permits.held)
+
+    # --- what follows
+
+    def tick(self, now_us: int) -> None:
+        """Do all that follows from what is known; raises what the keeper raises, and is then to be called again."""
+        self._keep(now_us, self.permits.lapsed(now_us))
+        for permit in self.rule.free:
+            if permit in self.permits.held:
+                self._keep(now_us, self.permits.step(permit, State.FREE))
+        self._evidence(now_us)
+        self.drains.forget(self.permits.held)
+        self.reasons = {}
+        self._outages(now_us)
+        self._releases(now_us)
+        self._wishes(now_us)
+
+    def _keep(self, now_us: int, rows: Sequence[Permit], courses: Sequence[Course] = ()) -> None:
+        if rows or courses:
+            self.keeper.keep(rows, courses)
+            self.permits.take(now_us, rows)
+            self.releases.take(courses)
+
+    def _evidence(self, now_us: int) -> None:
+        for one in list(self.permits.held.values()):
+            state = self._of_head(one) if one.kind is Kind.HEAD else self._of_brick(one)
+            if state is not None:
+                self._keep(now_us, self.permits.step(one.id, state))
+
+    def _of_head(self, one: Permit) -> State | None:
+        """Tell what a head's stream and report make of its permit."""
+        head = self.sights.heads.get(one.name)
+        if one.state is State.GRANTED or head is None:
+            return None
+        standing = self._stands(one)
+        if not head.connected:
+            return State.OUT if one.state in (State.BEGUN, State.BACK) else None
+        report = head.report
+        another = (report is not None and report.process != one.process) or (report is None and not head.speaks
+                                                                              and one.state is State.OUT)
+        if one.state in (State.BEGUN, State.OUT):
+            return State.BACK if another or not standing else None
+        wanted = report is None or not one.build or report.build == one.build
+        return State.FREE if head.up and wanted and not (one.by.startswith(OUTAGE) and standing) else None
+
+    def _of_brick(self, one: Permit) -> State | None:
+        """Tell what the heads' statements make of a brick's permit."""
+        if one.state is State.BACK:
+            speaking = sum(head.report is not None for head in self.sights.heads.values() if head.connected)
+            return State.FREE if self.drains.served(one.id) >= max(1, min(self.rule.served, speaking)) else None
+        if not self._stands(one):
+            return State.BACK
+        return State.OUT if one.state is State.BEGUN and self.verdict(one).done else None
+
+    def _stands(self, one: Permit) -> bool:
+        """Tell whether the form that a permit is for still wants it; whoever asked otherwise has no form."""
+        if not one.by.startswith(OUTAGE):
+            return True
+        form = self.outages.get(one.by.removeprefix(OUTAGE))
+        return form is not None and one.name in (form.heads if one.kind is Kind.HEAD else form.bricks)
+
+    def verdict(self, one: Permit) -> Verdict:
+        """Tell whose word that a brick is drained is missing."""
+        form = self.outages.get(one.by.removeprefix(OUTAGE))
+        known = [name for name in self.sights.heads if name not in self.rule.retired]
+        return self.drains.verdict(one.id, owing(
+            known, self.sights.connected(), self.sights.told("live"), self.sights.told("gone"),
+            form.without if form is not None else ()))
+
+    # --- who wants to go out
+
+    def _floors(self, kind: Kind) -> list[Floor]:
+        if kind is Kind.HEAD:
+            return [head_floor(self.records, self.reserves)]
+        listed = {name: one for name, (one, _) in self.sights.seen.items()}
+        return brick_floors(self.records, listed, self.rule.capacity, self.reserves)
+
+    def _ask(self, now_us: int, ask: Ask, courses: Sequence[Course] = ()) -> None:
+        if ask.kind is Kind.HEAD:
+            sight, most = self.sights.of_heads(self.rule.retired), self.rule.heads
+        else:
+            sight, most = self.sights.of_bricks(now_us), self.rule.bricks
+        self._answered(now_us, ask.kind, ask.name, self.permits.ask(now_us, ask, sight, most, self._floors(ask.kind)))
+
+    def _answered(self, now_us: int, kind: Kind, name: str, answer: Answer) -> None:
+        self._keep(now_us, answer.rows)
+        if answer.reason:
+            self.reasons[kind, name] = answer.reason
+
+    def _outages(self, now_us: int) -> None:
+        for form in self.outages.values():
+            for kind, names in ((Kind.BRICK, form.bricks), (Kind.HEAD, form.heads)):
+                for name in names:
+                    held = self.permits.of(kind, name)
+                    if held is None or held.by != OUTAGE + form.name:
+                        self._ask(now_us, Ask(kind, name, OUTAGE + form.name, form.name, begun=True))
+
+    def _releases(self, now_us: int) -> None:
+        self._keep(now_us, (), self.releases.listed(self.forms))
+        outcome = self.releases.look(now_us, self.forms, self.views())
+        rows = [msgspec.structs.replace(one, state=State.FREE) for one in self.permits.held.values()
+                if one.state is State.GRANTED and one.by.removeprefix(RELEASE) in outcome.withdrawn]
+        rows += [row for permit, build in outcome.rebuilt
+                 for row in self.permits.step(permit, self.permits.held[permit].state, build)]
+        self._keep(now_us, rows, outcome.courses)       # the way back is stored before anybody is asked to go
+        self._wanted(now_us, outcome)
+
+    def _wanted(self, now_us: int, outcome: Outcome) -> None:
+        for want in outcome.wants:
+            if not self.sights.heads[want.head].speaks:
+                self.reasons[Kind.HEAD, want.head] = "it does not speak of permits; restart it under an (outage ...)"
+            else:
+                self._ask(now_us, Ask(Kind.HEAD, want.head, RELEASE + want.release, want.key, want.build))
+
+    def _wishes(self, now_us: int) -> None:
+        for name, head in self.sights.heads.items():
+            report = head.report
+            if report is None:
+                continue
+            if report.ask and self.permits.of(Kind.HEAD, name) is None:
+                self._ask(now_us, Ask(Kind.HEAD, name, f"head {name}", report.ask))
+            held = self.permits.of(Kind.HEAD, name)
+            if held is not None and report.begin == held.id:
+                self._answered(now_us, Kind.HEAD, name, self.permits.begin(
+                    now_us, held.id, report.process, self.sights.of_heads(self.rule.retired), self.rule.heads,
+                    self._floors(Kind.HEAD)))
+
+    def views(self) -> dict[str, HeadView]:
+        """Tell the heads as releases see them."""
+        found = {}
+        for name, head in self.sights.heads.items():
+            if head.connected or name not in self.rule.retired:
+                report = head.report or Report(0)
+                found[name] = HeadView(head.connected, head.up, report.build, report.process,
+                                       self.permits.of(Kind.HEAD, name), report.taken, report.failed)
+        return found
+
+    # --- what is told
+
+    def word(self, name: str) -> Word | None:
+        """Tell what is new for a head since it was last told, or nothing."""
+        bricks = self.permits.all(Kind.BRICK)
+        before = self.told.get(name)
+        word = Word(self.issuer, self.fence, before.number if before is not None else 0,
+                    {one.id: one.name for one in bricks if one.state in (State.BEGUN, State.OUT)},
+                    {one.id: one.name for one in bricks if one.state is State.BACK},
+                    self.permits.of(Kind.HEAD, name), self.reasons.get((Kind.HEAD, name), ""),
+                    tuple(f"{one.name}/{one.again}" for one in self.releases.courses.values()
+                          if one.stage is Stage.HALTED))
+        if word == before:
+            return None
+        self.told[name] = msgspec.structs.replace(word, number=word.number + 1)
+        return self.told[name]
+
+    def said(self, one: Permit) -> int:
+        """Tell how many heads have said that a brick is drained."""
+        return len(self.drains.said.get((one.id, DRAINED), ()))
--- a/hophinge/maintenance/drains.py
+++ b/hophinge/maintenance/drains.py
@@ -81,7 +81,7 @@
         self.said: dict[tuple[str, str], set[str]] = {}     # (permit, what) to heads
 
     def take(self, head: str, statements: Iterable[Statement], whole: bool, held: Collection[str]) -> None:
-        """Take a head's statements; `whole`: these are all that it says now, so what it no longer says is taken back."""
+        """Take a head's statements; `whole`: these are all that it says now, the rest is taken back."""
         now = {(one.permit, one.said) for one in statements if one.permit in held}
         if whole:
             for place, heads in self.said.items():
--- a/hophinge/maintenance/permits.py
+++ b/hophinge/maintenance/permits.py
@@ -19,7 +19,7 @@
 from msgspec import Struct
 
 from hophinge.core.errors import HophingeError
-from hophinge.routing.records import Most
+from hophinge.routing.bounds import Most
 
 BEGIN_US = 20_000_000       # by the asker's clock, from its asking
 DRIFT = 0.01                # part by which two steady clocks may differ in speed, as in tenancy/leases.py
@@ -30,7 +30,7 @@
     """A step that the table of states does not have; nothing was changed."""
 
     code = "permit-unfit"
-    remedy = "Read the permit's state in `hophinge control status`; free its place there by its id if it is out for good."
+    remedy = "Read the permit's state in `hophinge control status` and free it by its id if it is out for good."
 
 
 class Kind(Enum):
@@ -60,7 +60,7 @@
 
 
 class Permit(Struct, frozen=True):
-    """A place that is taken, and by whom; `process` is the head's that began, `build` the one it is to come back with."""
+    """A place that is taken, and by whom; `process` is the head's that began, `build` the one wanted back."""
 
     id: str
     kind: Kind
@@ -161,7 +161,8 @@
         # A member whose zone is unknown may be of any; so may one that nobody has heard of.
         here = {one: where for one, where in out.items() if not zone or not where or where == zone}
         known = {**sight.down, **sight.up}
-        size = sum(1 for where in known.values() if where == zone) if zone else total
+        sizes = [list(known.values()).count(one) for one in set(known.values()) if one]
+        size = list(known.values()).count(zone) if zone else min(sizes, default=total)
         if len(here) > (allowed := most.allowed_zone(size)):
             return (f"{len(here)} {kind.value}s of {size} would be out in zone {zone or '(unknown)'}, "
                     f"{allowed} may: {_some(here, name)}")
--- /dev/null
+++ b/hophinge/maintenance/watch.py
@@ -0,0 +1,74 @@
+"""What is seen of a wave while it runs, and what in it is trouble."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable, Mapping
+
+from msgspec import Struct
+
+from hophinge.maintenance.permits import Permit, State
+from hophinge.routing.bounds import Release
+
+LEAST_TAKEN = 50        # requests before a share of failures tells anything
+SURE = 3.0              # standard errors by which a share has to be over what is allowed
+
+
+class HeadView(Struct, frozen=True):
+    """One head as a release sees it."""
+
+    connected: bool
+    ready: bool
+    build: str
+    process: int
+    permit: Permit | None
+    taken: float
+    failed: float
+
+
+class Watch(Struct):
+    """One wave; a coordinator that starts sees it anew, which only makes it wait longer."""
+
+    place: tuple[str, int, int]             # release, wave, again
+    base: dict[str, tuple[int, float, float]] = {}      # process, taken and failed of each head when it began
+    begun: dict[str, int] = {}
+    quiet_since: int = 0
+
+    @classmethod
+    def began(cls, place: tuple[str, int, int], heads: Mapping[str, HeadView]) -> Watch:
+        """Begin to watch a wave."""
+        return cls(place, {name: (one.process, one.taken, one.failed) for name, one in heads.items()})
+
+    def trouble(self, now_us: int, build: str, touched: Collection[str], form: Release, wave: Mapping[str, HeadView],
+                heads: Mapping[str, HeadView]) -> str:
+        """Tell why the release must not go on, or nothing; `touched` are heads that it has wanted out."""
+        for name, one in wave.items():
+            if not one.connected and one.permit is None and name in touched:
+                return f"{name} was lost while no permit let it go"
+            if one.permit is not None and one.permit.state in (State.BEGUN, State.OUT, State.BACK):
+                since = self.begun.setdefault(name, now_us)
+                if now_us - since > form.patience_us:
+                    return f"{name} is not back after {form.patience_us / 1e6:g} s (permit {one.permit.id})"
+            else:
+                self.begun.pop(name, None)
+        there = {name: one for name, one in wave.items() if one.build == build}
+        taken, failed = self.counted((name, one) for name, one in heads.items() if name not in there)
+        allowed = (failed / taken if taken else 0.0) + form.refused
+        for told, names in [(f"the wave's {len(there)} heads", sorted(there)),
+                            *((name, [name]) for name in sorted(there))]:
+            taken, failed = self.counted((name, there[name]) for name in names)
+            error = math.sqrt(max(allowed * (1 - allowed), 1e-4) / taken) if taken else 0.0
+            if taken >= LEAST_TAKEN and failed / taken > allowed + SURE * error:
+                return (f"{told}: {failed:g} of {taken:g} requests were refused or failed; "
+                        f"{100 * allowed:.1f} % may, {100 * form.refused:g} % more than elsewhere")
+        return ""
+
+    def counted(self, views: Iterable[tuple[str, HeadView]]) -> tuple[float, float]:
+        """Sum what was taken and failed since the wave began, or since a process that began later did."""
+        taken = failed = 0.0
+        for name, one in views:
+            process, was_taken, was_failed = self.base.get(name, (0, 0.0, 0.0))
+            same = process == one.process and was_taken <= one.taken
+            taken += one.taken - (was_taken if same else 0.0)
+            failed += one.failed - (was_failed if same else 0.0)
+        return taken, failed
--- a/hophinge/routing/fields.py
+++ b/hophinge/routing/fields.py
@@ -159,6 +159,7 @@
             return (1.0,)
         words = [item.text for item in form.items[1:] if isinstance(item, Atom)]
         try:
+            words = " ".join(words).replace("%", " % ").split()     # 10% and 10 % alike
             shares = [quantity(words[at:at + 2], "share") for at in range(0, len(words), 2)]
             if not shares or shares != sorted(set(shares)) or shares[-1] != 1.0 or shares[0] <= 0:
                 raise QuantityError(f"shares rise and end with 100 %, like ({part} 10 % 50 % 100 %)")
--- a/hophinge/routing/forms.py
+++ b/hophinge/routing/forms.py
@@ -7,9 +7,9 @@
 
 from hophinge.routing import upkeep
 from hophinge.routing.document import MOST_MISTAKES, Atom, Form, Mistake, Node, decode, parse
-from hophinge.routing.fields import VOLUME, Fields
+from hophinge.routing.fields import VOLUME, Fields as Fields
 from hophinge.routing.records import (
-    Eject, Limit, Plan, Pool, Record, Retries, Rollout, Route, Scope, Spare, Tenant,
+    Eject, Limit, Plan, Pool, Record, Retries, Rollout, Route, Spare, Tenant,
 )
 
 VERSION = "1"       # of the document's form: (hophinge 1)
--- a/hophinge/routing/records.py
+++ b/hophinge/routing/records.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Struct
 
+from hophinge.routing.bounds import Maintenance, Outage, Release
+
 ANY = "*"       # in a name, for a scope that a form leaves open
 
 
@@ -162,80 +164,7 @@
         return f"rollout/{ANY}"
 
 
-class Most(Struct, frozen=True):
-    """How many of a kind may be out at once, in all and in one zone; negative: not stated. The strictest counts."""
-
-    most: int = -1
-    part: float = -1.0
-    zone_most: int = -1
-    zone_part: float = -1.0
-
-    def allowed(self, total: int) -> int:
-        """Tell how many of so many may be out."""
-        return _strictest(self.most, self.part, total)
-
-    def allowed_zone(self, size: int) -> int:
-        """Tell how many may be out of a zone with so many."""
-        return _strictest(self.zone_most, self.zone_part, size)
-
-
-def _strictest(most: int, part: float, total: int) -> int:
-    stated = [most] if most >= 0 else []
-    if part >= 0:
-        stated.append(int(part * total + 1e-9))
-    return min(stated, default=total)
-
-
-class Maintenance(Struct, frozen=True, tag="maintenance"):
-    """What may be out of service on purpose; heads are not told."""
-
-    heads: Most | None = None               # None: none may
-    bricks: Most | None = None
-    served: int = 2                         # heads that a brick has to answer again, warm, before its place is free
-    capacity: float = 0.0                   # units/s of one brick, by which pools keep what reserves need; 0: unknown
-    retired: tuple[str, ...] = ()           # heads that are gone for good, by an operator's word
-    free: tuple[str, ...] = ()              # permits whose places are free by an operator's word
-
-    @property
-    def key(self) -> str:
-        """Tell the name that the control service knows it by."""
-        return f"maintenance/{ANY}"
-
-
-class Outage(Struct, frozen=True, tag="outage"):
-    """Bricks and heads that are to be out for as long as the form stands; heads are not told of the form."""
-
-    name: str
-    bricks: tuple[str, ...] = ()
-    heads: tuple[str, ...] = ()
-    without: tuple[str, ...] = ()           # heads whose word is not waited for
-
-    @property
-    def key(self) -> str:
-        """Tell the name that the control service knows it by."""
-        return f"outage/{self.name}"
-
-
-class Release(Struct, frozen=True, tag="release"):
-    """A build that heads are to come back with, wave by wave; heads are not told of the form."""
-
-    name: str
-    build: str
-    heads: tuple[str, ...] = ()             # empty: all
-    waves: tuple[float, ...] = (1.0,)       # parts of the targets, rising; the first head of all goes alone
-    settle_us: int = 30_000_000
-    patience_us: int = 300_000_000          # from a head's begin until it is back
-    refused: float = 0.02                   # part of a wave's requests that fail beyond the others' part: it halts
-    word: str = "go"                        # or "halt", or "back"
-    again: int = 0                          # raised by whoever lets a halted one go on
-
-    @property
-    def key(self) -> str:
-        """Tell the name that the control service knows it by."""
-        return f"release/{self.name}"
-
-
-Upkeep = Maintenance | Outage | Release         # kept by the control service, and not part of a version
+UPKEEP = (Maintenance, Outage, Release)     # kept by the control service, and not part of a version
 Record = Plan | Pool | Tenant | Route | Limit | Retries | Eject | Spare | Rollout | Maintenance | Outage | Release
 
 _ENCODER = msgspec.json.Encoder(order="deterministic")
--- a/hophinge/routing/upkeep.py
+++ b/hophinge/routing/upkeep.py
@@ -5,8 +5,9 @@
 import re
 from collections.abc import Callable, Mapping, Sequence
 
+from hophinge.routing.bounds import Maintenance, Most, Outage, Release
 from hophinge.routing.fields import Fields
-from hophinge.routing.records import Maintenance, Most, Outage, Record, Release
+from hophinge.routing.records import Record
 
 BUILD = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.+-]{0,63}", re.ASCII)
 WORDS = ("go", "halt", "back")
@@ -15,9 +16,9 @@
 def _most(part: Fields | None) -> Most | None:
     if part is None:
         return None
-    most = Most(int(part.number("most", -1, 0, 10_000, whole=True)), part.quantity("most-part", "share", -1.0, most=1.0),
-                int(part.number("zone-most", -1, 0, 10_000, whole=True)),
-                part.quantity("zone-part", "share", -1.0, most=1.0))
+    most = Most(
+        int(part.number("most", -1, 0, 10_000, whole=True)), part.quantity("most-part", "share", -1.0, most=1.0),
+        int(part.number("zone-most", -1, 0, 10_000, whole=True)), part.quantity("zone-part", "share", -1.0, most=1.0))
     part.whole(most.most >= 0 or most.part >= 0,
                f"({part.form.word} ...) needs (most 3) or (most-part 10 %), or both: the stricter counts")
     part.end()
