--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from hophinge.maintenance.drains import DRAINED, Drains, Verdict, owing
-from hophinge.maintenance.permits import Answer, Ask, Floor, Kind, Permit, Permits, State
+from hophinge.maintenance.permits import Answer, Ask, Floor, Kind, Permit, Permits, Sighting, State
 from hophinge.maintenance.releases import Course, Outcome, Releases, Stage
 from hophinge.maintenance.sights import Head, Sights, brick_floors, head_floor
 from hophinge.maintenance.watch import HeadView
@@ -49,6 +49,8 @@
         self.reserves: dict[str, float] = {}                # of tenants that have an account
         self.reasons: dict[tuple[Kind, str], str] = {}      # why who wants to go out has to wait
         self.told: dict[str, Word] = {}
+        self.number = 0                                     # of the last word
+        self.bricks: Sighting | None = None                 # until something is heard, or time goes on
 
     # --- what comes in
 
@@ -63,14 +65,14 @@
     def connected(self, name: str, speaks: bool, size: int) -> None:
         """Note a head's stream; `size` is how many heads the installation counts, 0: nobody has told."""
         head = self.sights.heads.setdefault(name, Head())
-        head.connected, head.speaks, head.report = True, speaks, None
+        head.connected, head.speaks, head.report, self.bricks = True, speaks, None, None
         self.sights.size = size
         self.told.pop(name, None)
 
     def gone(self, name: str) -> None:
         """Note the end of a head's stream."""
         if (head := self.sights.heads.get(name)) is not None:
-            head.connected, head.report = False, None
+            head.connected, head.report, self.bricks = False, None, None
 
     def report(self, name: str, report: Report) -> None:
         """Take what a head says; what it says replaces what it said."""
@@ -78,7 +80,7 @@
         if report.zone and report.zone != head.zone:
             self.keeper.zone(name, report.zone)
             head.zone = report.zone
-        head.report = report
+        head.report, self.bricks = report, None
         self.drains.take(name, report.statements, True, self.permits.held)
         for other, statements in report.heard.items():
             # A head that has a line to here speaks for itself: what others have heard of it may be of a former process.
@@ -89,6 +91,7 @@
 
     def tick(self, now_us: int) -> None:
         """Do all that follows from what is known; raises what the keeper raises, and is then to be called again."""
+        self.bricks = None
         self._keep(now_us, self.permits.lapsed(now_us))
         for permit in self.rule.free:
             if permit in self.permits.held:
@@ -160,11 +163,12 @@
         listed = {name: one for name, (one, _) in self.sights.seen.items()}
         return brick_floors(self.records, listed, self.rule.capacity, self.reserves)
 
-    def _ask(self, now_us: int, ask: Ask, courses: Sequence[Course] = ()) -> None:
+    def _ask(self, now_us: int, ask: Ask) -> None:
         if ask.kind is Kind.HEAD:
             sight, most = self.sights.of_heads(self.rule.retired), self.rule.heads
         else:
-            sight, most = self.sights.of_bricks(now_us), self.rule.bricks
+            self.bricks = self.bricks or self.sights.of_bricks(now_us)
+            sight, most = self.bricks, self.rule.bricks
         self._answered(now_us, ask.kind, ask.name, self.permits.ask(now_us, ask, sight, most, self._floors(ask.kind)))
 
     def _answered(self, now_us: int, kind: Kind, name: str, answer: Answer) -> None:
@@ -178,7 +182,9 @@
                 for name in names:
                     held = self.permits.of(kind, name)
                     if held is None or held.by != OUTAGE + form.name:
-                        self._ask(now_us, Ask(kind, name, OUTAGE + form.name, form.name, begun=True))
+                        head = self.sights.heads.get(name) if kind is Kind.HEAD else None
+                        process = head.report.process if head is not None and head.report is not None else 0
+                        self._ask(now_us, Ask(kind, name, OUTAGE + form.name, form.name, "", True, process))
 
     def _releases(self, now_us: int) -> None:
         self._keep(now_us, (), self.releases.listed(self.forms))
@@ -234,7 +240,8 @@
                           if one.stage is Stage.HALTED))
         if word == before:
             return None
-        self.told[name] = msgspec.structs.replace(word, number=word.number + 1)
+        self.number += 1
+        self.told[name] = msgspec.structs.replace(word, number=self.number)
         return self.told[name]
 
     def said(self, one: Permit) -> int:
--- a/hophinge/maintenance/permits.py
+++ b/hophinge/maintenance/permits.py
@@ -98,6 +98,7 @@
     key: str
     build: str = ""
     begun: bool = False     # an operator's word: the place is taken and begun in one step
+    process: int = 0        # of the head that is to go, where that is known
 
 
 class Answer(Struct, frozen=True):
@@ -187,7 +188,7 @@
             return Answer(reason=reason)
         self.count += 1     # an id that is not stored is never told, and never given again
         made = Permit(f"{self.fence}.{self.count}", ask.kind, ask.name, zone, ask.by, ask.key,
-                      State.BEGUN if ask.begun else State.GRANTED, ask.build)
+                      State.BEGUN if ask.begun else State.GRANTED, ask.build, ask.process)
         return Answer((made,), made)
 
     def begin(self, now_us: int, permit: str, process: int, sight: Sighting, most: Most | None,
--- /dev/null
+++ b/tests/maintenance_world.py
@@ -0,0 +1,302 @@
+"""A fleet in virtual time: heads, bricks, the issuer and its store, with all that can break between them.
+
+The store checks each row as it comes, by its own count and not by the table's code, so that a fault of the table is
+found where it would be believed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+
+from hophinge.maintenance.coordinator import Coordinator
+from hophinge.maintenance.drains import DRAINED, HeadDrains, Say, TakeOut, TakeUp
+from hophinge.maintenance.holder import Holder
+from hophinge.maintenance.permits import Kind, Permit, State
+from hophinge.maintenance.releases import Course
+from hophinge.maintenance.words import Listed, Report, Word
+from hophinge.routing.bounds import Maintenance, Outage, Release
+from hophinge.routing.records import Record
+
+S = 1_000_000
+LEAVES = {State.BEGUN, State.OUT}
+
+
+class KilledError(Exception):
+    """The issuer's process ends here."""
+
+
+class MemoryStore:
+    """What is durable, and the rules that every row has to keep."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.permits: dict[str, Permit] = {}
+        self.courses: dict[str, Course] = {}
+        self.zones: dict[str, str] = {}
+        self.keeps = 0
+        self.kill: tuple[int, bool] | None = None       # at which keep, and whether it is stored before
+
+    def zone(self, head: str, zone: str) -> None:
+        self.zones[head] = zone
+
+    def keep(self, permits: Sequence[Permit], courses: Sequence[Course]) -> None:
+        self.keeps += 1
+        at, stored = self.kill or (0, False)
+        if self.kill is not None and self.keeps >= at and not stored:
+            self.world.struck["killed before storing"] += 1
+            raise KilledError
+        for row in permits:
+            self.check(row)
+            self.permits[row.id] = row
+        for course in courses:
+            self.courses[course.name] = course
+        if self.kill is not None and self.keeps >= at:
+            self.world.struck["killed between storing and telling"] += 1
+            raise KilledError
+
+    def held(self, kind: Kind) -> dict[str, Permit]:
+        return {row.name: row for row in self.permits.values() if row.kind is kind and row.state is not State.FREE}
+
+    def check(self, row: Permit) -> None:
+        wrong, world = self.world.wrong, self.world
+        before = self.permits.get(row.id)
+        if before is not None and row.state is State.FREE and before.state in LEAVES \
+                and row.id not in world.rule.free:
+            wrong.append(f"{row.id} of {row.name} was {before.state.value} and freed by nothing")
+        if row.kind is Kind.BRICK and row.state is State.OUT and (before is None or before.state is not State.OUT):
+            world.drained(row)
+        if row.state not in (State.GRANTED, State.BEGUN) or (before is not None and before.state is row.state):
+            return
+        held = self.held(row.kind)
+        if row.name in held and held[row.name].id != row.id:
+            wrong.append(f"{row.name} has two permits, {row.id} and {held[row.name].id}")
+        zones = world.zones if row.kind is Kind.HEAD else world.brick_zones
+        out = {*held, row.name, *world.known_out(row.kind)}
+        most = world.rule.heads if row.kind is Kind.HEAD else world.rule.bricks
+        assert most is not None
+        here = [one for one in out if zones[one] == zones[row.name]]
+        limit = min([most.most] + ([int(most.part * len(zones) + 1e-9)] if most.part >= 0 else []))
+        if len(out) > limit or (most.zone_most >= 0 and len(here) > most.zone_most):
+            wrong.append(f"{row.state.value} {row.name}: {sorted(out)} out of {len(zones)}, {limit} may")
+
+
+class SimHead:
+    """One head's process, which ends and begins again."""
+
+    def __init__(self, world: World, name: str, build: str = "1") -> None:
+        self.world, self.name, self.build = world, name, build
+        self.drift = 1.0 + world.random.uniform(-0.01, 0.01)
+        self.disk: dict[str, str] = {}
+        self.alive = self.linked = self.frozen = False
+        self.returns_at = 0
+        self.taken = self.failed = 0.0
+        self.start()
+
+    def start(self) -> None:
+        self.alive, self.frozen, self.returns_at = True, False, 0
+        self.process = self.world.random.getrandbits(40) | 1
+        self.born_us = self.world.now
+        self.holder = Holder(self.process, self.build)
+        self.drains = HeadDrains(self.disk.items())
+        self.out = {one.brick for one in self.drains.begin() if isinstance(one, TakeOut)}
+        self.open: Counter[str] = Counter()
+        self.taken = self.failed = 0.0
+        self.ask = ""
+
+    def end(self) -> None:
+        self.alive = self.linked = self.frozen = False
+        self.world.disconnected(self.name)
+
+    @property
+    def ready(self) -> bool:
+        return self.alive and self.world.now - self.born_us >= 2 * S and self.build not in self.world.never_ready
+
+    def report(self) -> Report:
+        halted = set[str]()
+        begin = self.holder.begins(int(self.world.now * self.drift), halted)
+        dead = tuple(one.name for one in self.world.heads.values() if not one.alive) if self.world.clustered else ()
+        return Report(self.process, self.build, self.world.zones[self.name], self.ready, self.holder.wish, begin,
+                      tuple(self.drains.statements()), {}, {name: Listed(zone, "", name not in self.world.bricks_down)
+                                                            for name, zone in self.world.brick_zones.items()},
+                      tuple(one.name for one in self.world.heads.values() if one.alive) if self.world.clustered else (),
+                      dead, self.world.clustered, self.taken, self.failed)
+
+    def told(self, word: Word) -> None:
+        for go in self.holder.told(int(self.world.now * self.drift), word):
+            self.world.go(self, go.build)
+            return
+        if self.holder.word is word:
+            self.act(self.drains.told(word.out, word.back))
+
+    def work(self) -> None:
+        """Serve for a moment."""
+        lots = self.world.random
+        for brick in self.world.brick_zones:
+            if brick not in self.out and lots.random() < 0.3:
+                self.open[brick] += 1
+            elif self.open[brick] and lots.random() < 0.6:
+                self.open[brick] -= 1
+        bad = self.world.failing.get(self.build, 0.0) if int(self.name[1:]) % 3 == 0 else 0.0
+        self.taken += 20
+        self.failed += 20 * bad
+        warm = [one for one in self.world.brick_zones if one not in self.out and one not in self.world.bricks_down]
+        self.act(self.drains.look(self.open, self.out, warm))
+
+    def act(self, actions: Sequence[object]) -> None:
+        for one in actions:
+            if isinstance(one, TakeOut):
+                self.out.add(one.brick)
+            elif isinstance(one, TakeUp):
+                self.out.discard(one.brick)
+            elif isinstance(one, Say) and one.statement.said == DRAINED:
+                self.world.said.add((self.name, one.statement.permit))
+        self.disk = self.drains.keeps()
+
+
+class World:
+    """The fleet; `wrong` holds every breach."""
+
+    def __init__(self, seed: int, heads: int, bricks: int, rule: Maintenance, zones: int = 4) -> None:
+        self.random, self.rule, self.now = random.Random(seed), rule, 1000 * S
+        self.clustered = True
+        self.zones = {f"n{at}": f"z{at % zones}" for at in range(heads)}
+        self.brick_zones = {f"b{at}": f"z{at % zones}" for at in range(bricks)}
+        self.bricks_down: set[str] = set()
+        self.failing: dict[str, float] = {}         # builds that fail so much at every third head
+        self.never_ready: set[str] = set()
+        self.outages: dict[str, Outage] = {}
+        self.releases: dict[str, Release] = {}
+        self.records: list[Record] = []
+        self.wrong: list[str] = []
+        self.struck: Counter[str] = Counter()
+        self.said: set[tuple[str, str]] = set()
+        self.verdicts = 0
+        self.restart_us = 20 * S
+        self.lose = self.double = self.late = 0.0
+        self.held_back: list[tuple[str, Word]] = []
+        self.fence = 0
+        self.store = MemoryStore(self)
+        self.issuer: Coordinator | None = None
+        self.heads = {name: SimHead(self, name) for name in self.zones}
+        self.cut: set[str] = set()                  # heads without a line to the issuer
+        self.begin()
+
+    # --- the issuer
+
+    def begin(self) -> None:
+        self.fence += 1
+        self.store.kill = None
+        rows = [row for row in self.store.permits.values() if row.state is not State.FREE]
+        self.issuer = Coordinator("store", self.fence, rows, self.store.courses.values(), self.store.zones,
+                                  self.store, self.now)
+        self.document()
+
+    def document(self) -> None:
+        if self.issuer is not None:
+            self.issuer.document([self.rule, *self.outages.values(), *self.releases.values()], self.records, {})
+
+    def stop_issuer(self) -> None:
+        self.issuer = None
+        for head in self.heads.values():
+            head.linked = False
+
+    def disconnected(self, name: str) -> None:
+        if self.issuer is not None:
+            self.issuer.gone(name)
+
+    # --- what the checks rest on
+
+    def known_out(self, kind: Kind) -> set[str]:
+        """Tell what the issuer can see to be out unplanned, or cannot see at all."""
+        if kind is Kind.BRICK:
+            return set(self.bricks_down)
+        return {name for name, head in self.heads.items() if not head.linked}
+
+    def drained(self, row: Permit) -> None:
+        self.verdicts += 1
+        for name, head in self.heads.items():
+            if head.alive and (name, row.id) not in self.said:
+                self.wrong.append(f"{row.name} is drained, and {name} never said so")
+            if head.alive and head.open[row.name] and row.name in head.out:
+                self.wrong.append(f"{row.name} is drained, and {name} still has {head.open[row.name]} there")
+
+    # --- what happens
+
+    def go(self, head: SimHead, build: str) -> None:
+        if head.name not in self.store.held(Kind.HEAD):
+            self.wrong.append(f"{head.name} goes out without a permit")
+        head.end()
+        head.build = build or head.build
+        head.returns_at = self.now + self.restart_us
+
+    def kill_head(self, name: str) -> None:
+        self.struck["head lost"] += 1
+        self.heads[name].end()
+
+    def turn(self, span_us: int = S) -> None:
+        """Let a span of time pass, with all that is due in it."""
+        self.now += span_us
+        for head in self.heads.values():
+            if not head.alive and head.returns_at and self.now >= head.returns_at:
+                head.start()
+            if head.alive and not head.frozen:
+                head.work()
+        try:
+            self._issue()
+        except KilledError:
+            self.stop_issuer()
+
+    def _issue(self) -> None:
+        issuer = self.issuer
+        if issuer is None:
+            return
+        for name, head in self.heads.items():
+            if not head.alive or name in self.cut:
+                if head.linked:
+                    head.linked = False
+                    issuer.gone(name)
+                continue
+            if head.frozen:
+                continue        # its line stays up for all that anybody can tell
+            if not head.linked:
+                head.linked = True
+                issuer.connected(name, True, len(self.heads))
+            for _ in range(self._times()):
+                issuer.report(name, head.report())
+        issuer.tick(self.now)
+        words, self.held_back = self.held_back, []
+        words += [(name, word) for name, head in self.heads.items()
+                  if head.linked and not head.frozen and (word := issuer.word(name)) is not None]
+        if self.late:
+            self.random.shuffle(words)
+        for name, word in words:
+            if self.random.random() < self.late:
+                self.struck["word late"] += 1
+                self.held_back.append((name, word))
+                continue
+            head = self.heads[name]
+            times = self._times()
+            if not times and head.linked:
+                issuer.told.pop(name, None)      # a lost one ends its stream, and the next is told all anew
+            for _ in range(times):
+                if head.alive and not head.frozen and name not in self.cut:
+                    head.told(word)
+
+    def _times(self) -> int:
+        lot = self.random.random()
+        if lot < self.lose:
+            self.struck["message lost"] += 1
+            return 0
+        if lot < self.lose + self.double:
+            self.struck["message doubled"] += 1
+            return 2
+        return 1
+
+    def until(self, state: object, most: int = 2000, span_us: int = S) -> None:
+        """Turn until something holds; callers assert that it does."""
+        for _ in range(most):
+            if state():  # type: ignore[operator]
+                return
+            self.turn(span_us)
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,384 @@
+"""Permits, drains and releases as machines: the table, what fills the room, and each hard case in virtual time."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from hophinge.maintenance.drains import (
+    DRAINED, SERVED, Drains, HeadDrains, Say, Statement, TakeOut, TakeUp, Unsay, owing,
+)
+from hophinge.maintenance.holder import Go, Holder, IssuerError
+from hophinge.maintenance.permits import (
+    BEGIN_US, LEASE_US, Ask, Floor, Kind, Permit, PermitError, Permits, Sighting, State,
+)
+from hophinge.maintenance.releases import Stage
+from hophinge.maintenance.sights import brick_floors, need
+from hophinge.maintenance.words import Listed, Word
+from hophinge.routing.bounds import Maintenance, Most, Outage, Release
+from hophinge.routing.records import Pool, Route, Scope, Tenant
+from tests.maintenance_world import S, World
+
+RULE = Maintenance(Most(3, -1.0, 1), Most(2, -1.0, 1))
+UP = {f"n{at}": f"z{at % 3}" for at in range(9)}
+
+
+def sight(down: dict[str, str] | None = None, total: int = 0) -> Sighting:
+    down = down or {}
+    return Sighting(total or 9, {name: zone for name, zone in UP.items() if name not in down}, down)
+
+
+def ask(name: str, key: str = "k", begun: bool = False) -> Ask:
+    return Ask(Kind.HEAD, name, "me", key, begun=begun)
+
+
+def granted(table: Permits, name: str, seen: Sighting, most: Most, now: int = 0) -> str:
+    answer = table.ask(now, ask(name), seen, most)
+    table.take(now, answer.rows)
+    return answer.reason
+
+
+def test_the_strictest_of_counts_and_parts_holds_in_all_and_in_a_zone() -> None:
+    table = Permits((), 1, 0)
+    assert granted(table, "n0", sight(), Most(3, 0.3, 1)) == ""
+    assert "in zone z0, 1 may" in granted(table, "n3", sight(), Most(3, 0.3, 1))
+    assert granted(table, "n1", sight(), Most(3, 0.3, 1)) == ""
+    assert "3 heads of 9 would be out, 2 may" in granted(table, "n2", sight(), Most(3, 0.3, 1))
+    assert granted(table, "n2", sight(), Most(3, 0.34, 1)) == ""
+
+
+@pytest.mark.parametrize(("down", "total"), [({"n4": "z1", "n5": "z2", "n8": "z2"}, 9), ({}, 12)])
+def test_what_is_out_unplanned_or_unknown_takes_the_room(down: dict[str, str], total: int) -> None:
+    assert "may" in granted(Permits((), 1, 0), "n0", sight(down, total), Most(3))
+    assert granted(Permits((), 1, 0), "n0", sight(dict(list(down.items())[1:]), max(9, total - 1)), Most(3)) == ""
+
+
+def test_a_member_of_no_known_zone_takes_a_place_in_each() -> None:
+    assert "zone z0" in granted(Permits((), 1, 0), "n0", sight({"n8": ""}), Most(3, -1.0, 1))
+    assert granted(Permits((), 1, 0), "n0", sight({"n8": "z2"}), Most(3, -1.0, 1)) == ""
+
+
+def test_the_same_ask_gets_the_same_permit_and_no_other_the_same_place() -> None:
+    table = Permits((), 7, 0)
+    first = table.ask(0, ask("n0"), sight(), Most(3))
+    table.take(0, first.rows)
+    again = table.ask(1, ask("n0"), sight(), Most(3))
+    assert again.permit == first.permit and not again.rows and first.permit is not None and first.permit.id == "7.1"
+    assert "under permit 7.1 of me already" in table.ask(1, ask("n0", "other"), sight(), Most(3)).reason
+
+
+def test_what_is_not_begun_lapses_and_what_is_begun_never_does() -> None:
+    table = Permits((), 1, 0)
+    granted(table, "n0", sight(), Most(3))
+    granted(table, "n1", sight(), Most(3))
+    table.take(0, table.begin(BEGIN_US, "1.1", 5, sight(), Most(3)).rows)
+    assert BEGIN_US * 1.01 < LEASE_US and table.lapsed(LEASE_US - 1) == ()
+    assert [row.id for row in table.lapsed(LEASE_US)] == ["1.2"]
+    assert table.lapsed(10**15) == table.lapsed(LEASE_US)
+    assert "lapsed" in table.begin(LEASE_US, "1.2", 5, sight(), Most(3)).reason
+    again = Permits(table.held.values(), 2, 100 * S)        # granted when? a whole lease from now, then
+    assert again.lapsed(100 * S + LEASE_US - 1) == () and len(again.lapsed(100 * S + LEASE_US)) == 1
+
+
+def test_a_begin_is_turned_down_where_losses_have_taken_the_room_meanwhile() -> None:
+    table = Permits((), 1, 0)
+    granted(table, "n0", sight(), Most(2))
+    assert "would be out" in table.begin(1, "1.1", 5, sight({"n4": "z1", "n5": "z2"}), Most(2)).reason
+    assert table.begin(1, "1.1", 5, sight({"n4": "z1"}), Most(2)).permit is not None
+    table.take(1, table.begin(1, "1.1", 5, sight(), Most(2)).rows)
+    assert table.begin(2, "1.1", 5, sight(), Most(2)).permit is not None        # the same begin, said twice
+    assert "another process" in table.begin(2, "1.1", 6, sight(), Most(2)).reason
+    with pytest.raises(PermitError, match="begun, and cannot be granted"):
+        table.step("1.1", State.GRANTED)
+
+
+def test_floors_keep_what_reserves_need() -> None:
+    floors = brick_floors(
+        [Pool("a", ("z0",), at_least=2), Pool("b", ("z1",)), Route(Scope("t"), ("a",)), Tenant("t", reserve=70.0)],
+        {f"b{at}": Listed(f"z{at % 2}", "", True) for at in range(10)}, 25.0, {"u": 10.0})
+    assert [(floor.name, len(floor.members), floor.need) for floor in floors] == [
+        ("the pool a", 5, 3), ("the pool b", 5, 1), ("the installation", 0, 4)]
+    assert need({"t": 100.0}, 25.0, 2) == 4 and need({"t": 100.0}, 0.0, 2) == 2
+    table = Permits((), 1, 0)
+    seen = sight({"n1": "z1"})
+    floor = Floor("the pool a", frozenset({"n0", "n1", "n2"}), 2)
+    assert "the pool a would have 1" in table.ask(0, ask("n0"), seen, Most(9), [floor]).reason
+    assert table.ask(0, ask("n4"), seen, Most(9), [floor]).permit is not None
+
+
+# --- drains
+
+
+def test_silence_is_never_yes_and_a_statement_holds_for_its_permit_alone() -> None:
+    drains = Drains()
+    drains.take("n0", [Statement("1.1", "b0", DRAINED), Statement("0.9", "b0", DRAINED)], True, {"1.1"})
+    assert drains.verdict("1.1", ["n0", "n1"]).missing == ("n1",)
+    drains.take("n1", [Statement("1.2", "b0", DRAINED)], True, {"1.1", "1.2"})
+    assert not drains.verdict("1.1", ["n0", "n1"]).done
+    drains.take("n1", [Statement("1.1", "b0", DRAINED)], False, {"1.1"})
+    assert drains.verdict("1.1", ["n0", "n1"]).done
+    drains.take("n0", [], True, {"1.1"})                   # taken back
+    assert drains.verdict("1.1", ["n0", "n1"]).missing == ("n0",)
+
+
+def test_a_head_is_let_off_only_by_all_who_can_tell_or_by_word() -> None:
+    known, here = ["n0", "n1", "n2", "n3"], {"n0", "n1"}
+    assert owing(known, here, {}, {}) == set(known)         # nobody can tell: silence may be a cut line
+    assert owing(known, here, {"n0": ["n0", "n1"], "n1": ["n1"]}, {"n0": ["n2", "n3"], "n1": ["n2"]}) == {
+        "n0", "n1", "n3"}
+    assert owing(known, here, {"n0": ["n2"]}, {"n0": ["n3"], "n1": ["n2", "n3"]}) == {"n0", "n1", "n2"}
+    assert owing(known, here, {}, {"n0": ["n1"]}) == set(known)      # it has a line to here, whatever peers say
+    assert owing(known, here, {}, {}, ["n2", "n3"]) == here
+
+
+def test_a_head_says_drained_once_nothing_is_there_and_takes_it_back_when_somebody_undoes_it() -> None:
+    head = HeadDrains()
+    assert head.told({"1.1": "b0"}, {}) == [TakeOut("b0")]
+    said = Statement("1.1", "b0", DRAINED)
+    assert head.look({"b0": 2}, {"b0"}, ["b0"]) == [] and head.look({"b0": 0}, {"b0"}, []) == [Say(said)]
+    assert head.told({"1.1": "b0"}, {}) == [] and head.statements() == [said]       # told again: nothing new
+    assert head.look({}, set(), []) == [Unsay(said), TakeOut("b0")]
+    assert head.look({}, {"b0"}, []) == [Say(said)]
+    again = HeadDrains(head.keeps().items())                # a restart, with no line to the issuer
+    assert again.begin() == [TakeOut("b0")] and again.statements() == []
+    assert head.told({}, {"1.1": "b0"}) == [Unsay(said), TakeUp("b0")]
+    assert head.look({}, set(), ["b0"]) == [Say(Statement("1.1", "b0", SERVED))]
+    assert head.told({}, {}) == [Unsay(Statement("1.1", "b0", SERVED))] and head.own == {}
+
+
+# --- a head's permit
+
+
+def permit(state: State, process: int = 0, by: str = "release r", key: str = "r/0/2") -> Permit:
+    return Permit("1.1", Kind.HEAD, "n0", "z0", by, key, state, "2", process)
+
+
+def test_a_head_goes_only_when_its_begin_is_stored_and_then_whenever_it_wakes() -> None:
+    head = Holder(5, "1")
+    assert head.told(0, Word("s", 1, 1, own=permit(State.GRANTED))) == []
+    assert head.begins(1) == "1.1" and head.begins(BEGIN_US) == ""
+    assert head.begins(1, {"r/0"}) == "" and head.begins(1, {"r/1", "q/0"}) == "1.1"    # a halt, as peers have heard it
+    assert head.told(10**12, Word("s", 1, 2, own=permit(State.BEGUN, 5))) == [Go("1.1", "2")]
+    assert head.told(10**12, Word("s", 1, 3, own=permit(State.OUT, 5))) == []
+    assert Holder(6, "2").told(0, Word("s", 1, 3, own=permit(State.BACK, 5))) == []     # back with what is wanted
+    assert Holder(6, "3").told(0, Word("s", 1, 3, own=permit(State.BACK, 5))) == [Go("1.1", "2")]
+
+
+def test_words_that_come_behind_or_of_another_store_change_nothing() -> None:
+    head = Holder(5, "1")
+    head.told(0, Word("s", 2, 1, own=permit(State.GRANTED)))
+    assert head.told(0, Word("s", 1, 9, own=permit(State.BEGUN, 5))) == [] and head.older == 1
+    with pytest.raises(IssuerError, match="not of s"):
+        head.told(0, Word("other", 3, 1))
+    assert head.begins(1) == "1.1"
+
+
+def test_a_wish_of_its_own_counts_from_the_asking() -> None:
+    head = Holder(5, "1")
+    head.ask(0, "up")
+    head.told(BEGIN_US - 1, Word("s", 1, 1, own=permit(State.GRANTED, by="head n0", key="up")))
+    assert head.begins(BEGIN_US - 1) == "1.1" and head.begins(BEGIN_US) == ""
+    head.unask()
+    assert head.begins(1) == ""
+
+
+# --- releases, and the hard cases
+
+
+def released(word: str = "go", again: int = 0, name: str = "r", build: str = "2") -> Release:
+    return Release(name, build, (), (0.25, 1.0), 5 * S, 120 * S, 0.02, word, again)
+
+
+def rolling(heads: int = 12, rule: Maintenance = RULE, **more: object) -> World:
+    world = World(1, heads, 2, rule)
+    for _ in range(4):
+        world.turn()
+    world.releases["r"] = released()
+    world.document()
+    return world
+
+
+def stage(world: World, name: str = "r") -> Stage:
+    return world.store.courses[name].stage
+
+
+def held(world: World) -> dict[str, Permit]:
+    assert world.issuer is not None
+    return world.issuer.permits.held
+
+
+def test_a_release_goes_wave_by_wave_and_ends() -> None:
+    world = rolling()
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and {head.build for head in world.heads.values()} == {"2"}
+    assert world.wrong == [] and len(world.store.permits) == 12
+
+
+def test_a_bad_build_halts_at_some_heads_and_the_way_back_keeps_the_bounds() -> None:
+    world = rolling()
+    world.failing["2"] = 0.3
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.HALTED)
+    course = world.store.courses["r"]
+    assert course.by_itself and "requests were refused or failed" in course.reason
+    there = [head.name for head in world.heads.values() if head.build == "2"]
+    assert 0 < len(there) < 12
+    for _ in range(60):
+        world.turn()
+    assert stage(world) is Stage.HALTED and all(
+        one.state is State.FREE for one in world.store.permits.values())       # who was out is back, nobody else went
+    world.releases["r"] = released("back")
+    world.document()
+    world.until(lambda: stage(world) is Stage.UNDONE)
+    assert stage(world) is Stage.UNDONE and {head.build for head in world.heads.values()} == {"1"}
+    assert world.wrong == []
+
+
+def test_a_build_that_never_gets_ready_halts_and_goes_back_under_the_permits_it_holds() -> None:
+    world = rolling()
+    world.never_ready.add("2")
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.HALTED)
+    assert "is not back after 120 s" in world.store.courses["r"].reason
+    held = set(world.store.held(Kind.HEAD))
+    assert held                                            # what is begun stays taken
+    world.releases["r"] = released("back")
+    world.document()
+    world.until(lambda: stage(world) is Stage.UNDONE)
+    assert stage(world) is Stage.UNDONE and not world.store.held(Kind.HEAD) and world.wrong == []
+
+
+def test_three_heads_lost_by_themselves_stop_a_release_at_most_3() -> None:
+    world = rolling(rule=Maintenance(Most(3), Most(2)))
+    world.until(lambda: len(world.store.held(Kind.HEAD)) == 3 and stage(world) is Stage.ROLLING)
+    count = len(world.store.permits)
+    lost = [name for name, head in world.heads.items() if head.alive and head.build == "1"][:3]
+    for name in lost:
+        world.kill_head(name)
+    for _ in range(100):
+        world.turn()
+    assert len(world.store.permits) == count and world.wrong == []      # who was out came back, nobody else went
+    for name in lost:
+        world.heads[name].start()
+    assert stage(world) is Stage.HALTED and "was lost" in world.store.courses["r"].reason
+    world.releases["r"] = released(again=1)
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_head_of_the_wave_that_is_lost_halts_it_and_again_lets_it_go_on() -> None:
+    world = rolling()
+    world.until(lambda: any(head.build == "2" and head.ready for head in world.heads.values())
+                and not world.store.held(Kind.HEAD))
+    lost = next(head for head in world.heads.values() if head.build == "2")
+    world.kill_head(lost.name)
+    world.turn()
+    assert stage(world) is Stage.HALTED and lost.name in world.store.courses["r"].reason
+    lost.start()
+    world.releases["r"] = released(again=1)
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_second_release_waits_for_the_first() -> None:
+    world = rolling()
+    world.releases["s"] = released(name="s", build="3")
+    world.document()
+    world.until(lambda: stage(world, "s") is Stage.ROLLING if "s" in world.store.courses else False)
+    assert stage(world) is Stage.DONE and {head.build for head in world.heads.values()} == {"2"}
+    world.until(lambda: stage(world, "s") is Stage.DONE)
+    assert {head.build for head in world.heads.values()} == {"3"} and world.wrong == []
+
+
+def test_a_coordinator_on_the_smaller_side_grants_nothing_and_a_halt_holds_on_both() -> None:
+    world = rolling()
+    world.until(lambda: len(world.store.held(Kind.HEAD)) >= 1)
+    world.cut = {f"n{at}" for at in range(8)}
+    world.turn()
+    count = len(world.store.permits)
+    world.releases["r"] = released("halt")      # said where the issuer is; who is cut off cannot begin without it
+    world.document()
+    for _ in range(100):
+        world.turn()
+    assert len(world.store.permits) == count and stage(world) is Stage.HALTED
+    world.cut = set()
+    for _ in range(60):
+        world.turn()
+    assert len(world.store.permits) == count and world.wrong == []
+    world.releases["r"] = released()
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_stopped_head_with_a_begun_permit_keeps_its_place_and_goes_on_when_it_wakes() -> None:
+    world = rolling()
+    world.until(lambda: any(one.state is State.GRANTED for one in world.store.permits.values()))
+    held = next(one for one in world.store.permits.values() if one.state is State.GRANTED)
+    head = world.heads[held.name]
+    assert world.issuer is not None and head.holder.begins(int(world.now * head.drift)) == held.id
+    world.issuer.report(held.name, head.report())
+    world.issuer.tick(world.now)
+    head.frozen = True                                     # after its begin was stored, before it was told
+    for _ in range(300):
+        world.turn()
+    assert world.store.permits[held.id].state is State.BEGUN and stage(world) is Stage.HALTED     # not back in time
+    head.frozen = False
+    world.issuer.told.pop(held.name, None)
+    world.until(lambda: world.store.permits[held.id].state is State.FREE)
+    assert head.build == "2" and world.store.permits[held.id].state is State.FREE and world.wrong == []
+
+
+@pytest.mark.parametrize("stored", [False, True])
+def test_a_coordinator_killed_at_any_keep_goes_on_and_grants_nothing_twice(stored: bool) -> None:
+    at = 0
+    while True:
+        at += 1
+        world = rolling(8, Maintenance(Most(2), Most(1)))
+        world.outages["o"] = Outage("o", ("b0",))
+        world.document()
+        world.store.kill = world.store.keeps + at, stored
+        world.until(lambda: world.issuer is None or (  # noqa: B023
+            stage(world) is Stage.DONE if "r" in world.store.courses else False))  # noqa: B023
+        if world.issuer is not None:
+            break
+        before = {one.id: one for one in world.store.permits.values() if one.state is not State.FREE}
+        world.begin()
+        assert held(world) == before
+        world.until(lambda: stage(world) is Stage.DONE if "r" in world.store.courses else False)  # noqa: B023
+        assert stage(world) is Stage.DONE and world.wrong == [], f"killed at keep {at}"
+        heads = [one for one in world.store.permits.values() if one.kind is Kind.HEAD]
+        assert len(heads) == 8 and len({one.name for one in heads}) == 8
+    assert at > 30
+
+
+def test_an_outage_drains_comes_back_cold_and_frees_by_evidence() -> None:
+    world = rolling()
+    del world.releases["r"]
+    world.outages["o"] = Outage("o", ("b0", "b1"))
+    world.document()
+    world.until(lambda: world.verdicts == 2)
+    assert world.verdicts == 2 and world.issuer is not None
+    world.bricks_down = {"b0", "b1"}
+    del world.outages["o"]
+    world.document()
+    for _ in range(50):
+        world.turn()
+    assert {one.state for one in world.store.held(Kind.BRICK).values()} == {State.BACK}     # no answer yet
+    world.bricks_down = set()
+    world.until(lambda: not world.store.held(Kind.BRICK))
+    assert not world.store.held(Kind.BRICK) and world.wrong == []
+
+
+def test_an_operators_word_frees_a_place_whose_head_is_gone_for_good() -> None:
+    world = rolling()
+    world.until(lambda: any(one.state is State.OUT for one in world.store.permits.values()))
+    held = next(one for one in world.store.permits.values() if one.state is State.OUT)
+    world.heads[held.name].returns_at = 0
+    for _ in range(200):
+        world.turn()
+    assert world.store.permits[held.id].state is State.OUT
+    world.rule = msgspec.structs.replace(RULE, free=(held.id,), retired=(held.name,))
+    world.document()
+    world.turn()
+    assert world.store.permits[held.id].state is State.FREE and world.wrong == []
