--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hophinge.maintenance.drains import DRAINED, Drains, Verdict, owing
+from hophinge.maintenance.drains import Drains, Verdict, owing
 from hophinge.maintenance.permits import Answer, Ask, Floor, Kind, Permit, Permits, Sighting, State
 from hophinge.maintenance.releases import Course, Outcome, Releases, Stage
 from hophinge.maintenance.sights import Head, Sights, brick_floors, head_floor
@@ -21,7 +21,7 @@
 from hophinge.routing.bounds import Maintenance, Outage, Release
 from hophinge.routing.records import Record
 
-RELEASE, OUTAGE = "release ", "outage "
+RELEASE, OUTAGE, HEAD = "release ", "outage ", "head "
 
 
 class Keeper(Protocol):
@@ -208,8 +208,11 @@
             report = head.report
             if report is None:
                 continue
+            held = self.permits.of(Kind.HEAD, name)
+            if held is not None and held.state is State.GRANTED and held.by == HEAD + name and held.key != report.ask:
+                self._keep(now_us, self.permits.step(held.id, State.FREE))      # whoever asked wants it no more
             if report.ask and self.permits.of(Kind.HEAD, name) is None:
-                self._ask(now_us, Ask(Kind.HEAD, name, f"head {name}", report.ask))
+                self._ask(now_us, Ask(Kind.HEAD, name, HEAD + name, report.ask))
             held = self.permits.of(Kind.HEAD, name)
             if held is not None and report.begin == held.id:
                 self._answered(now_us, Kind.HEAD, name, self.permits.begin(
@@ -243,7 +246,3 @@
         self.number += 1
         self.told[name] = msgspec.structs.replace(word, number=self.number)
         return self.told[name]
-
-    def said(self, one: Permit) -> int:
-        """Tell how many heads have said that a brick is drained."""
-        return len(self.drains.said.get((one.id, DRAINED), ()))
--- a/hophinge/maintenance/holder.py
+++ b/hophinge/maintenance/holder.py
@@ -39,6 +39,7 @@
         self.process, self.build = process, build
         self.word: Word | None = None
         self.wish, self.wished_at = "", 0       # the key of an ask of this head's own
+        self.wishes = 0                         # that were renewed, as what was granted came too late to be begun
         self.granted: dict[str, int] = {}       # permits, and when this head may not begin them any more
         self.gone: str = ""                     # the permit and build that it was last let go for
         self.older = 0                          # words that came behind later ones
@@ -51,6 +52,15 @@
         """Take the wish back; what was granted for it lapses."""
         self.wish = ""
 
+    def asks(self, now_us: int) -> str:
+        """Tell the key to ask with, or nothing; one that got no answer in its time is asked anew, as another."""
+        own = self.word.own if self.word is not None else None
+        unanswered = own is None or (own.state is State.GRANTED and own.key == self.wish)
+        if self.wish and unanswered and now_us >= self.wished_at + BEGIN_US:
+            self.wishes += 1
+            self.wish, self.wished_at = f"{self.wish.partition('#')[0]}#{self.wishes}", now_us
+        return self.wish
+
     def told(self, now_us: int, word: Word) -> list[Go]:
         """Take a word; one that is older than what is held changes nothing. Raises IssuerError."""
         before = self.word
--- /dev/null
+++ b/tests/maintenance_faults.py
@@ -0,0 +1,176 @@
+"""What may befall a fleet, by name, and histories of it by lot: for the model, the mutants and the measurement."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from hophinge.maintenance.permits import State
+from hophinge.routing.bounds import Outage, Release
+from tests.maintenance_world import S, World
+
+Fault = Callable[[World], None]
+TOUGH = 8       # turns after which a cut, stopped or lost one comes back at the latest by `mend`
+
+
+def _lot(world: World, names: list[str]) -> str:
+    return world.random.choice(names) if names else ""
+
+
+def cut(world: World) -> None:
+    """Cut some heads' lines to the issuer: a split with the issuer on whichever side."""
+    world.struck["split"] += 1
+    count = world.random.randint(1, len(world.heads) - 1)
+    world.cut = set(world.random.sample(sorted(world.heads), count))
+
+
+def lose_head(world: World) -> None:
+    """End a head's process with nobody having let it go."""
+    if name := _lot(world, [name for name, head in world.heads.items() if head.alive]):
+        world.kill_head(name)
+
+
+def lose_on_the_way(world: World) -> None:
+    """End a head that holds a permit; its place stays taken."""
+    if name := _lot(world, [one.name for one in world.store.permits.values()
+                            if one.state is State.BACK and one.name in world.heads]):
+        world.struck["head with a permit lost"] += 1
+        world.heads[name].end()
+        world.heads[name].returns_at = 0
+
+
+def stop_head(world: World) -> None:
+    """Stop a head as SIGSTOP does."""
+    if name := _lot(world, [name for name, head in world.heads.items() if head.alive]):
+        world.struck["head stopped"] += 1
+        world.heads[name].frozen = True
+
+
+def kill_issuer(world: World) -> None:
+    """Have the issuer end at one of its next stores, before or after it."""
+    if world.issuer is not None and world.store.kill is None:
+        world.store.kill = world.store.keeps + world.random.randint(1, 3), world.random.random() < 0.5
+
+
+def end_issuer(world: World) -> None:
+    """End the issuer where it is."""
+    if world.issuer is not None:
+        world.struck["issuer ended"] += 1
+        world.stop_issuer()
+
+
+def lose_brick(world: World) -> None:
+    """Have a brick fail by itself."""
+    if name := _lot(world, sorted(set(world.brick_zones) - world.bricks_down)):
+        world.struck["brick lost"] += 1
+        world.bricks_down.add(name)
+
+
+def weather(world: World) -> None:
+    """Change what messages meet."""
+    world.lose, world.double, world.late = (world.random.choice((0.0, 0.1, 0.3)) for _ in range(3))
+
+
+def mend(world: World) -> None:
+    """Bring back one thing of each kind."""
+    world.cut = set()
+    if world.issuer is None:
+        world.begin()
+    if name := _lot(world, sorted(world.bricks_down)):
+        world.bricks_down.discard(name)
+    for head in world.heads.values():
+        if head.frozen and world.random.random() < 0.7:
+            head.frozen = False
+        elif not head.alive and not head.returns_at and world.random.random() < 0.7:
+            head.start()
+
+
+def outage(world: World) -> None:
+    """Push or take back an outage of a brick, sometimes of a head."""
+    name = f"o{world.random.randint(0, 2)}"
+    if name in world.outages:
+        del world.outages[name]
+    else:
+        taken = {one for form in world.outages.values() for one in (*form.bricks, *form.heads)}
+        bricks = [one for one in world.brick_zones if one not in taken]
+        heads = [one for one in world.zones if one not in taken]
+        form = Outage(name, tuple(world.random.sample(bricks, min(2, len(bricks)))),
+                      (world.random.choice(heads),) if heads and world.random.random() < 0.2 else ())
+        if form.bricks or form.heads:
+            world.outages[name] = form
+    world.document()
+
+
+def release(world: World) -> None:
+    """Push a release, or change the word on it."""
+    name = f"r{world.random.randint(0, 1)}"
+    before = world.releases.get(name)
+    if before is None or world.random.random() < 0.1:
+        build = str(world.random.randint(2, 9))
+        world.releases[name] = Release(name, build, (), (0.3, 1.0), 3 * S, 60 * S, 0.02)
+    else:
+        word = world.random.choice(("go", "go", "halt", "back"))
+        world.releases[name] = Release(name, before.build, (), (0.3, 1.0), 3 * S, 60 * S, 0.02, word,
+                                       before.again + world.random.randint(0, 1))
+    world.document()
+
+
+def bad_build(world: World) -> None:
+    """Make a build fail at some heads, or be ready nowhere."""
+    build = str(world.random.randint(2, 9))
+    world.struck["bad build"] += 1
+    if world.random.random() < 0.5:
+        world.failing[build] = 0.3
+    else:
+        world.never_ready.add(build)
+
+
+def wish(world: World) -> None:
+    """Have a head ask to go out by itself, or take that back."""
+    if name := _lot(world, [name for name, head in world.heads.items() if head.alive]):
+        holder = world.heads[name].holder
+        if holder.wish:
+            holder.unask()
+        else:
+            holder.ask(int(world.now * world.heads[name].drift), f"own-{world.random.getrandbits(20)}")
+
+
+def lose_after_a_grant(world: World) -> None:
+    """Lose three heads at once just after another was granted its place."""
+    names = [name for name, head in world.heads.items() if head.linked and not head.frozen]
+    if len(names) > 4:
+        asker, *lost = world.random.sample(names, 4)
+        world.heads[asker].holder.ask(int(world.now * world.heads[asker].drift), f"own-{world.random.getrandbits(20)}")
+        world.turn()
+        for name in lost:
+            world.kill_head(name)
+
+
+FAULTS: dict[str, Fault] = {one.__name__: one for one in (
+    cut, lose_head, lose_on_the_way, stop_head, kill_issuer, end_issuer, lose_brick, weather, mend, outage, release,
+    bad_build, wish, lose_after_a_grant)}
+
+
+def history(world: World, steps: int = 40) -> World:
+    """Play faults by the world's own lots, with some turns after each; words of operators come among them."""
+    names = [*FAULTS, *["mend"] * 4, *["outage"] * 3, *["release"] * 2]
+    for _ in range(steps):
+        FAULTS[world.random.choice(names)](world)
+        for _ in range(world.random.randint(1, TOUGH)):
+            world.turn(world.random.choice((S // 4, S, 5 * S)))
+    return world
+
+
+def heal(world: World, turns: int = 40) -> None:
+    """Mend everything, and let the fleet come to rest."""
+    world.lose = world.double = world.late = 0.0
+    world.store.kill = None
+    world.failing.clear()
+    world.never_ready.clear()
+    world.bricks_down.clear()
+    for _ in range(10):
+        mend(world)
+        world.bricks_down.clear()
+    for head in world.heads.values():
+        head.frozen = False
+    for _ in range(turns):
+        world.turn()
--- a/tests/maintenance_world.py
+++ b/tests/maintenance_world.py
@@ -11,13 +11,12 @@
 from collections.abc import Sequence
 
 from hophinge.maintenance.coordinator import Coordinator
-from hophinge.maintenance.drains import DRAINED, HeadDrains, Say, TakeOut, TakeUp
-from hophinge.maintenance.holder import Holder
 from hophinge.maintenance.permits import Kind, Permit, State
 from hophinge.maintenance.releases import Course
-from hophinge.maintenance.words import Listed, Report, Word
+from hophinge.maintenance.words import Word
 from hophinge.routing.bounds import Maintenance, Outage, Release
 from hophinge.routing.records import Record
+from tests.maintenance_head import SimHead
 
 S = 1_000_000
 LEAVES = {State.BEGUN, State.OUT}
@@ -82,79 +81,6 @@
             wrong.append(f"{row.state.value} {row.name}: {sorted(out)} out of {len(zones)}, {limit} may")
 
 
-class SimHead:
-    """One head's process, which ends and begins again."""
-
-    def __init__(self, world: World, name: str, build: str = "1") -> None:
-        self.world, self.name, self.build = world, name, build
-        self.drift = 1.0 + world.random.uniform(-0.01, 0.01)
-        self.disk: dict[str, str] = {}
-        self.alive = self.linked = self.frozen = False
-        self.returns_at = 0
-        self.taken = self.failed = 0.0
-        self.start()
-
-    def start(self) -> None:
-        self.alive, self.frozen, self.returns_at = True, False, 0
-        self.process = self.world.random.getrandbits(40) | 1
-        self.born_us = self.world.now
-        self.holder = Holder(self.process, self.build)
-        self.drains = HeadDrains(self.disk.items())
-        self.out = {one.brick for one in self.drains.begin() if isinstance(one, TakeOut)}
-        self.open: Counter[str] = Counter()
-        self.taken = self.failed = 0.0
-        self.ask = ""
-
-    def end(self) -> None:
-        self.alive = self.linked = self.frozen = False
-        self.world.disconnected(self.name)
-
-    @property
-    def ready(self) -> bool:
-        return self.alive and self.world.now - self.born_us >= 2 * S and self.build not in self.world.never_ready
-
-    def report(self) -> Report:
-        halted = set[str]()
-        begin = self.holder.begins(int(self.world.now * self.drift), halted)
-        dead = tuple(one.name for one in self.world.heads.values() if not one.alive) if self.world.clustered else ()
-        return Report(self.process, self.build, self.world.zones[self.name], self.ready, self.holder.wish, begin,
-                      tuple(self.drains.statements()), {}, {name: Listed(zone, "", name not in self.world.bricks_down)
-                                                            for name, zone in self.world.brick_zones.items()},
-                      tuple(one.name for one in self.world.heads.values() if one.alive) if self.world.clustered else (),
-                      dead, self.world.clustered, self.taken, self.failed)
-
-    def told(self, word: Word) -> None:
-        for go in self.holder.told(int(self.world.now * self.drift), word):
-            self.world.go(self, go.build)
-            return
-        if self.holder.word is word:
-            self.act(self.drains.told(word.out, word.back))
-
-    def work(self) -> None:
-        """Serve for a moment."""
-        lots = self.world.random
-        for brick in self.world.brick_zones:
-            if brick not in self.out and lots.random() < 0.3:
-                self.open[brick] += 1
-            elif self.open[brick] and lots.random() < 0.6:
-                self.open[brick] -= 1
-        bad = self.world.failing.get(self.build, 0.0) if int(self.name[1:]) % 3 == 0 else 0.0
-        self.taken += 20
-        self.failed += 20 * bad
-        warm = [one for one in self.world.brick_zones if one not in self.out and one not in self.world.bricks_down]
-        self.act(self.drains.look(self.open, self.out, warm))
-
-    def act(self, actions: Sequence[object]) -> None:
-        for one in actions:
-            if isinstance(one, TakeOut):
-                self.out.add(one.brick)
-            elif isinstance(one, TakeUp):
-                self.out.discard(one.brick)
-            elif isinstance(one, Say) and one.statement.said == DRAINED:
-                self.world.said.add((self.name, one.statement.permit))
-        self.disk = self.drains.keeps()
-
-
 class World:
     """The fleet; `wrong` holds every breach."""
 
--- /dev/null
+++ b/tests/test_maintenance_releases.py
@@ -0,0 +1,212 @@
+"""Releases and drains over a fleet in virtual time: the usual course, and each hard case."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from hophinge.maintenance.permits import Kind, Permit, State
+from hophinge.maintenance.releases import Stage
+from hophinge.routing.bounds import Maintenance, Most, Outage, Release
+from tests.maintenance_world import S, World
+
+RULE = Maintenance(Most(3, -1.0, 1), Most(2, -1.0, 1))
+
+
+def released(word: str = "go", again: int = 0, name: str = "r", build: str = "2") -> Release:
+    return Release(name, build, (), (0.25, 1.0), 5 * S, 120 * S, 0.02, word, again)
+
+
+def rolling(heads: int = 12, rule: Maintenance = RULE, **more: object) -> World:
+    world = World(1, heads, 2, rule)
+    for _ in range(4):
+        world.turn()
+    world.releases["r"] = released()
+    world.document()
+    return world
+
+
+def stage(world: World, name: str = "r") -> Stage:
+    return world.store.courses[name].stage
+
+
+def held(world: World) -> dict[str, Permit]:
+    assert world.issuer is not None
+    return world.issuer.permits.held
+
+
+def test_a_release_goes_wave_by_wave_and_ends() -> None:
+    world = rolling()
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and {head.build for head in world.heads.values()} == {"2"}
+    assert world.wrong == [] and len(world.store.permits) == 12
+
+
+def test_a_bad_build_halts_at_some_heads_and_the_way_back_keeps_the_bounds() -> None:
+    world = rolling()
+    world.failing["2"] = 0.3
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.HALTED)
+    course = world.store.courses["r"]
+    assert course.by_itself and "requests were refused or failed" in course.reason
+    there = [head.name for head in world.heads.values() if head.build == "2"]
+    assert 0 < len(there) < 12
+    for _ in range(60):
+        world.turn()
+    assert stage(world) is Stage.HALTED and all(
+        one.state is State.FREE for one in world.store.permits.values())       # who was out is back, nobody else went
+    world.releases["r"] = released("back")
+    world.document()
+    world.until(lambda: stage(world) is Stage.UNDONE)
+    assert stage(world) is Stage.UNDONE and {head.build for head in world.heads.values()} == {"1"}
+    assert world.wrong == []
+
+
+def test_a_build_that_never_gets_ready_halts_and_goes_back_under_the_permits_it_holds() -> None:
+    world = rolling()
+    world.never_ready.add("2")
+    world.until(lambda: "r" in world.store.courses and stage(world) is Stage.HALTED)
+    assert "is not back after 120 s" in world.store.courses["r"].reason
+    held = set(world.store.held(Kind.HEAD))
+    assert held                                            # what is begun stays taken
+    world.releases["r"] = released("back")
+    world.document()
+    world.until(lambda: stage(world) is Stage.UNDONE)
+    assert stage(world) is Stage.UNDONE and not world.store.held(Kind.HEAD) and world.wrong == []
+
+
+def test_three_heads_lost_by_themselves_stop_a_release_at_most_3() -> None:
+    world = rolling(rule=Maintenance(Most(3), Most(2)))
+    world.until(lambda: len(world.store.held(Kind.HEAD)) == 3 and stage(world) is Stage.ROLLING)
+    count = len(world.store.permits)
+    lost = [name for name, head in world.heads.items() if head.alive and head.build == "1"][:3]
+    for name in lost:
+        world.kill_head(name)
+    for _ in range(100):
+        world.turn()
+    assert len(world.store.permits) == count and world.wrong == []      # who was out came back, nobody else went
+    for name in lost:
+        world.heads[name].start()
+    assert stage(world) is Stage.HALTED and "was lost" in world.store.courses["r"].reason
+    world.releases["r"] = released(again=1)
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_head_of_the_wave_that_is_lost_halts_it_and_again_lets_it_go_on() -> None:
+    world = rolling()
+    world.until(lambda: any(head.build == "2" and head.ready for head in world.heads.values())
+                and not world.store.held(Kind.HEAD))
+    lost = next(head for head in world.heads.values() if head.build == "2")
+    world.kill_head(lost.name)
+    world.turn()
+    assert stage(world) is Stage.HALTED and lost.name in world.store.courses["r"].reason
+    lost.start()
+    world.releases["r"] = released(again=1)
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_second_release_waits_for_the_first() -> None:
+    world = rolling()
+    world.releases["s"] = released(name="s", build="3")
+    world.document()
+    world.until(lambda: stage(world, "s") is Stage.ROLLING if "s" in world.store.courses else False)
+    assert stage(world) is Stage.DONE and {head.build for head in world.heads.values()} == {"2"}
+    world.until(lambda: stage(world, "s") is Stage.DONE)
+    assert {head.build for head in world.heads.values()} == {"3"} and world.wrong == []
+
+
+def test_a_coordinator_on_the_smaller_side_grants_nothing_and_a_halt_holds_on_both() -> None:
+    world = rolling()
+    world.until(lambda: len(world.store.held(Kind.HEAD)) >= 1)
+    world.cut = {f"n{at}" for at in range(8)}
+    world.turn()
+    count = len(world.store.permits)
+    world.releases["r"] = released("halt")      # said where the issuer is; who is cut off cannot begin without it
+    world.document()
+    for _ in range(100):
+        world.turn()
+    assert len(world.store.permits) == count and stage(world) is Stage.HALTED
+    world.cut = set()
+    for _ in range(60):
+        world.turn()
+    assert len(world.store.permits) == count and world.wrong == []
+    world.releases["r"] = released()
+    world.document()
+    world.until(lambda: stage(world) is Stage.DONE)
+    assert stage(world) is Stage.DONE and world.wrong == []
+
+
+def test_a_stopped_head_with_a_begun_permit_keeps_its_place_and_goes_on_when_it_wakes() -> None:
+    world = rolling()
+    world.until(lambda: any(one.state is State.GRANTED for one in world.store.permits.values()))
+    held = next(one for one in world.store.permits.values() if one.state is State.GRANTED)
+    head = world.heads[held.name]
+    assert world.issuer is not None and head.holder.begins(int(world.now * head.drift)) == held.id
+    world.issuer.report(held.name, head.report())
+    world.issuer.tick(world.now)
+    head.frozen = True                                     # after its begin was stored, before it was told
+    for _ in range(300):
+        world.turn()
+    assert world.store.permits[held.id].state is State.BEGUN and stage(world) is Stage.HALTED     # not back in time
+    head.frozen = False
+    world.issuer.told.pop(held.name, None)
+    world.until(lambda: world.store.permits[held.id].state is State.FREE)
+    assert head.build == "2" and world.store.permits[held.id].state is State.FREE and world.wrong == []
+
+
+@pytest.mark.parametrize("stored", [False, True])
+def test_a_coordinator_killed_at_any_keep_goes_on_and_grants_nothing_twice(stored: bool) -> None:
+    at = 0
+    while True:
+        at += 1
+        world = rolling(8, Maintenance(Most(2), Most(1)))
+        world.outages["o"] = Outage("o", ("b0",))
+        world.document()
+        world.store.kill = world.store.keeps + at, stored
+        world.until(lambda: world.issuer is None or (  # noqa: B023
+            stage(world) is Stage.DONE if "r" in world.store.courses else False))  # noqa: B023
+        if world.issuer is not None:
+            break
+        before = {one.id: one for one in world.store.permits.values() if one.state is not State.FREE}
+        world.begin()
+        assert held(world) == before
+        world.until(lambda: stage(world) is Stage.DONE if "r" in world.store.courses else False)  # noqa: B023
+        assert stage(world) is Stage.DONE and world.wrong == [], f"killed at keep {at}"
+        heads = [one for one in world.store.permits.values() if one.kind is Kind.HEAD]
+        assert len(heads) == 8 and len({one.name for one in heads}) == 8
+    assert at > 30
+
+
+def test_an_outage_drains_comes_back_cold_and_frees_by_evidence() -> None:
+    world = rolling()
+    del world.releases["r"]
+    world.outages["o"] = Outage("o", ("b0", "b1"))
+    world.document()
+    world.until(lambda: world.verdicts == 2)
+    assert world.verdicts == 2 and world.issuer is not None
+    world.bricks_down = {"b0", "b1"}
+    del world.outages["o"]
+    world.document()
+    for _ in range(50):
+        world.turn()
+    assert {one.state for one in world.store.held(Kind.BRICK).values()} == {State.BACK}     # no answer yet
+    world.bricks_down = set()
+    world.until(lambda: not world.store.held(Kind.BRICK))
+    assert not world.store.held(Kind.BRICK) and world.wrong == []
+
+
+def test_an_operators_word_frees_a_place_whose_head_is_gone_for_good() -> None:
+    world = rolling()
+    world.until(lambda: any(one.state is State.OUT for one in world.store.permits.values()))
+    held = next(one for one in world.store.permits.values() if one.state is State.OUT)
+    world.heads[held.name].returns_at = 0
+    for _ in range(200):
+        world.turn()
+    assert world.store.permits[held.id].state is State.OUT
+    world.rule = msgspec.structs.replace(RULE, free=(held.id,), retired=(held.name,))
+    world.document()
+    world.turn()
+    assert world.store.permits[held.id].state is State.FREE and world.wrong == []
