--- a/hophinge/control/follower.py
+++ b/hophinge/control/follower.py
@@ -6,76 +6,24 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable, Mapping
-from enum import Enum
-
-from msgspec import Struct
 
+from hophinge.control.actions import (
+    Action as Action, Apply as Apply, Close as Close, Connect as Connect, Keep as Keep, Log as Log, State as State,
+    Tell as Tell,
+)
+from hophinge.control.dial import LONGEST_PAUSE_US as LONGEST_PAUSE_US, Dial
+from hophinge.control.mirror import LONGEST_REASON, Mirror, short
+from hophinge.control.publisher import name_of
 from hophinge.control.wire import (
-    VERSION_NAME, Kind, Order, Request, Response, Version, WireError, order_of, read_version, record_json,
-    version_text,
+    VERSION_NAME, Kind, Order, Request, Response, Version, WireError, read_version, version_text,
 )
-from hophinge.routing import records
-from hophinge.routing.table import EMPTY, Facts, Table, check
+from hophinge.routing.table import Facts, Table
 
-FIRST_PAUSE_US = 200_000        # before the next attempt to connect
-LONGEST_PAUSE_US = 1_500_000    # a thousand heads then knock some 700 times a second, and are back within two
-JITTER = (0.5, 1.5)             # parts of a pause: heads that lost one service do not come back at once
 CONNECT_US = 3_000_000          # for a stream to give its first response
 SOUND_US = 5_000_000            # a stream that ends sooner was none: pauses go on growing
 COMPLETE_US = 1_000_000         # for records that come behind their version
 MOST_REFUSED = 64               # versions that were turned down and are remembered
-LONGEST_REASON = 2000           # characters
-
-
-class State(Enum):
-    """Where the newest version that was heard of stands."""
-
-    NONE = "none"
-    RECEIVED = "received"       # told, but not all of its records are here
-    IN_FORCE = "in force"
-    TURNED_DOWN = "turned down"
-
-
-class Connect(Struct, frozen=True):
-    """Open a stream to an endpoint; its first requests are given."""
-
-    endpoint: str
-    requests: tuple[Request, ...]
-
-
-class Tell(Struct, frozen=True):
-    """Send a request on the open stream."""
-
-    request: Request
-
-
-class Close(Struct, frozen=True):
-    """Close the stream, or stop opening it; `closed` is not to be called for it."""
-
-    reason: str
-
-
-class Apply(Struct, frozen=True):
-    """Put a version in force, now and in one step."""
-
-    table: Table
-
-
-class Keep(Struct, frozen=True):
-    """Write the version in force where it lasts, and call `kept`."""
-
-    version: Version
-
-
-class Log(Struct, frozen=True):
-    """A line for staff."""
-
-    text: str
-
-
-Action = Connect | Tell | Close | Apply | Keep | Log
 
 
 class Follower:
@@ -83,19 +31,9 @@
 
     def __init__(self, head: str, endpoints: Iterable[str], facts: Facts, seed: int, silence_us: int,
                  stale_us: int) -> None:
-        self.head, self.endpoints, self.facts = head, tuple(endpoints), facts
-        if not self.endpoints:
-            raise ValueError("a follower needs an endpoint")
-        self.random = random.Random(seed)
+        self.head, self.dial, self.mirror = head, Dial(tuple(endpoints), seed), Mirror(facts)
         self.silence_us, self.stale_us = silence_us, stale_us
-        # What the service believes is held: by name the version, fingerprint and JSON of each record.
-        self.held: dict[str, tuple[str, int, bytes]] = {}
-        self.records: dict[str, records.Record] = {}        # the same, read
-        self.unread: dict[str, str] = {}                    # names whose record cannot be read, and why
-        self.sum = 0
-        self.changed: dict[str, records.Record | None] = {}    # what differs from the version in force, as it is there
         self.version: Version | None = None                 # in force
-        self.table = EMPTY
         self.wanted: Version | None = None                  # told, not decided yet
         self.wanted_nonce, self.wanted_until = "", 0
         self.refused: dict[tuple[Order, int], str] = {}
@@ -104,7 +42,6 @@
         self.kept: Order = (0, 0)
         self.keep_error = ""
         self.figures: Mapping[str, float] = {}
-        self.endpoint_at, self.failures = 0, 0
         self.connected = self.opening = False
         self.heard_us = 0           # last response of any stream
         self.opened_us = 0          # first response of the open one
@@ -121,24 +58,18 @@
 
     def restore(self, version: Version, rows: Iterable[tuple[str, str, bytes]], now_us: int) -> list[Action]:
         """Take the last good version, unless this head cannot run it any more."""
-        for name, text, body in rows:
-            self._hold(name, text, body)
-        reasons = self._faults()
-        if version.sum != self.sum or version.count != len(self.held):
-            reasons = ["its records are not those of its version"]
-        if reasons:
-            self._drop_all()
-            return [Log(f"the last good version {_name(version.order)} is not taken: {_short(reasons)}")]
+        if reasons := self.mirror.restored(version, rows):
+            return [Log(f"the last good version {name_of(version.order)} is not taken: {short(reasons)}")]
         self.kept = version.order
-        return [*self._take_up(version), Log(f"version {_name(version.order)} is in force, as it was kept")]
+        return [*self._take_up(version), Log(f"version {name_of(version.order)} is in force, as it was kept")]
 
     def _connect(self, now_us: int) -> list[Action]:
         self.opening, self.connected = True, False
         self.due_us = now_us + CONNECT_US
         self.counts["connects"] += 1
         force = {VERSION_NAME: version_text(self.version.order, self.version.sum)} if self.version else {}
-        initial = {name: row[0] for name, row in self.held.items()}
-        return [Connect(self.endpoints[self.endpoint_at], (
+        initial = {name: row[0] for name, row in self.mirror.held.items()}
+        return [Connect(self.dial.endpoint, (
             Request(Kind.RECORD, subscribe=True, initial=initial, head=self.head, figures=self.figures),
             Request(Kind.VERSION, subscribe=True, initial=force)))]
 
@@ -151,12 +82,9 @@
         self.wanted = None      # whoever answers next tells it again
         if self.state is State.RECEIVED:
             self.state = State.IN_FORCE if self.version else State.NONE
-        self.failures = 1 if lived else self.failures + 1
-        self.endpoint_at = (self.endpoint_at + 1) % len(self.endpoints)
-        self.counts["failovers"] += len(self.endpoints) > 1
-        pause = min(LONGEST_PAUSE_US, FIRST_PAUSE_US * 2 ** min(self.failures - 1, 16))
-        self.due_us = now_us + int(pause * self.random.uniform(*JITTER))
-        return [Log(f"the stream ended: {reason}; next is {self.endpoints[self.endpoint_at]}")]
+        self.due_us = now_us + self.dial.ended(lived)
+        self.counts["failovers"] += len(self.dial.endpoints) > 1
+        return [Log(f"the stream ended: {reason}; next is {self.dial.endpoint}")]
 
     def tick(self, now_us: int) -> list[Action]:
         """Do what is due."""
@@ -196,55 +124,11 @@
         return actions + self._set_due(now_us)
 
     def _records(self, now_us: int, response: Response) -> list[Action]:
-        wrong = []
-        for one in response.resources:
-            try:
-                body = record_json(one.body)
-            except WireError as error:
-                wrong.append(f"{one.name}: {error}")
-                continue
-            old = self.held.get(one.name)
-            if old is not None and order_of(one.version) < order_of(old[0]):
-                self.counts["replayed"] += 1        # of a response that was here before
-                continue
-            self._hold(one.name, one.version, body)
-        for name in response.removed:
-            self._hold(name, "", None)
-        answer = Tell(Request(response.kind, response.nonce, _short(wrong), head=self.head, figures=self.figures))
+        wrong, replayed = self.mirror.received(response)
+        self.counts["replayed"] += replayed
+        answer = Tell(Request(response.kind, response.nonce, short(wrong), head=self.head, figures=self.figures))
         return [answer, *self._consider(now_us)]
 
-    def _hold(self, name: str, version: str, body: bytes | None) -> None:
-        old = self.held.get(name)
-        if old is not None:
-            if body == old[2]:
-                self.held[name] = (version, old[1], old[2])
-                return
-            self.sum = (self.sum - old[1]) % records.SUM
-        elif body is None:
-            return
-        if name not in self.changed:
-            # Where a record was held that could not be read, the version in force cannot have had it.
-            self.changed[name] = self.records.get(name)
-        self.records.pop(name, None)
-        self.unread.pop(name, None)
-        if body is None:
-            del self.held[name]
-            return
-        mark = records.fingerprint(name, body)
-        self.held[name] = version, mark, body
-        self.sum = (self.sum + mark) % records.SUM
-        try:
-            record = records.decode(body)
-            if record.key != name:
-                raise ValueError(f"it holds {record.key}")
-            self.records[name] = record
-        except ValueError as error:
-            self.unread[name] = f"{name}: this head cannot read it: {error}"
-
-    def _drop_all(self) -> None:
-        for name in list(self.held):
-            self._hold(name, "", None)
-
     def _version(self, now_us: int, response: Response) -> list[Action]:
         if not response.resources:
             return [Tell(Request(response.kind, response.nonce, head=self.head, figures=self.figures))]
@@ -254,7 +138,8 @@
             return [self._answer(response.nonce, str(error)), Log(f"a version is turned down: {error}")]
         actions: list[Action] = []
         if self.wanted is not None and self.wanted_nonce != response.nonce:
-            actions.append(self._answer(self.wanted_nonce, f"version {_name(version.order)} came before it was whole"))
+            late = f"version {name_of(version.order)} came before it was whole"
+            actions.append(self._answer(self.wanted_nonce, late))
         self.wanted, self.wanted_nonce = version, response.nonce
         self.wanted_until = now_us + COMPLETE_US
         return actions + self._consider(now_us)
@@ -275,34 +160,26 @@
             return [self._answer(self.wanted_nonce, "")]
         if force is not None and version.order <= force.order:
             why = "has other records than" if version.order == force.order else "is lower than"
-            return self._turn_down(version, f"version {_name(version.order)} {why} {_name(force.order)} in force here; "
+            told = f"version {name_of(version.order)} {why} {name_of(force.order)}"
+            return self._turn_down(version, f"{told} in force here; "
                                             "if the control service was restored from a backup, raise its epoch")
         if (reason := self.refused.get((version.order, version.sum))) is not None:
             return self._turn_down(version, reason)
-        if self.sum != version.sum or len(self.held) != version.count:
+        if self.mirror.sum != version.sum or len(self.mirror.held) != version.count:
             self.state = State.RECEIVED
             return []       # its records may come behind it; `tick` ends the wait
-        if reasons := self._faults():
-            return self._turn_down(version, _short(reasons))
+        if reasons := self.mirror.faults():
+            return self._turn_down(version, short(reasons))
         self.wanted = None
         return [*self._take_up(version), self._answer(self.wanted_nonce, ""),
-                Log(f"version {_name(version.order)} is in force"), Keep(version)]
-
-    def _faults(self) -> list[str]:
-        """Tell why what is held cannot run here; only what differs from the version in force is looked at."""
-        reasons = sorted(self.unread.values())
-        return reasons or check(self.records, self.changed, self.facts)
+                Log(f"version {name_of(version.order)} is in force"), Keep(version)]
 
     def _take_up(self, version: Version) -> list[Action]:
-        now: dict[str, records.Record | None] = {name: self.records.get(name) for name in self.changed}
-        changes = {name: record for name, record in now.items() if record is not None or self.changed[name] is not None}
-        before = {name: record for name, record in self.changed.items() if record is not None}
-        self.table = self.table.changed(version.order, changes, before)
-        self.changed = {}
+        self.mirror.take_up(version)
         self.version, self.state, self.reason = version, State.IN_FORCE, ""
         self.counts["taken_up"] += 1
         self.resynced.clear()
-        return [Apply(self.table)]
+        return [Apply(self.mirror.table)]
 
     def _turn_down(self, version: Version, reason: str) -> list[Action]:
         self.wanted = None
@@ -312,23 +189,23 @@
         self.refused[version.order, version.sum] = reason
         self.state, self.reason = State.TURNED_DOWN, reason
         self.counts["turned_down"] += 1
-        told = f"version {_name(version.order)} is turned down: {reason}; {self.running} goes on"
+        told = f"version {name_of(version.order)} is turned down: {reason}; {self.running} goes on"
         line = [] if known else [Log(told)]
         return [self._answer(self.wanted_nonce, reason), *line]
 
     def _truncated(self, version: Version, now_us: int) -> list[Action]:
         """Ask for everything anew where records do not add up, once for each version; then turn it down."""
         self.counts["truncated"] += 1
-        told = f"{version.count} records told, {len(self.held)} here"
+        told = f"{version.count} records told, {len(self.mirror.held)} here"
         if version.order in self.resynced:
             return self._turn_down(version, f"its records do not add up to it, twice ({told}): truncated or mixed up")
         self.resynced.add(version.order)
         # No answer: whoever sent it must not take a loss on the way for a fault of the version.
-        self._drop_all()
-        self.failures = 0       # happens once for a version, so the shortest pause will do
-        actions: list[Action] = [Log(f"version {_name(version.order)} does not add up ({told}); asking for all anew"),
+        self.mirror.drop_all()
+        self.dial.failures = 0      # happens once for a version, so the shortest pause will do
+        actions: list[Action] = [Log(f"version {name_of(version.order)} does not add up ({told}); asking for all anew"),
                                  Close("records do not add up"), *self.closed(now_us, "records do not add up")]
-        self.endpoint_at = (self.endpoint_at - 1) % len(self.endpoints)     # the service itself is there
+        self.dial.stay()        # the service itself is there
         return actions
 
     # --- what was kept
@@ -338,29 +215,29 @@
         if error:
             first = not self.keep_error
             self.keep_error = error
-            return [Log(f"version {_name(order)} is in force but could not be kept: {error}")] if first else []
+            return [Log(f"version {name_of(order)} is in force but could not be kept: {error}")] if first else []
         self.kept, self.keep_error = max(self.kept, order), ""
         return []
 
+    @property
+    def held(self) -> Mapping[str, tuple[str, int, bytes]]:
+        """Tell what is held, by name: version, fingerprint and JSON."""
+        return self.mirror.held
+
     @property
     def running(self) -> str:
         """Tell the version in force, as staff write it."""
-        return _name(self.version.order) if self.version else "none"
+        return name_of(self.version.order) if self.version else "none"
+
+    @property
+    def table(self) -> Table:
+        """Tell the version in force as a table."""
+        return self.mirror.table
 
     def status(self, now_us: int) -> dict[str, object]:
         """Tell staff what runs here."""
         return {"head": self.head, "running": self.running, "state": self.state.value, "reason": self.reason,
                 "stale": self.stale_told, "connected": self.connected,
-                "endpoint": self.endpoints[self.endpoint_at], "records": len(self.held),
-                "kept": _name(self.kept) if any(self.kept) else "none",
+                "endpoint": self.dial.endpoint, "records": len(self.mirror.held),
+                "kept": name_of(self.kept),
                 "keep_error": self.keep_error, "silent_s": round((now_us - self.heard_us) / 1e6, 1), **self.counts}
-
-
-def _name(order: Order) -> str:
-    return f"{order[0]}.{order[1]}"
-
-
-def _short(reasons: Iterable[str]) -> str:
-    rows = list(reasons)
-    more = f" (and {len(rows) - 5} more)" if len(rows) > 5 else ""
-    return ("; ".join(rows[:5]) + more)[:LONGEST_REASON]
--- a/hophinge/control/publisher.py
+++ b/hophinge/control/publisher.py
@@ -56,6 +56,26 @@
         return news, [name for name in held if name not in self.rows]
 
 
+def rebuilt(order: Order, bodies: Mapping[str, bytes], changed_at: Mapping[str, Order], before: Snapshot | None,
+             pushed_ms: int) -> Snapshot:
+    """Make a version of a store's rows, beside the one before it."""
+    rows: dict[str, tuple[str, int, bytes]] = {}
+    old = before.rows if before is not None else {}
+    for name, body in bodies.items():
+        row = old.get(name)
+        if row is None or row[2] != body:
+            mark = records.fingerprint(name, body)
+            row = version_text(changed_at[name], mark), mark, body
+        rows[name] = row
+    total = sum(mark for _, mark, _ in rows.values()) % records.SUM
+    return Snapshot(Version(order, len(rows), total, pushed_ms), rows)
+
+
+def name_of(order: Order) -> str:
+    """Tell a version's order as staff write it."""
+    return f"{order[0]}.{order[1]}" if any(order) else "none"
+
+
 class Parts:
     """Responses as bytes for the step from one version to another, made once for all heads that take it."""
 
--- a/hophinge/control/store.py
+++ b/hophinge/control/store.py
@@ -8,6 +8,7 @@
 
 import fcntl
 import os
+import secrets
 import sqlite3
 import zlib
 from collections.abc import Callable, Mapping
@@ -16,38 +17,32 @@
 
 import msgspec
 
-from hophinge.control.publisher import Snapshot
+from hophinge.control.publisher import Snapshot, rebuilt
 from hophinge.control.rollout import Course
+from hophinge.control.schema import LATER, SCHEMA
+from hophinge.control.transaction import Transaction
 from hophinge.control.wire import Order
+from hophinge.core.errors import HophingeError
 from hophinge.routing import records
 
 FORM = 1
 SERIALS = 10 ** 9       # leases that one start of the service may give
 KEPT = 16       # snapshots held in memory beside those in use
 
-SCHEMA = """
-CREATE TABLE meta(form INTEGER NOT NULL, epoch INTEGER NOT NULL);
-CREATE TABLE version(epoch INTEGER, number INTEGER, pushed_ms INTEGER, who TEXT, note TEXT, changed INTEGER,
-  removed INTEGER, rollout BLOB, source BLOB, PRIMARY KEY(epoch, number));
-CREATE TABLE record(epoch INTEGER, number INTEGER, name TEXT, body BLOB, PRIMARY KEY(epoch, number, name))
-  WITHOUT ROWID;
-CREATE TABLE course(one INTEGER PRIMARY KEY CHECK(one = 1), body BLOB NOT NULL);
-CREATE TABLE head(name TEXT PRIMARY KEY, seen_ms INTEGER);
-CREATE TABLE block(id INTEGER PRIMARY KEY AUTOINCREMENT);
-CREATE TABLE size(one INTEGER PRIMARY KEY CHECK(one = 1), heads INTEGER NOT NULL);
-CREATE TABLE audit(id INTEGER PRIMARY KEY AUTOINCREMENT, at_ms INTEGER, who TEXT, what TEXT, detail TEXT);
-"""
-
 
-class StoreError(Exception):
+class StoreError(HophingeError):
     """A store that cannot be used, or a call that does not fit what it holds."""
 
+    code = "control-store-unfit"
+    remedy = "Mend what is said of the store or of the call, and repeat it; nothing was stored."
+
 
 class Store:
     """The store of one control service."""
 
     def __init__(self, path: Path, new_epoch: bool = False) -> None:
         path.parent.mkdir(parents=True, exist_ok=True)
+        self.fence = 0          # grows with each start on this store; whoever has an older one may not write
         self.lock = os.open(path.with_name(path.name + ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -68,23 +63,27 @@
     def _open(self, new_epoch: bool) -> None:
         tables = self.db.execute("SELECT count(*) FROM sqlite_master WHERE name = 'meta'").fetchone()[0]
         if not tables:
-            with self._transaction():
+            with self.transaction():
                 for statement in SCHEMA.split(";"):
                     self.db.execute(statement)
                 self.db.execute("INSERT INTO meta VALUES (?, 1)", (FORM,))
-        # A store of before heads told how many they are has no such table.
-        self.db.execute("CREATE TABLE IF NOT EXISTS size(one INTEGER PRIMARY KEY CHECK(one = 1), "
-                        "heads INTEGER NOT NULL)")
+        for statement in LATER.split(";"):
+            self.db.execute(statement)
         form, self.epoch = self.db.execute("SELECT form, epoch FROM meta").fetchone()
         if form != FORM:
             raise StoreError(f"the store has form {form}; this version reads form {FORM}")
         if new_epoch:
-            with self._transaction():
+            with self.transaction():
                 self.db.execute("UPDATE meta SET epoch = epoch + 1")
             self.epoch += 1
+        with self.transaction():
+            self.db.execute("INSERT INTO fence VALUES (1, ?, 1) ON CONFLICT(one) DO UPDATE SET fence = fence + 1",
+                            (secrets.token_hex(8),))
+        self.issuer, self.fence = self.db.execute("SELECT issuer, fence FROM fence").fetchone()
 
-    def _transaction(self) -> _Transaction:
-        return _Transaction(self.db)
+    def transaction(self) -> Transaction:
+        """Tell a write that is done whole or not at all."""
+        return Transaction(self.db, self.fence)
 
     def _load(self) -> None:
         """Make the versions in use, and those just before, out of their changes."""
@@ -106,7 +105,7 @@
                     bodies[name], changed_at[name] = body, order
             if order in wanted:
                 pushed = self.db.execute("SELECT pushed_ms FROM version WHERE epoch = ? AND number = ?", order)
-                before = self.snapshots[order] = _rebuilt(order, bodies, changed_at, before, pushed.fetchone()[0])
+                before = self.snapshots[order] = rebuilt(order, bodies, changed_at, before, pushed.fetchone()[0])
 
     # --- versions
 
@@ -116,7 +115,7 @@
         return self.snapshots[max(self.snapshots)] if self.snapshots else None
 
     def push(self, bodies: Mapping[str, bytes], rule: records.Rollout, who: str, note: str, source: bytes,
-             now_ms: int, course: Callable[[Order], Course]) -> Snapshot:
+             now_ms: int, course: Callable[[Order], Course], upkeep: bytes | None = None) -> Snapshot:
         """Store a version whole, and the course of its rollout with it; it has the next number of the epoch."""
         before = self.newest
         number = before.order[1] + 1 if before is not None and before.order[0] == self.epoch else 1
@@ -124,7 +123,7 @@
         old = before.rows if before is not None else {}
         changed = [(name, row[2]) for name, row in snapshot.rows.items() if old.get(name) != row]
         removed = [name for name in old if name not in snapshot.rows]
-        with self._transaction():
+        with self.transaction():
             self.db.execute("INSERT INTO version VALUES (?,?,?,?,?,?,?,?,?)", (
                 *snapshot.order, now_ms, who, note, len(changed), len(removed), records.encode(rule),
                 zlib.compress(source)))
@@ -132,7 +131,9 @@
                                 [(*snapshot.order, name, body) for name, body in changed]
                                 + [(*snapshot.order, name, None) for name in removed])
             self._set_course(course(snapshot.order))
-            self._audit(now_ms, who, "push", f"version {self.epoch}.{number}: {len(changed)} changed, "
+            if upkeep is not None:
+                self.set_upkeep(upkeep)
+            self.note(now_ms, who, "push", f"version {self.epoch}.{number}: {len(changed)} changed, "
                                              f"{len(removed)} removed{': ' if note else ''}{note}")
         self.snapshots[snapshot.order] = snapshot
         return snapshot
@@ -172,7 +173,7 @@
 
     def serials(self) -> int:
         """Tell a number for leases that is above any that was ever used, whatever the clocks say."""
-        with self._transaction():
+        with self.transaction():
             self.db.execute("INSERT INTO block DEFAULT VALUES")
             block = int(self.db.execute("SELECT max(id) FROM block").fetchone()[0])
         return block * SERIALS
@@ -186,10 +187,10 @@
 
     def set_course(self, course: Course, who: str, what: str, detail: str, now_ms: int) -> None:
         """Store a course, and what led to it for the audit; an empty `what` is no news."""
-        with self._transaction():
+        with self.transaction():
             self._set_course(course)
             if what:
-                self._audit(now_ms, who, what, detail)
+                self.note(now_ms, who, what, detail)
 
     def _set_course(self, course: Course) -> None:
         self.db.execute("INSERT INTO course VALUES (1, ?) ON CONFLICT(one) DO UPDATE SET body = excluded.body",
@@ -201,7 +202,7 @@
 
     def saw(self, name: str, now_ms: int) -> None:
         """Note a head."""
-        with self._transaction():
+        with self.transaction():
             self.db.execute("INSERT INTO head VALUES (?, ?) ON CONFLICT(name) DO UPDATE SET seen_ms = excluded.seen_ms",
                             (name, now_ms))
 
@@ -212,11 +213,16 @@
 
     def set_size(self, heads: int) -> None:
         """Store how many heads the installation has."""
-        with self._transaction():
+        with self.transaction():
             self.db.execute("INSERT INTO size VALUES (1, ?) ON CONFLICT(one) DO UPDATE SET heads = excluded.heads",
                             (heads,))
 
-    def _audit(self, now_ms: int, who: str, what: str, detail: str) -> None:
+    def set_upkeep(self, body: bytes) -> None:
+        """Put the forms on maintenance in place of those before; within a transaction."""
+        self.db.execute("INSERT INTO upkeep VALUES (1, ?) ON CONFLICT(one) DO UPDATE SET body = excluded.body", (body,))
+
+    def note(self, now_ms: int, who: str, what: str, detail: str) -> None:
+        """Write a line of the audit; within a transaction."""
         self.db.execute("INSERT INTO audit(at_ms, who, what, detail) VALUES (?,?,?,?)", (now_ms, who, what, detail))
 
     def audit(self, most: int) -> list[dict[str, Any]]:
@@ -228,40 +234,3 @@
         """Close the store."""
         self.db.close()
         os.close(self.lock)
-
-
-def _rebuilt(order: Order, bodies: Mapping[str, bytes], changed_at: Mapping[str, Order], before: Snapshot | None,
-             pushed_ms: int) -> Snapshot:
-    from hophinge.control.wire import Version, version_text
-
-    rows: dict[str, tuple[str, int, bytes]] = {}
-    old = before.rows if before is not None else {}
-    for name, body in bodies.items():
-        row = old.get(name)
-        if row is None or row[2] != body:
-            mark = records.fingerprint(name, body)
-            row = version_text(changed_at[name], mark), mark, body
-        rows[name] = row
-    total = sum(mark for _, mark, _ in rows.values()) % records.SUM
-    return Snapshot(Version(order, len(rows), total, pushed_ms), rows)
-
-
-class _Transaction:
-    """A write that is done whole or not at all."""
-
-    def __init__(self, db: sqlite3.Connection) -> None:
-        self.db = db
-
-    def __enter__(self) -> None:
-        self.db.execute("BEGIN IMMEDIATE")
-
-    def __exit__(self, kind: object, error: object, trace: object) -> None:
-        try:
-            if kind is None:
-                self.db.execute("COMMIT")
-            elif self.db.in_transaction:
-                self.db.execute("ROLLBACK")
-        except sqlite3.DatabaseError:
-            if self.db.in_transaction:
-                self.db.execute("ROLLBACK")
-            raise
--- a/hophinge/control/wire.py
+++ b/hophinge/control/wire.py
@@ -40,6 +40,7 @@
     LEASE = "type.googleapis.com/hophinge.config.v1.Lease"
     ACCOUNT = "type.googleapis.com/hophinge.config.v1.Account"
     USAGE = "type.googleapis.com/hophinge.config.v1.Usage"
+    MAINTENANCE = "type.googleapis.com/hophinge.config.v1.Maintenance"      # control/permits.py tells when it is sent
 
 
 KINDS = {kind.value: kind for kind in Kind}
--- /dev/null
+++ b/hophinge/maintenance/shown.py
@@ -0,0 +1,40 @@
+"""What staff are told of permits, outages and releases, and of who still owes its word."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hophinge.maintenance.coordinator import Coordinator
+from hophinge.maintenance.permits import Kind, Permit, State
+from hophinge.maintenance.releases import ENDED, Stage
+
+MOST_NAMED = 20         # heads whose word is missing, named for one brick
+
+
+def shown(one: Coordinator) -> dict[str, Any]:
+    """Tell it as plain rows."""
+    active = one.releases.active()
+    heads = one.sights.of_heads(one.rule.retired)
+    return {
+        "heads_up": len(heads.up), "heads": max(heads.total, len(heads.up) + len(heads.down)),
+        "permits": [_permit(one, permit) for kind in Kind for permit in one.permits.all(kind)],
+        "waiting": [{"kind": kind.value, "name": name, "why": why}
+                    for (kind, name), why in sorted(one.reasons.items(), key=lambda row: (row[0][0].value, row[0][1]))],
+        "releases": [{
+            "name": course.name, "build": course.build, "stage": course.stage.value, "wave": course.wave,
+            "again": course.again, "touched": len(course.was),
+            "reason": course.reason or (f"waits for {active.name}" if active is not None and active is not course
+                                        and course.stage is Stage.WAITING else ""),
+        } for course in sorted(one.releases.courses.values(), key=lambda row: (row.stage in ENDED, row.began))]}
+
+
+def _permit(one: Coordinator, permit: Permit) -> dict[str, Any]:
+    missing: tuple[str, ...] = ()
+    if permit.kind is Kind.BRICK and permit.state in (State.BEGUN, State.OUT):
+        missing = one.verdict(permit).missing
+    state = permit.state.value
+    if permit.kind is Kind.BRICK:
+        state = {State.BEGUN: "draining", State.OUT: "drained", State.BACK: "back, cold"}.get(permit.state, state)
+    return {"id": permit.id, "kind": permit.kind.value, "name": permit.name, "zone": permit.zone, "by": permit.by,
+            "state": state, "build": permit.build, "missing": list(missing[:MOST_NAMED]), "missing_count": len(missing),
+            "served": one.drains.served(permit.id) if permit.state is State.BACK else 0}
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -278,7 +278,7 @@
     line.wait(2 * S)                # six seconds without a beat
     assert not line.head.connected and any("silent for 6 s" in text for text in line.log)
     line.wait(120 * S)
-    assert line.head.endpoint_at in (0, 1) and line.head.counts["failovers"] > 5
+    assert line.head.dial.at in (0, 1) and line.head.counts["failovers"] > 5
     most = (line.now - since) // CONNECT_US + 1
     least = (line.now - since) // (CONNECT_US + LONGEST_PAUSE_US * 3 // 2) - 1
     assert least <= line.connects <= most
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -16,7 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hophinge.control import service as control_service
+from hophinge.control import shares as control_shares
 from hophinge.tenancy.admission import Admission, Ask, Shares, Spare, Ticket, Verdict
 from hophinge.tenancy.fair import Entry, Tree
 from hophinge.tenancy.reserve import Reserve
@@ -483,7 +483,7 @@
 
 def test_promises_are_judged_by_what_the_installation_is_not_by_who_is_connected(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(control_service, "SIZE_S", 0.1)
+    monkeypatch.setattr(control_shares, "SIZE_S", 0.1)
     form = "(spare (depth 9 units) (capacity 50 units/s))(tenant aa (volumes 00000000000000aa) (reserve {} units/s))"
 
     async def main() -> None:
