--- a/hophinge/cli/main.py
+++ b/hophinge/cli/main.py
@@ -14,7 +14,7 @@
 import typer
 from rich.table import Table
 
-from hophinge.cli import load, tenants
+from hophinge.cli import load, tenants, upkeep
 from hophinge.cli.words import fail, out
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -187,6 +187,7 @@
                           f"{head['taken']:.0f}", f"{head['failed']:.0f}",
                           f"{head['turned_down']}: {head['reason']}" if head["reason"] else "")
         out.print(table)
+        upkeep.show(told["maintenance"])
     if told["stage"] == "held":
         raise typer.Exit(3)
 
--- a/hophinge/control/client.py
+++ b/hophinge/control/client.py
@@ -41,6 +41,7 @@
         # Of the accounts: what a stream begins with, what came, and what is to be said after any response.
         self.greet: Callable[[], list[wire.Request]] = list
         self.take_other: Callable[[wire.Response], None] = lambda response: None
+        self.take_word: Callable[[wire.Response], None] = lambda response: None     # on maintenance
         self.others: Callable[[bool], list[wire.Request]] = lambda beat: []
         self.ask_lease: Callable[[], dict[str, float]] = dict       # figures of an ask; none: no ask
         self.take_lease: Callable[[bytes], None] = lambda json: None
@@ -120,6 +121,8 @@
                         response = wire.decode_response(data)
                         if response.kind in (wire.Kind.ACCOUNT, wire.Kind.USAGE):
                             self.take_other(response)
+                        elif response.kind is wire.Kind.MAINTENANCE:
+                            self.take_word(response)
                         elif response.kind is not wire.Kind.LEASE:
                             self._do(self.follower.received(self.now_us(), response))
                         elif response.resources:
--- /dev/null
+++ b/hophinge/head/maintenance.py
@@ -0,0 +1,237 @@
+"""A head's part in agreed maintenance: its rotation, exchange, stream and board round the deciders of `maintenance/`.
+
+Whether all of a brick is quiet is looked at on a timer; nothing here stands in a request's way but one call where an
+attempt has ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+import msgspec
+
+from hophinge.cluster.interface import Board, Sight, Topic
+from hophinge.control import wire
+from hophinge.control.client import Client
+from hophinge.control.permits import SPEAKS, read_word, report_request
+from hophinge.core.errors import HophingeError, told
+from hophinge.core.exchange import Exchange, Gate
+from hophinge.core.interface import Arrival, Bounds, NodeList, Phase, Result, Waits
+from hophinge.core.rotation import Mark, Rotation
+from hophinge.maintenance.drains import (
+    Action, HeadDrains, Phase as DrainPhase, Say, TakeOut, TakeUp, Unsay, heard, standing, value,
+)
+from hophinge.maintenance.holder import HALT, Go, Holder, halts
+from hophinge.maintenance.words import Listed, Report
+from hophinge.state import files
+
+KIND, FORM = "drains", 1
+LOOK_S = 0.1            # between looks at what is out there
+SAVE_AGAIN_S = 1.0      # after the disk failed; until then nothing is said to be drained
+
+
+class Answers:
+    """A gate that notes which bricks have answered, before the gate there is."""
+
+    __slots__ = ("gate", "good")
+
+    def __init__(self, gate: Gate) -> None:
+        self.gate = gate
+        self.good: dict[str, int] = {}      # by brick: when it answered last
+
+    def admit(self, now_us: int, ask: Arrival) -> Bounds | Waits | int:
+        """Pass on."""
+        return self.gate.admit(now_us, ask)
+
+    def turn(self, now_us: int) -> list[tuple[str, int]]:
+        """Pass on."""
+        return self.gate.turn(now_us)
+
+    @property
+    def due_us(self) -> int:
+        """Pass on."""
+        return self.gate.due_us
+
+    def answered(self, now_us: int, bounds: Bounds) -> None:
+        """Pass on."""
+        self.gate.answered(now_us, bounds)
+
+    def ended(self, now_us: int, node: str, result: Result) -> None:
+        """Note an answer, and pass on."""
+        if result is Result.OK:
+            self.good[node] = now_us
+        self.gate.ended(now_us, node, result)
+
+    def nodes(self, now_us: int, event: NodeList) -> None:
+        """Pass on."""
+        self.gate.nodes(now_us, event)
+
+
+class HeadMaintenance:
+    """One head's; to be made after its stream and before it starts, `begin` called before it lists any brick."""
+
+    def __init__(self, client: Client, rotation: Rotation, exchange: Exchange, holder: Holder, zone: str, path: Path,
+                 log: Callable[[str], None], ready: Callable[[], bool], go: Callable[[Go], None] | None = None,
+                 alone: Callable[[], bool] = lambda: True, board: Board | None = None, sight: Sight | None = None,
+                 disk: files.Disk = files.DISK) -> None:
+        self.client, self.rotation, self.exchange, self.holder = client, rotation, exchange, holder
+        self.zone, self.path, self.log, self.ready, self.go = zone, path, log, ready, go
+        self.alone, self.board, self.sight, self.disk = alone, board, sight, disk
+        assert exchange.gate is not None, "a stream's router stands there"
+        self.answers = Answers(exchange.gate)
+        exchange.gate = self.answers
+        self.drains = HeadDrains(self._kept())
+        self.saved = self.drains.keeps()
+        self.spoken = False                     # the service has sent a word on this stream, so it takes reports
+        self.last: Report | None = None         # as reported
+        self.halted: set[str] = set()           # on the board by this head
+        greet, others, figures = client.greet, client.others, client.figures
+        client.greet = lambda: self._greet(greet())
+        client.others = lambda beat: [*others(beat), *self._due(beat)]
+        client.figures = lambda: {**figures(), SPEAKS: 1.0}
+        client.take_word = self._word
+
+    # --- what a restart finds
+
+    def _kept(self) -> Iterable[tuple[str, str]]:
+        try:
+            found = files.load(self.path, KIND, (FORM,))
+            return msgspec.json.decode(found[1], type=dict[str, str]).items() if found is not None else ()
+        except (files.UnusableError, OSError, msgspec.MsgspecError) as error:
+            self.log(f"maintenance: which bricks were out is not known here any more: {error}")
+            return ()
+
+    def begin(self) -> None:
+        """Take out what was out when this head ended, whoever can be reached."""
+        self._do(self.drains.begin())
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            try:
+                if (keeps := self.drains.keeps()) != self.saved:
+                    await asyncio.to_thread(files.save, self.path, KIND, FORM, msgspec.json.encode(keeps), self.disk)
+                    self.saved = keeps
+                self.look()
+            except OSError as error:
+                self.log(f"maintenance: what is out cannot be kept, so no brick is said to be drained: {error}")
+                await asyncio.sleep(SAVE_AGAIN_S)
+
+    # --- the stream
+
+    def _greet(self, before: list[wire.Request]) -> list[wire.Request]:
+        self.spoken, self.last = False, None
+        return before
+
+    def _word(self, response: wire.Response) -> None:
+        """Take a word off the stream."""
+        word = read_word(response)
+        self.spoken = True
+        try:
+            goes = self.holder.told(self.exchange.now_us(), word)
+        except HophingeError as error:
+            return self.log(f"maintenance: {told(error)}")
+        if self.holder.word is word:
+            self._do(self.drains.told(word.out, word.back))
+            self._tell_halts({HALT + one for one in word.halted})
+        for one in goes:
+            self.log(f"maintenance: permit {one.permit} lets this head go; it is to come back with "
+                     f"{f'build {one.build}' if one.build else 'any build'}")
+            if self.go is not None:
+                self.go(one)
+        return None
+
+    def _due(self, beat: bool) -> list[wire.Request]:
+        """Report at each beat, and as soon as something has changed."""
+        if not self.spoken:
+            return []
+        report = self.report()
+        if not beat and self.last is not None and _same(report, self.last):
+            return []
+        self.last = report
+        return [report_request(self.client.follower.head, report)]
+
+    def report(self) -> Report:
+        """Tell all that this head says now."""
+        now, listed = self.exchange.now_us(), self.rotation.listed
+        settings, counts = self.exchange.settings, self.exchange.counters.counts
+        avoided = set(self.exchange.scheduler.avoided(now))
+        bricks = {name: Listed(settings.zones[one.zone] if one.zone < len(settings.zones) else "",
+                               settings.kinds[one.kind] if one.kind < len(settings.kinds) else "",
+                               one.phase is Phase.ON and name not in avoided) for name, one in listed.items()}
+        live, gone = standing(self.sight.members()) if self.sight is not None else ([], [])
+        entries = list(self.board.entries(Topic.DRAINS)) if self.board is not None else []
+        me = self.sight.me if self.sight is not None else self.client.follower.head
+        said = {owner: rows for owner, rows in heard(entries).items() if owner != me}
+        return Report(
+            self.holder.process, self.holder.build, self.zone, self.ready() and bool(bricks), self.holder.asks(now),
+            self.holder.begins(now, halts(entries)), tuple(self.drains.statements()), said, bricks, tuple(live),
+            tuple(gone), self.sight is not None, counts["requests_taken"],
+            counts["requests_failed"] + counts["requests_refused"])
+
+    # --- rotation and exchange
+
+    def look(self) -> None:
+        """See what is out there, and say what follows."""
+        if self.drains.own:
+            open_there = Counter(attempt.node for request in self.exchange.open.values()
+                                 for attempt in request.attempts.values())
+            out = [one.brick for one in self.drains.own.values() if self.rotation.out(one.brick)]
+            # Another process of this head, before or after it, may still have something there.
+            self._do(self.drains.look(open_there, out if self.alone() else (), self._warm()))
+        for request in self._due(False):
+            self.client.outgoing.put_nowait(request)
+
+    def _warm(self) -> list[str]:
+        now, cold = self.exchange.now_us(), self.rotation.cold_us
+        found = []
+        for one in self.drains.own.values():
+            mark = self.rotation.marks.get(one.brick)
+            if one.phase is DrainPhase.BACK and self.answers.good.get(one.brick, -1) > (mark.at_us if mark else 0) and (
+                    mark is None or (not mark.out and now - mark.at_us >= cold)):
+                found.append(one.brick)
+        return found
+
+    def _do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case TakeOut(brick=brick):
+                    # Set also where no list names it yet: it must not come into use when one does.
+                    self._mark(brick, True)
+                    self.log(f"maintenance: {brick} is taken out")
+                case TakeUp(brick=brick):
+                    self._mark(brick, False)
+                    self.log(f"maintenance: {brick} is taken up again, cold")
+                case Say(statement=statement):
+                    self._put(statement.key, value(statement))
+                case Unsay(statement=statement):
+                    if self.board is not None:
+                        self.board.drop(Topic.DRAINS, statement.key)
+
+    def _mark(self, brick: str, out: bool) -> None:
+        last = self.rotation.marks.get(brick)
+        self.rotation.merge({brick: Mark(max(self.exchange.now_us(), last.at_us + 1 if last else 0), out)})
+        self.rotation.marked()
+
+    def _tell_halts(self, keys: set[str]) -> None:
+        for key in self.halted - keys if self.board is not None else ():
+            self.board.drop(Topic.DRAINS, key)  # type: ignore[union-attr]   # there, by the line before
+        for key in keys - self.halted:
+            self._put(key, b"")
+        self.halted = keys
+
+    def _put(self, key: str, body: bytes) -> None:
+        try:
+            if self.board is not None:
+                self.board.put(Topic.DRAINS, key, body)
+        except HophingeError as error:
+            self.log(f"maintenance: peers do not hear of {key}: {told(error)}")
+
+
+def _same(one: Report, other: Report) -> bool:
+    """Tell whether two reports differ in counts of requests alone, which a beat brings."""
+    return msgspec.structs.replace(one, taken=other.taken, failed=other.failed) == other
