--- a/hophinge/head/maintenance.py
+++ b/hophinge/head/maintenance.py
@@ -85,6 +85,8 @@
         exchange.gate = self.answers
         self.drains = HeadDrains(self._kept())
         self.saved = self.drains.keeps()
+        self.born_us = exchange.now_us()
+        self.up_at: dict[str, int] = {}         # by brick: when it was taken up again
         self.spoken = False                     # the service has sent a word on this stream, so it takes reports
         self.last: Report | None = None         # as reported
         self.halted: set[str] = set()           # on the board by this head
@@ -98,7 +100,7 @@
 
     def _kept(self) -> Iterable[tuple[str, str]]:
         try:
-            found = files.load(self.path, KIND, (FORM,))
+            found = files.load(self.path, KIND, range(1, FORM + 1))
             return msgspec.json.decode(found[1], type=dict[str, str]).items() if found is not None else ()
         except (files.UnusableError, OSError, msgspec.MsgspecError) as error:
             self.log(f"maintenance: which bricks were out is not known here any more: {error}")
@@ -187,14 +189,11 @@
             self.client.outgoing.put_nowait(request)
 
     def _warm(self) -> list[str]:
+        """Tell which bricks have answered since they are back, for longer than they count as cold."""
         now, cold = self.exchange.now_us(), self.rotation.cold_us
-        found = []
-        for one in self.drains.own.values():
-            mark = self.rotation.marks.get(one.brick)
-            if one.phase is DrainPhase.BACK and self.answers.good.get(one.brick, -1) > (mark.at_us if mark else 0) and (
-                    mark is None or (not mark.out and now - mark.at_us >= cold)):
-                found.append(one.brick)
-        return found
+        since = {one.brick: self.up_at.get(one.brick, self.born_us) for one in self.drains.own.values()
+                 if one.phase is DrainPhase.BACK}
+        return [brick for brick, at in since.items() if self.answers.good.get(brick, -1) > at and now - at >= cold]
 
     def _do(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -205,6 +204,7 @@
                     self.log(f"maintenance: {brick} is taken out")
                 case TakeUp(brick=brick):
                     self._mark(brick, False)
+                    self.up_at[brick] = self.exchange.now_us()
                     self.log(f"maintenance: {brick} is taken up again, cold")
                 case Say(statement=statement):
                     self._put(statement.key, value(statement))
--- a/hophinge/maintenance/watch.py
+++ b/hophinge/maintenance/watch.py
@@ -11,6 +11,7 @@
 from hophinge.routing.bounds import Release
 
 LEAST_TAKEN = 50        # requests before a share of failures tells anything
+AWAY_US = 10_000_000    # without a stream before a head is lost: a service that starts has all back within five seconds
 SURE = 3.0              # standard errors by which a share has to be over what is allowed
 
 
@@ -32,6 +33,7 @@
     place: tuple[str, int, int]             # release, wave, again
     base: dict[str, tuple[int, float, float]] = {}      # process, taken and failed of each head when it began
     begun: dict[str, int] = {}
+    away: dict[str, int] = {}
     quiet_since: int = 0
 
     @classmethod
@@ -43,7 +45,9 @@
                 heads: Mapping[str, HeadView]) -> str:
         """Tell why the release must not go on, or nothing; `touched` are heads that it has wanted out."""
         for name, one in wave.items():
-            if not one.connected and one.permit is None and name in touched:
+            if one.connected or one.permit is not None or name not in touched:
+                self.away.pop(name, None)
+            elif now_us - self.away.setdefault(name, now_us) > AWAY_US:
                 return f"{name} was lost while no permit let it go"
             if one.permit is not None and one.permit.state in (State.BEGUN, State.OUT, State.BACK):
                 since = self.begun.setdefault(name, now_us)
@@ -53,6 +57,8 @@
                 self.begun.pop(name, None)
         there = {name: one for name, one in wave.items() if one.build == build}
         taken, failed = self.counted((name, one) for name, one in heads.items() if name not in there)
+        if not taken:       # all are in the wave: what was usual before it has to do
+            taken, failed = (sum(row[at] for row in self.base.values()) for at in (1, 2))
         allowed = (failed / taken if taken else 0.0) + form.refused
         for told, names in [(f"the wave's {len(there)} heads", sorted(there)),
                             *((name, [name]) for name in sorted(there))]:
--- a/hophinge/routing/upkeep.py
+++ b/hophinge/routing/upkeep.py
@@ -10,6 +10,7 @@
 from hophinge.routing.records import Record
 
 BUILD = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.+-]{0,63}", re.ASCII)
+LEAST_SETTLE_US = 3_000_000     # heads tell their counts every two seconds: sooner nothing is known of a wave
 WORDS = ("go", "halt", "back")
 
 
@@ -41,7 +42,8 @@
 
 def _release(part: Fields) -> Record:
     release = Release(part.name("release"), part.one("build", "build", BUILD), part.names("heads", "head"),
-                      part.shares("waves"), part.time("settle", 30_000_000), part.time("patience", 300_000_000, 1000),
+                      part.shares("waves"), part.time("settle", 30_000_000, LEAST_SETTLE_US),
+                      part.time("patience", 300_000_000, 1000),
                       part.quantity("refused", "share", 0.02, most=1.0), part.choice("word", WORDS),
                       int(part.number("again", 0, 0, 1_000_000, whole=True)))
     part.whole(bool(release.build), "a release needs (build NAME): the build that its heads come back with")
