--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -134,8 +134,8 @@
     def _of_brick(self, one: Permit) -> State | None:
         """Tell what the heads' statements make of a brick's permit."""
         if one.state is State.BACK:
-            speaking = sum(head.report is not None for head in self.sights.heads.values() if head.connected)
-            return State.FREE if self.drains.served(one.id) >= max(1, min(self.rule.served, speaking)) else None
+            heads = self.sights.of_heads(self.rule.retired).total
+            return State.FREE if self.drains.served(one.id) >= max(1, min(self.rule.served, heads)) else None
         if not self._stands(one):
             return State.BACK
         return State.OUT if one.state is State.BEGUN and self.verdict(one).done else None
--- a/hophinge/maintenance/releases.py
+++ b/hophinge/maintenance/releases.py
@@ -76,6 +76,7 @@
         self.courses: dict[str, Course] = {}
         self.take(courses)
         self.watch = Watch(("", 0, 0))
+        self.left: list[str] = []           # heads that the wave waits for
 
     def take(self, courses: Iterable[Course]) -> None:
         """Take courses that are stored."""
@@ -145,7 +146,7 @@
         views = {name: heads[name] for name in wave if name in heads}
         if reason := watch.trouble(now_us, course.build, course.was, form, views, heads):
             return Outcome((_halted(course, reason),), withdrawn=(course.name,))
-        left = [name for name in wave if name not in views or not _settled(views[name], course.build)]
+        left = self.left = [name for name in wave if name not in views or not _settled(views[name], course.build)]
         if left:
             watch.quiet_since = 0
             wants = tuple(Want(course.name, name, course.build, f"{course.name}/{course.again}/{course.build}")
@@ -156,7 +157,7 @@
         watch.quiet_since = watch.quiet_since or now_us
         if now_us - watch.quiet_since < form.settle_us:
             return Outcome()
-        if course.wave < len(form.waves):
+        if course.wave < len(form.waves) and len(wave) < len(targets):
             return Outcome((msgspec.structs.replace(course, wave=course.wave + 1),))
         return Outcome((msgspec.structs.replace(course, stage=Stage.DONE),))
 
--- a/hophinge/maintenance/shown.py
+++ b/hophinge/maintenance/shown.py
@@ -6,14 +6,13 @@
 
 from hophinge.maintenance.coordinator import Coordinator
 from hophinge.maintenance.permits import Kind, Permit, State
-from hophinge.maintenance.releases import ENDED, Stage
+from hophinge.maintenance.releases import ENDED, Course, Stage
 
 MOST_NAMED = 20         # heads whose word is missing, named for one brick
 
 
 def shown(one: Coordinator) -> dict[str, Any]:
     """Tell it as plain rows."""
-    active = one.releases.active()
     heads = one.sights.of_heads(one.rule.retired)
     return {
         "heads_up": len(heads.up), "heads": max(heads.total, len(heads.up) + len(heads.down)),
@@ -23,11 +22,20 @@
         "releases": [{
             "name": course.name, "build": course.build, "stage": course.stage.value, "wave": course.wave,
             "again": course.again, "touched": len(course.was),
-            "reason": course.reason or (f"waits for {active.name}" if active is not None and active is not course
-                                        and course.stage is Stage.WAITING else ""),
+            "reason": course.reason or _waits(one, course),
         } for course in sorted(one.releases.courses.values(), key=lambda row: (row.stage in ENDED, row.began))]}
 
 
+def _waits(one: Coordinator, course: Course) -> str:
+    active = one.releases.active()
+    if active is not None and active is not course and course.stage is Stage.WAITING:
+        return f"waits for {active.name}"
+    if active is course and course.stage is Stage.ROLLING and one.releases.left:
+        left = one.releases.left
+        return f"waits for {', '.join(left[:5])}" + (f" and {len(left) - 5} more" if len(left) > 5 else "")
+    return ""
+
+
 def _permit(one: Coordinator, permit: Permit) -> dict[str, Any]:
     missing: tuple[str, ...] = ()
     if permit.kind is Kind.BRICK and permit.state in (State.BEGUN, State.OUT):
