--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -64,8 +64,8 @@
 
     def row(self, name: str, end: str) -> str:
         """Tell it as a row."""
-        return (f"| {name} | {self.most_out} | {self.purpose} | {100 * self.sum / self.turns:.1f} % | {100 * self.least:.1f} % | "
-                f"{self.turns} s | {len(self.met)} | {end} |")
+        return (f"| {name} | {self.most_out} | {self.purpose} | {100 * self.sum / self.turns:.1f} % | "
+                f"{100 * self.least:.1f} % | {self.turns} s | {len(self.met)} | {end} |")
 
 
 def agreed(bad_build: bool, losses: bool) -> str:
@@ -157,7 +157,7 @@
         f"A restart takes 20 s and 2 s more until the head is ready; all heads together carry {SPARE} times the load; "
         "a bad build fails 30 % of the requests at every third head. Bounds: `most 3`, 10 %. Waves: one head, 10 %, "
         "50 %, all; 10 s to settle. Three heads fail by themselves for two minutes once ten have the build.", "",
-        "| way | most out at once | on purpose | served, mean | served, least | time | heads that met the build | end |",
+        "| way | most out at once | on purpose | served, mean | served, least | time | heads with the build | end |",
         "| --- | --- | --- | --- | --- | --- | --- | --- |"]
     for bad_build, losses in ((False, False), (False, True), (True, False), (True, True)):
         lines += [agreed(bad_build, losses), alone(bad_build, losses)]
