--- a/benchmarks/maintenance_issuers.py
+++ b/benchmarks/maintenance_issuers.py
@@ -50,6 +50,12 @@
     def __init__(self, history: History) -> None:
         self.history, self.count = history, 0
 
+    def turn(self, now: int) -> None:
+        """Let a round pass."""
+
+    def close(self) -> None:
+        """End it."""
+
     def ended(self, node: int) -> None:
         """Note that a host's process ended: what is not on its disk is gone."""
 
@@ -207,6 +213,7 @@
     told = {"asked": 0, "granted": 0, "nobody there": 0, "over": 0, "held in vain": 0}
     ghosts: dict[int, int] = {}                 # granted, and the answer was lost: until its lease is over
     for now in range(ROUNDS):
+        issuer.turn(now)
         if history.ends[now] >= 0:
             issuer.ended(history.ends[now])
         for permit, (until, side) in list(out.items()):
@@ -229,4 +236,5 @@
             told["granted"] += 1
             out[permit] = now + OUT_ROUNDS, side
         told["over"] += sum(now < until for until, _ in out.values()) > MOST
+    issuer.close()
     return told
