--- a/hophinge/core/choice/nodes.py
+++ b/hophinge/core/choice/nodes.py
@@ -12,7 +12,7 @@
 
 CEILING = 32            # requests out at one node, the design's own ceiling
 FLEET = 256             # requests out at one node by all gateways, where that leaves less than the ceiling
-PART = 0.25             # part of the tightest aim that a node's units out may fill; the rest is for others
+PART = 0.15             # part of the tightest aim that a node's units out may fill; the rest is for others
 MEMORY_ALL = 0.98       # the same for all nodes together: about fifty answers count
 SILENT = 1.0            # tightest aims without any answer after which a node with work out is taken as hung
 FINE = 10               # looks within the tightest aim at a place where something is held
