--- a/benchmarks/scoring.py
+++ b/benchmarks/scoring.py
@@ -146,7 +146,7 @@
 Ten heads with their real modules in virtual time, {model.BRICKS} bricks that work {model.WORK_US // 1000} ms for a
 request on the mean; one fails requests within 2 ms from the eighth second on. Entries are heard 0.5 s late, ticks are
 1 s apart. A liar is one of the ten heads, accuses one healthy brick with all that it has, and leaves out the failing
-one. A new object that failed at a brick is not tried at another, as it may be there: who meets the brick is mostly not
+one. A new object that failed at a brick is tried again there alone, as it may be there: at one that fails all it is not
 served. Means over {len(SEEDS)} seeds, with the standard error. Shares are of what honest heads sent, 1 is an even one;
 in quiet histories they stray by 0.1 by chance.
 """, *fleet(pool), """
