--- a/tests/cluster_member.py
+++ b/tests/cluster_member.py
@@ -20,13 +20,16 @@
 
 async def serve(settings: dict[str, Any]) -> None:
     from hophinge.cluster.interface import Topic
+    from hophinge.cluster.tuning import Tuning
     from hophinge.core.errors import HophingeError
     from hophinge.head.cluster import Member
     from hophinge.head.sections import ClusterConfig
 
+    tuning = Tuning(**settings.pop("tuning", {}))
     settings["key_file"] = Path(settings["key_file"])
     try:
-        member = Member(ClusterConfig(**settings), "", lambda text: print(text, file=sys.stderr))
+        member = Member(ClusterConfig(**settings), "", lambda text: print(text, file=sys.stderr),
+                        tuning=tuning)
     except HophingeError as error:
         print(json.dumps({"error": error.told()}), flush=True)
         return
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -17,7 +17,8 @@
     started: list[Started] = []
 
     def one(name: str, seeds: list[str], **more: Any) -> Started:
-        started.append(Started(tmp_path, name, seeds, **more))
+        # Half of the usual time to refute, for the tests' own.
+        started.append(Started(tmp_path, name, seeds, tuning={"suspicion": 2.0}, **more))
         return started[-1]
 
     yield one
