A tenant's end empties the cache of pieces; a refused reload says its own remedy

Need: the cache held a closed tenant's pieces until they were evicted, and a reload that was turned down told the operator to start the head, which runs on. Change: Together hooks the accounts' tenant_ended; ReloadError (reload-refused).

--- a/hophinge/head/config.py
+++ b/hophinge/head/config.py
@@ -24,6 +24,13 @@
     remedy = "Mend the file or variable that is named and start the head again; it has taken nothing."
 
 
+class ReloadError(ConfigError):
+    """A configuration that a running head turns down at SIGHUP."""
+
+    code = "reload-refused"
+    remedy = "Mend the file that is named and send SIGHUP again; the head goes on with what it had."
+
+
 class Limits(msgspec.Struct):
     """What the machine allows."""
 
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -21,7 +21,7 @@
 from hophinge.net.acceptor import Acceptor
 from hophinge.net.listener import Listener
 from hophinge.net.server import Front
-from hophinge.head.config import Config, ConfigError, address, read_config
+from hophinge.head.config import Config, ConfigError, ReloadError, address, read_config
 from hophinge.head.operator import OperatorConfig
 from hophinge.core.rotation import Rotation
 
@@ -197,7 +197,7 @@
         except ConfigError as error:
             # Somebody's slip, or a file caught half written: the head goes on with what it has.
             self.counters.add("reloads_failed")
-            say(f"the configuration is kept as it was: {told(error)}")
+            say(f"the configuration is kept as it was: {told(ReloadError(str(error)))}")
             return
         self.counters.add("reloads")
         if new.discovery != self.discovery.address:
--- a/hophinge/head/together.py
+++ b/hophinge/head/together.py
@@ -48,7 +48,14 @@
                 return (held.tenant, held.plan) if held is not None else None
 
             sight, board = (self.member.sight, self.member.board) if self.member is not None else (None, None)
-            self.popularity = HeadPopularity(operator.popularity, store, owner_of, log, sight, board)
+            self.popularity = popularity = HeadPopularity(operator.popularity, store, owner_of, log, sight, board)
+            before = accounts.tenant_ended
+
+            def tenant_ended(tenant: str) -> None:
+                before(tenant)
+                popularity.cache.forget_tenant(tenant)
+
+            accounts.tenant_ended = tenant_ended
             if self.scoring is not None:
                 self.scoring.expect(self.popularity)
 
--- a/tests/test_together_sections.py
+++ b/tests/test_together_sections.py
@@ -10,7 +10,8 @@
 import pytest
 
 from hophinge.head.operator import OperatorConfig, load
-from hophinge.head.sections import ClusterConfig, ScoringConfig
+from hophinge.head.sections import ClusterConfig, PopularityConfig, ScoringConfig
+from hophinge.objects.config import ObjectConfig
 from tests.stand_in import Brick, headers, run, world
 from tests.test_net import WRITE
 
@@ -40,6 +41,26 @@
     run(main())
 
 
+def test_a_tenant_that_ends_leaves_the_cache_of_pieces(tmp_path: Path) -> None:
+    (tmp_path / "secret").write_text(KEY)
+    operator = OperatorConfig(
+        objects=ObjectConfig("127.0.0.1:0", tmp_path / "tenants.json", "record-read", "transfer-write"),
+        popularity=PopularityConfig(tmp_path / "secret"))
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head(operator)
+            assert service.accounts is not None and service.together is not None
+            popularity = service.together.popularity
+            assert popularity is not None
+            gone: list[str] = []
+            popularity.cache.forget_tenant = gone.append  # type: ignore[method-assign, assignment]     # in place of its own
+            service.accounts.tenant_ended("alba")
+            assert gone == ["alba"]
+
+    run(main())
+
+
 @pytest.mark.parametrize(("text", "place"), [
     ("[maintenance]\nzone = 'a'\n", "[maintenance] needs [stream]"),
     ("[popularity]\nsecret_file = 's'\n", "[popularity] needs [objects]"),
