Tests of the object front in three files by concern, the client of a bucket in a module

Change: uploads go to test_objects_uploads.py, a drain halfway through a read to test_objects_drain.py, the head and client they share to objects_client.py; names that other tests take from test_objects.py stay there.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,4 +1,4 @@
-"""The object front against stand-in bricks: one whole path, refusals, errors, drains and dying heads."""
+"""The object front against stand-in bricks: one whole path, refusals, errors, plans, ranges."""
 
 from __future__ import annotations
 
@@ -6,79 +6,20 @@
 import base64
 import hashlib
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from pathlib import Path
-from xml.etree import ElementTree
 
-import aiohttp
 import pytest
-from aiohttp import ClientResponse, web
+from aiohttp import web
 
 from hophinge.core.exchange import Answer
 from hophinge.core.interface import Arrival
-from hophinge.head.service import Service
-from hophinge.head.operator import OperatorConfig
-from hophinge.objects.config import ObjectConfig
 from hophinge.objects.ranges import UnsatisfiableError, parse
 from tests import books
-from tests.stand_in import Brick, World, held_by, run, until, world
+from tests.objects_client import PIECE, Client, content, field, operator, store
+from tests.stand_in import held_by, run, until
 
-PIECE = 1000
-
-
-class Client:
-    """An object client of one bucket."""
-
-    def __init__(self, made: World, service: Service, token: str) -> None:
-        self.world, self.token = made, token
-        self.at(service)
-
-    def at(self, service: Service) -> None:
-        """Talk to this head from now on."""
-        self.base = self.world.url(service, 1)
-
-    async def call(self, method: str, path: str, body: bytes | None = None,
-                   **more: str) -> tuple[ClientResponse, bytes]:
-        sent = {"Authorization": f"Bearer {self.token}"}
-        sent |= {name.replace("_", "-"): text for name, text in more.items()}
-        async with self.world.client.request(method, f"{self.base}{path}", data=body, headers=sent) as response:
-            return response, await response.read()
-
-    async def status(self, method: str, path: str, body: bytes | None = None, **more: str) -> int:
-        return (await self.call(method, path, body, **more))[0].status
-
-    async def upload(self, path: str) -> str:
-        _, body = await self.call("POST", f"{path}?uploads")
-        return field(body, "UploadId")
-
-
-def field(body: bytes, name: str) -> str:
-    return next(one.text or "" for one in ElementTree.fromstring(body).iter() if one.tag.rpartition("}")[2] == name)
-
-
-def listing(*parts: tuple[int, str]) -> bytes:
-    rows = "".join(f"<Part><PartNumber>{number}</PartNumber><ETag>{etag}</ETag></Part>" for number, etag in parts)
-    return f"<CompleteMultipartUpload>{rows}</CompleteMultipartUpload>".encode()
-
-
-def content(size: int) -> bytes:
-    return b"".join(hashlib.sha256(str(at).encode()).digest() for at in range(size // 32 + 1))[:size]
-
-
-def operator(folder: Path, requests: int = 64) -> OperatorConfig:
-    return OperatorConfig(objects=ObjectConfig(
-        listen="127.0.0.1:0", tenants=folder / "tenants.json", read_class="record-read", write_class="transfer-write",
-        piece_bytes=PIECE, requests=requests, parts=20, idle_s=2.0))
-
-
-@asynccontextmanager
-async def store(folder: Path, requests: int = 64) -> AsyncIterator[tuple[World, Service, Client]]:
-    """Three bricks, a head with an object front, and a client of the bucket `receipts` on plan priority."""
-    token = books.tenant(folder / "tenants.db")
-    async with world(Brick(0), Brick(1), Brick(2)) as made:
-        service = await made.head(operator(folder, requests))
-        yield made, service, Client(made, service, token)
+__all__ = ["PIECE", "Client", "content", "field", "operator"]
 
 
 def test_an_object_is_written_read_by_ranges_replaced_and_deleted(tmp_path: Path) -> None:
@@ -222,199 +163,6 @@
     run(main())
 
 
-# --- multipart uploads
-
-
-def test_an_upload_is_written_listed_completed_and_read(tmp_path: Path) -> None:
-    async def main() -> None:
-        async with store(tmp_path) as (_, __, client):
-            path, parts = "/receipts/file", [content(2 * PIECE), b"second" * 300, b"third"]
-            upload = await client.upload(path)
-            etags = []
-            for number, body in enumerate(parts, 1):
-                response, _ = await client.call("PUT", f"{path}?partNumber={number}&uploadId={upload}", body)
-                etags.append(response.headers["ETag"])
-            assert await client.status("GET", path) == 404      # nothing is seen before it is complete
-            response, body = await client.call("GET", f"{path}?uploadId={upload}&max-parts=2")
-            assert field(body, "IsTruncated") == "true" and field(body, "NextPartNumberMarker") == "2"
-            assert body.count(b"<Part>") == 2 and field(body, "Size") == str(2 * PIECE)
-            response, body = await client.call("GET", f"{path}?uploadId={upload}&part-number-marker=2")
-            assert field(body, "IsTruncated") == "false" and body.count(b"<Part>") == 1
-            named = [(number, etag) for number, etag in enumerate(etags, 1)]
-            done = f"{path}?uploadId={upload}"
-            for wrong, code in ((listing(*named[::-1]), "InvalidPartOrder"), (b"<no", "MalformedXML"),
-                                (listing((1, etags[1])), "InvalidPart"), (listing((9, etags[0])), "InvalidPart"),
-                                (listing(), "MalformedXML"), (b"<!DOCTYPE a><a/>", "MalformedXML")):
-                response, body = await client.call("POST", done, wrong)
-                assert (response.status, field(body, "Code")) == (400, code)
-            for _ in range(2):      # a repeat gives the same
-                response, body = await client.call("POST", done, listing(*named))
-                assert response.status == 200 and field(body, "ETag").endswith('-3"')
-            response, body = await client.call("GET", path)
-            assert body == b"".join(parts) and response.headers["ETag"].endswith('-3"')
-            assert (await client.call("GET", path, Range="bytes=1990-2010"))[1] == b"".join(parts)[1990:2011]
-            assert await client.status("POST", done, listing(*named[:1])) == 404
-            assert await client.status("PUT", f"{path}?partNumber=1&uploadId={upload}", b"late") == 404
-            assert (await client.call("GET", path))[1] == b"".join(parts)
-    run(main())
-
-
-def test_an_aborted_upload_is_over_and_a_part_number_has_its_range(tmp_path: Path) -> None:
-    async def main() -> None:
-        async with store(tmp_path) as (_, __, client):
-            upload = await client.upload("/receipts/file")
-            part = f"/receipts/file?partNumber=1&uploadId={upload}"
-            for odd in ("0", "21", "x", ""):
-                assert await client.status("PUT", f"/receipts/file?partNumber={odd}&uploadId={upload}", b"x") == 400
-            assert await client.status("PUT", part, b"x") == 200
-            assert await client.status("DELETE", f"/receipts/file?uploadId={upload}") == 204
-            assert await client.status("PUT", part, b"x") == 404
-            assert await client.status("GET", f"/receipts/file?uploadId={upload}") == 404
-            assert await client.status("GET", "/receipts/file") == 404
-    run(main())
-
-
-def test_parts_land_on_a_head_that_died_and_returned(tmp_path: Path) -> None:
-    async def main() -> None:
-        async with store(tmp_path) as (made, first, client):
-            path, parts = "/receipts/file", [content(3 * PIECE), content(2 * PIECE + 1), b"end"]
-            upload = await client.upload(path)
-            etags = {}
-
-            async def put(number: int) -> int:
-                where = f"{path}?partNumber={number}&uploadId={upload}"
-                response, _ = await client.call("PUT", where, parts[number - 1])
-                etags[number] = response.headers.get("ETag", "")
-                return response.status
-
-            assert await put(1) == 200
-            gate = asyncio.Event()
-
-            async def hold(request: web.BaseRequest, _: bytes) -> None:
-                if request.method == "PUT":
-                    await gate.wait()
-
-            for brick in made.bricks:
-                brick.behave = hold
-            broken = asyncio.create_task(put(2))
-            await until(lambda: sum(brick.seen[-1:] != [] and brick.seen[-1][0] == "PUT" for brick in made.bricks) > 0
-                        and first.exchange.unanswered > 0)
-            await made.kill(first)                      # a part is on its way
-            with pytest.raises(aiohttp.ClientError):
-                await broken
-            gate.set()
-            for brick in made.bricks:
-                brick.behave = None
-            returned = await made.head(operator(tmp_path))      # from nothing
-            client.at(returned)
-            body = (await client.call("GET", f"{path}?uploadId={upload}"))[1]
-            assert body.count(b"<Part>") == 1           # the part that was answered is there, the broken one is not
-            assert await put(2) == 200
-            other = await made.head(operator(tmp_path))
-            client.at(other)
-            assert await put(3) == 200
-            done = f"{path}?uploadId={upload}"
-            # A head that has just started may refuse on a machine that is busy; that says it is safe to repeat.
-            while (code := await client.status("POST", done, listing(*sorted(etags.items())))) == 503:
-                await asyncio.sleep(0.05)
-            assert code == 200
-            client.at(returned)
-            assert (await client.call("GET", path))[1] == b"".join(parts)
-            assert await client.status("POST", done, listing(*sorted(etags.items()))) == 200
-            # Each request of the core had one answer, on the plan of its volume.
-            for service in (returned, other):
-                counts = service.counters.counts
-                answered = sum(counts[f"requests_{end}"] for end in ("served", "refused", "failed", "absent"))
-                assert answered == counts["requests_taken"] > 0 and not service.exchange.open
-                assert {volume.plan.name for volume in service.exchange.scheduler.volumes.values()} == {"priority"}
-    run(main())
-
-
-def test_a_crash_between_manifest_and_upload_state_is_mended_by_a_repeat(tmp_path: Path) -> None:
-    async def main() -> None:
-        async with store(tmp_path) as (made, _, client):
-            upload = await client.upload("/receipts/file")
-            response, _ = await client.call("PUT", f"/receipts/file?partNumber=1&uploadId={upload}", b"body")
-            named = listing((1, response.headers["ETag"]))
-            writes: Counter[str] = Counter()
-
-            async def second_write_fails(request: web.BaseRequest, _: bytes) -> web.Response | None:
-                if request.method == "GET":
-                    return None
-                writes["seen"] += 1
-                return web.Response(status=500) if writes["seen"] > 1 else None
-
-            for brick in made.bricks:
-                brick.behave = second_write_fails
-            done = f"/receipts/file?uploadId={upload}"
-            assert await client.status("POST", done, named) in (500, 503)
-            assert (await client.call("GET", "/receipts/file"))[1] == b"body"     # new, not half
-            for brick in made.bricks:
-                brick.behave = None
-            assert await client.status("POST", done, named) == 200
-            assert await client.status("PUT", f"/receipts/file?partNumber=1&uploadId={upload}", b"x") == 404
-    run(main())
-
-
-# --- a brick that drains halfway through a ranged read
-
-
-async def _drain_halfway(folder: Path, replaced: bool) -> tuple[bytes | None, bytes, dict[str, int]]:
-    """Read a range while the brick of its later pieces drains; tell what came, what should, and the counts."""
-    async with store(folder) as (made, service, client):
-        body = content(12 * PIECE)
-        assert await client.status("PUT", "/receipts/a", body) == 200
-        volume = next(iter(service.exchange.scheduler.volumes))
-        pieces = {where for brick in made.bricks for where, held in brick.objects.items() if len(held) == PIECE}
-        assert len(pieces) == 12 and all(where.startswith(volume) for where in pieces)
-        drained = max(made.bricks, key=lambda brick: len(brick.objects))
-        reads, told = 0, asyncio.Event()
-
-        async def slow(request: web.BaseRequest, _: bytes) -> web.Response | None:
-            nonlocal reads
-            if request.method == "GET" and request.raw_path.split("/", 2)[2] in pieces:
-                reads += 1
-                if reads > 4:
-                    await told.wait()       # what was out when the drain began is finished
-            return None
-
-        for brick in made.bricks:
-            brick.behave = slow
-        task = asyncio.create_task(client.call("GET", "/receipts/a", Range="bytes=500-11499"))
-        await until(lambda: reads > 4)
-        await made.agent.tell(drained.target("Terminating"))
-        await until(lambda: service.exchange.phases[drained.name].value == "draining")
-        before = len(drained.seen)
-        told.set()
-        if replaced:
-            spare = Brick(drained.shard, "s-new")
-            spare.objects = drained.objects
-            made.bricks.append(spare)
-            await spare.open()
-            try:
-                await made.agent.tell(spare.target())
-                response, got = await task
-            finally:
-                await spare.close()
-            assert response.status == 206 and spare.seen
-        else:
-            with pytest.raises(aiohttp.ClientPayloadError):     # the client can tell that it is incomplete
-                await task
-            got = None
-        assert len(drained.seen) == before      # nothing new went to it once its drain was heard
-        return got, body[500:11500], service.counters.counts
-
-
-def test_a_ranged_read_goes_on_at_the_brick_that_replaces_a_draining_one(tmp_path: Path) -> None:
-    got, wanted, counts = run(_drain_halfway(tmp_path, True))
-    assert got == wanted and counts["object_truncated"] == 0
-
-
-def test_a_ranged_read_without_a_replacement_is_truncated_detectably(tmp_path: Path) -> None:
-    got, _, counts = run(_drain_halfway(tmp_path, False))
-    assert got is None and counts["object_truncated"] == 1 and counts["requests_refused"] > 0
-
-
 def test_each_tenant_s_requests_count_on_its_own_plan(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         async with store(tmp_path) as (made, service, client):
