--- /dev/null
+++ b/tests/test_streamed_commands.py
@@ -0,0 +1,87 @@
+"""The command line of streamed configuration, and the files that it and heads read."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from hophinge.control.service import read_tokens
+from hophinge.head.operator import load
+from tests.installation import STAFF, serving
+from tests.test_service import ROOT
+
+
+def command(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "hophinge", *words], cwd=ROOT, capture_output=True, text=True,
+                          timeout=30, check=False)
+
+
+def test_the_command_line_tells_mistakes_by_line_and_status(tmp_path: Path) -> None:
+    good = command("check", "examples/service.sexp")
+    assert good.returncode == 0 and "3 pool" in good.stdout
+    bad = tmp_path / "bad.sexp"
+    bad.write_text("(hophinge 1)\n(limit (rate 5))\n(odd)\n")
+    done = command("check", str(bad))
+    assert done.returncode == 2 and [line.split(": ")[0] for line in done.stderr.splitlines()] == [
+        f"{bad}:2:14", f"{bad}:3:1"]
+    assert command("check", str(tmp_path / "none")).returncode == 2
+    token = tmp_path / "token"
+    token.write_text(STAFF)
+    away = command("control", "status", "--token-file", str(token), "--address", "127.0.0.1:9")
+    assert away.returncode == 1 and away.stderr.count("\n") == 1 and "127.0.0.1:9" in away.stderr
+    (tmp_path / "t").write_text("x short\n")
+    refused = command("control", "serve", "--store", str(tmp_path / "s.db"), "--heads", str(tmp_path / "t"),
+                      "--staff", str(token))
+    assert refused.returncode == 2 and refused.stderr.startswith(f"hophinge: {tmp_path}/t:1: a line is NAME TOKEN")
+
+
+def test_staff_push_ask_and_roll_back_by_command(tmp_path: Path) -> None:
+    process, port = serving(tmp_path)
+    token = tmp_path / "token"
+    token.write_text(STAFF)
+    reach = ("--token-file", str(token), "--address", f"127.0.0.1:{port}")
+    try:
+        assert command("control", "push", "examples/service.sexp", *reach, "--note", "first").stdout == "version 1.1\n"
+        assert "holds this already" in command("control", "push", "examples/service.sexp", *reach).stdout
+        (tmp_path / "b.sexp").write_text("(hophinge 1)(odd)")
+        bad = command("control", "push", str(tmp_path / "b.sexp"), *reach)
+        assert bad.returncode == 2 and "b.sexp:1:13: 'odd' is no form" in bad.stderr
+        assert "version 1.2 has the content of 1.1" in command("control", "rollback", "1.1", *reach).stdout
+        shown = command("control", "status", *reach)
+        assert shown.returncode == 0 and "version 1.2 is rolling" in shown.stdout
+        assert "first" in command("control", "history", *reach).stdout
+        assert command("control", "resume", *reach).returncode == 1
+    finally:
+        process.terminate()
+        assert process.wait() == 0
+        assert process.stderr is not None
+        process.stderr.close()
+
+
+def test_tokens_are_checked_when_they_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "t"
+    for text, why in (("a short", "16"), ("", "no token"), (f"a {STAFF}\nb {STAFF}", "stands here again")):
+        path.write_text(text)
+        with pytest.raises(ValueError, match=why):
+            read_tokens(path)
+
+
+def test_the_operator_s_part_is_checked(tmp_path: Path) -> None:
+    path = tmp_path / "op.toml"
+    for text in ("endpoints = []", 'endpoints = ["nowhere"]', 'endpoints = ["a:1"]\nsilence_s = 0.1'):
+        path.write_text(f'[stream]\n{text}\ntoken_file = "t"\nfolder = "f"\n')
+        with pytest.raises((ValueError, msgspec.ValidationError)):
+            load(str(path))
+
+
+def test_the_platform_s_head_imports_none_of_it() -> None:
+    code = ("import sys\nimport hophinge.head.service\n"
+            "odd = [name for name in sys.modules if name.split('.')[0] in ('grpc', 'lark', 'envoy', 'typer', 'rich',"
+            " 'structlog', 'sqlite3') or name.startswith(('hophinge.control', 'hophinge.routing', 'hophinge.cli',"
+            " 'hophinge.state'))]\nprint(odd)")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
