Split tests/test_copies.py: the feed without sockets apart, hosted heads a module of their own

Change: the random steps of both sides are tests/test_copies_feed.py; tests/hosted.py holds the heads whose service owns the accounts; no test is changed.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -5,102 +5,19 @@
 import asyncio
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import msgspec
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
-from hophinge.cli.service import Owner
-from hophinge.control import service as control_service
-from hophinge.control import wire
-from hophinge.control.store import Store
-from hophinge.head.operator import OperatorConfig, StreamConfig, load
-from hophinge.head.service import Service
-from hophinge.objects.config import ObjectConfig
+from hophinge.head.operator import load
 from hophinge.state.rows import Row
-from hophinge.tenancy import feed as feed_module
 from hophinge.tenancy.accounts import Bucket, row
-from hophinge.tenancy.feed import Feed, Taker
 from tests import books
-from tests.stand_in import Brick, held_by, run, until, world
+from tests.hosted import accounts_of, hosted, ledger_of
+from tests.installation import GOOD, SETTINGS, follower
+from tests.stand_in import held_by, run, until
 from tests.test_service import ROOT
-from tests.test_streamed import GOOD, HEADS, SETTINGS, Installation, follower
-
-TOKEN = "a-token-of-the-operator"
-
-
-class Hosted(Installation):
-    """An installation whose control service owns the accounts."""
-
-    owner: Owner | None = None
-
-    async def control(self, **options: Any) -> Any:
-        (self.folder / "operator").write_text(TOKEN)
-        self.owner = Owner(self.folder / "accounts.db", "127.0.0.1:0", self.folder / "operator",
-                           frozenset({"basic", "priority"}), self.log.append, 1000.0)
-        self.service = control_service.ControlService(
-            Store(self.folder / "versions.db", **options), frozenset({HEADS}),
-            {"a-token-of-staff-1": "tester"}, self.log.append, self.owner.ledger, self.owner.accounts)
-        await self.service.start(f"127.0.0.1:{self.port}")
-        self.port = self.service.port
-        self.owner.start(self.service)
-        return self.service
-
-    async def end_control(self) -> None:
-        assert self.owner is not None and self.service is not None
-        await self.owner.stop()
-        await self.service.stop()
-        self.service = None
-
-    async def hosted(self, name: str, settings: dict[str, Any] | None = None) -> Service:
-        (self.folder / "token").write_text(HEADS)
-        stream = StreamConfig([f"127.0.0.1:{self.port}"], self.folder / "token", self.folder / f"state-{name}",
-                              accounts=True)
-        objects = ObjectConfig("127.0.0.1:0", self.folder / f"{name}.json", "record-read", "transfer-write")
-        return await self.made.head(OperatorConfig(objects=objects, stream=stream), settings or SETTINGS, name=name)
-
-    async def call(self, method: str, path: str, body: Any = None) -> Any:
-        assert self.owner is not None and self.owner.acceptor is not None
-        host, port = self.owner.acceptor.sockets[0].getsockname()
-        async with self.made.client.request(method, f"http://{host}:{port}{path}", json=body, headers={
-                "Authorization": f"Bearer {TOKEN}", "If-Match": "*"}) as answer:
-            text = await answer.read()
-            assert answer.status < 300, (answer.status, text)
-            return msgspec.json.decode(text) if text else None
-
-    async def object(self, head: Service, method: str, path: str, key: str, body: bytes | None = None) -> int:
-        async with self.made.client.request(method, f"{self.made.url(head, 1)}{path}", data=body, headers={
-                "Authorization": f"Bearer {key}"}) as answer:
-            await answer.read()
-            return answer.status
-
-    async def tenant(self, name: str) -> str:
-        await self.call("PUT", f"/v1/tenants/{name}", {"shares": {"reserve": 10}})
-        await self.call("PUT", f"/v1/tenants/{name}/volumes/receipts", {"plan": "priority"})
-        return str((await self.call("POST", f"/v1/tenants/{name}/keys"))["key"])
-
-
-@asynccontextmanager
-async def hosted(folder: Path) -> AsyncIterator[Hosted]:
-    async with world(*(Brick(at) for at in range(3))) as made:
-        here = Hosted(folder, made)
-        await here.control()
-        try:
-            yield here
-        finally:
-            await made.kill_all()
-            if here.service is not None:
-                await here.end_control()
-
-
-def accounts_of(head: Service) -> Any:
-    assert head.accounts is not None
-    return head.accounts
 
 
 def test_heads_follow_the_accounts_and_serve_from_their_copy_when_the_service_is_gone(tmp_path: Path) -> None:
@@ -138,11 +55,6 @@
     run(main())
 
 
-def ledger_of(here: Hosted) -> Any:
-    assert here.owner is not None
-    return here.owner.ledger
-
-
 def test_a_head_begins_anew_in_parts_and_then_gets_changes_alone(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
@@ -242,75 +154,6 @@
     run(main())
 
 
-# --- the two sides without sockets
-
-
-@settings(max_examples=80)
-@given(st.integers(0, 2 ** 32))
-def test_copies_over_a_way_that_breaks_off_end_with_what_there_is(seed: int) -> None:
-    import random
-    import tempfile
-
-    from hophinge.state.ledger import Ledger
-
-    rng = random.Random(seed)
-    part, feed_module.PART = feed_module.PART, 4
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            ledger, copy = Ledger(Path(folder) / "a.db"), Ledger(Path(folder) / "b.db")
-            taker, feed = Taker(copy.epoch, copy.seq), None
-
-            def state(one: Ledger) -> dict[tuple[str, str], bytes | None]:
-                return {(held.kind, held.name): held.body for held in one.rows()}
-
-            past = [state(ledger)]
-            for turn in range(rng.randrange(5, 40)):
-                last = turn > 30
-                if rng.random() < 0.5:
-                    names = {f"n{rng.randrange(20)}" for _ in range(rng.randrange(1, 9))}
-                    books.write(ledger, *(Row("k", name, rng.randbytes(2) if rng.random() < 0.7 else None)
-                                          for name in names))
-                    past.append(state(ledger))
-                    if rng.random() < 0.2:
-                        ledger.db.execute("DELETE FROM row WHERE body IS NULL")
-                        ledger.db.execute("UPDATE meta SET floor = ?", (ledger.seq,))
-                if feed is None or (rng.random() < 0.2 and not last):      # a new stream: what was on its way is lost
-                    if rng.random() < 0.3:                                  # and the head is a new process
-                        copy.close()
-                        copy = Ledger(Path(folder) / "b.db")
-                        taker = Taker(copy.epoch, copy.seq)
-                    taker.begin()
-                    feed = Feed(ledger.epoch, ledger.seq, ledger.floor(), taker.epoch, taker.seq)
-                while feed.due(ledger.seq, ledger.floor()) and rng.random() < 0.8:
-                    sent = wire.account_part(feed.part(ledger.page(feed.seq, 4, feed.gone_after), ledger.seq))
-                    got = wire.read_account_part(wire.decode_response(sent))
-                    if rng.random() < 0.1:
-                        feed = None
-                        break
-                    rows = taker.take(got)
-                    if rows is not None:
-                        copy.copy(got.epoch, rows[0], got.seq, rows[1], 0)
-                        taker.written(got)
-                        assert state(copy) in past      # never half a change
-                    feed.acked(got.seq)
-            feed = feed or Feed(ledger.epoch, ledger.seq, ledger.floor(), taker.epoch, taker.seq)
-            if feed.waiting:
-                taker.begin()
-                feed = Feed(ledger.epoch, ledger.seq, ledger.floor(), taker.epoch, taker.seq)
-            while feed.due(ledger.seq, ledger.floor()):
-                got = feed.part(ledger.page(feed.seq, 4, feed.gone_after), ledger.seq)
-                rows = taker.take(got)
-                if rows is not None:
-                    copy.copy(got.epoch, rows[0], got.seq, rows[1], 0)
-                    taker.written(got)
-                feed.acked(got.seq)
-            assert state(copy) == state(ledger) and copy.epoch == ledger.epoch
-            ledger.close()
-            copy.close()
-    finally:
-        feed_module.PART = part
-
-
 def test_words_for_tenants_speak_the_api(tmp_path: Path) -> None:
     async def main() -> None:
         async with hosted(tmp_path) as here:
