--- a/hophinge/admin/api.py
+++ b/hophinge/admin/api.py
@@ -23,7 +23,8 @@
 )
 from hophinge.state.ledger import BusyError, FullError, Ledger
 from hophinge.state.rows import Entry, Kept, Row
-from hophinge.tenancy.accounts import AccountError, Accounts, Role, digest
+from hophinge.tenancy.accounts import Accounts
+from hophinge.tenancy.records import AccountError, Role, digest
 from hophinge.tenancy.attempts import Callers
 
 __all__ = ["LONGEST_PAGE", "MOST_BODY", "OPERATIONS", "PAGE", "TITLES", "Api", "Call", "Operation", "Principal",
--- a/hophinge/admin/calls.py
+++ b/hophinge/admin/calls.py
@@ -15,7 +15,8 @@
 from hophinge.admin.operations import LONGEST_PAGE, PAGE, Call, Principal, ProblemError, Reply
 from hophinge.state.ledger import Ledger
 from hophinge.state.rows import Row
-from hophinge.tenancy.accounts import ACCESS, BUCKET, TENANT, Account, AccountError, Accounts, Bucket, Key, row
+from hophinge.tenancy.accounts import Accounts
+from hophinge.tenancy.records import ACCESS, BUCKET, TENANT, Account, AccountError, Bucket, Key, row
 from hophinge.tenancy.life import State, Wish
 
 TAG = re.compile(r'(?:W/)?"([0-9]{1,15})"', re.ASCII)
--- a/hophinge/admin/front.py
+++ b/hophinge/admin/front.py
@@ -16,7 +16,8 @@
 from hophinge.net.listener import Listener
 from hophinge.state.ledger import Ledger, LedgerError
 from hophinge.state.rows import Entry, Kept, Row
-from hophinge.tenancy.accounts import ACCESS, BUCKET, Accounts, row
+from hophinge.tenancy.accounts import Accounts
+from hophinge.tenancy.records import ACCESS, BUCKET, row
 from hophinge.tenancy.life import AbortUploads, Done, DropVolumes, EndKeys, State, Wish, purge
 
 CONNECTIONS, IDLE_S = 16, 30.0
--- a/hophinge/admin/operations.py
+++ b/hophinge/admin/operations.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from hophinge.admin import shapes
-from hophinge.tenancy.accounts import Role
+from hophinge.tenancy.records import Role
 
 PAGE, LONGEST_PAGE = 100, 500
 TITLES = {400: "The call is malformed", 401: "A valid bearer token is needed", 403: "This key may not do that",
--- a/hophinge/admin/shapes.py
+++ b/hophinge/admin/shapes.py
@@ -6,7 +6,7 @@
 
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from hophinge.tenancy.accounts import LONGEST_OVERLAP_S, Account, Bucket, Key, Quotas, Role, Shares
+from hophinge.tenancy.records import LONGEST_OVERLAP_S, Account, Bucket, Key, Quotas, Role, Shares
 
 Amount = Annotated[float, Meta(ge=0)]
 
--- a/hophinge/head/accounts.py
+++ b/hophinge/head/accounts.py
@@ -4,36 +4,30 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
 import msgspec
 
-from hophinge.admin.front import Purger, steady_us, wall_ms
+from hophinge.admin.front import Purger, steady_us
 from hophinge.core import interface as api
 from hophinge.core.counters import Counters
-from hophinge.net.listener import IN
+from hophinge.head.metering import Metering
 from hophinge.objects.front import ObjectFront
 from hophinge.objects.pieces import Budget
 from hophinge.objects.store import ObjectError, Store
 from hophinge.objects.tenants import Guest, Volume, take_over
-from hophinge.state.ledger import Ledger, LedgerError
+from hophinge.state.ledger import LedgerError
 from hophinge.state.rows import Entry, Kept, Row
 from hophinge.tenancy import usage as used
-from hophinge.tenancy.accounts import Accounts
 from hophinge.tenancy.attempts import Callers, Holdings
-from hophinge.tenancy.feed import Part, Taker
 from hophinge.tenancy.life import State
-from hophinge.tenancy.timekeeper import Timekeeper
 
 FLUSH_S = 1.0           # of usage; a killed head loses what came since
 MOST_SWEPT = 50         # uploads whose state is looked up when a tenant has its most
 AGAIN_S = 1.0           # advice to who has as many connections or requests as it may
-CLOCK_OFF_MS = 60_000   # staff hear of a clock that is further off
 GUESSES_S, GUESSES_BURST = 50.0, 200.0      # wrong keys from one address; beyond, none from there is looked at
-OUTCOME = {2: used.SERVED, 3: used.SERVED, 4: used.FAILED, 5: used.FAILED}
-HERE = "here"           # the reporter of this head's own usage, in its own ledger
 
 
 class FormTenants(Protocol):
@@ -58,23 +52,18 @@
     name: str
 
 
-class HeadAccounts:
+class HeadAccounts(Metering):
     """What both fronts ask about tenants. `copy`: the control service owns the accounts."""
 
     def __init__(self, path: Path, old: Path | None, copy: bool, counters: Counters,
                  log: Callable[[str], None]) -> None:
-        self.counters, self.log, self.copy = counters, log, copy
+        self.started = False
+        super().__init__(path, copy, counters, log, self._became)
         self.front: ObjectFront | None = None
         self.store: Store | None = None
         self.tenant_ended: Callable[[str], None] = lambda tenant: None      # told of one that is served no more
-        self.started = False
-        self.accounts = Accounts(self._became)
-        self.ledger = Ledger(path, self.accounts.take)
-        self.time = Timekeeper(wall_ms(), steady_us(), self.ledger.seen_ms())
-        self.usage, self.reports, self.exported = used.Usage(), used.Reports(), used.Exported()
         self.connections, self.requests = Holdings(), Holdings()
         self.guesses = Callers(GUESSES_S, GUESSES_BURST)
-        self.clock_told = False
         if old is not None and not copy and not self.ledger.seq and old.exists():
             self._take_over(old)
         self.started = True
@@ -88,16 +77,6 @@
         self.ledger.change(decide)
         self.log(f"{len(rows)} rows of {old} are taken over into {self.ledger.path}; the file is not read again")
 
-    def now_ms(self) -> int:
-        """Tell the time that keys end by."""
-        now = self.time.now_ms(wall_ms(), steady_us())
-        off = abs(self.time.off_ms(wall_ms())) > CLOCK_OFF_MS
-        if off is not self.clock_told:
-            self.clock_told = off
-            self.log(f"the clock is {self.time.off_ms(wall_ms()) / 1000:.0f} s from the time that keys end by; it is "
-                     "followed slowly" if off else "the clock is followed again")
-        return now
-
     def _became(self, tenant: str, state: State | None) -> None:
         """Answer what waits of a tenant that is served no more; its keys are valid no more already."""
         if self.started and state is not State.ACTIVE:
@@ -127,7 +106,7 @@
             raise ObjectError(404, "NoSuchBucket", "The bucket does not exist.")
         if not self.connections.take(key.tenant, connection, quotas.connections) or not self.requests.take(
                 key.tenant, request, quotas.requests):
-            self._count(key.tenant, held.id, used.REFUSED, 1)
+            self.count(key.tenant, held.id, used.REFUSED, 1)
             self.counters.add("tenants_bounded")
             raise ObjectError(503, "SlowDown", "The account has as many connections or requests as it may.",
                               AGAIN_S)
@@ -169,29 +148,6 @@
         except LedgerError:     # busy or full: what its client asked for is done all the same
             self.log(f"the end of upload {upload} is noted later")      # a sweep finds it
 
-    def _count(self, tenant: str, volume: str, field: str, amount: float) -> None:
-        self.usage.add(tenant, volume, field, amount)
-        self.exported.add(tenant, field, amount)
-
-    def series(self) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
-        """Tell what tenants used since the start, for remote write."""
-        return {(f"tenant_{field}_total", (("tenant", tenant),)): amount
-                for (tenant, field), amount in self.exported.counts.items()}
-
-    def moved(self, guest: Guest, way: int, size: int) -> None:
-        """Count bytes."""
-        self._count(guest.tenant, guest.volume.id, used.IN if way == IN else used.OUT, size)
-
-    def ended(self, guest: Guest, status: int) -> None:
-        """Count a request's end."""
-        end = used.REFUSED if status in (429, 503) else OUTCOME.get(status // 100, used.FAILED)
-        self._count(guest.tenant, guest.volume.id, end, 1)
-
-    def units(self, volume: str, units: float) -> None:
-        """Count units that bricks served."""
-        if tenant := self.accounts.owner(volume):
-            self._count(tenant, volume, used.UNITS, units)
-
     def _budget(self) -> Budget:
         assert self.store is not None
         return Budget(self.store.core.exchange.now_us(), None)
@@ -231,7 +187,7 @@
         for field, amount in ((end, 1), (used.IN, bytes_in), (used.OUT, bytes_out),
                               (used.UNITS, ask.units if end == used.SERVED else 0)):
             if amount:
-                self._count(tenant, volume, field, amount)
+                self.count(tenant, volume, field, amount)
 
     # --- beside the serving
 
@@ -242,38 +198,6 @@
             self.flush()
             self.ledger.refresh()
 
-    def flush(self) -> None:
-        """Store what was counted; what cannot be stored now comes with the next flush."""
-        amounts = self.usage.flush()
-        try:
-            if amounts:
-                self.ledger.used(HERE, amounts)
-            self.usage.stored()
-            if self.copy:
-                self.reports.changed(amounts)
-        except LedgerError as error:
-            self.usage.failed()
-            self.counters.add("usage_not_stored")
-            if self.counters.counts["usage_not_stored"] == 1:
-                self.log(f"usage waits to be stored: {error}")
-
-    def copied(self, taker: Taker, part: Part) -> bool:
-        """Write a part of the control service's accounts; False: it could not be, and is to be tried again."""
-        rows = taker.take(part)
-        if rows is not None:
-            try:
-                self.ledger.copy(part.epoch, rows[0], part.seq, rows[1], self.now_ms())
-            except LedgerError as error:
-                self.log(f"accounts are not written yet: {error}")
-                return False
-            taker.written(part)
-        return True
-
-    def report(self, most: int) -> tuple[int, Mapping[used.Place, float]]:
-        """Tell totals that the control service does not know yet, under a number."""
-        number, places = self.reports.take(most)
-        return number, self.ledger.usage_of(HERE, places)
-
     async def end_uploads(self) -> None:
         """At a copy: abort uploads of tenants that are closing or gone, which nobody can go on with."""
         while True:
--- /dev/null
+++ b/hophinge/head/metering.py
@@ -0,0 +1,99 @@
+"""Accounts' rows at a head, the clock that keys end by, and usage: counted, stored, reported and exported."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from hophinge.admin.front import steady_us, wall_ms
+from hophinge.core.counters import Counters
+from hophinge.net.listener import IN
+from hophinge.objects.tenants import Guest
+from hophinge.state.ledger import Ledger, LedgerError
+from hophinge.tenancy import usage as used
+from hophinge.tenancy.accounts import Accounts
+from hophinge.tenancy.feed import Part, Taker
+from hophinge.tenancy.life import State
+from hophinge.tenancy.timekeeper import Timekeeper
+
+CLOCK_OFF_MS = 60_000   # staff hear of a clock that is further off
+OUTCOME = {2: used.SERVED, 3: used.SERVED, 4: used.FAILED, 5: used.FAILED}
+HERE = "here"           # the reporter of this head's own usage, in its own ledger
+
+
+class Metering:
+    """The accounts' rows as this head has them, and the usage that it counts by them."""
+
+    def __init__(self, path: Path, copy: bool, counters: Counters, log: Callable[[str], None],
+                 became: Callable[[str, State | None], None]) -> None:
+        self.counters, self.log, self.copy = counters, log, copy
+        self.accounts = Accounts(became)
+        self.ledger = Ledger(path, self.accounts.take)
+        self.time, self.clock_told = Timekeeper(wall_ms(), steady_us(), self.ledger.seen_ms()), False
+        self.usage, self.reports, self.exported = used.Usage(), used.Reports(), used.Exported()
+
+    def now_ms(self) -> int:
+        """Tell the time that keys end by."""
+        now = self.time.now_ms(wall_ms(), steady_us())
+        off = abs(self.time.off_ms(wall_ms())) > CLOCK_OFF_MS
+        if off is not self.clock_told:
+            self.clock_told = off
+            self.log(f"the clock is {self.time.off_ms(wall_ms()) / 1000:.0f} s from the time that keys end by; it is "
+                     "followed slowly" if off else "the clock is followed again")
+        return now
+
+    def count(self, tenant: str, volume: str, field: str, amount: float) -> None:
+        """Count an amount of a field."""
+        self.usage.add(tenant, volume, field, amount)
+        self.exported.add(tenant, field, amount)
+
+    def series(self) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
+        """Tell what tenants used since the start, for remote write."""
+        return {(f"tenant_{field}_total", (("tenant", tenant),)): amount
+                for (tenant, field), amount in self.exported.counts.items()}
+
+    def moved(self, guest: Guest, way: int, size: int) -> None:
+        """Count bytes."""
+        self.count(guest.tenant, guest.volume.id, used.IN if way == IN else used.OUT, size)
+
+    def ended(self, guest: Guest, status: int) -> None:
+        """Count a request's end."""
+        end = used.REFUSED if status in (429, 503) else OUTCOME.get(status // 100, used.FAILED)
+        self.count(guest.tenant, guest.volume.id, end, 1)
+
+    def units(self, volume: str, units: float) -> None:
+        """Count units that bricks served."""
+        if tenant := self.accounts.owner(volume):
+            self.count(tenant, volume, used.UNITS, units)
+
+    def flush(self) -> None:
+        """Store what was counted; what cannot be stored now comes with the next flush."""
+        amounts = self.usage.flush()
+        try:
+            if amounts:
+                self.ledger.used(HERE, amounts)
+            self.usage.stored()
+            if self.copy:
+                self.reports.changed(amounts)
+        except LedgerError as error:
+            self.usage.failed()
+            self.counters.add("usage_not_stored")
+            if self.counters.counts["usage_not_stored"] == 1:
+                self.log(f"usage waits to be stored: {error}")
+
+    def copied(self, taker: Taker, part: Part) -> bool:
+        """Write a part of the control service's accounts; False: it could not be, and is to be tried again."""
+        rows = taker.take(part)
+        if rows is not None:
+            try:
+                self.ledger.copy(part.epoch, rows[0], part.seq, rows[1], self.now_ms())
+            except LedgerError as error:
+                self.log(f"accounts are not written yet: {error}")
+                return False
+            taker.written(part)
+        return True
+
+    def report(self, most: int) -> tuple[int, Mapping[used.Place, float]]:
+        """Tell totals that the control service does not know yet, under a number."""
+        number, places = self.reports.take(most)
+        return number, self.ledger.usage_of(HERE, places)
--- a/hophinge/objects/tenants.py
+++ b/hophinge/objects/tenants.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from hophinge.state.rows import Row
-from hophinge.tenancy.accounts import Account, Accounts, Bucket, Key, row
+from hophinge.tenancy.accounts import Accounts
+from hophinge.tenancy.records import Account, Bucket, Key, row
 from hophinge.tenancy.life import State
 
 
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -10,17 +10,17 @@
 from dataclasses import replace
 from typing import Any
 
-from hophinge.core.interface import (
-    Arrival, Bounds, ListKind, NodeEntry, NodeList, Phase, Result, Settings, Waits,
-)
+from hophinge.core.interface import Arrival, Bounds, NodeList, Result, Settings, Waits
 from hophinge.core.interface import Plan as PlatformPlan
 from hophinge.routing.eject import Ejector
-from hophinge.routing.limits import Limiter, State
-from hophinge.routing.records import Pool, Route
-from hophinge.routing.retries import Budget, Budgets
+from hophinge.routing.limits import Limiter
+from hophinge.routing.passes import Pass
+from hophinge.routing.records import Route
+from hophinge.routing.retries import Budgets
 from hophinge.routing.table import EMPTY, Table
-from hophinge.tenancy.accounts import Account
-from hophinge.tenancy.admission import Admission, Ask, Shares, Spare, Ticket, Verdict
+from hophinge.routing.views import Level, Views
+from hophinge.tenancy.records import Account
+from hophinge.tenancy.admission import Admission, Ask, Shares, Spare, Verdict
 
 ERRORS = frozenset({Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET})
 JUDGED = ERRORS | {Result.OK}       # FULL, CANCELLED and MOOT tell nothing of a brick's soundness
@@ -30,61 +30,6 @@
 NO_SHARES = Shares()
 
 
-class View:
-    """Bricks that may be used now; changed in place, so that requests which wait see what has become of them."""
-
-    __slots__ = ("nodes", "shards", "version")
-
-    def __init__(self) -> None:
-        self.nodes: frozenset[str] = frozenset()
-        self.shards: frozenset[int] = frozenset()
-        self.version = 0
-
-
-class Level:
-    """One step of a route's order: the pool that it begins with, and those that fill it up."""
-
-    __slots__ = ("pool", "view")
-
-    def __init__(self, pool: Pool | None) -> None:
-        self.pool, self.view = pool, View()
-
-
-class Pass:
-    """What one request was given when it came."""
-
-    __slots__ = ("attempts", "budget", "name", "pool", "second_copy_us", "since", "states", "table", "ticket", "view")
-
-    def __init__(self, name: str, table: Table, view: View, pool: str, states: tuple[State, ...],
-                 budget: Budget | None, since: int) -> None:
-        self.name, self.table, self.view, self.pool, self.states, self.budget = name, table, view, pool, states, budget
-        self.since = since
-        self.ticket: Ticket | None = None       # of admission, where heads share what is spare
-        self.attempts = budget.rule.attempts if budget is not None else 0
-        self.second_copy_us = budget.rule.second_copy_us if budget is not None else 0
-
-    @property
-    def version(self) -> int:
-        """Tell a number that changes with the nodes that may be taken."""
-        return self.view.version
-
-    def takes(self, node: str, shard: int) -> bool:
-        """Tell whether a node may be used.
-
-        Data lies where it lies: a request bound to a shard that none of its pools' bricks holds may follow it.
-        """
-        return node in self.view.nodes or (shard >= 0 and shard not in self.view.shards)
-
-    def repeat(self, now_us: int, attempts: int) -> bool:
-        """Take one attempt beyond the so many that it had from the budget."""
-        if self.budget is None:
-            return True
-        if 0 < self.attempts <= attempts or not self.budget.allows(now_us):
-            return False
-        self.budget.repeated(now_us)
-        return True
-
-
 class Router:
     """Routes, pools, limits, retry budgets and outliers of one head."""
 
@@ -95,16 +40,13 @@
         self.lowered = settings.plans       # the platform's plans with what the version in force lowers
         self.owner: Callable[[str], str] = lambda volume: ""    # of a volume that no form gives to a tenant
         self.account: Callable[[str], Account | None] = lambda tenant: None     # of a tenant that no form names
-        self.entries: dict[str, NodeEntry] = {}
         self.limiter, self.budgets, self.ejector = Limiter(), Budgets(), Ejector()
+        self.views = Views(settings, self.ejector)
         self.open: dict[str, int] = {}              # requests by pool
         self.versions: dict[tuple[int, int], int] = {}     # requests by version, this one's and those that drain
-        self.chains: dict[tuple[int, int], dict[tuple[str, ...], list[Level]]] = {}
-        self.tables: dict[tuple[int, int], Table] = {}
         self.admission: Admission | None = None
         self.passes: dict[int, Pass] = {}           # that wait, by their ticket
         self.part: Callable[[str], float] = lambda tenant: 1 / settings.gateways     # of its reserve, at this head
-        self.step = 0
         self.spilled = self.followed = self.refused_limit = self.refused_pools = self.refused_share = 0
 
     # --- versions
@@ -114,11 +56,11 @@
         self.limiter.forget(table.limits.get, table.limits.size)
         self.budgets.change({rule.key: rule for rule in table.retries.values()})
         self.table = table
-        self.tables[table.version] = table
+        self.views.tables[table.version] = table
         self.ejector.change(table.eject, now_us)
         self._share(table)
         self._forget()
-        self._look()
+        self.views.look()
         self.lowered = self.plans()
         return self.lowered
 
@@ -155,79 +97,27 @@
 
     def _forget(self) -> None:
         """Drop versions of which no request is open."""
-        for version in [one for one in self.tables if one != self.table.version and not self.versions.get(one)]:
-            del self.tables[version]
-            self.chains.pop(version, None)
+        for version in [one for one in self.views.tables if one != self.table.version and not self.versions.get(one)]:
+            self.views.forget(version)
             self.versions.pop(version, None)
 
     # --- bricks
 
     def nodes(self, now_us: int, event: NodeList) -> None:
         """Take a node list, or what changed in it."""
-        if event.kind is ListKind.ERROR:
-            return
-        if event.kind is ListKind.FULL:
-            self.entries = {}
-        for entry in event.entries:
-            if entry.phase is Phase.GONE:
-                self.entries.pop(entry.node, None)
-            else:
-                self.entries[entry.node] = entry
-        self.ejector.list((node for node, entry in self.entries.items() if entry.phase is Phase.ON), now_us)
-        self._look()
+        self.views.nodes(now_us, event)
 
     def ended(self, now_us: int, node: str, result: Result) -> None:
         """Note how an attempt at a node ended."""
         if result in JUDGED and self.ejector.ended(node, result in ERRORS, now_us):
-            self._look()
-
-    def _look(self) -> None:
-        """Bring every view in use up to what is live and sound now."""
-        self.step += 1
-        for version, chains in self.chains.items():
-            for levels in chains.values():
-                self._fill(self.tables[version], levels)
-
-    def _members(self, pool: Pool) -> set[str]:
-        zones = {at for at, name in enumerate(self.settings.zones) if name in pool.zones}
-        kinds = {at for at, name in enumerate(self.settings.kinds) if name in pool.kinds}
-        return {node for node, entry in self.entries.items() if entry.phase is Phase.ON
-                and (not pool.zones or entry.zone in zones) and (not pool.kinds or entry.kind in kinds)
-                and (not pool.bricks or node in pool.bricks)}
-
-    def _fill(self, table: Table, levels: list[Level]) -> None:
-        out = self.ejector.out
-        live = [self._members(level.pool) if level.pool is not None
-                else {node for node, entry in self.entries.items() if entry.phase is Phase.ON} for level in levels]
-        for at, level in enumerate(levels):
-            nodes: set[str] = set()
-            least = level.pool.at_least if level.pool is not None else 1
-            for members in live[at:]:
-                nodes |= {node for node in members if node not in out}
-                if len(nodes) >= least:
-                    break
-            # An ejected brick is better than none: ejecting takes a choice away only where there is another.
-            nodes = nodes or set().union(*live[at:])
-            shards = {self.entries[node].shard for node in nodes}
-            if nodes != level.view.nodes or shards != level.view.shards:
-                level.view.nodes, level.view.shards = frozenset(nodes), frozenset(shards)
-                level.view.version = self.step
-
-    def _levels(self, table: Table, pools: tuple[str, ...]) -> list[Level]:
-        chains = self.chains.setdefault(table.version, {})
-        levels = chains.get(pools)
-        if levels is None:
-            levels = chains[pools] = [Level(table.pools[name]) for name in pools] or [Level(None)]
-            self.tables.setdefault(table.version, table)
-            self._fill(table, levels)
-        return levels
+            self.views.look()
 
     # --- requests
 
     def admit(self, now_us: int, ask: Arrival) -> Bounds | Waits | int:
         """Tell a request's bounds, or after how many microseconds it may come again where it is refused."""
         if self.ejector.lapse(now_us):
-            self._look()
+            self.views.look()
         table, klass, volume = self.table, self.classes[ask.klass], ask.volume.lower()
         tenant = table.owners.get(volume) or self.owner(volume)
         route = table.routes.find(tenant, volume, klass)
@@ -299,7 +189,7 @@
 
     def _level(self, table: Table, route: Route | None, shard: int) -> Level | None:
         """Tell where in its route's order a request goes; None: nowhere."""
-        levels = self._levels(table, route.pools if route is not None else ALL)
+        levels = self.views.levels(table, route.pools if route is not None else ALL)
         if shard >= 0:
             return next((level for level in levels if shard in level.view.shards), levels[0])
         usable = [level for level in levels if level.view.nodes]
@@ -310,7 +200,7 @@
         if usable:
             return usable[0]        # all are full: the first one's queue is the module's to keep or to refuse
         if route is None or route.otherwise == "any":
-            return self._levels(table, ALL)[0]
+            return self.views.levels(table, ALL)[0]
         return None
 
     def answered(self, now_us: int, bounds: Bounds) -> None:
--- a/hophinge/state/ledger.py
+++ b/hophinge/state/ledger.py
@@ -10,103 +10,31 @@
 
 from __future__ import annotations
 
-import contextlib
-import hashlib
-import os
-import sqlite3
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import msgspec
 
-from hophinge.state.rows import Entry, Kept, Row, Touched
+from hophinge.state.audit import GENESIS, chained
+from hophinge.state.audit import verify as verify
+from hophinge.state.errors import BusyError as BusyError
+from hophinge.state.errors import FullError as FullError
+from hophinge.state.errors import LedgerError as LedgerError
+from hophinge.state.rows import Entry, Kept, Row
+from hophinge.state.tallies import Tallies
 
-FORM = 1
-BUSY_S = 0.05           # waited for another process's change; the caller stands still meanwhile
 GONE_KEPT = 100_000     # names of removed rows
 ANSWERS_MS = 24 * 3600 * 1000   # an answer to a repeated call is kept for a day
-GENESIS = b"hophinge-audit-1"
 
-SCHEMA = """
-CREATE TABLE meta(form INTEGER NOT NULL, epoch INTEGER NOT NULL, floor INTEGER NOT NULL, seen_ms INTEGER NOT NULL,
-  id TEXT NOT NULL);
-CREATE TABLE row(kind TEXT, name TEXT, body BLOB, seq INTEGER NOT NULL, PRIMARY KEY(kind, name)) WITHOUT ROWID;
-CREATE INDEX row_seq ON row(seq);
-CREATE TABLE audit(seq INTEGER PRIMARY KEY, entry BLOB NOT NULL, hash BLOB NOT NULL);
-CREATE TABLE answer(caller TEXT, key TEXT, asked BLOB, status INTEGER, body BLOB, at_ms INTEGER,
-  PRIMARY KEY(caller, key)) WITHOUT ROWID;
-CREATE TABLE upload(id TEXT PRIMARY KEY, tenant TEXT, body BLOB) WITHOUT ROWID;
-CREATE INDEX upload_tenant ON upload(tenant);
-CREATE TABLE usage(reporter TEXT, tenant TEXT, volume TEXT, field TEXT, amount REAL NOT NULL,
-  PRIMARY KEY(tenant, volume, field, reporter)) WITHOUT ROWID;
-"""
-
-
-class LedgerError(Exception):
-    """A ledger that cannot be used; the text says why."""
-
-
-class BusyError(LedgerError):
-    """Another process changes it at this moment; it is safe to come again."""
-
-
-class FullError(LedgerError):
-    """There is no room; nothing was changed."""
-
-
-def chained(before: bytes, seq: int, entry: bytes) -> bytes:
-    """Tell an entry's hash: of the one before it, its number and its bytes."""
-    return hashlib.blake2b(before + seq.to_bytes(8, "big") + entry, digest_size=32).digest()
-
-
-class Ledger:
+class Ledger(Tallies):
     """One open file; `heard` is told rows that changed, whoever changed them, in their order."""
 
     def __init__(self, path: Path, heard: Callable[[Iterable[Row]], None] = lambda rows: None) -> None:
-        self.path, self.heard = path, heard
-        path.parent.mkdir(parents=True, exist_ok=True)
-        try:
-            self.db = sqlite3.connect(path, isolation_level=None, timeout=BUSY_S)
-            os.chmod(path, 0o600)
-            self.db.execute("PRAGMA journal_mode=WAL")
-            self.db.execute("PRAGMA synchronous=FULL")
-            with self._write():
-                if not self.db.execute("SELECT count(*) FROM sqlite_master WHERE name = 'meta'").fetchone()[0]:
-                    for statement in SCHEMA.split(";"):
-                        self.db.execute(statement)
-                    epoch = int.from_bytes(os.urandom(6), "big") | 1
-                    self.db.execute("INSERT INTO meta VALUES (?, ?, 0, 0, ?)", (FORM, epoch, os.urandom(6).hex()))
-            # `id` is this file's own; the epoch is that of the ledger whose copy it may be.
-            form, self.epoch, self.id = self.db.execute("SELECT form, epoch, id FROM meta").fetchone()
-            if form != FORM:
-                raise LedgerError(f"{path}: form {form} is not read by this version, which reads form {FORM}")
-            if (found := self.db.execute("PRAGMA quick_check(1)").fetchone()[0]) != "ok":
-                raise LedgerError(f"{path}: it is torn: {found}")
-        except sqlite3.DatabaseError as error:
-            raise LedgerError(f"{path}: {error}") from error
+        super().__init__(path)
+        self.heard = heard
         self.seq = 0        # of a copy it may be less than it had: what it hears again changes nothing
         self.refresh()
 
-    @contextlib.contextmanager
-    def _write(self) -> Iterator[None]:
-        """Do a change whole or not at all; what goes wrong is told as what it means."""
-        try:
-            self.db.execute("BEGIN IMMEDIATE")
-            try:
-                yield
-                self.db.execute("COMMIT")
-            except BaseException:
-                if self.db.in_transaction:
-                    self.db.execute("ROLLBACK")
-                raise
-        except sqlite3.OperationalError as error:
-            text = str(error)
-            if "locked" in text or "busy" in text:
-                raise BusyError(f"{self.path}: {text}") from error
-            if "full" in text or "disk I/O" in text or "readonly" in text:
-                raise FullError(f"{self.path}: {text}") from error
-            raise
-
     # --- rows
 
     def refresh(self) -> None:
@@ -124,7 +52,7 @@
         What `decide` raises ends the change. `caller` and `key` name the call whose answer is kept.
         """
         rows: list[Row] = []
-        with self._write():
+        with self.write():
             self.refresh()
             made, entry, kept = decide()
             seq, before = self.db.execute("SELECT seq, hash FROM audit ORDER BY seq DESC LIMIT 1").fetchone() or (
@@ -179,7 +107,7 @@
     def copy(self, epoch: int, rows: Iterable[Row], seq: int, anew: bool, now_ms: int) -> None:
         """Take rows of another ledger, whose replica this is; `anew`: what they do not name is gone."""
         rows = list(rows)
-        with self._write():
+        with self.write():
             if anew:
                 named = {(row.kind, row.name) for row in rows}
                 rows += [Row(kind, name, None, seq) for kind, name in self.db.execute(
@@ -217,87 +145,3 @@
         """Tell the last entry's number and hash; kept elsewhere, it shows that entries were cut off."""
         seq, mark = self.db.execute("SELECT seq, hash FROM audit ORDER BY seq DESC LIMIT 1").fetchone() or (0, GENESIS)
         return seq, mark.hex()
-
-    # --- open uploads of this head
-
-    def uploads(self, tenant: str, most: int) -> list[tuple[str, bytes]]:
-        """Tell open uploads of a tenant."""
-        return list(self.db.execute("SELECT id, body FROM upload WHERE tenant = ? LIMIT ?", (tenant, most)))
-
-    def uploads_open(self, tenant: str) -> int:
-        """Count them."""
-        return int(self.db.execute("SELECT count(*) FROM upload WHERE tenant = ?", (tenant,)).fetchone()[0])
-
-    def uploaders(self) -> list[str]:
-        """Tell the tenants that have any."""
-        return [name for (name,) in self.db.execute("SELECT DISTINCT tenant FROM upload")]
-
-    def upload_opened(self, upload: str, tenant: str, body: bytes) -> None:
-        """Note one, before its client hears of it."""
-        with self._write():
-            self.db.execute("INSERT OR REPLACE INTO upload VALUES (?,?,?)", (upload, tenant, body))
-
-    def upload_ended(self, upload: str) -> None:
-        """Forget one that was completed or aborted."""
-        with self._write():
-            self.db.execute("DELETE FROM upload WHERE id = ?", (upload,))
-
-    # --- usage
-
-    def used(self, reporter: str, amounts: Mapping[tuple[str, str, str], float]) -> None:
-        """Add amounts by tenant, volume and field, all or none."""
-        with self._write():
-            self.db.executemany("INSERT INTO usage VALUES (?,?,?,?,?) ON CONFLICT(tenant, volume, field, reporter) "
-                                "DO UPDATE SET amount = amount + excluded.amount",
-                                [(reporter, *key, amount) for key, amount in amounts.items()])
-
-    def told(self, reporter: str, totals: Mapping[tuple[str, str, str], float]) -> None:
-        """Take totals as a reporter has them; they only grow, so late and doubled reports change nothing."""
-        with self._write():
-            self.db.executemany("INSERT INTO usage VALUES (?,?,?,?,?) ON CONFLICT(tenant, volume, field, reporter) "
-                                "DO UPDATE SET amount = max(amount, excluded.amount)",
-                                [(reporter, *key, amount) for key, amount in totals.items()])
-
-    def usage(self, tenant: str) -> dict[str, dict[str, float]]:
-        """Tell a tenant's usage by volume and field, over all reporters."""
-        found: dict[str, dict[str, float]] = {}
-        for volume, field, amount in self.db.execute(
-                "SELECT volume, field, sum(amount) FROM usage WHERE tenant = ? GROUP BY volume, field", (tenant,)):
-            found.setdefault(volume, {})[field] = amount
-        return found
-
-    def usage_of(self, reporter: str, keys: Iterable[tuple[str, str, str]]) -> dict[tuple[str, str, str], float]:
-        """Tell a reporter's totals of some keys."""
-        found = {}
-        for key in keys:
-            row = self.db.execute("SELECT amount FROM usage WHERE tenant = ? AND volume = ? AND field = ? "
-                                  "AND reporter = ?", (*key, reporter)).fetchone()
-            if row is not None:
-                found[key] = float(row[0])
-        return found
-
-    def close(self) -> None:
-        """Close the file."""
-        self.db.close()
-
-
-def verify(path: Path, head: str = "") -> tuple[int, str, Touched | None]:
-    """Read a ledger's audit; tell the number of entries, the last hash and the first entry that was touched.
-
-    `head`: a hash told earlier, which has to be one of the chain. Raises LedgerError where the file is none.
-    """
-    try:
-        db = sqlite3.connect(f"file:{path}?mode=ro", uri=True)
-        rows = db.execute("SELECT seq, entry, hash FROM audit ORDER BY seq")
-        before, count, met = GENESIS, 0, not head or head == GENESIS.hex()
-        try:
-            for seq, entry, mark in rows:
-                # Whoever wrote there by hand may have left text where bytes were.
-                if not isinstance(entry, bytes) or mark != chained(before, seq, entry):
-                    return count, before.hex(), Touched(seq, "its hash is not that of it and the one before")
-                before, count, met = mark, count + 1, met or mark.hex() == head
-        finally:
-            db.close()
-    except sqlite3.DatabaseError as error:
-        raise LedgerError(f"{path}: {error}") from error
-    return count, before.hex(), None if met else Touched(count + 1, "entries were cut off: the given hash is not there")
--- a/hophinge/tenancy/accounts.py
+++ b/hophinge/tenancy/accounts.py
@@ -6,133 +6,19 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
-import re
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 import msgspec
-from msgspec import Struct
 from msgspec.structs import replace
 
 from hophinge.state.rows import Row
+from hophinge.tenancy.records import (
+    BUCKET, KINDS, LONGEST_OVERLAP_S, TENANT, Account, AccountError, Bucket, Key, Quotas, Role, Shares, checked, digest,
+    noted,
+)
 from hophinge.tenancy.life import State, Wish, step
 
-NAME = re.compile(r"[a-z0-9](?:[a-z0-9.-]{1,61})[a-z0-9]", re.ASCII)
-KEY = re.compile(r"hk[0-9a-f]{16}", re.ASCII)
-LONGEST_NOTE = 200          # characters
-MOST_KEYS, MOST_VOLUMES, MOST_UPLOADS = 50, 1000, 1000     # of a tenant, unless its quotas say otherwise
-LONGEST_OVERLAP_S = 7 * 24 * 3600       # that an old key may live on beside the one that replaces it
-TENANT, BUCKET, ACCESS = "tenant", "bucket", "key"          # kinds of rows
-
-
-class AccountError(Exception):
-    """A wish that cannot be granted; ``kind`` is exists, missing, invalid, state, quota or stale."""
-
-    def __init__(self, kind: str, text: str) -> None:
-        super().__init__(text)
-        self.kind = kind
-
-
-class Role(Enum):
-    """What a key is for."""
-
-    DATA = "data"                       # objects
-    ADMINISTRATOR = "administrator"     # its tenant's buckets and keys
-    READER = "reader"                   # to see its tenant's buckets, keys and usage
-
-
-class Quotas(Struct, frozen=True, forbid_unknown_fields=True):
-    """What a tenant may have; of uploads and connections at each head."""
-
-    volumes: int = MOST_VOLUMES
-    keys: int = MOST_KEYS
-    uploads: int = MOST_UPLOADS
-    connections: int = 0        # 0: no bound of its own
-    requests: int = 0           # object requests at once
-
-    def __post_init__(self) -> None:
-        """Check ranges."""
-        if min(self.volumes, self.keys, self.uploads, self.connections, self.requests) < 0:
-            raise ValueError("quotas are 0 or more")
-
-
-class Shares(Struct, frozen=True, forbid_unknown_fields=True):
-    """What a tenant counts on of the installation, where heads share what is spare."""
-
-    reserve: float = 0.0        # units a second, over all heads
-    weight: float = 1.0         # in what is spare
-
-    def __post_init__(self) -> None:
-        """Check ranges."""
-        if not 0 <= self.reserve <= 1e9 or not 1e-3 <= self.weight <= 1e6:
-            raise ValueError("reserve is from 0 to 1e9 units/s, weight from 0.001 to 1e6")
-
-
-class Account(Struct, frozen=True):
-    """One tenant; `seq` of each row is the change that it had last, and its version to whoever changes it."""
-
-    name: str
-    state: State = State.ACTIVE
-    quotas: Quotas = Quotas()
-    shares: Shares = Shares()
-    made_ms: int = 0
-    note: str = ""
-
-
-class Bucket(Struct, frozen=True):
-    """A bucket and its volume on the bricks."""
-
-    tenant: str
-    name: str
-    id: str         # of the volume: random, and never given twice
-    plan: str
-    made_ms: int = 0
-
-
-class Key(Struct, frozen=True):
-    """A key: its public id and its secret's digest."""
-
-    tenant: str
-    id: str
-    digest: str
-    role: Role = Role.DATA
-    made_ms: int = 0
-    ends_ms: int = 0        # 0: never
-    note: str = ""
-
-    def ended(self, now_ms: int) -> bool:
-        """Tell whether it has expired."""
-        return 0 < self.ends_ms <= now_ms
-
-
-KINDS: dict[str, type[Account | Bucket | Key]] = {TENANT: Account, BUCKET: Bucket, ACCESS: Key}
-
-
-def digest(secret: str) -> str:
-    """Digest a secret; it is random and long, so one round of a plain hash is enough."""
-    return hashlib.sha256(secret.encode()).hexdigest()
-
-
-def checked(name: str, what: str) -> str:
-    """Check a tenant's or bucket's name."""
-    if not NAME.fullmatch(name):
-        raise AccountError("invalid", f"{what} names have 3 to 63 of a-z, 0-9, dot and dash, ends alphanumeric")
-    return name
-
-
-def row(value: Account | Bucket | Key) -> Row:
-    """Write a row."""
-    match value:
-        case Account(name=name):
-            return Row(TENANT, name, msgspec.json.encode(value))
-        case Bucket(tenant=tenant, name=name):
-            return Row(BUCKET, f"{tenant}/{name}", msgspec.json.encode(value))
-        case Key(id=name):
-            return Row(ACCESS, name, msgspec.json.encode(value))
-
-
 class Accounts:
     """All rows, as they are known here; `changed` is told of each tenant whose state is another one now."""
 
@@ -236,13 +122,13 @@
         if held is not None and held.state is not State.CLOSED:
             why = "exists" if held.state is not State.CLOSING else "is closing: its name is free once that has ended"
             raise AccountError("exists", f"tenant {name} {why}")
-        return Account(name, State.ACTIVE, quotas, shares, now_ms, _note(note))
+        return Account(name, State.ACTIVE, quotas, shares, now_ms, noted(note))
 
     def change(self, name: str, quotas: Quotas | None, shares: Shares | None, note: str | None) -> Account:
         """Change what a tenant may have; what it has already stays."""
         held = self._open(name)
         return replace(held, quotas=quotas or held.quotas, shares=shares or held.shares,
-                       note=held.note if note is None else _note(note))
+                       note=held.note if note is None else noted(note))
 
     def become(self, name: str, wish: Wish) -> Account:
         """Lead a tenant to another state."""
@@ -282,7 +168,7 @@
         live = sum(not self.keys[name].ended(now_ms) for name in self.keys_of.get(tenant, ()))
         if live >= held.quotas.keys:
             raise AccountError("quota", f"tenant {tenant} may have {held.quotas.keys} keys")
-        return Key(tenant, key, digest(secret), role, now_ms, ends_ms, _note(note))
+        return Key(tenant, key, digest(secret), role, now_ms, ends_ms, noted(note))
 
     def key(self, tenant: str, name: str) -> Key:
         """Find a key of a tenant; another's looks like none."""
@@ -306,9 +192,3 @@
             return new, None
         ends = now_ms + overlap_s * 1000
         return new, replace(old, ends_ms=min(ends, old.ends_ms) if old.ends_ms else ends)
-
-
-def _note(text: str) -> str:
-    if len(text) > LONGEST_NOTE:
-        raise AccountError("invalid", f"a note has at most {LONGEST_NOTE} characters")
-    return text
--- a/tests/books.py
+++ b/tests/books.py
@@ -9,7 +9,7 @@
 
 from hophinge.state.ledger import Ledger
 from hophinge.state.rows import Entry, Row
-from hophinge.tenancy.accounts import Account, Bucket, Key, Quotas, Role, digest, row
+from hophinge.tenancy.records import Account, Bucket, Key, Quotas, Role, digest, row
 
 NUMBERS = itertools.count(1)
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -12,7 +12,7 @@
 
 from hophinge.head.operator import load
 from hophinge.state.rows import Row
-from hophinge.tenancy.accounts import Bucket, row
+from hophinge.tenancy.records import Bucket, row
 from tests import books
 from tests.hosted import accounts_of, hosted, ledger_of
 from tests.installation import GOOD, SETTINGS, follower
