A call over its time by the wall clock alone leaves no healthy scorer out

A pause for each, and off for good after five, was no evidence.

Change: such a call costs that choice alone and is counted. The scorer is watched for the next 1,000 calls (and the first ones): its thread's CPU time, voluntary switches and collections are read round each call. More CPU time than its budget, or a wait, is proof; the second within the watch pauses it, the first while it is on probation; a collection excuses three. Learning that was late is kept, as it is done.

--- a/hophinge/head/scoring.py
+++ b/hophinge/head/scoring.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import re
+import resource
 import time
 from collections.abc import Callable, Sequence
 from importlib.metadata import entry_points
@@ -31,6 +33,15 @@
 BUILT_IN: dict[str, ModuleType] = {"latency": latency, "suspicion": suspicion, "outlook": outlook}
 
 
+def usage() -> tuple[int, int, int]:
+    """Tell what this thread has used so far, as hophinge/scoring/guard.py wants it; takes 1.5 us.
+
+    The collector's third count changes with each collection but those of the youngest objects, which take less than a
+    call may: only these are an excuse.
+    """
+    return time.thread_time_ns(), resource.getrusage(resource.RUSAGE_THREAD).ru_nvcsw, gc.get_count()[2]
+
+
 def find(name: str) -> Kind:
     """Find a scorer by its name: built in, else by entry points of installed packages; no other one is imported."""
     manager = pluggy.PluginManager(PROJECT)
@@ -106,7 +117,8 @@
         self.config, self.exchange, self.log = config, exchange, log
         self.surroundings = Surroundings(settings.rules.cold_us)
         scorers, versions = make(config, setting)
-        self.engine = Engine(scorers, versions, setting.most_us, config.budget_us, clock_ns, log, self.surroundings)
+        self.engine = Engine(scorers, versions, setting.most_us, config.budget_us, clock_ns, log, self.surroundings,
+                             usage=usage)
         self.board: Board | None = None
         self.refused = ""           # why the board took no entry, as it was last logged
         exchange.scheduler.scorers = self.engine
--- a/hophinge/scoring/engine.py
+++ b/hophinge/scoring/engine.py
@@ -9,7 +9,7 @@
 from hophinge.cluster.interface import Entry
 from hophinge.core import interface as api
 from hophinge.scoring import encoding
-from hophinge.scoring.guard import Guard
+from hophinge.scoring.guard import Guard, Usage
 from hophinge.scoring.interface import Scorer, Surroundings
 from hophinge.scoring.merge import hearsay
 from hophinge.scoring.sharing import BEAT_US, Merge, Reader, Shared
@@ -33,8 +33,8 @@
 
     def __init__(self, scorers: Mapping[str, Scorer], versions: Mapping[str, str], most_us: float, budget_us: float,
                  clock_ns: Callable[[], int], log: Callable[[str], None], surroundings: Surroundings,
-                 merge: Merge = hearsay) -> None:
-        self.guard = Guard(scorers, most_us, budget_us, clock_ns, log)
+                 merge: Merge = hearsay, usage: Usage = lambda: (0, 0, 0)) -> None:
+        self.guard = Guard(scorers, most_us, budget_us, clock_ns, log, usage)
         self.surroundings = surroundings
         self.shared = {name: Shared(version, merge) for name, version in versions.items() if version}
         self.reader: Reader | None = None           # where there are peers
--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -1,7 +1,7 @@
 """The guard round scorers: whatever one does, a choice gets added times within the clamp, and no request notices.
 
 Python cannot stop a call that runs in the same thread. One that never returns hangs the head; one that returns too late
-has held up one choice and is left out from then on, by growing pauses and at last until an operator says otherwise.
+has held up one choice, and is left out by growing pauses once it is proved that the scorer itself was slow.
 """
 
 from __future__ import annotations
@@ -11,12 +11,15 @@
 
 from hophinge.core import interface as api
 from hophinge.scoring.interface import Scorer, Surroundings, View, Weight
-from hophinge.scoring.pauses import Pauses
+from hophinge.scoring.pauses import Evidence, Pauses
 
 REASONS = ("raised", "form", "length", "not_a_number", "infinite", "negative", "slow")
 LEARNING_NS = 50_000_000    # that a tick, or taking or telling weights, may take, once a second and beside requests
 NUMBERS = frozenset({float, int})
 
+# CPU nanoseconds of this thread, times that it gave its core up of itself, and collections beyond the youngest objects.
+Usage = Callable[[], tuple[int, int, int]]
+
 
 class MisbehaviourError(Exception):
     """What a scorer returned cannot be used."""
@@ -57,11 +60,11 @@
     """All scorers at work."""
 
     def __init__(self, scorers: Mapping[str, Scorer], most_us: float, budget_us: float, clock_ns: Callable[[], int],
-                 log: Callable[[str], None]) -> None:
+                 log: Callable[[str], None], usage: Usage) -> None:
         if not most_us > 0 or not budget_us > 0:
             raise ValueError("the clamp and the budget of scorers must be above 0")
         self.most_us, self.budget_ns = most_us, int(budget_us * 1000)
-        self.clock_ns, self.log = clock_ns, log
+        self.clock_ns, self.log, self.usage = clock_ns, log, usage
         self.scorers = [Guarded(name, scorer) for name, scorer in scorers.items()]
 
     def added_us(self, now_us: int, ask: api.Arrival, nodes: Sequence[api.Seen],
@@ -119,6 +122,7 @@
             one.counts["left_out"] += 1
             return None
         one.counts["asked"] += 1
+        used = self.usage() if one.pauses.watched else None
         since = self.clock_ns()
         try:
             values = checked(one.scorer.added_us(view), number)
@@ -126,7 +130,7 @@
             self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
             return None
         if self.clock_ns() - since > self.budget_ns:
-            self._wrong(one, now_us, "slow", None)
+            self._slow(one, now_us, self.budget_ns, used)
             return None
         one.pauses.went_well()
         most = self.most_us
@@ -136,6 +140,7 @@
     def _call(self, one: Guarded, now_us: int, budget_ns: int, call: Callable[[Scorer], None]) -> bool:
         if not one.pauses.may(now_us):
             return False
+        used = self.usage() if one.pauses.watched else None
         since = self.clock_ns()
         try:
             call(one.scorer)
@@ -143,16 +148,27 @@
             self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
             return False
         if self.clock_ns() - since > budget_ns:
-            self._wrong(one, now_us, "slow", None)
-            return False
-        return True
+            self._slow(one, now_us, budget_ns, used)
+        return True     # what it did late is done all the same
+
+    def _slow(self, one: Guarded, now_us: int, budget_ns: int, used: tuple[int, int, int] | None) -> None:
+        one.counts["slow"] += 1
+        evidence = None
+        if used is not None:
+            cpu, waits, collections = self.usage()
+            evidence = Evidence(cpu - used[0], waits - used[1], collections != used[2])
+        if one.pauses.took_too_long(now_us, evidence, budget_ns):
+            self._tell(one, now_us, "slow")
 
     def _wrong(self, one: Guarded, now_us: int, reason: str, error: BaseException | None) -> None:
         one.counts[reason] += 1
-        one.pauses.went_wrong(now_us, reason == "slow")
+        one.pauses.went_wrong(now_us)
         try:
             what = f"{type(error).__name__}: {error}"[:200] if reason == "raised" else reason
         except BaseException:               # an error whose text raises
             what = reason
+        self._tell(one, now_us, what)
+
+    def _tell(self, one: Guarded, now_us: int, what: str) -> None:
         until = "until it is told on" if one.pauses.off else f"for {(one.pauses.until_us - now_us) // 1_000_000} s"
         self.log(f"scorer {one.name} is left out {until}: {what}")
--- a/tests/test_scoring_head.py
+++ b/tests/test_scoring_head.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
+import pytest
 
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.core.counters import Counters
 from hophinge.core.errors import HophingeError
 from hophinge.core.exchange import Answer, Attempt, End, Exchange, Verdict
 from hophinge.core.interface import ListKind, NodeList, Result
-from hophinge.head.scoring import Scoring
+from hophinge.head.scoring import Scoring, usage
 from hophinge.head.sections import ScoringConfig
 from hophinge.scoring import encoding
-from tests.scoring_parts import Clock
+from hophinge.scoring.engine import Engine
+from hophinge.scoring.interface import Surroundings, View
+from tests.scoring_parts import ASK, Clock, Says, books
 from tests.test_choice import MS, SETTINGS, T0, ask, node
 
 CONFIG = ScoringConfig(["latency", "suspicion", "outlook"])
@@ -153,3 +157,25 @@
     assert scoring.gauges() == {"scorers_left_out": 1, "scorers_off": 1, "weights_bad_total": 1}
     scoring.resume()
     assert scoring.gauges()["scorers_left_out"] == 0
+
+
+def spin(view: View) -> list[float]:
+    until = time.thread_time_ns() + 300_000
+    while time.thread_time_ns() < until:
+        pass
+    return [0.0] * len(view)
+
+
+def nap(view: View) -> list[float]:
+    time.sleep(0.001)
+    return [0.0] * len(view)
+
+
+@pytest.mark.parametrize("say", [spin, nap])
+def test_one_that_works_or_waits_too_long_is_proved_slow_by_what_its_thread_used(
+        say: Callable[[View], object]) -> None:
+    log: list[str] = []
+    slow = Engine({"slow": Says(say)}, {}, 1e6, 200.0, time.perf_counter_ns, log.append, Surroundings(), usage=usage)
+    for _ in range(3):
+        assert slow.added_us(T0, ASK, books("a")) == {}
+    assert slow.guard.scorers[0].counts["slow"] == 2 and log == ["scorer slow is left out for 1 s: slow"]
