A scorer that does not return is broken after a second, and the head serves on

Need: a scorer in an endless loop, asleep or at a lock hung the head until something outside killed it.

Change: where [scoring] is on, a thread looks each 0.2 s at which call of a scorer runs; seen five times, a timer's signal raises in it (a BaseException). The scorer is off until told, counted as `hung` and logged with the new error scorer-hung and its remedy. At a call itself there are two stores more. Sending the signal straight from the thread never broke a loop round a failing int('x'): it came in at the same place each time, in C code that drops exceptions; a timer's does.

The test with all four in one head fails without the thread, and with the signal sent straight. Not ended: C code that keeps the interpreter, what catches BaseException.

--- /dev/null
+++ b/hophinge/head/hanging.py
@@ -0,0 +1,64 @@
+"""Breaks the call of a scorer that does not return: a thread looks on, a signal's handler raises in the call.
+
+It ends loops in Python, and what waits in the kernel (sleep, a lock, a socket) as well, which an exception set by
+another thread does not. Nothing is done at a call itself. Nothing here ends C code that keeps the interpreter.
+"""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Callable
+from types import FrameType
+
+from hophinge.scoring.guard import Guard
+
+EVERY_S = 0.2           # between looks; each needs the interpreter, so a process that stands still has none
+LOOKS = 5               # at the same call before it is broken: a second; from then on with each look
+AFTER_S = 0.002         # the timer's: the thread must have given the interpreter back
+TOLD_AT = 50            # looks after which it is told that the scorer does not obey
+
+AT_WORK: set[Watchdog] = set()      # of this process, whose signal's handler is one for all
+
+
+def interrupt(number: int, frame: FrameType | None) -> None:
+    """Break the call that hangs, if it still runs; the handler of the signal."""
+    for dog in tuple(AT_WORK):
+        dog.guard.interrupt(dog.accused)
+
+
+class Watchdog:
+    """One guard's; the guard's calls have to come from the main thread, where Python runs handlers of signals."""
+
+    def __init__(self, guard: Guard, log: Callable[[str], None]) -> None:
+        self.guard, self.log = guard, log
+        self.accused: int | None = None     # the call that is to be broken, by when it began
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self._watch, name="scorers", daemon=True)
+
+    def start(self) -> None:
+        """Watch from now on."""
+        if threading.current_thread() is not threading.main_thread():
+            return self.log("scorers run beside the main thread: one that hangs is not interrupted")
+        signal.signal(signal.SIGALRM, interrupt)
+        AT_WORK.add(self)
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Watch no more."""
+        AT_WORK.discard(self)
+        self.ended.set()
+
+    def _watch(self) -> None:
+        seen, looks = None, 0
+        while not self.ended.wait(EVERY_S):
+            since = self.guard.since
+            looks = looks + 1 if since is not None and since == seen else 0
+            seen = since
+            if looks >= LOOKS:
+                self.accused = since
+                # Not sent from here: the call would take it wherever it waits for the interpreter, each time the same
+                # place; where C code runs there that drops exceptions (as repr in int('x') does), it never ended.
+                signal.setitimer(signal.ITIMER_REAL, AFTER_S)
+            if looks == TOLD_AT:
+                self.log("a scorer does not return and cannot be interrupted; kill this process and take it out")
--- a/hophinge/head/scoring.py
+++ b/hophinge/head/scoring.py
@@ -19,6 +19,7 @@
 from hophinge.core import interface as api
 from hophinge.core.errors import HophingeError
 from hophinge.core.exchange import Exchange
+from hophinge.head.hanging import Watchdog
 from hophinge.head.sections import ScoringConfig
 from hophinge.popularity.interface import Demand
 from hophinge.scoring import latency, outlook, suspicion
@@ -139,10 +140,15 @@
         self.engine.heard(self.exchange.now_us(), node, result, elapsed_us)
 
     async def run(self) -> None:
-        """Tick until cancelled."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.tick()
+        """Tick, and break scorers that hang, until cancelled."""
+        watchdog = Watchdog(self.engine.guard, self.log)
+        watchdog.start()
+        try:
+            while True:
+                await asyncio.sleep(TICK_S)
+                self.tick()
+        finally:
+            watchdog.stop()
 
     def tick(self) -> None:
         """Learn, merge and tell peers; what goes wrong is logged, as nothing of it may end the head."""
--- a/hophinge/scoring/errors.py
+++ b/hophinge/scoring/errors.py
@@ -1,4 +1,7 @@
-"""What can be wrong with a scorer before a head serves; while it serves, a scorer's mistakes are counted instead."""
+"""What can be wrong with a scorer before a head serves, and the one mistake that holds it up while it serves.
+
+All other mistakes of a scorer at work are counted instead.
+"""
 
 from __future__ import annotations
 
@@ -31,3 +34,10 @@
 
     code = "scorer-parameters"
     remedy = "Mend the key that is named in the operator's file, or take it out for its default."
+
+
+class ScorerHungError(HophingeError):
+    """A scorer at work did not return; the head stood still until it was interrupted."""
+
+    code = "scorer-hung"
+    remedy = "Take the scorer out of [scoring], or upgrade its package, and restart the head when it suits."
--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -1,7 +1,7 @@
 """The guard round scorers: whatever one does, a choice gets added times within the clamp, and no request notices.
 
-Python cannot stop a call that runs in the same thread. One that never returns hangs the head; one that returns too late
-has held up one choice, and is left out by growing pauses once it is proved that the scorer itself was slow.
+A call that returns too late has held up one choice, and its scorer is left out by growing pauses once it is proved that
+the scorer itself was slow. One that does not return is broken from outside: see `interrupt`.
 """
 
 from __future__ import annotations
@@ -10,10 +10,11 @@
 from collections.abc import Callable, Container, Mapping, Sequence
 
 from hophinge.core import interface as api
+from hophinge.scoring.errors import ScorerHungError
 from hophinge.scoring.interface import Scorer, Surroundings, View, Weight
 from hophinge.scoring.pauses import Evidence, Pauses
 
-REASONS = ("raised", "form", "length", "not_a_number", "infinite", "negative", "slow")
+REASONS = ("raised", "form", "length", "not_a_number", "infinite", "negative", "slow", "hung")
 LEARNING_NS = 50_000_000    # that a tick, or taking or telling weights, may take, once a second and beside requests
 NUMBERS = frozenset({float, int})
 
@@ -29,6 +30,10 @@
         self.reason = reason
 
 
+class HungError(BaseException):
+    """Breaks a scorer that does not return; no Exception, which a loop may well catch."""
+
+
 class Guarded:
     """One scorer, its standing and its counts."""
 
@@ -66,6 +71,8 @@
         self.most_us, self.budget_ns = most_us, int(budget_us * 1000)
         self.clock_ns, self.log, self.usage = clock_ns, log, usage
         self.scorers = [Guarded(name, scorer) for name, scorer in scorers.items()]
+        self.since: int | None = None       # when the call that runs now began, which tells it from all others
+        self.hung = False                   # it was broken
 
     def added_us(self, now_us: int, ask: api.Arrival, nodes: Sequence[api.Seen],
                  surroundings: Surroundings) -> dict[str, float]:
@@ -113,6 +120,12 @@
         """Give a scorer its merged weights."""
         self._call(self.named(name), now_us, LEARNING_NS, lambda scorer: scorer.merged(now_us, weights))
 
+    def interrupt(self, since: int | None) -> None:
+        """Break the call that began then, if it still runs; a signal's handler calls it in the scorer's thread."""
+        if since is not None and since == self.since:
+            self.hung = True
+            raise HungError
+
     def named(self, name: str) -> Guarded:
         """Find a scorer."""
         return next(one for one in self.scorers if one.name == name)
@@ -123,10 +136,12 @@
             return None
         one.counts["asked"] += 1
         used = self.usage() if one.pauses.watched else None
-        since = self.clock_ns()
+        since = self.since = self.clock_ns()
         try:
             values = checked(one.scorer.added_us(view), number)
+            self.since = None
         except BaseException as error:      # a plug-in that raises SystemExit must not end the head either
+            self.since = None               # first of all: from here on no signal raises
             self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
             return None
         if self.clock_ns() - since > self.budget_ns:
@@ -141,10 +156,12 @@
         if not one.pauses.may(now_us):
             return False
         used = self.usage() if one.pauses.watched else None
-        since = self.clock_ns()
+        since = self.since = self.clock_ns()
         try:
             call(one.scorer)
+            self.since = None
         except BaseException as error:
+            self.since = None
             self._wrong(one, now_us, error.reason if isinstance(error, MisbehaviourError) else "raised", error)
             return False
         if self.clock_ns() - since > budget_ns:
@@ -152,6 +169,8 @@
         return True     # what it did late is done all the same
 
     def _slow(self, one: Guarded, now_us: int, budget_ns: int, used: tuple[int, int, int] | None) -> None:
+        if self.hung:
+            return self._broken(one)
         one.counts["slow"] += 1
         evidence = None
         if used is not None:
@@ -160,7 +179,9 @@
         if one.pauses.took_too_long(now_us, evidence, budget_ns):
             self._tell(one, now_us, "slow")
 
-    def _wrong(self, one: Guarded, now_us: int, reason: str, error: BaseException | None) -> None:
+    def _wrong(self, one: Guarded, now_us: int, reason: str, error: BaseException) -> None:
+        if self.hung:
+            return self._broken(one)
         one.counts[reason] += 1
         one.pauses.went_wrong(now_us)
         try:
@@ -169,6 +190,12 @@
             what = reason
         self._tell(one, now_us, what)
 
+    def _broken(self, one: Guarded) -> None:
+        self.hung = False       # whatever the scorer made of the exception, it had to be broken
+        one.counts["hung"] += 1
+        one.pauses.off = True
+        self.log(ScorerHungError(f"scorer {one.name} did not return, was interrupted, and is left out").told())
+
     def _tell(self, one: Guarded, now_us: int, what: str) -> None:
         until = "until it is told on" if one.pauses.off else f"for {(one.pauses.until_us - now_us) // 1_000_000} s"
         self.log(f"scorer {one.name} is left out {until}: {what}")
--- a/tests/test_scoring_guard.py
+++ b/tests/test_scoring_guard.py
@@ -13,6 +13,7 @@
 
 from hophinge.core.interface import Result
 from hophinge.scoring import guard
+from hophinge.scoring.guard import HungError
 from hophinge.scoring.interface import Scorer, View, Weight
 from hophinge.scoring.pauses import (
     EXCUSED, FIRST_PAUSE_US, LONGEST_PAUSE_US, OFF_AFTER_SLOW, PROBATION, WATCHED, Pauses,
@@ -203,6 +204,29 @@
     assert head.added_us(now, ASK, books("a")) == {"a": 5.0}
 
 
+@pytest.mark.parametrize("swallows", [False, True])
+def test_a_call_that_was_broken_is_the_scorer_s_last_whatever_it_makes_of_that(swallows: bool) -> None:
+    clock, log = Clock(), list[str]()
+
+    def say(view: View) -> object:
+        clock.ns += 1_500_000_000
+        try:
+            head.guard.interrupt(head.guard.since)
+        except HungError:
+            if not swallows:
+                raise
+        return [5.0] * len(view)
+
+    head = engine({"hangs": Says(say), "good": Says(lambda view: [7.0] * len(view))}, clock, log)
+    began = clock.ns
+    for _ in range(3):
+        assert head.added_us(T0, ASK, books("a")) == {"a": 7.0}
+        head.guard.interrupt(began)         # too late: another call, or none, runs now
+    one = head.guard.scorers[0]
+    assert one.pauses.off and one.counts["hung"] == one.counts["asked"] == 1 and one.counts["slow"] == 0
+    assert len(log) == 1 and "[scorer-hung]" in log[0]
+
+
 def test_pauses_have_a_cap_and_a_scorer_that_raises_is_never_off_for_good() -> None:
     pauses, now = Pauses(), 0
     for _ in range(40):
--- /dev/null
+++ b/tests/test_scoring_hanging.py
@@ -0,0 +1,70 @@
+"""Scorers that do not return, in a head of its own: it is held up for a stated time, once, and goes on without them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import textwrap
+from pathlib import Path
+
+
+from hophinge.load.plan import LoadPlan
+from hophinge.load.rig.run import Run
+from hophinge.load.rig.waiting import until
+
+from tests.together import BOUND_S, run
+
+HANGS = {
+    "loops": "while True: pass",
+    "loops-on": "while True:\n    try: int('x')\n    except Exception: pass",
+    "sleeps": "import time; time.sleep(3600)",
+    "waits": "import threading; lock = threading.Lock(); lock.acquire(); lock.acquire()"}
+PACKAGE = """
+    from msgspec import Struct
+    from hophinge.scoring.interface import Kind, Scorer, scorer_impl
+
+    class Parameters(Struct):
+        pass
+
+    class Hanging(Scorer):
+        def added_us(self, view):
+    {body}
+
+    @scorer_impl
+    def hophinge_scorer():
+        return Kind({name!r}, 1, Parameters, lambda parameters, setting: Hanging())
+    """
+
+
+def install(site: Path, name: str, body: str) -> None:
+    folder = site / f"{name}-1.0.dist-info"
+    folder.mkdir(parents=True)
+    (folder / "METADATA").write_text(f"Metadata-Version: 2.1\nName: {name}\nVersion: 1.0\n")
+    (folder / "entry_points.txt").write_text(f"[hophinge.scorers]\n{name} = hanging_{name.replace('-', '_')}\n")
+    text = textwrap.dedent(PACKAGE).format(name=name, body=textwrap.indent(body, " " * 8))
+    (site / f"hanging_{name.replace('-', '_')}.py").write_text(text)
+
+
+def test_a_head_whose_scorers_hang_breaks_each_once_and_serves_on_without_them(tmp_path: Path) -> None:
+    async def main() -> None:
+        for name, body in HANGS.items():
+            install(tmp_path / "site", name, body)
+        async with Run(tmp_path, 31, LoadPlan(work_us=2_000, slots=8)) as made:
+            head = await made.head("n0", sections={"scoring": {"scorers": [*HANGS, "latency"]}})
+            await head.start(PYTHONPATH=str(tmp_path / "site"))
+            await until([made.ready("n0")], BOUND_S)
+
+            async def place(number: int) -> int:
+                return await made.request("n0", number, -1, 1)
+
+            first = [asyncio.create_task(place(number)) for number in range(1, 4)]
+            await until([made.tells("n0", "/ops/scorers", "all are broken", lambda text: all(
+                json.loads(text)["scorers"][name]["hung"] == 1 for name in HANGS))], BOUND_S)
+            await asyncio.gather(*first)
+            for name in HANGS:
+                assert head.said(f"scorer {name} did not return") and head.said("[scorer-hung] Take the scorer out")
+            told = json.loads((await made.ask("n0", "/ops/scorers"))[1])["scorers"]
+            assert all(told[name]["off_until_told"] and told[name]["asked"] == 1 for name in HANGS)
+            assert told["latency"]["at_work"]
+            assert [await place(number) for number in range(10, 20)] == [200] * 10
+    run(main())
