--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -23,7 +23,7 @@
 from tests.cluster_member import Started, until  # noqa: E402
 from tests.cluster_network import SECOND, Network, Node  # noqa: E402
 
-CALM_S, CUT_S, MOST_S = 20.0, 20.0, 120.0
+CALM_S, CUT_S, MOST_S = 20.0, 20.0, 300.0
 SIZES, LOSSES = (10, 100, 1000), (0.0, 0.3)
 HEAD = {
     "members": ("members", "loss", "deaths found by all others, median s", "longest s",
--- a/hophinge/cluster/core.py
+++ b/hophinge/cluster/core.py
@@ -39,6 +39,7 @@
         self.roster = Roster(me, limits.members, now_us, self._marks, self.count)
         self.rumours = Rumours(self.shelf)
         self.health = 0                     # how much this process doubts itself
+        self.heard_us = now_us              # when anybody else was last heard
         self.woken_us = now_us              # when it last found itself late: no verdict of before counts
         self.slept_us = 0                   # for how long it stood still in all
         self.silent = False
@@ -52,8 +53,13 @@
         self.health = min(self.tuning.health, max(0, self.health + by))
 
     def scaled(self, time_us: float) -> int:
-        """Tell a time as long as this process's health asks for."""
-        return int(time_us * (1 + self.health))
+        """Tell a time as long as this process's health asks for; one that is alone has waited long enough."""
+        return int(time_us if self.alone else time_us * (1 + self.health))
+
+    @property
+    def alone(self) -> bool:
+        """Tell whether nobody was heard for longer than any doubt of oneself explains: cut off, or the last one."""
+        return self.now_us - max(self.heard_us, self.woken_us) >= self.tuning.alone_us and len(self.roster.live) > 1
 
     def jitter(self, time_us: int) -> int:
         """Tell a time drawn round another."""
@@ -65,13 +71,13 @@
 
     def put(self, record: Record) -> bool:
         """Hold a newer record, tell hearers where the standing is another, and spread it."""
-        before = self.roster.record(record.name)
+        before, quiet = self.roster.record(record.name), self.alone and record.name != self.roster.me
         if before is not None and before.start != record.start and record.name != self.roster.me:
             self.shelf.forget(record.name)
         if not self.roster.put(record, self.now_us):
             return False
-        if before is None or before != record:
-            self.rumours.member(record)
+        if (before is None or before != record) and not quiet:
+            self.rumours.member(record)     # who hears nobody may still be heard: it keeps its verdicts to itself
         if before is None or before.member() != record.member():
             self.out.append(Changed(record.member()))
         return True
--- a/hophinge/cluster/joining.py
+++ b/hophinge/cluster/joining.py
@@ -1,8 +1,11 @@
-"""Reaching others: by seeds at the start and for as long as nobody is there, then now and then those that were lost."""
+"""Reaching others: by seeds at the start and for as long as nobody is there, then now and then those that were lost.
+
+Of those that died and are forgotten one is hailed each turn, by lot: a fixed rate however many they are.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from hophinge.cluster.core import Core
 from hophinge.cluster.messages import LEFT, Part, Ping, Record
@@ -28,6 +31,7 @@
         """Try some seeds; with others there, one seed that is not among them or one of the dead."""
         core = self.core
         others = {record.address for record in core.roster.others()}
+        self.knock(others)
         if not others:
             self.try_seeds()
             core.later(core.jitter(self.pause_us), self.turn)
@@ -41,6 +45,12 @@
             self.hail(core.rng.choice(lost))
         core.later(core.jitter(core.tuning.rejoin_us), self.turn)
 
+    def knock(self, others: Collection[str]) -> None:
+        """Hail one of those that died and are forgotten: a cut may have outlasted the memory of its other side."""
+        address = self.core.roster.lost(self.core.rng.random())
+        if address and address not in others and address != self.core.roster.own.address:
+            self.hail(address)
+
     def try_seeds(self) -> None:
         """Hail some seeds."""
         seeds = [seed for seed in self.seeds if seed != self.core.roster.own.address]
--- a/hophinge/cluster/machine.py
+++ b/hophinge/cluster/machine.py
@@ -139,6 +139,9 @@
         core.counters["bytes_received"] += len(data)
         if opened.name == core.roster.me and opened.start in core.starts:
             return core.count("dropped_own")
+        if core.alone:
+            self.membership.company()
+        core.heard_us = core.now_us
         for part in opened.parts:
             self._part(source, opened.name, part)
             if core.silent:
--- a/hophinge/cluster/membership.py
+++ b/hophinge/cluster/membership.py
@@ -102,6 +102,14 @@
             return self._confirmed(self._accusation(held.record, core.roster.me))
         self._suspect(held.record, core.roster.me)
 
+    def company(self) -> None:
+        """Somebody is heard again after nobody was: suspicions that rest on that silence alone are void."""
+        core = self.core
+        for name, held in list(core.roster.held.items()):
+            if (held.record.standing == SUSPECT and held.since_us > core.heard_us
+                    and held.accusers <= {core.roster.me}):
+                core.standing(name, ALIVE, "")
+
     def clash(self, clash: Clash) -> str:
         """Answer a namesake; tells why this process has to step back where it is the younger."""
         core = self.core
--- a/hophinge/cluster/prober.py
+++ b/hophinge/cluster/prober.py
@@ -11,7 +11,7 @@
 
 from hophinge.cluster.budget import NEWS, PROBES
 from hophinge.cluster.core import Core
-from hophinge.cluster.messages import Ack, Nack, Ping, PingRequest, Record
+from hophinge.cluster.messages import ALIVE, Ack, Nack, Ping, PingRequest, Record
 
 NACK_PART = 0.8         # of the time for a probe: a helper says by then that it has heard nothing
 SEQ = 2 ** 32
@@ -75,6 +75,15 @@
         record = self.next()
         if record is None:
             return
+        self.probe(record, period)
+        if core.alone:
+            waiting = [one for one in core.roster.others() if one.standing == ALIVE and one.name != record.name]
+            for one in core.rng.sample(waiting, min(core.tuning.sweep - 1, len(waiting))):
+                self.probe(one, period)
+
+    def probe(self, record: Record, period: int) -> None:
+        """Probe a member for a period."""
+        core = self.core
         seq = core.rng.randrange(SEQ)
         probe = self.probes[seq] = Probe(record.name, record.incarnation, core.now_us)
         sent = self.ping(seq, record)
@@ -117,7 +126,7 @@
         record = core.roster.record(probe.name)
         if record is None or not record.counts:
             return
-        others = [one for one in core.roster.others() if one.name != probe.name]
+        others = [one for one in core.roster.others() if one.name != probe.name] if not core.alone else []
         for helper in core.rng.sample(others, min(core.tuning.helpers, len(others))):
             if core.say(helper.address, [PingRequest(seq, record.name, record.address)]):
                 probe.helpers += 1
--- a/hophinge/cluster/roster.py
+++ b/hophinge/cluster/roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -9,7 +10,7 @@
 from msgspec import Struct
 
 from hophinge.cluster.interface import Member
-from hophinge.cluster.messages import Record
+from hophinge.cluster.messages import LEFT, Record
 
 BUCKETS = 32            # by which members are compared: of 1,000 members about 31 in each, two datagrams of rows
 GRAVES_PART = 4         # times the most members are remembered after they are forgotten
@@ -25,6 +26,7 @@
     slept_us: int = 0                   # how long this process had stood still in all when a suspicion began
     verifying: bool = False             # a word that it is dead is being checked
     rival: Record | None = None         # a newer process under its name at another address
+    bucket: int = 0
     mark: int = 0                       # as it stands in its bucket
     member: Member | None = None        # the record as other parts see it
 
@@ -41,9 +43,11 @@
                  count: Callable[[str], None]) -> None:
         self.me, self.most, self.marks, self.count = me.name, most, marks, count
         self.held: dict[str, Held] = {}
-        self.graves: OrderedDict[str, tuple[int, int]] = OrderedDict()      # incarnation, when it was forgotten
+        # Incarnation, when it was forgotten, and its address where it did not leave by its will.
+        self.graves: OrderedDict[str, tuple[int, int, str]] = OrderedDict()
         self.buckets = [0] * BUCKETS
         self.live: dict[str, None] = {}                                     # names of those that count
+        self.by_bucket: list[set[str]] = [set() for _ in range(BUCKETS)]    # the same, by bucket
         self.put(me, now_us)
 
     @property
@@ -63,7 +67,7 @@
             if len(self.held) >= self.most and record.name != self.me:
                 self.count("members_over_bound")
                 return False
-            held = self.held[record.name] = Held(record, now_us)
+            held = self.held[record.name] = Held(record, now_us, bucket=bucket(record.name))
             self.graves.pop(record.name, None)
         else:
             if held.record.start != record.start:
@@ -74,8 +78,10 @@
         held.member = record.member()
         if record.counts:
             self.live[record.name] = None
+            self.by_bucket[held.bucket].add(record.name)
         else:
             self.live.pop(record.name, None)
+            self.by_bucket[held.bucket].discard(record.name)
         self.touch(record.name)
         return True
 
@@ -87,7 +93,7 @@
         mark = 0
         if held.record.counts:
             mark = zlib.crc32(b"%d %s %s" % (held.record.incarnation, name.encode(), self.marks(name)))
-        self.buckets[bucket(name)] ^= held.mark ^ mark
+        self.buckets[held.bucket] ^= held.mark ^ mark
         held.mark = mark
 
     def members(self) -> Iterator[Member]:
@@ -99,8 +105,10 @@
         """Strike a member off, and remember its incarnation against those that still speak of it."""
         held = self.held.pop(name)
         self.live.pop(name, None)
-        self.buckets[bucket(name)] ^= held.mark
-        self.graves[name] = (held.record.incarnation, now_us)
+        self.by_bucket[held.bucket].discard(name)
+        self.buckets[held.bucket] ^= held.mark
+        record = held.record
+        self.graves[name] = (record.incarnation, now_us, record.address if record.standing != LEFT else "")
         while len(self.graves) > self.most * GRAVES_PART:
             self.graves.popitem(last=False)
 
@@ -113,11 +121,17 @@
         while self.graves and next(iter(self.graves.values()))[1] < before_us:
             self.graves.popitem(last=False)
 
+    def lost(self, lot: float) -> str:
+        """Tell the address of somebody forgotten, by a lot from 0 to below 1; empty where that one left."""
+        if not self.graves:
+            return ""
+        return next(itertools.islice(self.graves.values(), int(lot * len(self.graves)), None))[2]
+
     def others(self) -> list[Record]:
         """Tell the records of others that count."""
         return [self.held[name].record for name in self.live if name != self.me]
 
     def of_bucket(self, number: int) -> Iterator[Record]:
         """Tell the records that count of one bucket, by name."""
-        for name in sorted(name for name in self.live if bucket(name) == number):
+        for name in sorted(self.by_bucket[number]):
             yield self.held[name].record
