Cuts and lonely members in virtual time, and seven more mutants that are caught

A sole survivor, one that is cut off or hears nobody, cuts that outlast the list of the dead, no incarnation that goes back, no dead one alive by a sleeper's word. Mutants: any word taken, the dead risen on hearsay, suspicions of silence kept, verdicts told by one that hears nobody, nobody ever alone, nobody knocked at, bytes that flow in twice.

--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
 import statistics
 import subprocess
@@ -35,6 +36,13 @@
              "CPU of one core a process, mean", "most")}
 
 
+class Forgotten(list[Any]):
+    """In the place of what nobody looks at: at 1,000 members it would be gigabytes."""
+
+    def append(self, one: Any) -> None:
+        """Keep nothing."""
+
+
 def fleet(count: int, loss: float, seed: int) -> tuple[Network, list[Node]]:
     """Start members that know each other, as after a start that is over."""
     net = Network(seed, loss=loss)
@@ -101,6 +109,8 @@
 def split(count: int, loss: float) -> list[Any]:
     """Cut in two halves for a while, with entries set on both sides, and heal."""
     net, nodes = fleet(count, loss, 6)
+    for node in nodes:
+        node.told = Forgotten()
     half = {node.address for node in nodes[::2]}
     net.cut = lambda source, target: (source in half) != (target in half)
     entries = 3 if count < 1000 else 1
@@ -158,6 +168,7 @@
     kinds = {"members": members, "split": split, "real": real}
     if only:
         began = time.monotonic()
+        gc.disable()        # hardly anything here is a cycle, and each full look is at millions of objects
         row = kinds[only[0]](int(only[1]), float(only[2]))
         print(json.dumps(row))
         print(f"{only}: {time.monotonic() - began:.0f} s", file=sys.stderr)
--- a/hophinge/cluster/joining.py
+++ b/hophinge/cluster/joining.py
@@ -47,9 +47,9 @@
 
     def knock(self, others: Collection[str]) -> None:
         """Hail one of those that died and are forgotten: a cut may have outlasted the memory of its other side."""
-        address = self.core.roster.lost(self.core.rng.random())
-        if address and address not in others and address != self.core.roster.own.address:
-            self.hail(address)
+        lost = [address for address in self.core.roster.lost() if address not in others]
+        if lost:
+            self.hail(self.core.rng.choice(lost))
 
     def try_seeds(self) -> None:
         """Hail some seeds."""
--- a/hophinge/cluster/roster.py
+++ b/hophinge/cluster/roster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -121,11 +120,9 @@
         while self.graves and next(iter(self.graves.values()))[1] < before_us:
             self.graves.popitem(last=False)
 
-    def lost(self, lot: float) -> str:
-        """Tell the address of somebody forgotten, by a lot from 0 to below 1; empty where that one left."""
-        if not self.graves:
-            return ""
-        return next(itertools.islice(self.graves.values(), int(lot * len(self.graves)), None))[2]
+    def lost(self) -> list[str]:
+        """Tell the addresses of those that are forgotten and did not leave by their will."""
+        return [address for _, _, address in self.graves.values() if address]
 
     def others(self) -> list[Record]:
         """Tell the records of others that count."""
--- a/tests/test_cluster_mutants.py
+++ b/tests/test_cluster_mutants.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from hophinge.cluster import machine, membership, roster, shelf, wire
+from hophinge.cluster import core, machine, membership, roster, shelf, wire
 from hophinge.cluster.budget import Budget
 from hophinge.cluster.messages import DEAD, SUSPECT, Record
+from tests import cluster_cuts as cuts
 from tests import cluster_scenarios as scenarios
 from tests import test_cluster_entries as entries
 from tests import test_cluster_wire as datagrams
@@ -42,7 +43,49 @@
     self._take(record)
 
 
+def any_word(self: membership.Membership, record: Record, sender: str, source: str) -> None:
+    """The last word counts, whatever its incarnation."""
+    if record.name == self.core.roster.me:
+        self.about_me(record)
+    elif record.counts:
+        self.core.put(record)
+    else:
+        self._verify(record, source)
+
+
+def risen(self: membership.Membership, record: Record, sender: str, source: str,
+          word: Callable[..., None] = membership.Membership.word) -> None:
+    """Who is held dead is alive again on anybody's word."""
+    held = self.core.roster.record(record.name)
+    if held is not None and not held.counts and record.counts and record.incarnation == held.incarnation:
+        self.core.put(record)
+    else:
+        word(self, record, sender, source)
+
+
+def flowing_twice(self: Budget, now_us: int, now: Callable[..., None] = Budget.now) -> None:
+    """What flows in comes in twice."""
+    before = self.level
+    now(self, now_us)
+    self.level = min(float(self.most), self.level + max(0.0, self.level - before))
+
+
+def talkative(self: core.Core, record: Record, put: Callable[..., bool] = core.Core.put) -> bool:
+    """One that hears nobody tells its verdicts to everybody."""
+    done = put(self, record)
+    if self.alone:
+        self.rumours.member(record)
+    return done
+
+
 MUTANTS: list[tuple[Any, str, Any, Callable[[], object]]] = [
+    (membership.Membership, "word", any_word, cuts.incarnation_never_goes_back),
+    (membership.Membership, "word", risen, cuts.stale_revives_nobody),
+    (membership.Membership, "company", lambda self: None, lambda: cuts.cut_off_accuses_nobody(14.0)),
+    (core.Core, "put", talkative, lambda: cuts.cut_off_accuses_nobody(16.0, True)),
+    (core.Core, "alone", False, lambda: cuts.survivor_finds_out(12)),
+    (roster.Roster, "lost", lambda self: [], lambda: cuts.long_cut_heals((3, 3))),
+    (Budget, "now", flowing_twice, scenarios.bound_holds),
     (membership.Membership, "about_me", no_refutation, lambda: scenarios.accused_stays(SUSPECT)),
     (membership.Membership, "_verify", believed, lambda: scenarios.accused_stays(DEAD)),
     (membership.Membership, "_rival", no_rivals, scenarios.redirected_stays),
