--- a/tests/test_maintenance_naming.py
+++ b/tests/test_maintenance_naming.py
@@ -55,7 +55,8 @@
 
 
 def test_a_head_that_is_here_is_not_named_as_gone_and_the_mistake_has_its_place() -> None:
-    text = b"(hophinge 1)\n(pool all (zones z)) (route (pools all))\n(maintenance (bricks (most 1))\n  (retired n7 n8))\n"
+    text = (b"(hophinge 1)\n(pool all (zones z)) (route (pools all))\n"
+            b"(maintenance (bricks (most 1))\n  (retired n7 n8))\n")
     document = read(text)
     assert not document.mistakes
     rows, place = list(document.records.values()), document.places["maintenance/*"]
--- a/tests/test_together_release_gone.py
+++ b/tests/test_together_release_gone.py
@@ -49,7 +49,7 @@
             assert made.platform.bricks[0].done == done
             rows = (await here.staff("History", most=50))["audit"]
             assert any("n2 is back" in row["detail"] for row in rows)
-            # Gone once more, with the same words still standing in the document: it is missed, and has to be named anew.
+            # Gone once more, the same words still in the document: it is missed, and has to be named anew.
             await here.lose("n2")
             missed = here.tells("n2 is missed", lambda told: [row["name"] for row in told["absent"]] == ["n2"])
             await until([missed, drained], BOUND_S)
