--- a/benchmarks/maintenance_heads.py
+++ b/benchmarks/maintenance_heads.py
@@ -138,8 +138,8 @@
         for at, (way, bad) in enumerate(itertools.product(("agreed", "two scripts"), (False, True))):
             rows.append(await play(Path(folder) / str(at), count, way, bad))
             print(rows[-1], flush=True)
-    heads = ["way", "most out at once", "served", f"least in {WINDOW_S} s", "p50", "p99", "time", "with the build", "end",
-             "requests"]
+    heads = ["way", "most out at once", "served", f"least in {WINDOW_S} s", "p50", "p99", "time", "with the build",
+             "end", "requests"]
     cores = len(os.sched_getaffinity(0))
     words = (
         f"By `python -m benchmarks.maintenance_heads {count}`: real processes on {cores} cores (load "
