--- /dev/null
+++ b/tests/test_maintenance_naming.py
@@ -0,0 +1,97 @@
+"""A head named as gone for good: whom that lets off, where it is refused, what its return undoes; older services."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from hophinge.control.permits import REPORT, encode_word
+from hophinge.control.wire import decode_response
+from hophinge.core.interface import ListKind, NodeEntry, NodeList, Phase
+from hophinge.maintenance.coordinator import Coordinator
+from hophinge.maintenance.drains import DRAINED, Statement
+from hophinge.maintenance.naming import refused, taken_back
+from hophinge.maintenance.permits import Kind, State
+from hophinge.maintenance.shown import shown
+from hophinge.maintenance.words import Listed, Report, Word
+from hophinge.routing.bounds import Maintenance, Most, Outage
+from hophinge.routing.forms import read
+from hophinge.routing.records import Record
+from tests.maintenance_process import Head
+from tests.maintenance_world import MemoryStore, S, World
+from tests.stand_in import run
+
+RULE = Maintenance(None, Most(1, -1.0, -1))
+OUTAGE = Outage("o", ("b0",))
+BRICKS = {"b0": Listed("", "", True), "b1": Listed("", "", True)}
+
+
+def said(issuer: Coordinator) -> Report:
+    permit = issuer.permits.of(Kind.BRICK, "b0")
+    assert permit is not None
+    return Report(1, statements=(Statement(permit.id, "b0", DRAINED),), bricks=BRICKS)
+
+
+def test_a_head_named_as_gone_lets_a_drain_end_and_its_return_holds_it_up_again() -> None:
+    world = World(1, 2, 2, RULE)
+    issuer = Coordinator("store", 9, (), (), {"n0": "", "n1": ""}, MemoryStore(world), world.now)
+    forms: list[Record] = [RULE, OUTAGE]
+    issuer.document(forms, (), {})
+    issuer.connected("n0", True, 2)
+    issuer.report("n0", Report(1, bricks=BRICKS))
+    issuer.tick(world.now)
+    # n0's cluster still knows n1, and holds it for dead, which is no yes.
+    issuer.report("n0", Report(1, statements=said(issuer).statements, bricks=BRICKS, live=("n0", "n1"), clustered=True))
+    issuer.tick(world.now + S)
+    told = shown(issuer, lambda name: 7)
+    assert (told["permits"][0]["state"], told["permits"][0]["missing"]) == ("draining", ["n1"])
+    assert told["absent"][0]["name"] == "n1" and told["absent"][0]["since_ms"] == 7
+    forms = [Maintenance(None, Most(1, -1.0, -1), retired=("n1",)), OUTAGE]
+    issuer.document(forms, (), {})
+    issuer.tick(world.now + 2 * S)
+    assert issuer.permits.all(Kind.BRICK)[0].state is State.OUT and shown(issuer)["absent"] == []
+    forms = taken_back(forms, "n1")
+    assert forms == [RULE, OUTAGE] and taken_back(forms, "n0") == forms
+    issuer.document(forms, (), {})
+    issuer.connected("n1", True, 2)
+    word = issuer.word("n1")
+    assert word is not None and list(word.out.values()) == ["b0"]       # the first that it hears
+    told = shown(issuer)
+    assert (told["permits"][0]["state"], told["permits"][0]["missing"]) == ("draining again", ["n1"])
+    issuer.report("n1", said(issuer))
+    assert shown(issuer)["permits"][0]["state"] == "drained"
+
+
+def test_a_head_that_is_here_is_not_named_as_gone_and_the_mistake_has_its_place() -> None:
+    text = (b"(hophinge 1)\n(pool all (zones z)) (route (pools all))\n"
+            b"(maintenance (bricks (most 1))\n  (retired n7 n8))\n")
+    document = read(text)
+    assert not document.mistakes
+    rows, place = list(document.records.values()), document.places["maintenance/*"]
+    assert refused(rows, {"n1"}, place) == []
+    line, = refused(rows, {"n8", "n1"}, place, "words.sexp")
+    assert line.startswith("words.sexp:4:15: n8 is not gone") and "take it out of (retired ...)" in line
+
+
+def test_a_head_tells_changes_only_to_a_service_whose_word_says_that_it_takes_them(tmp_path: Path) -> None:
+    async def main() -> None:
+        upkeep = Head("n0", 1, "1", tmp_path / "n0", lambda head, go: None).upkeep
+        assert upkeep is not None
+
+        def told(word: Word) -> Report:
+            upkeep._word(decode_response(encode_word(word)))
+            request, = upkeep._due(True)
+            return msgspec.json.decode(request.initial[REPORT], type=Report)
+
+        upkeep.rotation.take(NodeList(ListKind.FULL, (NodeEntry("s-0", 0, 0, Phase.ON, 1.0, 0),)))
+        assert upkeep._due(True) == []                                      # no word yet
+        older = told(Word("s", 1, 1))
+        assert list(older.bricks) == ["s-0"] and older.parts is None
+        first = told(Word("s", 2, 1, parts=True))                           # the service was replaced by a newer one
+        assert not first.bricks and first.parts is not None and first.parts.bricks.whole
+        second = told(Word("s", 2, 2, parts=True)).parts
+        assert second is not None and (second.number, second.bricks.whole, second.bricks.rows) == (2, False, {})
+        upkeep._greet([])
+        assert told(Word("s", 3, 1)).bricks.keys() == {"s-0"}               # and by an older one again
+    run(main())
