--- a/benchmarks/scoring_costs.py
+++ b/benchmarks/scoring_costs.py
@@ -117,6 +117,19 @@
               f"{statistics.median(more[number]) if number else 0.0:.1f} |" for number in found)]
 
 
+def slices(head: Engine, now_us: int, names: Sequence[str], entries: Sequence[Entry]) -> list[float]:
+    """Tell the milliseconds of CPU time of each slice of a tick: what a slice waits for its core is not its own."""
+    gc.collect()
+    gc.disable()
+    found, since = [], time.thread_time_ns()
+    for _ in head.slices(now_us, frozenset(names), entries, []):
+        found.append((time.thread_time_ns() - since) / 1e6)
+        since = time.thread_time_ns()
+    found.append((time.thread_time_ns() - since) / 1e6)
+    gc.enable()
+    return found
+
+
 def ticks() -> list[str]:
     """Time the tick of once a second: all peers' entries read, judged and merged, own ones made."""
     rows = []
@@ -135,13 +148,13 @@
                         count += 1
                         key = encoding.key(scorer, chunk)
                         entries.append(Entry(f"p{number}", Topic.WEIGHTS, key, (1, count), value))
-            one = partial(head.tick, nodes=frozenset(names), entries=entries)
             since = T0 + 1_000_000
-            first = timed(1, partial(one, since))
+            first = slices(head, since, names, entries)
             while head.reader is not None and len(head.reader.versions) < len(entries):     # some are read later
-                one(since)
-            again = [timed(1, partial(one, since + at * 1_000_000)) for at in range(1, 6)]
-            rows.append(f"| {peers} | {bricks} | {label} | {len(entries)} | {first / 1000:.1f} | "
-                        f"{statistics.median(again) / 1000:.1f} |")
-    return ["| peers | bricks | each peer accuses | entries | first tick, ms | each further one, ms |",
-            "| --- | --- | --- | --- | --- | --- |", *rows]
+                slices(head, since, names, entries)
+            again = [slices(head, since + at * 1_000_000, names, entries) for at in range(1, 12)]
+            rows.append(f"| {peers} | {bricks} | {label} | {len(entries)} | {sum(first):.1f} | "
+                        f"{statistics.median(map(sum, again)):.1f} | {max(first):.1f} | "
+                        f"{spread(list(map(max, again)))} |")
+    return ["| peers | bricks | each peer accuses | entries | first tick, ms | each further one, ms "
+            "| longest slice of the first, ms | of a further one, ms |", "| --- " * 8 + "|", *rows]
--- a/hophinge/cluster/interface.py
+++ b/hophinge/cluster/interface.py
@@ -87,7 +87,7 @@
         """Take an own entry back; one that is not there is no error."""
 
     def entries(self, topic: Topic) -> Iterable[Entry]:
-        """Tell what is held under a topic, of members that count, one's own among them."""
+        """Tell what is held under a topic, of members that count, one's own among them; it may change meanwhile."""
 
 
 class Hearer(Protocol):
--- a/hophinge/cluster/shelf.py
+++ b/hophinge/cluster/shelf.py
@@ -75,7 +75,7 @@
         for owner in owners:
             held = self.stream(owner, topic)
             if held is not None:
-                for item in held.items.values():
+                for item in list(held.items.values()):      # who reads in slices must not meet a change
                     if item.value is not None:
                         yield Entry(owner, TOPICS[topic], item.key, (held.start, item.count), item.value)
 
--- a/hophinge/head/scoring.py
+++ b/hophinge/head/scoring.py
@@ -7,7 +7,7 @@
 import re
 import resource
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from importlib.metadata import entry_points
 from types import ModuleType
 from typing import Any
@@ -146,18 +146,27 @@
         try:
             while True:
                 await asyncio.sleep(TICK_S)
-                self.tick()
+                for _ in self.slices():
+                    await asyncio.sleep(0)      # requests first
         finally:
             watchdog.stop()
 
-    def tick(self) -> None:
-        """Learn, merge and tell peers; what goes wrong is logged, as nothing of it may end the head."""
+    def slices(self) -> Iterator[None]:
+        """Learn, merge and tell peers, in slices; what goes wrong is logged, as nothing of it may end the head."""
         try:
             entries = self.board.entries(Topic.WEIGHTS) if self.board is not None else ()
-            self._carry_out(self.engine.tick(self.exchange.now_us(), self.exchange.phases, entries))
+            nodes = frozenset(self.exchange.phases)     # as it is now: it changes between slices
+            actions: list[Put | Drop] = []
+            yield from self.engine.slices(self.exchange.now_us(), nodes, entries, actions)
+            self._carry_out(actions)
         except Exception as error:
             self._refused(f"scorers' tick failed: {type(error).__name__}: {error}")
 
+    def tick(self) -> None:
+        """Do all slices in one go."""
+        for _ in self.slices():
+            pass
+
     def _carry_out(self, actions: Sequence[Put | Drop]) -> None:
         if self.board is None:
             return
--- a/hophinge/scoring/encoding.py
+++ b/hophinge/scoring/encoding.py
@@ -16,6 +16,7 @@
 FORMAT = 1
 STEPS = 50                  # that a weight is told in: finer ones would send entries anew for nothing
 CHUNKS = 8                  # entries of one scorer; about 40 bricks with names of 20 characters each
+MAP_BYTES = 2               # that MessagePack's head of a map has beyond the one of an empty map
 MOST_SCORER = 64            # characters of a scorer's name: with its chunk it is an entry's key
 
 
@@ -57,18 +58,19 @@
 def encode(version: str, beat: int, weights: Mapping[str, float]) -> tuple[dict[int, bytes], int]:
     """Make entries by chunk, the worst bricks first while there is room; tells besides how many were left out."""
     parts: dict[int, dict[str, int]] = {0: {}}
+    room = dict.fromkeys(range(CHUNKS), MOST_VALUE - len(ENCODER.encode(Table(FORMAT, version, beat, {}))) - MAP_BYTES)
+    left_out = 0
     for node, weight in sorted(weights.items(), key=lambda item: (-item[1], item[0])):
         if (steps := round(weight * STEPS)) and len(node) <= MOST_NAME:
-            parts.setdefault(chunk_of(node), {})[node] = steps
-    found, left_out = {}, 0
-    for chunk, part in parts.items():
-        # The beat is entry 0's alone: the others need no sending when it changes.
-        table = Table(FORMAT, version, beat if chunk == 0 else 0, part)
-        while len(value := ENCODER.encode(table)) > MOST_VALUE and part:
-            part.popitem()
-            left_out += 1
-        found[chunk] = value
-    return found, left_out
+            chunk = chunk_of(node)
+            room[chunk] -= len(ENCODER.encode(node)) + 1        # steps take one byte
+            if room[chunk] >= 0:
+                parts.setdefault(chunk, {})[node] = steps
+            else:
+                left_out += 1
+    # The beat is entry 0's alone: the others need no sending when it changes.
+    return {chunk: ENCODER.encode(Table(FORMAT, version, 0 if chunk else beat, part))
+            for chunk, part in parts.items()}, left_out
 
 
 def decode(chunk: int, value: bytes) -> tuple[str, dict[str, float]]:
--- a/hophinge/scoring/engine.py
+++ b/hophinge/scoring/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Mapping, Sequence
 
 from msgspec import Struct
 
@@ -55,25 +55,44 @@
 
     def tick(self, now_us: int, nodes: Container[str], entries: Iterable[Entry] = ()) -> list[Put | Drop]:
         """Learn, merge and tell what to set on the board; `nodes` are the bricks that are listed here."""
-        self.guard.tick(now_us, nodes)
+        actions: list[Put | Drop] = []
+        for _ in self.slices(now_us, nodes, entries, actions):
+            pass
+        return actions
+
+    def slices(self, now_us: int, nodes: Container[str], entries: Iterable[Entry],
+               actions: list[Put | Drop]) -> Iterator[None]:
+        """Do the same in slices: whatever comes in between is served; `actions` are there at the end.
+
+        `nodes` must not change meanwhile, and `entries` tells each owner's as they were at one moment. The next tick
+        may begin only after the last slice.
+        """
+        for one in self.guard.scorers:
+            self.guard.tick(now_us, nodes, one)
+            yield
         if self.reader is None:
-            return []
-        self.reader.read(now_us, entries)
+            return
+        yield from self.reader.read(now_us, entries)
         wanted: dict[str, bytes] = {}
-        self.left_out = 0
+        left_out = 0
         for name, shared in self.shared.items():
             own = self.guard.weights(now_us, name)
             if own is None:
                 continue        # who is left out says nothing, rather than that all is well
-            shared.judge(now_us, own)
-            self.guard.merged(now_us, name, shared.weights(now_us, own, nodes))
-            values, left_out = encoding.encode(
+            yield
+            yield from shared.judge(now_us, own)
+            found: dict[str, float] = {}
+            yield from shared.weights(now_us, own, nodes, found)
+            self.guard.merged(now_us, name, found)
+            yield
+            values, more = encoding.encode(
                 shared.version, now_us // BEAT_US, {node: one.value for node, one in own.items() if node in nodes})
-            self.left_out += left_out
+            left_out += more
             wanted |= {encoding.key(name, chunk): value for chunk, value in values.items()}
-        actions: list[Put | Drop] = [Drop(key) for key in self.told.keys() - wanted.keys()]
+            yield
+        self.left_out = left_out
+        actions += [Drop(key) for key in self.told.keys() - wanted.keys()]
         actions += [Put(key, value) for key, value in wanted.items() if self.told.get(key) != value]
-        return actions
 
     def done(self, action: Put | Drop) -> None:
         """Take that an action was carried out; one that was not comes again with the next tick."""
--- a/hophinge/scoring/guard.py
+++ b/hophinge/scoring/guard.py
@@ -97,10 +97,9 @@
             if one.hears:
                 self._call(one, now_us, self.budget_ns, lambda scorer: scorer.heard(now_us, node, result, elapsed_us))
 
-    def tick(self, now_us: int, nodes: Container[str]) -> None:
-        """Let all scorers do what is due."""
-        for one in self.scorers:
-            self._call(one, now_us, LEARNING_NS, lambda scorer: scorer.tick(now_us, nodes))
+    def tick(self, now_us: int, nodes: Container[str], one: Guarded) -> None:
+        """Let a scorer do what is due."""
+        self._call(one, now_us, LEARNING_NS, lambda scorer: scorer.tick(now_us, nodes))
 
     def weights(self, now_us: int, name: str) -> dict[str, Weight] | None:
         """Tell a scorer's own weights; None where it is left out, or they are none."""
--- a/hophinge/scoring/sharing.py
+++ b/hophinge/scoring/sharing.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Mapping, Sequence
 from itertools import islice
 
+from msgspec import Struct
+
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.scoring import encoding
 from hophinge.scoring.interface import Weight
@@ -16,6 +18,8 @@
 FORGOTTEN_US = 60_000_000   # it has counted for less than a hundredth for ten seconds
 MOST_WORDS = 20_000         # that are looked at for one purpose in one tick: some tens of milliseconds
 MOST_TAKEN = 500            # entries that are read in one tick; others that have changed are read in the next
+SLICE = 500                 # looks at entries or words in one go: under a millisecond
+TAKING = 10                 # looks that reading an entry counts as, beside one for each ten bytes of it
 MOST_OWNERS = 1_000         # whose words and mistakes are kept, the default bound on members
 
 Merge = Callable[[Sequence[tuple[float, float]]], float]
@@ -46,6 +50,21 @@
         return 1.0 if age <= 0 else 0.0 if age > FORGOTTEN_US - FRESH_US else 2.0 ** (-age / HALF_LIFE_US)
 
 
+class Looks:
+    """How much was done since a tick last stood still."""
+
+    def __init__(self) -> None:
+        self.done = 0
+
+    def enough(self, more: int) -> bool:
+        """Count what was done, and once more for having gone there; tells whether the tick should stand still now."""
+        self.done += more + 1
+        if self.done < SLICE:
+            return False
+        self.done = 0
+        return True
+
+
 class Shared:
     """All that peers say for one scorer."""
 
@@ -72,37 +91,54 @@
             peer.chunks = {}
             peer.words = {}
 
-    def judge(self, now_us: int, own: Mapping[str, Weight]) -> None:
-        """Compare fresh words with one's own answers; forget who has long been silent."""
+    def judge(self, now_us: int, own: Mapping[str, Weight]) -> Iterator[None]:
+        """Compare fresh words with one's own answers, in slices; forget who has long been silent."""
         sure = {node: weight.value for node, weight in own.items() if weight.evidence >= SURE}
         most = MOST_WORDS // max(1, len(self.peers))
         accused = [node for node, value in sure.items() if value > APART][:most]
+        looks = Looks()
         for owner, peer in list(self.peers.items()):
             if now_us - peer.heard_us > FORGOTTEN_US:
                 del self.peers[owner]
             elif peer.chunks and now_us - peer.heard_us <= FRESH_US:
                 peer.agreement.compare(sure, accused, peer.words, most)
+                if looks.enough(min(most, len(peer.words)) + len(accused)):
+                    yield
 
-    def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str]) -> dict[str, float]:
-        """Tell the weights to use, of bricks that this head has in its own list; neutral ones are left out."""
+    def weights(self, now_us: int, own: Mapping[str, Weight], nodes: Container[str],
+                found: dict[str, float]) -> Iterator[None]:
+        """Find the weights to use, in slices, of bricks in this head's own list; neutral ones are left out."""
         heard: list[tuple[dict[str, float], float, float]] = []
-        named: dict[str, int] = {node: 0 for node, weight in own.items() if weight.value > 0.0}
+        named = {node: 0 for node, weight in own.items() if weight.value > 0.0 and node in nodes}
         fresh, most = 0.0, MOST_WORDS // max(1, len(self.peers))
+        looks = Looks()
         for peer in self.peers.values():
             part = peer.freshness(now_us)
             if peer.chunks and part > 0.0:
                 heard.append((peer.words, part, peer.agreement.trust))
                 fresh += part
                 for node in islice(peer.words, most):
-                    named[node] = named.get(node, 0) + 1
-        found = {node: own[node].value for node in named if node in own and node in nodes}
+                    if node in nodes:
+                        named[node] = named.get(node, 0) + 1
+                if looks.enough(min(most, len(peer.words))):
+                    yield
+        found |= {node: own[node].value for node in named if node in own and own[node].value > 0.0}
         # What too few say is cut off by the merge anyway; a flood of accusations must not keep this head from its work.
         few = trimmed(max(len(heard), LEAST_WORDS)) if self.merge is hearsay else 0
-        told = [node for node, number in named.items() if number > few and node in nodes]
+        told = [node for node, number in named.items() if number > few]
         for node in sorted(told, key=lambda node: (-named[node], node))[:MOST_WORDS // max(1, len(heard))]:
             words = [(said.get(node, 0.0) * part, trust) for said, part, trust in heard]
-            found[node] = combined(own.get(node), self.merge(words), fresh / len(heard))
-        return {node: weight for node, weight in found.items() if weight > 0.0}
+            if (weight := combined(own.get(node), self.merge(words), fresh / len(heard))) > 0.0:
+                found[node] = weight
+            if looks.enough(len(words)):
+                yield
+
+
+class Last(Struct, gc=False):
+    """An entry as it was last read, and in which reading it was last there."""
+
+    version: tuple[int, int]
+    held: int
 
 
 class Reader:
@@ -110,26 +146,37 @@
 
     def __init__(self, me: str, shared: Mapping[str, Shared]) -> None:
         self.me, self.shared = me, shared
-        self.versions: dict[tuple[str, str], tuple[int, int]] = {}
+        self.versions: dict[tuple[str, str], Last] = {}
+        self.reading = 0                            # how often all entries were looked at
         self.left: set[str] = set()                 # owners of which all entries are gone
         self.bad: dict[str, int] = {}               # entries dropped, by owner
         self.other_versions: dict[str, int] = {}    # entries of another version of a scorer, by owner
 
-    def read(self, now_us: int, entries: Iterable[Entry]) -> None:
-        """Take all entries that are held now; those that have not changed cost a look."""
-        held: set[tuple[str, str]] = set()
-        taken = 0
+    def read(self, now_us: int, entries: Iterable[Entry]) -> Iterator[None]:
+        """Take all entries that are held now, in slices; those that have not changed cost a look."""
+        self.reading += 1
+        speak: set[str] = set()
+        taken, looks = 0, Looks()
         for entry in entries:
+            cost = 0
             if entry.owner == self.me or entry.topic is not Topic.WEIGHTS:
                 continue
             at = entry.owner, entry.key
-            held.add(at)
-            if self.versions.get(at) != entry.version and taken < MOST_TAKEN:
+            speak.add(entry.owner)
+            if (last := self.versions.get(at)) is not None:
+                last.held = self.reading
+            if (last is None or last.version != entry.version) and taken < MOST_TAKEN:
                 taken += 1
-                self.versions[at] = entry.version
+                self.versions[at] = Last(entry.version, self.reading)
                 self._take(now_us, entry)
-        speak = {owner for owner, _ in held}
-        for at in self.versions.keys() - held:
+                cost = TAKING + len(entry.value) // 10
+            if looks.enough(cost):
+                yield
+        for at in list(self.versions):
+            if looks.enough(0):
+                yield
+            if self.versions[at].held == self.reading:
+                continue
             del self.versions[at]
             # Who takes an entry back says so. Of a member that is gone all are; what it said last ages, as of one that
             # has fallen silent: else a split would make the few that are left the judges of everything at once.
--- a/tests/test_scoring_head.py
+++ b/tests/test_scoring_head.py
@@ -10,13 +10,16 @@
 import pytest
 
 from hophinge.cluster.interface import Entry, Topic
+from hophinge.cluster.messages import TOPICS
+from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.tuning import Limits
 from hophinge.core.counters import Counters
 from hophinge.core.errors import HophingeError
 from hophinge.core.exchange import Answer, Attempt, End, Exchange, Verdict
 from hophinge.core.interface import ListKind, NodeList, Result
 from hophinge.head.scoring import Scoring, usage
 from hophinge.head.sections import ScoringConfig
-from hophinge.scoring import encoding
+from hophinge.scoring import encoding, sharing
 from hophinge.scoring.engine import Engine
 from hophinge.scoring.interface import Surroundings, View
 from tests.scoring_parts import ASK, Clock, Says, books
@@ -129,6 +132,22 @@
     assert log[-1] == "scorers' tick failed: OSError: gone"
 
 
+def test_a_board_may_change_between_two_slices_of_a_tick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sharing, "SLICE", 1)
+    _, _, scoring, log = composed()
+    board = OneBoard()
+    shelf = Shelf("peer", 1, Limits(), lambda what: None, lambda entry, gone: None, lambda owner: None)
+    board.entries = lambda topic: shelf.entries(TOPICS.index(topic), iter(["peer"]))    # type: ignore[method-assign]
+    values = encoding.encode("suspicion-1", 1, {f"n{at}": 1.0 for at in range(4)})[0]
+    for chunk, value in values.items():
+        shelf.put(Topic.WEIGHTS, encoding.key("suspicion", chunk), value)
+    scoring.share("me", board)
+    for at, _ in enumerate(scoring.slices()):
+        shelf.put(Topic.WEIGHTS, f"latency/{at % 8}", b"?")
+    assert at > len(values) > 1 and not log
+    assert scoring.engine.shared["suspicion"].peers["peer"].words == {f"n{at}": 1.0 for at in range(4)}
+
+
 def test_a_head_that_does_not_share_tells_and_hears_nothing() -> None:
     loop, log = Loop(), list[str]()
     config = ScoringConfig(["suspicion"], share=False)
--- a/tests/test_scoring_merge.py
+++ b/tests/test_scoring_merge.py
@@ -114,9 +114,9 @@
     shared = Shared("1")
     for owner in ("a", "b"):
         shared.take(0, owner, 0, "1", {"n": 1.0})
-    shared.judge(1, {"n": Weight(0.0, merge.SURE - 1)})
+    list(shared.judge(1, {"n": Weight(0.0, merge.SURE - 1)}))
     assert shared.peers["a"].agreement.trust == 0.5
-    shared.judge(1, {"n": Weight(0.0, merge.SURE)})
+    list(shared.judge(1, {"n": Weight(0.0, merge.SURE)}))
     assert shared.peers["a"].agreement.trust < 0.5
 
 
