--- a/benchmarks/scoring_costs.py
+++ b/benchmarks/scoring_costs.py
@@ -14,6 +14,7 @@
 from hophinge.core import interface as api
 from hophinge.core.choice import Scheduler
 from hophinge.core.choice.books import Book
+from hophinge.head.scoring import usage
 from hophinge.scoring import encoding
 from hophinge.scoring.engine import Engine
 from hophinge.scoring.interface import Surroundings
@@ -29,7 +30,7 @@
     if not made:
         return None
     head = Engine(made, {name: model.VERSIONS[name] for name in made}, 75_000.0, 1e6, time.perf_counter_ns, print,
-                  Surroundings(10_000_000))
+                  Surroundings(10_000_000), usage=usage)
     head.surroundings.drains, head.surroundings.demand = frozenset(names[:1]), lambda key: 5.0
     rng = random.Random(1)
     for node in names:
