--- a/tests/test_scoring_head.py
+++ b/tests/test_scoring_head.py
@@ -4,50 +4,30 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import msgspec
 import pytest
 
 from hophinge.cluster.interface import Entry, Topic
+from hophinge.cluster.messages import TOPICS
+from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.tuning import Limits
 from hophinge.core.counters import Counters
 from hophinge.core.errors import HophingeError
 from hophinge.core.exchange import Answer, Attempt, End, Exchange, Verdict
 from hophinge.core.interface import ListKind, NodeList, Result
 from hophinge.head.scoring import Scoring, usage
 from hophinge.head.sections import ScoringConfig
-from hophinge.scoring import encoding
+from hophinge.scoring import encoding, sharing
 from hophinge.scoring.engine import Engine
 from hophinge.scoring.interface import Surroundings, View
 from tests.scoring_parts import ASK, Clock, Says, books
 from tests.test_choice import MS, SETTINGS, T0, ask, node
+from tests.test_exchange import Loop
 
 CONFIG = ScoringConfig(["latency", "suspicion", "outlook"])
 
 
-class Loop:
-    """A loop that is turned by hand."""
-
-    def __init__(self) -> None:
-        self.now, self.soon = T0, list[Callable[[], None]]()
-
-    def now_us(self) -> int:
-        return self.now
-
-    def call_at(self, when_us: int, callback: Callable[[], None]) -> Any:
-        return self
-
-    def cancel(self) -> None:
-        pass
-
-    def call_soon(self, callback: Callable[[], None]) -> None:
-        self.soon.append(callback)
-
-    def turn(self) -> None:
-        while self.soon:
-            self.soon.pop(0)()
-
-
 class FullError(HophingeError):
     code, remedy = "test-full", "Wait."
 
@@ -80,7 +60,7 @@
     exchange = Exchange(SETTINGS, 1, loop, Counters(), log.append)
     scoring = Scoring(CONFIG, exchange, log.append, Clock())
     exchange.nodes(NodeList(ListKind.FULL, tuple(node(at) for at in range(4))))
-    loop.turn()
+    loop.advance(0)
     return loop, exchange, scoring, log
 
 
@@ -104,7 +84,7 @@
     exchange.start = start
     answers: list[Answer] = []
     exchange.arrive(ask("r", shard=-1), None, answers.append)
-    loop.turn()
+    loop.advance(0)
     assert tried == ["n2"] and [answer.verdict for answer in answers] == [Verdict.SERVED]
     sketch = scoring.engine.guard.named("latency").scorer.sketches["n2"]  # type: ignore[attr-defined]   # of Latency
     assert sketch.total == 1.0 and abs(sketch.quantile_us(0.5) - 5 * MS) < MS
@@ -129,6 +109,22 @@
     assert log[-1] == "scorers' tick failed: OSError: gone"
 
 
+def test_a_board_may_change_between_two_slices_of_a_tick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sharing, "SLICE", 1)
+    _, _, scoring, log = composed()
+    board = OneBoard()
+    shelf = Shelf("peer", 1, Limits(), lambda what: None, lambda entry, gone: None, lambda owner: None)
+    board.entries = lambda topic: shelf.entries(TOPICS.index(topic), iter(["peer"]))    # type: ignore[method-assign]
+    values = encoding.encode("suspicion-1", 1, {f"n{at}": 1.0 for at in range(4)})[0]
+    for chunk, value in values.items():
+        shelf.put(Topic.WEIGHTS, encoding.key("suspicion", chunk), value)
+    scoring.share("me", board)
+    for at, _ in enumerate(scoring.slices()):
+        shelf.put(Topic.WEIGHTS, f"latency/{at % 8}", b"?")
+    assert at > len(values) > 1 and not log
+    assert scoring.engine.shared["suspicion"].peers["peer"].words == {f"n{at}": 1.0 for at in range(4)}
+
+
 def test_a_head_that_does_not_share_tells_and_hears_nothing() -> None:
     loop, log = Loop(), list[str]()
     config = ScoringConfig(["suspicion"], share=False)
