Fetches have no reserve, count in nobody's fair part, and leave each brick its idle time

Change: an arrival may say that nobody waits for it (spare): no reserve, no part of what others share. A shard rests 25 times as long as its last fetch took, times the heads that live, so that fetches add at most 4 % to others' mean wait. A plan is carried out for two seconds at most. Drains are read as the statements they are: a drain of b11 held back b1 too.

--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -22,10 +22,10 @@
     def _part(self, request: Request, place: str, wait: float) -> float:
         """Part of its full worth that a unit of the request earns now."""
         volume, part = request.volume, 1.0
-        if volume.reserve_left(self.now) < request.ask.units:
+        if request.ask.spare or volume.reserve_left(self.now) < request.ask.units:
             own = volume.beyond.get(place)
             within = own is None or own.rate(self.now) <= self._fair(place) * volume.plan.weight
-            part = self.settings.share_worth if within else self.settings.spare_worth
+            part = self.settings.share_worth if within and not request.ask.spare else self.settings.spare_worth
         return part if self.now + wait <= request.aim_at else part * request.klass.late_worth
 
     def _fair(self, place: str) -> float:
@@ -123,7 +123,7 @@
         volume = request.volume
         if volume.reserve_left(now) >= ask.units:
             volume.reserve.level -= ask.units
-        else:
+        elif not ask.spare:
             for place in (book.entry.node, ""):
                 volume.beyond.setdefault(place, Gauge()).add(now, ask.units)
         volume.own.add(now, ask.units)
--- a/hophinge/head/popularity.py
+++ b/hophinge/head/popularity.py
@@ -10,6 +10,7 @@
 from hophinge.core import interface as api
 from hophinge.core.errors import HophingeError, told
 from hophinge.head.sections import PopularityConfig
+from hophinge.maintenance.drains import heard
 from hophinge.objects.beforehand import Fetcher
 from hophinge.objects.cache import Object, PieceCache
 from hophinge.objects.records import Manifest, manifest_id, shard_of
@@ -22,7 +23,10 @@
 TICK_S = 0.5            # between looks at peers, spans and what might be fetched
 STEP, REST_S = 25, 0.02 # predictions made at once, and the rest after: a millisecond in twenty, so that nobody waits
 PLAN_TICKS = 4          # between plans, where the last one was carried out
-SPARE_WAIT = 0.25       # tightest aims of others' work at a brick beyond which it has nothing to spare
+FETCH_US = 2_000_000    # of one plan: peers are to be heard and spans closed in time
+# Tightest aims of others' work at a brick beyond which it has nothing to spare: the module's own bound for what is late
+# and beyond each reserve and fair part, by the settings' usual worths (0.75 sqrt(0.1 x 0.2)).
+SPARE_WAIT = 0.1
 WAIT_FADES = 4.0        # tightest aims after which a wait that was seen says nothing
 MOST_SECRET = 4096      # bytes of the file
 
@@ -46,13 +50,11 @@
     return secret
 
 
-def drains(board: Board) -> Callable[[str], bool]:
-    """Make the predicate of bricks that some member says are in a drain: the entry's key or value names them."""
-    def draining(node: str) -> bool:
-        name = node.encode()
-        return any(entry.key == node or name in entry.value for entry in board.entries(Topic.DRAINS))
-
-    return draining
+def drained(board: Board | None) -> frozenset[str]:
+    """Tell the bricks that some member's statement names; one that is back counts until its permit is free."""
+    if board is None:
+        return frozenset()
+    return frozenset(one.brick for rows in heard(board.entries(Topic.DRAINS)).values() for one in rows)
 
 
 class HeadPopularity:
@@ -75,8 +77,6 @@
         self.cache.tell = self._asked_for
         now_us = self.exchange.now_us()
         self.planner = Planner(me, zone, config.fetch_bytes_s, config.tenant_part, now_us)
-        if board is not None:
-            self.planner.draining = drains(board)
         self.fetcher = Fetcher(store.core, self.cache, self.planner, self.facts)
         store.watcher, store.core.cache = self, self.cache
         self.closes_us = now_us + span_us
@@ -124,7 +124,7 @@
         now_us, exchange = self.exchange.now_us(), self.exchange
         refused = exchange.counters.counts["requests_refused"] - self.fetcher.refused
         overloaded, self.refusals = refused > self.refusals, refused
-        sources: dict[int, list[Source]] = {}
+        sources, draining = dict[int, list[Source]](), drained(self.board)
         aim = exchange.scheduler.aim
         for name, book in exchange.scheduler.books.items():
             queued = book.wait > SPARE_WAIT * aim and now_us - book.wait_at < WAIT_FADES * aim
@@ -132,7 +132,7 @@
             spare = 0.0 if waits else exchange.settings.most_units - book.units_out
             warm = book.warmth(now_us, exchange.settings.rules.cold_us) >= 1.0
             sources.setdefault(book.entry.shard, []).append(
-                Source(name, book.entry.shard, book.entry.phase is api.Phase.ON, warm, spare))
+                Source(name, book.entry.shard, book.entry.phase is api.Phase.ON, warm, spare, name in draining))
         return Facts(max(0, exchange.unanswered - self.fetcher.out), overloaded, sources)
 
     # --- the loop
@@ -167,9 +167,8 @@
             return
         members = self.sight.members()
         zones = {one.name: one.zone for one in members if one.counts}
-        heads = sum(one.zone == self.site.zone and one.role is Role.HEAD and one.standing is Standing.ALIVE
-                    for one in members)
-        self.planner.share(now_us, heads)
+        live = [one.zone for one in members if one.role is Role.HEAD and one.standing is Standing.ALIVE]
+        self.planner.share(now_us, live.count(self.site.zone), len(live))
         seen = {}
         for entry in self.board.entries(Topic.POPULARITY):
             if entry.owner == self.site.me or entry.owner not in zones:
@@ -204,6 +203,7 @@
         self.unfinished &= self.site.known.keys()
         fresh = (one for one in self.site.candidates(self.store.core.units) if one.key not in self.tried and (
             one.key in self.unfinished or not self.cache.holds(self.site.object(one.key))))
+        until_us = self.exchange.now_us() + FETCH_US
         for one in self.planner.plan(self.exchange.now_us(), members, self.facts(), fresh):
             known = self.site.known.get(one.key)
             owner = self.owner_of(known.locator.volume) if known is not None else None
@@ -218,7 +218,7 @@
                 known.size = manifest.size
             elif manifest is not None:
                 self.site.gone(known.locator)
-            if self.planner.busy(self.exchange.now_us(), self.facts()):
+            if self.exchange.now_us() >= until_us or self.planner.busy(self.exchange.now_us(), self.facts()):
                 break
 
     # --- what operators and tenants see
--- a/hophinge/objects/beforehand.py
+++ b/hophinge/objects/beforehand.py
@@ -17,9 +17,8 @@
 from hophinge.popularity.planner import Candidate, Facts, Planner, Why
 
 RECORD_BYTES = 4096     # taken from budgets for a manifest, whose size is not known before
-REST_TIMES = 3          # as long as a read took, nothing is read after it: a brick or head that is slower is asked less
-MOST_REST_S = 0.5
-ELSEWHERE = (Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)      # speak against one brick: other pieces may lie elsewhere
+# These speak against one brick: other pieces may lie elsewhere.
+ELSEWHERE = (Why.REST, Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)
 
 
 class Fetcher:
@@ -72,6 +71,8 @@
         return b"" if answer.verdict is Verdict.ABSENT else answer.body
 
     async def _read(self, one: Candidate, shard: int, size: int, read: Callable[[], Awaitable[bytes]]) -> bytes | Why:
+        if rest_us := self.planner.rest_us(self.core.exchange.now_us(), shard):
+            await asyncio.sleep(rest_us / 1e6)
         now_us = self.core.exchange.now_us()
         why = self.planner.may(now_us, one.tenant, shard, size, self.core.units(size), self.facts())
         if why is not None:
@@ -86,5 +87,6 @@
             return Why.BUSY
         finally:
             self.out -= 1
-        await asyncio.sleep(min(MOST_REST_S, REST_TIMES * (self.core.exchange.now_us() - now_us) / 1e6))
+            done_us = self.core.exchange.now_us()
+            self.planner.took(done_us, shard, done_us - now_us)
         return body
--- a/hophinge/objects/pieces.py
+++ b/hophinge/objects/pieces.py
@@ -111,7 +111,7 @@
                 request=txn, units=self.units(size), volume=BEFOREHAND if beforehand else volume.id, klass=klass,
                 shard=shard, gateways=settings.gateways, key=key,
                 time_left_us=deadline if left is None else min(deadline, left), write=body is not None,
-                plan=self.least_plan if beforehand else self.plans[volume.plan])
+                plan=self.least_plan if beforehand else self.plans[volume.plan], spare=beforehand)
             target = f"/{settings.classes[klass].name}/{volume.id}/{key}"
             ticket = None if beforehand else self.exchange.figures.take(settings.classes[klass].name)
             done: asyncio.Future[Answer] = loop.create_future()
--- a/hophinge/popularity/planner.py
+++ b/hophinge/popularity/planner.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
 from hashlib import blake2b
 
@@ -22,6 +22,12 @@
 QUIET = 8               # requests unanswered at this head from which nothing is fetched: two objects' reads at once
 REST_US = 50_000        # after so many were seen
 PAUSE_US = 2_000_000    # after overload was seen; a queue that has just emptied fills again
+# Of what a shard's bricks have idle, for the fetches of all heads. A read takes its work over the idle part of its
+# brick, so one in so many times what the last one took adds at most this part to the mean wait of others there.
+IDLE_PART = 0.04
+LONGEST_REST_US = 30_000_000    # one read that hung says little about the next minute
+MOST_SHARDS = 4096      # whose rests are kept before those that are over are dropped
+MOST_REST_US = 1_000_000    # that a fetch waits for a shard; what rests longer is left to a later one
 
 
 class Why(Enum):
@@ -29,6 +35,7 @@
 
     BUSY = "busy"               # requests wait here, or did a moment ago
     UNKNOWN = "unknown"         # no brick of the shard is known
+    REST = "rest"               # the last fetch from there was too short a while ago
     DRAIN = "drain"
     COLD = "cold"
     UNITS = "units"
@@ -44,6 +51,7 @@
     on: bool                # listed as taking requests
     warm: bool
     spare_units: float      # that it can take from here without anything waiting for it
+    draining: bool = False  # some member says that it is in a drain
 
 
 class Facts(Struct, frozen=True):
@@ -103,12 +111,14 @@
         self.bytes_s, self.tenant_part = bytes_s, tenant_part
         self.site = Bytes(bytes_s, now_us)
         self.tenants: dict[str, Bytes] = {}
-        self.draining: Callable[[str], bool] = lambda node: False
+        self.heads = 1                          # that live, at all sites: all of them fetch from the same bricks
+        self.rests: dict[int, int] = {}         # by shard, until when
         self.paused_us = 0
         self.held_back: dict[Why, int] = dict.fromkeys(Why, 0)
 
-    def share(self, now_us: int, heads: int) -> None:
-        """Divide the site's bytes among so many live heads; a head alone has all of them."""
+    def share(self, now_us: int, heads: int, everywhere: int = 1) -> None:
+        """Divide the site's bytes among so many live heads there, and bricks' idle time among those everywhere."""
+        self.heads = max(1, heads, everywhere)
         rate = self.bytes_s / max(1, heads)
         if rate != self.site.rate:
             self.site.fill(now_us)
@@ -141,13 +151,24 @@
             self.paused_us = max(self.paused_us, now_us + REST_US)
         return now_us < self.paused_us
 
+    def took(self, now_us: int, shard: int, took_us: int) -> None:
+        """Let a shard rest after a read that took so long."""
+        if len(self.rests) >= MOST_SHARDS:
+            self.rests = {one: until for one, until in self.rests.items() if until > now_us}
+        self.rests[shard] = now_us + min(LONGEST_REST_US, int(max(0, took_us) * self.heads / IDLE_PART))
+
+    def rest_us(self, now_us: int, shard: int) -> int:
+        """Tell how long to wait before a read from a shard; 0 also where that is too long to wait for."""
+        left = self.rests.get(shard, 0) - now_us
+        return left if 0 < left <= MOST_REST_US else 0
+
     def source(self, shard: int, units: float, facts: Facts) -> Why | None:
         """Tell what speaks against a read from a shard now.
 
         The module chooses among a shard's bricks, so each that it might choose must be fit for it.
         """
         bricks = [one for one in facts.sources.get(shard, ()) if one.on]
-        if any(self.draining(one.node) for one in facts.sources.get(shard, ())):
+        if any(one.draining for one in facts.sources.get(shard, ())):
             return Why.DRAIN
         if not bricks:
             return Why.UNKNOWN
@@ -166,6 +187,8 @@
             why = Why.SITE
         elif size > self._of(tenant, now_us).fill(now_us):
             why = Why.TENANT
+        elif now_us < self.rests.get(shard, 0):
+            why = Why.REST
         else:
             why = self.source(shard, units, facts)
         if why is not None:
--- a/tests/popular.py
+++ b/tests/popular.py
@@ -109,6 +109,7 @@
         while done() < whole:
             one.tried.clear()
             one.planner.paused_us = 0
+            one.planner.rests.clear()
             await one.fetch()
             await asyncio.sleep(0.005)
 
