--- a/hophinge/popularity/season.py
+++ b/hophinge/popularity/season.py
@@ -22,7 +22,9 @@
         self.spans_a_day = max(PHASES, spans_a_day)
         self.span = 0
         self.levels = [-1.0] * PHASES
-        self.last = self.told = 0.0         # the last span's total, and the logarithm of the growth foretold from it
+        self.open: list[float] = []         # totals of the bucket that is open
+        self.last = -1.0                    # the mean of the bucket before it; below 0: not known
+        self.told = 0.0                     # the logarithm of the growth that was foretold from that bucket to this
         self.agreed = self.power = FIRST_TRUST
 
     def bucket(self, ahead: int = 0) -> int:
@@ -33,17 +35,24 @@
         """Take a span's total; tell the growth to expect from it to the next."""
         here, then = self.bucket(), self.bucket(1)
         self.span += 1
-        if self.told:
-            kept = math.exp(-1.0 / (TRUST_DAYS * self.spans_a_day))
-            was = math.log((total + 1.0) / (self.last + 1.0))
-            self.agreed = kept * self.agreed + self.told * max(-1.0, min(1.0, was))
-            self.power = kept * self.power + self.told * self.told
+        self.open.append(total)
         part = min(1.0, SEASON_DAYS * PHASES / self.spans_a_day)
-        known = self.levels[here]
-        ratio = 1.0
-        # Only what a whole day showed counts: before that a rise may be anything.
-        if here != then and self.levels[then] >= 0.0 and known >= 0.0 and self.span > self.spans_a_day:
-            ratio = (self.levels[then] + 1.0) / (known + 1.0)
-        self.last, self.told = total, math.log(min(MOST_GROWTH, max(LEAST_GROWTH, ratio)))
+        known, growth = self.levels[here], 1.0
+        if here != then:
+            self._judge()
+            # Only what a whole day showed counts: before that a rise may be anything.
+            if self.levels[then] >= 0.0 and known >= 0.0 and self.span > self.spans_a_day:
+                growth = min(MOST_GROWTH, max(LEAST_GROWTH, (self.levels[then] + 1.0) / (known + 1.0)))
+            self.told = math.log(growth)
         self.levels[here] = total if known < 0.0 else known + part * (total - known)
-        return math.exp(self.told * min(1.0, max(0.0, self.agreed / self.power)))
+        return math.pow(growth, min(1.0, max(0.0, self.agreed / self.power)))
+
+    def _judge(self) -> None:
+        """Close a bucket: its mean against the one before it, as foretold and as it was."""
+        mean, self.open = math.fsum(self.open) / len(self.open), []
+        if self.told and self.last >= 0.0:
+            kept = math.exp(-1.0 / (TRUST_DAYS * PHASES))
+            was = math.log((mean + 1.0) / (self.last + 1.0))
+            self.agreed = kept * self.agreed + self.told * max(-1.0, min(1.0, was))
+            self.power = kept * self.power + self.told * self.told
+        self.last = mean
