--- a/benchmarks/popularity_others.py
+++ b/benchmarks/popularity_others.py
@@ -99,9 +99,9 @@
     return ["## Others' requests while fetches run, in virtual time", "",
             "The real front, exchange, module and popularity on three model bricks of 2 ms a unit, exponential; "
             f"{RATE:.0f} reads a second of {SIZE} bytes in two pieces, mostly beyond the tenant's reserve, "
-            f"{len(seeds)} pairs of runs of {SECONDS:.0f} s that differ by the fetches alone. p99 in ms, of all reads; its ratio by "
-            "pairs, median and quartiles; fetched in kB/s; processor time of the whole run a read, with fetches to without.",
-            "",
+            f"{len(seeds)} pairs of runs of {SECONDS:.0f} s that differ by the fetches alone. p99 in ms, of all reads; "
+            "its ratio by pairs, median and quartiles; fetched in kB/s; processor time of the whole run a read, with "
+            "fetches to without.", "",
             "| others' work | reads | not served, without | with fetches | p99 without | p99 with | ratio | fetched | "
             "processor |", "| --- | --- | --- | --- | --- | --- | --- | --- | --- |", *rows]
 
--- a/hophinge/popularity/predict.py
+++ b/hophinge/popularity/predict.py
@@ -16,9 +16,9 @@
 from hophinge.popularity.interval import Calibration, Prediction, place
 from hophinge.popularity.season import LEAST_GROWTH, MOST_GROWTH, PHASES, Season
 
-LAST, STEADY, EXPONENTIAL, POWER, DAILY, DRIFT = range(6)
-COURSES = ("last", "steady", "exponential", "power", "daily", "drift")
-DISCOUNTS = (0.3, 0.9, 0.8, 0.8, 0.3, 0.7)       # of what was known, each span; by trying out on the tuning seeds
+LAST, STEADY, EXPONENTIAL, POWER, DAILY = range(5)
+COURSES = ("last", "steady", "exponential", "power", "daily")
+DISCOUNTS = (0.3, 0.9, 0.8, 0.8, 0.3)       # of what was known, each span; by trying out on the tuning seeds
 LEAST_SHAPE = 0.002     # of a belief that nothing comes: one that is surer would be a course that nothing refutes
 MOST_SHAPE = 60.0       # a belief is never surer than this: sources change faster than a filter would have it
 FORGET = 0.95           # of evidence for courses, each span: twenty spans say which course an object takes
@@ -193,7 +193,7 @@
         power = ((course.pow_ratio + drawn_pow * usual.pow_ratio / usual.pow_weight)
                  / (course.pow_weight + drawn_pow))
         growths: Sequence[float] = (1.0, self.growth, math.exp(exp_rate) * self.growth,
-                                    math.exp(power * step) * self.growth, self.growth, 1.0)
+                                    math.exp(power * step) * self.growth, self.growth)
         for at, growth in enumerate(growths):
             growth = min(MOST_GROWTH, max(LEAST_GROWTH, growth))
             shape = DISCOUNTS[at] * course.shapes[at]
