--- a/benchmarks/popularity.py
+++ b/benchmarks/popularity.py
@@ -1,4 +1,4 @@
-"""Popularity, measured: `python benchmarks/popularity.py` writes benchmarks/popularity.md; about five minutes.
+"""Popularity, measured: `python benchmarks/popularity.py` writes benchmarks/popularity.md; about ten minutes.
 
 Counts against datasketches, predictions against the last count, LFU with ageing and knowing the rates, what prewarming
 brings a site, and what fetches beforehand do to others' requests. Constants were chosen on seeds 1 to 5.
@@ -24,6 +24,7 @@
 from hophinge.popularity.rumour import Hearsay, Item, pages  # noqa: E402
 from hophinge.popularity.sketch import Sketch  # noqa: E402
 from popularity_latency import latency  # noqa: E402
+from popularity_others import others  # noqa: E402
 from popularity_replay import AGEING, prewarming  # noqa: E402
 from popularity_traces import SHAPES, SPANS_A_DAY, Trace  # noqa: E402
 
@@ -145,7 +146,7 @@
              "killed and begins with no cache and no counts; what its peers told, it then hears.", "",
              "| policy | hits | of first requests | in the span after a kill | byte hits | fetched | of use | read |",
              "| --- | --- | --- | --- | --- | --- | --- | --- |",
-             *prewarming(SEEDS), "", *asyncio.run(latency()), ""]
+             *prewarming(SEEDS), "", *others(), "", *asyncio.run(latency()), ""]
     (ROOT / "benchmarks" / "popularity.md").write_text("\n".join(lines))
     print("\n".join(lines))
 
