A plan of fetches ends in time within an object too, which goes on with the next plan

Need: fetches run in the loop that hears peers and closes spans; an object of a thousand pieces held it for as long.

--- a/hophinge/head/popularity.py
+++ b/hophinge/head/popularity.py
@@ -212,13 +212,17 @@
             self.tried[one.key] = self.site.span
             if word := self.site.by_word(one.key):
                 self.words[known.locator.volume, known.locator.manifest] = word
-            manifest, whole = await self.fetcher.fetch(one, known.locator, Volume(known.locator.volume, owner[1]))
+            manifest, whole = await self.fetcher.fetch(
+                one, known.locator, Volume(known.locator.volume, owner[1]), until_us)
             (self.unfinished.discard if whole else self.unfinished.add)(one.key)
             if manifest is not None and manifest.etag:
                 known.size = manifest.size
             elif manifest is not None:
                 self.site.gone(known.locator)
-            if self.exchange.now_us() >= until_us or self.planner.busy(self.exchange.now_us(), self.facts()):
+            over = self.exchange.now_us() >= until_us
+            if over and not whole:
+                self.tried.pop(one.key, None)       # a long object goes on with the next plan
+            if over or self.planner.busy(self.exchange.now_us(), self.facts()):
                 break
 
     # --- what operators and tenants see
--- a/hophinge/objects/beforehand.py
+++ b/hophinge/objects/beforehand.py
@@ -29,8 +29,9 @@
         self.out = 0            # reads of its own that are out: they are not others' requests
         self.objects = self.bytes = self.refused = 0
 
-    async def fetch(self, one: Candidate, locator: Locator, volume: Volume) -> tuple[Manifest | None, bool]:
-        """Fetch an object as far as budgets and bricks allow.
+    async def fetch(self, one: Candidate, locator: Locator, volume: Volume,
+                    until_us: int) -> tuple[Manifest | None, bool]:
+        """Fetch an object as far as budgets and bricks allow, and its pieces until a time of the exchange's clock.
 
         Tells its manifest, if it was read, and whether nothing is left to fetch. A piece that its brick has nothing to
         spare for is left to whoever asks for it, or to a later fetch.
@@ -51,6 +52,8 @@
             for at, piece in enumerate(run.pieces):
                 if self.cache.has(volume.id, run, at):
                     continue
+                if self.core.exchange.now_us() >= until_us:
+                    return manifest, False
                 if not self.cache.would_keep((locator.volume, locator.manifest), piece.size + OVERHEAD):
                     return manifest, True
                 piece_read = partial(self.core.read_piece, volume, run, at, self._budget(), True)
--- a/tests/test_popularity_head.py
+++ b/tests/test_popularity_head.py
@@ -16,7 +16,7 @@
 from hophinge.objects.pieces import BEFOREHAND, Budget
 from hophinge.objects.records import manifest_id, shard_of
 from hophinge.objects.tenants import Volume
-from hophinge.popularity.planner import Planner, owner
+from hophinge.popularity.planner import QUIET, Planner, owner
 from hophinge.popularity.rumour import Item, pages
 from tests import books
 from tests.stand_in import Brick, run
@@ -207,17 +207,23 @@
     run(main())
 
 
-def test_nothing_is_fetched_while_requests_wait_and_a_full_board_costs_nothing(tmp_path: Path) -> None:
+def test_a_plan_ends_in_time_and_a_full_board_costs_nothing(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         async with installation(tmp_path, {"a": "east", "b": "west"}) as built:
             await built.crowd("a", await put(built.clients["a"], "one"))
             built.close_spans()
             built.peers.full = True
             west = built.popular["b"]
-            west.exchange.unanswered += 10
+            west.exchange.unanswered += QUIET
             await west.fetch()
-            assert not built.beforehand()
-            west.exchange.unanswered -= 10
+            assert not built.beforehand()       # requests wait here
+            west.exchange.unanswered -= QUIET
+            monkeypatch.setattr("hophinge.head.popularity.FETCH_US", 0)
+            while not built.beforehand():
+                west.planner.paused_us = 0
+                await west.fetch()
+            assert len(built.beforehand()) == 1 and not west.cache.held and not west.tried     # it goes on later
             await built.crowd("b", await put(built.clients["b"], "two"))
             built.close_spans()
             assert west.untold >= 1
