--- a/hophinge/objects/beforehand.py
+++ b/hophinge/objects/beforehand.py
@@ -17,9 +17,8 @@
 from hophinge.popularity.planner import Candidate, Facts, Planner, Why
 
 RECORD_BYTES = 4096     # taken from budgets for a manifest, whose size is not known before
-REST_TIMES = 3          # as long as a read took, nothing is read after it: a brick or head that is slower is asked less
-MOST_REST_S = 0.5
-ELSEWHERE = (Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)      # speak against one brick: other pieces may lie elsewhere
+# These speak against one brick: other pieces may lie elsewhere.
+ELSEWHERE = (Why.REST, Why.DRAIN, Why.COLD, Why.UNITS, Why.UNKNOWN)
 
 
 class Fetcher:
@@ -30,8 +29,9 @@
         self.out = 0            # reads of its own that are out: they are not others' requests
         self.objects = self.bytes = self.refused = 0
 
-    async def fetch(self, one: Candidate, locator: Locator, volume: Volume) -> tuple[Manifest | None, bool]:
-        """Fetch an object as far as budgets and bricks allow.
+    async def fetch(self, one: Candidate, locator: Locator, volume: Volume,
+                    until_us: int) -> tuple[Manifest | None, bool]:
+        """Fetch an object as far as budgets and bricks allow, and its pieces until a time of the exchange's clock.
 
         Tells its manifest, if it was read, and whether nothing is left to fetch. A piece that its brick has nothing to
         spare for is left to whoever asks for it, or to a later fetch.
@@ -52,6 +52,8 @@
             for at, piece in enumerate(run.pieces):
                 if self.cache.has(volume.id, run, at):
                     continue
+                if self.core.exchange.now_us() >= until_us:
+                    return manifest, False
                 if not self.cache.would_keep((locator.volume, locator.manifest), piece.size + OVERHEAD):
                     return manifest, True
                 piece_read = partial(self.core.read_piece, volume, run, at, self._budget(), True)
@@ -72,6 +74,8 @@
         return b"" if answer.verdict is Verdict.ABSENT else answer.body
 
     async def _read(self, one: Candidate, shard: int, size: int, read: Callable[[], Awaitable[bytes]]) -> bytes | Why:
+        if rest_us := self.planner.rest_us(self.core.exchange.now_us(), shard):
+            await asyncio.sleep(rest_us / 1e6)
         now_us = self.core.exchange.now_us()
         why = self.planner.may(now_us, one.tenant, shard, size, self.core.units(size), self.facts())
         if why is not None:
@@ -86,5 +90,6 @@
             return Why.BUSY
         finally:
             self.out -= 1
-        await asyncio.sleep(min(MOST_REST_S, REST_TIMES * (self.core.exchange.now_us() - now_us) / 1e6))
+            done_us = self.core.exchange.now_us()
+            self.planner.took(done_us, shard, done_us - now_us)
         return body
