A connection ends by a shutdown read to its end, a listener only once its queue is empty

Change: connections at rest, over their time or behind a last answer end their sending and read on for 0.3 s at most, what comes is thrown away; Connection: close waits for the last request that was read; the listening socket lets no handshake begin (a filter on itself), takes all who are in as there is room for 1 s at most, and closes then.

--- a/hophinge/head/ending.py
+++ b/hophinge/head/ending.py
@@ -16,6 +16,7 @@
     from hophinge.objects.front import ObjectFront
 
 STILL_ARRIVING_S = 0.6  # new connections keep coming after SIGTERM
+QUEUE_S = 1.0           # for who waits in the listening socket's queue to be taken, where there is no room for all
 LONGEST_S, KILL_S = 3.0, 0.7    # SIGKILL follows after the longest deadline, this one at most, and a little more
 LAST_S = 1.3            # before SIGKILL nothing new is taken for so long
 RESTED_S = 0.7          # a connection that has rested for so long is hardly the next to be used
@@ -38,10 +39,12 @@
     arriving_s, last_s = 0.0, LAST_S
     if not beside:
         # New connections keep arriving for a while: whoever closes the listener now resets them unanswered.
-        arriving_s = STILL_ARRIVING_S
-        await asyncio.sleep(arriving_s)
         for acceptor in acceptors:
-            acceptor.close()
+            acceptor.last()
+        begun = exchange.now_us()
+        await asyncio.sleep(STILL_ARRIVING_S)
+        await asyncio.gather(*(acceptor.finish(QUEUE_S) for acceptor in acceptors))
+        arriving_s = (exchange.now_us() - begun) / 1e6
     else:
         # Another process takes new connections from now on; the clients of this one are sent there with their
         # next answer. Idle connections stay: a close could cross a request on its way.
--- a/hophinge/net/acceptor.py
+++ b/hophinge/net/acceptor.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -16,6 +18,10 @@
 DEFER_S = 1             # it holds one that says nothing for so long; who connects in order to ask does not notice
 BATCH = 16              # taken in one turn of the loop: closing what must yield gets its turn too
 PAUSE_S = 0.01          # before another look when there is no room
+EMPTY_S = 0.02          # a queue that lets nobody in and has been empty for so long stays so: handshakes are over
+SO_ATTACH_FILTER = 26
+# Of a TCP header the byte of flags; SYN without ACK is dropped, all else is let through.
+NO_SYN = struct.pack("HBBI" * 5, 0x30, 0, 0, 13, 0x54, 0, 0, 0x12, 0x15, 0, 1, 0x02, 0x06, 0, 0, 0, 0x06, 0, 0, 0xFFFF)
 
 
 class Taker(Protocol):
@@ -45,9 +51,10 @@
             if not self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
                 raise OSError(f"descriptor {fd} does not listen")
         self.socket.setblocking(False)
+        self.alone = fd is None and not shared      # nobody else takes from its queue
         # The queue of a socket of one's own ends with it: it is emptied first, and must then hold all that connected.
-        if hasattr(socket, "TCP_DEFER_ACCEPT") and not shared:
-            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
+        if not shared:
+            self._defer(DEFER_S)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.pause: asyncio.TimerHandle | None = None
         self.loop.add_reader(self.socket, self._accept)
@@ -81,6 +88,40 @@
         task.add_done_callback(self.tasks.discard)
         return True
 
+    def _defer(self, seconds: int) -> None:
+        if hasattr(socket, "TCP_DEFER_ACCEPT"):
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, seconds)
+
+    def last(self) -> None:
+        """Hold back no connection any more until it speaks: one that the kernel holds ends with the socket."""
+        if self.alone:
+            with contextlib.suppress(OSError):
+                self._defer(0)
+
+    async def finish(self, most_s: float) -> None:
+        """Let nobody in any more, take all who are in already as there is room for them, then close.
+
+        Whoever connects after that is refused at once. Without the first step somebody could come in between the
+        last accept and the close, and be reset: the kernel drops what begins a connection meanwhile, and its client
+        begins again. After `most_s` seconds those who still wait are taken whether there is room or not.
+        """
+        if self.alone:
+            program = ctypes.create_string_buffer(NO_SYN, len(NO_SYN))
+            with contextlib.suppress(OSError):      # the close is then as good as it can be without
+                self.socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                                       struct.pack("HL", len(NO_SYN) // 8, ctypes.addressof(program)))
+        self._rest()
+        until, empty = self.loop.time() + most_s, None
+        while (now := self.loop.time()) < until:
+            if len(self.tasks) >= BATCH or not self.front.room() or self._took():
+                empty = None
+            elif empty is None:
+                empty = now
+            elif now - empty >= EMPTY_S:
+                break
+            await asyncio.sleep(0 if empty is None and self.front.room() else PAUSE_S / 2)
+        self.drain()
+
     def drain(self) -> None:
         """Take what waits in the queue, then no more: a close would reset it."""
         with contextlib.suppress(OSError):
@@ -101,10 +142,21 @@
     def _resume(self) -> None:
         self.loop.add_reader(self.socket, self._accept)
 
-    def close(self) -> None:
-        """Take no more."""
+    def _took(self) -> bool:
+        try:
+            return self._one()
+        except OSError:     # no descriptor is left: as if somebody still waited
+            self.front.counters.add("accepts_failed")
+            return True
+
+    def _rest(self) -> None:
         if self.pause is not None:
             self.pause.cancel()
         if self.socket.fileno() >= 0:
             self.loop.remove_reader(self.socket)
+
+    def close(self) -> None:
+        """Take no more."""
+        self._rest()
+        if self.socket.fileno() >= 0:
             self.socket.close()
--- a/hophinge/net/connection.py
+++ b/hophinge/net/connection.py
@@ -15,6 +15,7 @@
 
 YIELD_S = 0.05          # a connection at rest, when connections run out and another asks
 LINGER_S = 1.0          # for an error to be read by a client that goes on sending
+PART_S = 0.3            # for a client to take note of the end of its connection, and to end it too
 DISCARD_S = 0.02        # between reads of what it goes on sending
 MOST_HEAD = 16 * 1024
 
@@ -27,6 +28,7 @@
     head_s: float
     gone: Callable[[Any], None] | None
     resting: dict[Any, float]
+    parting: set[Any]
 
     def rests(self, connection: Any) -> None:
         """Note that no request is open on a connection from now on."""
@@ -60,6 +62,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Take its end."""
         self.front.resting.pop(self, None)
+        self.front.parting.discard(self)
         if self.front.gone is not None:
             self.front.gone(self)
         super().connection_lost(exc)
@@ -91,19 +94,46 @@
         if self.answered:
             self.front.resting.pop(self, None)      # a client's next request: not the one to yield
 
+    @property
+    def more(self) -> bool:
+        """Tell whether a request has been read behind the one that is answered now."""
+        return self.taken > self.answered + 1
+
     def retire(self) -> bool:
         """Close while at rest; False where its next request is here already, which a close would lose."""
         # A request that has been read counts as open only once its handler runs, a turn of the loop later.
         if self.transport is None or self.taken > self.answered or unread(self.transport):
             return False
-        self.transport.close()
+        if self.lingering:
+            self.transport.close()      # it was told of its end before, and its place is wanted
+        else:
+            self._part()
         return True
 
+    def _part(self) -> None:
+        """End the sending and read to the client's own end: a close over unread bytes resets the connection.
+
+        What is read from here on is thrown away. Its client has no answer and knows that it was not taken.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self.lingering = True
+        self.front.resting.pop(self, None)
+        self.front.parting.add(self)
+        if transport.can_write_eof():
+            transport.write_eof()
+        transport.resume_reading()
+        self._loop.call_later(PART_S, transport.close)
+
     def _process_keepalive(self) -> None:
         now = self._loop.time()
-        if now >= self._next_keepalive_close_time and not self.head and self.transport is not None and unread(
-                self.transport):
-            self._next_keepalive_close_time = now + YIELD_S
+        if self.transport is not None and now >= self._next_keepalive_close_time and not self.lingering:
+            if not self.head and unread(self.transport):
+                self._next_keepalive_close_time = now + YIELD_S
+            elif self._keepalive and not self._force_close and self.taken == self.answered:
+                self._keepalive_handle = None
+                return self._part()
         super()._process_keepalive()
 
     def _read_on(self) -> None:
@@ -129,12 +159,16 @@
         done = await super().finish_response(request, resp, start_time)
         self.answered += 1
         transport = self.transport
-        if not resp.keep_alive and transport is not None and not transport.is_closing() and (
-                request.can_read_body or request.method == "UNKNOWN"):
+        if not resp.keep_alive and transport is not None and not transport.is_closing():
+            sends = request.can_read_body or request.method == "UNKNOWN"
             self.lingering = True
-            self.front.rests(self)
+            if sends:
+                self.front.rests(self)      # it may go on for long: the first to yield
+            else:
+                self.front.resting.pop(self, None)
+                self.front.parting.add(self)
             if transport.can_write_eof():
                 transport.write_eof()
             transport.resume_reading()
-            await asyncio.sleep(LINGER_S)       # the client's own end ends it sooner
+            await asyncio.sleep(LINGER_S if sends else PART_S)      # the client's own end ends it sooner
         return done
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -62,6 +62,7 @@
         self.gone: Callable[[Any], None] | None = None      # told of connections that have ended
         self.busy: set[Any] = set()
         self.resting: dict[Any, float] = {}     # connections that are not busy, and since when; the oldest first
+        self.parting: set[Any] = set()          # connections that have been told of their end
         self.server: web.Server = Server(self, first_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -70,12 +71,12 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request and write its answer."""
-        protocol = request.protocol
+        protocol: Any = request.protocol
         self.busy.add(protocol)
         self.resting.pop(protocol, None)
         try:
             response = await self.handle(request)
-            if self.closing and not response.prepared:
+            if self.closing and not response.prepared and not protocol.more:
                 response.force_close()
             try:
                 await response.prepare(request)     # written here, so that busy means until the last byte
@@ -117,13 +118,13 @@
         for connection in list(itertools.islice(old, number)):
             if connection.retire():
                 self.counters.add("connections_yielded")
-                del self.resting[connection]
+                self.resting.pop(connection, None)
 
     def room(self) -> bool:
         """Tell whether one more connection may be taken; where not, the one that rests longest yields."""
         if len(self.server._connections) < self.most_connections:
             return True
-        self._yield(BATCH)
+        self._yield(max(0, BATCH - len(self.parting)))      # those that part leave their places too
         return False
 
     def invite(self, request: web.BaseRequest) -> None:
@@ -136,7 +137,7 @@
         now = asyncio.get_running_loop().time()
         connection, since = next(iter(self.resting.items()), (None, now))
         if connection is not None and now - since >= rested_s and connection.retire():
-            del self.resting[connection]
+            self.resting.pop(connection, None)
 
     def close_idle(self) -> None:
         """Close what is between requests, from the end's beginning on; the rest closes with its answer.
