--- a/hophinge/head/ending.py
+++ b/hophinge/head/ending.py
@@ -38,7 +38,8 @@
         for acceptor in acceptors:
             acceptor.last()
         await asyncio.sleep(STILL_ARRIVING_S)
-        await asyncio.gather(*(acceptor.finish(QUEUE_S) for acceptor in acceptors))
+        queue_s = max(0.0, min(QUEUE_S, (closes_us - exchange.now_us()) / 1e6))
+        await asyncio.gather(*(acceptor.finish(queue_s) for acceptor in acceptors))
     else:
         # Another process takes new connections from now on; the clients of this one are sent there with their
         # next answer. Idle connections stay: a close could cross a request on its way.
