--- a/tests/test_restart_herds.py
+++ b/tests/test_restart_herds.py
@@ -1,4 +1,4 @@
-"""Many more clients than places, and all at once: a new connection that is closed with no answer, counted at both ends."""
+"""Many more clients than places, all at once: new connections closed with no answer, counted at both ends."""
 
 from __future__ import annotations
 
