--- a/hophinge/net/connection.py
+++ b/hophinge/net/connection.py
@@ -33,9 +33,6 @@
     def rests(self, connection: Any) -> None:
         """Note that no request is open on a connection from now on."""
 
-    def keeps(self, connection: Any) -> bool:
-        """Tell whether a connection that has rested for its time may rest on."""
-
 
 def unread(transport: asyncio.BaseTransport) -> bool:
     """Tell whether bytes wait in the kernel: a request that a busy loop has not come to yet."""
@@ -134,8 +131,6 @@
         if self.transport is not None and now >= self._next_keepalive_close_time and not self.lingering:
             if not self.head and unread(self.transport):
                 self._next_keepalive_close_time = now + YIELD_S
-            elif not self.head and self.front.keeps(self):
-                self._next_keepalive_close_time = now + self.front.idle_s
             elif self._keepalive and not self._force_close and self.taken == self.answered:
                 self._keepalive_handle = None
                 return self._part()
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -56,7 +56,6 @@
     def __init__(self, counters: Counters, most: int = 256, first_s: float = FIRST_S,
                  idle_s: float = IDLE_S) -> None:
         self.counters, self.most_connections, self.idle_s = counters, most, idle_s
-        self.rest_s = idle_s                    # for a connection at rest while few rest
         self.most_resting = most
         self.head_s = max(first_s, HEAD_S)
         self.closing = False
@@ -109,13 +108,6 @@
         if len(self.resting) > self.most_resting and not self.closing:
             self._yield(1, 1)
 
-    def keeps(self, connection: Any) -> bool:
-        """Tell whether a connection that has rested for its time may rest on."""
-        # While there is room: a client that has to come anew costs more, and finds nobody while this head is ending.
-        since = self.resting.get(connection)
-        return (since is not None and connection.answered > 0 and len(self.resting) <= self.most_resting // 2
-                and asyncio.get_running_loop().time() - since < self.rest_s)
-
     def _yield(self, number: int, most_answered: float = math.inf) -> None:
         """Close what rests longest, of those that were answered so often at most."""
         now = asyncio.get_running_loop().time()
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -24,7 +24,6 @@
 PIECE_S = 2.2       # for its next bytes
 KEPT = 1024 * 1024  # of a body, while the budget allows: it may be sent again
 READ_S = 10.0       # for a client to read on
-REST_S = 20.0       # for a connection at rest while few rest
 TICKET = web.RequestKey("ticket", Ticket)
 ASK = web.RequestKey("ask", api.Arrival)
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
@@ -52,7 +51,7 @@
 
     def __init__(self, exchange: Exchange, counters: Counters, budget: Budget) -> None:
         super().__init__(counters)
-        self.budget, self.rest_s = budget, REST_S
+        self.budget = budget
         self.exchange, self.most = exchange, self.most_connections
         self.reader = Reader(exchange.settings)
         self.loop = asyncio.get_running_loop()
