--- a/hophinge/core/counters.py
+++ b/hophinge/core/counters.py
@@ -17,8 +17,8 @@
     "module_faults", "client_faults", "object_faults", "admin_faults",
     # the wires
     "requests_malformed", "requests_unreadable", "requests_too_many", "connections_yielded", "accepts_failed",
-    "brick_connections_yielded", "bricks_answered_oddly", "discovery_answers", "discovery_errors",
-    "discovery_entries_left_out",
+    "brick_connects", "brick_connects_beside", "brick_connections_yielded", "bricks_answered_oddly",
+    "discovery_answers", "discovery_errors", "discovery_entries_left_out",
     "reloads", "reloads_failed",
     # the second address
     "control_calls", "control_denied",
--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -79,6 +79,10 @@
             if idle is not None:
                 self._end(idle)
 
+    def at(self, endpoint: str) -> int:
+        """Tell how many connections to a brick are up."""
+        return sum(one.endpoint == endpoint for one in self.open)
+
     def keep(self, endpoints: Iterable[str]) -> None:
         """Close idle connections to all bricks but these."""
         self.kept = kept = set(endpoints)
@@ -94,7 +98,7 @@
 
 
 class BrickConnection(ResponseHandler):
-    """States: new, idle (no answer is awaited), head, body; `left` counts what the body still lacks."""
+    """States: new, idle (nobody uses it), taken (a request is to go), head, body; `left`: what the body still lacks."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, roll: Roll, budget: Budget) -> None:
         super().__init__(loop)
@@ -115,6 +119,12 @@
         self.endpoint = f"{host}:{port}"
         self.roll.add(self)
 
+    def rest(self) -> None:
+        """Wait in the pool, as one that may go when there are too many."""
+        self.state = "idle"
+        if self in self.roll.open:
+            self.roll.add(self)
+
     def set_response_params(self, **params: Any) -> None:
         """Await an answer; called by aiohttp as a request is about to be written."""
         self.state, self.head, self.passed, self.stall_s = "head", bytearray(), 0, STALL_S
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -22,6 +22,7 @@
 from hophinge.net.clock import now_us
 from hophinge.net.budget import Budget
 from hophinge.net.payload import MOST_LONG, Payload
+from hophinge.net.pool import Pool
 from hophinge.net.upload import Upload, UploadError
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
@@ -35,7 +36,7 @@
 
 
 class Connector(TCPConnector):
-    """aiohttp's pool, whose connections check their answers."""
+    """aiohttp's way to connect, whose connections check their answers; none is kept in its pool."""
 
     def __init__(self, roll: Roll, budget: Budget, **params: Any) -> None:
         super().__init__(**params)
@@ -76,17 +77,25 @@
         # No limit of the connector's: it would queue attempts unseen. `most` turns them away instead.
         self.roll = Roll(most, counters)
         idle_s = IDLE_PART * (allowed.conn_idle_us or 30_000_000) / 1e6
-        self.connector = Connector(self.roll, budget, limit=0, keepalive_timeout=idle_s)
-        connect_s = (allowed.connect_timeout_us or CONNECT_US) / 1e6
-        self.timeout = ClientTimeout(total=None, connect=connect_s, sock_connect=connect_s)
+        self.connector = Connector(self.roll, budget, limit=0)
+        self.pool = Pool(self._dial, self.roll, counters, (allowed.connect_timeout_us or CONNECT_US) / 1e6, idle_s)
         self.routes: dict[str, ClientRequest] = {}      # by endpoint: what the connector wants to know of it
 
     def keep(self, endpoints: Iterable[str]) -> None:
         """Forget all bricks but these."""
         kept = set(endpoints)
         self.roll.keep(kept)
+        self.pool.keep(kept)
         self.routes = {endpoint: route for endpoint, route in self.routes.items() if endpoint in kept}
 
+    async def _dial(self, endpoint: str) -> BrickConnection:
+        """Open a connection."""
+        route = self.routes.get(endpoint)
+        if route is None:
+            route = self.routes[endpoint] = ClientRequest(
+                "GET", URL(f"http://{endpoint}"), loop=asyncio.get_running_loop())
+        return cast(BrickConnection, await self.connector._create_connection(route, [], ClientTimeout(total=None)))
+
     def start(self, attempt: Attempt) -> Callable[[], None]:
         """Send an attempt; the callable returned gives it up."""
         if len(self.tasks) >= self.most:
@@ -149,22 +158,15 @@
     async def _ask(self, endpoint: str, text: Callable[[], bytes], flight: Flight,
                    attempt: Attempt | None = None) -> Answered:
         """Write a request to a brick and read its answer; whatever goes wrong, the connection is not used again."""
-        route = self.routes.get(endpoint)
-        if route is None:
-            route = self.routes[endpoint] = ClientRequest(
-                "GET", URL(f"http://{endpoint}"), loop=asyncio.get_running_loop())
         answer: Answered | None = None
-        connection = await self.connector.connect(route, [], self.timeout)
-        while connection.protocol is not None and connection.protocol.should_close:
-            # It got what nobody had asked for while it waited in the pool; the next answer on it could be another's.
-            connection.close()
-            connection = await self.connector.connect(route, [], self.timeout)
+        protocol = await self.pool.take(endpoint)
         try:
-            protocol, transport = connection.protocol, connection.transport
-            if protocol is None or transport is None:
-                raise aiohttp.ServerDisconnectedError
-            request = text()
-            assert isinstance(protocol, BrickConnection)
+            transport = cast(asyncio.Transport, protocol.transport)
+            try:
+                request = text()
+            except StaleError:
+                self.pool.put_back(protocol)        # nothing was written: it serves the next request
+                raise
             # The stream's own bound is out of reach: what is held is weighed over all connections.
             protocol.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=2 * MOST_LONG)
             transport.write(request)
@@ -186,14 +188,16 @@
                     raise SpoiltError("a long answer that nobody waits for")
                 answer.rest = rest
                 if await asyncio.shield(rest.done) is not Result.OK:
-                    connection.close()
+                    protocol.close()
                     return answer
+        except StaleError:
+            raise
         except BaseException as error:
-            connection.close()
+            protocol.close()
             if answer is not None and answer.rest is not None:
                 answer.rest.end(Result.CANCELLED)
             raise error
-        connection.release()
+        self.pool.put_back(protocol)
         return answer
 
     async def _pass_on(self, upload: Upload, protocol: BrickConnection, transport: asyncio.Transport) -> None:
@@ -236,4 +240,7 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.pool.close()
+        for one in list(self.roll.open):
+            one.close()
         await self.connector.close()
