A read turned away for its place goes where this head itself wrote its object

Change: core/written.py, the latest write of each object by volume and key, at most 4,096 and 30 s, no I/O. After a 504 to a read the exchange asks it, and where a node in use holds another shard than the one just tried, the request goes on naming that one: Outcome.moved tells the module, which holds it there and decides on room, rules and attempts as for any repeat. No first attempt uses the map.

--- a/hophinge/core/choice/requests.py
+++ b/hophinge/core/choice/requests.py
@@ -153,7 +153,9 @@
         elif not request.out:
             # Another connection that takes as long to fail would leave its client unanswered past half of its time.
             last = request.deadline - self.wake_us if request.wrote else request.hold_until - event.elapsed_us
-            away = event.result is api.Result.MISPLACED     # its client asks again elsewhere, the sooner the better
+            request.ask = event.moved or request.ask
+            # Where nobody knows where it lies, its client asks again elsewhere, the sooner the better.
+            away = event.result is api.Result.MISPLACED and event.moved is None
             if not away and self._may_repeat(request) and now < last and self._budget(request):
                 self._hold(request)
             else:
--- a/hophinge/core/counters.py
+++ b/hophinge/core/counters.py
@@ -9,7 +9,7 @@
     # the core: requests by how they were answered, attempts by how they ended
     "requests_taken", "requests_served", "requests_absent", "requests_refused", "requests_failed",
     "requests_departed", "requests_overdue", "requests_turned_away",
-    "requests_waited",
+    "requests_waited", "reads_moved",
     "answers_streamed", "answers_broken_off", "bodies_streamed",
     "attempts_sent", "attempts_without_socket", "probes_sent",
     *(f"attempts_{result.value}" for result in Result),
--- a/hophinge/core/exchange/attempts.py
+++ b/hophinge/core/exchange/attempts.py
@@ -5,9 +5,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from msgspec import structs
+
 from hophinge.core import interface as api
 from hophinge.core.exchange.types import Answer, End, Rest, Timer
 from hophinge.core.figures import Figures
+from hophinge.core.written import Written
 
 
 class Owner(Protocol):
@@ -83,6 +86,18 @@
             return self.request.ask.time_left_us
         return max(0, self.give_up - self.exchange.now_us())
 
+    def moved(self, written: Written, result: api.Result) -> api.Arrival | None:
+        """Note where a write went; tell the request that finds a read's object, if this head wrote it elsewhere."""
+        ask, nodes, now = self.request.ask, self.exchange.phases, self.exchange.now_us()
+        if result is api.Result.OK and ask.write and ask.key and self.shard >= 0:
+            written.note(now, ask.volume, ask.key, self.shard)
+        if result is not api.Result.MISPLACED or ask.write:
+            return None
+        shard = written.find(now, ask.volume, ask.key)
+        # Turned away at the same shard, it is over. A shard that no node in use holds is asked for in vain.
+        held = {self.exchange.shards.get(node) for node, phase in nodes.items() if phase is api.Phase.ON}
+        return None if shard is None or shard not in held - {self.shard} else structs.replace(ask, shard=shard)
+
     def end(self, end: End) -> None:
         """Report the end; whatever comes after the first one is void."""
         self.exchange.ended(self, end)
--- a/hophinge/core/exchange/turns.py
+++ b/hophinge/core/exchange/turns.py
@@ -13,6 +13,7 @@
 from hophinge.core.exchange.attempts import Attempt, Open, Probe, Start
 from hophinge.core.exchange.types import Answer, End, Gate, Loop, Rest, Verdict
 from hophinge.core.figures import Figures
+from hophinge.core.written import Written
 
 BACKSTOP = 0.5      # part of the answer's grace after which a request that the module forgot is failed
 
@@ -35,6 +36,7 @@
         self.open: dict[str, Open] = {}
         self.phases: dict[str, api.Phase] = {}
         self.shards: dict[str, int] = {}
+        self.written = Written()
         self.events: list[api.Event] = []
         self.unanswered = 0
 
@@ -118,9 +120,13 @@
             finished = True
             verdict = Verdict.ABSENT if end.absent else Verdict.SERVED
             self._answer(request, Answer(verdict, end.body, shard=attempt.shard))
+        moved = attempt.moved(self.written, end.result)
+        if moved is not None and not finished:
+            self.counters.add("reads_moved")
+            request.ask = moved
         self._event(api.Outcome(
             request.ask.request, attempt.number, attempt.node, end.result, self.now_us() - attempt.since, finished,
-            end.used, end.elsewhere, end.report))
+            end.used, end.elsewhere, end.report, moved))
         self._forget(request)
 
     def _event(self, event: api.Event) -> None:
--- a/hophinge/core/interface/events.py
+++ b/hophinge/core/interface/events.py
@@ -37,7 +37,10 @@
 
 
 class Outcome(Struct, frozen=True):
-    """The one end of an attempt; used is 1 + percent of the plan's rate in a finished meter period, or 0."""
+    """The one end of an attempt; used is 1 + percent of the plan's rate in a finished meter period, or 0.
+
+    `moved` is the request as it stands from here, where its data have turned out to lie at another shard.
+    """
 
     request: str
     attempt: int
@@ -48,6 +51,7 @@
     used: int
     elsewhere: float
     report: Mapping[str, float]
+    moved: Arrival | None = None
 
 
 class StreamStarted(Struct, frozen=True, gc=False):
--- /dev/null
+++ b/hophinge/core/written.py
@@ -0,0 +1,32 @@
+"""Where the objects lie that this head wrote lately: which shard answered for each, by volume and key; no I/O."""
+
+from __future__ import annotations
+
+# Clients read an object in the seconds after it was written; whoever reads it later has heard where it lies. The
+# longest deadlines are some seconds, and a client may come again after as much.
+AGE_US = 30_000_000
+# More writes than a head takes in that time (130 a second). An entry takes 0.4 KB, all of them 1.5 MB.
+MOST = 4096
+
+
+class Written:
+    """The latest write of each object, the oldest first; bounded in entries and in age."""
+
+    def __init__(self, most: int = MOST, age_us: int = AGE_US) -> None:
+        self.most, self.age_us = most, age_us
+        self.places: dict[tuple[str, str], tuple[int, int]] = {}    # shard and when, by volume and key
+
+    def note(self, now_us: int, volume: str, key: str, shard: int) -> None:
+        """Note that a shard has answered for a write of an object; an earlier place of it is void."""
+        self.places.pop((volume, key), None)
+        while self.places:
+            oldest = next(iter(self.places))
+            if len(self.places) < self.most and now_us - self.places[oldest][1] <= self.age_us:
+                break
+            del self.places[oldest]
+        self.places[volume, key] = shard, now_us
+
+    def find(self, now_us: int, volume: str, key: str) -> int | None:
+        """Tell the shard where an object was written; None where that is not known or too long ago."""
+        place = self.places.get((volume, key))
+        return place[0] if place is not None and now_us - place[1] <= self.age_us else None
