The map of own writes finds its oldest entry at once, also when full

Seen: a note takes 6.7 us once the map is full, as the oldest entry of a plain dict is found past all deleted ones. An OrderedDict takes 1.3 us (100,000 notes at the bound), 1.7 MB in place of 1.5 MB at 4,096 entries.

--- a/hophinge/core/written.py
+++ b/hophinge/core/written.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 # Clients read an object in the seconds after it was written; whoever reads it later has heard where it lies. The
 # longest deadlines are some seconds, and a client may come again after as much.
 AGE_US = 30_000_000
-# More writes than a head takes in that time (130 a second). An entry takes 0.4 KB, all of them 1.5 MB.
+# More writes than a head takes in that time (130 a second). An entry takes 0.4 KB, all of them 1.7 MB.
 MOST = 4096
 
 
@@ -14,7 +16,8 @@
 
     def __init__(self, most: int = MOST, age_us: int = AGE_US) -> None:
         self.most, self.age_us = most, age_us
-        self.places: dict[tuple[str, str], tuple[int, int]] = {}    # shard and when, by volume and key
+        # Shard and when, by volume and key; a plain dict finds its oldest entry only past all that were deleted.
+        self.places: OrderedDict[tuple[str, str], tuple[int, int]] = OrderedDict()
 
     def note(self, now_us: int, volume: str, key: str, shard: int) -> None:
         """Note that a shard has answered for a write of an object; an earlier place of it is void."""
