--- a/hophinge/control/permits.py
+++ b/hophinge/control/permits.py
@@ -63,9 +63,9 @@
                                                             f"{': ' if note else ''}{note}")
         self.pushed(forms)
 
-    def refused(self, forms: Sequence[Record], place: Form | None) -> list[str]:
+    def refused(self, forms: Sequence[Record], place: Form | None, name: str) -> list[str]:
         """Tell what a document gets wrong about heads that are here, as lines; `place`: its form on maintenance."""
-        return refused(forms, self.coordinator.sights.connected(), place)
+        return refused(forms, self.coordinator.sights.connected(), place, name)
 
     def pushed(self, forms: Sequence[Record] | None) -> None:
         """Take the forms of a document that is stored, and what pools and reserves its version states."""
--- a/hophinge/control/staff.py
+++ b/hophinge/control/staff.py
@@ -55,12 +55,13 @@
         """Check a document and store it as the next version; `expect`: only if that is the newest one."""
         source = str(call["text"]).encode()
         document = read(source)
-        if lines := document.lines(str(call.get("name", "the document"))):
+        name = str(call.get("name", "the document"))
+        if lines := document.lines(name):
             return {"mistakes": lines}
         bodies = {name: records.encode(record) for name, record in document.records.items()
                   if not isinstance(record, (records.Rollout, *records.UPKEEP))}
         upkeep = [record for record in document.records.values() if isinstance(record, records.UPKEEP)]
-        if mistakes := self.service.upkeep.refused(upkeep, document.places.get("maintenance/*")):
+        if mistakes := self.service.upkeep.refused(upkeep, document.places.get("maintenance/*"), name):
             return {"mistakes": mistakes}
         promised, capacity = reserves_of(bodies.values())
         await self.service.shares.check({**self.service.shares.reserved(), **promised}, capacity)
--- a/hophinge/maintenance/naming.py
+++ b/hophinge/maintenance/naming.py
@@ -24,8 +24,7 @@
             if isinstance(one, Maintenance) else one for one in forms]
 
 
-def refused(forms: Iterable[Record], here: Collection[str], place: Form | None,
-            name: str = "the document") -> list[str]:
+def refused(forms: Iterable[Record], here: Collection[str], place: Form | None, name: str) -> list[str]:
     """Tell the heads that are named as gone and have a stream here, each at its place; `place`: the form that names."""
     retired = [one for form in forms if isinstance(form, Maintenance) for one in form.retired if one in here]
     found = []
