--- a/tests/test_together_release.py
+++ b/tests/test_together_release.py
@@ -9,7 +9,7 @@
 
 from hophinge.load.rig.waiting import ended, until
 from hophinge.maintenance.releases import ranked
-from tests.maintenance_rig import KILL, whole
+from tests.maintenance_rig import KILL, places, whole
 from tests.together import BOUND_S, SOAK, run
 
 BOUNDS = "(maintenance (heads (most {})) (served 1 heads)) "
@@ -95,3 +95,12 @@
             assert sorted(begun) == names.split()
             assert sorted(name for _, name, _ in here.goes) == names.split()
     run(main())
+
+
+def test_the_check_of_a_history_finds_what_it_is_for() -> None:
+    sound = [("1.1", "head", "n0", "granted"), ("1.1", "head", "n0", "begun"), ("1.2", "head", "n1", "granted"),
+             ("1.1", "head", "n0", "free"), ("1.3", "brick", "n0", "begun")]
+    assert places(sound, "head") == 2 and places(sound, "brick") == 1
+    for bad in (("1.4", "head", "n1", "granted"), ("1.1", "head", "n0", "begun")):
+        with pytest.raises(AssertionError):
+            places([*sound, bad], "head")
