--- a/hophinge/popularity/interval.py
+++ b/hophinge/popularity/interval.py
@@ -43,11 +43,8 @@
         """Take what became of a prediction of a class."""
         allowed = MISSES if low <= 0.0 else MISSES / 2
         self.above[at] = _step(self.above[at], count > high, allowed)
-        if low > 0.0:
+        if low > 0.0:       # at 0 none can miss: the bound is judged where it says something
             self.below[at] = _step(self.below[at], count < low, allowed)
-        else:
-            # No miss is possible at 0: the bound comes up until it can be judged.
-            self.below[at] = max(self.below[at] - STEP * MISSES / 2, 0.0)
 
     def interval(self, at: int, mean: float, variance: float) -> Prediction:
         """Tell a skewed interval: the logarithm of the count and a half is taken for normal, by its moments."""
