--- a/benchmarks/popularity_latency.py
+++ b/benchmarks/popularity_latency.py
@@ -110,8 +110,8 @@
             f"A real head with an object front, three stand-in bricks of {WORK_S * 1000:.0f} ms a read and the "
             f"clients in one process; {RATE:.0f} reads a second of {SIZE} bytes in two "
             f"pieces, {PAIRS} pairs of runs of {SECONDS:.1f} s in turn. p99 with fetches to p99 without: "
-            f"{whole_ratio:.2f} over the reads that were served; in pairs median {statistics.median(ratios):.2f}, quartiles "
-            f"{spread[0]:.2f} and {spread[2]:.2f}.", "",
+            f"{whole_ratio:.2f} over the reads that were served; in pairs median {statistics.median(ratios):.2f}, "
+            f"quartiles {spread[0]:.2f} and {spread[2]:.2f}.", "",
             "| fetches | reads served | not served | p50, ms | p99, ms | fetched, kB/s |",
             "| --- | --- | --- | --- | --- | --- |", *rows]
 
