--- a/hophinge/net/pool.py
+++ b/hophinge/net/pool.py
@@ -17,7 +17,8 @@
 from hophinge.net.connects import Connects, Usual
 
 LONGEST = 6.0       # connect limits after which a connect that nobody waits for any more is given up
-STOOD_S = 0.005     # by which a timer is late where the whole head stood still: then no connect is to blame
+TURNS = 5           # of the loop before a connect is held for late: a head that stood still has not read of its end yet
+TURN_S = 0.001      # at least, of each
 
 Dial = Callable[[str], Awaitable[BrickConnection]]
 
@@ -136,12 +137,11 @@
             line.dials.add(task)
             task.add_done_callback(line.dials.discard)
         if (at := line.connects.look_at(now)) is not None:
-            line.timer = self.loop.call_at(max(at, now + 0.001), self._due, endpoint, line, max(at, now + 0.001))
+            line.timer = self.loop.call_at(at, self._due, endpoint, line, TURNS)
 
-    def _due(self, endpoint: str, line: Line, at: float) -> None:
-        if self.loop.time() - at > STOOD_S:
-            again = self.loop.time() + STOOD_S
-            line.timer = self.loop.call_at(again, self._due, endpoint, line, again)
+    def _due(self, endpoint: str, line: Line, turns: int) -> None:
+        if turns:
+            line.timer = self.loop.call_later(TURN_S, self._due, endpoint, line, turns - 1)
         else:
             self._look(endpoint, line)
 
--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -95,7 +95,7 @@
             wire.send(READ, headers(X_Remaining_Ms="100"))
             assert (await wire.receive())[0] == 503
             await closed.wait()
-            assert service.counters.counts["attempts_timeout"] == 1 and not service.bricks.connector._acquired
+            assert service.counters.counts["attempts_timeout"] == 1 and not service.bricks.roll.open
     run(main())
 
 
@@ -201,9 +201,9 @@
     run(main())
 
 
-def test_settings_of_the_connector() -> None:
+def test_settings_of_the_pool() -> None:
     async def main() -> None:
         async with world() as made:
-            connector = (await made.head(settings=setup())).bricks.connector
-            assert 0 < float(str(connector._keepalive_timeout)) <= 15 and connector.limit == 0
+            bricks = (await made.head(settings=setup())).bricks
+            assert 0 < bricks.pool.idle_s <= 15 and bricks.connector.limit == 0
     run(main())
