--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from hashlib import blake2b
 
 from hophinge.core import interface as api
@@ -114,7 +115,7 @@
         # wait, so reserve goes before share before spare without a word between them.
         wait = self._wait(book)
         part = self._part(request, book.entry.node, wait + ask.units * self._nominal(book))
-        if wait > PATIENCE * self.aim * part:
+        if wait > PATIENCE * self.aim * math.sqrt(part):
             return False
         if not request.charged:
             request.charged = True
