--- a/hophinge/core/choice/books.py
+++ b/hophinge/core/choice/books.py
@@ -8,7 +8,7 @@
 from hophinge.core.choice.volumes import Volume
 
 MEMORY = 0.9            # weight kept by what was learned at each new answer: about ten answers count
-HOLD_PART = 0.35        # part of its time that a request is held unsent
+HOLD_PART = 0.25        # part of its time that a request is held unsent
 
 
 class Slot:
--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 from hashlib import blake2b
 
 from hophinge.core import interface as api
@@ -13,6 +12,7 @@
 from hophinge.core.choice.volumes import Gauge
 
 GROUP = 9               # members of a key's group: the paper's negotiating group, three times three replicas
+STEP = 0.7              # power of the part of its full worth that a request earns, by which its patience falls
 Ready = tuple[float, int, str, Request, Book | None]
 
 
@@ -101,9 +101,10 @@
         if request.version != version or request.copied:
             request.version, request.group = version, self._group(request)
         members = [book for book in request.group if not book.full and not book.silent and self._open(book)]
-        added = self.scorers.added_us(now, request.ask, members) if self.scorers is not None else {}
+        added = self.scorers.added_us(now, request.ask, members) if self.scorers is not None else None
         members.sort(key=lambda book: (book.failures > 0, max(book.free, now + self._wait(book))
-                                       + units * self._unit_us(book) + added.get(book.entry.node, 0.0)))
+                                       + units * self._unit_us(book)
+                                       + (added.get(book.entry.node, 0.0) if added else 0.0)))
         return any(self._send(request, book) for book in members)
 
     def _send(self, request: Request, book: Book) -> bool:
@@ -115,7 +116,7 @@
         # wait, so reserve goes before share before spare without a word between them.
         wait = self._wait(book)
         part = self._part(request, book.entry.node, wait + ask.units * self._nominal(book))
-        if wait > PATIENCE * self.aim * math.sqrt(part):
+        if wait > PATIENCE * self.aim * part ** STEP:
             return False
         if not request.charged:
             request.charged = True
--- a/hophinge/core/choice/nodes.py
+++ b/hophinge/core/choice/nodes.py
@@ -18,8 +18,8 @@
 FINE = 10               # looks within the tightest aim at a place where something is held
 NOMINAL = 0.25          # quantile of time per unit, by machine kind, that counts as served without waiting
 NOMINAL_STEP = 0.05     # part by which one answer moves that quantile
-STALE = 5.0             # tightest aims after which what was seen of a node's wait counts for a third
-PATIENCE = 0.75         # tightest aims that a request of full worth waits for others' work at a node
+STALE = 2.0             # tightest aims after which what was seen of a node's wait counts for a third
+PATIENCE = 1.0          # tightest aims that a request of full worth waits for others' work at a node
 FRESH = 0.5             # weight of the newest answer in a node's wait
 
 
--- a/tests/test_choice_waits.py
+++ b/tests/test_choice_waits.py
@@ -41,6 +41,37 @@
     assert gate.sends(0, ask("reserved", units=1, volume="meek")) == [("reserved", "n0")]
 
 
+def test_reserve_waits_longer_than_what_earns_less() -> None:
+    """Reserve was refused at three quarters of an aim of others' work, though it would still have been in time."""
+    gate = Gateway()
+    gate.at(0, ask("first", units=1, volume="greedy"))
+    gate.at(10 * MS, end("first", Result.OK))
+    spend_reserve(gate, "greedy")
+    book = gate.scheduler.books["n0"]
+    book.wait, book.wait_at = 0.6 * gate.scheduler.aim, gate.now
+    assert not gate.sends(0, ask("beyond", units=1, volume="greedy"))       # earns 0.4 of the full worth
+    assert gate.sends(0, ask("reserved", units=1, volume="meek")) == [("reserved", "n0")]
+    gate = Gateway()
+    gate.at(0, ask("first", units=1, volume="meek"))
+    gate.at(10 * MS, end("first", Result.OK))
+    book = gate.scheduler.books["n0"]
+    book.wait, book.wait_at = 0.85 * gate.scheduler.aim, gate.now
+    assert gate.sends(0, ask("reserved", units=1, volume="meek")) == [("reserved", "n0")]
+
+
+def test_an_idle_node_is_not_held_back_for_a_wait_seen_two_aims_ago() -> None:
+    """Gateways held requests at bricks that had nothing out from anybody, for what a past answer told."""
+    gate = Gateway()
+    gate.at(0, ask("first", units=1, volume="greedy"))
+    gate.at(10 * MS, end("first", Result.OK))
+    spend_reserve(gate, "greedy")
+    book = gate.scheduler.books["n0"]
+    book.wait, book.wait_at = 0.9 * gate.scheduler.aim, gate.now
+    gate.at(600 * MS)
+    assert gate.scheduler._wait(book) < 0.4 * gate.scheduler.aim
+    assert gate.sends(0, ask("beyond", units=1, volume="greedy")) == [("beyond", "n0")]
+
+
 def test_a_wait_once_seen_fades_at_nodes_not_seen_too() -> None:
     """Gateways that held all back heard no answer and went on holding after a burst (lakeshore big-2)."""
     gate = Gateway()
