Processes that make or open a ledger at once wait for each other

Seen: tests/test_handover.py, two heads of an upgrade with accounts, hung in 2 of 9 runs on a quiet machine: one head had ended with 'database is locked [ledger-unusable]' and its second address never came. Checked with two processes that open a new file at the same moment: 14 of 60 opens failed, at 'PRAGMA journal_mode=WAL', which SQLite refuses at once while another holds the file, or at the first change after 50 ms, the bound that is meant for a serving head.

Change: at opening, when nobody is served yet, the wait is up to 5 s, for the log's mode too; then 50 ms as before.

The new test fails without the change; 24 tests of ledger and handover pass.

--- a/hophinge/state/book.py
+++ b/hophinge/state/book.py
@@ -5,12 +5,14 @@
 import contextlib
 import os
 import sqlite3
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 from hophinge.state.errors import BusyError, FullError, LedgerError
 
 FORM = 1
+OPEN_S, AGAIN_S = 5.0, 0.005    # waited for another process that opens or makes it; nobody is served yet
 BUSY_S = 0.05           # waited for another process's change; the caller stands still meanwhile
 
 SCHEMA = """
@@ -35,9 +37,9 @@
         self.path = path
         path.parent.mkdir(parents=True, exist_ok=True)
         try:
-            self.db = sqlite3.connect(path, isolation_level=None, timeout=BUSY_S)
+            self.db = sqlite3.connect(path, isolation_level=None, timeout=OPEN_S)
             os.chmod(path, 0o600)
-            self.db.execute("PRAGMA journal_mode=WAL")
+            self._logged_ahead()
             self.db.execute("PRAGMA synchronous=FULL")
             with self.write():
                 if not self.db.execute("SELECT count(*) FROM sqlite_master WHERE name = 'meta'").fetchone()[0]:
@@ -51,9 +53,22 @@
                 raise LedgerError(f"{path}: form {form} is not read by this version, which reads form {FORM}")
             if (found := self.db.execute("PRAGMA quick_check(1)").fetchone()[0]) != "ok":
                 raise LedgerError(f"{path}: it is torn: {found}")
+            self.db.execute(f"PRAGMA busy_timeout={int(BUSY_S * 1000)}")
         except sqlite3.DatabaseError as error:
             raise LedgerError(f"{path}: {error}") from error
 
+    def _logged_ahead(self) -> None:
+        """Have changes logged ahead; of two processes that make the file at once, one is told off without a wait."""
+        until = time.monotonic() + OPEN_S
+        while True:
+            try:
+                self.db.execute("PRAGMA journal_mode=WAL")
+                return
+            except sqlite3.OperationalError as error:
+                if "locked" not in str(error) or time.monotonic() > until:
+                    raise
+                time.sleep(AGAIN_S)
+
     @contextlib.contextmanager
     def write(self) -> Iterator[None]:
         """Do a change whole or not at all; what goes wrong is told as what it means."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,6 +9,7 @@
 import sqlite3
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -170,3 +171,22 @@
     assert ledger.db.execute("SELECT count(*) FROM row").fetchone()[0] <= 21
     assert 1 < ledger.floor() < ledger.seq
     ledger.close()
+
+
+OPENED = """
+import sys, time
+from pathlib import Path
+from hophinge.state.ledger import Ledger
+while time.time() < float(sys.argv[2]):
+    pass
+Ledger(Path(sys.argv[1])).close()
+"""
+
+
+def test_processes_that_make_a_ledger_at_once_all_open_it(tmp_path: Path) -> None:
+    """One of two heads of an upgrade that started together ended with 'database is locked' (14 of 60 opens)."""
+    for turn in range(6):
+        at = time.time() + 0.5
+        opened = [subprocess.Popen([sys.executable, "-c", OPENED, str(tmp_path / f"{turn}.db"), str(at)], cwd=ROOT,
+                                   stderr=subprocess.PIPE, text=True) for _ in range(4)]
+        assert [one.communicate()[1] for one in opened] == [""] * 4
