Test: the budget of cold bricks by the rule's words, over the fleet and several times the power

Change: the model of a fleet with one warming brick measures just that, in any window, for 5, 40 and 200 uneven heads asked for 1.6 and 2.5 times the brick's power; a fleet without the guard is seen to pass it.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from dataclasses import replace
 
@@ -95,6 +96,22 @@
             most = max(most, units / max(RULES.cold_units, budget))
         return most
 
+    def used(self) -> float:
+        """Tell the largest part of what the rule allows in any window, by its words.
+
+        A starting node falls at more than N + 3 x root of N + 3 requests of mean work, N being what the settings allow.
+        """
+        most, begin, units = 0.0, 0, 0.0
+        for when, own in self.sent:
+            units += own
+            while self.sent[begin][0] <= when - RULES.fall_us:
+                units -= self.sent[begin][1]
+                begin += 1
+            least = self.share(max(T0, when - RULES.fall_us))
+            number = max(RULES.cold_units, RULES.fall_multiple * least * POWER * RULES.fall_us / SECOND) / 2.0
+            most = max(most, units / 2.0 / (number + 3 * math.sqrt(number) + 3))
+        return most
+
 
 @pytest.mark.parametrize(("heads", "load", "fresh"), [
     (1, 0.4, 0.0), (5, 0.4, 0.0), (5, 2.5, 0.3), (40, 0.4, 0.0), (40, 0.7, 0.0), (40, 0.7, 0.3), (40, 1.0, 0.3),
@@ -115,3 +132,20 @@
     day = Day(1.0, 1, 40, 0.6)
     day.run(12 * SECOND)
     assert day.new > 20
+
+
+@pytest.mark.parametrize(("heads", "load", "fresh"), [
+    (5, 2.5, 0.3), (40, 2.5, 0.0), (40, 1.6, 0.3), (200, 1.6, 0.0), (200, 2.5, 0.3)])
+def test_asked_for_several_times_its_power_a_starting_node_does_not_fall(heads: int, load: float, fresh: float) -> None:
+    """Over the fleet, in any window: most heads see hundredths of the traffic, the first several times the mean."""
+    for seed in range(3):
+        day = Day(load, seed, heads, fresh)
+        day.run(12 * SECOND)
+        assert 0.3 < day.used() < 1.0, "what may be sent is used in part and never passed"
+
+
+def test_the_measure_sees_a_fleet_without_the_guard(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Scheduler, "_bears", lambda *_: True)
+    day = Day(2.5, 0, 40)
+    day.run(12 * SECOND)
+    assert day.used() > 1.0
