Ports of the harness lie outside those that the system gives to outgoing connections

Seen: one of about 120 starts of a real head ended as its address was in use; the harness chooses a port ahead, and an outgoing connection was given it before the process listened. Change: ports from 10,000 to 29,999 of a run's own loopback address, each told once, with an error of its own at the end. The test fails without it: the ports found lay in the system's range.

--- a/hophinge/load/rig/run.py
+++ b/hophinge/load/rig/run.py
@@ -28,6 +28,9 @@
 
 NETS = itertools.count()
 KEY_BYTES = 32
+# Chosen ahead of the processes that listen there: none that the system gives to connections on their way out (from
+# 32768 on), one of which took such a port in one of 120 starts.
+PORTS = range(10_000, 30_000)
 REMAINING_S, PAUSE_S = 0.75, 0.1    # a request's time, and a client's pause before it asks again
 TRIES = 3
 Sections = Mapping[str, Mapping[str, Any]]
@@ -40,6 +43,13 @@
     remedy = "End the processes whose ids are named, and look why they could not be killed."
 
 
+class NoPortError(HophingeError):
+    """A run has used up the ports that it may choose from."""
+
+    code = "rig-no-port"
+    remedy = "End the run and begin another; each has an address and ports of its own."
+
+
 class Where(Struct):
     """Where a process of the run listens, in truth and not through the relay."""
 
@@ -72,7 +82,7 @@
         self.where: dict[str, Where] = {}
         self.views: dict[str, View] = {}
         self.session: aiohttp.ClientSession | None = None
-        self.used: set[int] = set()
+        self.ports = iter(PORTS)
         self.key_file = folder / "keys"
         self.tokens = {name: secrets.token_hex(16) for name in ("heads", "staff")}
 
@@ -100,17 +110,15 @@
 
     def port(self) -> int:
         """Find a port of this run's own address that is free for both streams and datagrams; none is told twice."""
-        while True:
+        for found in self.ports:
             with socket.socket() as one, socket.socket(type=socket.SOCK_DGRAM) as other:
-                one.bind((self.host, 0))
-                found = int(one.getsockname()[1])
                 try:
+                    one.bind((self.host, found))
                     other.bind((self.host, found))
                 except OSError:
                     continue
-            if found not in self.used:
-                self.used.add(found)
-                return found
+            return found
+        raise NoPortError(f"{self.host} has no port left of {PORTS.start} to {PORTS.stop - 1}")
 
     def address(self) -> str:
         """Find a free address."""
--- a/tests/test_rig_run.py
+++ b/tests/test_rig_run.py
@@ -9,7 +9,7 @@
 
 from hophinge.control.client import call
 from hophinge.core.errors import told
-from hophinge.load.rig.run import LeftoverError, Run
+from hophinge.load.rig.run import PORTS, LeftoverError, NoPortError, Run
 from hophinge.load.rig.waiting import Condition, ConditionError, said, until
 from tests.stand_in import run
 
@@ -105,3 +105,16 @@
 def test_ports_and_addresses_of_two_runs_are_apart(tmp_path: Path) -> None:
     one, other = Run(tmp_path / "one"), Run(tmp_path / "other")
     assert one.host != other.host and len({one.port() for _ in range(50)}) == 50
+
+
+def test_ports_are_none_that_connections_on_their_way_out_are_given_and_end_with_a_remedy(tmp_path: Path) -> None:
+    """A head's port was taken by an outgoing connection between its choice and the head's start."""
+    first_out = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    made = Run(tmp_path)
+    found = [made.port() for _ in range(50)]
+    assert len(set(found)) == 50 and max(found) < first_out
+    made.ports = iter(range(PORTS.stop - 1, PORTS.stop))
+    made.port()
+    with pytest.raises(NoPortError) as error:
+        made.port()
+    assert "[rig-no-port]" in told(error.value)
