A release asks no head to go whose build nobody knows yet

Seen: tests/test_together_release.py, killed at each store, beside a load: one head was granted and begun twice, one permit after the other. Its audit shows the first permit free, then the service killed and started, then a second one for the same head, which had the build. Ruled out: two places at once (the bound held), and the head's own doing (it was told to go).

Cause: a service that has just started has heads' streams before their first whole reports; Coordinator.views made these heads of build '', which is not the wanted one, and that would have been stored as the way back too. Reports as changes, asked for whole after a start, made the gap a second longer.

Change: HeadView.known; a head that will tell its build and has not is neither asked to go nor back.

--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -224,7 +224,8 @@
             if head.connected or name not in self.rule.retired:
                 report = head.report or Report(0)
                 found[name] = HeadView(head.connected, head.up, report.build, report.process,
-                                       self.permits.of(Kind.HEAD, name), report.taken, report.failed)
+                                       self.permits.of(Kind.HEAD, name), report.taken, report.failed,
+                                       head.report is not None or not head.speaks)
         return found
 
     # --- what is told
--- a/hophinge/maintenance/releases.py
+++ b/hophinge/maintenance/releases.py
@@ -150,8 +150,7 @@
         if left:
             watch.quiet_since = 0
             wants = tuple(Want(course.name, name, course.build, f"{course.name}/{course.again}/{course.build}")
-                          for name in left if name in views and views[name].connected and views[name].permit is None
-                          and views[name].build != course.build)
+                          for name in left if name in views and _asks(views[name], course.build))
             was = {**{one.head: heads[one.head].build for one in wants}, **course.was}
             return Outcome((msgspec.structs.replace(course, was=was),) if was != course.was else (), wants)
         watch.quiet_since = watch.quiet_since or now_us
@@ -179,7 +178,7 @@
             if one.permit is not None:
                 if one.permit.by == f"release {course.name}" and one.permit.build != build:
                     rebuilt.append((one.permit.id, build))
-            elif one.connected and one.build != build:
+            elif _asks(one, build):
                 wants.append(Want(course.name, name, build, f"{course.name}/{course.again}/{build}/back"))
         if not left:
             return Outcome((msgspec.structs.replace(course, stage=Stage.UNDONE),))
@@ -192,3 +191,8 @@
 
 def _settled(one: HeadView, build: str) -> bool:
     return one.connected and one.ready and one.permit is None and one.build == build
+
+
+def _asks(one: HeadView, build: str) -> bool:
+    """Tell whether a head is to be asked to go: one whose build nobody knows yet may have it already."""
+    return one.connected and one.known and one.permit is None and one.build != build
--- a/hophinge/maintenance/watch.py
+++ b/hophinge/maintenance/watch.py
@@ -25,6 +25,7 @@
     permit: Permit | None
     taken: float
     failed: float
+    known: bool = True      # False: it will tell what it runs and has not yet
 
 
 class Watch(Struct):
--- a/tests/test_maintenance_releases.py
+++ b/tests/test_maintenance_releases.py
@@ -180,6 +180,23 @@
     assert at > 20
 
 
+def test_a_head_that_has_not_told_its_build_yet_is_not_asked_to_go_again() -> None:
+    """A service started anew had heads' streams before their reports, and restarted one that had the build already."""
+    world = rolling(5, Maintenance(Most(2), Most(1)))
+    world.until(lambda: "r" in world.store.courses and world.store.courses["r"].wave == 1 and not held(world))
+    assert stage(world) is Stage.ROLLING
+    world.begin()
+    assert world.issuer is not None
+    for name in world.heads:
+        world.issuer.connected(name, True, len(world.heads))
+    given = len(world.store.permits)
+    world.issuer.tick(world.now)
+    assert len(world.store.permits) == given and "" not in world.store.courses["r"].was.values()
+    world.until(lambda: stage(world) is Stage.DONE)
+    heads = [one.name for one in world.store.permits.values() if one.kind is Kind.HEAD]
+    assert stage(world) is Stage.DONE and sorted(heads) == sorted(world.heads) and world.wrong == []
+
+
 def test_an_outage_drains_comes_back_cold_and_frees_by_evidence() -> None:
     world = rolling()
     del world.releases["r"]
