A pushed list whose agent turned calls away is asked for again at once

Cause: a head whose agent on its own machine turns calls away paused like one of a fleet that shares one discovery: up to 1.5 s for one head, for 200 heads 2 to 6 s at first, then doubling up to 80 s on average. What such an agent has counts at once, also right after an outage.

--- a/hophinge/net/pace.py
+++ b/hophinge/net/pace.py
@@ -37,6 +37,8 @@
         # Pauses whose mean is half a chained call's time for each head let two calls through in that time.
         self.first_turned_s = max(FIRST_PAUSE_S, min(FIRST_TURNED_S, heads * CHAINED_S / 2))
         self.longest_turned_s = max(LONGEST_PAUSE_S, heads * CHAINED_S * 2)
+        if pushed:      # other heads ask agents of their own
+            self.first_turned_s = self.longest_turned_s = PUSHED_PAUSE_S
         # Waits that end sooner find silence sooner, and cost discovery as many calls more.
         self.watch_s = PUSHED_WATCH_S if pushed else min(LONG_S, max(SHORT_S, heads * CHAINED_S / 2))
         self.longest_pause_s = PUSHED_PAUSE_S if pushed else LONGEST_PAUSE_S
