--- a/hophinge/net/pool.py
+++ b/hophinge/net/pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -190,5 +191,12 @@
 
 
 def sound(connection: BrickConnection) -> bool:
-    """Tell whether a request may be written: it is up, and got nothing that nobody had asked for."""
-    return connection.is_connected() and not connection.should_close
+    """Tell whether a request may be written: it is up, and got nothing that nobody had asked for.
+
+    Bytes that the loop has not read yet count too: a late second answer would be taken for the next request's.
+    """
+    if not connection.is_connected() or connection.should_close or connection.transport is None:
+        return False
+    look = select.poll()
+    look.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return not look.poll(0)     # an end at hand counts as well
