--- /dev/null
+++ b/tests/test_rig_processes.py
@@ -0,0 +1,167 @@
+"""The rig's processes: stopped, killed, with a full disk and a wrong clock, and none left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from hophinge.load.rig.launch import CLOCK
+from hophinge.load.rig.processes import LAUNCH, ROOT, Process, Processes, TooManyError
+from hophinge.load.rig.waiting import Condition, ConditionError, always, ended, said, until
+from tests.stand_in import run
+
+BOUND_S = 30.0
+# A module that does by words what the program's parts do: tells the time, writes a file that lasts, uses SQLite.
+MODULE = """
+import sqlite3, sys, time
+from pathlib import Path
+from hophinge.state.files import load, save
+from hophinge.state.ledger import Ledger, LedgerError
+from hophinge.state.rows import Entry, Row
+folder = Path(sys.argv[1])
+ledger = Ledger(folder / "accounts.db")
+print("clock", time.time(), time.monotonic(), flush=True)
+at = 0
+while not (folder / "go").exists():
+    at += 1
+    changed = [Row("k", "n", b"1")], Entry(0, "", "", "", ""), None
+    for name, act in (("file", lambda: save(folder / "kept", "try", 1, b"%d" % at)),
+                      ("ledger", lambda: ledger.change(lambda: changed))):
+        try:
+            act()
+            print(name, "written", at, flush=True)
+        except (OSError, LedgerError) as error:
+            print(name, "not written:", type(error).__name__, error, flush=True)
+    time.sleep(0.02)
+"""
+
+
+def module(made: Processes, name: str, **environ: str) -> Process:
+    (made.folder / "worker_of_rig.py").write_text(MODULE)
+    (made.folder / name).mkdir()
+    return made.make(name, ["worker_of_rig", str(made.folder / name)],
+                     {"PYTHONPATH": f"{made.folder}:{ROOT}", **environ})
+
+
+def newer(process: Process, text: str, than: int) -> Condition:
+    """A line that came after so many."""
+    async def look() -> tuple[bool, str]:
+        return any(text in line for line in list(process.lines)[than:]), ""
+    return Condition(process, f"says {text!r} again", look)
+
+
+def test_a_full_and_a_failing_disk_come_and_go_while_a_process_runs(tmp_path: Path) -> None:
+    async def main() -> None:
+        made = Processes(tmp_path)
+        one = module(made, "one")
+        try:
+            await made.start("one")
+            await until([said(one, "file written"), said(one, "ledger written")], BOUND_S)
+            for word, text in (("full", "No space left"), ("failing", "Input/output error")):
+                one.disk(word)
+                await until([newer(one, text, len(one.lines)), newer(one, "ledger not written: FullError",
+                                                                    len(one.lines))], BOUND_S)
+                one.disk("")
+                await until([newer(one, "file written", len(one.lines)),
+                             newer(one, "ledger written", len(one.lines))], BOUND_S)
+            (one.folder / "go").touch()
+            await until([ended(one, 0)], BOUND_S)
+        finally:
+            assert await made.close() == []
+    run(main())
+
+
+def test_a_wall_clock_is_off_and_the_monotonic_one_is_not(tmp_path: Path) -> None:
+    async def main() -> None:
+        made = Processes(tmp_path)
+        right, wrong = module(made, "right"), module(made, "wrong", **{CLOCK: "-3600"})
+        try:
+            await made.start("right", "wrong")
+            await until([said(right, "clock"), said(wrong, "clock")], BOUND_S)
+            found = [[float(text) for text in line.split()[1:]] for one in (right, wrong)
+                     for line in one.lines if line.startswith("clock")]
+            assert abs(found[0][0] - found[1][0] - 3600) < 120 and abs(found[0][1] - found[1][1]) < 120
+        finally:
+            assert await made.close() == []
+    run(main())
+
+
+def test_a_process_is_stopped_woken_killed_and_started_again_and_only_by_its_own_id(tmp_path: Path) -> None:
+    async def main() -> None:
+        made = Processes(tmp_path, most=2)
+        one, other = module(made, "one"), module(made, "other")
+        module(made, "third")
+        try:
+            await made.start("one", "other")
+            with pytest.raises(TooManyError):
+                await made.start("third")
+            await until([said(one, "file written"), said(other, "file written")], BOUND_S)
+            await one.stop()
+            assert one.stopped and not other.stopped and one.running
+            await until([newer(other, "file written", len(other.lines))], BOUND_S)     # the pipes are empty now
+            seen = len(one.lines)
+            await until([newer(other, "file written", len(other.lines))], BOUND_S)
+            assert len(one.lines) == seen
+            one.wake()
+            await until([newer(one, "file written", len(one.lines))], BOUND_S)
+            await one.stop()
+            await one.kill()                        # one that stands still too
+            assert not one.running and other.running
+            with pytest.raises(ProcessLookupError):
+                one.send(signal.SIGTERM)            # nobody else's id is ever taken
+            await one.start()
+            await until([said(one, "file written")], BOUND_S)
+            assert one.starts == 2 and await other.end() == -signal.SIGTERM
+        finally:
+            assert await made.close() == []
+    run(main())
+
+
+def test_a_wait_that_fails_names_the_process_the_condition_and_its_log(tmp_path: Path) -> None:
+    async def main() -> None:
+        made = Processes(tmp_path)
+        one, other = module(made, "one"), module(made, "other")
+        try:
+            await made.start("one", "other")
+            await until([said(one, "file written")], BOUND_S)
+            with pytest.raises(ConditionError) as caught:
+                await until([said(one, "file written"), said(other, "what never comes")], 0.2)
+            text = str(caught.value)
+            assert "other (running): says 'what never comes'" in text and "one (running)" not in text
+            await until([said(other, "file written")], BOUND_S)
+            with pytest.raises(ConditionError, match=r"(?s)other.*written"):
+                await always([said(one, "clock"), said(other, "what never comes")], asyncio.sleep(60))
+            assert await always([said(other, "clock")], asyncio.sleep(0.1)) > 0
+            with pytest.raises(ValueError, match="nothing is waited for"):
+                await until([], 1.0)
+        finally:
+            assert await made.close() == []
+    run(main())
+
+
+def test_a_test_that_is_killed_leaves_no_process_behind(tmp_path: Path) -> None:
+    """The parent of a process of the rig is killed; the process ends with it."""
+    code = ("import os, subprocess, sys\n"
+            f"one = subprocess.Popen([sys.executable, '-m', {LAUNCH!r}, 'http.server', '0', '--bind', '127.0.0.1'],\n"
+            "    env={**os.environ, 'RIG_PARENT': str(os.getpid())}, stderr=subprocess.PIPE, stdout=subprocess.PIPE)\n"
+            "print(one.pid, flush=True)\n"
+            "assert one.stdout.readline() or True\nprint('serves', flush=True)\nsys.stdin.read()")
+    with subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                          env={**os.environ, "PYTHONUNBUFFERED": "1"}) as parent:
+        assert parent.stdout is not None
+        pid = int(parent.stdout.readline())
+        assert parent.stdout.readline() == b"serves\n" and Path(f"/proc/{pid}").exists()
+        parent.kill()
+    gone = Path(f"/proc/{pid}/stat")
+
+    async def main() -> None:
+        while gone.exists() and gone.read_text().rpartition(")")[2].split()[0] != "Z":
+            await asyncio.sleep(0.01)
+    run(main())
+    assert not gone.exists() or gone.read_text().rpartition(")")[2].split()[0] == "Z"
