An attempt with a body on its way tells no more time than is left to its client

Seen by reading and by a probe: the time told for a body that is still on its way was all that its client had at arrival, however long the attempt had waited for its connection, for a node or at the gate. Meanwhile nothing is read of the body, so its last byte may lie in the kernel since the beginning; the clients' time is counted from there. The same wait was missing in the request's own deadline, which ran anew once the body was read whole. At fault: Attempt.left_us and Exchange.whole. Ruled out: bodies that are whole, requests without one and further attempts, whose time is what is left to the deadline (tests for all three).

Change: an attempt notes as its first byte goes how long the body waited; that is gone from what it tells and from the deadline.

--- a/hophinge/core/exchange/__init__.py
+++ b/hophinge/core/exchange/__init__.py
@@ -30,11 +30,11 @@
         """Take a request; ``answer`` is called once, never within this call, unless its client departs.
 
         Where it is not `whole`, its body is still on its way: its one attempt may take that on, and its client's time
-        runs from the body's last byte.
+        runs from the body's last byte, less what the body waited before that attempt.
         """
         if ask.request in self.open:
             raise ValueError(f"request {ask.request} is open already")
-        request = self.open[ask.request] = Open(ask, payload, answer, self.now_us() + ask.time_left_us, whole)
+        request = self.open[ask.request] = Open(ask, payload, answer, self.now_us(), whole)
         if whole:
             self._limit(request)
         self.unanswered += 1
@@ -57,7 +57,8 @@
         request = self.open.get(name)
         if request is None or request.whole or request.answer is None:
             return
-        request.whole, request.deadline = True, self.now_us() + request.ask.time_left_us
+        request.whole = True
+        request.deadline = self.now_us() + max(0, request.ask.time_left_us - request.waited)
         self._limit(request)
         for attempt in request.attempts.values():
             attempt.give_up = request.deadline
--- a/hophinge/core/exchange/attempts.py
+++ b/hophinge/core/exchange/attempts.py
@@ -42,11 +42,13 @@
 class Open:
     """A request from its arrival until it is answered and no attempt of it is out."""
 
-    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "whole")
+    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "since", "waited", "whole")
 
-    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], deadline: int,
+    def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], since: int,
                  whole: bool) -> None:
-        self.ask, self.payload, self.deadline, self.whole = ask, payload, deadline, whole
+        self.ask, self.payload, self.whole = ask, payload, whole
+        self.since, self.deadline = since, since + ask.time_left_us
+        self.waited = 0         # while nobody took a body that is on its way; its last byte may have come since then
         self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
         self.attempts: dict[int, Attempt] = {}
         self.sent = 0
@@ -80,11 +82,14 @@
                 and (not self.request.whole or self.exchange.now_us() < self.give_up)
                 and self.exchange.phases.get(self.node) is api.Phase.ON)
 
-    def left_us(self) -> int:
-        """Tell how long the attempt will be waited for."""
-        if not self.request.whole:
-            return self.request.ask.time_left_us
-        return max(0, self.give_up - self.exchange.now_us())
+    def goes(self) -> int:
+        """Note that its first byte goes now; tell how long it will be waited for, in microseconds."""
+        request, now = self.request, self.exchange.now_us()
+        if request.whole:
+            return max(0, self.give_up - now)
+        # What has come and was not taken is not seen: the client's time may have run since the body's beginning.
+        request.waited = now - request.since
+        return max(0, request.ask.time_left_us - request.waited)
 
     def moved(self, written: Written, result: api.Result) -> api.Arrival | None:
         """Note where a write went; tell the request that finds a read's object, if this head wrote it elsewhere."""
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -130,7 +130,7 @@
                 raise StaleError
             # The target goes on as the bytes that came.
             return (f"{payload.method} {payload.target} HTTP/1.1\r\nHost: {endpoint}\r\nX-Txn: {payload.txn}\r\n"
-                    f"X-Remaining-Ms: {attempt.left_us() // 1000}\r\n{length}").encode() + payload.key_line + b"\r\n"
+                    f"X-Remaining-Ms: {attempt.goes() // 1000}\r\n{length}").encode() + payload.key_line + b"\r\n"
 
         try:
             if endpoint is None:
