A request that ends while it is written is never made whole at its brick

Seen by probes with a brick that stops reading a body of 0.9 MB (bodies up to 1 MB are held whole and written at once): after the attempt was given up, or its head ended, the connection's close went on sending from the transport's buffer, so that the brick got the whole request afterwards and ran it, its client long answered. A brick's 503 before the body's end put the connection back into the pool with the rest of the body still in the buffer, and the next request was written behind it. A 200 that came before the request was out (a late second answer, say) was served as the request's own.

At fault: BrickConnection.close (ResponseHandler's, which closes the transport with its buffer), pool.sound and Bricks._ask. Ruled out: a reset that reaches uvloop together with the last bytes, with reading paused or behind more bytes than one read takes: connection_lost has its exception each time.

--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -18,11 +18,12 @@
 from hophinge.core.exchange import Attempt, End
 from hophinge.core.interface import ProbeResult, Result, Settings
 from hophinge.net.answer import Answered, Following, first, read_end, read_report
-from hophinge.net.brick import STREAM_STALL_S, BrickConnection, Roll, SpoiltError
+from hophinge.net.brick import STREAM_STALL_S, BrickConnection, SpoiltError
 from hophinge.net.clock import now_us
 from hophinge.net.budget import Budget
 from hophinge.net.payload import MOST_LONG, Payload
 from hophinge.net.pool import Pool
+from hophinge.net.roll import Roll
 from hophinge.net.upload import Upload, UploadError
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
@@ -178,6 +179,8 @@
                     await self._pass_on(payload.upload, protocol, transport)
             flight.wrote()
             message, stream = await protocol.read()
+            if protocol.unsent and message.code not in (503, 504):
+                raise SpoiltError("an answer to a request that is not whole")   # a brick can only turn it away yet
             heard, stated = now_us(), message.headers.get("Content-Length")
             length = None if stated is None else int(stated)
             body, whole = await first(stream, protocol, length if attempt is not None else 0)
--- a/hophinge/net/pool.py
+++ b/hophinge/net/pool.py
@@ -14,8 +14,9 @@
 import aiohttp
 
 from hophinge.core.counters import Counters
-from hophinge.net.brick import BrickConnection, Roll
+from hophinge.net.brick import BrickConnection
 from hophinge.net.connects import Connects, Usual
+from hophinge.net.roll import Roll
 
 LONGEST = 6.0       # connect limits after which a connect that nobody waits for any more is given up
 TURNS = 5           # of the loop before a connect is held for late: a head that stood still has not read of its end yet
@@ -191,11 +192,11 @@
 
 
 def sound(connection: BrickConnection) -> bool:
-    """Tell whether a request may be written: it is up, and got nothing that nobody had asked for.
+    """Tell whether a request may be written: it is up, has sent what was written, and got only what was asked for.
 
     Bytes that the loop has not read yet count too: a late second answer would be taken for the next request's.
     """
-    if not connection.is_connected() or connection.should_close or connection.transport is None:
+    if not connection.is_connected() or connection.should_close or connection.transport is None or connection.unsent:
         return False
     look = select.poll()
     look.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -13,8 +13,9 @@
 
 from hophinge.core.counters import Counters
 from hophinge.net import brick as brick_module
-from hophinge.net.brick import BrickConnection, Roll
+from hophinge.net.brick import BrickConnection
 from hophinge.net.budget import Budget
+from hophinge.net.roll import Roll
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, headers, run, setup, until, world
 from tests.test_net import READ
 
