A body passed on as it comes is taken once, and what its brick does with all of it counts

At fault: Turns._send marked by `whole`, which changes while a request waits. - Where the last piece had to wait for the kernel and the brick answered or reset before the head's next turn, the whole request counted as never run: a served write was refused, and a client of a class that may not be repeated was told that trying again is harmless. At fault: Bricks._pass_on, which took any answer or end after a piece for one before the body's end.

--- a/hophinge/core/exchange/attempts.py
+++ b/hophinge/core/exchange/attempts.py
@@ -42,12 +42,14 @@
 class Open:
     """A request from its arrival until it is answered and no attempt of it is out."""
 
-    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "payload", "sent", "since", "waited", "whole")
+    __slots__ = ("answer", "ask", "attempts", "backstop", "deadline", "once", "payload", "sent", "since", "waited",
+                 "whole")
 
     def __init__(self, ask: api.Arrival, payload: Any, answer: Callable[[Answer], None], since: int,
                  whole: bool) -> None:
         self.ask, self.payload, self.whole = ask, payload, whole
         self.since, self.deadline = since, since + ask.time_left_us
+        self.once = not whole   # its body is held only until an attempt takes it, whole by then or not
         self.waited = 0         # while nobody took a body that is on its way; its last byte may have come since then
         self.answer: Callable[[Answer], None] | None = answer     # None once the one answer is given
         self.attempts: dict[int, Attempt] = {}
--- a/hophinge/core/exchange/turns.py
+++ b/hophinge/core/exchange/turns.py
@@ -201,7 +201,7 @@
         self.counters.add("attempts_sent")
         if request.whole:
             self._time(attempt)
-        else:
+        if request.once:
             self._event(api.StreamStarted(action.request, attempt.number, 0, upward=True))
         try:
             attempt.stop = self.start(attempt)
--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -145,9 +145,7 @@
             raise
         except StaleError:
             end = End(Result.MOOT)
-        except UploadError:
-            end = End(Result.CONNECT_FAILED)
-        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
+        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError, UploadError):
             # Once the last byte was handed over the brick may have run it; before, it cannot have.
             end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
         except Exception:
@@ -205,16 +203,19 @@
 
     async def _pass_on(self, upload: Upload, protocol: BrickConnection, transport: asyncio.Transport) -> None:
         """Write a body as it comes."""
-        while data := await upload.read():
-            if upload.length is None:
+        left = upload.length
+        while left != 0 and (data := await upload.read()):
+            if left is not None:
+                left -= len(data)
+            else:
                 data = b"%x\r\n%b\r\n" % (len(data), data)
             transport.write(data)
             async with asyncio.timeout(STREAM_STALL_S):
                 await protocol._drain_helper()
-            if protocol._buffer or not protocol.is_connected():
+            if left != 0 and (protocol._buffer or not protocol.is_connected()):
                 # It has answered what it has not got yet, or ended: in no case has it run the request.
                 raise aiohttp.ServerDisconnectedError
-        if upload.length is None:
+        if left is None:
             transport.write(b"0\r\n\r\n")
 
     def probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
