--- a/hophinge/net/client.py
+++ b/hophinge/net/client.py
@@ -18,11 +18,12 @@
 from hophinge.core.exchange import Attempt, End
 from hophinge.core.interface import ProbeResult, Result, Settings
 from hophinge.net.answer import Answered, Following, first, read_end, read_report
-from hophinge.net.brick import STREAM_STALL_S, BrickConnection, Roll, SpoiltError
+from hophinge.net.brick import STREAM_STALL_S, BrickConnection, SpoiltError
 from hophinge.net.clock import now_us
 from hophinge.net.budget import Budget
 from hophinge.net.payload import MOST_LONG, Payload
 from hophinge.net.pool import Pool
+from hophinge.net.roll import Roll
 from hophinge.net.upload import Upload, UploadError
 
 IDLE_PART = 0.5             # of the time after which a brick closes an idle connection: used after it is a reset
@@ -130,7 +131,7 @@
                 raise StaleError
             # The target goes on as the bytes that came.
             return (f"{payload.method} {payload.target} HTTP/1.1\r\nHost: {endpoint}\r\nX-Txn: {payload.txn}\r\n"
-                    f"X-Remaining-Ms: {attempt.left_us() // 1000}\r\n{length}").encode() + payload.key_line + b"\r\n"
+                    f"X-Remaining-Ms: {attempt.goes() // 1000}\r\n{length}").encode() + payload.key_line + b"\r\n"
 
         try:
             if endpoint is None:
@@ -144,9 +145,7 @@
             raise
         except StaleError:
             end = End(Result.MOOT)
-        except UploadError:
-            end = End(Result.CONNECT_FAILED)
-        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
+        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError, UploadError):
             # Once the last byte was handed over the brick may have run it; before, it cannot have.
             end = End(Result.RESET if flight.written else Result.CONNECT_FAILED)
         except Exception:
@@ -178,6 +177,8 @@
                     await self._pass_on(payload.upload, protocol, transport)
             flight.wrote()
             message, stream = await protocol.read()
+            if protocol.unsent and message.code not in (503, 504):
+                raise SpoiltError("an answer to a request that is not whole")   # a brick can only turn it away yet
             heard, stated = now_us(), message.headers.get("Content-Length")
             length = None if stated is None else int(stated)
             body, whole = await first(stream, protocol, length if attempt is not None else 0)
@@ -202,16 +203,19 @@
 
     async def _pass_on(self, upload: Upload, protocol: BrickConnection, transport: asyncio.Transport) -> None:
         """Write a body as it comes."""
-        while data := await upload.read():
-            if upload.length is None:
+        left = upload.length
+        while left != 0 and (data := await upload.read()):
+            if left is not None:
+                left -= len(data)
+            else:
                 data = b"%x\r\n%b\r\n" % (len(data), data)
             transport.write(data)
             async with asyncio.timeout(STREAM_STALL_S):
                 await protocol._drain_helper()
-            if protocol._buffer or not protocol.is_connected():
+            if left != 0 and (protocol._buffer or not protocol.is_connected()):
                 # It has answered what it has not got yet, or ended: in no case has it run the request.
                 raise aiohttp.ServerDisconnectedError
-        if upload.length is None:
+        if left is None:
             transport.write(b"0\r\n\r\n")
 
     def probe(self, node: str, told: Callable[[ProbeResult], None]) -> None:
