Chunks of an answer that are mostly framing are broken off

Seen by a probe that floods a head with each endless form of an answer: interim heads, heads, trailers, noise behind an answer, bodies of stated length and until the close end at their bounds. Not so an endless chunk extension or size (706 and 404 MB read until the attempt's time-out, all of a core meanwhile) and one-byte chunks: 99 MB in 20 s, 18.9 s of processor time, a call to discovery timed out beside it, and no end before 33 MB of body, which are 200 MB. At fault: BrickConnection._take_body, which bounds a body only by its own bytes.

Change: what comes beside a chunked body is bounded by as much as the body and 512 KiB; 64 KiB byte by byte in chunks need 384 KiB and are served (test).

--- a/hophinge/net/brick.py
+++ b/hophinge/net/brick.py
@@ -22,6 +22,7 @@
 STALL_S = 0.5               # an answer that has begun comes on: a brick works before it answers, not within
 STREAM_STALL_S = 5.0        # the same once it is passed on: nothing else could be done with its request
 HIGH = 128 * 1024           # held of one answer; the rest waits in the kernel, and then at the brick
+MOST_FRAMING = 512 * 1024   # of a chunked body beyond as much as the body itself: 64 KiB byte by byte are 384 KiB
 START = b"HTTP/1."
 HEAD = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n\0]*)?\r\n"
                   rb"((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n)*)\r\n")
@@ -147,11 +148,15 @@
             super().data_received(data)
             return
         if self.left == CHUNKED:
+            body = self._payload
             super().data_received(data)
+            self.passed += len(data)
             if self.exception() is not None:
                 self._spoil("malformed chunks")     # aiohttp tells the connection, not the body that is being read
-            elif self._payload is None or self._payload.is_eof():
+            elif body is None or body.is_eof():
                 self.state = "idle"
+            elif self.passed > MOST_FRAMING + 2 * body.total_bytes:
+                self._spoil("more framing than body")   # endless extensions, or a flood of the smallest chunks
             return
         own, rest = data[:self.left], data[self.left:]
         self.left -= len(own)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -133,3 +133,41 @@
             await body_of(wire)
         assert service.counters.counts["answers_broken_off"] == 1
     with_bare(test)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(("first", "more"), [
+    (b"", b"HTTP/1.1 100 Continue\r\n\r\n"), (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"), (CHUNKED + b"4;", b"x" * 100),
+    (CHUNKED, b"0" * 100), (CHUNKED + b"4\r\nkept\r\n0\r\n", b"X-A: b\r\n"), (CHUNKED, b"1\r\nx\r\n")])
+def test_an_answer_of_endless_framing_is_broken_off_soon(first: bytes, more: bytes) -> None:
+    """Whether it is passed on by then or not: what it sends beside a body is bounded."""
+    async def test(service: Service, wire: Wire, brick: Bare) -> None:
+        loop, sent, data = asyncio.get_running_loop(), 0, more * (16_384 // len(more))
+        wire.send(READ, headers(X_Remaining_Ms="20000"))
+        taken = await brick.asked()
+        with pytest.raises(ConnectionError):
+            await loop.sock_sendall(taken, first)
+            while sent < 64 << 20:
+                await loop.sock_sendall(taken, data)
+                sent += len(data)
+        taken.close()
+        await until(lambda: service.counters.counts["attempts_reset"] == 1)
+        assert service.counters.counts["client_faults"] == 0
+        wire.close()
+    with_bare(test)
+
+
+def test_a_body_that_comes_byte_by_byte_in_chunks_is_served() -> None:
+    async def test(_: Service, wire: Wire, brick: Bare) -> None:
+        body = LONG[:65_536]
+        wire.send(READ, headers(X_Remaining_Ms="20000"))
+        taken = await brick.asked()
+        data = CHUNKED + b"".join(b"1\r\n%c\r\n" % one for one in body) + b"0\r\n\r\n"
+        await asyncio.get_running_loop().sock_sendall(taken, data)
+        head = await wire.reader.readuntil(b"\r\n\r\n")
+        got = await body_of(wire) if b"chunked" in head else await wire.reader.readexactly(len(body))
+        assert got == body
+        taken.close()
+    with_bare(test)
