A repeat whose connection comes up after its window for repeats is not written

Seen: a keyed request whose first attempt was reset, and so may have run, leaves the module for a further attempt inside the window in which bricks drop its repeat. Its connection may take the whole connect limit (250 ms) to come up, and the window may be shorter. Nothing asked for the window again: `Attempt.may_go`, asked just before the bytes are written, knew of drains, answers and deadlines alone, so the repeat was written after the window.

Checked and ruled out: the module itself asks at each send (`_may_go`, `_may_repeat`), with a tick to spare; the window begins with the module's send, before the first bytes; an end that proves that nothing ran, or a refusal after a reset, moves neither. A first attempt is bound by no window.

Now a Send carries the time before which it has to begin (`until_us`, 0 where a class sets none), and the attempt is asked for it where drains are. One function of the module states the window (`Guards._repeat_until`). When it began is noted at the send, so that a body that broke off on its way has one too; it had none, and counted as over.

tests/test_repeat_window.py holds the repeat's connect, moves the head's clock past the window and lets the connect come up: the code before answered 200 with two writes at the brick, now 502 with one. Inside the window both write.

--- a/hophinge/core/choice/guards.py
+++ b/hophinge/core/choice/guards.py
@@ -38,18 +38,18 @@
 
     def _may_repeat(self, request: Request) -> bool:
         """Whether any further attempt could ever pass the gate."""
-        return not 0 < self.settings.allowed.attempts <= request.attempts and self._within_window(request)
+        until = self._repeat_until(request)
+        return not 0 < self.settings.allowed.attempts <= request.attempts and (not until or self.now < until)
 
     def _budget(self, request: Request) -> bool:
         return request.ask.bounds is None or request.ask.bounds.repeat(self.now, request.attempts)
 
-    def _within_window(self, request: Request) -> bool:
-        """Whether a request's class lets it run again, by its effect and the time since it may have run."""
-        if request.ran_on is None or request.klass.effect is api.Effect.SAFE:
-            return True
-        window = request.ran_at + request.klass.dedup_window_us
+    def _repeat_until(self, request: Request) -> int:
+        """Until when a request may run again, by its class's effect and since when it may have run; 0: no end."""
+        if request.klass.effect is api.Effect.SAFE or (request.ran_on is None and not request.out):
+            return 0
         keyed = request.klass.effect is api.Effect.KEYED and not request.ask.keyless
-        return keyed and self.now + self.settings.tick_us < window
+        return max(1, request.ran_at + request.klass.dedup_window_us - self.settings.tick_us) if keyed else 1
 
     def _within(self, request: Request, book: Book) -> bool:
         """Whether a request's bounds, and its copy that is out, leave it a node."""
--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -131,6 +131,8 @@
         if request.attempts:
             self.extra.append(now)
         request.queue.pop(ask.request, None)
+        until = self._repeat_until(request)
+        request.ran_at = now if request.ran_on is None else request.ran_at
         book.reserve((ask.request, request.attempts), ask.units, self._unit_us(book), now)
         book.sent = book.sent_since(now - self.rules.fall_us) + ask.units
         book.recent.append((now, ask.units))
@@ -140,5 +142,5 @@
         copies = self.settings.allowed.second_copies and request.klass.effect is api.Effect.SAFE
         if copies and ask.bounds is not None and ask.bounds.second_copy_us and not request.klass.in_order:
             heapq.heappush(self.copies, (now + ask.bounds.second_copy_us, ask.request))
-        self.actions.append(api.Send(ask.request, book.entry.node, 0))
+        self.actions.append(api.Send(ask.request, book.entry.node, 0, until))
         return True
--- a/hophinge/core/choice/requests.py
+++ b/hophinge/core/choice/requests.py
@@ -142,7 +142,7 @@
         if event.result is api.Result.MOOT and self.extra and request.attempts > 1:
             self.extra.pop()
         if event.result not in NEVER_RAN and request.ran_on is None:
-            request.ran_on, request.ran_at = book, slot.sent
+            request.ran_on = book
         if event.result in MAY_RUN_ON and request.klass.in_order and self.rules.settle_us:
             self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
             self.key_rest[request.ask.key] = now + self.rules.settle_us
@@ -163,11 +163,9 @@
 
     def _answer(self, request: Request, rest: float = COME_BACK) -> None:
         """Refuse where a repeat is harmless, else fail; `rest`: aims after which a refused client may come back."""
-        effect, name = request.klass.effect, request.ask.request
-        safe = not request.attempts or (request.ran_on is None and not request.out)
-        keyed = effect is api.Effect.KEYED and request.klass.scope is api.DedupScope.ALL
+        name, keyed = request.ask.request, request.klass.effect is api.Effect.KEYED
         advice = min(int(rest * self.aim), self.settings.allowed.retry_after_us)
-        harmless = safe or effect is api.Effect.SAFE or keyed
+        harmless = not self._repeat_until(request) or (keyed and request.klass.scope is api.DedupScope.ALL)
         self.actions.append(api.Refuse(name, advice) if harmless else api.Fail(name))
         self._finish(name)
 
--- a/hophinge/core/exchange/attempts.py
+++ b/hophinge/core/exchange/attempts.py
@@ -56,11 +56,12 @@
 class Attempt:
     """One attempt that is out; ``may_go`` is to be asked just before its bytes are written."""
 
-    __slots__ = ("exchange", "give_up", "node", "number", "request", "shard", "since", "stop", "timer")
+    __slots__ = ("exchange", "give_up", "node", "number", "request", "shard", "since", "stop", "timer", "until")
 
-    def __init__(self, exchange: Owner, request: Open, number: int, node: str, since: int, give_up: int) -> None:
+    def __init__(self, exchange: Owner, request: Open, number: int, node: str, since: int, give_up: int,
+                 until: int = 0) -> None:
         self.exchange, self.request, self.number, self.node = exchange, request, number, node
-        self.since, self.give_up = since, give_up
+        self.since, self.give_up, self.until = since, give_up, until    # until: none of it is written from then on
         self.shard = exchange.shards.get(node, -1)      # its node may be forgotten before it ends
         self.stop: Callable[[], None] | None = None
         self.timer: Timer | None = None
@@ -74,10 +75,11 @@
         return self.exchange.begun(self, body, rest, heard_us)
 
     def may_go(self) -> bool:
-        """Guard drains, answered requests and deadlines after a wait for a connection."""
+        """Guard drains, answered requests, deadlines and windows for repeats after a wait for a connection."""
         # A request that is answered or whose time is over must not reach a node, nor anything a node that drains.
         return (self.request.answer is not None
                 and (not self.request.whole or self.exchange.now_us() < self.give_up)
+                and (not self.until or self.exchange.now_us() < self.until)
                 and self.exchange.phases.get(self.node) is api.Phase.ON)
 
     def left_us(self) -> int:
--- a/hophinge/core/exchange/turns.py
+++ b/hophinge/core/exchange/turns.py
@@ -188,7 +188,7 @@
         if request is None:
             return      # answered and forgotten: the module has been told, or is about to be
         give_up = min(action.give_up_us or request.deadline, request.deadline)
-        attempt = Attempt(self, request, request.sent, action.node, now, give_up)
+        attempt = Attempt(self, request, request.sent, action.node, now, give_up, action.until_us)
         request.sent += 1
         request.attempts[attempt.number] = attempt
         shard, most = request.ask.shard, self.settings.allowed.attempts
--- a/hophinge/core/interface/events.py
+++ b/hophinge/core/interface/events.py
@@ -88,12 +88,13 @@
 Event = NodeList | Arrival | Outcome | StreamStarted | Departure | ProbeResult | TimerDue
 
 
-class Send(Struct, frozen=True, gc=False):
-    """Start an attempt, given up at give_up_us (0: when the client gives up)."""
+class Send(Struct, frozen=True, gc=False, repr_omit_defaults=True):
+    """Start an attempt, before until_us (0: whenever), given up at give_up_us (0: when the client gives up)."""
 
     request: str
     node: str
     give_up_us: int
+    until_us: int = 0
 
 
 class Cancel(Struct, frozen=True, gc=False):
--- /dev/null
+++ b/tests/test_repeat_window.py
@@ -0,0 +1,93 @@
+"""A keyed request's window for repeats, which may be shorter than a connect."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from aiohttp import web
+
+from hophinge.core.exchange import End
+from hophinge.core.interface import Result, Send
+from tests.stand_in import Brick, headers, run, setup, until, world
+from tests.test_choice import KEYED, MS, SETTINGS, T0, Gateway, ask, end
+from tests.test_exchange import Desk
+from tests.test_keys import WRITE
+from tests.test_net_connects import late
+
+WINDOW = 1000 * MS      # of the classes in tests/gateways.py
+
+
+class Shifted:
+    """A head's clock that the test moves ahead of the system's."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock, self.ahead = clock, 0
+
+    def __call__(self) -> int:
+        return self.clock() + self.ahead
+
+
+@pytest.mark.parametrize("group", ["cell"])
+@pytest.mark.parametrize("ahead_ms", [0, 20_000])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(
+        group: str, ahead_ms: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first attempt was reset and may have run; the second left in time, its connect came up too late."""
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            settings = setup()
+            settings["RequestClasses"][1].update(Effect="token", Group=group, DedupWindowUs=20_000_000,
+                                                 DeadlineUs=60_000_000)
+            service, gate, brick = await made.head(settings=settings), asyncio.Event(), made.bricks[0]
+            clock = service.exchange.now_us = Shifted(service.exchange.now_us)
+            service.bricks.pool.limit_s = 60.0          # whatever else the machine does, no limit cuts the wait
+            service.bricks.pool.usual.credit = -1000.0  # no connects beside late ones
+            begun = late(monkeypatch, service.bricks.connector, gate, {1})
+
+            async def lost(request: web.BaseRequest, _: bytes) -> web.Response | None:
+                if len(brick.seen) == 1 and request.transport is not None:
+                    request.transport.abort()
+                return None
+
+            brick.behave = lost
+            wire = await made.wire(service)
+            wire.send(WRITE, headers(1, Idempotency_Key="a", X_Remaining_Ms="50000"), "PUT", b"x")
+            await until(lambda: len(begun) == 2)        # the repeat has left the module, and waits for its connection
+            clock.ahead = ahead_ms * MS
+            gate.set()
+            assert (await wire.receive())[0] == (502 if ahead_ms else 200)
+            assert len(brick.seen) == (1 if ahead_ms else 2)
+            assert service.counters.counts["attempts_moot"] == (1 if ahead_ms else 0)
+    run(main())
+
+
+def test_a_first_attempt_is_bound_by_no_window() -> None:
+    gate = Gateway()
+    first, = [one for one in gate.at(0, ask("a", kind=KEYED)) if isinstance(one, Send)]
+    assert first.until_us == 0
+
+
+def test_a_repeat_bears_the_end_of_the_window_that_began_with_what_may_have_run() -> None:
+    """What never ran opens no window; what was refused after a reset changes none."""
+    gate = Gateway()
+    gate.at(0, ask("a", kind=KEYED))
+    ends = []
+    for attempt, result in enumerate((Result.CONNECT_FAILED, Result.RESET)):
+        again = gate.at(10 * MS, end("a", result, attempt=attempt)) + gate.run(400 * MS)
+        ends += [one.until_us for one in again if isinstance(one, Send)]
+    second_at = gate.scheduler.requests["a"].ran_at
+    assert ends == [0, second_at + WINDOW - SETTINGS.tick_us] and second_at > T0
+
+
+def test_an_attempt_may_not_go_from_the_end_of_its_window_on() -> None:
+    desk = Desk()
+    desk.arrive("a")
+    desk.loop.advance(0)
+    attempt, = desk.out
+    attempt.until = desk.loop.now + 10 * MS
+    desk.loop.advance(9 * MS)
+    assert attempt.may_go()
+    desk.loop.advance(1 * MS)
+    assert not attempt.may_go()
+    attempt.end(End(Result.MOOT))
