A refusal after what may have run promises no more than the window for repeats

Seen: of a keyed class whose repeats any brick drops, every request that may have run was refused (503: trying again is harmless), also after its window, when no brick drops a repeat any more, and also where the request bears no key to drop it by; a refused client could be called back for a time after the window. `Requests._answer` looked at the class alone.

Now the same function that bounds repeats bounds the promise: refused while the window holds, at the time that the client is told to come back; failed from then on, and without a key. Nothing changes for classes that are safe to repeat, or whose repeats only a zone or a cell drops.

Thirteen cases in tests/test_repeat_window.py are refused without this: a late connect at the brick of such a class, nine by time and key, the late advice, the one that is still out, the body that broke off.

--- a/hophinge/core/choice/requests.py
+++ b/hophinge/core/choice/requests.py
@@ -163,9 +163,9 @@
 
     def _answer(self, request: Request, rest: float = COME_BACK) -> None:
         """Refuse where a repeat is harmless, else fail; `rest`: aims after which a refused client may come back."""
-        name, keyed = request.ask.request, request.klass.effect is api.Effect.KEYED
+        name, until = request.ask.request, self._repeat_until(request)
         advice = min(int(rest * self.aim), self.settings.allowed.retry_after_us)
-        harmless = not self._repeat_until(request) or (keyed and request.klass.scope is api.DedupScope.ALL)
+        harmless = not until or (request.klass.scope is api.DedupScope.ALL and self.now + advice < until)
         self.actions.append(api.Refuse(name, advice) if harmless else api.Fail(name))
         self._finish(name)
 
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -1,22 +1,25 @@
-"""A keyed request's window for repeats, which may be shorter than a connect."""
+"""A keyed request's window for repeats, which may be shorter than a connect: what still goes, what is promised."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 from aiohttp import web
+from msgspec import structs
 
 from hophinge.core.exchange import End
-from hophinge.core.interface import Result, Send
+from hophinge.core.interface import DedupScope, Effect, Fail, Refuse, Result, Send, StreamStarted
 from tests.stand_in import Brick, headers, run, setup, until, world
-from tests.test_choice import KEYED, MS, SETTINGS, T0, Gateway, ask, end
+from tests.test_choice import KEYED, MS, SETTINGS, T0, Gateway, ask, end, finals, klass
 from tests.test_exchange import Desk
 from tests.test_keys import WRITE
 from tests.test_net_connects import late
 
 WINDOW = 1000 * MS      # of the classes in tests/gateways.py
+ALL = replace(SETTINGS, classes=(*SETTINGS.classes[:1], replace(klass(Effect.KEYED), scope=DedupScope.ALL)))
 
 
 class Shifted:
@@ -29,7 +32,7 @@
         return self.clock() + self.ahead
 
 
-@pytest.mark.parametrize("group", ["cell"])
+@pytest.mark.parametrize("group", ["cell", "all"])
 @pytest.mark.parametrize("ahead_ms", [0, 20_000])
 def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(
         group: str, ahead_ms: int, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -91,3 +94,38 @@
     desk.loop.advance(1 * MS)
     assert not attempt.may_go()
     attempt.end(End(Result.MOOT))
+
+
+@pytest.mark.parametrize(("after_ms", "keyless", "refused"), [
+    (900, False, True), (1000, False, False), (1500, False, False), (900, True, False)])
+@pytest.mark.parametrize("result", [Result.RESET, Result.TIMEOUT, Result.ERROR])
+def test_a_refusal_after_what_may_have_run_promises_no_more_than_the_window_does(
+        after_ms: int, keyless: bool, refused: bool, result: Result) -> None:
+    """Bricks drop a repeat by its key and within the window alone: beyond, trying again is not harmless."""
+    gate = Gateway(replace(ALL, allowed=replace(ALL.allowed, attempts=1)))
+    gate.at(0, structs.replace(ask("a", kind=KEYED), keyless=keyless))
+    answer, = finals(gate.at(after_ms * MS, end("a", result)))
+    assert isinstance(answer, Refuse if refused else Fail)
+
+
+def test_a_refusal_does_not_call_its_client_back_after_the_window() -> None:
+    """A client told to come back later comes back as the module says, however short the window is."""
+    allowed = replace(ALL.allowed, attempts=1, retry_after_us=600 * MS)
+    gate = Gateway(replace(ALL, allowed=allowed))
+    gate.at(0, ask("a", kind=KEYED), ask("b", kind=KEYED, shard=1))
+    assert finals(gate.at(300 * MS, end("a", Result.RESET))) == [Refuse("a", 600 * MS)]
+    assert finals(gate.at(200 * MS, end("b", Result.RESET, "n1"))) == [Fail("b")]
+
+
+def test_what_is_still_out_at_the_end_of_its_time_counts_from_its_sending() -> None:
+    gate = Gateway(ALL)
+    gate.at(0, ask("a", kind=KEYED), ask("b", kind=KEYED, shard=1, time_left=500 * MS))    # the first is out for 2 s
+    assert finals(gate.run(2100 * MS)) == [Refuse("b", 0), Fail("a")]
+
+
+def test_a_body_that_broke_off_on_its_way_keeps_its_window() -> None:
+    gate = Gateway(ALL)
+    gate.at(0, ask("a", kind=KEYED), ask("b", kind=KEYED, shard=1))
+    gate.at(0, StreamStarted("a", 0, upward=True), StreamStarted("b", 0, upward=True))
+    assert finals(gate.at(100 * MS, end("a", Result.RESET))) == [Refuse("a", 0)]
+    assert finals(gate.at(WINDOW, end("b", Result.RESET, "n1"))) == [Fail("b")]
