A request's claims count for no other: its time, its number of heads, its plan, its object's name

Seen by tests with real connections (tests/test_crossing.py), all four red on the code before: - One client's X-Remaining-Ms beyond its class's deadline made every later request of the class count as late, for good; where late work earns nothing all were refused (503 four times in four). At fault: Requests._arrival, `longest`. - One request's hosts=999999 shrank its volume's part of the plan's limit for all that followed. At fault: Volume.spread keeps the most that it heard of; the reader passed on any number. - A volume kept the first plan that was named for it, and that plan's limit. - Classes in order waited for each other by the object's name alone, across volumes.

Checked and right: classes and plans whose names begin alike, in any order.

Change: time is clamped to the class's deadline, hosts to the number of heads in the settings; a request under another plan begins its volume anew; turns are kept by volume and key.

--- a/hophinge/core/choice/guards.py
+++ b/hophinge/core/choice/guards.py
@@ -31,7 +31,7 @@
                     return False
         # Order: a key's requests one at a time, and a rest after an attempt that may still run.
         elif klass.in_order and ask.key and (
-                self.turns[ask.key][0] is not request or self.key_rest.get(ask.key, 0) > now):
+                self.turns[ask.volume, ask.key][0] is not request or self.key_rest.get((ask.volume, ask.key), 0) > now):
             return False
         # The plan's limit.
         return request.charged or request.volume.within_limit(ask.units, now)
--- a/hophinge/core/choice/nodes.py
+++ b/hophinge/core/choice/nodes.py
@@ -42,8 +42,8 @@
         self.requests: dict[str, Request] = {}
         self.fresh: dict[str, Request] = {}     # held new objects, not bound to a node
         self.lost: dict[str, Request] = {}      # held reads whose shard no listed node holds
-        self.turns: dict[str, list[Request]] = {}
-        self.key_rest: dict[str, int] = {}
+        self.turns: dict[tuple[str, str], list[Request]] = {}      # by volume and key, as key_rest
+        self.key_rest: dict[tuple[str, str], int] = {}
         self.extra: deque[int] = deque()
         self.taken: deque[int] = deque()
         self.longest: dict[int, int] = {}
--- a/hophinge/core/choice/requests.py
+++ b/hophinge/core/choice/requests.py
@@ -59,20 +59,20 @@
         self.taken.append(self.now)
         while self.taken and self.taken[0] <= self.now - self.rules.budget_us:
             self.taken.popleft()
-        if (volume := self.volumes.get(ask.volume)) is None:
+        if (volume := self.volumes.get(ask.volume)) is None or volume.number != ask.plan:
             for name in [name for name, one in self.volumes.items() if self.now - one.seen > FORGET_US]:
                 del self.volumes[name]
             volume = self.volumes[ask.volume] = Volume(self.settings, ask.plan, self.now)
         volume.spread(ask.gateways if ask.gateways > 0 else self.settings.gateways, self.now, self.processes)
         klass = self.settings.classes[ask.klass]
-        longest = self.longest[ask.klass] = max(self.longest.get(ask.klass, 0), ask.time_left_us)
-        # Less time left than the aim: an impatient client, not one that has waited till all was late.
-        waited = longest - ask.time_left_us if ask.time_left_us > klass.aim_us else 0
+        left = min(ask.time_left_us, klass.deadline_us)     # what one client says makes no other one late
+        longest = self.longest[ask.klass] = max(self.longest.get(ask.klass, 0), left)
+        waited = longest - left if left > klass.aim_us else 0    # else an impatient client: nothing was late already
         request = Request(ask, klass, volume, self.now, waited, self.random.random())
         self.requests[ask.request] = request
         heapq.heappush(self.deadlines, (request.hold_until + self.lead_us, ask.request))
         if klass.in_order and ask.key:
-            self.turns.setdefault(ask.key, []).append(request)
+            self.turns.setdefault((ask.volume, ask.key), []).append(request)
         self._hold(request)
 
     def _hold(self, request: Request) -> None:
@@ -145,7 +145,7 @@
             request.ran_on = book
         if event.result in MAY_RUN_ON and request.klass.in_order and self.rules.settle_us:
             self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
-            self.key_rest[request.ask.key] = now + self.rules.settle_us
+            self.key_rest[request.ask.volume, request.ask.key] = now + self.rules.settle_us
         if event.finished or request.done:
             if self.settings.allowed.cancel:
                 self.actions += [api.Cancel(event.request, copy) for copy in request.out]
@@ -178,13 +178,13 @@
         if request.out:
             return
         del self.requests[name]
-        line = self.turns.get(request.ask.key)
+        line = self.turns.get((request.ask.volume, request.ask.key))
         if line and request in line:
             line.remove(request)
             if line:
                 self.look[line[0].place] = None
             else:
-                del self.turns[request.ask.key]
+                del self.turns[request.ask.volume, request.ask.key]
 
     def _expire(self) -> None:
         """Answer what can no longer be served, before its client gives up."""
--- a/hophinge/net/reader.py
+++ b/hophinge/net/reader.py
@@ -39,7 +39,7 @@
     def __init__(self, settings: api.Settings) -> None:
         self.classes = {klass.name: at for at, klass in enumerate(settings.classes)}
         self.plans = {plan.name: at for at, plan in enumerate(settings.plans)}
-        self.most_units = settings.most_units
+        self.most_units, self.heads = settings.most_units, settings.gateways
 
     def read(self, request: web.BaseRequest) -> api.Arrival:
         """Read the request's line and headers; the body may still be on its way."""
@@ -72,8 +72,9 @@
             raise MalformedError(400, "X-Remaining-Ms is malformed")
         return api.Arrival(
             request=txn, units=units, volume=target[2], klass=klass, shard=int(placement[2]),
-            gateways=int(placement[3]), key=target[3], time_left_us=max(0, int(left) * 1000 - MARGIN_US),
-            write=request.method == "PUT", plan=plan, keyless=KEY not in headers)
+            gateways=min(int(placement[3]), self.heads), key=target[3],
+            time_left_us=max(0, int(left) * 1000 - MARGIN_US), write=request.method == "PUT", plan=plan,
+            keyless=KEY not in headers)
 
 
 def read_key(request: web.BaseRequest) -> bytes:
