Requests behind one another are read one at a time, and given up with their client

Seen, by tests with real connections on the code before: - 40 requests sent at once and a close behind them: aiohttp reads 32 ahead, pauses reading and sees no close until half of them are gone; one after another was sent on for a client that had left. - Good requests with one that cannot be read in the same read: the parser's error takes all before it with it, the client gets one 400 in place of its answers (RequestHandler.data_received). - Requests behind one that there is no room for, behind a malformed one whose body has come, and behind a long answer at the end got no answer: force_close without a look at what had come (Front._take, handle, _pass_on). - A half close while answers lie unread: the transport ends only once they are written, what is open went on. - A client that never reads held its place for ever: no limit on a whole answer's writing (Listener.serve), nor on what a closing transport still holds. - Half a head whose rest waits in the kernel was cut off by its timer (`not self.head and unread`). - An empty line took a resting connection off the list of those that may yield or be retired.

Checked and right: the close behind one waiting request, data and end in one turn of the loop, a handler that has not begun (Python 3.11 cancels it before its first step); TCP_NODELAY is set on accepted connections.

What all of them hold is bounded, who floods is cut off. One rule in Listener.serve closes after an answer to a body that is not whole.

Each test of tests/test_pipelined.py was seen to fail without its line, all but those on TCP_NODELAY and the order of many bodies, which held before.

--- a/hophinge/core/counters.py
+++ b/hophinge/core/counters.py
@@ -16,7 +16,8 @@
     # faults that must not happen; each has a traceback in the log
     "module_faults", "client_faults", "object_faults", "admin_faults",
     # the wires
-    "requests_malformed", "requests_unreadable", "requests_too_many", "connections_yielded", "accepts_failed",
+    "requests_malformed", "requests_unreadable", "requests_too_many", "connections_yielded",
+    "connections_flooding", "accepts_failed",
     "brick_connects", "brick_connects_beside", "brick_connections_yielded", "bricks_answered_oddly",
     "discovery_answers", "discovery_errors", "discovery_entries_left_out",
     "reloads", "reloads_failed",
--- a/hophinge/net/connection.py
+++ b/hophinge/net/connection.py
@@ -9,9 +9,10 @@
 from typing import Any, Protocol
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from hophinge.core.counters import Counters
+from hophinge.net.budget import Budget
+from hophinge.net.pipeline import Pipeline
 
 YIELD_S = 0.05          # a connection at rest, when connections run out and another asks
 LINGER_S = 1.0          # for an error to be read by a client that goes on sending
@@ -24,6 +25,7 @@
     """Whose connections these are: it knows which of them rest."""
 
     counters: Counters
+    behind: Budget
     idle_s: float
     head_s: float
     gone: Callable[[Any], None] | None
@@ -43,13 +45,12 @@
         return False
 
 
-class ClientConnection(RequestHandler):
+class ClientConnection(Pipeline):
     """One client's connection: its heads are bounded, and it ends so that a last answer can be read."""
 
     def __init__(self, manager: web.Server, front: Owner, **params: Any) -> None:
-        super().__init__(manager, **params)
+        super().__init__(manager, front, **params)
         self.front = front
-        self.taken = self.answered = 0      # requests, malformed ones among them
         self.head = 0                       # bytes of a head that is not whole yet
         self.lingering = False
 
@@ -74,19 +75,21 @@
                 self.transport.pause_reading()
                 self._loop.call_later(DISCARD_S, self._read_on)
             return
-        before = self._request_count
         super().data_received(data)
-        if self._request_count != before:
-            self.taken += self._request_count - before
+
+    def _parse(self, data: bytes) -> None:
+        taken = self.taken
+        super()._parse(data)
+        if self.taken != taken:
             self.head = 0
-        elif self.taken == self.answered and data:
+        elif taken == self.answered and (self.head or data.strip(b"\r\n")):     # empty lines begin no head
             if not self.head:
                 self._begins()
             self.head += len(data)
             if self.head > MOST_HEAD and not self.lingering:
                 self.head = 0
-                super().data_received(b"\0")        # no head holds this: the parser ends it, as any malformed one
-                self.taken += 1
+                self.drop_behind()
+                super()._parse(b"\0")       # no head holds this: the parser ends it, as any malformed one
 
     def _begins(self) -> None:
         # A head takes its time, longer than a connection may rest; the timer that runs looks at this when it is due.
@@ -94,18 +97,13 @@
         if self.answered:
             self.front.resting.pop(self, None)      # a client's next request: not the one to yield
 
-    @property
-    def more(self) -> bool:
-        """Tell whether a request has been read behind the one that is answered now."""
-        return self.taken > self.answered + 1
-
     def retire(self) -> bool:
         """Close while at rest; False where its next request is here already, which a close would lose."""
         # A request that has been read counts as open only once its handler runs, a turn of the loop later.
-        if self.transport is None or self.taken > self.answered or unread(self.transport):
+        if self.transport is None or self.taken > self.answered or self.behind or unread(self.transport):
             return False
         if self.lingering:
-            self.transport.close()      # it was told of its end before, and its place is wanted
+            self._close_now(self.transport)     # it was told of its end before, and its place is wanted
         else:
             self._part()
         return True
@@ -119,17 +117,22 @@
         if transport is None or transport.is_closing():
             return
         self.lingering = True
+        self.drop_behind()
         self.front.resting.pop(self, None)
         self.front.parting.add(self)
         if transport.can_write_eof():
             transport.write_eof()
         transport.resume_reading()
-        self._loop.call_later(PART_S, transport.close)
+        self._loop.call_later(PART_S, self._close_now, transport)
+
+    def _close_now(self, transport: asyncio.Transport) -> None:
+        transport.close()
+        self.bound(transport)
 
     def _process_keepalive(self) -> None:
         now = self._loop.time()
         if self.transport is not None and now >= self._next_keepalive_close_time and not self.lingering:
-            if not self.head and unread(self.transport):
+            if unread(self.transport):
                 self._next_keepalive_close_time = now + YIELD_S
             elif self._keepalive and not self._force_close and self.taken == self.answered:
                 self._keepalive_handle = None
@@ -157,11 +160,14 @@
         Bytes left unread at a close make the kernel reset the connection, and a reset can destroy the answer.
         """
         done = await super().finish_response(request, resp, start_time)
-        self.answered += 1
+        self.over()
         transport = self.transport
+        if resp.keep_alive and not self.lingering:
+            self.advance()
         if not resp.keep_alive and transport is not None and not transport.is_closing():
             sends = request.can_read_body or request.method == "UNKNOWN"
             self.lingering = True
+            self.drop_behind()
             if sends:
                 self.front.rests(self)      # it may go on for long: the first to yield
             else:
@@ -171,4 +177,5 @@
                 transport.write_eof()
             transport.resume_reading()
             await asyncio.sleep(LINGER_S if sends else PART_S)      # the client's own end ends it sooner
+            self.bound(transport)
         return done
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -13,6 +13,7 @@
 
 from hophinge.core.counters import Counters
 from hophinge.net.acceptor import BATCH, Acceptor
+from hophinge.net.budget import Budget
 from hophinge.net.connection import MOST_HEAD, YIELD_S, ClientConnection
 
 __all__ = ["IN", "OUT", "Acceptor", "ClientConnection", "Listener", "Pace", "Server", "origin_form"]
@@ -21,6 +22,7 @@
 FIRST_S = 1.2           # the same for a first head: the kernel has held a silent connection for a second already
 HEAD_S = 2.5            # for a head, from its first byte
 SILENT_S = 0.3          # a connection that has said nothing yet, when connections run out
+MOST_BEHIND = 8 * 1024 * 1024       # bytes that all clients together may have sent behind requests that are open
 IN, OUT = 0, 1          # ways of bytes, as seen from a head
 
 
@@ -58,6 +60,7 @@
         self.counters, self.most_connections, self.idle_s = counters, most, idle_s
         self.most_resting = most
         self.head_s = max(first_s, HEAD_S)
+        self.behind = Budget(MOST_BEHIND)
         self.closing = False
         self.gone: Callable[[Any], None] | None = None      # told of connections that have ended
         self.busy: set[Any] = set()
@@ -76,8 +79,8 @@
         self.resting.pop(protocol, None)
         try:
             response = await self.handle(request)
-            if self.closing and not response.prepared and not protocol.more:
-                response.force_close()
+            if not response.prepared and (self.final(protocol) or not request.content.is_eof()):
+                response.force_close()      # what is left of an unread body must not be taken for a request
             try:
                 await response.prepare(request)     # written here, so that busy means until the last byte
                 await response.write_eof()
@@ -90,6 +93,10 @@
             self.busy.discard(protocol)
             self.rests(protocol)
 
+    def final(self, connection: Any) -> bool:
+        """Tell whether an answer is its connection's last at the end: no request has come behind it."""
+        return self.closing and not connection.more
+
     def wrote(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Note that an answer's last byte has been handed over."""
 
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from aiohttp import HttpVersion11, web
 from msgspec import structs
@@ -14,8 +14,9 @@
 from hophinge.core.exchange import Answer, Exchange, Rest, Verdict, giver
 from hophinge.core.figures import FAULTED, FULFILLED, THROTTLED, Ticket
 from hophinge.net.budget import Budget
-from hophinge.net.listener import IN, OUT, Listener, Pace, origin_form
+from hophinge.net.listener import IN, OUT, ClientConnection, Listener, Pace, origin_form
 from hophinge.net.payload import MOST_BODY, MOST_LONG, Payload
+from hophinge.net.pipeline import READ_S
 from hophinge.net.reader import MalformedError, Reader, read_key
 from hophinge.net.upload import Upload
 
@@ -23,7 +24,6 @@
 BODY_RATE = 16_000  # bytes a second; slower clients hold a connection for too long
 PIECE_S = 2.2       # for its next bytes
 KEPT = 1024 * 1024  # of a body, while the budget allows: it may be sent again
-READ_S = 10.0       # for a client to read on
 TICKET = web.RequestKey("ticket", Ticket)
 ASK = web.RequestKey("ask", api.Arrival)
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
@@ -67,8 +67,6 @@
         except MalformedError as error:
             self.counters.add("requests_malformed")
             response = web.Response(status=error.status, text=f"{error.text}\n")
-            if request.can_read_body:
-                response.force_close()      # the rest of an unread body would be taken for the next request
         return response
 
     async def _take(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -77,20 +75,13 @@
         ask, key = self.reader.read(request), read_key(request)
         klass = self.exchange.settings.classes[ask.klass].name
         if len(self.busy) > self.most:
-            # Sockets are left for bricks and accepts; whoever comes on top is told so, and its connection ends.
             self.counters.add("requests_too_many")
-            request[TICKET] = self.exchange.figures.take(klass)
-            response = web.Response(status=503, headers={"Retry-After": "1"})
-            response.force_close()
-            return response
+            return self._no_room(request, klass)
         if self.watch is not None:
             request[ASK] = ask
             if not self.watch.admits(request.protocol, ask.volume):
                 self.counters.add("requests_turned_away")
-                request[TICKET] = self.exchange.figures.take(klass)
-                response = web.Response(status=503, headers={"Retry-After": "1"})
-                response.force_close()
-                return response
+                return self._no_room(request, klass)
         if self.last is not None:
             left = self.last.left_us(ask.klass, ask.time_left_us, self.exchange.now_us())
             ask = structs.replace(ask, time_left_us=left)
@@ -125,12 +116,18 @@
         if answer.rest is not None:
             return await self._pass_on(request, answer, answer.rest, ask.volume, klass)
         response = web.Response(status=STATUS[answer.verdict], body=answer.body)
-        if upload is not None and upload.state != "whole":
-            response.force_close()      # what still comes of the body must not be taken for a request
         if answer.verdict is Verdict.REFUSED and answer.retry_after_us > 0:
             response.headers["Retry-After"] = f"{answer.retry_after_us / 1e6:.3f}"
         return response
 
+    def _no_room(self, request: web.BaseRequest, klass: str) -> web.Response:
+        """Tell who comes on top that sockets are left for bricks and accepts; its connection ends."""
+        request[TICKET] = self.exchange.figures.take(klass)
+        response = web.Response(status=503, headers={"Retry-After": "1"})
+        if not cast(ClientConnection, request.protocol).more:   # each that has come behind is owed an answer too
+            response.force_close()
+        return response
+
     def wrote(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Count a request by what its client got, once that is on its way whole."""
         ticket = request.get(TICKET)
@@ -150,7 +147,7 @@
         """Write an answer as it comes; the client's pace is the brick's."""
         response = web.StreamResponse(status=STATUS[answer.verdict])
         response.content_length = rest.length       # where it is not known, chunks or the connection's end tell it
-        if self.closing or (rest.length is None and request.version < HttpVersion11):
+        if self.final(request.protocol) or (rest.length is None and request.version < HttpVersion11):
             response.force_close()
         chunk = answer.body
         try:
--- /dev/null
+++ b/tests/test_pipelined.py
@@ -0,0 +1,222 @@
+"""Requests behind one another on a connection: each has its one answer in order, and none outlives its client."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from typing import cast
+
+import pytest
+
+from hophinge.head.service import Service
+from hophinge.net import pipeline
+from hophinge.net.connection import ClientConnection
+from tests.stand_in import OBJECT, VOLUME, Brick, Wire, headers, held_by, run, until, world
+from tests.test_net import READ, WRITE
+
+LONG = {"X_Remaining_Ms": "20000"}
+
+
+def connections(service: Service) -> list[ClientConnection]:
+    return [one for one in service.front.server.connections if isinstance(one, ClientConnection)]
+
+
+def many(wire: Wire, first: int, number: int) -> bytes:
+    """Requests that are sent at once."""
+    return b"".join(wire.head(READ, headers(at, **LONG)) for at in range(first, first + number))
+
+
+@pytest.mark.parametrize(("cut", "between"), [(0, 2), (1, 0), (2, 0), (3, 0), (3, 2)])
+def test_what_cannot_be_read_takes_no_answer_from_the_requests_before_it(cut: int, between: int) -> None:
+    """The first read ends inside the end of the first head, or with it."""
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            sent = many(wire, 1, 1)
+            wire.writer.write(sent[:len(sent) - cut])
+            await until(lambda: sum(one.taken or one.head for one in connections(service)) > 0)
+            wire.writer.write(sent[len(sent) - cut:] + many(wire, 2, between) + b"\0 noise\r\n\r\n")
+            got = [(await wire.receive())[0] for _ in range(between + 2)]
+            assert got == [404] * (between + 1) + [400] and await wire.ended()
+            assert len(made.bricks[0].seen) == between + 1
+    run(main())
+
+
+@pytest.mark.parametrize(("number", "held"), [
+    (2, pipeline.HELD), (40, pipeline.HELD), (1000, pipeline.HELD), (100, 999)])
+def test_a_close_behind_requests_that_wait_is_seen_and_none_of_them_is_sent_on(
+        number: int, held: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Also where it comes behind bytes that are not read, as their client has sent too many."""
+    monkeypatch.setattr(pipeline, "HELD", held)
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
+            brick.behave = held_by(gate)
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, number))
+            await until(lambda: len(brick.seen) == 1)
+            client, = connections(service)
+            await until(lambda: len(client.behind) > held or client.behind.count(b"X-Txn") == number - 1)
+            assert client.held_back == (held == 999)
+            wire.close()
+            # The first is still out, and stays so: nothing but the close can end this wait.
+            await until(lambda: service.counters.counts["requests_departed"] == 1)
+            gate.set()
+            await until(lambda: not service.front.server.connections and not service.exchange.open)
+            assert len(brick.seen) == 1
+    run(main())
+
+
+def test_all_that_came_at_once_is_answered_in_order_also_beyond_what_is_held() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            wire = await made.wire(service)
+            bodies = [bytes([65 + at]) * 50_000 for at in range(8)]
+            for at, body in enumerate(bodies):
+                wire.send(WRITE, headers(2 * at, **LONG), "PUT", body)
+                wire.send(WRITE.replace("transfer-write", "record-read"), headers(2 * at + 1, **LONG))
+            got = [(await wire.receive())[::2] for _ in range(16)]
+            assert got == [one for body in bodies for one in ((200, b"ok"), (200, body))] and len(brick.seen) == 16
+            await until(lambda: not service.front.behind.held)
+    run(main())
+
+
+def test_who_floods_the_head_ends_and_others_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
+            service.front.behind.most = 300_000
+            brick.behave = held_by(gate)
+            floods, fair = [await made.wire(service) for _ in range(6)], await made.wire(service)
+            fair.writer.write(many(fair, 1, 3))
+            for at, wire in enumerate(floods, 1):
+                wire.writer.write(many(wire, 100 * at, 1) + many(wire, 100 * at + 1, 1) * 1000)
+            await until(lambda: service.counters.counts["connections_flooding"] > 0)
+            await until(lambda: not service.front.behind.full)
+            gate.set()
+            assert [(await fair.receive())[0] for _ in range(3)] == [404] * 3
+    run(main())
+
+
+def test_requests_behind_one_that_there_is_no_room_for_are_told_so_too() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            service.front.most = 0
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 3))
+            got = [await wire.receive() for _ in range(3)]
+            assert [status for status, _, _ in got] == [503] * 3 and await wire.ended()
+            assert [fields.get("connection") for _, fields, _ in got] == [None, None, "close"]
+    run(main())
+
+
+def test_requests_behind_a_malformed_one_whose_body_is_here_are_answered() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            wire = await made.wire(await made.head())
+            odd = headers(1, X_Txn="odd")
+            wire.writer.write(wire.head(WRITE, {**odd, "Content-Length": "4"}, "PUT") + b"body" + many(wire, 2, 1))
+            assert [(await wire.receive())[0] for _ in range(2)] == [400, 404]
+    run(main())
+
+
+def test_requests_behind_a_long_answer_are_answered_at_the_end() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            brick.objects[f"{VOLUME}/{OBJECT}"] = bytes(300_000)
+            wire = await made.wire(service)
+            service.front.closing = True
+            wire.writer.write(many(wire, 1, 2))
+            got = [await wire.receive() for _ in range(2)]
+            assert [(status, len(body)) for status, _, body in got] == [(200, 300_000)] * 2
+            assert [fields.get("connection") for _, fields, _ in got] == [None, "close"] and await wire.ended()
+    run(main())
+
+
+def test_a_half_close_is_a_close_also_while_answers_wait_to_be_read() -> None:
+    """Whether a client closes or ends its sending looks the same, and the protocol knows only the close."""
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1))
+            assert (await wire.receive())[0] == 404
+            client = next(iter(service.front.resting))
+            brick.behave = held_by(gate)
+            wire.writer.write(many(wire, 2, 1))
+            await until(lambda: len(brick.seen) == 2)
+            # What was answered before lies unread: the transport ends only once it is written out.
+            cast(asyncio.Transport, wire.writer.transport).pause_reading()
+            while client.transport.get_write_buffer_size() == 0:
+                client.transport.write(bytes(30_000))
+            wire.writer.write_eof()
+            await until(lambda: service.counters.counts["requests_departed"] == 1)
+            gate.set()
+    run(main())
+
+
+def test_who_never_reads_is_not_written_to_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pipeline, "READ_S", 0.2)
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            brick.objects[f"{VOLUME}/{OBJECT}"] = bytes(60_000)
+            wire = await made.wire(service)
+            cast(asyncio.Transport, wire.writer.transport).pause_reading()
+            for first in range(1, 2000, 100):
+                wire.writer.write(many(wire, first, 100))
+            await until(lambda: bool(service.front.server.connections))
+            await until(lambda: not service.front.server.connections)
+            assert not service.front.busy and not service.front.behind.held
+    run(main())
+
+
+def test_a_head_whose_rest_waits_in_the_kernel_is_not_cut_off_by_its_timer() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1))
+            assert (await wire.receive())[0] == 404
+            wire.writer.write(many(wire, 2, 1)[:-2])
+            client, = connections(service)
+            await until(lambda: client.head > 0)
+            os.write(wire.writer.get_extra_info("socket").fileno(), b"\r\n")     # and the head's loop had no turn yet
+            client._next_keepalive_close_time = 0.0
+            client._process_keepalive()
+            assert (await wire.receive())[0] == 404
+    run(main())
+
+
+def test_an_empty_line_is_no_request_and_its_connection_rests_on() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1) + b"\r\n")
+            assert (await wire.receive())[0] == 404
+            client, = connections(service)
+            await until(lambda: client.answered == 1 and not client.behind)
+            assert client in service.front.resting
+            wire.writer.write(b"\r\n" + many(wire, 2, 1))
+            assert (await wire.receive())[0] == 404
+    run(main())
+
+
+def test_answers_are_not_held_back_by_the_kernel() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1))
+            assert (await wire.receive())[0] == 404
+            client = next(iter(service.front.resting)).transport.get_extra_info("socket")
+            assert client.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    run(main())
