A body is passed on as it came, whatever its Content-Encoding says

aiohttp's server unpacks gzip, deflate, br and zstd by default: a PUT with such a header reached its brick unpacked, or was answered with 400 where the bytes were no such thing. The protocol passes bodies on unchanged, and the object front stores them so. Server.__call__ now sets auto_decompress to False. The test got 400 in place of 200 before.

--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -45,8 +45,8 @@
     def __call__(self) -> RequestHandler:
         """Make the protocol of a new connection."""
         return ClientConnection(self, self.front, loop=self._loop, access_log=None, lingering_time=0.0,
-                                keepalive_timeout=self.first_s, max_line_size=MOST_HEAD // 2,
-                                max_field_size=MOST_HEAD // 2)
+                                keepalive_timeout=self.first_s, auto_decompress=False,
+                                max_line_size=MOST_HEAD // 2, max_field_size=MOST_HEAD // 2)
 
 
 Pace = Callable[[str, str, int, int], Awaitable[None]]      # of a volume and class: a way, and bytes just moved
--- a/tests/test_pipelined.py
+++ b/tests/test_pipelined.py
@@ -139,6 +139,17 @@
     run(main())
 
 
+def test_a_body_is_passed_on_as_it_came_whatever_it_is_said_to_be() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            wire = await made.wire(await made.head())
+            for number, coding in enumerate(("gzip", "deflate", "br", "zstd")):
+                wire.send(WRITE, {**headers(number), "Content-Encoding": coding}, "PUT", b"not packed at all")
+                assert (await wire.receive())[0] == 200
+                assert made.bricks[0].objects.popitem()[1] == b"not packed at all"
+    run(main())
+
+
 def test_a_half_close_is_a_close_also_while_answers_wait_to_be_read() -> None:
     """Whether a client closes or ends its sending looks the same, and the protocol knows only the close."""
     async def main() -> None:
