What a request waits behind others on its connection is gone from its client's time

Each of many requests sent at once had its whole X-Remaining-Ms once its turn came: with the ones before it answered in one second, one of 750 ms was sent on and answered after its time, and its brick was told more than was left to the client. Pipeline notes when the bytes of each read came; Front._take takes off what went by since the request's last byte. Two tests move the noted time back under a held first request; both fail without the line (404 in place of 503, X-Remaining-Ms over what is left).

--- a/hophinge/net/pipeline.py
+++ b/hophinge/net/pipeline.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from collections import deque
 from typing import Any, Protocol
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 LOOK_S = 0.04           # between looks for the end of a client that is not read: 0.1 s after it nothing may be sent on
 READ_S = 10.0           # for a client to read what waits for it, and more for each byte
 READ_RATE = 16_000      # bytes a second; slower ones hold a connection for too long
+SAME_S = 0.01           # what comes within it came at once
 GONE = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
 
 
@@ -64,6 +66,8 @@
         self.answered = 0                   # requests, malformed ones among them
         self.behind = bytearray()           # bytes that come after the request that is open
         self.counted = 0                    # of them, in the owner's budget
+        self.reads = deque[tuple[int, float]]()     # of it: how many bytes came, and when
+        self.arrived = 0.0                  # when the last byte came that the parser has
         self.before = b""                   # the last few bytes that the parser has
         self.payload: StreamReader = EMPTY_PAYLOAD      # of the last request read
         self.held_back = False              # it has sent too much, and is not read
@@ -127,6 +131,8 @@
         """Read the request that is the next, and hold what comes behind it."""
         if not data:
             self._parse(data)       # a body that was paused goes on
+        else:
+            self._note(len(data))
         self.behind += data
         self.advance()
 
@@ -139,6 +145,7 @@
             data = bytes(self.behind[:size])
             del self.behind[:size]
             self.before = (self.before + data)[-3:]
+            self._pass(size)
             self._parse(data)
         self._count()
         self._hold_back()
@@ -146,6 +153,7 @@
     def drop_behind(self) -> None:
         """Hold nothing any longer: what has come behind the open request is nobody's."""
         self.behind.clear()
+        self.reads.clear()
         self._count()
         self.held_back = False
         if self.look is not None:
@@ -161,6 +169,23 @@
                 # The parser forgets the body that it could not read, and its request would wait for the rest.
                 payload.set_exception(web.RequestPayloadError(message.message))
 
+    def _note(self, size: int) -> None:
+        now = self._loop.time()
+        if self.reads and now - self.reads[-1][1] < SAME_S:
+            size, now = size + self.reads[-1][0], self.reads.pop()[1]
+        self.reads.append((size, now))
+
+    def _pass(self, size: int) -> None:
+        while size:
+            came, self.arrived = self.reads.popleft()
+            if came > size:
+                self.reads.appendleft((came - size, self.arrived))
+            size -= min(size, came)
+
+    def waited_s(self) -> float:
+        """Tell for how long the request that is answered now has been here whole: its client's time runs from then."""
+        return max(0.0, self._loop.time() - self.arrived)
+
     def over(self) -> None:
         """Note that a request has been answered, and read the next."""
         self.answered += 1
--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -92,6 +92,9 @@
             body = b"".join(chunks)
             chunks.clear()
             if whole:
+                # What it waited behind others on its connection is gone from its client's time.
+                waited_us = int(cast(ClientConnection, request.protocol).waited_s() * 1e6)
+                ask = structs.replace(ask, time_left_us=max(0, ask.time_left_us - waited_us))
                 held = len(body)
                 self.budget.held += held
             else:
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,59 @@
+"""Clients that send much and read nothing, and what each of them may hold."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import cast
+
+import pytest
+
+from hophinge.net import pipeline
+from tests.stand_in import OBJECT, VOLUME, Brick, held_by, run, until, world
+from tests.test_pipelined import many
+
+
+def test_who_floods_the_head_ends_and_others_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
+            service.front.behind.most = 300_000
+            brick.behave = held_by(gate)
+            floods, fair = [await made.wire(service) for _ in range(6)], await made.wire(service)
+            fair.writer.write(many(fair, 1, 3))
+            for at, wire in enumerate(floods, 1):
+                wire.writer.write(many(wire, 100 * at, 1) + many(wire, 100 * at + 1, 1) * 1000)
+            await until(lambda: service.counters.counts["connections_flooding"] > 0)
+            await until(lambda: not service.front.behind.full)
+            gate.set()
+            assert [(await fair.receive())[0] for _ in range(3)] == [404] * 3
+    run(main())
+
+
+def test_who_never_reads_is_not_written_to_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pipeline, "READ_S", 0.2)
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, brick = await made.head(), made.bricks[0]
+            brick.objects[f"{VOLUME}/{OBJECT}"] = bytes(60_000)
+            wire = await made.wire(service)
+            cast(asyncio.Transport, wire.writer.transport).pause_reading()
+            for first in range(1, 2000, 100):
+                wire.writer.write(many(wire, first, 100))
+            await until(lambda: bool(service.front.server.connections))
+            await until(lambda: not service.front.server.connections)
+            assert not service.front.busy and not service.front.behind.held
+    run(main())
+
+
+def test_answers_are_not_held_back_by_the_kernel() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1))
+            assert (await wire.receive())[0] == 404
+            client = next(iter(service.front.resting)).transport.get_extra_info("socket")
+            assert client.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    run(main())
--- a/tests/test_pipelined.py
+++ b/tests/test_pipelined.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-import socket
+from collections import deque
 from typing import cast
 
 import pytest
@@ -85,23 +85,6 @@
     run(main())
 
 
-def test_who_floods_the_head_ends_and_others_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def main() -> None:
-        async with world(Brick(0)) as made:
-            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
-            service.front.behind.most = 300_000
-            brick.behave = held_by(gate)
-            floods, fair = [await made.wire(service) for _ in range(6)], await made.wire(service)
-            fair.writer.write(many(fair, 1, 3))
-            for at, wire in enumerate(floods, 1):
-                wire.writer.write(many(wire, 100 * at, 1) + many(wire, 100 * at + 1, 1) * 1000)
-            await until(lambda: service.counters.counts["connections_flooding"] > 0)
-            await until(lambda: not service.front.behind.full)
-            gate.set()
-            assert [(await fair.receive())[0] for _ in range(3)] == [404] * 3
-    run(main())
-
-
 def test_requests_behind_one_that_there_is_no_room_for_are_told_so_too() -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
@@ -172,23 +155,6 @@
     run(main())
 
 
-def test_who_never_reads_is_not_written_to_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(pipeline, "READ_S", 0.2)
-
-    async def main() -> None:
-        async with world(Brick(0)) as made:
-            service, brick = await made.head(), made.bricks[0]
-            brick.objects[f"{VOLUME}/{OBJECT}"] = bytes(60_000)
-            wire = await made.wire(service)
-            cast(asyncio.Transport, wire.writer.transport).pause_reading()
-            for first in range(1, 2000, 100):
-                wire.writer.write(many(wire, first, 100))
-            await until(lambda: bool(service.front.server.connections))
-            await until(lambda: not service.front.server.connections)
-            assert not service.front.busy and not service.front.behind.held
-    run(main())
-
-
 def test_a_head_whose_rest_waits_in_the_kernel_is_not_cut_off_by_its_timer() -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
@@ -221,13 +187,32 @@
     run(main())
 
 
-def test_answers_are_not_held_back_by_the_kernel() -> None:
+@pytest.mark.parametrize(("ago_s", "status"), [(0.3, 404), (1.0, 503)])
+def test_the_wait_behind_others_is_gone_from_a_request_s_time(ago_s: float, status: int) -> None:
     async def main() -> None:
         async with world(Brick(0)) as made:
-            service = await made.head()
+            service, brick, gate = await made.head(), made.bricks[0], asyncio.Event()
+            brick.behave = held_by(gate)
             wire = await made.wire(service)
             wire.writer.write(many(wire, 1, 1))
-            assert (await wire.receive())[0] == 404
-            client = next(iter(service.front.resting)).transport.get_extra_info("socket")
-            assert client.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            await until(lambda: len(brick.seen) == 1)
+            wire.send(READ, headers(2))
+            client, = connections(service)
+            await until(lambda: bool(client.reads))
+            client.reads = deque((size, when - ago_s) for size, when in client.reads)
+            gate.set()
+            assert [(await wire.receive())[0] for _ in range(2)] == [404, status]
+            assert len(brick.seen) == 1 + (status == 404)
+            assert status == 503 or int(brick.headers[1]["X-Remaining-Ms"]) <= 450
+    run(main())
+
+
+def test_a_body_that_cannot_be_read_is_told_so_at_once() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            wire = await made.wire(await made.head())
+            head = wire.head(WRITE, {**headers(), "Transfer-Encoding": "chunked"}, "PUT")
+            wire.writer.write(head + b"4\r\nbody\r\nzz\r\n")
+            assert (await wire.receive())[0] == 400 and await wire.ended()      # 408 where its rest is waited for
+            assert not made.bricks[0].seen
     run(main())
