Each legal form of a request is served in pieces of any size, alone and behind another

What failed: the request behind a PUT with a body and `Upgrade: h2c` got no answer, as aiohttp's parser drops what follows in the same piece.

--- a/hophinge/net/pipeline.py
+++ b/hophinge/net/pipeline.py
@@ -70,6 +70,7 @@
         self.arrived = 0.0                  # when the last byte came that the parser has
         self.before = b""                   # the last few bytes that the parser has
         self.payload: StreamReader = EMPTY_PAYLOAD      # of the last request read
+        self.length: int | None = None      # of its body, where it is stated
         self.held_back = False              # it has sent too much, and is not read
         self.look: asyncio.TimerHandle | None = None
         self.stalled: asyncio.TimerHandle | None = None
@@ -141,7 +142,7 @@
         while self.behind and not self._reading_paused and (
                 # Where one body's end and the next head came in one piece the next has been read too.
                 self.taken - self.answered < (1 if self.payload.is_eof() else 2)):
-            size = piece(self.before, self.behind)
+            size = self._size()
             data = bytes(self.behind[:size])
             del self.behind[:size]
             self.before = (self.before + data)[-3:]
@@ -165,6 +166,8 @@
         super().data_received(data)
         if self._request_count != count and self._messages:
             message, self.payload = self._messages[-1]
+            stated = "" if isinstance(message, _ErrInfo) else message.headers.get("Content-Length", "")
+            self.length = int(stated) if stated.isdecimal() else None
             if isinstance(message, _ErrInfo) and not payload.is_eof():
                 # The parser forgets the body that it could not read, and its request would wait for the rest.
                 payload.set_exception(web.RequestPayloadError(message.message))
@@ -192,6 +195,12 @@
         if self.taken == self.answered:
             self.payload = EMPTY_PAYLOAD
 
+    def _size(self) -> int:
+        """Tell how much the parser is given: up to a body's end, where its length is known, or that of a head."""
+        if self.length is not None and not self.payload.is_eof():
+            return min(len(self.behind), max(1, self.length - self.payload.total_bytes))
+        return piece(self.before, self.behind)
+
     def _count(self) -> None:
         self.owner.behind.held += len(self.behind) - self.counted
         self.counted = len(self.behind)
