A connection that ends does not wait for ever for a client that does not read

Seen: uvloop's close keeps a transport whose bytes are unwritten until they are, so a half close, a rest that ran out and a last answer each left a connection, its descriptor and its place in the table with a client that never reads.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -10,7 +10,7 @@
 
 from hophinge.net import pipeline
 from tests.stand_in import OBJECT, VOLUME, Brick, held_by, run, until, world
-from tests.test_pipelined import many
+from tests.test_pipelined import connections, many
 
 
 def test_who_floods_the_head_ends_and_others_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -57,3 +57,35 @@
             client = next(iter(service.front.resting)).transport.get_extra_info("socket")
             assert client.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     run(main())
+
+
+@pytest.mark.parametrize("way", ["half close", "rest", "last answer"])
+def test_a_connection_that_ends_does_not_wait_for_ever_for_a_client_that_does_not_read(
+        way: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pipeline, "READ_S", 0.2)
+    monkeypatch.setattr(pipeline, "READ_RATE", 1e9)
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            wire = await made.wire(service)
+            wire.writer.write(many(wire, 1, 1))
+            assert (await wire.receive())[0] == 404
+            client, = connections(service)
+            await until(lambda: client in service.front.resting)
+            assert client.transport is not None
+            cast(asyncio.Transport, wire.writer.transport).pause_reading()
+            while client.transport.get_write_buffer_size() == 0:
+                client.transport.write(bytes(30_000))
+            if way == "half close":
+                wire.writer.write_eof()
+            elif way == "rest":
+                assert client._keepalive_handle is not None
+                client._keepalive_handle.cancel()       # its timer is due now, and comes no second time
+                client._next_keepalive_close_time = 0.0
+                client._process_keepalive()
+            else:
+                wire.writer.write(b"\0")
+            await until(lambda: not service.front.server.connections)
+            assert not service.front.resting and not service.front.parting and not service.front.busy
+    run(main())
