--- a/hophinge/net/connection.py
+++ b/hophinge/net/connection.py
@@ -160,10 +160,8 @@
         Bytes left unread at a close make the kernel reset the connection, and a reset can destroy the answer.
         """
         done = await super().finish_response(request, resp, start_time)
-        self.over()
+        self.over(bool(resp.keep_alive) and not self.lingering)
         transport = self.transport
-        if resp.keep_alive and not self.lingering:
-            self.advance()
         if not resp.keep_alive and transport is not None and not transport.is_closing():
             sends = request.can_read_body or request.method == "UNKNOWN"
             self.lingering = True
--- a/hophinge/net/pipeline.py
+++ b/hophinge/net/pipeline.py
@@ -32,10 +32,7 @@
 
 
 def piece(before: bytes, data: bytearray) -> int:
-    """Tell how much of `data` goes up to the end of a head, the rest of one whose first bytes came `before` included.
-
-    What is no end of a head, in a body, does no harm: a piece more is read.
-    """
+    """Tell how much of `data` goes up to a head's end, which may have begun `before`; all of it where there is none."""
     at = (before + data[:3]).find(END)
     if at >= 0:
         return at + len(END) - len(before)
@@ -130,6 +127,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Read the request that is the next, and hold what comes behind it."""
+        if not self.before and not self.behind and self._request_count == self.answered and (
+                data.find(END) == len(data) - len(END) >= 0):
+            # As nearly always: one head on a connection at rest.
+            self.arrived, self.before = self._loop.time(), data[-3:]
+            return self._parse(data)
         if not data:
             self._parse(data)       # a body that was paused goes on
         else:
@@ -166,9 +168,11 @@
         super().data_received(data)
         if self._request_count != count and self._messages:
             message, self.payload = self._messages[-1]
-            stated = "" if isinstance(message, _ErrInfo) else message.headers.get("Content-Length", "")
-            self.length = int(stated) if stated.isdecimal() else None
-            if isinstance(message, _ErrInfo) and not payload.is_eof():
+            self.length = None
+            if not isinstance(message, _ErrInfo):
+                if self.payload is not EMPTY_PAYLOAD and (stated := message.headers.get("Content-Length")):
+                    self.length = int(stated)       # digits alone: the parser has seen to that
+            elif not payload.is_eof():
                 # The parser forgets the body that it could not read, and its request would wait for the rest.
                 payload.set_exception(web.RequestPayloadError(message.message))
 
@@ -189,11 +193,13 @@
         """Tell for how long the request that is answered now has been here whole: its client's time runs from then."""
         return max(0.0, self._loop.time() - self.arrived)
 
-    def over(self) -> None:
-        """Note that a request has been answered, and read the next."""
+    def over(self, lasts: bool) -> None:
+        """Note that a request has been answered, and read the next, if its connection lasts."""
         self.answered += 1
         if self.taken == self.answered:
-            self.payload = EMPTY_PAYLOAD
+            self.payload, self.before = EMPTY_PAYLOAD, b""
+        if lasts and self.behind:
+            self.advance()
 
     def _size(self) -> int:
         """Tell how much the parser is given: up to a body's end, where its length is known, or that of a head."""
