Who finds no room is told to come back within what the settings allow

Seen by a test with real connections: Retry-After was 1 s whatever the settings allow (1.0 where they allow 0.2, and where they forbid advice).

--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -24,6 +24,7 @@
 BODY_RATE = 16_000  # bytes a second; slower clients hold a connection for too long
 PIECE_S = 2.2       # for its next bytes
 KEPT = 1024 * 1024  # of a body, while the budget allows: it may be sent again
+RETRY_AFTER_US = 1_000_000  # for whom there is no room, where the settings allow as much
 TICKET = web.RequestKey("ticket", Ticket)
 ASK = web.RequestKey("ask", api.Arrival)
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 502, Verdict.ABSENT: 404}
@@ -126,7 +127,8 @@
     def _no_room(self, request: web.BaseRequest, klass: str) -> web.Response:
         """Tell who comes on top that sockets are left for bricks and accepts; its connection ends."""
         request[TICKET] = self.exchange.figures.take(klass)
-        response = web.Response(status=503, headers={"Retry-After": "1"})
+        advice_us = min(RETRY_AFTER_US, self.exchange.settings.allowed.retry_after_us)
+        response = web.Response(status=503, headers={"Retry-After": f"{advice_us / 1e6:g}"} if advice_us > 0 else {})
         if not cast(ClientConnection, request.protocol).more:   # each that has come behind is owed an answer too
             response.force_close()
         return response
