The end's time counts from the signal, and its last accepts and a dead log lose nothing

Seen by probes, each now a test in tests/test_restart_moments.py that failed on the code before: - Last took its clock when the loop came to the end (ending.answer_all), up to 0.4 s after a SIGTERM in the wait for a first list; its last answers were then due after SIGKILL. The signal's handler notes the time, and that wait ends with the signal. - The last loop of answer_all did not count connections that were accepted and not yet among their front's (Acceptor.tasks): with classes of 0.1 s, which close sooner than new connections stop coming, it ended at once with 0 of 5 taken.

Checked and right: SIGHUP with a file that is a folder, 100,000 brackets, no UTF-8 or short of fields is refused as one, and the head serves on (test, passed on the code before); a connection that was reset or half closed and not yet read of may be retired without an error (probe).

--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -22,6 +22,7 @@
 from hophinge.net.listener import Listener
 from hophinge.net.server import Front
 from hophinge.head.config import Config, ConfigError, ReloadError, address, read_config
+from hophinge.head.log import say
 from hophinge.head.operator import OperatorConfig
 from hophinge.core.rotation import Rotation
 
@@ -29,11 +30,6 @@
 SHUTDOWN_S = 2.0        # for answers on their way out
 
 
-def say(text: str) -> None:
-    """Write to the log."""
-    print(text.rstrip("\n"), flush=True)
-
-
 class Service:
     """One head."""
 
@@ -67,6 +63,7 @@
         self.control_listener: Acceptor | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
+        self.told_us = 0            # of the end
         self.maintenance = compose.maintenance(self, say)
 
     async def start(self) -> None:
@@ -99,10 +96,7 @@
             self.tasks += self.accounts.tasks()
         elif self.streamed is not None:
             self.front.watch, self.front.gone = self.streamed.forms, self.streamed.forms.dropped
-        try:
-            async with asyncio.timeout(FIRST_LIST_S):
-                await self.discovery.heard.wait()
-        except TimeoutError:
+        if not await ending.first_of(FIRST_LIST_S, self.discovery.heard, self.stopping):
             say("discovery is silent; starting from the saved list")
         if self.config.accept_fd is not None:
             # Not before: until then another process may serve what waits there.
@@ -179,8 +173,10 @@
             raise ConfigError(f"cannot listen on {where}: {error}") from error
 
     def stop(self) -> None:
-        """Begin the end."""
-        self.stopping.set()
+        """Begin the end; what is left of the time counts from the first call."""
+        if not self.stopping.is_set():
+            self.told_us = self.exchange.now_us()
+            self.stopping.set()
 
     def report(self) -> None:
         """Print the counters."""
@@ -210,7 +206,7 @@
         """Answer what has been taken, then close everything."""
         self.stop()
         await ending.answer_all(self.exchange, self.front, self.objects, self.admin, self.listeners,
-                                self.config.accept_fd is not None, say)
+                                self.config.accept_fd is not None, self.told_us, say)
         if self.control_listener is not None:
             self.control_listener.close()
         for served in (*self.fronts, self.control):
--- /dev/null
+++ b/tests/test_restart_moments.py
@@ -0,0 +1,160 @@
+"""Moments of a head's end and start in which something is still owed, each forced at a named point."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from hophinge.head import ending as ending_module
+from hophinge.head import service as service_module
+from hophinge.net.acceptor import Acceptor
+from tests.restarting import HOST, NUMBERS, PORT, head, wire
+from tests.stand_in import Brick, Wire, headers, run, setup, until, world
+from tests.test_net import READ
+from tests.test_service import COMMAND, ROOT, config
+
+LONGEST_US, KILL_US, MARGIN_US = 3_000_000, 700_000, 250_000    # the protocol's, and what is kept before SIGKILL
+
+
+def short(deadline_ms: int) -> dict[str, Any]:
+    """Settings whose classes all have one short deadline."""
+    made = setup()
+    for one in made["RequestClasses"]:
+        one["GoalTimeUs"] = one["DeadlineUs"] = deadline_ms * 1000
+    return made
+
+
+def test_who_is_accepted_as_the_last_class_has_closed_has_an_answer_before_the_head_ends(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    take = Acceptor._take
+
+    async def late(self: Acceptor, *args: Any) -> None:
+        await asyncio.sleep(0.1)        # accepted, and not among its front's connections yet
+        await take(self, *args)
+
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head(settings=short(100))      # closes sooner than new connections stop coming
+            service.front.most_connections = 0      # all wait in the listening socket's queue up to its last moment
+            wires = [await made.wire(service) for _ in range(5)]
+            for one in wires:
+                one.send(READ, headers(next(NUMBERS), X_Remaining_Ms="100"))
+            monkeypatch.setattr(Acceptor, "_take", late)
+            await service.finish()
+            made.services.remove(service)
+            assert service.counters.counts["requests_taken"] == len(wires)      # before the process would exit
+            assert [(await one.receive())[0] for one in wires] == [503] * len(wires)
+    run(main())
+
+
+def test_a_client_that_reads_no_answer_keeps_no_head_from_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            monkeypatch.setattr(ending_module, "UNREAD_S", 0.2)
+            monkeypatch.setattr(service_module, "SHUTDOWN_S", 0.2)
+            service, brick, large = await made.head(settings=short(300)), made.bricks[0], b"x" * 60_000
+
+            async def answers(_: Any, __: bytes) -> web.Response:
+                return web.Response(body=large)
+
+            brick.behave = answers
+            one = await made.wire(service)
+            one.writer.transport.pause_reading()        # type: ignore[attr-defined]
+            small = one.writer.get_extra_info("socket")
+            small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            asked, busy = 0, service.front.busy
+
+            async def stuck() -> bool:
+                """Tell whether an answer stays unwritten."""
+                for _ in range(200):
+                    await asyncio.sleep(0.002)
+                    if not busy:
+                        return False
+                return service.exchange.unanswered == 0
+
+            while not await stuck():
+                one.send(READ, headers(next(NUMBERS), X_Remaining_Ms="300"))
+                asked += 1
+                await until(lambda: len(brick.seen) == asked)       # noqa: B023
+            async with asyncio.timeout(20.0):
+                await service.finish()
+            made.services.remove(service)
+    run(main())
+
+
+def test_the_time_that_is_left_counts_from_the_signal_and_not_from_when_the_head_comes_to_it() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service = await made.head()
+            told_us = service.exchange.now_us()
+            service.stop()
+            time.sleep(0.05)        # the loop stands still: a signal's handler ran, what waits for it has not
+            ending = asyncio.create_task(service.finish())
+            await until(lambda: service.front.last is not None)
+            last: Any = service.front.last
+            assert last.until_us <= told_us + LONGEST_US + KILL_US - MARGIN_US + 10_000
+            await ending
+            made.services.remove(service)
+    run(main())
+
+
+def test_a_signal_in_the_wait_for_the_first_list_ends_that_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            monkeypatch.setattr(service_module, "FIRST_LIST_S", 60.0)
+            made.agent.silent = True
+            starting = asyncio.create_task(made.head(saved=[made.bricks[0].target()]))
+            await until(lambda: len(made.agent.asked) > 0)
+            made.services[0].stop()
+            async with asyncio.timeout(30.0):
+                await starting
+    run(main())
+
+
+@pytest.mark.parametrize("text", [b"[" * 100_000, b"\xff\xfe", b'{"listen":1}', None])
+def test_a_hangup_with_any_spoilt_file_changes_nothing(text: bytes | None, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with head(tmp_path, Brick(0)) as ending:
+            path, one = tmp_path / "config.json", await ending.wire()
+            path.unlink()
+            path.mkdir() if text is None else path.write_bytes(text)
+            ending.process.send_signal(signal.SIGHUP)
+            assert ending.process.stdout is not None
+            await ending.process.stdout.readuntil(b"kept as it was")
+            one.send(READ, headers(next(NUMBERS)))
+            assert (await one.receive())[0] == 404
+            ending.tell()
+            await ending.over()
+            assert ending.counts["reloads_failed"] == 1 and "Traceback" not in ending.text
+    run(main())
+
+
+def test_a_log_that_nobody_reads_any_more_ends_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            reads, writes = os.pipe()
+            os.close(reads)         # from the first line on: every write fails
+            process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT, stdout=writes, stderr=writes, env=config(
+                tmp_path, listen=f"{HOST}:{PORT}", discovery=made.agent.endpoint))
+            os.close(writes)
+            try:
+                async with asyncio.timeout(30.0):
+                    one: Wire = await wire(made)
+                for number in (signal.SIGUSR1, signal.SIGHUP, signal.SIGTERM):
+                    process.send_signal(number)
+                    one.send(READ, headers(next(NUMBERS)))
+                    assert (await one.receive())[0] == 404
+                assert await one.ended() and await process.wait() == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+    run(main())
