A head that gets fewer descriptors than its file says shares out what it gets

At fault: limits.share divided config.limits.sockets whatever RLIMIT_NOFILE was (head/config.py: load). Nothing raises the limit. Acceptor.finish now pauses after a failed accept.

--- a/hophinge/head/config.py
+++ b/hophinge/head/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -85,6 +86,10 @@
             address(one)
         int(config.seed, 16)
         settings = read_settings(bytes(config.settings))
+        # Shares of descriptors that the system does not give would leave none for bricks and discovery.
+        most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if most != resource.RLIM_INFINITY:
+            config.limits.sockets = min(config.limits.sockets, most)
     except (ValueError, ConfigError) as error:
         raise ConfigError(f"{CONFIG_FILE} {path!r}: {error}") from error
     path = environ.get(OPERATOR_FILE, "")
--- a/hophinge/net/acceptor.py
+++ b/hophinge/net/acceptor.py
@@ -113,13 +113,19 @@
         self._rest()
         until, empty = self.loop.time() + most_s, None
         while (now := self.loop.time()) < until:
-            if len(self.tasks) >= BATCH or not self.front.room() or self._took():
+            try:
+                took = len(self.tasks) >= BATCH or not self.front.room() or self._one()
+                pause_s = 0.0 if took and self.front.room() else PAUSE_S / 2
+            except OSError:     # no descriptor is left: as if somebody still waited
+                self.front.counters.add("accepts_failed")
+                took, pause_s = True, PAUSE_S
+            if took:
                 empty = None
             elif empty is None:
                 empty = now
             elif now - empty >= EMPTY_S:
                 break
-            await asyncio.sleep(0 if empty is None and self.front.room() else PAUSE_S / 2)
+            await asyncio.sleep(pause_s)
         self.drain()
 
     def drain(self) -> None:
@@ -142,13 +148,6 @@
     def _resume(self) -> None:
         self.loop.add_reader(self.socket, self._accept)
 
-    def _took(self) -> bool:
-        try:
-            return self._one()
-        except OSError:     # no descriptor is left: as if somebody still waited
-            self.front.counters.add("accepts_failed")
-            return True
-
     def _rest(self) -> None:
         if self.pause is not None:
             self.pause.cancel()
