What a head that ends may still give a request is asked once its body is whole

Seen: a request whose head came 0.95 s before the last byte of its body was promised 0.5 s more than the head had (X-Remaining-Ms as its brick got it against Last.until_us), 0.25 s past SIGKILL. At fault: Front._take asked Last with the head; the exchange counts from Exchange.arrive, after the body. One whose head came before the signal and whose body came after it was not cut at all. tests/test_restart_bodies.py failed on the code before.

--- a/hophinge/net/server.py
+++ b/hophinge/net/server.py
@@ -91,9 +91,6 @@
                 response = web.Response(status=503, headers={"Retry-After": "1"})
                 response.force_close()
                 return response
-        if self.last is not None:
-            left = self.last.left_us(ask.klass, ask.time_left_us, self.exchange.now_us())
-            ask = structs.replace(ask, time_left_us=left)
         chunks: list[bytes] = []
         upload, held = None, 0
         try:
@@ -111,6 +108,9 @@
             request[TICKET] = self.exchange.figures.take(klass)
             done: asyncio.Future[Answer] = self.loop.create_future()
             payload = Payload(request.method, origin_form(request.raw_path), ask.request, body, key, upload)
+            if self.last is not None:       # asked now, as a body may have taken its time
+                left = self.last.left_us(ask.klass, ask.time_left_us, self.exchange.now_us())
+                ask = structs.replace(ask, time_left_us=left)
             self.exchange.arrive(ask, payload, giver(done), upload is None)
             try:
                 answer = await (done if upload is None else self._fill(request, upload, ask, done, klass))
--- /dev/null
+++ b/tests/test_restart_bodies.py
@@ -0,0 +1,35 @@
+"""A body that comes slowly while its head ends."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tests.restarting import NUMBERS
+from tests.stand_in import Brick, headers, run, until, world
+from tests.test_net import READ
+
+
+def test_a_request_whose_body_came_slowly_is_given_no_longer_than_the_head_has() -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            service, promised = await made.head(), list[int]()
+
+            async def note(request: Any, _: bytes) -> None:
+                promised.append(service.exchange.now_us() + int(request.headers["X-Remaining-Ms"]) * 1000)
+
+            made.bricks[0].behave = note
+            one = await made.wire(service)
+            ending = asyncio.create_task(service.finish())
+            await until(lambda: service.front.last is not None)
+            fields = headers(next(NUMBERS), X_Remaining_Ms="3000") | {"Content-Length": "2"}
+            one.writer.write(one.head(READ, fields, "PUT") + b"a")
+            await until(lambda: bool(service.front.busy))
+            last: Any = service.front.last
+            await until(lambda: service.exchange.now_us() > last.until_us - 2_500_000)
+            one.writer.write(b"b")
+            assert (await one.receive())[0] == 200
+            assert promised[0] <= last.until_us + 20_000
+            await ending
+            made.services.remove(service)
+    run(main())
