Half a head on a new connection is waited for at the end, as on a kept one

Seen: close_idle shut a connection with half a head on its first request and threw the rest away; on a connection that was answered before the rest was awaited and answered. At fault: Listener.close_idle retires all that rests, and a new connection rests until its first head is whole (connection._begins). tests/test_restart_crossings.py begins a half head on a new connection too, and failed without this.

--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -146,5 +146,5 @@
         wait for ever.
         """
         for connection in list(self.resting):
-            if not connection.lingering:
+            if not connection.lingering and not connection.head:
                 connection.retire()     # one that is not is answered, and closes with that
--- a/tests/test_restart_crossings.py
+++ b/tests/test_restart_crossings.py
@@ -10,7 +10,7 @@
 from tests.stand_in import Brick, Wire, World, headers, run, until, world
 from tests.test_net import READ
 
-HALF = (True,)      # on a connection that was answered before
+HALF = (True, False)        # on a connection that was answered before, and on a new one
 REST = b"-Placement: units=2,shard=0,hosts=1\r\n\r\n"
 
 
