--- a/hophinge/core/exchange/__init__.py
+++ b/hophinge/core/exchange/__init__.py
@@ -73,6 +73,14 @@
             self._forget(request)   # one of which nothing is out would else stay for ever
             self._event(api.Departure(name))
 
+    def cut_off(self) -> None:
+        """Give each request that still waits its final answer: who answers will be there no longer."""
+        for request in [one for one in self.open.values() if one.answer is not None]:
+            self.counters.add("requests_cut_off")
+            safe = self.settings.classes[request.ask.klass].effect is api.Effect.SAFE
+            self._answer(request, Answer(Verdict.REFUSED if safe else Verdict.FAILED))
+            self._event(api.Departure(request.ask.request))
+
     def nodes(self, event: api.NodeList) -> None:
         """Take a node list, or what changed in it."""
         if event.kind is api.ListKind.FULL:
