--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+import traceback
 from collections.abc import Callable
 
 import aiohttp
@@ -14,6 +16,7 @@
 from hophinge.net.address import split
 from hophinge.net.pace import BESIDE_S, MOST_BESIDE, CallPace
 
+MOST_BOOT_MS = 2 ** 53      # of a start that is told; one beyond it is no time that anything can be reckoned with
 PHASES = {"Ready": api.Phase.ON, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
 
@@ -38,6 +41,13 @@
     all: bool = True
 
 
+class Leaving(msgspec.Struct):
+    """What must be heard of a brick even where the rest of its entry is malformed."""
+
+    uid: str
+    state: str
+
+
 class Told(msgspec.Struct):
     """A list as it comes: its entries are read one by one, as one that is malformed must not void the others."""
 
@@ -52,20 +62,29 @@
     Raises `msgspec.MsgspecError` where it is no list at all, or a whole one without a single sound entry; `whole` tells
     that all was asked for.
     """
-    told, targets = msgspec.json.decode(body, type=Told), []
-    for raw in told.targets:
-        try:
-            target = msgspec.json.decode(raw, type=Target)
-            sendable = target.state == "Gone" or split(target.endpoint)[1] > 0
-        except ValueError:      # msgspec's errors are among them
-            continue
-        if target.uid and sendable:
-            targets.append(target)
+    try:
+        told = msgspec.json.decode(body, type=Told)
+    except RecursionError as error:     # nested too deeply; none of msgspec's own
+        raise msgspec.ValidationError(str(error)) from None
+    targets = [target for raw in told.targets if (target := _read_target(raw)) is not None]
     if (told.all or whole) and not targets:
         raise msgspec.ValidationError("a whole list without a sound entry")
     return Listing(told.rev, targets, told.all), len(told.targets) - len(targets)
 
 
+def _read_target(raw: msgspec.Raw) -> Target | None:
+    """Read an entry; None: it is malformed, and tells of no brick that takes nothing more."""
+    with contextlib.suppress(ValueError):       # msgspec's errors are among them
+        target = msgspec.json.decode(raw, type=Target)
+        if target.uid and (target.state == "Gone" or split(target.endpoint)[1] > 0):
+            return target
+    with contextlib.suppress(ValueError):
+        leaving = msgspec.json.decode(raw, type=Leaving)
+        if leaving.uid and leaving.state != "Ready":
+            return Target(leaving.uid, "", leaving.state)
+    return None
+
+
 class Directory:
     """Where bricks listen; turns discovery's lists into the interface's."""
 
@@ -80,20 +99,22 @@
 
     def take(self, listing: Listing, kind: api.ListKind) -> api.NodeList:
         """Note the endpoints of a list and translate it."""
+        held = self.endpoints
         if kind is api.ListKind.FULL:
             self.endpoints = {}
         for target in listing.targets:
             if target.state == "Gone":
                 self.endpoints.pop(target.uid, None)
-            else:
-                self.endpoints[target.uid] = target.endpoint
+            elif endpoint := target.endpoint or held.get(target.uid, ""):
+                self.endpoints[target.uid] = endpoint
         return api.NodeList(kind, tuple(map(self._entry, listing.targets)))
 
     def _entry(self, target: Target) -> api.NodeEntry:
         # A state that is not known is no reason to send: it counts as draining.
         return api.NodeEntry(
             target.uid, self.zones.get(target.az, 0), target.pod_group,
-            PHASES.get(target.state, api.Phase.DRAINING), target.capacity_hint, target.boot_ms * 1000,
+            PHASES.get(target.state, api.Phase.DRAINING), target.capacity_hint,
+            max(0, min(MOST_BOOT_MS, target.boot_ms)) * 1000,
             self.kinds.get(target.model, 0))
 
 
@@ -138,28 +159,36 @@
         while True:
             try:
                 await self._call(url)
-            except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
-                self.counters.add("discovery_errors")
-                if self.directory.endpoints and isinstance(error, (aiohttp.ClientError, ConnectionError)):
-                    self.heard.set()    # turned away: who has a list waits for no better one
-                if isinstance(error, aiohttp.ClientResponseError):
-                    reason, pause_s = f"status {error.status}", self.pace.turned_away(_advice(error))
-                else:
-                    if isinstance(error, TimeoutError):
-                        self.pace.said_nothing()
-                    reason, pause_s = f"{type(error).__name__} {error}".strip(), self.pace.failed()
-                self._note(reason)
-                await asyncio.sleep(pause_s)
+            except (Exception, asyncio.CancelledError) as error:
+                if (task := asyncio.current_task()) is not None and task.cancelling():
+                    raise
+                # Whatever it was: a watch that ended here would be missed by nobody.
+                await asyncio.sleep(self._failed(error))
             else:
                 self.pace.answered()
                 self._note("")
 
-    def _note(self, trouble: str) -> None:
+    def _failed(self, error: BaseException) -> float:
+        """Count and log the end of a call that brought nothing; tell the pause in seconds after it."""
+        self.counters.add("discovery_errors")
+        away = isinstance(error, (aiohttp.ClientError, ConnectionError))
+        if away and self.directory.endpoints and not self.pace.pushed:
+            self.heard.set()    # who has a list waits for no better one; an agent beside may have it the next moment
+        if isinstance(error, aiohttp.ClientResponseError):
+            self._note(f"status {error.status}")
+            return self.pace.turned_away(_advice(error))
+        expected = isinstance(error, (aiohttp.ClientError, OSError, msgspec.MsgspecError))
+        self._note(f"{type(error).__name__} {error}".strip(),
+                   "" if expected else "\n" + "".join(traceback.format_exception(error)))
+        return self.pace.failed()
+
+    def _note(self, trouble: str, trace: str = "") -> None:
         """Log a trouble once, and its end."""
         if trouble != self.trouble:
-            self.log(f"discovery at {self.address} fails, the list held stays in force: {trouble}" if trouble
-                     else f"discovery at {self.address} answers again")
             self.trouble = trouble
+            with contextlib.suppress(Exception):    # a log that is full or gone takes no watch with it
+                self.log(f"discovery at {self.address} fails, the list held stays in force: {trouble}{trace}"
+                         if trouble else f"discovery at {self.address} answers again")
 
     async def _ask(self, url: str) -> tuple[Listing, int]:
         wait_s, limit_s = self.pace.waits(self.rev is not None, self.heard.is_set())
@@ -172,14 +201,22 @@
     async def _first_of(self, url: str) -> tuple[Listing, int]:
         """Ask beside calls that say nothing, until one is answered: none knows when the agent is back."""
         calls: set[asyncio.Task[tuple[Listing, int]]] = set()
+        pause_s = 0.0       # before another call, after one that failed; those that are open go on meanwhile
         try:
             while True:
-                if len(calls) < MOST_BESIDE:
+                if not pause_s and len(calls) < MOST_BESIDE:
                     calls.add(asyncio.get_running_loop().create_task(self._ask(url)))
-                done, calls = await asyncio.wait(calls, timeout=BESIDE_S, return_when=asyncio.FIRST_COMPLETED)
-                for call in done:
-                    if not isinstance(call.exception(), TimeoutError):
-                        return call.result()
+                done, calls = await asyncio.wait(calls, timeout=pause_s or BESIDE_S,
+                                                 return_when=asyncio.FIRST_COMPLETED)
+                pause_s = 0.0
+                errors = [call.exception() for call in done]
+                if None in errors:
+                    return next(call.result() for call in done if call.exception() is None)
+                for error in errors:
+                    if error is not None and not isinstance(error, TimeoutError):
+                        if not calls:
+                            raise error
+                        pause_s = self._failed(error)
         finally:
             for call in calls:
                 call.cancel()
@@ -194,9 +231,10 @@
         if not full and self.rev is not None and listing.rev < self.rev:
             self.rev = None     # another count than the one held: only a whole list tells what is so
             return
-        self.rev = listing.rev
+        self.rev = None     # a list that could not be told is asked for again, whole
         if full or listing.targets:
             self.tell(self.directory.take(listing, api.ListKind.FULL if full else api.ListKind.CHANGES))
+        self.rev = listing.rev
         self.heard.set()
 
     async def close(self) -> None:
