Zones that the settings do not name, an agent's advice, and a saved list with a malformed entry

Seen by tests with real connections, red on the code before: - A zone or kind that the settings do not name counted as the first that they name: a keyed repeat that has to stay in its zone went to another (tests/test_crossing.py, four cases; Directory._entry). - A malformed entry in the list that a head is started with ended the start with 2 (tests/test_saved_list.py; head/config.py). It is left out as discovery's own are, and a whole list is asked for.

--- a/hophinge/head/config.py
+++ b/hophinge/head/config.py
@@ -15,7 +15,7 @@
 from hophinge.head.operator import OperatorConfig
 from hophinge.head.operator import load as load_operator
 from hophinge.net.address import split
-from hophinge.net.discovery import Listing
+from hophinge.net.discovery import Listing, Told, read_listing
 
 
 class ConfigError(HophingeError):
@@ -65,13 +65,29 @@
 def read_config(path: str) -> Config:
     """Read the configuration file."""
     try:
-        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
+        parts = msgspec.json.decode(Path(path).read_bytes(), type=dict[str, msgspec.Raw])
+        if "known" in parts:
+            parts["known"] = msgspec.Raw(msgspec.json.encode(_saved(bytes(parts["known"]))))
+        config = msgspec.json.decode(msgspec.json.encode(parts), type=Config)
         address(config.listen), address(config.discovery)
-    except (OSError, ValueError, msgspec.MsgspecError, ConfigError) as error:
+    except (OSError, ValueError, RecursionError, msgspec.MsgspecError, ConfigError) as error:
         raise ConfigError(f"{CONFIG_FILE} {path!r}: {error}") from error
     return config
 
 
+def _saved(known: bytes) -> Listing:
+    """Read the list as the head had it last, as discovery's own: a malformed entry keeps no head from starting.
+
+    One that lacks entries is not whole, so that discovery is asked for all of it.
+    """
+    try:
+        listing, left_out = read_listing(known)
+    except msgspec.MsgspecError:
+        msgspec.json.decode(known, type=Told)       # what is no list at all is a slip in the file
+        return Listing(0, [])
+    return Listing(listing.rev, listing.targets, listing.all and not left_out)
+
+
 def load(environ: Mapping[str, str]) -> tuple[Config, api.Settings, OperatorConfig]:
     """Read the configuration and the operator's file that the environment names."""
     path = environ.get(CONFIG_FILE, "")
--- a/hophinge/head/service.py
+++ b/hophinge/head/service.py
@@ -80,7 +80,7 @@
         if self.config.accept_fd is not None:
             self._beside_another()
         known = self.config.known
-        self.discovery.follow(self.config.discovery, known.rev if known.targets else None)
+        self.discovery.follow(self.config.discovery, known.rev if known.targets and known.all else None)
         if self.config.accept_fd is None:
             self._listen(self.front, self.config.listen)
         if self.objects is not None:
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -110,12 +110,13 @@
         return api.NodeList(kind, tuple(map(self._entry, listing.targets)))
 
     def _entry(self, target: Target) -> api.NodeEntry:
-        # A state that is not known is no reason to send: it counts as draining.
+        # A state that is not known is no reason to send: it counts as draining. A zone or kind that the settings do not
+        # name is one of its own, not the first that they name.
         return api.NodeEntry(
-            target.uid, self.zones.get(target.az, 0), target.pod_group,
+            target.uid, self.zones.setdefault(target.az, len(self.zones)), target.pod_group,
             PHASES.get(target.state, api.Phase.DRAINING), target.capacity_hint,
             max(0, min(MOST_BOOT_MS, target.boot_ms)) * 1000,
-            self.kinds.get(target.model, 0))
+            self.kinds.setdefault(target.model, len(self.kinds)))
 
 
 def _advice(error: Exception) -> float:
--- a/hophinge/net/pace.py
+++ b/hophinge/net/pace.py
@@ -23,7 +23,7 @@
 FIRST_TURNED_S = 4.0        # the first pause of one turned away at most
 TURNED_S = 4.75             # those after it: 5.5 s with their lot, which leaves half a second for the call itself
 TURNED_JITTER = (0.85, 1.15)    # parts of such a pause: narrow, as what ends late counts and what ends early costs
-TURNED_CALLS = 5            # of one head in a row that keep to it, 20 s at least; then discovery is not to be reached
+TURNED_CALLS = 5            # of one head in a row that keep to it, 16 s at least; then discovery is not to be reached
 BORNE = 9.5                 # calls a second of all heads at that pace from which a discovery that serves 7.4 recovers
 LONGEST_ADVICE_S = 3.6      # of a Retry-After that is kept to: 5.4 s with its lot
 LIST_S = 2.5                # for a list asked for; over a queue's patience of 2 s, as who gives up begins at its end
@@ -90,7 +90,7 @@
         self.silent = True
         if self.turned > TURNED_CALLS:
             pause = min(self.crowded_turned_s, TURNED_S * 2.0 ** min(self.turned - TURNED_CALLS, 16))
-        advice = min(LONGEST_ADVICE_S, max(0.0, advice_s))
+        advice = 0.0 if self.pushed else min(LONGEST_ADVICE_S, max(0.0, advice_s))
         return max(pause * self.lots.uniform(*TURNED_JITTER), advice * self.lots.uniform(1, JITTER[1]))
 
     def failed(self) -> float:
