--- a/hophinge/admin/front.py
+++ b/hophinge/admin/front.py
@@ -51,10 +51,7 @@
         headers = {"Content-Type": "application/json", "Cache-Control": "no-store", **reply.headers}
         if not reply.body:
             del headers["Content-Type"]
-        response = web.Response(status=reply.status, body=reply.body or None, headers=headers)
-        if request.can_read_body and not request.content.is_eof():
-            response.force_close()
-        return response
+        return web.Response(status=reply.status, body=reply.body or None, headers=headers)
 
     async def _reply(self, request: web.BaseRequest) -> Reply:
         path, _, query = request.raw_path.partition("?")
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -58,8 +58,6 @@
             if GUEST in request:
                 self.accounts.ended(request[GUEST], response.status)
         self.counters.add(f"object_answers_{response.status // 100}xx")
-        if not response.prepared and request.can_read_body and not request.content.is_eof():
-            response.force_close()      # what is left of an unread body must not be taken for a request
         return response
 
     def end_tenant(self, tenant: str) -> None:
