What an end cuts off with nothing sent is refused, not failed, also where it is not to be repeated

Seen, by reading `Exchange.cut_off`: a write of a class that must not be repeated got 502 at the head's last moment even if it had been held all the time and no attempt had gone out. A failure tells its client that it may have run; nothing had.

Checked: the module's own answers tell the two apart (`_repeat_until` looks at what may have run); `cut_off` alone looked at the class only. Nothing else answers past the module but the backstop, which does not know what the module knows and stays as it is.

Change: refused where no attempt was made or the class is safe to repeat, else failed.

Test: tests/test_restart_moments.py, held (no listed brick has its shard) and out; the first failed before with 502.

--- a/hophinge/core/exchange/__init__.py
+++ b/hophinge/core/exchange/__init__.py
@@ -77,8 +77,8 @@
         """Give each request that still waits its final answer: who answers will be there no longer."""
         for request in [one for one in self.open.values() if one.answer is not None]:
             self.counters.add("requests_cut_off")
-            safe = self.settings.classes[request.ask.klass].effect is api.Effect.SAFE
-            self._answer(request, Answer(Verdict.REFUSED if safe else Verdict.FAILED))
+            harmless = not request.sent or self.settings.classes[request.ask.klass].effect is api.Effect.SAFE
+            self._answer(request, Answer(Verdict.REFUSED if harmless else Verdict.FAILED))
             self._event(api.Departure(request.ask.request))
 
     def nodes(self, event: api.NodeList) -> None:
--- a/tests/test_restart_moments.py
+++ b/tests/test_restart_moments.py
@@ -20,8 +20,8 @@
 from hophinge.telemetry.config import RemoteWriteConfig
 from hophinge.telemetry.remote_write import RemoteWrite
 from tests.restarting import HOST, NUMBERS, PORT, head, lasting, wire
-from tests.stand_in import Brick, Wire, headers, run, until, world
-from tests.test_net import READ
+from tests.stand_in import Brick, Wire, headers, held_by, run, until, world
+from tests.test_net import READ, WRITE
 from tests.test_service import COMMAND, ROOT, config, program
 
 LONGEST_US, KILL_US, MARGIN_US = 3_000_000, 700_000, 250_000    # the protocol's, and what is kept before SIGKILL
@@ -114,6 +114,26 @@
     run(main())
 
 
+@pytest.mark.parametrize(("shard", "status"), [(1, 503), (0, 502)])
+def test_what_an_end_cuts_off_is_refused_where_nothing_of_it_was_sent(shard: int, status: int) -> None:
+    """A write that must not be repeated: held, as no listed brick has its shard, or out at a brick."""
+    async def main() -> None:
+        settings, gate = lasting(30_000), asyncio.Event()
+        for one in settings["RequestClasses"]:
+            one["Effect"] = "side_effect"
+        async with world(Brick(0)) as made:
+            made.bricks[0].behave = held_by(gate)
+            service = await made.head(settings=settings)
+            wire = await made.wire(service)
+            wire.send(WRITE, headers(next(NUMBERS), X_Remaining_Ms="30000",
+                                     X_Placement=f"units=1,shard={shard},hosts=1"), "PUT")
+            await until(lambda: service.exchange.unanswered == 1 and len(made.bricks[0].seen) == 1 - shard)
+            service.exchange.cut_off()
+            assert (await wire.receive())[0] == status
+            gate.set()
+    run(main())
+
+
 @pytest.mark.parametrize("text", [b"[" * 100_000, b"\xff\xfe", b'{"listen":1}', None])
 def test_a_hangup_with_any_spoilt_file_changes_nothing(text: bytes | None, tmp_path: Path) -> None:
     async def main() -> None:
