A log whose reader stands still holds up no head: no line is written that does not fit

Seen, by reading `head/log.py: say` and a probe: with standard output a pipe that is full and that nobody reads, the head's loop stops in its first line of the log. It was not ready within 30 s, and a running one would serve nobody from the line on that fills the pipe.

Ruled out: making the descriptor non-blocking, as it is shared with whoever started the head, and a print that fails half way keeps its bytes and blocks at the exit. A thread of its own would be left in that write at the exit too. Writing each line for itself left too little room in a socket that is read late (a test of the counters saw it), so a text goes in pieces of a quarter of PIPE_BUF.

Change: before each piece the descriptor is asked whether it takes one, for 50 ms at most and not at all while a reader that let that pass has not read; a piece that does not fit is dropped with the rest of its text. What libraries log takes the same way.

Test: tests/test_restart_moments.py, a full pipe from the start on, SIGUSR1, a request, SIGTERM; without the mend not ready within 30 s. The log's end is read once its reader goes on.

--- a/hophinge/head/log.py
+++ b/hophinge/head/log.py
@@ -1,17 +1,60 @@
-"""The head's log: lines on standard output."""
+"""The head's log: lines on standard output, which nothing else waits for."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import logging
+import select
+import sys
 
 from hophinge.core.errors import told
 
+PIECE = select.PIPE_BUF // 4    # characters; their bytes fit into a pipe that has any room
+READ_MS = 50.0          # for a reader that is behind; one that let it pass is not waited for until it has read
+
+
+class Room:
+    """Whether the log's reader leaves room for a piece."""
+
+    def __init__(self) -> None:
+        self.wait_ms = READ_MS
+
+    def wait(self) -> bool:
+        """Tell whether a piece can be written at once, after a moment at most."""
+        try:
+            descriptor = sys.stdout.fileno()
+        except (OSError, ValueError):       # no file of the system's: it keeps nobody waiting
+            return True
+        look = select.poll()
+        look.register(descriptor, select.POLLOUT)
+        found = bool(look.poll(self.wait_ms))
+        self.wait_ms = READ_MS if found else 0.0
+        return found
+
+
+ROOM = Room()
+
 
 def say(text: str) -> None:
-    """Write to the log; one that can't be written, as its reader has gone or its disk is full, ends nothing else."""
+    """Write to the log; what can't be written is lost and ends nothing else.
+
+    Its reader may have gone or stand still, its disk may be full: a head that waited for that would serve nobody.
+    """
+    text = text.rstrip("\n") + "\n"
     with contextlib.suppress(OSError):
-        print(text.rstrip("\n"), flush=True)
+        for at in range(0, len(text), PIECE):
+            if not ROOM.wait():
+                return
+            print(text[at:at + PIECE], end="", flush=True)
+
+
+class Lines(logging.Handler):
+    """What the libraries log, as lines of the head's."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record."""
+        say(self.format(record))
 
 
 def note_end(task: asyncio.Task[None]) -> None:
--- a/hophinge/head/main.py
+++ b/hophinge/head/main.py
@@ -6,6 +6,7 @@
 import contextlib
 import ctypes
 import gc
+import logging
 import os
 import signal
 import sys
@@ -17,7 +18,7 @@
 from hophinge.core.errors import HophingeError, told
 from hophinge.head.config import Config, load
 from hophinge.head.environment import CONFIG_FILE
-from hophinge.head.log import say
+from hophinge.head.log import Lines, say
 from hophinge.head.operator import OperatorConfig
 from hophinge.head.service import Service
 
@@ -48,6 +49,7 @@
 async def run(service: Service) -> None:
     """Serve until a signal ends it."""
     loop = asyncio.get_running_loop()
+    logging.basicConfig(handlers=[Lines()], level=logging.WARNING, format="%(name)s: %(message)s")
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop)
     loop.add_signal_handler(signal.SIGUSR1, service.report)
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -36,7 +36,8 @@
 async def ask(wire: Wire, number: int, shard: int, left_ms: int = 750) -> int:
     """Read from a shard, or put a new object where it is -1."""
     target, method = (READ, "GET") if shard >= 0 else (WRITE, "PUT")
-    wire.send(target, headers(number, X_Placement=f"units=1,shard={shard},hosts=1", X_Remaining_Ms=str(left_ms)), method)
+    fields = headers(number, X_Placement=f"units=1,shard={shard},hosts=1", X_Remaining_Ms=str(left_ms))
+    wire.send(target, fields, method)
     return (await wire.receive())[0]
 
 
--- a/tests/test_restart_moments.py
+++ b/tests/test_restart_moments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import signal
 import socket
@@ -175,6 +176,34 @@
     run(main())
 
 
+def test_a_log_whose_reader_stands_still_holds_up_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with world(Brick(0)) as made:
+            reads, writes = os.pipe()
+            os.set_blocking(reads, False)
+            fcntl.fcntl(writes, fcntl.F_SETPIPE_SZ, 4096)
+            os.write(writes, b"x" * 4096)       # from the first line on: there is no room, and nobody makes any
+            process = await asyncio.create_subprocess_exec(*COMMAND, cwd=ROOT, stdout=writes, stderr=writes, env=config(
+                tmp_path, listen=f"{HOST}:{PORT}", discovery=made.agent.endpoint))
+            os.close(writes)
+            try:
+                async with asyncio.timeout(30.0):
+                    one: Wire = await wire(made)
+                    process.send_signal(signal.SIGUSR1)
+                    one.send(READ, headers(next(NUMBERS)))
+                    assert (await one.receive())[0] == 404
+                    os.read(reads, 4096)        # it goes on: the log does too
+                    process.send_signal(signal.SIGTERM)
+                    assert await one.ended() and await process.wait() == 0
+                assert os.read(reads, 4096).startswith(b"ending with 0 requests open")
+            finally:
+                os.close(reads)
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+    run(main())
+
+
 def test_an_end_that_does_not_close_cleanly_changes_no_exit_status(tmp_path: Path) -> None:
     async def main() -> None:
         with socket.create_server((HOST, PORT)) as listening:
