The mean of all bricks is forgotten only where none was heard, a brick's own time at that brick alone

Seen, by reading the mend before: a new object that overload refuses, while one of many bricks stands idle and unheard, forgot the mean of all, and the next ones went as to a fleet that answers at once.

Change: `Leaving._shed` forgets the time of the brick that the refused request is held at, and the mean only where no brick has anything out or was heard for 40 aims.

--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -89,9 +89,11 @@
             wait = ahead[place] = ahead.get(place, 0.0) + request.ask.units * unit_us
             if self.now + wait > request.deadline and not request.attempts:
                 self._answer(request)
-                for one in [book] if book is not None else self.books.values():
-                    if not one.slots and self.now - one.heard > UNHEARD * self.aim:     # or a stall refuses for ever
-                        one.spent = one.served = self.all_spent = self.all_served = 0.0
+                idle = [it for it in self.books.values() if not it.slots and self.now - it.heard > UNHEARD * self.aim]
+                if book is not None and book in idle:   # what a stall taught would refuse for ever: none unlearns it
+                    book.spent = book.served = 0.0
+                if len(idle) == len(self.books):
+                    self.all_spent = self.all_served = 0.0
             else:
                 kept.append(row)
         return kept
--- a/hophinge/core/choice/nodes.py
+++ b/hophinge/core/choice/nodes.py
@@ -44,8 +44,7 @@
         self.lost: dict[str, Request] = {}      # held reads whose shard no listed node holds
         self.turns: dict[tuple[str, str], list[Request]] = {}      # by volume and key, as key_rest
         self.key_rest: dict[tuple[str, str], int] = {}
-        self.extra: deque[int] = deque()
-        self.taken: deque[int] = deque()
+        self.extra, self.taken = deque[int](), deque[int]()
         self.longest: dict[int, int] = {}
         self.version = 0                        # of the node list held
         self.processes = 1                      # that share this gateway's part: two while it is replaced
@@ -129,8 +128,7 @@
             if now - other.sent > 2 * (now - slot.sent):
                 book.units_out -= other.units
                 other.units = 0.0
-        spent = book.learn(slot, done)
-        self.all_spent = self.all_spent * MEMORY_ALL + spent
+        self.all_spent = self.all_spent * MEMORY_ALL + book.learn(slot, done)
         self.all_served = self.all_served * MEMORY_ALL + slot.units
         # Others' work, from an answer: what it took beyond the nominal time of our units, ahead too.
         units = max(slot.units, 1.0)
