A slow time is forgotten after 8 tightest aims for each head: 40 aims were too short in a large fleet

There each new object that overload refused forgot the mean of all, and on join it is those new objects that stuck bricks drown in.

--- a/hophinge/core/choice/leaving.py
+++ b/hophinge/core/choice/leaving.py
@@ -12,7 +12,7 @@
 from hophinge.core.choice.volumes import Gauge
 
 GROUP = 9               # members of a key's group: the paper's negotiating group, three times three replicas
-UNHEARD = 40.0          # tightest aims after which what was learned of an idle node's time refuses no more
+UNHEARD = 8.0           # tightest aims, for each gateway, after which what was learned of an idle node refuses no more
 STEP = 0.7              # power of the part of its full worth that a request earns, by which its patience falls
 Ready = tuple[float, int, str, Request, Book | None]
 
@@ -89,7 +89,8 @@
             wait = ahead[place] = ahead.get(place, 0.0) + request.ask.units * unit_us
             if self.now + wait > request.deadline and not request.attempts:
                 self._answer(request)
-                idle = [it for it in self.books.values() if not it.slots and self.now - it.heard > UNHEARD * self.aim]
+                then = self.now - UNHEARD * self.aim * self.settings.gateways
+                idle = [one for one in self.books.values() if not one.slots and one.heard < then]
                 if book is not None and book in idle:   # what a stall taught would refuse for ever: none unlearns it
                     book.spent = book.served = 0.0
                 if len(idle) == len(self.books):
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -11,7 +11,7 @@
 from tests.test_crossing import classes
 
 SCAN, READ = (f"/{name}/{VOLUME}/{OBJECT}" for name in ("scan", "record-read"))
-HEARD_S = 20.0      # 25 times what a head holds a learned time for here
+HEARD_S = 20.0      # over a hundred times what a head holds a learned time for here
 
 
 async def served_again(wire: Wire, left_ms: int) -> bool:
