--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -6,6 +6,7 @@
 import contextlib
 from random import Random
 
+from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import Limits, Route
 from hophinge.fleet.dataplane.exchange import BrokenOffError, Exchange, Inbound
 from hophinge.fleet.dataplane.knowledge import Knowledge
@@ -57,6 +58,11 @@
             pass
         except BodyTooLargeError:
             await answer(send, 413, b"", [CLOSE])
+        except BrokenOffError:
+            raise
+        except Exception:
+            log.logger.exception("a request failed in the head itself")
+            raise
 
     async def _ready(self, scope: Scope, send: Send) -> None:
         known = scope["path"] == READY_PATH
@@ -101,9 +107,8 @@
         assert table is not None
         service = route.service(self.random.random())
         engine = table.services[service].engine
-        prompt = None
-        if engine is not None:
-            prompt = parse_prompt(find(fields, TOKEN_USAGE), find(fields, PROMPT_PREFIX))
+        usage = find(fields, TOKEN_USAGE)
+        prompt = parse_prompt(usage, find(fields, PROMPT_PREFIX)) if engine is not None and usage else None
         text = (find(fields, DEADLINE) or "").strip()
         wanted = float(text) / MILLISECONDS if text.isdigit() else route.timeout_s
         deadline = arrived + min(wanted, route.timeout_s) - MARGIN_S
@@ -111,7 +116,7 @@
         budget.requested(arrived)
         name = inbound.request_id or str(self.random.getrandbits(64))
         heads = self.knowledge.renewal.most_holders
-        return Life(name, route, service, prompt, deadline, self.placement, budget, heads)
+        return Life(name, route, service, prompt, engine is not None, deadline, self.placement, budget, heads)
 
     async def _carry(self, exchange: Exchange, receive: Receive) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -50,7 +50,8 @@
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=call.target)
         timeout = {"connect": min(CONNECT_S, call.left_s), "pool": min(CONNECT_S, call.left_s),
                    "read": call.left_s, "write": call.left_s}
-        request = httpcore.Request(call.method, url, headers=call.fields, content=call.body,
+        fields = [*call.fields, (b"content-length", str(len(call.body)).encode())]
+        request = httpcore.Request(call.method, url, headers=fields, content=call.body,
                                    extensions={"timeout": timeout})
         response = await self._pool(identity).handle_async_request(request)
         try:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -65,7 +65,8 @@
     name: str
     route: Route
     service: str
-    prompt: Prompt | None       # None for a service without engines
+    prompt: Prompt | None       # None where the request tells of none
+    staged: bool                # the service has engines for prefill and for decode
     deadline: float
     placement: Placement
     budget: RetryBudget
@@ -89,7 +90,7 @@
         if self._extra() and not self.budget.allows(now, self.heads):
             return self._give_up(BAD_GATEWAY)
         if self.prompt is None:
-            return self._run(now, self.placement.pool(self.service, PLAIN))
+            return self._run(now, self.placement.pool(self.service, DECODE if self.staged else PLAIN))
         reading = self.placement.pool(self.service, PREFILL)
         if self.handle is None and self.reads < MOST_READS and any(node.serving for node in reading.nodes.values()):
             return self._read(now, reading, self.prompt)
