Fleet: heads tell each other what they placed; prompts are read where their parts are kept

Cause: a head sees a tenth of the traffic, so its books said nothing of an instance's queue, and a key's group of three prefill instances read the same shared parts three times. Change: hints in small batches over the control members, a cache model for each instance, reading at the decode instance where that is sooner; a woken replica excuses only members heard shortly before it stood still.

--- a/hophinge/coordination/peers.py
+++ b/hophinge/coordination/peers.py
@@ -9,7 +9,7 @@
 from hophinge.coordination.view import Replica, View
 
 SUSPECT_S = 1.0             # silence after which a member is taken to be gone for now
-STEADY_S = 0.4              # heard without a gap for so long before it is taken into a chain
+STEADY_S = 0.6              # heard without a gap for so long before it is taken into a chain
 GONE_S = 2.5                # silence after which an even group of voters does without it
 FORGET_S = 60.0             # silence after which a member outside the view is forgotten
 
@@ -27,8 +27,9 @@
 class Peers:
     """All other members that were heard."""
 
-    def __init__(self, me: Replica) -> None:
+    def __init__(self, me: Replica, losses: int) -> None:
         self.me = me
+        self.least_voters = 2 * losses + 1
         self.known: dict[str, Peer] = {}
 
     def heard(self, now: float, source: Replica, heartbeat: Heartbeat) -> None:
@@ -43,10 +44,12 @@
             peer.since = now
         peer.replica, peer.heard, peer.heartbeat = source, now, heartbeat
 
-    def excuse(self, now: float) -> None:
-        """After this process stood still: what was not heard meanwhile accuses nobody."""
+    def excuse(self, now: float, stalled_since: float) -> None:
+        """After this process stood still: what was not heard meanwhile accuses nobody, and speaks for nobody."""
         for peer in self.known.values():
-            peer.heard = max(peer.heard, now - SUSPECT_S / 2)
+            if peer.heard >= stalled_since - SUSPECT_S:
+                peer.heard = max(peer.heard, now - SUSPECT_S / 2)
+                peer.since = now
 
     def forget(self, now: float, view: View | None) -> None:
         """Drop members outside the view that were not heard for long."""
@@ -67,7 +70,7 @@
                            if peer.heartbeat.votes and view.voter(name) is None)
         gone = {voter.identity for voter in view.voters
                 if voter.identity not in alive and now - self._last(voter.identity, started) > GONE_S}
-        return Sight(alive, steady, gone, candidates)
+        return Sight(alive, steady, gone, candidates, self.least_voters)
 
     def _last(self, identity: str, started: float) -> float:
         peer = self.known.get(identity)
--- a/hophinge/coordination/planning.py
+++ b/hophinge/coordination/planning.py
@@ -17,6 +17,7 @@
     steady: Set[str]            # of these, heard without a gap for long enough to be taken (back) in
     gone: Set[str]              # voters that were not heard for long
     candidates: tuple[Replica, ...]     # replicas with a disk that counts, outside the view
+    least_voters: int           # fewer would not bear the losses that are to be borne
 
 
 def needs_change(view: View, sight: Sight) -> bool:
@@ -29,13 +30,15 @@
         return True
     if any(candidate.identity in sight.steady for candidate in sight.candidates):
         return True
-    return _may_shrink(view, sight)
+    return bool(_superfluous(view, sight))
 
 
-def _may_shrink(view: View, sight: Sight) -> bool:
-    """An even number of voters bears no more losses than one fewer, so a voter long gone is dropped from it."""
-    gone = [voter for voter in view.voters if voter.identity in sight.gone]
-    return bool(gone) and len(view.voters) % 2 == 0 and len(view.voters) > 2
+def _superfluous(view: View, sight: Sight) -> list[Replica]:
+    """Tell the voters to do without: long gone ones, as many as lower the majority, which so bears more losses."""
+    gone = sorted((voter for voter in view.voters if voter.identity in sight.gone), key=lambda voter: voter.identity)
+    count = len(view.voters)
+    dropped = 1 if count % 2 == 0 else 2
+    return gone[:dropped] if len(gone) >= dropped and count - dropped >= sight.least_voters else []
 
 
 def next_view(view: View, sight: Sight, promises: Mapping[str, Promise]) -> View | None:
@@ -62,10 +65,8 @@
 
 
 def _next_voters(view: View, sight: Sight) -> list[Replica]:
-    voters = list(view.voters)
-    if _may_shrink(view, sight):
-        gone = [voter for voter in voters if voter.identity in sight.gone]
-        voters.remove(min(gone, key=lambda voter: voter.identity))
+    superfluous = _superfluous(view, sight)
+    voters = [voter for voter in view.voters if voter not in superfluous]
     for candidate in sight.candidates:
         if candidate.identity in sight.steady:
             voters = _with(voters, candidate, sight)
--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -60,7 +60,7 @@
         self.me, self.seeds, self.votes = membership.me, membership.seeds, membership.votes
         self.losses = membership.losses
         self.writable = membership.votes
-        self.peers = Peers(self.me)
+        self.peers = Peers(self.me, membership.losses)
         self.chain = Chain(self.me, membership.losses + 1)
         self.view: View | None = None
         self.acceptor = Acceptor(VoteRecord(1, NO_BALLOT, NO_BALLOT, None))
@@ -135,7 +135,7 @@
 
     def _tick(self, now: float, outputs: Outputs) -> None:
         if now - self.ticked > STALL_S:
-            self.peers.excuse(now)
+            self.peers.excuse(now, self.ticked)
             self.elections.abandon(now)
         self.ticked = now
         if now - self.greeted >= HEARTBEAT_S:
--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -14,6 +14,7 @@
 from hophinge.coordination.peers import SUSPECT_S
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
+from hophinge.fleet.placement.hints import Hints
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.settings import Settings
@@ -121,9 +122,20 @@
                 self._held(token, source)
             case Leases(holders=holders):
                 self.leases.merge(now, holders)
+            case Hints():
+                self._relay(source, message)
             case Liveness():
                 self.registry.heard_elsewhere(now, message)
 
+    def _relay(self, source: str, hints: Hints) -> None:
+        """Pass on what heads placed: to the heads here, and from these to the other control members."""
+        own = {holder.address for holder in self.leases.own()}
+        targets = own - {source}
+        if source in own:
+            targets |= set(self.controls())
+        for address in targets:
+            self.send(address, hints)
+
     def _renew(self, now: float, source: str, renew: Renew) -> None:
         self.leases.renew(now, renew.holder)
         holders = self.leases.all()
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -15,7 +15,6 @@
     EXPECTED_INSTANCE,
     KV_FROM,
     LAST_EVENT_ID,
-    SERVER_LOAD,
     SERVING_STAGE,
     Fields,
     find,
@@ -24,6 +23,7 @@
 from hophinge.fleet.forwarding.life import Life, Read, Run
 from hophinge.fleet.forwarding.results import Ending, Handle, Result, belongs, stamped, unexecuted
 from hophinge.fleet.placement.node import Node
+from hophinge.fleet.placement.pool import Placed
 from hophinge.fleet.transport.asgi import Send, answer
 
 MILLISECONDS = 1_000
@@ -81,12 +81,6 @@
                   (EXPECTED_INSTANCE, node.instance.identity.encode()), *extra]
         return Call(node.instance.address, self.inbound.method, self.inbound.target, fields, self.inbound.body, left)
 
-    def _note_load(self, node: Node, fields: Fields) -> None:
-        text = find(fields, SERVER_LOAD)
-        numbers = text.split(",") if text else []
-        if len(numbers) >= 2 and numbers[0].strip().isdigit() and numbers[1].strip().isdigit():
-            node.told_load(self.loop.time(), int(numbers[0]), int(numbers[1]))
-
     # --- prefill -------------------------------------------------------------------------------------------------
 
     async def _read(self, step: Read) -> Result:
@@ -94,7 +88,6 @@
         call = self._call(node, [(SERVING_STAGE, b"prefill")])
         try:
             async with asyncio.timeout(call.left_s), self.upstream.call(node.instance.identity, call) as response:
-                self._note_load(node, response.headers)
                 body = await response.aread()
                 if not belongs(response.headers, self.inbound.request_id):
                     return Result(Ending.UNKNOWN)
@@ -131,15 +124,14 @@
         reader = EventReader()
         try:
             async with asyncio.timeout(call.left_s), self.upstream.call(node.instance.identity, call) as response:
-                return await self._answered(node, response, reader)
+                return await self._answered(step.placed, response, reader)
         except UNSENT:
             return Result(Ending.UNSENT)
         except (*FAILURES, TimeoutError):
             return Result(Ending.BROKEN if self.started else Ending.UNKNOWN, event_id=reader.last_id)
 
-    async def _answered(self, node: Node, response: httpcore.Response, reader: EventReader) -> Result:
+    async def _answered(self, placed: Placed, response: httpcore.Response, reader: EventReader) -> Result:
         fields = response.headers
-        self._note_load(node, fields)
         if not belongs(fields, self.inbound.request_id):
             return Result(Ending.UNKNOWN)
         refused = unexecuted(response.status, fields)
@@ -149,7 +141,7 @@
         if 200 <= response.status < 300 and not stamped(fields):
             return Result(Ending.UNKNOWN)
         if response.status == 200 and (find(fields, b"content-type") or "").startswith(EVENT_STREAM):
-            return await self._stream(response, reader)
+            return await self._stream(placed, response, reader)
         body = await response.aread()
         if self.started:
             return Result(Ending.BROKEN, event_id=reader.last_id)
@@ -157,7 +149,7 @@
         await answer(self.send, response.status, body, [*head, *self._closing()])
         return Result(Ending.ANSWERED if response.status < 500 else Ending.FAILED)
 
-    async def _stream(self, response: httpcore.Response, reader: EventReader) -> Result:
+    async def _stream(self, placed: Placed, response: httpcore.Response, reader: EventReader) -> Result:
         """Pass events on as they come; the end is passed on only where the instance's own answer was whole."""
         if not self.started:
             head = [*returned(response.headers), *self._closing()]
@@ -166,6 +158,8 @@
         async for chunk in response.aiter_stream():
             whole = reader.feed(chunk)
             if whole:
+                if not placed.streaming:
+                    self.life.streaming(self.loop.time(), placed)
                 await self.send({"type": "http.response.body", "body": whole, "more_body": True})
         await self.send({"type": "http.response.body", "body": reader.rest})
         return Result(Ending.ANSWERED)
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -24,9 +24,10 @@
 class Knowledge:
     """One data plane's view of the fleet."""
 
-    def __init__(self, settings: Settings, send: Callable[[str, object], None], watcher: Watcher) -> None:
+    def __init__(self, settings: Settings, send: Callable[[str, object], None], watcher: Watcher,
+                 configured: Callable[[RouteTable], None]) -> None:
         self.loop = asyncio.get_running_loop()
-        self.settings, self.send, self.watcher = settings, send, watcher
+        self.settings, self.send, self.watcher, self.configured = settings, send, watcher, configured
         identity = secrets.token_hex(8)
         self.me = Replica(identity, settings.data_internal, settings.zone)
         self.holder = Holder(identity, settings.name, settings.data_internal, settings.zone)
@@ -67,6 +68,7 @@
     def _learn(self, record: Record) -> None:
         if record.key == RECORD_KEY:
             self.table = table_of(record)
+            self.configured(self.table)
             log.note(f"configuration {self.table.version} is in force")
         elif record.key.startswith(INSTANCE_PREFIX):
             self.watcher(record.key.removeprefix(INSTANCE_PREFIX), instance_of(record))
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -5,9 +5,11 @@
 import asyncio
 
 from hophinge.fleet import log
+from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.dataplane.front import Front
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
+from hophinge.fleet.placement.hints import Hints
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.registry.instance import Instance
@@ -19,6 +21,7 @@
 DATA = "data"
 REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 LEAVE_S = 2.6               # the platform needs two misses, a second apart, to send no new connections
+HINT_S = 0.05               # between words about what was placed here
 RESERVE_S = 0.5             # of the time to end that is left unused
 
 
@@ -32,9 +35,9 @@
         self.addresses = settings.front, settings.ready
         self.signals = Signals()
         self.tasks = Tasks(self.signals.ending)
-        self.placement = Placement()
+        self.placement = Placement(settings.zone, self._ended)
         self.upstream = Upstream()
-        self.knowledge = Knowledge(settings, self._send, self._instance)
+        self.knowledge = Knowledge(settings, self._send, self._instance, self._configured)
         self.links = Links(self.knowledge.me, DATA, self._received, log.note)
         self.front = Front(settings, self.knowledge, self.placement, self.upstream)
         self.server = HttpServer(self.front)
@@ -43,18 +46,37 @@
         self.links.send(address, message)
 
     def _received(self, hello: Hello, message: object) -> None:
-        self.knowledge.received(hello.sender.address, message)
+        if isinstance(message, Hints):
+            self.placement.hinted(asyncio.get_running_loop().time(), message)
+        else:
+            self.knowledge.received(hello.sender.address, message)
 
     def _instance(self, identity: str, instance: Instance | None) -> None:
         self.placement.instance(identity, instance)
-        if instance is None:
-            self.tasks.start(self.upstream.forget(identity))
+
+    def _ended(self, identity: str) -> None:
+        self.tasks.start(self.upstream.forget(identity))
+
+    def _configured(self, table: RouteTable) -> None:
+        self.server.rest(table.limits.idle_s)
+        engines = {name: service.engine for name, service in table.services.items()}
+        self.placement.configured({name: engine.memory_tokens for name, engine in engines.items() if engine})
+
+    async def _hint(self) -> None:
+        """Tell what was placed here, in small batches, to the control member at which the lease is held."""
+        while True:
+            await asyncio.sleep(HINT_S)
+            hints = self.placement.told()
+            granter = self.knowledge.renewal.home
+            if hints is not None and granter is not None:
+                self.links.send(granter, hints)
 
     async def run(self) -> None:
         """Serve until told to end."""
         self.signals.changed = self._reread
         await self.links.listen()
         self.tasks.start(self.knowledge.run())
+        self.tasks.start(self._hint())
         self.tasks.start(self.server.serve([listening(address) for address in self.addresses]))
         self.tasks.start(self._watch_settings())
         log.note(f"head {self.knowledge.me.identity} at {self.settings.front}")
@@ -66,9 +88,6 @@
             await asyncio.sleep(REREAD_S)
             self._reread()
             self.links.tidy()
-            table = self.knowledge.table
-            if table is not None:
-                self.server.rest(table.limits.idle_s)
 
     def _reread(self) -> None:
         try:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -12,17 +12,8 @@
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.placement.node import Node
-from hophinge.fleet.placement.placement import (
-    DECODE,
-    PLAIN,
-    PREFILL,
-    Placed,
-    Placement,
-    Pool,
-    decode_units,
-    one_unit,
-    prefill_units,
-)
+from hophinge.fleet.placement.placement import Placement, Plan
+from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Placed, Pool, answered, ended
 from hophinge.fleet.placement.prompt import Prompt
 
 LEAST_LEFT_S = 0.02         # no attempt begins with less time than this
@@ -89,12 +80,23 @@
             return self._give_up(BAD_GATEWAY)
         if self._extra() and not self.budget.allows(now, self.heads):
             return self._give_up(BAD_GATEWAY)
+        plan = self._plan(now)
+        if plan is None and self.avoid:
+            self.avoid.clear()
+            plan = self._plan(now)
+        if plan is None:
+            return self._give_up(BAD_GATEWAY)
+        return self._read(now, plan) if plan.reads else self._run(now, plan)
+
+    def _plan(self, now: float) -> Plan | None:
+        """Have the next attempt placed."""
+        name, aim_s = (self.name, self.tries + 1), self.route.target_s
         if self.prompt is None:
-            return self._run(now, self.placement.pool(self.service, DECODE if self.staged else PLAIN))
-        reading = self.placement.pool(self.service, PREFILL)
-        if self.handle is None and self.reads < MOST_READS and any(node.serving for node in reading.nodes.values()):
-            return self._read(now, reading, self.prompt)
-        return self._run(now, self.placement.pool(self.service, DECODE))
+            stage = DECODE if self.staged else PLAIN
+            return self.placement.plain(now, self.service, stage, name, self.avoid, aim_s)
+        if self.handle is None and self.reads < MOST_READS:
+            return self.placement.generation(now, self.service, self.prompt, name, self.avoid, aim_s)
+        return self.placement.decode(now, self.service, self.prompt, name, self.avoid, aim_s)
 
     def _may_run_again(self) -> bool:
         """A request that may have run goes on only where that is harmless, and the route allows another instance."""
@@ -109,50 +111,34 @@
         harmless = not self.ran or self.route.idempotent
         return GiveUp(UNAVAILABLE, COME_BACK_S) if harmless and not self.begun else GiveUp(status, None)
 
-    def _read(self, now: float, pool: Pool, prompt: Prompt) -> Step:
-        placed = self._place(now, pool, prompt)
-        if placed is None:
-            return self._give_up(BAD_GATEWAY)
+    def _read(self, now: float, plan: Plan) -> Step:
+        self.tries += 1
         if self.reads:
             self.budget.spend(now)
         self.reads += 1
-        return Read(placed)
+        return Read(plan.placed)
 
-    def _run(self, now: float, pool: Pool) -> Step:
-        placed = self._place(now, pool, self.prompt)
-        if placed is None:
-            return self._give_up(BAD_GATEWAY)
+    def _run(self, now: float, plan: Plan) -> Step:
+        self.tries += 1
         if self.runs:
             self.budget.spend(now)
         self.runs += 1
         handle, self.handle = self.handle, None
-        return Run(placed, handle, self.event_id)
-
-    def _place(self, now: float, pool: Pool, prompt: Prompt | None) -> Placed | None:
-        if prompt is None:
-            key, units = self.name, one_unit
-        elif pool.stage == PREFILL:
-            key, units = prompt.key, prefill_units(now, prompt)
-        else:
-            key, units = prompt.key, decode_units(prompt)
-        node = self.placement.choose(now, pool, key, units, self.avoid, self.route.target_s)
-        if node is None and self.avoid:
-            self.avoid.clear()
-            node = self.placement.choose(now, pool, key, units, self.avoid, self.route.target_s)
-        if node is None:
-            return None
-        self.tries += 1
-        return self.placement.reserve(now, pool, node, (self.name, self.tries), units(node))
+        return Run(plan.placed, handle, self.event_id)
+
+    def streaming(self, now: float, placed: Placed) -> None:
+        """The first event of an answer has come: the instance has read, and makes tokens from now on."""
+        answered(now, placed, True)
 
     def ended(self, now: float, placed: Placed, result: Result) -> bool:
         """Take the end of an attempt; tells whether the request is over."""
         node, ending = placed.node, result.ending
-        self.placement.release(now, placed, ending in (Ending.READ, Ending.ANSWERED))
+        if ending in (Ending.READ, Ending.ANSWERED):
+            answered(now, placed, False)
+        ended(now, placed)
         self.event_id = result.event_id or self.event_id
         if ending is Ending.READ:
             self.handle = result.handle
-            if self.prompt is not None:
-                node.remember(now, [part for part, _ in self.prompt.parts])
             return False
         if ending in (Ending.ANSWERED, Ending.FAILED):
             return True
--- /dev/null
+++ b/hophinge/fleet/placement/hints.py
@@ -0,0 +1,29 @@
+"""What heads tell each other of requests they placed, so that each sees the load and the caches of all.
+
+A head sees a small part of the traffic; without these words its books say next to nothing of an instance's queue.
+They are hints: one that is lost makes a choice worse and breaks nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hophinge.coordination.codec import wire
+
+
+@wire(80)
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """Units of work that were sent to an instance, and the prompt parts that it keeps from then on."""
+
+    instance: str
+    units: int
+    parts: tuple[tuple[str, int], ...]
+
+
+@wire(81)
+@dataclass(frozen=True, slots=True)
+class Hints:
+    """What was placed since the last word."""
+
+    hints: tuple[Hint, ...]
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -1,4 +1,4 @@
-"""One instance as a data plane sees it: its book, the load it told of, and how its last answers went."""
+"""One instance as a data plane sees it: its book, what others sent there, the prompt parts it keeps, its failures."""
 
 from __future__ import annotations
 
@@ -6,13 +6,40 @@
 
 from hophinge.core.choice.books import Book
 from hophinge.core.interface.nodes import NodeEntry, Phase
+from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import READY, Instance
 
 MICROSECONDS = 1_000_000
 REST_S = 0.15               # rest of an instance after a failure; doubles while it goes on failing
 LONGEST_REST_S = 2.4
-LOAD_FRESH_S = 0.5          # how long the load that an answer told of counts
-MOST_PARTS = 4_096          # prompt parts remembered at an instance
+KEPT_PART = 0.8             # of an instance's memory that cached parts are believed to have; the rest runs
+
+
+class Cache:
+    """The prompt parts believed to be kept at an instance, least recently used first."""
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens            # that fit
+        self.used = 0
+        self.parts: OrderedDict[str, int] = OrderedDict()
+
+    def remember(self, parts: tuple[tuple[str, int], ...]) -> None:
+        """Parts were read, or are going to be read, there."""
+        for part, tokens in parts:
+            self.used += tokens - self.parts.pop(part, 0)
+            self.parts[part] = tokens
+        while self.used > self.tokens and len(self.parts) > len(parts):
+            _, tokens = self.parts.popitem(last=False)
+            self.used -= tokens
+
+    def cached(self, prompt: Prompt) -> int:
+        """Tell how many of a prompt's first tokens are kept."""
+        found = 0
+        for part, tokens in prompt.parts:
+            if part not in self.parts:
+                break
+            found += tokens
+        return found
 
 
 class Node:
@@ -21,17 +48,30 @@
     def __init__(self, instance: Instance) -> None:
         self.instance = instance
         self.book = Book(NodeEntry(instance.identity, 0, 0, Phase.ON, 1.0, 0))
+        self.others_free = 0.0          # when what other heads sent there should be done, in microseconds
+        self.streams = 0                # answers from here that have begun and not ended
+        self.cache = Cache(0)
         self.failures = 0
         self.rest_until = 0.0
-        self.running = self.waiting = 0
-        self.load_at = float("-inf")
-        self.parts: OrderedDict[str, float] = OrderedDict()      # prompt parts sent there, and when last
 
     @property
     def serving(self) -> bool:
         """Tell whether it takes new requests."""
         return self.instance.state == READY
 
+    @property
+    def out(self) -> int:
+        """Tell how many requests it has from here."""
+        return len(self.book.slots) + self.streams
+
+    def begin(self, now_us: float) -> float:
+        """Tell when it would begin with another request: behind this head's work and that of others."""
+        return max(self.book.free, now_us) + max(0.0, self.others_free - now_us)
+
+    def others_sent(self, now_us: float, units: float, unit_us: float) -> None:
+        """Another head sent work there."""
+        self.others_free = max(self.others_free, now_us) + units * unit_us
+
     def rests(self, now: float) -> bool:
         """Tell whether it is spared after a failure."""
         return now < self.rest_until
@@ -45,21 +85,3 @@
         """An attempt was served here."""
         self.failures = 0
         self.rest_until = 0.0
-
-    def told_load(self, now: float, running: int, waiting: int) -> None:
-        """Take the load that an answer told of."""
-        self.running, self.waiting, self.load_at = running, waiting, now
-
-    def others(self, now: float) -> int:
-        """Tell how many requests of other callers were there lately."""
-        if now - self.load_at > LOAD_FRESH_S:
-            return 0
-        return max(0, self.running + self.waiting - len(self.book.slots))
-
-    def remember(self, now: float, parts: list[str]) -> None:
-        """Prompt parts were read here."""
-        for part in parts:
-            self.parts[part] = now
-            self.parts.move_to_end(part)
-        while len(self.parts) > MOST_PARTS:
-            self.parts.popitem(last=False)
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -1,71 +1,47 @@
-"""Which instance takes a request: its key is hashed to a group, of which the one whose book frees earliest takes it.
+"""Which instances take a request: one to read the prompt and one to make the tokens, or one for both.
 
-Books are those of the decision module in service. Each is charged by size: tokens to read that are not believed to be
-cached there, tokens to make, or one unit where a service has no engine. What an instance has out from here stays
-under its learned rate times a part of the tightest aim, never below a few requests and never above the ceiling.
+The ordinary path: the prompt's last shared part is the key; it is hashed to a group of prefill instances and to one of
+decode instances, and in each group the one whose book frees earliest takes the request. Books are charged by size, in
+tokens to read that are not believed to be kept there.
+
+Reading at the decode instance itself costs no move and is weighed against it: it takes the time that decode instances
+were learned to take for a token read.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import blake2b
 
-from hophinge.core.choice.nodes import CEILING
-from hophinge.fleet.placement.node import MICROSECONDS, Node
+from hophinge.fleet.placement.hints import Hint, Hints
+from hophinge.fleet.placement.node import KEPT_PART, Cache, Node
+from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import Instance
 
-GROUP = 3                   # members of a key's group
-PART = 0.5                  # part of the route's aim that the units out at an instance may fill
-FEW = 4                     # requests that may always be out at an instance
-PREFILL, DECODE, PLAIN = "prefill", "decode", ""
-START_UNIT_US = {PREFILL: 30.0, DECODE: 1_000.0, PLAIN: 20_000.0}    # until an answer has taught better
-MEMORY = 0.98               # weight kept by what all instances of a stage have taught
-CACHED_S = 30.0             # how long a part read at an instance is believed to be kept there
-
-
-@dataclass(slots=True)
-class Placed:
-    """One attempt's place in a book."""
-
-    node: Node
-    name: tuple[str, int]
-    units: float
-    pool: Pool
-
-
-class Pool:
-    """The instances of one stage of one service."""
-
-    def __init__(self, stage: str) -> None:
-        self.stage = stage
-        self.nodes: dict[str, Node] = {}
-        self.spent = self.served = 0.0
-
-    def unit_us(self, node: Node) -> float:
-        """Tell an instance's learned time per unit; one not yet heard from counts as average."""
-        if node.book.served > 0:
-            return node.book.spent / node.book.served
-        return self.spent / self.served if self.served > 0 else START_UNIT_US[self.stage]
+OVERHEAD_TOKENS = 400       # what a request takes beside its tokens, told in tokens
+MOVE_US = 15_000.0          # from the end of reading to the first token elsewhere, beside the units
+FAR_US = 10_000.0           # more of it between zones
+SHARE_OF_OTHERS = 0.5       # weight of an instance's time, which others wait for, beside one's own time
 
-    def learned(self, units: float, spent: float) -> None:
-        """Take what an answer taught."""
-        self.spent = self.spent * MEMORY + spent
-        self.served = self.served * MEMORY + units
 
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Where the next attempt of a request goes."""
 
-def _rank(key: str, node: Node) -> bytes:
-    return blake2b(f"{key}\0{node.instance.identity}".encode(), digest_size=8).digest()
+    placed: Placed
+    reads: bool                 # only the prompt is read there
 
 
 class Placement:
     """The books of one data plane."""
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str, changed: Callable[[str], None]) -> None:
+        self.zone, self.changed = zone, changed
         self.pools: dict[tuple[str, str], Pool] = {}
         self.nodes: dict[str, Node] = {}
-        self.changed: Callable[[str], None] = lambda identity: None
+        self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
+        self.untold: list[Hint] = []
 
     # --- instances -----------------------------------------------------------------------------------------------
 
@@ -80,9 +56,16 @@
             return
         if node is None:
             node = self.nodes[identity] = Node(instance)
+            node.cache = Cache(self.memory.get(instance.service, 0))
         node.instance = instance
         self.pool(instance.service, instance.stage).nodes[identity] = node
 
+    def configured(self, memory: dict[str, int]) -> None:
+        """Take the tokens that instances of each service hold, of which some are for running requests."""
+        self.memory = {service: int(tokens * KEPT_PART) for service, tokens in memory.items()}
+        for node in self.nodes.values():
+            node.cache.tokens = self.memory.get(node.instance.service, 0)
+
     def pool(self, service: str, stage: str) -> Pool:
         """Tell the instances of a stage."""
         key = service, stage
@@ -91,78 +74,73 @@
             found = self.pools[key] = Pool(stage)
         return found
 
-    # --- choice --------------------------------------------------------------------------------------------------
-
-    def choose(self, now: float, pool: Pool, key: str, units: Callable[[Node], float], avoid: set[str],
-               aim_s: float) -> Node | None:
-        """Choose an instance for a request with a key, or None where none may take it."""
-        ready = [node for node in pool.nodes.values() if node.serving and node.instance.identity not in avoid]
-        usable = [node for node in ready if not node.rests(now)] or ready
-        ranked = sorted(usable, key=lambda node: _rank(key, node))
-        group = [node for node in ranked[:GROUP] if self._room(node, pool, units(node), aim_s)]
-        group = group or [node for node in ranked[GROUP:] if self._room(node, pool, units(node), aim_s)]
-        return min(group, key=lambda node: self._free(now, node, pool, units(node)), default=None)
-
-    def _room(self, node: Node, pool: Pool, units: float, aim_s: float) -> bool:
-        """The bound on what is out at an instance from here."""
-        out = len(node.book.slots)
-        if out < FEW:
-            return True
-        bound = PART * aim_s * MICROSECONDS / pool.unit_us(node)
-        return out < CEILING and node.book.units_out + units <= bound
-
-    def _free(self, now: float, node: Node, pool: Pool, units: float) -> float:
-        """Tell when an instance would be done with a request, by its book and by the load it told of."""
-        unit_us = pool.unit_us(node)
-        begin = max(node.book.free, now * MICROSECONDS)
-        others = node.others(now) * self._mean_units(node, pool) * unit_us / max(1, self._width(node, pool))
-        return begin + others + units * unit_us
-
-    def _mean_units(self, node: Node, pool: Pool) -> float:
-        slots = node.book.slots.values()
-        return sum(slot.units for slot in slots) / len(slots) if slots else 1.0
-
-    def _width(self, node: Node, pool: Pool) -> int:
-        return 1 if pool.stage == PREFILL else max(1, node.instance.slots)
-
-    # --- books ---------------------------------------------------------------------------------------------------
-
-    def reserve(self, now: float, pool: Pool, node: Node, name: tuple[str, int], units: float) -> Placed:
-        """Put an attempt into an instance's book."""
-        node.book.reserve(name, units, pool.unit_us(node) / self._width(node, pool), int(now * MICROSECONDS))
-        return Placed(node, name, units, pool)
-
-    def release(self, now: float, placed: Placed, served: bool) -> None:
-        """Take an attempt out of the book; what it took teaches the instance's time per unit."""
-        book, now_us = placed.node.book, int(now * MICROSECONDS)
-        if placed.name not in book.slots:
-            return
-        slot = book.drop(placed.name, now_us)
-        if served:
-            placed.pool.learned(slot.units, book.learn(slot, now_us))
-            book.heard = now_us
-            placed.node.answered()
-
+    # --- hints ---------------------------------------------------------------------------------------------------
 
-def prefill_units(now: float, prompt: Prompt) -> Callable[[Node], float]:
-    """Tell the tokens that an instance would read: all after the parts believed to be cached there."""
+    def told(self) -> Hints | None:
+        """Tell what was placed here since the last call."""
+        hints, self.untold = tuple(self.untold), []
+        return Hints(hints) if hints else None
 
-    def units(node: Node) -> float:
-        cached = 0
-        for part, tokens in prompt.parts:
-            if now - node.parts.get(part, float("-inf")) > CACHED_S:
-                break
-            cached += tokens
-        return float(max(1, prompt.tokens_in - cached))
-
-    return units
-
-
-def decode_units(prompt: Prompt) -> Callable[[Node], float]:
-    """Tell the tokens to be made."""
-    return lambda node: float(max(1, prompt.tokens_out))
+    def hinted(self, now: float, hints: Hints) -> None:
+        """Take what other heads placed."""
+        for hint in hints.hints:
+            node = self.nodes.get(hint.instance)
+            if node is not None:
+                self.pool(node.instance.service, node.instance.stage).others_sent(now, node, hint.units)
+                node.cache.remember(hint.parts)
 
+    # --- choice --------------------------------------------------------------------------------------------------
 
-def one_unit(node: Node) -> float:
-    """Requests without a size count one each."""
-    return 1.0
+    def plain(self, now: float, service: str, stage: str, name: tuple[str, int], avoid: set[str],
+              aim_s: float) -> Plan | None:
+        """Place a request without a prompt: each counts one unit."""
+        pool = self.pool(service, stage)
+        units = 1.0 if stage == PLAIN else float(OVERHEAD_TOKENS)
+        nodes = pool.group(now, name[0], avoid, lambda node: pool.room(node, units, aim_s))
+        offers = pool.offers(now, nodes, lambda node: units)
+        best = min(offers, key=lambda offer: offer.done_us, default=None)
+        return self._reserve(now, pool, best, name, None, False) if best is not None else None
+
+    def generation(self, now: float, service: str, prompt: Prompt, name: tuple[str, int], avoid: set[str],
+                   aim_s: float) -> Plan | None:
+        """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
+        reading = self._offers(now, self.pool(service, PREFILL), prompt, avoid, aim_s)
+        making = self._offers(now, self.pool(service, DECODE), prompt, avoid, aim_s)
+        apart = min(reading, key=self._cost, default=None) if making else None
+        whole = min(making, key=self._cost, default=None)
+        if apart is not None and (whole is None or self._cost(apart) + self._move_us(apart.node) < self._cost(whole)):
+            return self._reserve(now, self.pool(service, PREFILL), apart, name, prompt, True)
+        if whole is not None:
+            return self._reserve(now, self.pool(service, DECODE), whole, name, prompt, False)
+        return None
+
+    def decode(self, now: float, service: str, prompt: Prompt, name: tuple[str, int], avoid: set[str],
+               aim_s: float) -> Plan | None:
+        """Place a request whose prompt was read: it is charged for what moving it takes."""
+        pool = self.pool(service, DECODE)
+        units = float(OVERHEAD_TOKENS)
+        nodes = pool.group(now, prompt.key, avoid, lambda node: pool.room(node, units, aim_s))
+        offers = pool.offers(now, nodes, lambda node: units)
+        best = min(offers, key=lambda offer: offer.done_us, default=None)
+        return self._reserve(now, pool, best, name, prompt, False) if best is not None else None
+
+    def _offers(self, now: float, pool: Pool, prompt: Prompt, avoid: set[str], aim_s: float) -> list[Offer]:
+        def units(node: Node) -> float:
+            return float(max(1, prompt.tokens_in - node.cache.cached(prompt)) + OVERHEAD_TOKENS)
+
+        nodes = pool.group(now, prompt.key, avoid, lambda node: pool.room(node, units(node), aim_s))
+        return pool.offers(now, nodes, units)
+
+    @staticmethod
+    def _cost(offer: Offer) -> float:
+        return offer.done_us + SHARE_OF_OTHERS * offer.spent_us
+
+    def _move_us(self, node: Node) -> float:
+        return MOVE_US + (FAR_US if node.instance.zone != self.zone else 0.0)
+
+    def _reserve(self, now: float, pool: Pool, offer: Offer, name: tuple[str, int], prompt: Prompt | None,
+                 reads: bool) -> Plan:
+        parts = prompt.parts if prompt is not None else ()
+        offer.node.cache.remember(parts)
+        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts))
+        return Plan(pool.reserve(now, offer, name), reads)
--- /dev/null
+++ b/hophinge/fleet/placement/pool.py
@@ -0,0 +1,134 @@
+"""The instances of one stage of one service, what a unit of work takes there, and who takes the next request.
+
+A key is hashed to a group; of its members that have room, the one whose book frees earliest takes the request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from hophinge.core.choice.nodes import CEILING
+from hophinge.fleet.placement.node import MICROSECONDS, Node
+
+GROUP = 3                   # members of a key's group
+PART = 0.5                  # part of the route's aim that the units out at an instance may fill
+FEW = 4                     # requests that may always be out at an instance
+MEMORY = 0.98               # weight kept by what all instances of a stage have taught
+PREFILL, DECODE, PLAIN = "prefill", "decode", ""
+START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
+
+
+@dataclass(slots=True)
+class Placed:
+    """One attempt's place in a book."""
+
+    node: Node
+    name: tuple[str, int]
+    units: float
+    pool: Pool
+    streaming: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What an instance would make of a request."""
+
+    node: Node
+    units: float
+    done_us: float              # when the units would be done
+    spent_us: float             # what they take of the instance's time
+
+
+def rank(key: str, node: Node) -> bytes:
+    """Tell a node's place among all for a key, by rendezvous hashing."""
+    return blake2b(f"{key}\0{node.instance.identity}".encode(), digest_size=8).digest()
+
+
+class Pool:
+    """The instances of one stage of one service."""
+
+    def __init__(self, stage: str) -> None:
+        self.stage = stage
+        self.nodes: dict[str, Node] = {}
+        self.spent = self.served = 0.0
+
+    @property
+    def width(self) -> int:
+        """Tell how many units are worked on at once where slots are alike: engines work on prompts in turn."""
+        slots = max((node.instance.slots for node in self.nodes.values()), default=1)
+        return max(1, slots) if self.stage == PLAIN else 1
+
+    def unit_us(self, node: Node) -> float:
+        """Tell an instance's learned time per unit; one not yet heard from counts as average."""
+        if node.book.served > 0:
+            return node.book.spent / node.book.served
+        return self.spent / self.served if self.served > 0 else START_UNIT_US[self.stage]
+
+    def learned(self, units: float, spent: float) -> None:
+        """Take what an answer taught."""
+        self.spent = self.spent * MEMORY + spent
+        self.served = self.served * MEMORY + units
+
+    def serving(self) -> bool:
+        """Tell whether any instance takes new requests."""
+        return any(node.serving for node in self.nodes.values())
+
+    def group(self, now: float, key: str, avoid: set[str], fits: Callable[[Node], bool]) -> list[Node]:
+        """Tell the members of a key's group that may take a request; where none may, any other that may."""
+        ready = [node for node in self.nodes.values() if node.serving and node.instance.identity not in avoid]
+        usable = [node for node in ready if not node.rests(now)] or ready
+        ranked = sorted(usable, key=lambda node: rank(key, node))
+        found = [node for node in ranked[:GROUP] if fits(node)]
+        return found or [node for node in ranked[GROUP:] if fits(node)]
+
+    def room(self, node: Node, units: float, aim_s: float) -> bool:
+        """The bound on what is out at an instance from here."""
+        if node.out < FEW:
+            return True
+        bound = PART * aim_s * MICROSECONDS / self.unit_us(node) * self.width
+        return node.out < CEILING and node.book.units_out + units <= bound
+
+    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float]) -> list[Offer]:
+        """Tell what each of some instances would make of a request."""
+        made: list[Offer] = []
+        now_us = now * MICROSECONDS
+        for node in nodes:
+            wanted = units(node)
+            spent = wanted * self.unit_us(node)
+            made.append(Offer(node, wanted, node.begin(now_us) + spent, spent))
+        return made
+
+    def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
+        """Put an attempt into an instance's book."""
+        unit_us = self.unit_us(offer.node) / self.width
+        offer.node.book.reserve(name, offer.units, unit_us, int(now * MICROSECONDS))
+        return Placed(offer.node, name, offer.units, self)
+
+    def others_sent(self, now: float, node: Node, units: float) -> None:
+        """Another head sent work to an instance."""
+        node.others_sent(now * MICROSECONDS, units, self.unit_us(node) / self.width)
+
+
+def answered(now: float, placed: Placed, streaming: bool) -> None:
+    """The attempt's units are done: what they took teaches the time per unit. A stream goes on."""
+    book, now_us = placed.node.book, int(now * MICROSECONDS)
+    if placed.name not in book.slots:
+        return
+    slot = book.drop(placed.name, now_us)
+    placed.pool.learned(slot.units, book.learn(slot, now_us))
+    book.heard = now_us
+    placed.node.answered()
+    if streaming:
+        placed.streaming = True
+        placed.node.streams += 1
+
+
+def ended(now: float, placed: Placed) -> None:
+    """Nothing of the attempt is out any more."""
+    if placed.name in placed.node.book.slots:
+        placed.node.book.drop(placed.name, int(now * MICROSECONDS))
+    if placed.streaming:
+        placed.streaming = False
+        placed.node.streams -= 1
--- a/tests/test_coordination_chain.py
+++ b/tests/test_coordination_chain.py
@@ -142,6 +142,7 @@
         world.kill(address)
         del world.members[address]
         number = 20 + len(down)
+        world.seeds = tuple(sorted(world.members)[:3])      # the platform names machines that are there
         world.at(seconds, lambda: world.add(f"10.0.1.{number}:7660"))
         down[f"10.0.1.{number}:7660"] = world.now + seconds + 4.0
     else:
