Fleet: the shortest work is admitted first, what is late already waits behind all others

Cause: a prompt of 20,000 tokens held up an instance for 0.8 s, and small ones behind it were late. Change: Priority by the length of the work at the instance, the last place for what cannot be in time; the fixed part of an answer's time is told from the time per token; voters who have not answered are asked again.

--- a/hophinge/coordination/elections.py
+++ b/hophinge/coordination/elections.py
@@ -16,6 +16,7 @@
 
 RANK_S = 0.3                # what each replica waits longer than the one before it, so that ballots do not collide
 GATHER_S = 0.2              # waited for promises beyond a majority: who does not promise in time leaves the chain
+ASK_AGAIN_S = 0.2           # after which voters who have not answered are asked again
 ATTEMPT_S = 1.0             # after which a ballot is given up
 BACKOFF_S = 0.4             # at most, after a ballot that lost
 FORMING_S = 1.5             # waited for all seeds at the first start
@@ -44,6 +45,7 @@
             return
         if self.attempt is not None:
             self._propose(now, view, outputs)
+            self._ask_again(now, view, outputs)
             if self.attempt is not None and now - self.attempt.began > ATTEMPT_S:
                 self.attempt = None
                 self.not_before = now + self.random.uniform(0, BACKOFF_S)
@@ -73,9 +75,22 @@
         machine = self.machine
         self.round = max(self.round, machine.acceptor.vote.promised.round) + 1
         ballot = Ballot(self.round, machine.me.identity)
-        self.attempt = Attempt(view.number + 1, ballot, now)
+        self.attempt = Attempt(view.number + 1, ballot, now, asked=now)
         machine.broadcast(now, view, Prepare(view.number + 1, ballot), outputs)
 
+    def _ask_again(self, now: float, view: View, outputs: Outputs) -> None:
+        """Ask voters who have not answered: a message may be lost with its connection."""
+        attempt = self.attempt
+        if attempt is None or now - attempt.asked < ASK_AGAIN_S:
+            return
+        attempt.asked = now
+        proposal = attempt.proposal
+        answered = attempt.accepted if proposal is not None else set(attempt.promises)
+        message = Prepare(attempt.target, attempt.ballot) if proposal is None else Accept(attempt.ballot, proposal)
+        for voter in view.voters:
+            if voter.identity not in answered and voter.address != self.machine.me.address:
+                outputs.messages.append((voter.address, message))
+
     def promise(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
         """Count a promise."""
         assert isinstance(message, Promise)
@@ -97,7 +112,7 @@
         proposal = attempt.bound() or self._plan(now, view, attempt)
         if proposal is None or proposal.chain == () or proposal.number != attempt.target:
             return
-        attempt.proposal = proposal
+        attempt.proposal, attempt.asked = proposal, now
         self.machine.broadcast(now, view, Accept(attempt.ballot, proposal), outputs)
 
     def _plan(self, now: float, view: View, attempt: Attempt) -> View | None:
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -15,6 +15,7 @@
     EXPECTED_INSTANCE,
     KV_FROM,
     LAST_EVENT_ID,
+    PRIORITY,
     SERVING_STAGE,
     Fields,
     find,
@@ -75,17 +76,20 @@
     def _closing(self) -> Fields:
         return [(b"connection", b"close")] if self.closing else []
 
-    def _call(self, node: Node, extra: Fields) -> Call:
+    def _call(self, step: Read | Run, extra: Fields) -> Call:
+        node = step.placed.node
         left = self.life.deadline - self.loop.time()
         fields = [*self.inbound.fields, (DEADLINE, str(max(1, int(left * MILLISECONDS))).encode()),
                   (EXPECTED_INSTANCE, node.instance.identity.encode()), *extra]
+        if self.life.staged:
+            fields.append((PRIORITY, str(step.priority).encode()))
         return Call(node.instance.address, self.inbound.method, self.inbound.target, fields, self.inbound.body, left)
 
     # --- prefill -------------------------------------------------------------------------------------------------
 
     async def _read(self, step: Read) -> Result:
         node = step.placed.node
-        call = self._call(node, [(SERVING_STAGE, b"prefill")])
+        call = self._call(step, [(SERVING_STAGE, b"prefill")])
         try:
             async with asyncio.timeout(call.left_s), self.upstream.call(node.instance.identity, call) as response:
                 body = await response.aread()
@@ -117,7 +121,7 @@
         extra: Fields = []
         if step.handle is not None:
             extra.append((KV_FROM, f"{step.handle.address}/{step.handle.identity}".encode()))
-        call = self._call(node, extra)
+        call = self._call(step, extra)
         if step.event_id is not None:
             fields = [field for field in call.fields if field[0].lower() != LAST_EVENT_ID]
             call.fields[:] = [*fields, (LAST_EVENT_ID, step.event_id.encode())]
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -116,7 +116,8 @@
         budget.requested(arrived)
         name = inbound.request_id or str(self.random.getrandbits(64))
         heads = self.knowledge.renewal.most_holders
-        return Life(name, route, service, prompt, engine is not None, deadline, self.placement, budget, heads)
+        return Life(name, route, service, prompt, engine is not None, arrived + route.target_s,
+                    deadline, self.placement, budget, heads)
 
     async def _carry(self, exchange: Exchange, receive: Receive) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
--- a/hophinge/fleet/forwarding/headers.py
+++ b/hophinge/fleet/forwarding/headers.py
@@ -15,13 +15,14 @@
 PROMPT_PREFIX = b"hophinge-prompt-prefix"
 KV_FROM = b"kv-from"
 LAST_EVENT_ID = b"last-event-id"
+PRIORITY = b"priority"
 HOST = b"host"
 
 Fields = list[tuple[bytes, bytes]]
 
 _CONNECTION = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect"})
-_OWN = frozenset({b"content-length", DEADLINE, EXPECTED_INSTANCE, SERVING_STAGE, KV_FROM})
+_OWN = frozenset({b"content-length", DEADLINE, EXPECTED_INSTANCE, SERVING_STAGE, KV_FROM, PRIORITY})
 
 
 def find(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -12,7 +12,7 @@
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.placement.node import Node
-from hophinge.fleet.placement.placement import Placement, Plan
+from hophinge.fleet.placement.placement import Placement, Plan, Wish
 from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Placed, Pool, answered, ended
 from hophinge.fleet.placement.prompt import Prompt
 
@@ -27,6 +27,7 @@
     """Have the prompt read at an instance."""
 
     placed: Placed
+    priority: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     """Have the request run at an instance, from memory that was read where there is some."""
 
     placed: Placed
+    priority: int
     handle: Handle | None
     event_id: str | None        # go on after this event, where a stream broke off
 
@@ -58,6 +60,7 @@
     service: str
     prompt: Prompt | None       # None where the request tells of none
     staged: bool                # the service has engines for prefill and for decode
+    aim_at: float               # when the answer is due to earn its full worth
     deadline: float
     placement: Placement
     budget: RetryBudget
@@ -90,13 +93,12 @@
 
     def _plan(self, now: float) -> Plan | None:
         """Have the next attempt placed."""
-        name, aim_s = (self.name, self.tries + 1), self.route.target_s
+        wish = Wish((self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at)
         if self.prompt is None:
-            stage = DECODE if self.staged else PLAIN
-            return self.placement.plain(now, self.service, stage, name, self.avoid, aim_s)
+            return self.placement.plain(now, wish, DECODE if self.staged else PLAIN)
         if self.handle is None and self.reads < MOST_READS:
-            return self.placement.generation(now, self.service, self.prompt, name, self.avoid, aim_s)
-        return self.placement.decode(now, self.service, self.prompt, name, self.avoid, aim_s)
+            return self.placement.generation(now, wish, self.prompt)
+        return self.placement.decode(now, wish, self.prompt)
 
     def _may_run_again(self) -> bool:
         """A request that may have run goes on only where that is harmless, and the route allows another instance."""
@@ -116,7 +118,7 @@
         if self.reads:
             self.budget.spend(now)
         self.reads += 1
-        return Read(plan.placed)
+        return Read(plan.placed, plan.priority)
 
     def _run(self, now: float, plan: Plan) -> Step:
         self.tries += 1
@@ -124,7 +126,7 @@
             self.budget.spend(now)
         self.runs += 1
         handle, self.handle = self.handle, None
-        return Run(plan.placed, handle, self.event_id)
+        return Run(plan.placed, plan.priority, handle, self.event_id)
 
     def streaming(self, now: float, placed: Placed) -> None:
         """The first event of an answer has come: the instance has read, and makes tokens from now on."""
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -10,19 +10,34 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from hophinge.fleet.placement.hints import Hint, Hints
-from hophinge.fleet.placement.node import KEPT_PART, Cache, Node
+from hophinge.core.choice.nodes import CEILING
+from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
 from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import Instance
 
-OVERHEAD_TOKENS = 400       # what a request takes beside its tokens, told in tokens
+LEAST_TOKENS = 64           # charged for a request with nothing to read
 MOVE_US = 15_000.0          # from the end of reading to the first token elsewhere, beside the units
 FAR_US = 10_000.0           # more of it between zones
-SHARE_OF_OTHERS = 0.5       # weight of an instance's time, which others wait for, beside one's own time
+SHARE_OF_OTHERS = {PREFILL: 0.3, DECODE: 0.5}   # weight of an instance's time, which others wait for, beside one's own
+LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
+SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)    # work is admitted by its length, the shortest first
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What is to be placed: a request's name, the instances it has failed at, and what it was promised."""
+
+    name: tuple[str, int]
+    service: str
+    avoid: set[str]
+    aim_s: float
+    aim_at: float               # when its answer is due
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +46,7 @@
 
     placed: Placed
     reads: bool                 # only the prompt is read there
+    priority: int               # at the instance: 0 first
 
 
 class Placement:
@@ -91,56 +107,57 @@
 
     # --- choice --------------------------------------------------------------------------------------------------
 
-    def plain(self, now: float, service: str, stage: str, name: tuple[str, int], avoid: set[str],
-              aim_s: float) -> Plan | None:
+    def plain(self, now: float, wish: Wish, stage: str) -> Plan | None:
         """Place a request without a prompt: each counts one unit."""
-        pool = self.pool(service, stage)
-        units = 1.0 if stage == PLAIN else float(OVERHEAD_TOKENS)
-        nodes = pool.group(now, name[0], avoid, lambda node: pool.room(node, units, aim_s))
-        offers = pool.offers(now, nodes, lambda node: units)
+        pool = self.pool(wish.service, stage)
+        units = 1.0 if stage == PLAIN else float(LEAST_TOKENS)
+        offers = self._offers(now, pool, wish, wish.name[0], lambda node: units)
         best = min(offers, key=lambda offer: offer.done_us, default=None)
-        return self._reserve(now, pool, best, name, None, False) if best is not None else None
+        return self._reserve(now, pool, best, wish, None, False) if best is not None else None
 
-    def generation(self, now: float, service: str, prompt: Prompt, name: tuple[str, int], avoid: set[str],
-                   aim_s: float) -> Plan | None:
+    def generation(self, now: float, wish: Wish, prompt: Prompt) -> Plan | None:
         """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
-        reading = self._offers(now, self.pool(service, PREFILL), prompt, avoid, aim_s)
-        making = self._offers(now, self.pool(service, DECODE), prompt, avoid, aim_s)
-        apart = min(reading, key=self._cost, default=None) if making else None
-        whole = min(making, key=self._cost, default=None)
-        if apart is not None and (whole is None or self._cost(apart) + self._move_us(apart.node) < self._cost(whole)):
-            return self._reserve(now, self.pool(service, PREFILL), apart, name, prompt, True)
+        def units(node: Node) -> float:
+            return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
+
+        prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
+        reading = self._offers(now, prefill, wish, prompt.key, units)
+        making = self._offers(now, decode, wish, prompt.key, units)
+        apart = min(reading, key=lambda offer: _cost(prefill, offer), default=None) if making else None
+        whole = min(making, key=lambda offer: _cost(decode, offer), default=None)
+        if apart is not None and (whole is None or _cost(prefill, apart) + self._move_us(apart) < _cost(decode, whole)):
+            return self._reserve(now, prefill, apart, wish, prompt, True)
         if whole is not None:
-            return self._reserve(now, self.pool(service, DECODE), whole, name, prompt, False)
+            return self._reserve(now, decode, whole, wish, prompt, False)
         return None
 
-    def decode(self, now: float, service: str, prompt: Prompt, name: tuple[str, int], avoid: set[str],
-               aim_s: float) -> Plan | None:
+    def decode(self, now: float, wish: Wish, prompt: Prompt) -> Plan | None:
         """Place a request whose prompt was read: it is charged for what moving it takes."""
-        pool = self.pool(service, DECODE)
-        units = float(OVERHEAD_TOKENS)
-        nodes = pool.group(now, prompt.key, avoid, lambda node: pool.room(node, units, aim_s))
-        offers = pool.offers(now, nodes, lambda node: units)
+        pool = self.pool(wish.service, DECODE)
+        offers = self._offers(now, pool, wish, prompt.key, lambda node: float(LEAST_TOKENS))
         best = min(offers, key=lambda offer: offer.done_us, default=None)
-        return self._reserve(now, pool, best, name, prompt, False) if best is not None else None
+        return self._reserve(now, pool, best, wish, prompt, False) if best is not None else None
 
-    def _offers(self, now: float, pool: Pool, prompt: Prompt, avoid: set[str], aim_s: float) -> list[Offer]:
-        def units(node: Node) -> float:
-            return float(max(1, prompt.tokens_in - node.cache.cached(prompt)) + OVERHEAD_TOKENS)
-
-        nodes = pool.group(now, prompt.key, avoid, lambda node: pool.room(node, units(node), aim_s))
+    def _offers(self, now: float, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float]) -> list[Offer]:
+        """Ask the members of a key's group that have room; where no instance has, any that is not full."""
+        nodes = pool.group(now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
+        if not nodes:
+            nodes = pool.group(now, key, wish.avoid, lambda node: node.out < CEILING)
         return pool.offers(now, nodes, units)
 
-    @staticmethod
-    def _cost(offer: Offer) -> float:
-        return offer.done_us + SHARE_OF_OTHERS * offer.spent_us
-
-    def _move_us(self, node: Node) -> float:
-        return MOVE_US + (FAR_US if node.instance.zone != self.zone else 0.0)
+    def _move_us(self, offer: Offer) -> float:
+        return MOVE_US + (FAR_US if offer.node.instance.zone != self.zone else 0.0)
 
-    def _reserve(self, now: float, pool: Pool, offer: Offer, name: tuple[str, int], prompt: Prompt | None,
-                 reads: bool) -> Plan:
+    def _reserve(self, now: float, pool: Pool, offer: Offer, wish: Wish, prompt: Prompt | None, reads: bool) -> Plan:
+        """Book an offer. What is late waits behind all others, so that it makes no other late."""
+        late = offer.done_us + (self._move_us(offer) if reads else 0.0) > wish.aim_at * MICROSECONDS
         parts = prompt.parts if prompt is not None else ()
         offer.node.cache.remember(parts)
-        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts))
-        return Plan(pool.reserve(now, offer, name), reads)
+        self.untold.append(Hint(offer.node.instance.identity, 0 if late else int(offer.units), parts))
+        priority = LATE_PRIORITY if late else bisect_right(SHORT_US, offer.spent_us)
+        return Plan(pool.reserve(now, offer, wish.name), reads, priority)
+
+
+def _cost(pool: Pool, offer: Offer) -> float:
+    """Tell what an offer costs: the time until it is done, and some of the time that others wait for it."""
+    return offer.done_us + SHARE_OF_OTHERS[pool.stage] * offer.spent_us
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -18,6 +18,8 @@
 MEMORY = 0.98               # weight kept by what all instances of a stage have taught
 PREFILL, DECODE, PLAIN = "prefill", "decode", ""
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
+FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}        # of an answer's time that no unit takes
+LEAST_TAUGHT = {PREFILL: 500.0, DECODE: 500.0, PLAIN: 0.0}          # units of a request that teaches the time per unit
 
 
 @dataclass(slots=True)
@@ -85,7 +87,7 @@
 
     def room(self, node: Node, units: float, aim_s: float) -> bool:
         """The bound on what is out at an instance from here."""
-        if node.out < FEW:
+        if len(node.book.slots) < FEW:
             return True
         bound = PART * aim_s * MICROSECONDS / self.unit_us(node) * self.width
         return node.out < CEILING and node.book.units_out + units <= bound
@@ -97,7 +99,7 @@
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            made.append(Offer(node, wanted, node.begin(now_us) + spent, spent))
+            made.append(Offer(node, wanted, node.begin(now_us) + spent + FIXED_US[self.stage], spent))
         return made
 
     def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
@@ -117,7 +119,9 @@
     if placed.name not in book.slots:
         return
     slot = book.drop(placed.name, now_us)
-    placed.pool.learned(slot.units, book.learn(slot, now_us))
+    stage = placed.pool.stage
+    if slot.units >= LEAST_TAUGHT[stage]:
+        placed.pool.learned(slot.units, book.learn(slot, int(now_us - FIXED_US[stage])))
     book.heard = now_us
     placed.node.answered()
     if streaming:
