Fleet: decode instances are spared reading while they make many answers; stages kept by a fenced role

Cause: decode instances read prompts in pieces between tokens while prefill instances stood idle; answers took twice as long, and a decode instance that left was not replaced in its part. Change: reports of engines reach all heads, reading at a decode instance weighs by the answers made there, a singleton role under a fencing token orders a change of stage where too many instances only read.

--- a/hophinge/coordination/leases.py
+++ b/hophinge/coordination/leases.py
@@ -15,6 +15,7 @@
 
 LEASE_S = 3.0               # a lease's length
 RENEW_S = 1.0               # between renewals
+FIRST_S = 0.25              # between attempts of a member without a lease
 ANSWER_S = 1.2              # a granter that has not answered for so long is left for another
 AVOID_S = 4.0               # how long it is not asked again
 MARGIN_S = 1.0              # longer than the lease that a granter counts a holder which another granter told of
@@ -125,7 +126,8 @@
         """Tell whom to ask now, or None."""
         if self.waiting_since is not None and now - self.waiting_since > ANSWER_S:
             self._avoid(now)
-        if self.home is not None and now - self.asked < RENEW_S:
+        again = RENEW_S if self.until > now else FIRST_S
+        if self.home is not None and now - self.asked < again:
             return None
         if self.home is None:
             self.home = self._choose(now)
--- /dev/null
+++ b/hophinge/coordination/ownership.py
@@ -0,0 +1,71 @@
+"""Ownership of singleton roles: one register of the chain for each, whose version is the fencing token.
+
+Roles are sharded by key: of the replicas alive, the one of the highest rendezvous rank takes a role that has no live
+owner, by compare-and-set. A new owner first waits for a lease's length, so that whatever the old one did is over; an
+owner confirms its ownership through the chain right before it acts. So no clock but the length of a lease is trusted,
+and tokens only rise, also over losses of power and of disks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Set
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from hophinge.coordination.codec import CodecError, decode, encode, wire
+from hophinge.coordination.registers import Change, Register
+
+ROLE_PREFIX = "role/"
+MARGIN_S = 0.5              # waited beyond the lease by a new owner
+
+
+@wire(65)
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """Who owns a role."""
+
+    identity: str
+
+
+def rendezvous(key: str, identities: Set[str]) -> str | None:
+    """Tell who of some replicas a key falls to."""
+    return max(identities, key=lambda one: blake2b(f"{key}\0{one}".encode(), digest_size=8).digest(), default=None)
+
+
+class Role:
+    """One role as one replica sees it."""
+
+    def __init__(self, name: str, me: str, lease_s: float) -> None:
+        self.key = ROLE_PREFIX + name
+        self.me, self.lease_s = me, lease_s
+        self.owner: str | None = None
+        self.token = 0
+        self.owned_since: float | None = None
+
+    def published(self, now: float, register: Register) -> None:
+        """Take the committed owner."""
+        try:
+            value = decode(register.payload)
+        except CodecError:
+            return
+        if not isinstance(value, Owner) or register.version <= self.token:
+            return
+        self.owner, self.token = value.identity, register.version
+        self.owned_since = now if self.owner == self.me else None
+
+    def claim(self, alive: Set[str]) -> Change | None:
+        """Tell the change by which this replica would take the role, where it falls to it now."""
+        if self.owner in alive or rendezvous(self.key, alive) != self.me:
+            return None
+        payload = encode(Owner(self.me))
+        version = self.token + 1
+        digest = blake2b(payload + str(version).encode(), digest_size=16).digest()
+        return Change(self.key, self.token, version, digest, payload)
+
+    def may_act(self, now: float) -> bool:
+        """Tell whether this replica owns the role for long enough; it still has to confirm that it does."""
+        return self.owned_since is not None and now - self.owned_since >= self.lease_s + MARGIN_S
+
+    def confirmed(self, version: int) -> bool:
+        """Tell whether a read through the chain confirms the ownership."""
+        return self.owned_since is not None and version == self.token
--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -14,7 +14,7 @@
 from hophinge.coordination.peers import SUSPECT_S
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
-from hophinge.fleet.placement.hints import Hints
+from hophinge.fleet.placement.hints import Hints, Reports
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.settings import Settings
@@ -122,13 +122,18 @@
                 self._held(token, source)
             case Leases(holders=holders):
                 self.leases.merge(now, holders)
-            case Hints():
+            case Hints() | Reports():
                 self._relay(source, message)
             case Liveness():
                 self.registry.heard_elsewhere(now, message)
 
-    def _relay(self, source: str, hints: Hints) -> None:
-        """Pass on what heads placed: to the heads here, and from these to the other control members."""
+    def tell_heads(self, reports: Reports) -> None:
+        """Tell the heads here what engines told, and the others over the other control members."""
+        for address in [*(holder.address for holder in self.leases.own()), *self.controls()]:
+            self.send(address, reports)
+
+    def _relay(self, source: str, hints: Hints | Reports) -> None:
+        """Pass on to the heads here, and what came from one of these to the other control members."""
         own = {holder.address for holder in self.leases.own()}
         targets = own - {source}
         if source in own:
@@ -163,6 +168,12 @@
         known = record or self.dissemination.replicas.get(INSTANCE_PREFIX + instance.identity)
         return known is None or await self._hold(instance.identity, known)
 
+    def switching(self, instance: Instance) -> None:
+        """An instance was ordered to change its stage: requests spare it until it is back."""
+        record = self.registry.switching(self.loop.time(), instance.identity)
+        if record is not None:
+            self._tell(record)
+
     async def leave(self, identity: str) -> bool:
         """An instance unregisters; tells whether it may be acknowledged."""
         if identity in self.safe and identity in self.registry.ended:
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -10,6 +10,8 @@
 from hophinge.fleet.controlplane.api import ControlApi
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.controlplane.host import Effects, ReplicaHost
+from hophinge.fleet.controlplane.keeper import StageKeeper
+from hophinge.fleet.controlplane.reports import Reporter
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.settings import Settings, SettingsError, read_settings
 from hophinge.fleet.transport.frames import Hello
@@ -31,6 +33,8 @@
         self.host = ReplicaHost(settings, Effects(self._send, self._publish, log.note))
         self.links = Links(self.host.me, CONTROL, self._received, log.note)
         self.directory = Directory(settings, self.host.machine, self._send)
+        self.keeper = StageKeeper(self.host.machine, self.directory, self.host.request, settings.bounds.lease_s)
+        self.reporter = Reporter(self.directory, self.keeper.alive, self.host.me.identity)
         self.server = HttpServer(ControlApi(self.host, self.directory))
 
     def _send(self, address: str, message: object) -> None:
@@ -38,6 +42,8 @@
 
     def _publish(self, published: list[Published]) -> None:
         for one in published:
+            if one.key == self.keeper.role.key:
+                self.keeper.published(one.register)
             if one.key == RECORD_KEY:
                 log.note(f"configuration {one.register.version} is in force")
                 self.directory.publish_configuration(configuration_record(one.sequence, one.register.payload))
@@ -55,6 +61,8 @@
         await self.links.listen()
         self.tasks.start(self.host.run())
         self.tasks.start(self.directory.run())
+        self.tasks.start(self.keeper.run())
+        self.tasks.start(self.reporter.run())
         self.tasks.start(self.server.serve([listening(self.settings.control)]))
         self.tasks.start(self._watch_settings())
         log.note(f"control member {self.host.me.identity} at {self.settings.control}")
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -9,7 +9,7 @@
 from hophinge.fleet.dataplane.front import Front
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
-from hophinge.fleet.placement.hints import Hints
+from hophinge.fleet.placement.hints import Hints, Reports
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.registry.instance import Instance
@@ -48,6 +48,8 @@
     def _received(self, hello: Hello, message: object) -> None:
         if isinstance(message, Hints):
             self.placement.hinted(asyncio.get_running_loop().time(), message)
+        elif isinstance(message, Reports):
+            self.placement.reported(message)
         else:
             self.knowledge.received(hello.sender.address, message)
 
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -19,6 +19,7 @@
     instance: str
     units: int
     parts: tuple[tuple[str, int], ...]
+    memory: int             # tokens that the request holds there while it runs; 0 where it is only read
 
 
 @wire(81)
@@ -27,3 +28,23 @@
     """What was placed since the last word."""
 
     hints: tuple[Hint, ...]
+
+
+@wire(82)
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What an engine tells of itself."""
+
+    instance: str
+    waiting: int
+    running: int
+    used: int               # tokens of memory that can't give way
+    total: int
+
+
+@wire(83)
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """What some engines told."""
+
+    reports: tuple[Report, ...]
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -6,12 +6,16 @@
 
 from hophinge.core.choice.books import Book
 from hophinge.core.interface.nodes import NodeEntry, Phase
+from hophinge.fleet.placement.hints import Report
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import READY, Instance
 
 MICROSECONDS = 1_000_000
 REST_S = 0.15               # rest of an instance after a failure; doubles while it goes on failing
 LONGEST_REST_S = 2.4
+ROOMY = 0.6                 # part of its memory up to which an instance admits requests without a wait
+FILLED_US = 3_000_000.0     # what a request waits at an instance that is full beyond that by all of its memory
+WAITING_US = 40_000.0       # what each request that waits there already adds
 KEPT_PART = 0.8             # of an instance's memory that cached parts are believed to have; the rest runs
 
 
@@ -53,6 +57,8 @@
         self.cache = Cache(0)
         self.failures = 0
         self.rest_until = 0.0
+        self.report: Report | None = None
+        self.sent_since = 0             # tokens of memory that requests placed since that report hold
 
     @property
     def serving(self) -> bool:
@@ -64,6 +70,22 @@
         """Tell how many requests it has from here."""
         return len(self.book.slots) + self.streams
 
+    def reported(self, report: Report) -> None:
+        """Take what the instance told of itself."""
+        self.report, self.sent_since = report, 0
+
+    def running(self) -> int:
+        """Tell how many answers are being made there, where the instance tells it of a decode stage."""
+        return self.report.running if self.report is not None and self.instance.stage == "decode" else 0
+
+    def crowding_us(self, tokens: int) -> float:
+        """Tell how long a request that holds so many tokens is likely to wait for memory there."""
+        report = self.report
+        if report is None or report.total <= 0:
+            return 0.0
+        filled = (report.used + self.sent_since + tokens) / report.total
+        return max(0.0, filled - ROOMY) * FILLED_US + report.waiting * WAITING_US
+
     def begin(self, now_us: float) -> float:
         """Tell when it would begin with another request: behind this head's work and that of others."""
         return max(self.book.free, now_us) + max(0.0, self.others_free - now_us)
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from hophinge.fleet.placement.hints import Hint, Hints
+from hophinge.fleet.placement.hints import Hint, Hints, Reports
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
 from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
@@ -24,7 +24,8 @@
 LEAST_TOKENS = 64           # charged for a request with nothing to read
 MOVE_US = 15_000.0          # from the end of reading to the first token elsewhere, beside the units
 FAR_US = 10_000.0           # more of it between zones
-SHARE_OF_OTHERS = {PREFILL: 0.3, DECODE: 0.5}   # weight of an instance's time, which others wait for, beside one's own
+SHARE_OF_OTHERS = 0.3       # weight of an instance's time, which others wait for, beside one's own time
+SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
 SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)    # work is admitted by its length, the shortest first
 
@@ -104,6 +105,14 @@
             if node is not None:
                 self.pool(node.instance.service, node.instance.stage).others_sent(now, node, hint.units)
                 node.cache.remember(hint.parts)
+                node.sent_since += hint.memory
+
+    def reported(self, reports: Reports) -> None:
+        """Take what engines told of themselves."""
+        for report in reports.reports:
+            node = self.nodes.get(report.instance)
+            if node is not None:
+                node.reported(report)
 
     # --- choice --------------------------------------------------------------------------------------------------
 
@@ -123,9 +132,9 @@
         prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
         reading = self._offers(now, prefill, wish, prompt.key, units)
         making = self._offers(now, decode, wish, prompt.key, units)
-        apart = min(reading, key=lambda offer: _cost(prefill, offer), default=None) if making else None
-        whole = min(making, key=lambda offer: _cost(decode, offer), default=None)
-        if apart is not None and (whole is None or _cost(prefill, apart) + self._move_us(apart) < _cost(decode, whole)):
+        apart = min(reading, key=_cost, default=None) if making else None
+        whole = min(making, key=lambda offer: _cost(offer) + _crowding(offer, prompt), default=None)
+        if apart is not None and (whole is None or self._sooner(apart, whole, prompt, making)):
             return self._reserve(now, prefill, apart, wish, prompt, True)
         if whole is not None:
             return self._reserve(now, decode, whole, wish, prompt, False)
@@ -135,9 +144,15 @@
         """Place a request whose prompt was read: it is charged for what moving it takes."""
         pool = self.pool(wish.service, DECODE)
         offers = self._offers(now, pool, wish, prompt.key, lambda node: float(LEAST_TOKENS))
-        best = min(offers, key=lambda offer: offer.done_us, default=None)
+        best = min(offers, key=lambda offer: offer.done_us + _crowding(offer, prompt), default=None)
         return self._reserve(now, pool, best, wish, prompt, False) if best is not None else None
 
+    def _sooner(self, apart: Offer, whole: Offer, prompt: Prompt, making: list[Offer]) -> bool:
+        """Tell whether reading apart costs less, with the wait for memory where the tokens are made then."""
+        crowding = min(_crowding(offer, prompt) for offer in making)
+        reading = _cost(apart) + self._move_us(apart) + crowding
+        return reading < _cost(whole) + _crowding(whole, prompt)
+
     def _offers(self, now: float, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float]) -> list[Offer]:
         """Ask the members of a key's group that have room; where no instance has, any that is not full."""
         nodes = pool.group(now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
@@ -153,11 +168,17 @@
         late = offer.done_us + (self._move_us(offer) if reads else 0.0) > wish.aim_at * MICROSECONDS
         parts = prompt.parts if prompt is not None else ()
         offer.node.cache.remember(parts)
-        self.untold.append(Hint(offer.node.instance.identity, 0 if late else int(offer.units), parts))
+        memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not reads else 0
+        offer.node.sent_since += memory
+        self.untold.append(Hint(offer.node.instance.identity, 0 if late else int(offer.units), parts, memory))
         priority = LATE_PRIORITY if late else bisect_right(SHORT_US, offer.spent_us)
         return Plan(pool.reserve(now, offer, wish.name), reads, priority)
 
 
-def _cost(pool: Pool, offer: Offer) -> float:
+def _cost(offer: Offer) -> float:
     """Tell what an offer costs: the time until it is done, and some of the time that others wait for it."""
-    return offer.done_us + SHARE_OF_OTHERS[pool.stage] * offer.spent_us
+    return offer.done_us + (SHARE_OF_OTHERS + SHARE_OF_STREAMS * offer.node.running()) * offer.spent_us
+
+
+def _crowding(offer: Offer, prompt: Prompt) -> float:
+    return offer.node.crowding_us(prompt.tokens_in + prompt.tokens_out)
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -18,7 +18,9 @@
 MEMORY = 0.98               # weight kept by what all instances of a stage have taught
 PREFILL, DECODE, PLAIN = "prefill", "decode", ""
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
-FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}        # of an answer's time that no unit takes
+START_FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}  # of an answer's time that no unit takes
+FIXED_QUANTILE = 0.3        # of answers' times beyond their units: what is above is waiting
+FIXED_STEP_US = 4_000.0     # by which one answer moves it at most
 LEAST_TAUGHT = {PREFILL: 500.0, DECODE: 500.0, PLAIN: 0.0}          # units of a request that teaches the time per unit
 
 
@@ -55,6 +57,7 @@
         self.stage = stage
         self.nodes: dict[str, Node] = {}
         self.spent = self.served = 0.0
+        self.fixed_us = START_FIXED_US[stage]
 
     @property
     def width(self) -> int:
@@ -73,6 +76,14 @@
         self.spent = self.spent * MEMORY + spent
         self.served = self.served * MEMORY + units
 
+    def taught_fixed(self, node: Node, units: float, took_us: float) -> None:
+        """Move the fixed time towards the lower part of what answers took beyond their units."""
+        if self.stage == PLAIN:
+            return
+        above = took_us - units * self.unit_us(node) > self.fixed_us
+        step = FIXED_STEP_US * (FIXED_QUANTILE if above else FIXED_QUANTILE - 1)
+        self.fixed_us = max(0.0, self.fixed_us + step)
+
     def serving(self) -> bool:
         """Tell whether any instance takes new requests."""
         return any(node.serving for node in self.nodes.values())
@@ -99,7 +110,7 @@
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            made.append(Offer(node, wanted, node.begin(now_us) + spent + FIXED_US[self.stage], spent))
+            made.append(Offer(node, wanted, node.begin(now_us) + spent + self.fixed_us, spent))
         return made
 
     def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
@@ -119,9 +130,10 @@
     if placed.name not in book.slots:
         return
     slot = book.drop(placed.name, now_us)
-    stage = placed.pool.stage
-    if slot.units >= LEAST_TAUGHT[stage]:
-        placed.pool.learned(slot.units, book.learn(slot, int(now_us - FIXED_US[stage])))
+    pool = placed.pool
+    if slot.units >= LEAST_TAUGHT[pool.stage]:
+        pool.taught_fixed(placed.node, slot.units, now_us - slot.sent)
+        pool.learned(slot.units, book.learn(slot, int(now_us - pool.fixed_us)))
     book.heard = now_us
     placed.node.answered()
     if streaming:
--- a/hophinge/fleet/registry/instance.py
+++ b/hophinge/fleet/registry/instance.py
@@ -8,7 +8,7 @@
 from hophinge.coordination.dissemination import Record
 
 INSTANCE_PREFIX = "instance/"
-READY, DRAINING, LOST = "ready", "draining", "lost"
+READY, DRAINING, LOST, SWITCHING = "ready", "draining", "lost", "switching"
 
 
 @wire(70)
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -11,9 +11,10 @@
 
 from hophinge.coordination.codec import wire
 from hophinge.coordination.dissemination import Record
-from hophinge.fleet.registry.instance import INSTANCE_PREFIX, LOST, Instance, instance_of, record_of
+from hophinge.fleet.registry.instance import INSTANCE_PREFIX, LOST, READY, SWITCHING, Instance, instance_of, record_of
 
 MISSED = 4.0                # heartbeats that are missed before an instance is taken for lost
+SWITCH_S = 12.0             # an instance ordered to change its stage is spared for so long at most
 ENDED = 1 << 62             # the sequence of an instance that has unregistered: above any heartbeat
 
 
@@ -44,6 +45,7 @@
         self.ended: dict[str, float] = {}
         self.untold: dict[str, int] = {}
         self.ticked = now
+        self.switches: dict[str, float] = {}    # instances that change their stage, and until when they are spared
 
     def heartbeat(self, now: float, instance: Instance, sequence: int) -> Record | None:
         """Take a heartbeat; tells the record where it changes what is known."""
@@ -55,10 +57,32 @@
             return None
         self.beats[identity] = Beat(sequence, now)
         self.untold[identity] = sequence
+        instance = self._as_switching(now, instance)
         if self.instances.get(identity) == instance:
             return None
         return self._change(instance, (sequence, 0))
 
+    def _as_switching(self, now: float, instance: Instance) -> Instance:
+        """While an instance changes its stage, its heartbeats still tell of the old one."""
+        until = self.switches.get(instance.identity)
+        if until is None:
+            return instance
+        known = self.instances.get(instance.identity)
+        if now >= until or (known is not None and known.stage != instance.stage):
+            del self.switches[instance.identity]
+            return instance
+        return replace(instance, state=SWITCHING) if instance.state == READY else instance
+
+    def switching(self, now: float, identity: str) -> Record | None:
+        """An instance was ordered to change its stage."""
+        instance, stamp = self.instances.get(identity), self.stamps.get(identity)
+        if instance is None or stamp is None or instance.state != READY:
+            return None
+        self.switches[identity] = now + SWITCH_S
+        beat = self.beats.get(identity)
+        sequence = max(stamp[0], beat.sequence if beat is not None else 0)
+        return self._change(replace(instance, state=SWITCHING), (sequence, stamp[1] + 1))
+
     def _change(self, instance: Instance, stamp: tuple[int, int]) -> Record:
         self.instances[instance.identity] = instance
         self.stamps[instance.identity] = stamp
@@ -75,6 +99,7 @@
         self.stamps.pop(identity, None)
         self.beats.pop(identity, None)
         self.untold.pop(identity, None)
+        self.switches.pop(identity, None)
 
     def learn(self, now: float, record: Record) -> None:
         """Take a record that another member told."""
@@ -87,6 +112,8 @@
         if identity in self.ended or self.stamps.get(identity, (-1, 0)) >= record.stamp:
             return
         self.instances[identity], self.stamps[identity] = instance, record.stamp
+        if instance.state == SWITCHING:
+            self.switches.setdefault(identity, now + SWITCH_S)
         beat = self.beats.get(identity)
         if beat is None or beat.sequence < record.stamp[0]:
             self.beats[identity] = Beat(record.stamp[0], now)
--- a/hophinge/fleet/settings.py
+++ b/hophinge/fleet/settings.py
@@ -33,6 +33,7 @@
     budget_slack: float
     budget_window_s: float
     transit_s: float
+    lease_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +143,8 @@
             bounds.number("config-apply-ms", 2_000) / 1_000, bounds.number("drain-ms", 2_000) / 1_000,
             bounds.number("grace-s", 8), bounds.number("retry-budget-ratio", 0.1),
             bounds.number("retry-budget-slack", 10), bounds.number("budget-window-s", 10),
-            bounds.number("transit-ms", 120) / 1_000))
+            bounds.number("transit-ms", 120) / 1_000,
+            bounds.number("lease-ms", 3_000) / 1_000))
     if findings:
         raise SettingsError(findings)
     return settings
