Fleet: late work has a queue of its own in the reckoning, and reports correct what was reckoned

Cause: late requests were told of as no work at all, so all heads sent theirs to the same instance; a learned time of 0 divided by zero. Change: two clocks for others' work, a second choice for what is late, corrections by reports, a least time per unit.

--- a/hophinge/fleet/controlplane/keeper.py
+++ b/hophinge/fleet/controlplane/keeper.py
@@ -93,7 +93,8 @@
     """Send an order; None where no answer came."""
     body = json.dumps({"operation": "stage", "stage": switch.stage, "holder": role.me,
                        "fence-token": role.token}).encode()
-    headers = {"content-type": "application/json", "hophinge-expected-instance": switch.instance.identity}
+    headers = [(b"content-type", b"application/json"),
+               (b"hophinge-expected-instance", switch.instance.identity.encode())]
     timeout = {"connect": ORDER_S, "read": ORDER_S, "write": ORDER_S, "pool": ORDER_S}
     async with httpcore.AsyncConnectionPool() as pool:
         try:
--- a/hophinge/fleet/controlplane/reports.py
+++ b/hophinge/fleet/controlplane/reports.py
@@ -49,7 +49,7 @@
                 self.directory.tell_heads(Reports(reports))
 
     async def _ask(self, instance: Instance) -> Report | None:
-        headers = {"hophinge-expected-instance": instance.identity}
+        headers = [(b"hophinge-expected-instance", instance.identity.encode())]
         timeout = {"connect": ANSWER_S, "read": ANSWER_S, "write": ANSWER_S, "pool": ANSWER_S}
         try:
             response = await self.pool.request("GET", f"http://{instance.address}/v1/report", headers=headers,
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -49,7 +49,7 @@
         if isinstance(message, Hints):
             self.placement.hinted(asyncio.get_running_loop().time(), message)
         elif isinstance(message, Reports):
-            self.placement.reported(message)
+            self.placement.reported(asyncio.get_running_loop().time(), message)
         else:
             self.knowledge.received(hello.sender.address, message)
 
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -93,12 +93,12 @@
 
     def _plan(self, now: float) -> Plan | None:
         """Have the next attempt placed."""
-        wish = Wish((self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at)
+        wish = Wish(now, (self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at)
         if self.prompt is None:
-            return self.placement.plain(now, wish, DECODE if self.staged else PLAIN)
+            return self.placement.plain(wish, DECODE if self.staged else PLAIN)
         if self.handle is None and self.reads < MOST_READS:
-            return self.placement.generation(now, wish, self.prompt)
-        return self.placement.decode(now, wish, self.prompt)
+            return self.placement.generation(wish, self.prompt)
+        return self.placement.decode(wish, self.prompt)
 
     def _may_run_again(self) -> bool:
         """A request that may have run goes on only where that is harmless, and the route allows another instance."""
--- a/hophinge/fleet/log.py
+++ b/hophinge/fleet/log.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from loguru import logger
+from loguru import logger as logger
 
 FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -19,6 +19,7 @@
     instance: str
     units: int
     parts: tuple[tuple[str, int], ...]
+    late: bool              # it waits behind all that can still be in time
     memory: int             # tokens that the request holds there while it runs; 0 where it is only read
 
 
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -53,6 +53,7 @@
         self.instance = instance
         self.book = Book(NodeEntry(instance.identity, 0, 0, Phase.ON, 1.0, 0))
         self.others_free = 0.0          # when what other heads sent there should be done, in microseconds
+        self.late_free = 0.0            # the same for what is late, which waits behind all else
         self.streams = 0                # answers from here that have begun and not ended
         self.cache = Cache(0)
         self.failures = 0
@@ -70,9 +71,14 @@
         """Tell how many requests it has from here."""
         return len(self.book.slots) + self.streams
 
-    def reported(self, report: Report) -> None:
-        """Take what the instance told of itself."""
+    def reported(self, now_us: float, report: Report, mean_us: float) -> None:
+        """Take what the instance told of itself; what was reckoned of its queue is corrected by it."""
         self.report, self.sent_since = report, 0
+        if not report.waiting:
+            self.others_free = min(self.others_free, now_us + mean_us)
+            self.late_free = min(self.late_free, now_us)
+        else:
+            self.late_free = max(self.late_free, now_us + (report.waiting - 1) * mean_us)
 
     def running(self) -> int:
         """Tell how many answers are being made there, where the instance tells it of a decode stage."""
@@ -86,13 +92,19 @@
         filled = (report.used + self.sent_since + tokens) / report.total
         return max(0.0, filled - ROOMY) * FILLED_US + report.waiting * WAITING_US
 
-    def begin(self, now_us: float) -> float:
+    def begin(self, now_us: float, late: bool) -> float:
         """Tell when it would begin with another request: behind this head's work and that of others."""
-        return max(self.book.free, now_us) + max(0.0, self.others_free - now_us)
+        ahead = max(0.0, self.others_free - now_us)
+        if late:
+            ahead += max(0.0, self.late_free - now_us)
+        return max(self.book.free, now_us) + ahead
 
-    def others_sent(self, now_us: float, units: float, unit_us: float) -> None:
+    def others_sent(self, now_us: float, spent_us: float, late: bool) -> None:
         """Another head sent work there."""
-        self.others_free = max(self.others_free, now_us) + units * unit_us
+        if late:
+            self.late_free = max(self.late_free, now_us) + spent_us
+        else:
+            self.others_free = max(self.others_free, now_us) + spent_us
 
     def rests(self, now: float) -> bool:
         """Tell whether it is spared after a failure."""
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -34,6 +34,7 @@
 class Wish:
     """What is to be placed: a request's name, the instances it has failed at, and what it was promised."""
 
+    now: float
     name: tuple[str, int]
     service: str
     avoid: set[str]
@@ -41,6 +42,16 @@
     aim_at: float               # when its answer is due
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The best offer of those weighed."""
+
+    pool: Pool
+    offer: Offer
+    reads: bool
+    done_us: float              # when the first token should come
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Where the next attempt of a request goes."""
@@ -103,49 +114,65 @@
         for hint in hints.hints:
             node = self.nodes.get(hint.instance)
             if node is not None:
-                self.pool(node.instance.service, node.instance.stage).others_sent(now, node, hint.units)
+                self.pool(node.instance.service, node.instance.stage).others_sent(now, node, hint.units, hint.late)
                 node.cache.remember(hint.parts)
                 node.sent_since += hint.memory
 
-    def reported(self, reports: Reports) -> None:
+    def reported(self, now: float, reports: Reports) -> None:
         """Take what engines told of themselves."""
         for report in reports.reports:
             node = self.nodes.get(report.instance)
             if node is not None:
-                node.reported(report)
+                pool = self.pool(node.instance.service, node.instance.stage)
+                node.reported(now * MICROSECONDS, report, pool.mean_us(node))
 
     # --- choice --------------------------------------------------------------------------------------------------
 
-    def plain(self, now: float, wish: Wish, stage: str) -> Plan | None:
+    def plain(self, wish: Wish, stage: str) -> Plan | None:
         """Place a request without a prompt: each counts one unit."""
         pool = self.pool(wish.service, stage)
         units = 1.0 if stage == PLAIN else float(LEAST_TOKENS)
-        offers = self._offers(now, pool, wish, wish.name[0], lambda node: units)
-        best = min(offers, key=lambda offer: offer.done_us, default=None)
-        return self._reserve(now, pool, best, wish, None, False) if best is not None else None
+        return self._timely(wish, lambda late: self._best(
+            pool, self._offers(pool, wish, wish.name[0], lambda node: units, late)), None)
 
-    def generation(self, now: float, wish: Wish, prompt: Prompt) -> Plan | None:
+    def generation(self, wish: Wish, prompt: Prompt) -> Plan | None:
         """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
+        return self._timely(wish, lambda late: self._apart_or_whole(wish, prompt, late), prompt)
+
+    def decode(self, wish: Wish, prompt: Prompt) -> Plan | None:
+        """Place a request whose prompt was read: it is charged for what moving it takes."""
+        pool = self.pool(wish.service, DECODE)
+        return self._timely(wish, lambda late: self._best(
+            pool, self._offers(pool, wish, prompt.key, lambda node: float(LEAST_TOKENS), late), prompt), prompt)
+
+    def _timely(self, wish: Wish, choose: Callable[[bool], Choice | None], prompt: Prompt | None) -> Plan | None:
+        """Choose as if the request could be in time; where it can't, choose anew behind all that is late as well."""
+        choice = choose(False)
+        late = choice is not None and choice.done_us > wish.aim_at * MICROSECONDS
+        if late:
+            choice = choose(True)
+        return self._reserve(choice, wish, prompt, late) if choice is not None else None
+
+    def _best(self, pool: Pool, offers: list[Offer], prompt: Prompt | None = None) -> Choice | None:
+        def done(offer: Offer) -> float:
+            return offer.done_us + (_crowding(offer, prompt) if prompt is not None else 0.0)
+
+        best = min(offers, key=done, default=None)
+        return Choice(pool, best, False, done(best)) if best is not None else None
+
+    def _apart_or_whole(self, wish: Wish, prompt: Prompt, late: bool) -> Choice | None:
+        """Weigh reading at a prefill instance against reading where the tokens are made."""
         def units(node: Node) -> float:
             return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
 
         prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
-        reading = self._offers(now, prefill, wish, prompt.key, units)
-        making = self._offers(now, decode, wish, prompt.key, units)
+        reading = self._offers(prefill, wish, prompt.key, units, late)
+        making = self._offers(decode, wish, prompt.key, units, late)
         apart = min(reading, key=_cost, default=None) if making else None
         whole = min(making, key=lambda offer: _cost(offer) + _crowding(offer, prompt), default=None)
         if apart is not None and (whole is None or self._sooner(apart, whole, prompt, making)):
-            return self._reserve(now, prefill, apart, wish, prompt, True)
-        if whole is not None:
-            return self._reserve(now, decode, whole, wish, prompt, False)
-        return None
-
-    def decode(self, now: float, wish: Wish, prompt: Prompt) -> Plan | None:
-        """Place a request whose prompt was read: it is charged for what moving it takes."""
-        pool = self.pool(wish.service, DECODE)
-        offers = self._offers(now, pool, wish, prompt.key, lambda node: float(LEAST_TOKENS))
-        best = min(offers, key=lambda offer: offer.done_us + _crowding(offer, prompt), default=None)
-        return self._reserve(now, pool, best, wish, prompt, False) if best is not None else None
+            return Choice(prefill, apart, True, apart.done_us + self._move_us(apart))
+        return Choice(decode, whole, False, whole.done_us + _crowding(whole, prompt)) if whole is not None else None
 
     def _sooner(self, apart: Offer, whole: Offer, prompt: Prompt, making: list[Offer]) -> bool:
         """Tell whether reading apart costs less, with the wait for memory where the tokens are made then."""
@@ -153,26 +180,27 @@
         reading = _cost(apart) + self._move_us(apart) + crowding
         return reading < _cost(whole) + _crowding(whole, prompt)
 
-    def _offers(self, now: float, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float]) -> list[Offer]:
+    def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
+                late: bool) -> list[Offer]:
         """Ask the members of a key's group that have room; where no instance has, any that is not full."""
-        nodes = pool.group(now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
+        nodes = pool.group(wish.now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
         if not nodes:
-            nodes = pool.group(now, key, wish.avoid, lambda node: node.out < CEILING)
-        return pool.offers(now, nodes, units)
+            nodes = pool.group(wish.now, key, wish.avoid, lambda node: node.out < CEILING)
+        return pool.offers(wish.now, nodes, units, late)
 
     def _move_us(self, offer: Offer) -> float:
         return MOVE_US + (FAR_US if offer.node.instance.zone != self.zone else 0.0)
 
-    def _reserve(self, now: float, pool: Pool, offer: Offer, wish: Wish, prompt: Prompt | None, reads: bool) -> Plan:
-        """Book an offer. What is late waits behind all others, so that it makes no other late."""
-        late = offer.done_us + (self._move_us(offer) if reads else 0.0) > wish.aim_at * MICROSECONDS
+    def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None, late: bool) -> Plan:
+        """Book an offer, and have the other heads told of it. What is late waits behind all else."""
+        offer = choice.offer
         parts = prompt.parts if prompt is not None else ()
+        memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not choice.reads else 0
         offer.node.cache.remember(parts)
-        memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not reads else 0
         offer.node.sent_since += memory
-        self.untold.append(Hint(offer.node.instance.identity, 0 if late else int(offer.units), parts, memory))
+        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, late, memory))
         priority = LATE_PRIORITY if late else bisect_right(SHORT_US, offer.spent_us)
-        return Plan(pool.reserve(now, offer, wish.name), reads, priority)
+        return Plan(choice.pool.reserve(wish.now, offer, wish.name), choice.reads, priority)
 
 
 def _cost(offer: Offer) -> float:
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -18,6 +18,7 @@
 MEMORY = 0.98               # weight kept by what all instances of a stage have taught
 PREFILL, DECODE, PLAIN = "prefill", "decode", ""
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
+LEAST_UNIT_PART = 0.1       # of the time to start with, below which no learned time falls
 START_FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}  # of an answer's time that no unit takes
 FIXED_QUANTILE = 0.3        # of answers' times beyond their units: what is above is waiting
 FIXED_STEP_US = 4_000.0     # by which one answer moves it at most
@@ -57,6 +58,7 @@
         self.stage = stage
         self.nodes: dict[str, Node] = {}
         self.spent = self.served = 0.0
+        self.mean_units = 0.0           # of requests placed lately
         self.fixed_us = START_FIXED_US[stage]
 
     @property
@@ -67,9 +69,14 @@
 
     def unit_us(self, node: Node) -> float:
         """Tell an instance's learned time per unit; one not yet heard from counts as average."""
+        least = LEAST_UNIT_PART * START_UNIT_US[self.stage]
         if node.book.served > 0:
-            return node.book.spent / node.book.served
-        return self.spent / self.served if self.served > 0 else START_UNIT_US[self.stage]
+            return max(least, node.book.spent / node.book.served)
+        return max(least, self.spent / self.served) if self.served > 0 else START_UNIT_US[self.stage]
+
+    def mean_us(self, node: Node) -> float:
+        """Tell what a request takes of an instance's time on average."""
+        return self.mean_units * self.unit_us(node) / self.width
 
     def learned(self, units: float, spent: float) -> None:
         """Take what an answer taught."""
@@ -103,25 +110,31 @@
         bound = PART * aim_s * MICROSECONDS / self.unit_us(node) * self.width
         return node.out < CEILING and node.book.units_out + units <= bound
 
-    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float]) -> list[Offer]:
+    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], late: bool) -> list[Offer]:
         """Tell what each of some instances would make of a request."""
         made: list[Offer] = []
         now_us = now * MICROSECONDS
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            made.append(Offer(node, wanted, node.begin(now_us) + spent + self.fixed_us, spent))
+            made.append(Offer(node, wanted, node.begin(now_us, late) + spent + self.fixed_us, spent))
         return made
 
     def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
         """Put an attempt into an instance's book."""
         unit_us = self.unit_us(offer.node) / self.width
         offer.node.book.reserve(name, offer.units, unit_us, int(now * MICROSECONDS))
+        self.placed(offer.units)
         return Placed(offer.node, name, offer.units, self)
 
-    def others_sent(self, now: float, node: Node, units: float) -> None:
+    def placed(self, units: float) -> None:
+        """Take note of a request's size."""
+        self.mean_units += (units - self.mean_units) * (1 - MEMORY) * 2
+
+    def others_sent(self, now: float, node: Node, units: float, late: bool) -> None:
         """Another head sent work to an instance."""
-        node.others_sent(now * MICROSECONDS, units, self.unit_us(node) / self.width)
+        self.placed(units)
+        node.others_sent(now * MICROSECONDS, units * self.unit_us(node) / self.width, late)
 
 
 def answered(now: float, placed: Placed, streaming: bool) -> None:
--- a/hophinge/fleet/transport/asgi.py
+++ b/hophinge/fleet/transport/asgi.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
 Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
+Receive = Callable[[], Coroutine[Any, Any, dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
 
