Fleet: times per unit from the lower part of samples; a part kept elsewhere is dear to read again

Cause: a head hears its own answers only, so the time between two of them held others' work, and queues of seconds were reckoned where there were none; shared parts were read again beside instances that kept them. Change: time per unit and fixed time follow a low quantile of samples; what another instance keeps weighs when read again.

--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -56,6 +56,7 @@
         self.late_free = 0.0            # the same for what is late, which waits behind all else
         self.streams = 0                # answers from here that have begun and not ended
         self.cache = Cache(0)
+        self.unit_us: float | None = None       # learned time per unit
         self.failures = 0
         self.rest_until = 0.0
         self.report: Report | None = None
@@ -74,8 +75,8 @@
     def reported(self, now_us: float, report: Report, mean_us: float) -> None:
         """Take what the instance told of itself; what was reckoned of its queue is corrected by it."""
         self.report, self.sent_since = report, 0
+        self.others_free = min(self.others_free, now_us + (report.waiting + 1) * mean_us)
         if not report.waiting:
-            self.others_free = min(self.others_free, now_us + mean_us)
             self.late_free = min(self.late_free, now_us)
         else:
             self.late_free = max(self.late_free, now_us + (report.waiting - 1) * mean_us)
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -26,6 +26,7 @@
 FAR_US = 10_000.0           # more of it between zones
 SHARE_OF_OTHERS = 0.3       # weight of an instance's time, which others wait for, beside one's own time
 SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
+AGAIN_US = 20.0             # weight of each token that is read again though another instance keeps it
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
 SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)    # work is admitted by its length, the shortest first
 
@@ -165,20 +166,25 @@
         def units(node: Node) -> float:
             return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
 
+        def cost(offer: Offer) -> float:
+            return _cost(offer) + AGAIN_US * max(0, kept - offer.node.cache.cached(prompt))
+
         prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
+        kept = min(prompt.shared_tokens, max((node.cache.cached(prompt) for pool in (prefill, decode)
+                                              for node in pool.nodes.values() if node.serving), default=0))
         reading = self._offers(prefill, wish, prompt.key, units, late)
         making = self._offers(decode, wish, prompt.key, units, late)
-        apart = min(reading, key=_cost, default=None) if making else None
-        whole = min(making, key=lambda offer: _cost(offer) + _crowding(offer, prompt), default=None)
-        if apart is not None and (whole is None or self._sooner(apart, whole, prompt, making)):
+        apart = min(reading, key=cost, default=None) if making else None
+        whole = min(making, key=lambda offer: cost(offer) + _crowding(offer, prompt), default=None)
+        if apart is not None and (whole is None or self._sooner(cost(apart), apart, cost(whole), whole, prompt, making)):
             return Choice(prefill, apart, True, apart.done_us + self._move_us(apart))
         return Choice(decode, whole, False, whole.done_us + _crowding(whole, prompt)) if whole is not None else None
 
-    def _sooner(self, apart: Offer, whole: Offer, prompt: Prompt, making: list[Offer]) -> bool:
+    def _sooner(self, reading: float, apart: Offer, at_once: float, whole: Offer, prompt: Prompt,
+                making: list[Offer]) -> bool:
         """Tell whether reading apart costs less, with the wait for memory where the tokens are made then."""
         crowding = min(_crowding(offer, prompt) for offer in making)
-        reading = _cost(apart) + self._move_us(apart) + crowding
-        return reading < _cost(whole) + _crowding(whole, prompt)
+        return reading + self._move_us(apart) + crowding < at_once + _crowding(whole, prompt)
 
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
                 late: bool) -> list[Offer]:
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -18,9 +18,9 @@
 MEMORY = 0.98               # weight kept by what all instances of a stage have taught
 PREFILL, DECODE, PLAIN = "prefill", "decode", ""
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
-LEAST_UNIT_PART = 0.1       # of the time to start with, below which no learned time falls
 START_FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}  # of an answer's time that no unit takes
-FIXED_QUANTILE = 0.3        # of answers' times beyond their units: what is above is waiting
+QUANTILE = 0.3              # of answers' times, that counts as served without waiting
+UNIT_STEP = 0.1             # part by which one answer moves the time per unit at most
 FIXED_STEP_US = 4_000.0     # by which one answer moves it at most
 LEAST_TAUGHT = {PREFILL: 500.0, DECODE: 500.0, PLAIN: 0.0}          # units of a request that teaches the time per unit
 
@@ -57,7 +57,7 @@
     def __init__(self, stage: str) -> None:
         self.stage = stage
         self.nodes: dict[str, Node] = {}
-        self.spent = self.served = 0.0
+        self.typical_us = START_UNIT_US[stage]      # for one not yet heard from
         self.mean_units = 0.0           # of requests placed lately
         self.fixed_us = START_FIXED_US[stage]
 
@@ -68,27 +68,28 @@
         return max(1, slots) if self.stage == PLAIN else 1
 
     def unit_us(self, node: Node) -> float:
-        """Tell an instance's learned time per unit; one not yet heard from counts as average."""
-        least = LEAST_UNIT_PART * START_UNIT_US[self.stage]
-        if node.book.served > 0:
-            return max(least, node.book.spent / node.book.served)
-        return max(least, self.spent / self.served) if self.served > 0 else START_UNIT_US[self.stage]
+        """Tell an instance's learned time per unit; one not yet heard from counts as is typical of its stage."""
+        return node.unit_us or self.typical_us
 
     def mean_us(self, node: Node) -> float:
         """Tell what a request takes of an instance's time on average."""
         return self.mean_units * self.unit_us(node) / self.width
 
-    def learned(self, units: float, spent: float) -> None:
-        """Take what an answer taught."""
-        self.spent = self.spent * MEMORY + spent
-        self.served = self.served * MEMORY + units
+    def taught(self, node: Node, units: float, took_us: float) -> None:
+        """Take what an answer took. What lies above the lower part of such times is waiting behind others' work."""
+        if units < LEAST_TAUGHT[self.stage]:
+            return
+        sample = max(1.0, took_us - self.fixed_us) / units
+        node.unit_us = _towards(node.unit_us or self.typical_us, sample)
+        self.typical_us = _towards(self.typical_us, sample)
+        self._taught_fixed(node, units, took_us)
 
-    def taught_fixed(self, node: Node, units: float, took_us: float) -> None:
+    def _taught_fixed(self, node: Node, units: float, took_us: float) -> None:
         """Move the fixed time towards the lower part of what answers took beyond their units."""
         if self.stage == PLAIN:
             return
         above = took_us - units * self.unit_us(node) > self.fixed_us
-        step = FIXED_STEP_US * (FIXED_QUANTILE if above else FIXED_QUANTILE - 1)
+        step = FIXED_STEP_US * (QUANTILE if above else QUANTILE - 1)
         self.fixed_us = max(0.0, self.fixed_us + step)
 
     def serving(self) -> bool:
@@ -137,16 +138,18 @@
         node.others_sent(now * MICROSECONDS, units * self.unit_us(node) / self.width, late)
 
 
+def _towards(unit_us: float, sample_us: float) -> float:
+    """Move a time per unit towards the lower part of the samples."""
+    return unit_us * (1 + UNIT_STEP * (QUANTILE if sample_us > unit_us else QUANTILE - 1))
+
+
 def answered(now: float, placed: Placed, streaming: bool) -> None:
     """The attempt's units are done: what they took teaches the time per unit. A stream goes on."""
     book, now_us = placed.node.book, int(now * MICROSECONDS)
     if placed.name not in book.slots:
         return
     slot = book.drop(placed.name, now_us)
-    pool = placed.pool
-    if slot.units >= LEAST_TAUGHT[pool.stage]:
-        pool.taught_fixed(placed.node, slot.units, now_us - slot.sent)
-        pool.learned(slot.units, book.learn(slot, int(now_us - pool.fixed_us)))
+    placed.pool.taught(placed.node, slot.units, now_us - slot.sent)
     book.heard = now_us
     placed.node.answered()
     if streaming:
