Coordination: a restarted group goes on in its view, and its tail tells at once what is committed

Cause: a replica that had just started took all others for gone, and four changes of view followed a loss of power. Change: until it could have heard them, a replica takes nobody of its view to be gone; the tail commits what it holds.

--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -75,6 +75,11 @@
         self.view = view
         self._remember()
 
+    def restarted(self, outputs: Outputs) -> None:
+        """As the tail after a restart: what it holds has passed the whole chain, whatever view is in force by now."""
+        if self.serving and self._successor() is None:
+            self._commit(self.registers.sequence, outputs)
+
     def _mark_synced(self, number: int, sync: Sync | None, outputs: Outputs) -> None:
         self.synced = number
         outputs.records.append(SyncedRecord(number, sync.snapshot if sync is not None else None))
--- a/hophinge/coordination/peers.py
+++ b/hophinge/coordination/peers.py
@@ -63,6 +63,9 @@
         fresh = {name: peer for name, peer in self.known.items() if now - peer.heard <= SUSPECT_S}
         alive = {name for name, peer in fresh.items() if peer.heartbeat.writable}
         steady = {name for name in alive if now - fresh[name].since >= STEADY_S}
+        if now - started < SUSPECT_S:
+            # At its start a replica has heard nobody: until it could have, it takes nobody of the view to be gone.
+            alive |= {voter.identity for voter in view.voters if voter.identity not in self.known}
         if writable:
             alive.add(self.me.identity)
             steady.add(self.me.identity)
--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -68,6 +68,7 @@
         self.requests = Requests(self)
         self.started = self.ticked = now
         self.greeted = now - HEARTBEAT_S
+        self.resumed = False
         if membership.bootstrap and self.me.address in membership.seeds:
             self.view = seed_view(membership.seeds)
         self.handlers: dict[type, Callable[[float, Replica, object, Outputs], None]] = {
@@ -141,8 +142,12 @@
         if now - self.greeted >= HEARTBEAT_S:
             self.greeted = now
             heartbeat = self.heartbeat()
-            outputs.messages += [(address, heartbeat) for address in sorted(self.peers.addresses(self.view, self.seeds))]
+            others = sorted(self.peers.addresses(self.view, self.seeds))
+            outputs.messages += [(address, heartbeat) for address in others]
             self.peers.forget(now, self.view)
+        if not self.resumed:
+            self.resumed = True
+            self.chain.restarted(outputs)
         self.requests.tick(now, outputs)
         self.elections.tick(now, outputs)
 
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -21,7 +21,7 @@
 DATA = "data"
 REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 LEAVE_S = 2.6               # the platform needs two misses, a second apart, to send no new connections
-HINT_S = 0.05               # between words about what was placed here
+HINT_S = 0.02               # between words about what was placed here
 RESERVE_S = 0.5             # of the time to end that is left unused
 
 
