Tests of the fleet's parts: storage under losses of power, dissemination, registry, documents, lives, books, roles

Each failure met so far has one: a learned time of 0, late work told of as none, an order that heartbeats undid, a request without a prompt on a service with engines.

--- a/hophinge/coordination/__init__.py
+++ b/hophinge/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""Coordination parts that a service can embed: agreed views, chain replication, leases, dissemination, durable state."""
+"""Coordination parts to embed in a service: agreed views, chain replication, leases, dissemination, durable state."""
--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -65,7 +65,7 @@
         if place < 0:
             return
         complete = view.number == 1 or self.synced >= view.chain[place].joined
-        if place == 0 and complete or view.number == 1:
+        if (place == 0 and complete) or view.number == 1:
             self._mark_synced(view.number, None, outputs)
         if self.serving:
             self._pass_on(now, outputs)
@@ -118,7 +118,7 @@
     # --- changes and reads ---------------------------------------------------------------------------------------
 
     def submit(self, submit: Submit, outputs: Outputs) -> None:
-        """Judge a change at the head; what is refused goes down the chain as well, as an old head may be out of date."""
+        """Judge a change at the head. What is refused goes down the chain as well: an old head may be out of date."""
         if not self.heads or not self._lasting():
             return
         change = submit.change
--- a/hophinge/coordination/codec.py
+++ b/hophinge/coordination/codec.py
@@ -1,4 +1,4 @@
-"""CBOR encoding of typed messages: each message class has one number, and an unknown or malformed message is an error."""
+"""CBOR encoding of typed messages: each class has one number, and an unknown or malformed message is an error."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import cbor2
 
-TAG_BASE = 60_000           # CBOR tags of this protocol: in the range that the registry leaves to first come, first served
+TAG_BASE = 60_000           # CBOR tags of this protocol: in the range that is given to who comes first
 MOST_DEPTH = 32             # nesting of a message; a deeper one is refused before it is built
 
 MessageClass = TypeVar("MessageClass", bound=type)
--- a/hophinge/coordination/planning.py
+++ b/hophinge/coordination/planning.py
@@ -1,4 +1,4 @@
-"""What the next view should be: who is gone leaves the chain, who is back joins its tail, a new disk replaces a lost one."""
+"""What the next view should be: who is gone leaves, who is back joins the tail, a new disk replaces a lost one."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/hophinge/fleet/emulation/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and services as stand-ins on loopback, for tests of the two programs and for experiments."""
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -28,7 +28,7 @@
 SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
 AGAIN_US = 20.0             # weight of each token that is read again though another instance keeps it
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
-SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)    # work is admitted by its length, the shortest first
+SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,17 +174,15 @@
                                               for node in pool.nodes.values() if node.serving), default=0))
         reading = self._offers(prefill, wish, prompt.key, units, late)
         making = self._offers(decode, wish, prompt.key, units, late)
-        apart = min(reading, key=cost, default=None) if making else None
+        apart = min(reading, key=cost, default=None)
         whole = min(making, key=lambda offer: cost(offer) + _crowding(offer, prompt), default=None)
-        if apart is not None and (whole is None or self._sooner(cost(apart), apart, cost(whole), whole, prompt, making)):
-            return Choice(prefill, apart, True, apart.done_us + self._move_us(apart))
-        return Choice(decode, whole, False, whole.done_us + _crowding(whole, prompt)) if whole is not None else None
-
-    def _sooner(self, reading: float, apart: Offer, at_once: float, whole: Offer, prompt: Prompt,
-                making: list[Offer]) -> bool:
-        """Tell whether reading apart costs less, with the wait for memory where the tokens are made then."""
+        if whole is None:
+            return None
         crowding = min(_crowding(offer, prompt) for offer in making)
-        return reading + self._move_us(apart) + crowding < at_once + _crowding(whole, prompt)
+        at_once = cost(whole) + _crowding(whole, prompt)
+        if apart is not None and cost(apart) + self._move_us(apart) + crowding < at_once:
+            return Choice(prefill, apart, True, apart.done_us + self._move_us(apart))
+        return Choice(decode, whole, False, whole.done_us + _crowding(whole, prompt))
 
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
                 late: bool) -> list[Offer]:
--- a/tests/test_coordination_chain.py
+++ b/tests/test_coordination_chain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from functools import partial
 from random import Random
 
 import pytest
@@ -120,6 +121,11 @@
     assert answer.payload == b"1:a"
 
 
+def _start_if_there(world: World, address: str) -> None:
+    if address in world.members:
+        world.start(address)
+
+
 def _trouble(world: World, random: Random, down: dict[str, float]) -> None:
     """One machine at most is lost at a time, and counts as lost until its time to catch up is over."""
     if any(until > world.now for until in down.values()):
@@ -148,7 +154,7 @@
     else:
         for one in list(world.members):
             world.kill(one)
-            world.at(0.5, lambda one=one: world.start(one) if one in world.members else None)
+            world.at(0.5, partial(_start_if_there, world, one))
 
 
 def _play(seed: int, count: int) -> tuple[World, list[Attempted]]:
--- /dev/null
+++ b/tests/test_coordination_roles.py
@@ -0,0 +1,102 @@
+"""Leases and singleton roles: who lives, who owns a role, and when an owner may act."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hophinge.coordination.leases import ANSWER_S, LEASE_S, Grant, Holder, LeaseTable, Renewal
+from hophinge.coordination.ownership import MARGIN_S, Role, rendezvous
+from hophinge.coordination.registers import Change, Outcome, Register, Registers
+from hophinge.coordination.registers import Entry
+from hophinge.coordination.view import Replica
+
+A, B = Holder("a", "edge-1", "10.0.0.1:1", "x"), Holder("b", "edge-2", "10.0.0.2:1", "x")
+NEAR, FAR = Replica("n", "10.0.0.9:1", "x"), Replica("f", "10.0.0.8:1", "y")
+
+
+def test_a_lease_that_is_not_renewed_ends() -> None:
+    table = LeaseTable()
+    table.renew(0.0, A)
+    table.renew(2.0, B)
+    assert table.expire(LEASE_S) == [A]
+    assert table.all() == [B]
+
+
+def test_a_new_process_at_an_address_ends_the_lease_of_the_one_before() -> None:
+    table = LeaseTable()
+    table.renew(0.0, A)
+    table.renew(0.5, Holder("a2", "edge-1", "10.0.0.1:1", "x"))
+    assert [holder.identity for holder in table.all()] == ["a2"]
+
+
+def test_leases_granted_elsewhere_count_but_are_not_passed_on() -> None:
+    table = LeaseTable()
+    table.renew(0.0, A)
+    table.merge(0.0, [A, B])
+    assert len(table.all()) == 2
+    assert table.own() == [A]
+
+
+def test_a_holder_counts_its_lease_from_before_it_asked() -> None:
+    renewal = Renewal("x", ("10.0.0.9:1",), Random(1))
+    assert renewal.due(1.0) == "10.0.0.9:1"
+    renewal.granted(2.0, "10.0.0.9:1", Grant(LEASE_S, 5, (), (NEAR, FAR), True))
+    assert renewal.holds(1.0 + LEASE_S - 0.01)
+    assert not renewal.holds(1.0 + LEASE_S)
+    assert renewal.most_holders == 5
+
+
+def test_a_granter_that_is_silent_or_cut_off_is_left_for_another() -> None:
+    renewal = Renewal("x", ("10.0.0.9:1",), Random(1))
+    renewal.due(0.0)
+    renewal.granted(0.1, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR, FAR), False))
+    assert renewal.due(0.2) == FAR.address
+    assert renewal.due(0.3 + ANSWER_S) != FAR.address
+
+
+def test_a_holder_goes_back_to_a_granter_of_its_own_zone() -> None:
+    renewal = Renewal("x", ("10.0.0.8:1",), Random(1))
+    renewal.due(0.0)
+    renewal.granted(0.1, "10.0.0.8:1", Grant(LEASE_S, 1, (), (NEAR, FAR), True))
+    assert renewal.due(0.2) == NEAR.address
+
+
+def _published(registers: Registers, role: Role, change: Change) -> Register:
+    assert registers.judge(change) is None
+    registers.apply(Entry(registers.sequence + 1, change))
+    return registers.current(role.key)
+
+
+def test_a_role_has_one_owner_and_its_token_only_rises() -> None:
+    registers, alive = Registers(), {"a", "b", "c"}
+    roles = {name: Role("stages", name, 3.0) for name in alive}
+    first = rendezvous("role/stages", alive)
+    assert first is not None
+    claims = {name: role.claim(alive) for name, role in roles.items()}
+    assert [name for name, claim in claims.items() if claim is not None] == [first]
+    claim = claims[first]
+    assert claim is not None
+    register = _published(registers, roles[first], claim)
+    for role in roles.values():
+        role.published(10.0, register)
+        assert role.claim(alive) is None
+    alive.remove(first)
+    second = rendezvous("role/stages", alive)
+    assert second is not None
+    again = roles[second].claim(alive)
+    assert again is not None
+    assert again.version == register.version + 1
+    assert registers.judge(claim) is Outcome.TAKEN
+
+
+def test_a_new_owner_waits_until_the_old_ones_time_is_over() -> None:
+    role, registers = Role("stages", "a", 3.0), Registers()
+    claim = role.claim({"a"})
+    assert claim is not None
+    register = _published(registers, role, claim)
+    assert not role.may_act(0.0)
+    role.published(10.0, register)
+    assert not role.may_act(10.0 + 3.0)
+    assert role.may_act(10.0 + 3.0 + MARGIN_S)
+    assert role.confirmed(register.version)
+    assert not role.confirmed(register.version + 1)     # another owns it by now
--- /dev/null
+++ b/tests/test_coordination_storage.py
@@ -0,0 +1,160 @@
+"""Two slots and a log: what was synced is read back, whatever becomes of later writes."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from hophinge.coordination.messages import NO_BALLOT, EntryRecord, StateRecord, SyncedRecord, VoteRecord
+from hophinge.coordination.registers import Change, Entry, Snapshot
+from hophinge.coordination.storage.store import LOG, LOG_LIMIT, SLOTS, Recovered, Store
+
+
+class TornVolume:
+    """A disk in memory: what was not synced is lost, kept or torn when power goes."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytearray] = {}
+        self.synced: dict[str, bytes] = {}
+        self.writes: list[tuple[str, int, bytes]] = []
+        self.free = 1 << 30
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.files.get(name, b""))
+
+    def write(self, name: str, offset: int, data: bytes) -> None:
+        if len(data) > self.free:
+            raise OSError(28, "no space left on device")
+        self._place(self.files.setdefault(name, bytearray()), offset, data)
+        self.writes.append((name, offset, data))
+
+    @staticmethod
+    def _place(file: bytearray, offset: int, data: bytes) -> None:
+        if len(file) < offset:
+            file.extend(b"\0" * (offset - len(file)))
+        file[offset:offset + len(data)] = data
+
+    def sync(self, name: str) -> None:
+        self.synced[name] = bytes(self.files.get(name, b""))
+        self.writes = [one for one in self.writes if one[0] != name]
+
+    def close(self) -> None:
+        pass
+
+    def lose_power(self, random: Random) -> None:
+        """Each write since its file's last sync is present, missing or torn."""
+        files = {name: bytearray(data) for name, data in self.synced.items()}
+        for name, offset, data in self.writes:
+            kept = random.choice([0, len(data), random.randrange(len(data) + 1)])
+            if kept:
+                self._place(files.setdefault(name, bytearray()), offset, data[:kept])
+        self.files, self.writes = files, []
+        self.synced = {name: bytes(data) for name, data in files.items()}
+
+
+def _entry(number: int, size: int = 10) -> EntryRecord:
+    return EntryRecord(Entry(number, Change("configuration", number - 1, number, b"d", bytes([number % 256]) * size)))
+
+
+def _state(sequence: int) -> StateRecord:
+    return StateRecord("disk", None, VoteRecord(1, NO_BALLOT, NO_BALLOT, None), 1, Snapshot(sequence))
+
+
+def _entries(recovered: Recovered) -> list[int]:
+    first = recovered.state.snapshot.sequence if recovered.state else 0
+    found = [record.entry.sequence for record in recovered.records if isinstance(record, EntryRecord)]
+    return list(range(1, first + 1)) + found
+
+
+def test_an_empty_disk_holds_nothing() -> None:
+    assert Store(TornVolume()).recover() == Recovered(None, ())
+
+
+def test_records_come_back_in_order_after_the_newer_slot() -> None:
+    volume = TornVolume()
+    store = Store(volume)
+    store.save(_state(0))
+    store.append([_entry(1), SyncedRecord(1, None)])
+    store.append([_entry(2)])
+    again = Store(volume).recover()
+    assert again.records == (_entry(1), SyncedRecord(1, None), _entry(2))
+    store.save(_state(2))
+    store.append([_entry(3)])
+    again = Store(volume).recover()
+    assert again.state == _state(2)
+    assert again.records == (_entry(3),)
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_what_was_synced_survives_a_loss_of_power_at_any_write(seed: int) -> None:
+    random, volume = Random(seed), TornVolume()
+    store = Store(volume)
+    store.save(_state(0))
+    done = 0
+    for _ in range(4):
+        for _ in range(random.randrange(6)):
+            if random.random() < 0.2:
+                store.save(_state(done))
+            else:
+                store.append([_entry(done + 1, random.choice([10, 3000]))])
+                done += 1
+        # One more write is under way when power goes: its sync never returns.
+        sync, volume.sync = volume.sync, lambda name: None      # type: ignore[method-assign]
+        under_way = random.random() < 0.5
+        if under_way:
+            store.append([_entry(done + 1)])
+        else:
+            store.save(_state(done))
+        volume.sync = sync      # type: ignore[method-assign]
+        volume.lose_power(random)
+        store = Store(volume)
+        found = _entries(store.recover())
+        assert found in (list(range(1, done + 1)), list(range(1, done + 2)) if under_way else found)
+        assert len(found) >= done, "a synced record is lost"
+        done = len(found)
+
+
+def test_a_flipped_byte_in_the_newer_slot_is_noticed() -> None:
+    volume = TornVolume()
+    store = Store(volume)
+    store.save(_state(1))
+    store.save(_state(2))
+    name = SLOTS[store.slot]
+    volume.files[name][-1] ^= 1
+    again = Store(volume)
+    assert again.recover().state == _state(1)
+    assert again.unreadable == 1
+
+
+def test_a_flipped_byte_in_the_log_ends_it_there() -> None:
+    volume = TornVolume()
+    store = Store(volume)
+    store.save(_state(0))
+    for number in range(1, 4):
+        store.append([_entry(number)])
+    volume.files[LOG][len(volume.files[LOG]) // 2] ^= 1
+    assert Store(volume).recover().records == (_entry(1),)
+
+
+def test_a_full_disk_is_told_and_a_whole_state_makes_good_for_it() -> None:
+    volume = TornVolume()
+    store = Store(volume)
+    store.save(_state(0))
+    volume.free = 0
+    with pytest.raises(OSError, match="no space"):
+        store.append([_entry(1)])
+    volume.free = 1 << 30
+    store.save(_state(1))
+    store.append([_entry(2)])
+    assert _entries(Store(volume).recover()) == [1, 2]
+
+
+def test_the_log_asks_for_a_slot_once_it_has_grown() -> None:
+    store = Store(TornVolume())
+    store.save(_state(0))
+    assert not store.full
+    store.append([_entry(1, LOG_LIMIT)])
+    assert store.full
+    store.save(_state(1))
+    assert not store.full
--- /dev/null
+++ b/tests/test_fleet_configuration.py
@@ -0,0 +1,88 @@
+"""The operator's document: every finding with its place, and the routes that follow."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from hophinge.fleet.configuration.document import check
+from hophinge.fleet.configuration.routes import configuration_record, parse, table_of
+
+
+NOTHING = {"service": "s", "weight": 0}
+
+
+def _document(**changes: Any) -> dict[str, Any]:
+    route = {"name": "r", "host": "a.example", "path-prefix": "/x/", "route-type": "streaming", "timeout-ms": 800,
+             "target-latency-ms": 200, "priority": 1, "service": "s", "max-attempts": 2, "resumable": True,
+             "gap_aim_ms": 250, "unknown": 1}
+    return {"version": 7, "routes": [route], "services": [{"name": "s", "max-connections": 3}], **changes}
+
+
+def _route(**changes: Any) -> dict[str, Any]:
+    return {**_document()["routes"][0], **changes}
+
+
+def _findings(document: dict[str, Any]) -> list[str]:
+    checked = check(json.dumps(document).encode())
+    return [str(finding) for finding in checked.error] if checked.is_error() else []
+
+
+def test_a_valid_document_has_no_findings() -> None:
+    assert _findings(_document()) == []
+
+
+@pytest.mark.parametrize("changes, place", [
+    ({"routes": [_route(service="gone")]}, "routes.0.service"),
+    ({"routes": [_route(), _route(name="q")]}, "routes.1"),
+    ({"routes": [_route(service=None, **{"traffic-split": [NOTHING]})]}, "routes.0.traffic-split"),
+    ({"routes": [_route(**{"timeout-ms": 0})]}, "routes.0.timeout-ms"),
+    ({"routes": [_route(service=None)]}, "routes.0"),
+    ({"version": 0}, "version"),
+    ({"services": "s"}, "services"),
+])
+def test_what_is_wrong_is_told_with_its_place(changes: dict[str, Any], place: str) -> None:
+    assert any(finding.startswith(place + ":") for finding in _findings(_document(**changes)))
+
+
+def test_all_findings_are_told_together() -> None:
+    found = _findings(_document(routes=[_route(service="one"), _route(service="two", **{"path-prefix": "/y/"})]))
+    assert len(found) == 2
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", b'{"version": 1', b"\xff"])
+def test_what_cannot_be_read_whole_is_a_finding(data: bytes) -> None:
+    assert check(data).is_error()
+
+
+def test_the_longest_prefix_of_the_host_is_taken() -> None:
+    routes = [_route(), _route(name="long", **{"path-prefix": "/x/y/"}), _route(name="other", host="b.example")]
+    table = parse(json.dumps(_document(routes=routes)).encode())
+
+    def named(host: str, path: str) -> str | None:
+        route = table.find(host, path)
+        return route.name if route is not None else None
+
+    assert named("a.example", "/x/y/z") == "long"
+    assert named("A.example", "/x/z") == "r"
+    assert named("b.example", "/x/y/z") == "other"
+    assert named("a.example", "/x") is None
+    assert named("c.example", "/x/") is None
+
+
+def test_weights_split_requests() -> None:
+    split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}, {"service": "u", "weight": 0}]
+    document = _document(routes=[_route(service=None, **{"traffic-split": split})],
+                         services=[{"name": name} for name in "stu"])
+    route = parse(json.dumps(document).encode()).routes[0]
+    assert [route.service(draw) for draw in (0.0, 0.89, 0.91, 0.9999)] == ["s", "s", "t", "t"]
+
+
+def test_a_record_brings_the_same_table() -> None:
+    document = json.dumps(_document()).encode()
+    record = configuration_record(4, document)
+    assert record.stamp == (4, 0)
+    assert table_of(record).routes == parse(document).routes
+    assert table_of(record).routes[0].idempotent
--- /dev/null
+++ b/tests/test_fleet_life.py
@@ -0,0 +1,198 @@
+"""One request's life: promises only where nothing ran, one run where that is all it may have, budget, resumption."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from hophinge.fleet.configuration.routes import Route
+from hophinge.fleet.forwarding.budget import RetryBudget
+from hophinge.fleet.forwarding.events import EventReader
+from hophinge.fleet.forwarding.headers import forwarded, returned
+from hophinge.fleet.forwarding.life import GiveUp, Life, Read, Run
+from hophinge.fleet.forwarding.results import Ending, Handle, Result, unexecuted
+from hophinge.fleet.placement.placement import Placement
+from hophinge.fleet.placement.prompt import Prompt, parse_prompt
+from hophinge.fleet.registry.instance import READY, Instance
+
+UNSAFE = Route("r", "h", "/", "unsafe", 4.0, 0.5, 0.0, 1, 1, False, ("s",), (1.0,))
+SAFE = replace(UNSAFE, kind="safe", max_attempts=3)
+STREAM = replace(UNSAFE, kind="streaming", max_attempts=2, resumable=True)
+FIXED = replace(STREAM, resumable=False)
+PROMPT = Prompt(1_000, 80, (("shared", 800), ("own", 200)))
+
+
+def _placement(prefill: int, decode: int, plain: int = 0) -> Placement:
+    placement = Placement("z", lambda identity: None)
+    stages = ["prefill"] * prefill + ["decode"] * decode + [""] * plain
+    for number, stage in enumerate(stages):
+        instance = Instance(f"i-{number}", "s", f"10.0.0.{number}:80", "z", "v", 8, READY, stage, ())
+        placement.instance(instance.identity, instance)
+    placement.configured({"s": 100_000})
+    return placement
+
+
+def _life(route: Route, placement: Placement, prompt: Prompt | None = None, slack: float = 100.0) -> Life:
+    budget = RetryBudget(0.2, slack, 10.0)
+    budget.requested(0.0)
+    return Life("q", route, "s", prompt, prompt is not None, 0.5, 4.0, placement, budget, 1)
+
+
+def _run(life: Life, now: float = 0.0) -> Run:
+    step = life.next(now)
+    assert isinstance(step, Run)
+    return step
+
+
+def _read(life: Life, now: float = 0.0) -> Read:
+    step = life.next(now)
+    assert isinstance(step, Read)
+    return step
+
+
+def _handle(step: Read) -> Result:
+    return Result(Ending.READ, Handle(step.placed.node.instance.address, "h1", 1_000))
+
+
+def test_an_unsafe_request_that_may_have_run_is_not_sent_again_and_gets_no_promise() -> None:
+    life = _life(UNSAFE, _placement(0, 0, 3))
+    life.ended(0.1, _run(life).placed, Result(Ending.UNKNOWN))
+    assert life.next(0.1) == GiveUp(502, None)
+
+
+@pytest.mark.parametrize("ending", [Ending.UNSENT, Ending.REFUSED, Ending.MISPLACED])
+def test_what_surely_did_not_run_goes_to_another_instance(ending: Ending) -> None:
+    life = _life(UNSAFE, _placement(0, 0, 3))
+    first = _run(life)
+    life.ended(0.1, first.placed, Result(ending))
+    assert _run(life, 0.1).placed.node is not first.placed.node
+
+
+def test_a_promise_is_given_where_nothing_ran_and_the_budget_is_spent() -> None:
+    life = _life(UNSAFE, _placement(0, 0, 3), slack=0.0)
+    life.ended(0.1, _run(life).placed, Result(Ending.REFUSED))
+    answer = life.next(0.1)
+    assert isinstance(answer, GiveUp)
+    assert answer.status == 503
+    assert answer.come_back_s is not None
+
+
+def test_a_safe_request_goes_on_within_its_attempts() -> None:
+    life = _life(SAFE, _placement(0, 0, 5))
+    for _ in range(3):
+        life.ended(0.1, _run(life).placed, Result(Ending.UNKNOWN))
+    assert isinstance(life.next(0.1), GiveUp)
+
+
+def test_a_service_without_instances_is_refused_at_once() -> None:
+    answer = _life(UNSAFE, _placement(0, 0, 0)).next(0.0)
+    assert isinstance(answer, GiveUp)
+    assert answer.status == 503
+
+
+def test_no_attempt_begins_without_time_left() -> None:
+    assert isinstance(_life(UNSAFE, _placement(0, 0, 1)).next(3.999), GiveUp)
+
+
+def test_a_prompt_is_read_apart_and_its_handle_is_taken_once() -> None:
+    life = _life(STREAM, _placement(2, 2), PROMPT)
+    step = _read(life)
+    assert not life.ended(0.1, step.placed, _handle(step))
+    run = _run(life, 0.1)
+    assert run.handle is not None
+    assert run.handle.identity == "h1"
+    assert run.placed.pool.stage == "decode"
+    life.ended(0.2, run.placed, Result(Ending.REFUSED))      # the memory could not be had
+    assert life.handle is None
+    assert isinstance(life.next(0.2), Read | Run)
+
+
+def test_a_prompt_that_was_only_read_has_not_run() -> None:
+    life = _life(FIXED, _placement(1, 1), PROMPT, slack=0.0)
+    life.ended(0.1, _read(life).placed, Result(Ending.UNKNOWN))
+    answer = life.next(0.1)
+    assert isinstance(answer, GiveUp)
+    assert answer.status == 503
+
+
+def test_the_first_reading_and_the_first_run_cost_no_budget_but_each_further_arrival_does() -> None:
+    life = _life(STREAM, _placement(2, 2), PROMPT)
+    step = _read(life)
+    life.ended(0.1, step.placed, _handle(step))
+    run = _run(life, 0.1)
+    assert not life.budget.extras
+    life.ended(0.2, run.placed, Result(Ending.REFUSED))
+    life.next(0.2)
+    assert len(life.budget.extras) == 1
+
+
+def test_a_resumable_stream_goes_on_after_its_newest_event() -> None:
+    life = _life(STREAM, _placement(0, 2), PROMPT)
+    run = _run(life)
+    life.streaming(0.1, run.placed)
+    life.ended(0.2, run.placed, Result(Ending.BROKEN, event_id="12"))
+    again = _run(life, 0.2)
+    assert again.event_id == "12"
+    assert again.placed.node is not run.placed.node
+
+
+def test_a_stream_that_may_not_be_resumed_ends_visibly() -> None:
+    life = _life(FIXED, _placement(0, 2), PROMPT)
+    run = _run(life)
+    life.streaming(0.1, run.placed)
+    life.ended(0.2, run.placed, Result(Ending.BROKEN, event_id="12"))
+    assert life.next(0.2) == GiveUp(502, None)
+
+
+def test_nothing_stays_in_the_books_after_the_end() -> None:
+    placement = _placement(2, 2)
+    life = _life(STREAM, placement, PROMPT)
+    read = _read(life)
+    life.ended(0.1, read.placed, _handle(read))
+    run = _run(life, 0.1)
+    life.streaming(0.2, run.placed)
+    assert run.placed.node.out == 1
+    assert life.ended(0.9, run.placed, Result(Ending.ANSWERED))
+    assert all(node.out == 0 for node in placement.nodes.values())
+
+
+def test_the_parts_of_all_heads_keep_within_the_budget() -> None:
+    heads = [RetryBudget(0.2, 60.0, 10.0) for _ in range(11)]
+    spent = 0
+    for budget in heads:
+        for _ in range(20):
+            budget.requested(1.0)
+        while budget.allows(1.0, 11):
+            budget.spend(1.0)
+            spent += 1
+    assert 0.5 * (0.2 * 220 + 60) < spent <= 0.2 * 220 + 60
+    assert heads[0].allows(11.1, 11)
+
+
+def test_only_whole_events_pass() -> None:
+    reader = EventReader()
+    assert reader.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert reader.last_id == "1"
+    assert reader.feed(b"ta: b\n\nid: 3") == b"id: 2\ndata: b\n\n"
+    assert (reader.last_id, reader.rest) == ("2", b"id: 3")
+
+
+def test_only_the_instance_itself_says_that_it_did_not_run_a_request() -> None:
+    assert unexecuted(503, [(b"Hophinge-Not-Executed", b"1")]) is Ending.REFUSED
+    assert unexecuted(503, []) is None
+    assert unexecuted(421, []) is Ending.MISPLACED
+    assert unexecuted(500, [(b"Hophinge-Not-Executed", b"1")]) is None
+
+
+def test_what_concerns_a_connection_or_is_the_systems_own_does_not_go_on() -> None:
+    fields = [(b"host", b"a"), (b"connection", b"close, x-hop"), (b"x-hop", b"1"), (b"Kv-From", b"forged"),
+              (b"hophinge-request-id", b"q"), (b"transfer-encoding", b"chunked"), (b"priority", b"0")]
+    assert forwarded(fields) == [(b"host", b"a"), (b"hophinge-request-id", b"q")]
+    assert returned([(b"Keep-Alive", b"timeout=3"), (b"Versions", b"2")]) == [(b"Versions", b"2")]
+
+
+def test_a_prompt_is_read_from_its_headers() -> None:
+    prompt = parse_prompt("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    assert (prompt.tokens_in, prompt.tokens_out, prompt.key, prompt.shared_tokens) == (1460, 80, "91bd3f06", 1210)
+    assert parse_prompt("x", None) == Prompt(0, 0, ())
--- /dev/null
+++ b/tests/test_fleet_registry.py
@@ -0,0 +1,134 @@
+"""Instances by heartbeat: late, doubled and lost ones, drains, ends, changes of stage."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hophinge.fleet.placement.stages import wanted_switch
+from hophinge.fleet.registry.instance import DRAINING, LOST, READY, SWITCHING, Instance, Model, instance_of
+from hophinge.fleet.registry.registry import MISSED, Liveness, Registry
+
+PERIOD_S = 1.0
+ONE = Instance("i-1", "models", "10.0.0.1:80", "z", "v1", 64, READY, "decode", (Model("m", 1),))
+
+
+def _registry() -> Registry:
+    return Registry(PERIOD_S, 0.0)
+
+
+def _pass(registry: Registry, since: float, until: float) -> list[str]:
+    lost = []
+    now = since
+    while now < until:
+        now += 0.25
+        lost += [record.key for record in registry.expire(now, True)]
+    return lost
+
+
+def test_only_what_changes_is_told() -> None:
+    registry = _registry()
+    record = registry.heartbeat(0.0, ONE, 1)
+    assert record is not None
+    assert instance_of(record) == ONE
+    assert registry.heartbeat(1.0, ONE, 2) is None
+    told = registry.heartbeat(2.0, replace(ONE, state=DRAINING), 3)
+    assert told is not None
+    assert told.stamp > record.stamp
+
+
+def test_a_late_heartbeat_does_not_bring_a_leaving_instance_back() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    registry.heartbeat(1.0, replace(ONE, state=DRAINING), 5)
+    assert registry.heartbeat(1.1, ONE, 4) is None
+    assert registry.heartbeat(1.2, ONE, 5) is None
+    assert registry.instances["i-1"].state == DRAINING
+
+
+def test_an_instance_that_unregistered_never_comes_back_under_its_identity() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    assert registry.unregister(1.0, "i-1").gone
+    assert registry.heartbeat(2.0, ONE, 9) is None
+    assert "i-1" not in registry.instances
+
+
+def test_unregistering_what_is_not_known_is_told_as_well() -> None:
+    assert _registry().unregister(0.0, "i-9").gone
+
+
+def test_a_silent_instance_is_lost_and_found_again() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    assert _pass(registry, 0.0, MISSED * PERIOD_S) == []
+    assert _pass(registry, MISSED * PERIOD_S, MISSED * PERIOD_S + 1) == ["instance/i-1"]
+    assert registry.instances["i-1"].state == LOST
+    back = registry.heartbeat(6.0, ONE, 2)
+    assert back is not None
+    assert registry.instances["i-1"].state == READY
+
+
+def test_an_instance_that_beats_elsewhere_is_not_lost_here() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    lost = []
+    for number in range(2, 10):
+        registry.heartbeat_s = PERIOD_S
+        registry.heard_elsewhere(float(number), Liveness((("i-1", number),)))
+        lost += _pass(registry, float(number), number + 1.0)
+    assert lost == []
+
+
+def test_who_stood_still_or_hears_nobody_accuses_nobody() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    assert registry.expire(20.0, True) == []            # it stood still for 20 s
+    assert registry.expire(20.25, True) == []
+    assert registry.expire(23.0, False) == []           # it is cut off from the others
+
+
+def test_an_instance_under_order_is_spared_until_its_stage_has_changed() -> None:
+    registry = _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    record = registry.switching(1.0, "i-1")
+    assert record is not None
+    assert registry.instances["i-1"].state == SWITCHING
+    assert registry.heartbeat(2.0, ONE, 2) is None      # it still tells of the old stage
+    done = registry.heartbeat(4.0, replace(ONE, stage="prefill"), 3)
+    assert done is not None
+    assert registry.instances["i-1"].state == READY
+
+
+def test_another_member_that_hears_of_the_order_spares_it_too() -> None:
+    registry, other = _registry(), _registry()
+    registry.heartbeat(0.0, ONE, 1)
+    record = registry.switching(1.0, "i-1")
+    assert record is not None
+    other.learn(1.0, record)
+    other.heartbeat(2.0, ONE, 2)
+    assert other.instances["i-1"].state == SWITCHING
+
+
+def _staged(prefill: int, decode: int, state: str = READY) -> list[Instance]:
+    stages = ["prefill"] * prefill + ["decode"] * decode
+    return [replace(ONE, identity=f"i-{number}", stage=stage, state=state) for number, stage in enumerate(stages)]
+
+
+def test_too_few_instances_that_make_tokens_are_given_another() -> None:
+    switch = wanted_switch(_staged(3, 1))
+    assert switch is not None
+    assert (switch.instance.stage, switch.stage) == ("prefill", "decode")
+    assert wanted_switch(_staged(3, 2)) is None
+    assert wanted_switch(_staged(4, 5)) is None
+
+
+def test_the_last_instance_of_a_stage_keeps_it() -> None:
+    assert wanted_switch(_staged(1, 0)) is None
+    assert wanted_switch(_staged(0, 1)) is None
+    back = wanted_switch(_staged(0, 4))
+    assert back is not None
+    assert back.stage == "prefill"
+
+
+def test_one_change_of_stage_at_a_time() -> None:
+    assert wanted_switch([*_staged(3, 1), replace(ONE, identity="i-8", state=SWITCHING)]) is None
