--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -5,20 +5,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
 from hophinge.coordination.agreement import Acceptor
 from hophinge.coordination.chain import Chain
 from hophinge.coordination.elections import Elections
+from hophinge.coordination.durable import apply_record
 from hophinge.coordination.messages import (
     NO_BALLOT,
     Accept,
     Accepted,
     Committed,
     Decided,
-    EntryRecord,
     Forward,
     Heartbeat,
     Prepare,
@@ -29,7 +29,6 @@
     StateRecord,
     Submit,
     Sync,
-    SyncedRecord,
     ViewRecord,
     VoteRecord,
 )
@@ -78,34 +77,14 @@
             Committed: self._committed,
         }
 
-    # --- durable state -------------------------------------------------------------------------------------------
-
-    def restore(self, records: list[Record | StateRecord]) -> None:
+    def restore(self, records: Sequence[Record | StateRecord]) -> None:
         """Take up what the disk held, before the first input."""
         for record in records:
-            self._restore(record)
+            apply_record(self, record)
         if self.view is not None:
             self.acceptor.begin(self.view.number + 1)
         self.chain.resume(self.view if self.view is not None and self.view.number else None)
 
-    def _restore(self, record: Record | StateRecord) -> None:
-        registers = self.chain.registers
-        match record:
-            case StateRecord():
-                self.view, self.acceptor.vote = record.view, record.vote
-                self.chain.synced = record.synced
-                registers.restore(record.snapshot)
-            case ViewRecord(view):
-                self.view = view
-            case VoteRecord():
-                self.acceptor.vote = record
-            case EntryRecord(entry):
-                registers.apply(entry)
-            case SyncedRecord(view=number, snapshot=snapshot):
-                self.chain.synced = number
-                if snapshot is not None:
-                    registers.restore(snapshot)
-
     def state(self) -> StateRecord:
         """Tell all that has to last."""
         return StateRecord(self.me.identity, self.view, self.acceptor.vote, self.chain.synced,
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -26,8 +26,8 @@
     return Wish(now, (name, 1), "s", set(), aim_s, now + aim_s)
 
 
-def _prompt(key: str, shared: int = 5_000, own: int = 500) -> Prompt:
-    return Prompt(shared + own, 50, ((key, shared), (f"own-{key}", own)))
+def _prompt(key: str, shared: int = 5_000, own: int = 500, name: str = "") -> Prompt:
+    return Prompt(shared + own, 50, ((key, shared), (f"own-{key}-{name}", own)))
 
 
 def _generation(placement: Placement, name: str, prompt: Prompt, aim_s: float = 10.0) -> Plan:
@@ -49,8 +49,8 @@
     placement = _placement(8, 1)
     for node in placement.pool("s", "decode").nodes.values():
         node.report = Report(node.instance.identity, 9, 60, 190_000, 200_000)
-    used = {_generation(placement, str(number), _prompt("key", 3_000, 3_000)).placed.node.instance.identity
-            for number in range(9)}
+    prompts = [_prompt("key", 3_000, 3_000, str(number)) for number in range(9)]
+    used = {_generation(placement, prompt.parts[1][0], prompt).placed.node.instance.identity for prompt in prompts}
     assert 1 < len(used) <= GROUP
 
 
