--- /dev/null
+++ b/hophinge/fleet/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Starts the command line."""
+
+from hophinge.fleet.cli.commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hophinge/fleet/cli/commands.py
@@ -0,0 +1,120 @@
+"""`python -m hophinge.fleet.cli`: check files before they are used, show what a member knows, start a program."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import httpcore
+
+from hophinge.fleet.configuration.document import check
+from hophinge.fleet.settings import SettingsError, read_settings
+
+FOUND, UNREACHABLE = 1, 2       # exit statuses: something is wrong with the file; the member does not answer
+SHOW_S = 2.0                    # for a member to answer
+FAILURES = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+def _findings(name: str, findings: list[str]) -> None:
+    for finding in findings:
+        print(f"{name}: {finding}")
+    if findings:
+        raise cappa.Exit(code=FOUND)
+    print(f"{name}: nothing found")
+
+
+@cappa.command(name="check-configuration", help="Check an operator's configuration file and tell all that is wrong.")
+@dataclass
+class CheckConfiguration:
+    """Check an operator's configuration file."""
+
+    file: Annotated[Path, cappa.Arg(help="the JSON document")]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            data = self.file.read_bytes()
+        except OSError as error:
+            _findings(str(self.file), [str(error.strerror)])
+            return
+        checked = check(data)
+        _findings(str(self.file), [str(finding) for finding in checked.error] if checked.is_error() else [])
+
+
+@cappa.command(name="check-settings", help="Check a process's settings file and tell all that is wrong.")
+@dataclass
+class CheckSettings:
+    """Check a process's settings file."""
+
+    file: Annotated[Path, cappa.Arg(help="the JSON file")]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            read_settings(str(self.file))
+        except SettingsError as error:
+            _findings(str(self.file), error.findings)
+            return
+        _findings(str(self.file), [])
+
+
+@cappa.command(name="show", help="Show how a member stands: view, chain, lag, leases, instances, digests.")
+@dataclass
+class Show:
+    """Show how a member stands."""
+
+    address: Annotated[str, cappa.Arg(help="a control member's control address, or a head's ready address")]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        timeout = {"connect": SHOW_S, "read": SHOW_S, "write": SHOW_S, "pool": SHOW_S}
+        try:
+            with httpcore.ConnectionPool() as pool:
+                response = pool.request("GET", f"http://{self.address}/v1/member", extensions={"timeout": timeout})
+        except FAILURES as error:
+            print(f"{self.address} does not answer: {type(error).__name__}", file=sys.stderr)
+            raise cappa.Exit(code=UNREACHABLE) from error
+        print(json.dumps(json.loads(response.content), indent=2))
+
+
+@cappa.command(name="data-plane", help="Start a head; its settings file stands in HOPHINGE_CONFIG.")
+@dataclass
+class DataPlane:
+    """Start a head."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        from hophinge.fleet.dataplane.program import serve
+        from hophinge.fleet.program import run
+
+        run(serve)
+
+
+@cappa.command(name="control-plane", help="Start a control member; its settings file stands in HOPHINGE_CONFIG.")
+@dataclass
+class ControlPlane:
+    """Start a control member."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        from hophinge.fleet.controlplane.program import serve
+        from hophinge.fleet.program import run
+
+        run(serve)
+
+
+@cappa.command(name="hophinge-fleet", help="The router fleet for split prefill and decode.")
+@dataclass
+class Fleet:
+    """The command line."""
+
+    command: cappa.Subcommands[CheckConfiguration | CheckSettings | Show | DataPlane | ControlPlane]
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run a command."""
+    cappa.invoke(Fleet, argv=arguments)
--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -14,11 +14,13 @@
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.controlplane.forms import Heartbeat
 from hophinge.fleet.controlplane.host import ReplicaHost
+from hophinge.fleet.controlplane.status import member_status
 from hophinge.fleet.registry.instance import Instance, Model
 from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
 
 CONFIGURATION_PATH = "/v1/config"
 INSTANCES_PATH = "/v1/instances/"
+MEMBER_PATH = "/v1/member"     # for operators: how this member stands
 MOST_BODY = 8 << 20         # above the operator's bound on a configuration
 MOST_HEARTBEAT = 64 << 10
 PATIENCE_S = 2.5            # for a change to come to its end, within the operator's bound on an acknowledgement
@@ -45,6 +47,9 @@
                 await self._put(scope, receive, send)
             elif path == CONFIGURATION_PATH and method == "GET":
                 await self._get(send)
+            elif path == MEMBER_PATH and method == "GET":
+                status = member_status(self.host.machine, self.directory, self.host.loop.time())
+                await answer(send, 200, json.dumps(status).encode(), (JSON_TYPE,))
             elif path.startswith(INSTANCES_PATH) and method == "PUT":
                 await self._beat(unquote(path[len(INSTANCES_PATH):]), receive, send)
             elif path.startswith(INSTANCES_PATH) and method == "DELETE":
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from random import Random
 
 from hophinge.fleet import log
@@ -29,6 +30,7 @@
 from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
 
 READY_PATH = "/v1/ready"
+MEMBER_PATH = "/v1/member"     # for operators: how this head stands
 MILLISECONDS = 1_000
 MARGIN_S = 0.03             # an answer leaves so long before the deadline
 COME_BACK = (b"retry-after", b"0.3")
@@ -65,10 +67,28 @@
             raise
 
     async def _ready(self, scope: Scope, send: Send) -> None:
+        if scope["path"] == MEMBER_PATH:
+            await answer(send, 200, json.dumps(self.status()).encode(), [(b"content-type", b"application/json")])
+            return
         known = scope["path"] == READY_PATH
         ready = known and self.knowledge.informed and not self.ending
         await answer(send, 200 if ready else 503 if known else 404)
 
+    def status(self) -> dict[str, object]:
+        """Tell how this head stands."""
+        knowledge, now = self.knowledge, self.loop.time()
+        table, renewal = knowledge.table, knowledge.renewal
+        return {
+            "program": "data-plane", "identity": knowledge.me.identity, "address": knowledge.me.address,
+            "ready": knowledge.informed and not self.ending, "ending": self.ending,
+            "configuration": table.version if table is not None else None,
+            "lease-holds": renewal.holds(now), "granter": renewal.home, "heads": renewal.holders,
+            "instances": {identity: {"service": node.instance.service, "stage": node.instance.stage,
+                                     "state": node.instance.state, "out": node.out, "rests": node.rests(now)}
+                          for identity, node in sorted(self.placement.nodes.items())},
+            "digest": [f"{mark:016x}" for mark in knowledge.dissemination.replicas.marks(now)],
+        }
+
     def budget(self, service: str) -> RetryBudget:
         """Tell this head's part of a service's retry budget."""
         budget = self.budgets.get(service)
