Fleet: emulated instances, and both programs as processes on loopback under kills, wipes, stops and drains

Change: an emulator of engines without sockets, a stand-in on loopback, a fleet of real processes; memory read for nothing is freed, memory never asked for is asked for elsewhere.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -56,7 +56,14 @@
         self.started = False        # an answer's head went to the client
 
     async def run(self) -> None:
-        """Go through attempts until the client has its answer."""
+        """Go through attempts until the client has its answer; memory read for nothing is freed."""
+        try:
+            await self._attempts()
+        finally:
+            for handle in self.life.leftover():
+                self.upstream.free(handle)
+
+    async def _attempts(self) -> None:
         while True:
             step = self.life.next(self.loop.time())
             if not isinstance(step, Read | Run):
@@ -109,10 +116,10 @@
             return Result(Ending.UNKNOWN)
         try:
             raw = json.loads(body)
-            handle = Handle(node.instance.address, str(raw["prefill-handle"]), int(raw.get("tokens", 0)))
+            name, tokens = str(raw["prefill-handle"]), int(raw.get("tokens", 0))
         except (ValueError, KeyError, TypeError):
             return Result(Ending.UNKNOWN)
-        return Result(Ending.READ, handle)
+        return Result(Ending.READ, Handle(node.instance.identity, node.instance.address, name, tokens))
 
     # --- the run -------------------------------------------------------------------------------------------------
 
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import httpcore
 
-from hophinge.fleet.forwarding.headers import Fields
+from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
+from hophinge.fleet.forwarding.results import Handle
 
 MOST_CONNECTIONS = 48       # of one data plane to one instance
 MOST_RESTING = 16
 RESTING_S = 30.0            # an instance that closes sooner is seen to have closed before a connection is used again
 CONNECT_S = 0.4             # for a connection to come up: some thousand times what the network takes
+FREE_S = 0.5                # for an instance to free memory
 UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
@@ -35,6 +38,7 @@
 
     def __init__(self) -> None:
         self.pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self.freeing: set[asyncio.Task[None]] = set()
 
     def _pool(self, identity: str) -> httpcore.AsyncConnectionPool:
         pool = self.pools.get(identity)
@@ -59,6 +63,20 @@
         finally:
             await response.aclose()
 
+    def free(self, handle: Handle) -> None:
+        """Free memory that was read for nothing; nobody waits for it, and it lapses by itself if this fails."""
+        task = asyncio.get_running_loop().create_task(self._free(handle))
+        self.freeing.add(task)
+        task.add_done_callback(self.freeing.discard)
+
+    async def _free(self, handle: Handle) -> None:
+        target = f"/v1/kv-handle/{handle.identity}".encode()
+        expected = [(EXPECTED_INSTANCE, handle.instance.encode()), (b"host", handle.address.encode())]
+        call = Call(handle.address, b"DELETE", target, expected, b"", FREE_S)
+        with contextlib.suppress(*FAILURES):
+            async with self.call(handle.instance, call) as response:
+                await response.aread()
+
     async def forget(self, identity: str) -> None:
         """Close the connections to an instance that has ended."""
         pool = self.pools.pop(identity, None)
--- /dev/null
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -0,0 +1,115 @@
+"""Sockets for emulated instances: a plain HTTP server on loopback, and heartbeats to the control members."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+import httpcore
+
+from hophinge.fleet.emulation.engine import Answered, Engine
+from hophinge.fleet.forwarding.headers import Fields
+
+HEARTBEAT_S = 0.4
+CALL_S = 1.0
+MOST_HEAD = 65_536
+FAILURES = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A request that was read from a socket."""
+
+    method: str
+    target: str
+    fields: Fields
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader) -> Taken | None:
+    """Read one request with a measured body; None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head[:-4].split(b"\r\n")
+    method, target, _ = first.split(b" ", 2)
+    fields = [(name, value.strip()) for name, _, value in (line.partition(b":") for line in lines)]
+    length = next((int(value) for name, value in fields if name.lower() == b"content-length"), 0)
+    return Taken(method.decode(), target.decode(), fields, await reader.readexactly(length))
+
+
+def write_answer(answer: Answered) -> bytes:
+    """Encode an answer; one that is cut promises more than it has."""
+    length = len(answer.body) + (9 if answer.cut else 0)
+    lines = [f"HTTP/1.1 {answer.status} -".encode(), b"Content-Length: %d" % length]
+    lines += [name + b": " + value for name, value in answer.fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + answer.body
+
+
+class StandIn:
+    """One emulated instance with its socket and its heartbeats."""
+
+    def __init__(self, engine: Engine, service: str, ip: str, zone: str, holders: dict[str, Engine]) -> None:
+        self.engine, self.service, self.ip, self.zone, self.holders = engine, service, ip, zone, holders
+        self.address = ""
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._serve, self.ip, 0, limit=MOST_HEAD)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{self.ip}:{port}"
+        self.holders[self.address] = self.engine
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            while (taken := await read_request(reader)) is not None:
+                answer = self._answer(taken)
+                if answer.status:
+                    writer.write(write_answer(answer))
+                    await writer.drain()
+                if answer.cut or not answer.status:
+                    break
+        writer.close()
+
+    def _answer(self, taken: Taken) -> Answered:
+        if taken.target == "/v1/report":
+            return Answered(200, [], self.engine.report())
+        if taken.method == "DELETE":
+            self.engine.free(taken.target.rsplit("/", 1)[1])
+            return Answered(200)
+        return self.engine.serve(taken.target, taken.fields, taken.body, self.holders)
+
+    async def beat(self, controls: list[str]) -> bool:
+        """Send a heartbeat to the first control member that answers; tells whether one acknowledged it."""
+        body = self.engine.registration(self.service, self.address, self.zone)
+        return await call_any(controls, "PUT", f"/v1/instances/{self.engine.identity}", body)
+
+    async def beat_on(self, controls: list[str]) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            await self.beat(controls)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+
+async def call_any(addresses: list[str], method: str, target: str, body: bytes) -> bool:
+    """Call members one after the other until one answers with success."""
+    timeout = {"connect": CALL_S, "read": CALL_S, "write": CALL_S, "pool": CALL_S}
+    async with httpcore.AsyncConnectionPool() as pool:
+        for address in addresses:
+            try:
+                response = await pool.request(method, f"http://{address}{target}", content=body,
+                                              headers=[(b"content-type", b"application/json")],
+                                              extensions={"timeout": timeout})
+            except FAILURES:
+                continue
+            if response.status == 200:
+                return True
+    return False
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -70,7 +70,9 @@
     reads: int = 0
     runs: int = 0
     possible_runs: int = 0      # attempts that may have run
-    handle: Handle | None = None
+    handle: Handle | None = None            # memory that was read and not yet asked for
+    asked_for: Handle | None = None         # memory that the attempt under way is to fetch
+    unused: list[Handle] = field(default_factory=list)      # memory read for nothing
     event_id: str | None = None
     avoid: set[str] = field(default_factory=set)
     tries: int = 0
@@ -125,8 +127,14 @@
         if self.runs:
             self.budget.spend(now)
         self.runs += 1
-        handle, self.handle = self.handle, None
-        return Run(plan.placed, plan.priority, handle, self.event_id)
+        self.asked_for, self.handle = self.handle, None
+        return Run(plan.placed, plan.priority, self.asked_for, self.event_id)
+
+    def leftover(self) -> list[Handle]:
+        """Tell the memory that was read and that nobody takes any more: it is to be freed."""
+        handles = [*self.unused, *([self.handle] if self.handle is not None else [])]
+        self.unused, self.handle = [], None
+        return handles
 
     def streaming(self, now: float, placed: Placed) -> None:
         """The first event of an answer has come: the instance has read, and makes tokens from now on."""
@@ -149,6 +157,12 @@
 
     def _failed(self, now: float, node: Node, pool: Pool, ending: Ending) -> None:
         self.avoid.add(node.instance.identity)
+        if self.asked_for is not None and pool.stage != PREFILL:
+            if ending is Ending.UNSENT:
+                self.handle = self.asked_for
+            elif ending in (Ending.REFUSED, Ending.MISPLACED):
+                self.unused.append(self.asked_for)
+            self.asked_for = None
         if ending in (Ending.UNSENT, Ending.UNKNOWN, Ending.MISPLACED):
             node.failed(now)
         if pool.stage != PREFILL and ending in (Ending.UNKNOWN, Ending.BROKEN):
--- a/hophinge/fleet/forwarding/results.py
+++ b/hophinge/fleet/forwarding/results.py
@@ -25,6 +25,7 @@
 class Handle:
     """Memory of a prompt that was read: where it is, and under which name."""
 
+    instance: str
     address: str
     identity: str
     tokens: int
--- a/tests/test_fleet_life.py
+++ b/tests/test_fleet_life.py
@@ -52,7 +52,7 @@
 
 
 def _handle(step: Read) -> Result:
-    return Result(Ending.READ, Handle(step.placed.node.instance.address, "h1", 1_000))
+    return Result(Ending.READ, Handle("i-0", step.placed.node.instance.address, "h1", 1_000))
 
 
 def test_an_unsafe_request_that_may_have_run_is_not_sent_again_and_gets_no_promise() -> None:
@@ -108,6 +108,18 @@
     assert isinstance(life.next(0.2), Read | Run)
 
 
+def test_memory_that_nobody_takes_is_left_over_once() -> None:
+    life = _life(STREAM, _placement(2, 2), PROMPT)
+    step = _read(life)
+    life.ended(0.1, step.placed, _handle(step))
+    run = _run(life, 0.1)
+    life.ended(0.2, run.placed, Result(Ending.UNSENT))
+    assert _run(life, 0.2).handle == run.handle         # never asked for: it is still there
+    life.ended(0.3, run.placed, Result(Ending.REFUSED))
+    assert life.leftover() == [run.handle]
+    assert life.leftover() == []
+
+
 def test_a_prompt_that_was_only_read_has_not_run() -> None:
     life = _life(FIXED, _placement(1, 1), PROMPT, slack=0.0)
     life.ended(0.1, _read(life).placed, Result(Ending.UNKNOWN))
--- /dev/null
+++ b/tests/test_fleet_together.py
@@ -0,0 +1,178 @@
+"""Both programs as real processes on loopback: configurations pushed, members killed, stopped and wiped."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections import Counter
+from pathlib import Path
+
+from hophinge.fleet.emulation.engine import Fault
+from hophinge.fleet.emulation.fleet import LoopbackFleet, Reply, document
+from hophinge.fleet.emulation.stand_in import call_any
+from hophinge.load.rig.waiting import Condition, until
+
+BOUND_S = 30.0
+MACHINES = 3
+ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
+PROMPT = ((b"Hophinge-Model", b"m"), (b"Hophinge-Token-Usage", b"900,80"),
+          (b"Hophinge-Prompt-Prefix", b"aa:700,bb:200"))
+INSTANCES = (("p1", "models", "prefill"), ("p2", "models", "prefill"), ("d1", "models", "decode"),
+             ("d2", "models", "decode"), ("s1", "plain", ""), ("s2", "plain", ""))
+
+
+async def _begin(fleet: LoopbackFleet) -> None:
+    await fleet.start()
+    for identity, service, stage in INSTANCES:
+        await fleet.instance(identity, service, stage)
+    await until([_taken(fleet, 0, document(1, ROUTES), 0)], BOUND_S)
+    await until([fleet.ready(number, 1, len(INSTANCES)) for number in range(MACHINES)], BOUND_S)
+
+
+def _taken(fleet: LoopbackFleet, number: int, data: bytes, base: int) -> Condition:
+    async def look() -> tuple[bool, str]:
+        status = await fleet.configure(number, data, base)
+        return status == 200, f"answered {status}"
+
+    return Condition(fleet.control(number), "takes a configuration", look)
+
+
+def _runs(fleet: LoopbackFleet) -> Counter[str]:
+    return Counter(run.request for engine in fleet.holders.values() for run in engine.runs)
+
+
+def _streamed(reply: Reply) -> bool:
+    ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
+    return reply.status == 200 and reply.whole and ids == [f"id: {number}" for number in range(1, 5)]
+
+
+def test_a_calm_fleet_serves_both_kinds_and_each_request_runs_once(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            for number in range(9):
+                head = number % MACHINES
+                assert _streamed(await fleet.request(head, "/m/q", f"m{number}", *PROMPT))
+                reply = await fleet.request(head, "/p/q?a=1", f"p{number}", body=b"body %d" % number)
+                assert reply.status == 200
+                assert reply.body.endswith(f"p{number}".encode())
+            assert (await fleet.request(0, "/none/", "n")).status == 404
+            runs = _runs(fleet)
+            assert len(runs) == 18
+            assert set(runs.values()) == {1}
+            bodies = {run.body for engine in fleet.holders.values() for run in engine.runs if run.target == "/p/q?a=1"}
+            assert bodies == {b"body %d" % number for number in range(9)}
+            assert any(run.handle for engine in fleet.holders.values() for run in engine.runs)
+
+    asyncio.run(run())
+
+
+def test_what_fails_at_an_instance_goes_elsewhere_or_is_told_truly(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            engines = {engine.identity: engine for engine in fleet.holders.values()}
+            engines["s1"].faults.add(Fault.FULL)
+            for number in range(6):
+                assert (await fleet.request(0, "/p/q", f"full{number}")).status == 200
+            engines["s1"].faults = {Fault.RESET}
+            engines["s2"].faults = {Fault.RESET}
+            assert (await fleet.request(1, "/p/q", "reset")).status == 502       # it may have run: no promise
+            assert _runs(fleet)["reset"] == 1
+            engines["s1"].faults = {Fault.FULL}
+            engines["s2"].faults = {Fault.FULL}
+            refused = await fleet.request(2, "/p/q", "refused")
+            assert refused.status == 503
+            assert any(name.lower() == b"retry-after" for name, _ in refused.fields)
+            assert _runs(fleet)["refused"] == 0
+            engines["d1"].faults.add(Fault.CUT)
+            replies = [await fleet.request(0, "/m/q", f"cut{number}", *PROMPT) for number in range(4)]
+            assert all(_streamed(reply) for reply in replies), "a resumable stream goes on after its newest event"
+            engines["d2"].faults.add(Fault.NO_MEMORY)
+            engines["d1"].faults = {Fault.NO_MEMORY}
+            engines["p1"].faults = engines["p2"].faults = set()
+            reply = await fleet.request(0, "/m/q", "memory", *PROMPT)
+            assert _streamed(reply) or reply.status == 503
+
+    asyncio.run(run())
+
+
+def test_a_configuration_is_kept_and_spread_while_control_members_are_killed_and_wiped(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            version = 1
+            for number in range(MACHINES):
+                await fleet.control(number).kill()
+                alive = (number + 1) % MACHINES
+                routes = (*ROUTES, *((f"/v{one}/", "unsafe", "plain") for one in range(version)))
+                data = document(version + 1, routes)
+                await until([_taken(fleet, alive, data, version)], BOUND_S)
+                version += 1
+                await until([fleet.ready(one, version, len(INSTANCES)) for one in range(MACHINES)], BOUND_S)
+                shutil.rmtree(fleet.data_folder(number))
+                await fleet.processes.start(f"control-{number}")
+                await until([fleet.serving(one, version) for one in range(MACHINES)], BOUND_S)
+                assert await fleet.configure(number, data, version - 1) == 200, "sent again, it is acknowledged again"
+                assert await fleet.configure(alive, document(version + 5, ROUTES), version - 1) == 412
+                assert await fleet.configure(alive, document(version, ROUTES), version) == 400
+            await fleet.processes.kill(*(f"control-{number}" for number in range(MACHINES)))
+            await fleet.processes.start(*(f"control-{number}" for number in range(MACHINES)))
+            await until([fleet.serving(one, version) for one in range(MACHINES)], BOUND_S)
+            assert (await fleet.request(0, "/v0/q", "after")).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_control_member_that_stood_still_comes_back_without_harm(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            await fleet.control(0).stop()
+            await until([_taken(fleet, 1, document(2, ROUTES), 1)], BOUND_S)
+            await until([fleet.ready(one, 2, len(INSTANCES)) for one in range(MACHINES)], BOUND_S)
+            fleet.control(0).wake()
+            await until([fleet.serving(one, 2) for one in range(MACHINES)], BOUND_S)
+            assert await fleet.configure(0, document(3, ROUTES), 2) == 200
+
+    asyncio.run(run())
+
+
+def test_after_a_drain_is_acknowledged_no_head_sends_there(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            leaving = fleet.stand_ins["s1"]
+            fleet.tasks.pop("s1").cancel()
+            leaving.engine.state = "draining"
+            assert await leaving.beat(fleet.controls)
+            await until([_draining(fleet, number, "s1") for number in range(MACHINES)], BOUND_S)
+            leaving.engine.runs.clear()
+            for number in range(12):
+                assert (await fleet.request(number % MACHINES, "/p/q", f"d{number}")).status == 200
+            assert not leaving.engine.runs
+            assert await call_any(fleet.controls, "DELETE", "/v1/instances/s1", b"")
+            await until([fleet.ready(one, 1, len(INSTANCES) - 1) for one in range(MACHINES)], BOUND_S)
+
+    asyncio.run(run())
+
+
+def _draining(fleet: LoopbackFleet, number: int, identity: str) -> Condition:
+    async def look() -> tuple[bool, str]:
+        reply = await fleet.call(fleet.address(number, 1), "GET", "/v1/member", b"", [(b"Host", b"c")])
+        return f'"{identity}": {{"service": "plain", "stage": "", "state": "draining"'.encode() in reply.body, ""
+
+    return Condition(fleet.head(number), f"knows that {identity} drains", look)
+
+
+def test_a_head_that_is_told_to_end_finishes_its_requests(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await _begin(fleet)
+            ending = asyncio.create_task(fleet.head(0).end())
+            replies = [await fleet.request(0, "/m/q", f"e{number}", *PROMPT) for number in range(5)]
+            assert all(_streamed(reply) for reply in replies)
+            assert all((b"connection", b"close") in reply.fields for reply in replies[1:])
+            assert await ending == 0
+
+    asyncio.run(run())
