--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -25,9 +25,10 @@
     """One data plane's view of the fleet."""
 
     def __init__(self, settings: Settings, send: Callable[[str, object], None], watcher: Watcher,
-                 configured: Callable[[RouteTable], None]) -> None:
+                 configured: Callable[[RouteTable], None], first_granted: Callable[[], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings, self.send, self.watcher, self.configured = settings, send, watcher, configured
+        self.first_granted = first_granted
         identity = secrets.token_hex(8)
         self.me = Replica(identity, settings.data_internal, settings.zone)
         self.holder = Holder(identity, settings.name, settings.data_internal, settings.zone)
@@ -54,10 +55,11 @@
                 self._let_go(self.dissemination.handle(now, source, message))
 
     def _granted(self, now: float, source: str, grant: Grant) -> None:
-        if self.first_grant is None:
-            self.first_grant = now
         self.renewal.granted(now, source, grant)
         self.dissemination.neighbours = grant.neighbours
+        if self.first_grant is None:
+            self.first_grant = now
+            self.first_granted()
 
     def _let_go(self, spread: Spread) -> None:
         for address, message in spread.messages:
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -9,7 +9,7 @@
 from hophinge.fleet.dataplane.front import Front
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
-from hophinge.fleet.placement.hints import Hints, Reports
+from hophinge.fleet.placement.hints import Hints, Reports, WantHints
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.registry.instance import Instance
@@ -37,7 +37,8 @@
         self.tasks = Tasks(self.signals.ending)
         self.placement = Placement(settings.zone, self._ended)
         self.upstream = Upstream()
-        self.knowledge = Knowledge(settings, self._send, self._instance, self._configured)
+        self.knowledge = Knowledge(settings, self._send, self._instance, self._configured,
+                                   self._granted)
         self.links = Links(self.knowledge.me, DATA, self._received, log.note)
         self.front = Front(settings, self.knowledge, self.placement, self.upstream)
         self.server = HttpServer(self.front)
@@ -48,6 +49,8 @@
     def _received(self, hello: Hello, message: object) -> None:
         if isinstance(message, Hints):
             self.placement.hinted(asyncio.get_running_loop().time(), message)
+        elif isinstance(message, WantHints):
+            self._send(hello.sender.address, self.placement.kept())
         elif isinstance(message, Reports):
             self.placement.reported(asyncio.get_running_loop().time(), message)
         else:
@@ -64,6 +67,12 @@
         engines = {name: service.engine for name, service in table.services.items()}
         self.placement.configured({name: engine.memory_tokens for name, engine in engines.items() if engine})
 
+    def _granted(self) -> None:
+        """With the first lease, ask another head what is kept where."""
+        neighbours = self.knowledge.dissemination.neighbours
+        if neighbours:
+            self._send(neighbours[0], WantHints())
+
     async def _hint(self) -> None:
         """Tell what was placed here, in small batches, to the control member at which the lease is held."""
         while True:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -100,7 +100,7 @@
             return self.placement.plain(wish, DECODE if self.staged else PLAIN)
         if self.handle is None and self.reads < MOST_READS:
             return self.placement.generation(wish, self.prompt)
-        return self.placement.decode(wish, self.prompt)
+        return self.placement.decode(wish, self.prompt, self.handle.instance if self.handle is not None else "")
 
     def _may_run_again(self) -> bool:
         """A request that may have run goes on only where that is harmless, and the route allows another instance."""
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -31,6 +31,12 @@
     hints: tuple[Hint, ...]
 
 
+@wire(84)
+@dataclass(frozen=True, slots=True)
+class WantHints:
+    """A head that has just started asks another what is kept where."""
+
+
 @wire(82)
 @dataclass(frozen=True, slots=True)
 class Report:
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -19,14 +19,10 @@
 from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
 from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
 from hophinge.fleet.placement.prompt import Prompt
+from hophinge.fleet.placement.weighing import Choice, Weighing
 from hophinge.fleet.registry.instance import Instance
 
 LEAST_TOKENS = 64           # charged for a request with nothing to read
-MOVE_US = 15_000.0          # from the end of reading to the first token elsewhere, beside the units
-FAR_US = 10_000.0           # more of it between zones
-SHARE_OF_OTHERS = 0.3       # weight of an instance's time, which others wait for, beside one's own time
-SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
-AGAIN_US = 20.0             # weight of each token that is read again though another instance keeps it
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
 SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 
@@ -43,16 +39,6 @@
     aim_at: float               # when its answer is due
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """The best offer of those weighed."""
-
-    pool: Pool
-    offer: Offer
-    reads: bool
-    done_us: float              # when the first token should come
-
-
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Where the next attempt of a request goes."""
@@ -127,24 +113,49 @@
                 pool = self.pool(node.instance.service, node.instance.stage)
                 node.reported(now * MICROSECONDS, report, pool.mean_us(node))
 
+    def kept(self) -> Hints:
+        """Tell all prompt parts believed to be kept, for a head that has just started."""
+        return Hints(tuple(Hint(identity, 0, tuple(node.cache.parts.items()), False, 0)
+                           for identity, node in self.nodes.items() if node.cache.parts))
+
     # --- choice --------------------------------------------------------------------------------------------------
 
     def plain(self, wish: Wish, stage: str) -> Plan | None:
         """Place a request without a prompt: each counts one unit."""
         pool = self.pool(wish.service, stage)
         units = 1.0 if stage == PLAIN else float(LEAST_TOKENS)
-        return self._timely(wish, lambda late: self._best(
-            pool, self._offers(pool, wish, wish.name[0], lambda node: units, late)), None)
+
+        def choose(late: bool) -> Choice | None:
+            offers = self._offers(pool, wish, wish.name[0], lambda node: units, late)
+            best = min(offers, key=lambda offer: offer.done_us, default=None)
+            return Choice(pool, best, False, best.done_us) if best is not None else None
+
+        return self._timely(wish, choose, None)
 
     def generation(self, wish: Wish, prompt: Prompt) -> Plan | None:
         """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
-        return self._timely(wish, lambda late: self._apart_or_whole(wish, prompt, late), prompt)
+        prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
+        weighing = Weighing(prompt, self.zone, prefill, decode)
+
+        def units(node: Node) -> float:
+            return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
+
+        def choose(late: bool) -> Choice | None:
+            reading = self._offers(prefill, wish, prompt.key, units, late)
+            return weighing.choose(reading, self._offers(decode, wish, prompt.key, units, late))
+
+        return self._timely(wish, choose, prompt)
+
+    def decode(self, wish: Wish, prompt: Prompt, reader: str) -> Plan | None:
+        """Place a request whose prompt was read at an instance: it is charged for what moving it takes."""
+        decode = self.pool(wish.service, DECODE)
+        weighing = Weighing(prompt, self.zone, self.pool(wish.service, PREFILL), decode)
 
-    def decode(self, wish: Wish, prompt: Prompt) -> Plan | None:
-        """Place a request whose prompt was read: it is charged for what moving it takes."""
-        pool = self.pool(wish.service, DECODE)
-        return self._timely(wish, lambda late: self._best(
-            pool, self._offers(pool, wish, prompt.key, lambda node: float(LEAST_TOKENS), late), prompt), prompt)
+        def choose(late: bool) -> Choice | None:
+            offers = self._offers(decode, wish, prompt.key, lambda node: float(LEAST_TOKENS), late)
+            return weighing.choose_maker(self.nodes.get(reader), offers)
+
+        return self._timely(wish, choose, prompt)
 
     def _timely(self, wish: Wish, choose: Callable[[bool], Choice | None], prompt: Prompt | None) -> Plan | None:
         """Choose as if the request could be in time; where it can't, choose anew behind all that is late as well."""
@@ -154,36 +165,6 @@
             choice = choose(True)
         return self._reserve(choice, wish, prompt, late) if choice is not None else None
 
-    def _best(self, pool: Pool, offers: list[Offer], prompt: Prompt | None = None) -> Choice | None:
-        def done(offer: Offer) -> float:
-            return offer.done_us + (_crowding(offer, prompt) if prompt is not None else 0.0)
-
-        best = min(offers, key=done, default=None)
-        return Choice(pool, best, False, done(best)) if best is not None else None
-
-    def _apart_or_whole(self, wish: Wish, prompt: Prompt, late: bool) -> Choice | None:
-        """Weigh reading at a prefill instance against reading where the tokens are made."""
-        def units(node: Node) -> float:
-            return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
-
-        def cost(offer: Offer) -> float:
-            return _cost(offer) + AGAIN_US * max(0, kept - offer.node.cache.cached(prompt))
-
-        prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
-        kept = min(prompt.shared_tokens, max((node.cache.cached(prompt) for pool in (prefill, decode)
-                                              for node in pool.nodes.values() if node.serving), default=0))
-        reading = self._offers(prefill, wish, prompt.key, units, late)
-        making = self._offers(decode, wish, prompt.key, units, late)
-        apart = min(reading, key=cost, default=None)
-        whole = min(making, key=lambda offer: cost(offer) + _crowding(offer, prompt), default=None)
-        if whole is None:
-            return None
-        crowding = min(_crowding(offer, prompt) for offer in making)
-        at_once = cost(whole) + _crowding(whole, prompt)
-        if apart is not None and cost(apart) + self._move_us(apart) + crowding < at_once:
-            return Choice(prefill, apart, True, apart.done_us + self._move_us(apart))
-        return Choice(decode, whole, False, whole.done_us + _crowding(whole, prompt))
-
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
                 late: bool) -> list[Offer]:
         """Ask the members of a key's group that have room; where no instance has, any that is not full."""
@@ -192,9 +173,6 @@
             nodes = pool.group(wish.now, key, wish.avoid, lambda node: node.out < CEILING)
         return pool.offers(wish.now, nodes, units, late)
 
-    def _move_us(self, offer: Offer) -> float:
-        return MOVE_US + (FAR_US if offer.node.instance.zone != self.zone else 0.0)
-
     def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None, late: bool) -> Plan:
         """Book an offer, and have the other heads told of it. What is late waits behind all else."""
         offer = choice.offer
@@ -205,12 +183,3 @@
         self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, late, memory))
         priority = LATE_PRIORITY if late else bisect_right(SHORT_US, offer.spent_us)
         return Plan(choice.pool.reserve(wish.now, offer, wish.name), choice.reads, priority)
-
-
-def _cost(offer: Offer) -> float:
-    """Tell what an offer costs: the time until it is done, and some of the time that others wait for it."""
-    return offer.done_us + (SHARE_OF_OTHERS + SHARE_OF_STREAMS * offer.node.running()) * offer.spent_us
-
-
-def _crowding(offer: Offer, prompt: Prompt) -> float:
-    return offer.node.crowding_us(prompt.tokens_in + prompt.tokens_out)
