--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -14,7 +14,7 @@
 from hophinge.coordination.peers import SUSPECT_S
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
-from hophinge.fleet.placement.hints import Hints, Reports
+from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.settings import Settings
@@ -122,17 +122,17 @@
                 self._held(token, source)
             case Leases(holders=holders):
                 self.leases.merge(now, holders)
-            case Hints() | Reports():
+            case Hints() | Reports() | Suspects():
                 self._relay(source, message)
             case Liveness():
                 self.registry.heard_elsewhere(now, message)
 
-    def tell_heads(self, reports: Reports) -> None:
+    def tell_heads(self, reports: Reports | Suspects) -> None:
         """Tell the heads here what engines told, and the others over the other control members."""
         for address in [*(holder.address for holder in self.leases.own()), *self.controls()]:
             self.send(address, reports)
 
-    def _relay(self, source: str, hints: Hints | Reports) -> None:
+    def _relay(self, source: str, hints: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
         own = {holder.address for holder in self.leases.own()}
         targets = own - {source}
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -9,7 +9,7 @@
 from hophinge.fleet.dataplane.front import Front
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
-from hophinge.fleet.placement.hints import Hints, Reports, WantHints
+from hophinge.fleet.placement.hints import Hints, Reports, Suspects, WantHints
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.registry.instance import Instance
@@ -51,6 +51,8 @@
             self.placement.hinted(asyncio.get_running_loop().time(), message)
         elif isinstance(message, WantHints):
             self._send(hello.sender.address, self.placement.kept())
+        elif isinstance(message, Suspects):
+            self.placement.suspected(asyncio.get_running_loop().time(), message)
         elif isinstance(message, Reports):
             self.placement.reported(asyncio.get_running_loop().time(), message)
         else:
@@ -77,10 +79,10 @@
         """Tell what was placed here, in small batches, to the control member at which the lease is held."""
         while True:
             await asyncio.sleep(HINT_S)
-            hints = self.placement.told()
             granter = self.knowledge.renewal.home
-            if hints is not None and granter is not None:
-                self.links.send(granter, hints)
+            for message in (self.placement.told(), self.placement.told_suspects()):
+                if message is not None and granter is not None:
+                    self.links.send(granter, message)
 
     async def run(self) -> None:
         """Serve until told to end."""
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -164,7 +164,7 @@
                 self.unused.append(self.asked_for)
             self.asked_for = None
         if ending in (Ending.UNSENT, Ending.UNKNOWN, Ending.MISPLACED):
-            node.failed(now)
+            self.placement.failed(node, now)
         if pool.stage != PREFILL and ending in (Ending.UNKNOWN, Ending.BROKEN):
             self.ran = True
             self.possible_runs += 1
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -31,6 +31,14 @@
     hints: tuple[Hint, ...]
 
 
+@wire(85)
+@dataclass(frozen=True, slots=True)
+class Suspects:
+    """Instances that did not answer in time."""
+
+    instances: tuple[str, ...]
+
+
 @wire(84)
 @dataclass(frozen=True, slots=True)
 class WantHints:
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -13,6 +13,8 @@
 MICROSECONDS = 1_000_000
 REST_S = 0.15               # rest of an instance after a failure; doubles while it goes on failing
 LONGEST_REST_S = 2.4
+SUSPECTED_S = 0.7           # rest of an instance that did not answer another member
+HEARD_S = 0.3               # an instance heard here so lately is not suspected
 ROOMY = 0.6                 # part of its memory up to which an instance admits requests without a wait
 FILLED_US = 3_000_000.0     # what a request waits at an instance that is full beyond that by all of its memory
 WAITING_US = 40_000.0       # what each request that waits there already adds
@@ -59,6 +61,7 @@
         self.unit_us: float | None = None       # learned time per unit
         self.failures = 0
         self.rest_until = 0.0
+        self.answered_at = float("-inf")
         self.report: Report | None = None
         self.sent_since = 0             # tokens of memory that requests placed since that report hold
 
@@ -116,7 +119,13 @@
         self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** self.failures)
         self.failures += 1
 
-    def answered(self) -> None:
+    def suspected(self, now: float) -> None:
+        """Another member had no answer in time; what was heard here lately says more."""
+        if now - self.answered_at > HEARD_S:
+            self.rest_until = max(self.rest_until, now + SUSPECTED_S)
+
+    def answered(self, now: float) -> None:
         """An attempt was served here."""
         self.failures = 0
         self.rest_until = 0.0
+        self.answered_at = now
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from hophinge.fleet.placement.hints import Hint, Hints, Reports
+from hophinge.fleet.placement.hints import Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
 from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
@@ -23,6 +23,7 @@
 from hophinge.fleet.registry.instance import Instance
 
 LEAST_TOKENS = 64           # charged for a request with nothing to read
+SILENT_S = 0.6              # without an answer, before a failed attempt speaks against an instance that answered
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
 SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 
@@ -57,6 +58,7 @@
         self.nodes: dict[str, Node] = {}
         self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
         self.untold: list[Hint] = []
+        self.suspects: set[str] = set()
 
     # --- instances -----------------------------------------------------------------------------------------------
 
@@ -105,6 +107,24 @@
                 node.cache.remember(hint.parts)
                 node.sent_since += hint.memory
 
+    def failed(self, node: Node, now: float) -> None:
+        """An attempt failed at an instance; where nothing was heard of it for a while, the other heads are told."""
+        if now - node.answered_at > SILENT_S:
+            node.failed(now)
+            self.suspects.add(node.instance.identity)
+
+    def told_suspects(self) -> Suspects | None:
+        """Tell the instances that failed here since the last call."""
+        suspects, self.suspects = tuple(self.suspects), set()
+        return Suspects(suspects) if suspects else None
+
+    def suspected(self, now: float, suspects: Suspects) -> None:
+        """Take what failed at others."""
+        for identity in suspects.instances:
+            node = self.nodes.get(identity)
+            if node is not None:
+                node.suspected(now)
+
     def reported(self, now: float, reports: Reports) -> None:
         """Take what engines told of themselves."""
         for report in reports.reports:
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -151,7 +151,7 @@
     slot = book.drop(placed.name, now_us)
     placed.pool.taught(placed.node, slot.units, now_us - slot.sent)
     book.heard = now_us
-    placed.node.answered()
+    placed.node.answered(now)
     if streaming:
         placed.streaming = True
         placed.node.streams += 1
