--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -15,6 +15,7 @@
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
+from hophinge.fleet.placement.stages import StageLoads
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.settings import Settings
@@ -63,6 +64,7 @@
         self.dissemination = Dissemination(self.random)
         self.registry = Registry(settings.heartbeat_s, self.loop.time())
         self.leases = LeaseTable()
+        self.loads = StageLoads()
         self.holdings: dict[int, Holding] = {}
         self.tokens = itertools.count(1)
         self.safe: set[str] = set()         # instances whose leaving enough control members hold
@@ -129,11 +131,15 @@
 
     def tell_heads(self, reports: Reports | Suspects) -> None:
         """Tell the heads here what engines told, and the others over the other control members."""
+        if isinstance(reports, Reports):
+            self.loads.take(reports)
         for address in [*(holder.address for holder in self.leases.own()), *self.controls()]:
             self.send(address, reports)
 
     def _relay(self, source: str, hints: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
+        if isinstance(hints, Reports):
+            self.loads.take(hints)
         own = {holder.address for holder in self.leases.own()}
         targets = own - {source}
         if source in own:
--- a/hophinge/fleet/controlplane/keeper.py
+++ b/hophinge/fleet/controlplane/keeper.py
@@ -18,8 +18,8 @@
 from hophinge.fleet.placement.stages import Switch, wanted_switch
 
 TICK_S = 0.5
-STEADY_S = 2.0              # for which a change is wanted before it is ordered: instances come and go in between
-AGAIN_S = 3.0               # between two orders
+STEADY_S = 1.2              # for which a change is wanted before it is ordered: instances come and go in between
+AGAIN_S = 5.0               # between two orders: the effect of the last one has to show
 CONFIRM_S = 0.3             # for the chain to confirm the ownership, right before an order
 ORDER_S = 0.5               # for an instance to answer an order
 TAKEN = (200, 202)
@@ -34,6 +34,7 @@
         self.machine, self.directory, self.request = machine, directory, request
         self.loop = asyncio.get_running_loop()
         self.role = Role("stages", machine.me.identity, lease_s)
+        self.loads = directory.loads
         self.wanted: Switch | None = None
         self.wanted_since = 0.0
         self.ordered_at = float("-inf")
@@ -66,7 +67,9 @@
             if answer.outcome is Outcome.TAKEN:
                 log.note(f"owner of the stages, token {claim.version}")
             return
-        switch = wanted_switch(self.directory.registry.instances.values())
+        instances = self.directory.registry.instances
+        self.loads.keep(instances.keys())
+        switch = wanted_switch(instances.values(), self.loads)
         if switch != self.wanted:
             self.wanted, self.wanted_since = switch, now
         due = now - self.wanted_since >= STEADY_S and now - self.ordered_at >= AGAIN_S
