--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from hophinge.fleet.transport import lean  # isort: skip  # noqa: F401 - before the HTTP libraries
+
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.dataplane.front import Front
