Fleet: lost instances and old ends are dropped in time; slopes and their sizes stand in the emulation package

Cause: the registry kept every instance that ever crashed, and every end; a lazy look for sniffio failed under a stricter warning filter. Change: a lost instance is dropped after 600 s and its next heartbeat still brings it back; ends are remembered as long.

--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -245,3 +245,6 @@
             self.compared = now
             self.send(self.random.choice(others), self.dissemination.digest(now))
             self.dissemination.replicas.tidy(now)
+            for record in self.registry.forget(now):
+                self._tell(record)
+            self.safe &= self.registry.ended.keys() | self.registry.instances.keys()
--- /dev/null
+++ b/hophinge/fleet/emulation/sizes.py
@@ -0,0 +1,59 @@
+"""Parts of a fleet of any size, for measurements of bytes, time and memory."""
+
+from __future__ import annotations
+
+import json
+
+from hophinge.coordination.dissemination import Replicas
+from hophinge.coordination.leases import Holder
+from hophinge.fleet.placement.hints import Hint
+from hophinge.fleet.placement.placement import Placement
+from hophinge.fleet.registry.instance import READY, Instance, Model, record_of
+
+
+def instance(number: int) -> Instance:
+    """Make an instance."""
+    stage = "prefill" if number % 4 == 0 else "decode"
+    return Instance(f"i-{number:010x}", f"service{number % 22}", f"10.{number % 8}.{number // 250}.{number % 250}:8080",
+                    f"zone-{number % 19}", "v1", 64, READY, stage, (Model("m", 1),))
+
+
+def replicas(count: int) -> Replicas:
+    """Hold the records of instances."""
+    held = Replicas()
+    for number in range(count):
+        held.offer(0.0, record_of(instance(number), 1))
+    return held
+
+
+def document(routes: int) -> bytes:
+    """Write a configuration of routes."""
+    rows = [{"name": f"r-{number:07x}", "host": f"host{number % 50}.example", "path-prefix": f"/t{number:06x}/",
+             "route-type": "streaming", "timeout-ms": 8000, "target-latency-ms": 720, "priority": 1,
+             "service": f"service{number % 22}", "max-attempts": 2, "session-affinity": True, "resumable": True,
+             "gap_aim_ms": 58} for number in range(routes)]
+    services = [{"name": f"service{number}", "max-connections": 390,
+                 "engine": {"slots": 64, "kv-cache-tokens": 441937, "handle-ttl-s": 5.0}} for number in range(22)]
+    return json.dumps({"version": 7, "routes": rows, "services": services}).encode()
+
+
+def holder(number: int) -> Holder:
+    """Make a lease's holder."""
+    address = f"10.1.{number // 250}.{number % 250}:7661"
+    return Holder(f"{number:016x}", f"edge-zone-{number % 19}-{number}", address, f"zone-{number % 19}")
+
+
+def hint(number: int) -> Hint:
+    """Make a hint."""
+    parts = ((f"{number:08x}", 2520), (f"{number + 1:08x}", 3780), (f"{number + 2:08x}", 2890))
+    return Hint(f"i-{number % 1700:010x}", 2890, parts, False, 9300)
+
+
+def placement(count: int) -> Placement:
+    """Make books of instances of one service."""
+    made = Placement("zone-1", lambda identity: None)
+    for number in range(count):
+        one = instance(number * 22)
+        made.instance(one.identity, one)
+    made.configured({"service0": 441_937})
+    return made
--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from hophinge.fleet.transport import lean  # isort: skip  # noqa: F401 - before the HTTP libraries
+
 import asyncio
 import contextlib
 from dataclasses import dataclass
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from hophinge.coordination.codec import wire
@@ -15,6 +14,8 @@
 
 MISSED = 4.0                # heartbeats that are missed before an instance is taken for lost
 SWITCH_S = 12.0             # an instance ordered to change its stage is spared for so long at most
+FORGET_S = 600.0            # silence after which a lost instance is dropped; its next heartbeat still brings it back
+REMEMBER_S = 600.0          # how long an instance that has unregistered is remembered as ended
 ENDED = 1 << 62             # the sequence of an instance that has unregistered: above any heartbeat
 
 
@@ -106,7 +107,8 @@
         identity = record.key.removeprefix(INSTANCE_PREFIX)
         instance = instance_of(record)
         if instance is None:
-            self.ended[identity] = now
+            if record.stamp[0] == ENDED:
+                self.ended[identity] = now
             self._drop(identity)
             return
         if identity in self.ended or self.stamps.get(identity, (-1, 0)) >= record.stamp:
@@ -145,7 +147,13 @@
                 lost.append(self._change(replace(instance, state=LOST), (beat.sequence, 1)))
         return lost
 
-    def revive(self, identities: Iterable[str]) -> None:
-        """Forget what was concluded of instances, so that their next heartbeat is told anew."""
-        for identity in identities:
-            self.instances.pop(identity, None)
+    def forget(self, now: float) -> list[Record]:
+        """Drop lost instances that have been silent for long, and ends that nobody asks about any more."""
+        self.ended = {identity: at for identity, at in self.ended.items() if now - at < REMEMBER_S}
+        lost = {identity for identity, instance in self.instances.items() if instance.state == LOST}
+        old = [(identity, beat) for identity, beat in self.beats.items()
+               if identity in lost and now - beat.heard > FORGET_S]
+        records = [Record(INSTANCE_PREFIX + identity, (beat.sequence, 2), b"", True) for identity, beat in old]
+        for identity, _ in old:
+            self._drop(identity)
+        return records
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from benchmarks.fleet_capacity import document, fit, instance, placement, replicas, sent
+from hophinge.fleet.emulation.slopes import fit, sent
+from hophinge.fleet.emulation.sizes import document, instance, placement, replicas
 from hophinge.coordination.dissemination import Digest, Push
 from hophinge.fleet.registry.instance import record_of
 
--- a/tests/test_fleet_registry.py
+++ b/tests/test_fleet_registry.py
@@ -7,7 +7,7 @@
 from hophinge.fleet.placement.hints import Report, Reports
 from hophinge.fleet.placement.stages import StageLoads, wanted_switch
 from hophinge.fleet.registry.instance import DRAINING, LOST, READY, SWITCHING, Instance, Model, instance_of
-from hophinge.fleet.registry.registry import MISSED, Liveness, Registry
+from hophinge.fleet.registry.registry import FORGET_S, MISSED, REMEMBER_S, Liveness, Registry
 
 PERIOD_S = 1.0
 ONE = Instance("i-1", "models", "10.0.0.1:80", "z", "v1", 64, READY, "decode", (Model("m", 1),))
@@ -100,6 +100,32 @@
     assert registry.instances["i-1"].state == READY
 
 
+def test_a_lost_instance_is_dropped_in_time_and_its_next_heartbeat_brings_it_back() -> None:
+    registry, other = _registry(), _registry()
+    first = registry.heartbeat(0.0, ONE, 1)
+    assert first is not None
+    other.learn(0.0, first)
+    _pass(registry, 0.0, MISSED * PERIOD_S + 1)
+    assert registry.forget(FORGET_S - 1) == []
+    dropped = registry.forget(FORGET_S + 1)
+    assert [record.key for record in dropped] == ["instance/i-1"]
+    other.learn(FORGET_S + 1, dropped[0])
+    assert not registry.instances
+    assert not other.instances
+    back = other.heartbeat(FORGET_S + 2, ONE, 2)
+    assert back is not None
+    assert back.stamp > dropped[0].stamp
+
+
+def test_an_end_is_remembered_for_a_while_only() -> None:
+    registry = _registry()
+    registry.unregister(0.0, "i-1")
+    registry.forget(REMEMBER_S - 1)
+    assert registry.heartbeat(REMEMBER_S - 1, ONE, 5) is None
+    registry.forget(REMEMBER_S + 1)
+    assert not registry.ended
+
+
 def test_another_member_that_hears_of_the_order_spares_it_too() -> None:
     registry, other = _registry(), _registry()
     registry.heartbeat(0.0, ONE, 1)
