--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
-from hophinge.coordination.codec import wire
 from hophinge.coordination.dissemination import Digest, Dissemination, Push, Record, Rows, Spread, Want
 from hophinge.coordination.leases import LEASE_S, Grant, Leases, LeaseTable, Renew
 from hophinge.coordination.peers import SUSPECT_S
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
+from hophinge.fleet.controlplane.holding import Held, Hold, Holdings
+from hophinge.fleet.controlplane.relay import LEAST_S, Relay
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.placement.stages import StageLoads
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
@@ -25,48 +24,21 @@
 COMPARE_S = 1.0             # between two comparisons of digests with one of them
 MOST_DIRECT = 32            # data planes that get news from here whole; the others get it from these
 MOST_NEIGHBOURS = 8         # of which a data plane is told
-HOLD_S = 0.8                # waited for other control members to hold what is to be acknowledged
-
-
-@wire(73)
-@dataclass(frozen=True, slots=True)
-class Hold:
-    """Records that other control members have to hold before they are acknowledged."""
-
-    token: int
-    records: tuple[Record, ...]
-
-
-@wire(74)
-@dataclass(frozen=True, slots=True)
-class Held:
-    """The records of a token are held."""
-
-    token: int
-
-
-@dataclass
-class Holding:
-    """Records on their way to enough control members."""
-
-    needed: int
-    done: asyncio.Future[bool]
-    holders: set[str]
 
 
 class Directory:
     """The soft state of one control member, and its words to others."""
 
-    def __init__(self, settings: Settings, machine: ReplicaMachine, send: Callable[[str, object], None]) -> None:
-        self.settings, self.machine, self.send = settings, machine, send
+    def __init__(self, settings: Settings, machine: ReplicaMachine, send: Callable[[str, object], None],
+                 relay: Relay) -> None:
+        self.settings, self.machine, self.send, self.relay = settings, machine, send, relay
         self.loop = asyncio.get_running_loop()
         self.random = Random()
         self.dissemination = Dissemination(self.random)
         self.registry = Registry(settings.heartbeat_s, self.loop.time())
         self.leases = LeaseTable()
         self.loads = StageLoads()
-        self.holdings: dict[int, Holding] = {}
-        self.tokens = itertools.count(1)
+        self.holdings = Holdings(send)
         self.safe: set[str] = set()         # instances whose leaving enough control members hold
         self.shared = self.compared = 0.0
 
@@ -86,7 +58,7 @@
 
     def _direct(self) -> list[str]:
         """Tell the data planes that get news from here."""
-        addresses = [holder.address for holder in self.leases.own()]
+        addresses = self._heads()
         return addresses if len(addresses) <= MOST_DIRECT else self.random.sample(addresses, MOST_DIRECT)
 
     def _outside_chain(self) -> list[str]:
@@ -121,31 +93,41 @@
                 self._let_go(self.dissemination.handle(now, source, Push(records), self._direct()))
                 self.send(source, Held(token))
             case Held(token=token):
-                self._held(token, source)
+                self.holdings.held(token, source)
             case Leases(holders=holders):
                 self.leases.merge(now, holders)
             case Hints() | Reports() | Suspects():
-                self._relay(source, message)
+                self._relayed(source, message)
             case Liveness():
                 self.registry.heard_elsewhere(now, message)
 
-    def tell_heads(self, reports: Reports | Suspects) -> None:
-        """Tell the heads here what engines told, and the others over the other control members."""
-        if isinstance(reports, Reports):
-            self.loads.take(reports)
-        for address in [*(holder.address for holder in self.leases.own()), *self.controls()]:
-            self.send(address, reports)
+    def _heads(self) -> list[str]:
+        return [holder.address for holder in self.leases.own()]
 
-    def _relay(self, source: str, hints: Hints | Reports | Suspects) -> None:
+    def tell_heads(self, message: Reports | Suspects) -> None:
+        """Tell the heads here what is known of engines, and the others over the other control members."""
+        if isinstance(message, Reports):
+            self.loads.take(message)
+        self.relay.at_once(message, [*self._heads(), *self.controls()])
+
+    def _relayed(self, source: str, message: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
-        if isinstance(hints, Reports):
-            self.loads.take(hints)
-        own = {holder.address for holder in self.leases.own()}
-        targets = own - {source}
-        if source in own:
-            targets |= set(self.controls())
-        for address in targets:
-            self.send(address, hints)
+        heads = self._heads()
+        if isinstance(message, Hints):
+            self.relay.take(source, message, source in heads)
+            return
+        if isinstance(message, Reports):
+            self.loads.take(message)
+        targets = [head for head in heads if head != source]
+        self.relay.at_once(message, [*targets, *(self.controls() if source in heads else [])])
+
+    async def run_relay(self) -> None:
+        """Pass on what is gathered, for ever."""
+        while True:
+            await asyncio.sleep(LEAST_S)
+            now, heads = self.loop.time(), self._heads()
+            if self.relay.due(now, len(heads)):
+                self.relay.flush(now, heads, self.controls())
 
     def _renew(self, now: float, source: str, renew: Renew) -> None:
         self.leases.renew(now, renew.holder)
@@ -191,33 +173,13 @@
 
     async def _hold(self, identity: str, record: Record) -> bool:
         """Have enough other control members hold a record, so that losing this one hides it from nobody."""
-        token, others = next(self.tokens), self.controls()
-        needed = min(self.settings.losses, len(others))
-        holding = Holding(needed, self.loop.create_future(), set())
-        self.holdings[token] = holding
-        now = self.loop.time()
-        self._let_go(self.dissemination.publish(now, [record], self._direct()))
-        for address in others:
-            self.send(address, Hold(token, (record,)))
-        try:
-            if needed:
-                async with asyncio.timeout(HOLD_S):
-                    await holding.done
-        except TimeoutError:
+        others = self.controls()
+        self._let_go(self.dissemination.publish(self.loop.time(), [record], self._direct()))
+        if not await self.holdings.hold(record, others, min(self.settings.losses, len(others))):
             return False
-        finally:
-            del self.holdings[token]
         self.safe.add(identity)
         return True
 
-    def _held(self, token: int, source: str) -> None:
-        holding = self.holdings.get(token)
-        if holding is None:
-            return
-        holding.holders.add(source)
-        if len(holding.holders) >= holding.needed and not holding.done.done():
-            holding.done.set_result(True)
-
     # --- time ----------------------------------------------------------------------------------------------------
 
     async def run(self) -> None:
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.controlplane.host import Effects, ReplicaHost
 from hophinge.fleet.controlplane.keeper import StageKeeper
+from hophinge.fleet.controlplane.relay import Relay
 from hophinge.fleet.controlplane.reports import Reporter
 from hophinge.fleet.program import Signals, Tasks
 from hophinge.fleet.settings import Settings, SettingsError, read_settings
@@ -34,7 +35,7 @@
         self.tasks = Tasks(self.signals.ending)
         self.host = ReplicaHost(settings, Effects(self._send, self._publish, log.note))
         self.links = Links(self.host.me, CONTROL, self._received, log.note)
-        self.directory = Directory(settings, self.host.machine, self._send)
+        self.directory = Directory(settings, self.host.machine, self._send, Relay(self.links.send_frame))
         self.keeper = StageKeeper(self.host.machine, self.directory, self.host.request, settings.bounds.lease_s)
         self.reporter = Reporter(self.directory, self.keeper.alive, self.host.me.identity)
         self.server = HttpServer(ControlApi(self.host, self.directory))
@@ -63,6 +64,7 @@
         await self.links.listen()
         self.tasks.start(self.host.run())
         self.tasks.start(self.directory.run())
+        self.tasks.start(self.directory.run_relay())
         self.tasks.start(self.keeper.run())
         self.tasks.start(self.reporter.run())
         self.tasks.start(self.server.serve([listening(self.settings.control)]))
--- /dev/null
+++ b/hophinge/fleet/controlplane/relay.py
@@ -0,0 +1,59 @@
+"""Passes on what heads and engines tell: gathered for a moment, encoded once, and never told back to who said it.
+
+The moment grows with the heads that are told, so that a control member sends a bounded number of messages a second
+however many heads there are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from hophinge.fleet.placement.hints import Hint, Hints, Reports, Suspects
+from hophinge.fleet.transport.frames import frame
+
+LEAST_S = 0.02              # gathered for so long at least
+EACH_HEAD_S = 0.001         # and for so much longer with each head that is told
+SendFrame = Callable[[str, bytes], None]
+
+
+class Relay:
+    """The words under way through one control member."""
+
+    def __init__(self, send_frame: SendFrame) -> None:
+        self.send_frame = send_frame
+        self.hints: list[tuple[str, Hints]] = []
+        self.from_heads: list[Hint] = []        # that the other control members have to hear
+        self.flushed = float("-inf")
+
+    def take(self, source: str, hints: Hints, from_head: bool) -> None:
+        """Take what was placed."""
+        self.hints.append((source, hints))
+        if from_head:
+            self.from_heads += hints.hints
+
+    def due(self, now: float, heads: int) -> bool:
+        """Tell whether what was gathered is to be passed on."""
+        return bool(self.hints) and now - self.flushed >= LEAST_S + EACH_HEAD_S * heads
+
+    def flush(self, now: float, heads: Iterable[str], controls: Iterable[str]) -> None:
+        """Pass on what was gathered."""
+        gathered, self.hints, self.flushed = self.hints, [], now
+        sources = {source for source, _ in gathered}
+        everything = frame(Hints(tuple(hint for _, hints in gathered for hint in hints.hints)))
+        for head in heads:
+            if head not in sources:
+                self.send_frame(head, everything)
+                continue
+            others = tuple(hint for source, hints in gathered if source != head for hint in hints.hints)
+            if others:
+                self.send_frame(head, frame(Hints(others)))
+        if self.from_heads:
+            shared, self.from_heads = frame(Hints(tuple(self.from_heads))), []
+            for control in controls:
+                self.send_frame(control, shared)
+
+    def at_once(self, message: Reports | Suspects, targets: Iterable[str]) -> None:
+        """Pass on a word that is not gathered."""
+        data = frame(message)
+        for target in targets:
+            self.send_frame(target, data)
--- /dev/null
+++ b/tests/test_fleet_relay.py
@@ -0,0 +1,71 @@
+"""What heads tell each other over a control member: once each, never back, and a bounded number of messages."""
+
+from __future__ import annotations
+
+from hophinge.fleet.controlplane.relay import EACH_HEAD_S, LEAST_S, Relay
+from hophinge.fleet.placement.hints import Hint, Hints, Suspects
+from hophinge.fleet.transport.frames import FrameReader
+
+HEADS, CONTROLS = ["h1", "h2", "h3"], ["c2", "c3"]
+
+
+def _hint(name: str) -> Hints:
+    return Hints((Hint(name, 1, (), False, 0),))
+
+
+class Wire:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.frames: list[tuple[str, bytes]] = []
+        self.relay = Relay(lambda address, data: self.frames.append((address, data)))
+
+    def told(self, address: str) -> list[str]:
+        """Tell the instances that an address heard of."""
+        reader, names = FrameReader(), []
+        for target, data in self.frames:
+            if target == address:
+                for message in reader.feed(data):
+                    assert isinstance(message, Hints)
+                    names += [hint.instance for hint in message.hints]
+        return names
+
+
+def test_each_head_hears_what_the_others_said_and_nothing_of_its_own() -> None:
+    wire = Wire()
+    wire.relay.take("h1", _hint("a"), True)
+    wire.relay.take("h2", _hint("b"), True)
+    wire.relay.take("c2", _hint("c"), False)
+    wire.relay.flush(1.0, HEADS, CONTROLS)
+    assert [wire.told(head) for head in HEADS] == [["b", "c"], ["a", "c"], ["a", "b", "c"]]
+    assert [wire.told(control) for control in CONTROLS] == [["a", "b"]] * 2, "what control members said stays here"
+    wire.frames.clear()
+    wire.relay.take("c2", _hint("d"), False)
+    wire.relay.flush(2.0, HEADS, CONTROLS)
+    assert wire.told("c2") == []
+
+
+def test_a_head_that_alone_said_something_is_told_nothing() -> None:
+    wire = Wire()
+    wire.relay.take("h1", _hint("a"), True)
+    wire.relay.flush(1.0, ["h1"], [])
+    assert wire.frames == []
+
+
+def test_messages_a_second_are_bounded_however_many_heads_there_are() -> None:
+    for heads in (10, 100, 1_000):
+        wire = Wire()
+        now, flushes = 0.0, 0
+        while now < 1.0:
+            wire.relay.take("x", _hint("a"), True)
+            if wire.relay.due(now, heads):
+                wire.relay.flush(now, [], [])
+                flushes += 1
+            now += LEAST_S / 2
+        assert flushes * heads <= 1.2 / EACH_HEAD_S
+
+
+def test_a_word_that_is_not_gathered_goes_at_once() -> None:
+    wire = Wire()
+    wire.relay.at_once(Suspects(("i",)), HEADS)
+    assert [target for target, _ in wire.frames] == HEADS
