--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -25,7 +25,7 @@
 sys.path.insert(0, str(ROOT))
 
 from hophinge.load.plan import LoadPlan  # noqa: E402
-from hophinge.load.rig.fates import CLEAR, Rule  # noqa: E402
+from hophinge.load.rig.datagrams import CLEAR, Rule  # noqa: E402
 from hophinge.load.rig.run import Run  # noqa: E402
 from hophinge.load.rig.waiting import Condition, until  # noqa: E402
 from startup import ROUNDS, spread, starts  # noqa: E402
--- a/hophinge/cli/words.py
+++ b/hophinge/cli/console.py
@@ -1,4 +1,4 @@
-"""What all words of the command line share: the console, and how a mistake is told."""
+"""What all commands of the command line share: the console, and how a mistake is told."""
 
 from __future__ import annotations
 
--- a/hophinge/cli/load.py
+++ b/hophinge/cli/load.py
@@ -13,7 +13,7 @@
 
 import typer
 
-from hophinge.cli.words import fail, out
+from hophinge.cli.console import fail, out
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/hophinge/cli/main.py
+++ b/hophinge/cli/main.py
@@ -15,7 +15,7 @@
 from rich.table import Table
 
 from hophinge.cli import load, tenants, upkeep
-from hophinge.cli.words import fail, out
+from hophinge.cli.console import fail, out
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A head for shared storage, and the service that streams its configuration.")
--- a/hophinge/cli/tenants.py
+++ b/hophinge/cli/tenants.py
@@ -9,7 +9,7 @@
 import msgspec
 import typer
 
-from hophinge.cli.words import fail, out
+from hophinge.cli.console import fail, out
 
 tenant = typer.Typer(no_args_is_help=True, help="Tenants, by the administration API.")
 key = typer.Typer(no_args_is_help=True, help="A tenant's keys.")
--- a/hophinge/cli/upkeep.py
+++ b/hophinge/cli/upkeep.py
@@ -6,7 +6,7 @@
 
 from rich.table import Table
 
-from hophinge.cli.words import out
+from hophinge.cli.console import out
 
 
 def show(told: dict[str, Any]) -> None:
--- a/hophinge/control/permits.py
+++ b/hophinge/control/permits.py
@@ -65,7 +65,7 @@
 
     def refused(self, forms: Sequence[Record], place: Form | None, name: str) -> list[str]:
         """Tell what a document gets wrong about heads that are here, as lines; `place`: its form on maintenance."""
-        return refused(forms, self.coordinator.sights.connected(), place, name)
+        return refused(forms, self.coordinator.observations.connected(), place, name)
 
     def pushed(self, forms: Sequence[Record] | None) -> None:
         """Take the forms of a document that is stored, and what pools and reserves its version states."""
--- a/hophinge/load/rig/relay.py
+++ b/hophinge/load/rig/relay.py
@@ -13,7 +13,7 @@
 from collections import Counter
 from typing import cast
 
-from hophinge.load.rig.fates import STRANGER, Network
+from hophinge.load.rig.datagrams import STRANGER, Network
 from hophinge.net.address import split
 
 MOST_WAITING = 50_000       # datagrams under way; what comes beyond is lost, and counted
--- a/hophinge/load/rig/run.py
+++ b/hophinge/load/rig/run.py
@@ -19,7 +19,7 @@
 from hophinge.core.errors import HophingeError
 from hophinge.load.bricks import HOST, Platform
 from hophinge.load.plan import LoadPlan
-from hophinge.load.rig.fates import Network
+from hophinge.load.rig.datagrams import Network
 from hophinge.load.rig.launch import CLOCK
 from hophinge.load.rig.processes import MOST, ROOT, Process, Processes
 from hophinge.load.rig.relay import Relay
--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -16,7 +16,7 @@
 from hophinge.maintenance.listing import Listener
 from hophinge.maintenance.permits import Answer, Ask, Floor, Kind, Permit, Permits, Sighting, State
 from hophinge.maintenance.releases import Course, Outcome, Releases, Stage
-from hophinge.maintenance.sights import Head, Sights, brick_floors, head_floor
+from hophinge.maintenance.observations import Head, Observations, brick_floors, head_floor
 from hophinge.maintenance.watch import AWAY_US, HeadView
 from hophinge.maintenance.words import Report, Word
 from hophinge.routing.bounds import Maintenance, Outage, Release
@@ -32,7 +32,7 @@
                  zones: Mapping[str, str], keeper: Keeper, now_us: int) -> None:
         self.issuer, self.fence, self.keeper = issuer, fence, keeper
         self.permits, self.releases, self.drains = Permits(permits, fence, now_us), Releases(courses), Drains()
-        self.sights = Sights(zones)
+        self.observations = Observations(zones)
         self.began_us = now_us
         self.rule = Maintenance()
         self.outages: dict[str, Outage] = {}
@@ -56,20 +56,20 @@
 
     def connected(self, name: str, speaks: bool, size: int) -> None:
         """Note a head's stream; `size` is how many heads the installation counts, 0: nobody has told."""
-        head = self.sights.heads.setdefault(name, Head())
+        head = self.observations.heads.setdefault(name, Head())
         head.connected, head.heard, head.speaks, head.report, self.bricks = True, True, speaks, None, None
         head.listener = Listener()
-        self.sights.size = size
+        self.observations.size = size
         self.told.pop(name, None)
 
     def gone(self, name: str) -> None:
         """Note the end of a head's stream."""
-        if (head := self.sights.heads.get(name)) is not None:
+        if (head := self.observations.heads.get(name)) is not None:
             head.connected, head.report, self.bricks = False, None, None
 
     def report(self, name: str, report: Report) -> None:
         """Take what a head says; what it says replaces what it said, and lists follow what has changed."""
-        head = self.sights.heads[name]
+        head = self.observations.heads[name]
         if (whole := head.listener.take(report)) is None:
             return
         report = whole
@@ -80,7 +80,7 @@
         self.drains.take(name, report.statements, True, self.permits.held)
         for other, statements in report.heard.items():
             # A head that has a line to here speaks for itself: what others have heard of it may be of a former process.
-            if (known := self.sights.heads.get(other)) is None or not known.connected:
+            if (known := self.observations.heads.get(other)) is None or not known.connected:
                 self.drains.take(other, statements, False, self.permits.held)
 
     # --- what follows
@@ -113,7 +113,7 @@
 
     def _of_head(self, one: Permit, now_us: int) -> State | None:
         """Tell what a head's stream and report make of its permit."""
-        head = self.sights.heads.get(one.name)
+        head = self.observations.heads.get(one.name)
         if one.state is State.GRANTED or head is None:
             return None
         standing = self._stands(one)
@@ -132,7 +132,7 @@
     def _of_brick(self, one: Permit) -> State | None:
         """Tell what the heads' statements make of a brick's permit."""
         if one.state is State.BACK:
-            heads = self.sights.of_heads(self.rule.retired).total
+            heads = self.observations.of_heads(self.rule.retired).total
             return State.FREE if self.drains.served(one.id) >= max(1, min(self.rule.served, heads)) else None
         if not self._stands(one):
             return State.BACK
@@ -148,24 +148,24 @@
     def verdict(self, one: Permit) -> Verdict:
         """Tell whose word that a brick is drained is missing."""
         form = self.outages.get(one.by.removeprefix(OUTAGE))
-        known = [name for name in self.sights.heads if name not in self.rule.retired]
+        known = [name for name in self.observations.heads if name not in self.rule.retired]
         return self.drains.verdict(one.id, owing(
-            known, self.sights.connected(), self.sights.told("live"), self.sights.told("gone"),
-            {*(form.without if form is not None else ()), *(set(self.rule.retired) - self.sights.connected())}))
+            known, self.observations.connected(), self.observations.told("live"), self.observations.told("gone"),
+            {*(form.without if form is not None else ()), *(set(self.rule.retired) - self.observations.connected())}))
 
     # --- who wants to go out
 
     def _floors(self, kind: Kind) -> list[Floor]:
         if kind is Kind.HEAD:
             return [head_floor(self.records, self.reserves)]
-        listed = {name: one for name, (one, _) in self.sights.seen.items()}
+        listed = {name: one for name, (one, _) in self.observations.seen.items()}
         return brick_floors(self.records, listed, self.rule.capacity, self.reserves)
 
     def _ask(self, now_us: int, ask: Ask) -> None:
         if ask.kind is Kind.HEAD:
-            sight, most = self.sights.of_heads(self.rule.retired), self.rule.heads
+            sight, most = self.observations.of_heads(self.rule.retired), self.rule.heads
         else:
-            self.bricks = self.bricks or self.sights.of_bricks(now_us)
+            self.bricks = self.bricks or self.observations.of_bricks(now_us)
             sight, most = self.bricks, self.rule.bricks
         self._answered(now_us, ask.kind, ask.name, self.permits.ask(now_us, ask, sight, most, self._floors(ask.kind)))
 
@@ -180,7 +180,7 @@
                 for name in names:
                     held = self.permits.of(kind, name)
                     if held is None or held.by != OUTAGE + form.name:
-                        head = self.sights.heads.get(name) if kind is Kind.HEAD else None
+                        head = self.observations.heads.get(name) if kind is Kind.HEAD else None
                         process = head.report.process if head is not None and head.report is not None else 0
                         self._ask(now_us, Ask(kind, name, OUTAGE + form.name, form.name, "", True, process))
 
@@ -196,13 +196,13 @@
 
     def _wanted(self, now_us: int, outcome: Outcome) -> None:
         for want in outcome.wants:
-            if not self.sights.heads[want.head].speaks:
+            if not self.observations.heads[want.head].speaks:
                 self.reasons[Kind.HEAD, want.head] = "it does not speak of permits; restart it under an (outage ...)"
             else:
                 self._ask(now_us, Ask(Kind.HEAD, want.head, RELEASE + want.release, want.key, want.build))
 
     def _wishes(self, now_us: int) -> None:
-        for name, head in self.sights.heads.items():
+        for name, head in self.observations.heads.items():
             report = head.report
             if report is None:
                 continue
@@ -214,13 +214,13 @@
             held = self.permits.of(Kind.HEAD, name)
             if held is not None and report.begin == held.id:
                 self._answered(now_us, Kind.HEAD, name, self.permits.begin(
-                    now_us, held.id, report.process, self.sights.of_heads(self.rule.retired), self.rule.heads,
+                    now_us, held.id, report.process, self.observations.of_heads(self.rule.retired), self.rule.heads,
                     self._floors(Kind.HEAD)))
 
     def views(self) -> dict[str, HeadView]:
         """Tell the heads as releases see them."""
         found = {}
-        for name, head in self.sights.heads.items():
+        for name, head in self.observations.heads.items():
             if head.connected or name not in self.rule.retired:
                 report = head.report or Report(0)
                 found[name] = HeadView(head.connected, head.up, report.build, report.process,
@@ -240,7 +240,7 @@
                     self.permits.of(Kind.HEAD, name), self.reasons.get((Kind.HEAD, name), ""),
                     tuple(f"{one.name}/{one.again}" for one in self.releases.courses.values()
                           if one.stage is Stage.HALTED),
-                    True, self.sights.heads[name].listener.asks if name in self.sights.heads else 0)
+                    True, self.observations.heads[name].listener.asks if name in self.observations.heads else 0)
         if word == before:
             return None
         self.number += 1
--- a/hophinge/maintenance/sights.py
+++ b/hophinge/maintenance/observations.py
@@ -33,7 +33,7 @@
         return self.connected and (self.report.ready if self.report is not None else not self.speaks)
 
 
-class Sights:
+class Observations:
     """All heads and bricks."""
 
     def __init__(self, zones: Mapping[str, str]) -> None:
--- a/hophinge/maintenance/shown.py
+++ b/hophinge/maintenance/shown.py
@@ -15,10 +15,10 @@
 
 def shown(one: Coordinator, since_ms: Callable[[str], int] = lambda name: 0) -> dict[str, Any]:
     """Tell it as plain rows; `since_ms` tells when a head that is away was here last, since 1970."""
-    heads = one.sights.of_heads(one.rule.retired)
+    heads = one.observations.of_heads(one.rule.retired)
     return {
         "heads_up": len(heads.up), "heads": max(heads.total, len(heads.up) + len(heads.down)),
-        "absent": absent(one.sights.heads, one.sights.connected(), one.rule.retired, since_ms, MOST_NAMED),
+        "absent": absent(one.observations.heads, one.observations.connected(), one.rule.retired, since_ms, MOST_NAMED),
         "permits": [_permit(one, permit) for kind in Kind for permit in one.permits.all(kind)],
         "waiting": [{"kind": kind.value, "name": name, "why": why}
                     for (kind, name), why in sorted(one.reasons.items(), key=lambda row: (row[0][0].value, row[0][1]))],
--- a/hophinge/objects/front.py
+++ b/hophinge/objects/front.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from hophinge.core.counters import Counters
-from hophinge.objects.asked import failure
+from hophinge.objects.parameters import failure
 from hophinge.objects.config import ObjectConfig
 from hophinge.objects.pieces import CoreFailedError, RefusedError
 from hophinge.objects.requests import GUEST, ObjectRequests
--- a/hophinge/objects/requests.py
+++ b/hophinge/objects/requests.py
@@ -15,7 +15,7 @@
 from hophinge.net.listener import IN, OUT, Listener, Pace
 from hophinge.net.payload import MOST_BODY
 from hophinge.objects import xml
-from hophinge.objects.asked import document, failure, matches, md5_of, number_of, type_of, upload_of
+from hophinge.objects.parameters import document, failure, matches, md5_of, number_of, type_of, upload_of
 from hophinge.objects.config import ObjectConfig
 from hophinge.objects.pieces import Budget, CoreFailedError, RefusedError
 from hophinge.objects.ranges import UnsatisfiableError, parse
--- a/tests/test_rig_network.py
+++ b/tests/test_rig_network.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hophinge.load.rig.fates import CLEAR, RETRANSMIT_US, Network, Rule, fate, lots
+from hophinge.load.rig.datagrams import CLEAR, RETRANSMIT_US, Network, Rule, fate, lots
 from hophinge.load.rig.relay import Relay
 from hophinge.load.rig.run import own_host
 from tests.stand_in import run, until
@@ -192,7 +192,7 @@
     """Lots drawn in turn by all links; a cut that does not count what it takes; a cut one way that cuts both."""
     if mutant == "lots in turn":
         dice = random.Random(1)
-        monkeypatch.setattr("hophinge.load.rig.fates.lots", lambda *_: tuple(dice.random() for _ in range(5)))
+        monkeypatch.setattr("hophinge.load.rig.datagrams.lots", lambda *_: tuple(dice.random() for _ in range(5)))
         order = [("a", "b"), ("a", "c")] * 20
         assert history(1, order) != history(1, sorted(order))
     elif mutant == "a cut forgets":
--- a/tests/test_together_faults.py
+++ b/tests/test_together_faults.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from hophinge.load.plan import LoadPlan
-from hophinge.load.rig.fates import Rule
+from hophinge.load.rig.datagrams import Rule
 from hophinge.load.rig.run import Run
 from hophinge.load.rig.waiting import Condition, always, until
 from tests.together import BOUND_S, SOAK, Bytes, all_see, counted, heads, holds, incarnation, none_dead, run, told
--- a/tests/test_together_members.py
+++ b/tests/test_together_members.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from hophinge.load.rig.fates import Rule
+from hophinge.load.rig.datagrams import Rule
 from hophinge.load.rig.run import Run
 from hophinge.load.rig.waiting import Condition, always, until
 from tests.together import BOUND_S, SOAK, all_see, counted, has_entries, holds, members, none_dead, run, told
