--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -51,10 +51,18 @@
         found |= {voter.address for voter in view.voters} if view is not None else set()
         return sorted(found - {self.machine.me.address})
 
-    def _granters(self, now: float) -> list[Replica]:
-        """Tell the other control members heard lately."""
+    def _granters(self, now: float) -> tuple[Replica, ...]:
+        """Tell the core's replicas heard lately, which grant leases; without any, this member does."""
         peers = self.machine.peers.known.values()
-        return [peer.replica for peer in peers if now - peer.heard <= SUSPECT_S]
+        granters = [peer.replica for peer in peers if now - peer.heard <= SUSPECT_S and peer.heartbeat.votes]
+        if self.machine.votes or not granters:
+            granters.insert(0, self.machine.me)
+        return tuple(granters)
+
+    def _relays(self) -> list[str]:
+        """Tell the other control members that pass words on to heads: the core's, as they grant the leases."""
+        voting = {peer.replica.address for peer in self.machine.peers.known.values() if peer.heartbeat.votes}
+        return sorted(voting - {self.machine.me.address})
 
     def _direct(self) -> list[str]:
         """Tell the data planes that get news from here."""
@@ -108,7 +116,7 @@
         """Tell the heads here what is known of engines, and the others over the other control members."""
         if isinstance(message, Reports):
             self.loads.take(message)
-        self.relay.at_once(message, [*self._heads(), *self.controls()])
+        self.relay.at_once(message, [*self._heads(), *self._relays()])
 
     def _relayed(self, source: str, message: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
@@ -119,7 +127,7 @@
         if isinstance(message, Reports):
             self.loads.take(message)
         targets = [head for head in heads if head != source]
-        self.relay.at_once(message, [*targets, *(self.controls() if source in heads else [])])
+        self.relay.at_once(message, [*targets, *(self._relays() if source in heads else [])])
 
     async def run_relay(self) -> None:
         """Pass on what is gathered, for ever."""
@@ -127,7 +135,7 @@
             await asyncio.sleep(LEAST_S)
             now, heads = self.loop.time(), self._heads()
             if self.relay.due(now, len(heads)):
-                self.relay.flush(now, heads, self.controls())
+                self.relay.flush(now, heads, self._relays())
 
     def _renew(self, now: float, source: str, renew: Renew) -> None:
         self.leases.renew(now, renew.holder)
@@ -137,8 +145,7 @@
         far = [one.address for one in others if one.zone != renew.holder.zone]
         chosen = self.random.sample(near, min(MOST_NEIGHBOURS - 2, len(near)))
         chosen += self.random.sample(far, min(2, len(far)))
-        granters = (self.machine.me, *self._granters(now))
-        self.send(source, Grant(LEASE_S, len(holders), tuple(chosen), granters, self.machine.connected(now)))
+        self.send(source, Grant(LEASE_S, len(holders), tuple(chosen), self._granters(now), self.machine.connected(now)))
         self._let_go(self.dissemination.handle(now, source, Digest(renew.marks)))
 
     # --- instances -----------------------------------------------------------------------------------------------
--- a/hophinge/fleet/controlplane/reports.py
+++ b/hophinge/fleet/controlplane/reports.py
@@ -38,13 +38,19 @@
         self.pool = httpcore.AsyncConnectionPool(max_connections=MOST_CONNECTIONS,
                                                  max_keepalive_connections=MOST_CONNECTIONS, keepalive_expiry=RESTING_S)
 
+    def asked(self) -> list[Instance]:
+        """Tell the instances that fall to this member; a member outside the chain asks none."""
+        alive = self.alive()
+        if self.me not in alive:
+            return []
+        return [instance for instance in self.directory.registry.instances.values()
+                if instance.stage and instance.state != LOST and rendezvous(instance.identity, alive) == self.me]
+
     async def run(self) -> None:
         """Ask for ever."""
         while True:
             await asyncio.sleep(PERIOD_S)
-            alive = self.alive() | {self.me}
-            asked = [instance for instance in self.directory.registry.instances.values()
-                     if instance.stage and instance.state != LOST and rendezvous(instance.identity, alive) == self.me]
+            asked = self.asked()
             answers = await asyncio.gather(*(self._ask(instance) for instance in asked))
             reports = tuple(answer for answer in answers if answer is not None)
             if reports:
