Placement: a queue of jobs for each instance; connections rest as long as Keep-Alive allows

Change: jobs of all heads in one queue by priority, the one under way waited for, corrected by answers and reports.

--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -9,12 +9,13 @@
 
 import httpcore
 
-from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
+from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields, resting_time
 from hophinge.fleet.forwarding.results import Handle
 
 MOST_CONNECTIONS = 48       # of one data plane to one instance
 MOST_RESTING = 16
-RESTING_S = 30.0            # an instance that closes sooner is seen to have closed before a connection is used again
+RESTING_S = 8.0             # until an instance tells how long it keeps resting connections
+RESTING_PART = 0.8          # of that time after which a connection is not used again: the close may be on its way
 CONNECT_S = 0.4             # for a connection to come up: some thousand times what the network takes
 FREE_S = 0.5                # for an instance to free memory
 UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -33,18 +34,35 @@
     left_s: float               # until the request is given up
 
 
+class InstancePool(httpcore.AsyncConnectionPool):
+    """The connections to one instance, which rest for as long as its answers allow."""
+
+    def __init__(self) -> None:
+        super().__init__(max_connections=MOST_CONNECTIONS, max_keepalive_connections=MOST_RESTING)
+        self.resting_s = RESTING_S
+
+    def create_connection(self, origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
+        """Open a connection that rests no longer than is known to be safe."""
+        return httpcore.AsyncHTTPConnection(origin=origin, keepalive_expiry=self.resting_s)
+
+    def answered(self, fields: Fields) -> None:
+        """Heed the time that an answer's `Keep-Alive` tells; it holds for connections that are opened from now on."""
+        told = resting_time(fields)
+        if told is not None:
+            self.resting_s = RESTING_PART * told
+
+
 class Upstream:
     """The pools of one data plane."""
 
     def __init__(self) -> None:
-        self.pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self.pools: dict[str, InstancePool] = {}
         self.freeing: set[asyncio.Task[None]] = set()
 
-    def _pool(self, identity: str) -> httpcore.AsyncConnectionPool:
+    def _pool(self, identity: str) -> InstancePool:
         pool = self.pools.get(identity)
         if pool is None:
-            pool = self.pools[identity] = httpcore.AsyncConnectionPool(
-                max_connections=MOST_CONNECTIONS, max_keepalive_connections=MOST_RESTING, keepalive_expiry=RESTING_S)
+            pool = self.pools[identity] = InstancePool()
         return pool
 
     @contextlib.asynccontextmanager
@@ -57,7 +75,9 @@
         fields = [*call.fields, (b"content-length", str(len(call.body)).encode())]
         request = httpcore.Request(call.method, url, headers=fields, content=call.body,
                                    extensions={"timeout": timeout})
-        response = await self._pool(identity).handle_async_request(request)
+        pool = self._pool(identity)
+        response = await pool.handle_async_request(request)
+        pool.answered(response.headers)
         try:
             yield response
         finally:
--- a/hophinge/fleet/emulation/sizes.py
+++ b/hophinge/fleet/emulation/sizes.py
@@ -46,7 +46,7 @@
 def hint(number: int) -> Hint:
     """Make a hint."""
     parts = ((f"{number:08x}", 2520), (f"{number + 1:08x}", 3780), (f"{number + 2:08x}", 2890))
-    return Hint(f"i-{number % 1700:010x}", 2890, parts, False, 9300)
+    return Hint(f"i-{number % 1700:010x}", 2890, parts, 2, 9300)
 
 
 def placement(count: int) -> Placement:
--- a/hophinge/fleet/forwarding/headers.py
+++ b/hophinge/fleet/forwarding/headers.py
@@ -17,11 +17,12 @@
 LAST_EVENT_ID = b"last-event-id"
 PRIORITY = b"priority"
 HOST = b"host"
+KEEP_ALIVE = b"keep-alive"
 
 Fields = list[tuple[bytes, bytes]]
 
 _CONNECTION = frozenset({
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect"})
+    b"connection", KEEP_ALIVE, b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect"})
 _OWN = frozenset({b"content-length", DEADLINE, EXPECTED_INSTANCE, SERVING_STAGE, KV_FROM, PRIORITY})
 
 
@@ -33,6 +34,15 @@
     return None
 
 
+def resting_time(fields: Fields) -> float | None:
+    """Tell for how many seconds a resting connection is kept, as `Keep-Alive: timeout=N` says; None where unsaid."""
+    for parameter in (find(fields, KEEP_ALIVE) or "").split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
 def _named(fields: Fields) -> set[bytes]:
     """Tell the fields that `Connection` names: they concern this connection only."""
     named: set[bytes] = set()
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -19,7 +19,7 @@
     instance: str
     units: int
     parts: tuple[tuple[str, int], ...]
-    late: bool              # it waits behind all that can still be in time
+    priority: int           # at the instance: 0 first
     memory: int             # tokens that the request holds there while it runs; 0 where it is only read
 
 
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -8,6 +8,7 @@
 from hophinge.core.interface.nodes import NodeEntry, Phase
 from hophinge.fleet.placement.hints import Report
 from hophinge.fleet.placement.prompt import Prompt
+from hophinge.fleet.placement.queue import WorkQueue
 from hophinge.fleet.registry.instance import READY, Instance
 
 MICROSECONDS = 1_000_000
@@ -54,8 +55,7 @@
     def __init__(self, instance: Instance) -> None:
         self.instance = instance
         self.book = Book(NodeEntry(instance.identity, 0, 0, Phase.ON, 1.0, 0))
-        self.others_free = 0.0          # when what other heads sent there should be done, in microseconds
-        self.late_free = 0.0            # the same for what is late, which waits behind all else
+        self.queue = WorkQueue()        # the work of all heads there
         self.streams = 0                # answers from here that have begun and not ended
         self.cache = Cache(0)
         self.unit_us: float | None = None       # learned time per unit
@@ -78,11 +78,7 @@
     def reported(self, now_us: float, report: Report, mean_us: float) -> None:
         """Take what the instance told of itself; what was reckoned of its queue is corrected by it."""
         self.report, self.sent_since = report, 0
-        self.others_free = min(self.others_free, now_us + (report.waiting + 1) * mean_us)
-        if not report.waiting:
-            self.late_free = min(self.late_free, now_us)
-        else:
-            self.late_free = max(self.late_free, now_us + (report.waiting - 1) * mean_us)
+        self.queue.reported(now_us, report.waiting, mean_us)
 
     def running(self) -> int:
         """Tell how many answers are being made there, where the instance tells it of a decode stage."""
@@ -96,20 +92,6 @@
         filled = (report.used + self.sent_since + tokens) / report.total
         return max(0.0, filled - ROOMY) * FILLED_US + report.waiting * WAITING_US
 
-    def begin(self, now_us: float, late: bool) -> float:
-        """Tell when it would begin with another request: behind this head's work and that of others."""
-        ahead = max(0.0, self.others_free - now_us)
-        if late:
-            ahead += max(0.0, self.late_free - now_us)
-        return max(self.book.free, now_us) + ahead
-
-    def others_sent(self, now_us: float, spent_us: float, late: bool) -> None:
-        """Another head sent work there."""
-        if late:
-            self.late_free = max(self.late_free, now_us) + spent_us
-        else:
-            self.others_free = max(self.others_free, now_us) + spent_us
-
     def rests(self, now: float) -> bool:
         """Tell whether it is spared after a failure."""
         return now < self.rest_until
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,8 +23,6 @@
 
 LEAST_TOKENS = 64           # charged for a request with nothing to read
 SILENT_S = 0.6              # without an answer, before a failed attempt speaks against an instance that answered
-LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
-SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +100,8 @@
         for hint in hints.hints:
             node = self.nodes.get(hint.instance)
             if node is not None:
-                self.pool(node.instance.service, node.instance.stage).others_sent(now, node, hint.units, hint.late)
+                pool = self.pool(node.instance.service, node.instance.stage)
+                pool.others_sent(now, node, hint.units, hint.priority)
                 node.cache.remember(hint.parts)
                 node.sent_since += hint.memory
 
@@ -135,7 +133,7 @@
 
     def kept(self) -> Hints:
         """Tell all prompt parts believed to be kept, for a head that has just started."""
-        return Hints(tuple(Hint(identity, 0, tuple(node.cache.parts.items()), False, 0)
+        return Hints(tuple(Hint(identity, 0, tuple(node.cache.parts.items()), 0, 0)
                            for identity, node in self.nodes.items() if node.cache.parts))
 
     # --- choice --------------------------------------------------------------------------------------------------
@@ -183,7 +181,7 @@
         late = choice is not None and choice.done_us > wish.aim_at * MICROSECONDS
         if late:
             choice = choose(True)
-        return self._reserve(choice, wish, prompt, late) if choice is not None else None
+        return self._reserve(choice, wish, prompt) if choice is not None else None
 
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
                 late: bool) -> list[Offer]:
@@ -193,13 +191,12 @@
             nodes = pool.group(wish.now, key, wish.avoid, lambda node: node.out < CEILING)
         return pool.offers(wish.now, nodes, units, late)
 
-    def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None, late: bool) -> Plan:
-        """Book an offer, and have the other heads told of it. What is late waits behind all else."""
+    def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None) -> Plan:
+        """Book an offer, and have the other heads told of it."""
         offer = choice.offer
         parts = prompt.parts if prompt is not None else ()
         memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not choice.reads else 0
         offer.node.cache.remember(parts)
         offer.node.sent_since += memory
-        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, late, memory))
-        priority = LATE_PRIORITY if late else bisect_right(SHORT_US, offer.spent_us)
-        return Plan(choice.pool.reserve(wish.now, offer, wish.name), choice.reads, priority)
+        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, offer.priority, memory))
+        return Plan(choice.pool.reserve(wish.now, offer, wish.name), choice.reads, offer.priority)
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -5,17 +5,21 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
 
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import MICROSECONDS, Node
+from hophinge.fleet.placement.queue import Job
 
 GROUP = 3                   # members of a key's group
 PART = 0.5                  # part of the route's aim that the units out at an instance may fill
 FEW = 4                     # requests that may always be out at an instance
 MEMORY = 0.98               # weight kept by what all instances of a stage have taught
+LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
+SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 PREFILL, DECODE, PLAIN = "prefill", "decode", ""
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
 START_FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}  # of an answer's time that no unit takes
@@ -33,6 +37,7 @@
     name: tuple[str, int]
     units: float
     pool: Pool
+    job: Job
     streaming: bool = False
 
 
@@ -44,6 +49,7 @@
     units: float
     done_us: float              # when the units would be done
     spent_us: float             # what they take of the instance's time
+    priority: int               # that it would have there: 0 first
 
 
 def rank(key: str, node: Node) -> bytes:
@@ -112,13 +118,15 @@
         return node.out < CEILING and node.book.units_out + units <= bound
 
     def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], late: bool) -> list[Offer]:
-        """Tell what each of some instances would make of a request."""
+        """Tell what each of some instances would make of a request; what is late waits behind all else."""
         made: list[Offer] = []
         now_us = now * MICROSECONDS
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            made.append(Offer(node, wanted, node.begin(now_us, late) + spent + self.fixed_us, spent))
+            priority = LATE_PRIORITY if late else bisect_right(SHORT_US, spent)
+            done = node.queue.begin(now_us, priority) + spent + self.fixed_us
+            made.append(Offer(node, wanted, done, spent, priority))
         return made
 
     def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
@@ -126,16 +134,19 @@
         unit_us = self.unit_us(offer.node) / self.width
         offer.node.book.reserve(name, offer.units, unit_us, int(now * MICROSECONDS))
         self.placed(offer.units)
-        return Placed(offer.node, name, offer.units, self)
+        job = offer.node.queue.add(now * MICROSECONDS, offer.priority, offer.units * unit_us)
+        return Placed(offer.node, name, offer.units, self, job)
 
     def placed(self, units: float) -> None:
         """Take note of a request's size."""
         self.mean_units += (units - self.mean_units) * (1 - MEMORY) * 2
 
-    def others_sent(self, now: float, node: Node, units: float, late: bool) -> None:
+    def others_sent(self, now: float, node: Node, units: float, priority: int) -> None:
         """Another head sent work to an instance."""
+        if not units:
+            return
         self.placed(units)
-        node.others_sent(now * MICROSECONDS, units * self.unit_us(node) / self.width, late)
+        node.queue.add(now * MICROSECONDS, priority, units * self.unit_us(node) / self.width)
 
 
 def _towards(unit_us: float, sample_us: float) -> float:
@@ -149,6 +160,8 @@
     if placed.name not in book.slots:
         return
     slot = book.drop(placed.name, now_us)
+    if placed.pool.width == 1:
+        placed.node.queue.finished(now_us, placed.job)
     placed.pool.taught(placed.node, slot.units, now_us - slot.sent)
     book.heard = now_us
     placed.node.answered(now)
@@ -161,6 +174,7 @@
     """Nothing of the attempt is out any more."""
     if placed.name in placed.node.book.slots:
         placed.node.book.drop(placed.name, int(now * MICROSECONDS))
+        placed.node.queue.drop(placed.job)
     if placed.streaming:
         placed.streaming = False
         placed.node.streams -= 1
--- /dev/null
+++ b/hophinge/fleet/placement/queue.py
@@ -0,0 +1,90 @@
+"""The work believed to wait at one instance, this head's and that of all others.
+
+An engine reads prompts one at a time: the most urgent of those that wait comes next, in the order of arrival among
+equals, and none is interrupted once it has begun. So a short request may wait for a long one of lower priority, and
+that is what `begin` tells.
+
+All times are microseconds on the caller's clock.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections import deque
+from dataclasses import dataclass
+
+REMEMBERED = 32             # jobs taken to be begun that are kept, to put back those that were not
+FRESH_US = 500_000.0        # a report is so old at most: what was placed since may not be in it
+PHANTOM_PRIORITY = 9        # of work that an engine reports and nobody told of
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One request's work at the instance."""
+
+    priority: int           # 0 first
+    spent_us: float         # what it takes of the instance's time
+    arrived_us: float
+
+
+def _priority(job: Job) -> int:
+    return job.priority
+
+
+class WorkQueue:
+    """The queue of one instance, played forward as time passes."""
+
+    def __init__(self) -> None:
+        self.free_us = 0.0                  # when the job under way ends
+        self.waiting: list[Job] = []        # by priority, then by arrival
+        self.begun: deque[Job] = deque(maxlen=REMEMBERED)
+
+    def _advance(self, now_us: float) -> None:
+        """Begin the jobs that the instance should have come to by now."""
+        while self.waiting and self.free_us <= now_us:
+            job = self.waiting.pop(0)
+            self.free_us = max(self.free_us, job.arrived_us) + job.spent_us
+            self.begun.append(job)
+
+    def add(self, now_us: float, priority: int, spent_us: float) -> Job:
+        """A request was sent there."""
+        self._advance(now_us)
+        job = Job(priority, spent_us, now_us)
+        insort(self.waiting, job, key=_priority)
+        self._advance(now_us)
+        return job
+
+    def begin(self, now_us: float, priority: int) -> float:
+        """Tell when another request of a priority would be begun."""
+        self._advance(now_us)
+        ahead = sum(job.spent_us for job in self.waiting if job.priority <= priority)
+        return max(self.free_us, now_us) + ahead
+
+    def drop(self, job: Job) -> None:
+        """A request will not be worked on; one that was begun is not interrupted."""
+        if job in self.waiting:
+            self.waiting.remove(job)
+
+    def finished(self, now_us: float, job: Job) -> None:
+        """A request is done: what stood before it is done as well, and what stands behind it begins now."""
+        self._advance(now_us)
+        if job in self.waiting:
+            del self.waiting[:self.waiting.index(job) + 1]
+            self.free_us = now_us
+        elif job in self.begun:
+            behind = list(self.begun)[self.begun.index(job) + 1:]
+            self.free_us = now_us + sum(one.spent_us for one in behind)
+        self._advance(now_us)
+
+    def reported(self, now_us: float, waiting: int, mean_us: float) -> None:
+        """The instance told how many requests wait there: the queue is cut, or filled up, to that."""
+        self._advance(now_us)
+        old = [job for job in self.waiting if now_us - job.arrived_us > FRESH_US]
+        surplus = len(old) - waiting - 1
+        for job in old[:max(0, surplus)]:
+            self.waiting.remove(job)
+        if not waiting and not self.waiting:
+            self.free_us = min(self.free_us, now_us + mean_us)
+        for _ in range(waiting - len(self.waiting) - 1):
+            self.waiting.append(Job(PHANTOM_PRIORITY, mean_us, now_us))
+        self._advance(now_us)
--- /dev/null
+++ b/tests/test_fleet_upstream.py
@@ -0,0 +1,56 @@
+"""Connections to instances: how long they rest, and what an answer says of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hophinge.fleet.dataplane.upstream import RESTING_PART, RESTING_S, Call, Upstream
+from hophinge.fleet.forwarding.headers import Fields, resting_time
+
+
+@pytest.mark.parametrize(("value", "told"), [
+    (b"timeout=5", 5.0), (b"timeout=5, max=100", 5.0), (b"max=100,Timeout=12", 12.0),
+    (b"timeout=soon", None), (b"", None), (b"timeout", None), (b"timeout=-1", None)])
+def test_the_time_of_keep_alive_is_read(value: bytes, told: float | None) -> None:
+    fields: Fields = [(b"content-length", b"0"), (b"Keep-Alive", value)]
+    assert resting_time(fields) == told
+
+
+def test_connections_rest_as_long_as_the_instance_allows_and_are_used_again() -> None:
+    opened = 0
+    ended = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal opened
+        opened += 1
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=5\r\ncontent-length: 2\r\n\r\nok")
+
+    async def quiet(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await serve(reader, writer)
+        except asyncio.IncompleteReadError:
+            writer.close()
+            await writer.wait_closed()
+            ended.set()
+
+    async def play() -> None:
+        server = await asyncio.start_server(quiet, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        upstream = Upstream()
+        call = Call(f"127.0.0.1:{port}", b"GET", b"/", [(b"host", b"a")], b"", 5.0)
+        assert upstream._pool("i-1").resting_s == RESTING_S
+        for _ in range(3):
+            async with upstream.call("i-1", call) as response:
+                assert await response.aread() == b"ok"
+        assert upstream.pools["i-1"].resting_s == 5.0 * RESTING_PART
+        await upstream.close()
+        assert not upstream.pools
+        await ended.wait()
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(play())
+    assert opened == 1
