Registry and placement: an instance that answers is not lost, whatever the core has heard

Change: a cut-off member takes heartbeats without acknowledging them, engines' reports are signs of life and bring back what was taken for lost, heads go on sending to what answers them and, where nothing else is left, to what is taken for lost; a leaving instance never becomes a lost one.

--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -115,9 +115,15 @@
     def tell_heads(self, message: Reports | Suspects) -> None:
         """Tell the heads here what is known of engines, and the others over the other control members."""
         if isinstance(message, Reports):
-            self.loads.take(message)
+            self._reported(message)
         self.relay.at_once(message, [*self._heads(), *self._relays()])
 
+    def _reported(self, reports: Reports) -> None:
+        """Engines that answer questions live, also where their heartbeats reach a member that is cut off."""
+        self.loads.take(reports)
+        for record in self.registry.seen(self.loop.time(), [report.instance for report in reports.reports]):
+            self._tell(record)
+
     def _relayed(self, source: str, message: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
         heads = self._heads()
@@ -125,7 +131,7 @@
             self.relay.take(source, message, source in heads)
             return
         if isinstance(message, Reports):
-            self.loads.take(message)
+            self._reported(message)
         targets = [head for head in heads if head != source]
         self.relay.at_once(message, [*targets, *(self._relays() if source in heads else [])])
 
@@ -157,7 +163,7 @@
             self.safe.discard(instance.identity)
             if record is not None:
                 self._tell(record)
-            return True
+            return self.machine.connected(self.loop.time())     # else it beats at another member, which others hear
         if instance.identity in self.safe:
             return True
         known = record or self.dissemination.replicas.get(INSTANCE_PREFIX + instance.identity)
@@ -199,7 +205,7 @@
         """Expire what was not renewed, and tell the other control members what is new."""
         now = self.loop.time()
         self.leases.expire(now)
-        for record in self.registry.expire(now, self.machine.connected(now)):
+        for record in self.registry.expire(now, self.machine.votes and self.machine.connected(now)):
             self._tell(record)
         others = self.controls()
         if now - self.shared >= SHARE_S:
--- a/hophinge/fleet/controlplane/reports.py
+++ b/hophinge/fleet/controlplane/reports.py
@@ -15,7 +15,7 @@
 from hophinge.coordination.ownership import rendezvous
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.placement.hints import Report, Reports
-from hophinge.fleet.registry.instance import LOST, Instance
+from hophinge.fleet.registry.instance import Instance
 
 PERIOD_S = 0.8              # between two questions to one instance
 ANSWER_S = 0.4
@@ -44,7 +44,7 @@
         if self.me not in alive:
             return []
         return [instance for instance in self.directory.registry.instances.values()
-                if instance.stage and instance.state != LOST and rendezvous(instance.identity, alive) == self.me]
+                if instance.stage and rendezvous(instance.identity, alive) == self.me]
 
     async def run(self) -> None:
         """Ask for ever."""
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -9,13 +9,14 @@
 from hophinge.fleet.placement.hints import Report
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.placement.queue import WorkQueue
-from hophinge.fleet.registry.instance import READY, Instance
+from hophinge.fleet.registry.instance import LOST, READY, Instance
 
 MICROSECONDS = 1_000_000
 REST_S = 0.15               # rest of an instance after a failure; doubles while it goes on failing
 LONGEST_REST_S = 2.4
 SUSPECTED_S = 0.7           # rest of an instance that did not answer another member
 HEARD_S = 0.3               # an instance heard here so lately is not suspected
+EVIDENCE_S = 5.0            # an answer here so lately shows that an instance lives
 ROOMY = 0.6                 # part of its memory up to which an instance admits requests without a wait
 FILLED_US = 3_000_000.0     # what a request waits at an instance that is full beyond that by all of its memory
 WAITING_US = 40_000.0       # what each request that waits there already adds
@@ -65,10 +66,10 @@
         self.report: Report | None = None
         self.sent_since = 0             # tokens of memory that requests placed since that report hold
 
-    @property
-    def serving(self) -> bool:
-        """Tell whether it takes new requests."""
-        return self.instance.state == READY
+    def serves(self, now: float) -> bool:
+        """Tell whether it takes new requests; one that answers here is not lost, whatever the core has heard."""
+        state = self.instance.state
+        return state == READY or (state == LOST and now - self.answered_at <= EVIDENCE_S)
 
     @property
     def out(self) -> int:
@@ -97,7 +98,8 @@
         return now < self.rest_until
 
     def failed(self, now: float) -> None:
-        """An attempt failed here."""
+        """An attempt failed here; what it answered before is no evidence of life any more."""
+        self.answered_at = float("-inf")
         self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** self.failures)
         self.failures += 1
 
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -13,6 +13,7 @@
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import MICROSECONDS, Node
 from hophinge.fleet.placement.queue import Job
+from hophinge.fleet.registry.instance import LOST
 
 GROUP = 3                   # members of a key's group
 PART = 0.5                  # part of the route's aim that the units out at an instance may fill
@@ -98,13 +99,15 @@
         step = FIXED_STEP_US * (QUANTILE if above else QUANTILE - 1)
         self.fixed_us = max(0.0, self.fixed_us + step)
 
-    def serving(self) -> bool:
-        """Tell whether any instance takes new requests."""
-        return any(node.serving for node in self.nodes.values())
+    def _ready(self, now: float, avoid: set[str]) -> list[Node]:
+        """Tell the instances that take requests; where there are none, those that only the core takes for lost."""
+        others = [node for node in self.nodes.values() if node.instance.identity not in avoid]
+        return ([node for node in others if node.serves(now)]
+                or [node for node in others if node.instance.state == LOST])
 
     def group(self, now: float, key: str, avoid: set[str], fits: Callable[[Node], bool]) -> list[Node]:
         """Tell the members of a key's group that may take a request; where none may, any other that may."""
-        ready = [node for node in self.nodes.values() if node.serving and node.instance.identity not in avoid]
+        ready = self._ready(now, avoid)
         usable = [node for node in ready if not node.rests(now)] or ready
         ranked = sorted(usable, key=lambda node: rank(key, node))
         found = [node for node in ranked[:GROUP] if fits(node)]
--- a/hophinge/fleet/placement/weighing.py
+++ b/hophinge/fleet/placement/weighing.py
@@ -10,6 +10,7 @@
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.pool import Offer, Pool
 from hophinge.fleet.placement.prompt import Prompt
+from hophinge.fleet.registry.instance import LOST, READY
 
 SHARE_OF_OTHERS = 0.3       # weight of an instance's time, which others wait for, beside one's own time
 SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
@@ -41,7 +42,8 @@
     def __init__(self, prompt: Prompt, zone: str, prefill: Pool, decode: Pool) -> None:
         self.prompt, self.zone = prompt, zone
         self.prefill, self.decode = prefill, decode
-        nodes = [node for pool in (prefill, decode) for node in pool.nodes.values() if node.serving]
+        members = [*prefill.nodes.values(), *decode.nodes.values()]
+        nodes = [node for node in members if node.instance.state in (READY, LOST)]
         kept = max((node.cache.cached(prompt) for node in nodes), default=0)
         self.kept = min(prompt.shared_tokens, kept)
 
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -6,15 +6,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from hophinge.coordination.codec import wire
 from hophinge.coordination.dissemination import Record
-from hophinge.fleet.registry.instance import INSTANCE_PREFIX, LOST, READY, SWITCHING, Instance, instance_of, record_of
+from hophinge.fleet.registry.instance import (
+    DRAINING,
+    INSTANCE_PREFIX,
+    LOST,
+    READY,
+    SWITCHING,
+    Instance,
+    instance_of,
+    record_of,
+)
 
 MISSED = 4.0                # heartbeats that are missed before an instance is taken for lost
 SWITCH_S = 12.0             # an instance ordered to change its stage is spared for so long at most
-FORGET_S = 600.0            # silence after which a lost instance is dropped; its next heartbeat still brings it back
+FORGET_S = 600.0            # silence after which a lost or leaving instance is dropped, until its next heartbeat
 REMEMBER_S = 600.0          # how long an instance that has unregistered is remembered as ended
 ENDED = 1 << 62             # the sequence of an instance that has unregistered: above any heartbeat
 
@@ -76,13 +86,11 @@
 
     def switching(self, now: float, identity: str) -> Record | None:
         """An instance was ordered to change its stage."""
-        instance, stamp = self.instances.get(identity), self.stamps.get(identity)
-        if instance is None or stamp is None or instance.state != READY:
+        instance = self.instances.get(identity)
+        if instance is None or instance.state != READY:
             return None
         self.switches[identity] = now + SWITCH_S
-        beat = self.beats.get(identity)
-        sequence = max(stamp[0], beat.sequence if beat is not None else 0)
-        return self._change(replace(instance, state=SWITCHING), (sequence, stamp[1] + 1))
+        return self._change(replace(instance, state=SWITCHING), self._stamp_after(identity))
 
     def _change(self, instance: Instance, stamp: tuple[int, int]) -> Record:
         self.instances[instance.identity] = instance
@@ -143,17 +151,35 @@
         for identity, beat in self.beats.items():
             instance = self.instances.get(identity)
             silent = now - beat.heard > MISSED * self.heartbeat_s
-            if silent and instance is not None and instance.state != LOST:
-                lost.append(self._change(replace(instance, state=LOST), (beat.sequence, 1)))
+            if silent and instance is not None and instance.state in (READY, SWITCHING):
+                lost.append(self._change(replace(instance, state=LOST), self._stamp_after(identity)))
         return lost
 
+    def _stamp_after(self, identity: str) -> tuple[int, int]:
+        """Tell the stamp of what is concluded here: above what is known, below the next heartbeat."""
+        known, beat = self.stamps.get(identity, (0, 0)), self.beats.get(identity)
+        sequence = max(known[0], beat.sequence if beat is not None else 0)
+        return sequence, known[1] + 1
+
+    def seen(self, now: float, identities: Iterable[str]) -> list[Record]:
+        """Instances answered a question: they live, though their heartbeats may not arrive; tells those found again."""
+        found: list[Record] = []
+        for identity in identities:
+            instance, beat = self.instances.get(identity), self.beats.get(identity)
+            if instance is None or beat is None:
+                continue
+            beat.heard = now
+            if instance.state == LOST:
+                found.append(self._change(replace(instance, state=READY), self._stamp_after(identity)))
+        return found
+
     def forget(self, now: float) -> list[Record]:
         """Drop lost instances that have been silent for long, and ends that nobody asks about any more."""
         self.ended = {identity: at for identity, at in self.ended.items() if now - at < REMEMBER_S}
-        lost = {identity for identity, instance in self.instances.items() if instance.state == LOST}
-        old = [(identity, beat) for identity, beat in self.beats.items()
-               if identity in lost and now - beat.heard > FORGET_S]
-        records = [Record(INSTANCE_PREFIX + identity, (beat.sequence, 2), b"", True) for identity, beat in old]
-        for identity, _ in old:
+        leaving = {identity for identity, instance in self.instances.items() if instance.state in (LOST, DRAINING)}
+        old = [identity for identity, beat in self.beats.items()
+               if identity in leaving and now - beat.heard > FORGET_S]
+        records = [Record(INSTANCE_PREFIX + identity, self._stamp_after(identity), b"", True) for identity in old]
+        for identity in old:
             self._drop(identity)
         return records
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -7,7 +7,7 @@
 from hophinge.fleet.placement.placement import Placement, Plan, Wish
 from hophinge.fleet.placement.pool import FEW, GROUP, LATE_PRIORITY, answered, ended
 from hophinge.fleet.placement.prompt import Prompt
-from hophinge.fleet.registry.instance import DRAINING, READY, Instance
+from hophinge.fleet.registry.instance import DRAINING, LOST, READY, Instance
 
 
 def _instance(number: int, stage: str, state: str = READY) -> Instance:
@@ -176,3 +176,33 @@
         answered(number + 0.125, placed, False)      # 10 us a unit, and 25 ms beside
         ended(number + 0.125, placed)
     assert 8.0 < pool.unit_us(node) < 13.0
+
+
+def test_an_instance_that_answers_here_is_used_whatever_the_core_has_heard() -> None:
+    placement = _placement(0, 0, 2)
+    plan = placement.plain(_wish("a"), "")
+    assert plan is not None
+    answering = plan.placed.node.instance.identity
+    answered(0.1, plan.placed, False)
+    for number in range(2):
+        placement.instance(f"i-{number}", _instance(number, "", LOST))
+    for number in range(3):
+        plan = placement.plain(_wish(str(number), 1.0), "")
+        assert plan is not None
+        assert plan.placed.node.instance.identity == answering
+
+
+def test_one_that_only_the_core_takes_for_lost_is_tried_where_there_is_no_other() -> None:
+    placement = _placement(0, 0, 1)
+    placement.instance("i-0", _instance(0, "", LOST))
+    assert placement.plain(_wish("a"), "") is not None
+    placement.instance("i-1", _instance(1, ""))
+    plan = placement.plain(_wish("b"), "")
+    assert plan is not None
+    assert plan.placed.node.instance.identity == "i-1"
+
+
+def test_a_leaving_one_is_never_tried() -> None:
+    placement = _placement(0, 0, 1)
+    placement.instance("i-0", _instance(0, "", DRAINING))
+    assert placement.plain(_wish("a"), "") is None
--- a/tests/test_fleet_registry.py
+++ b/tests/test_fleet_registry.py
@@ -185,3 +185,27 @@
     assert switch is not None
     assert (switch.instance.stage, switch.stage) == ("prefill", "decode")
     assert wanted_switch(members, _loads(members, 2, 25)) is None
+
+
+def test_an_instance_that_answers_questions_is_not_lost_and_is_found_again() -> None:
+    registry = Registry(1.0, 0.0)
+    registry.heartbeat(0.0, ONE, 1)
+    _pass(registry, 0.0, 4.0)
+    assert registry.seen(4.0, ["i-1", "i-unknown"]) == []
+    assert _pass(registry, 4.0, 8.0) == []
+    assert _pass(registry, 8.0, 9.0) == ["instance/i-1"]
+    [record] = registry.seen(9.0, ["i-1"])
+    found = instance_of(record)
+    assert found is not None
+    assert found.state == READY
+    later = registry.heartbeat(9.1, replace(ONE, state=DRAINING), 2)
+    assert later is not None
+    assert later.stamp > record.stamp, "the next heartbeat counts for more"
+
+
+def test_a_leaving_instance_that_falls_silent_stays_a_leaving_one() -> None:
+    registry = Registry(1.0, 0.0)
+    registry.heartbeat(0.0, replace(ONE, state=DRAINING), 1)
+    assert _pass(registry, 0.0, 20.0) == []
+    assert registry.instances["i-1"].state == DRAINING
+    assert registry.seen(20.0, ["i-1"]) == []
