--- a/hophinge/fleet/placement/stages.py
+++ b/hophinge/fleet/placement/stages.py
@@ -18,8 +18,8 @@
 MOST_PREFILL = 0.7          # part of a service's instances that only read prompts, at most
 LEAST_PREFILL = 0.25        # and at least
 NEWEST = 0.4                # weight of the newest report in an instance's means
-LONG_QUEUE = 0.45           # requests that wait at a prefill instance on average: more of these are wanted
-SHORT_QUEUE = 0.3           # with fewer, one of them can be spared
+LONG_QUEUE = 0.15           # requests that wait at a prefill instance on average: more of these are wanted
+SHORT_QUEUE = 0.1           # with fewer, one of them can be spared
 FULL_DECODE = 0.22          # part of the slots in which decode instances make answers: more of these are wanted
 ROOMY_DECODE = 0.12         # with less, one of them can be spared
 
