Placement: heads tell each other when a prompt was read; times per unit from the ends of jobs

Change: the end of each read goes out with the hints; it sets the queue right and gives the time spent on the job.

--- a/hophinge/fleet/controlplane/relay.py
+++ b/hophinge/fleet/controlplane/relay.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterable
 
-from hophinge.fleet.placement.hints import Hint, Hints, Reports, Suspects
+from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.transport.frames import frame
 
 LEAST_S = 0.02              # gathered for so long at least
@@ -22,14 +22,14 @@
     def __init__(self, send_frame: SendFrame) -> None:
         self.send_frame = send_frame
         self.hints: list[tuple[str, Hints]] = []
-        self.from_heads: list[Hint] = []        # that the other control members have to hear
+        self.from_heads = Hints(())             # what the other control members have to hear
         self.flushed = float("-inf")
 
     def take(self, source: str, hints: Hints, from_head: bool) -> None:
         """Take what was placed."""
         self.hints.append((source, hints))
         if from_head:
-            self.from_heads += hints.hints
+            self.from_heads += hints
 
     def due(self, now: float, heads: int) -> bool:
         """Tell whether what was gathered is to be passed on."""
@@ -39,16 +39,16 @@
         """Pass on what was gathered."""
         gathered, self.hints, self.flushed = self.hints, [], now
         sources = {source for source, _ in gathered}
-        everything = frame(Hints(tuple(hint for _, hints in gathered for hint in hints.hints)))
+        everything = frame(sum((hints for _, hints in gathered), Hints(())))
         for head in heads:
             if head not in sources:
                 self.send_frame(head, everything)
                 continue
-            others = tuple(hint for source, hints in gathered if source != head for hint in hints.hints)
-            if others:
-                self.send_frame(head, frame(Hints(others)))
-        if self.from_heads:
-            shared, self.from_heads = frame(Hints(tuple(self.from_heads))), []
+            others = sum((hints for source, hints in gathered if source != head), Hints(()))
+            if not others.empty:
+                self.send_frame(head, frame(others))
+        if not self.from_heads.empty:
+            shared, self.from_heads = frame(self.from_heads), Hints(())
             for control in controls:
                 self.send_frame(control, shared)
 
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 from hophinge.fleet.transport import lean  # isort: skip  # noqa: F401 - before the HTTP libraries
 
@@ -37,7 +38,7 @@
         self.addresses = settings.front, settings.ready
         self.signals = Signals()
         self.tasks = Tasks(self.signals.ending)
-        self.placement = Placement(settings.zone, self._ended)
+        self.placement = Placement(settings.zone, self._ended, Random())
         self.upstream = Upstream()
         self.knowledge = Knowledge(settings, self._send, self._instance, self._configured,
                                    self._granted)
@@ -82,7 +83,7 @@
         while True:
             await asyncio.sleep(HINT_S)
             granter = self.knowledge.renewal.home
-            for message in (self.placement.told(), self.placement.told_suspects()):
+            for message in (self.placement.told(asyncio.get_running_loop().time()), self.placement.told_suspects()):
                 if message is not None and granter is not None:
                     self.links.send(granter, message)
 
--- a/hophinge/fleet/emulation/sizes.py
+++ b/hophinge/fleet/emulation/sizes.py
@@ -4,6 +4,8 @@
 
 import json
 
+from random import Random
+
 from hophinge.coordination.dissemination import Replicas
 from hophinge.coordination.leases import Holder
 from hophinge.fleet.placement.hints import Hint
@@ -46,12 +48,12 @@
 def hint(number: int) -> Hint:
     """Make a hint."""
     parts = ((f"{number:08x}", 2520), (f"{number + 1:08x}", 3780), (f"{number + 2:08x}", 2890))
-    return Hint(f"i-{number % 1700:010x}", 2890, parts, 2, 9300)
+    return Hint(f"i-{number % 1700:010x}", 2890, parts, 2, 9300, number)
 
 
 def placement(count: int) -> Placement:
     """Make books of instances of one service."""
-    made = Placement("zone-1", lambda identity: None)
+    made = Placement("zone-1", lambda identity: None, Random(1))
     for number in range(count):
         one = instance(number * 22)
         made.instance(one.identity, one)
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -23,6 +23,7 @@
 from hophinge.fleet.registry.instance import LOST, READY, SWITCHING, Instance
 
 SERVICE = "models"
+PACES = (0.65, 1.1)         # of the profile's pace at which engines read: those of one service differ
 HINT_S = 0.05               # from a placement until the other heads know of it
 REPORT_S = 0.8              # between an engine's reports
 REPORT_AGE_S = 0.2          # of a report when it reaches the heads
@@ -74,7 +75,8 @@
         self.loads = StageLoads()
         self.engines: dict[str, VirtualEngine] = {}
         self.instances: dict[str, Instance] = {}
-        self.heads = [Placement(self.zones[number % zones], lambda identity: None) for number in range(heads)]
+        self.heads = [Placement(self.zones[number % zones], lambda identity: None, Random(seed + number))
+                      for number in range(heads)]
         self.budgets = [RetryBudget(BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S) for _ in range(heads)]
         self.outcomes: list[Outcome] = []
         self.switch_wanted: tuple[str, float] | None = None
@@ -88,6 +90,8 @@
 
     def _start_engine(self, profile: EngineProfile, number: int, stage: str) -> None:
         identity, zone = f"i-{number}", self.zones[number % len(self.zones)]
+        pace = profile.tokens_read_a_second * self.random.uniform(*PACES)
+        profile = replace(profile, tokens_read_a_second=pace)
         self.engines[identity] = VirtualEngine(self.clock, profile, identity, stage, zone)
         self._tell(Instance(identity, SERVICE, identity, zone, "v1", profile.slots, READY, stage, ()))
 
@@ -115,7 +119,7 @@
 
     def _hint(self) -> None:
         for head in self.heads:
-            hints = head.told()
+            hints = head.told(self.clock.now)
             if hints is None:
                 continue
             for other in self.heads:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -13,7 +13,7 @@
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.placement import Placement, Plan, Wish
-from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Placed, Pool, answered, ended
+from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Placed, Pool, ended
 from hophinge.fleet.placement.prompt import Prompt
 
 LEAST_LEFT_S = 0.02         # no attempt begins with less time than this
@@ -138,13 +138,13 @@
 
     def streaming(self, now: float, placed: Placed) -> None:
         """The first event of an answer has come: the instance has read, and makes tokens from now on."""
-        answered(now, placed, True)
+        self.placement.answered(now, placed, True)
 
     def ended(self, now: float, placed: Placed, result: Result) -> bool:
         """Take the end of an attempt; tells whether the request is over."""
         node, ending = placed.node, result.ending
         if ending in (Ending.READ, Ending.ANSWERED):
-            answered(now, placed, False)
+            self.placement.answered(now, placed, False)
         ended(now, placed)
         self.event_id = result.event_id or self.event_id
         if ending is Ending.READ:
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -21,14 +21,35 @@
     parts: tuple[tuple[str, int], ...]
     priority: int           # at the instance: 0 first
     memory: int             # tokens that the request holds there while it runs; 0 where it is only read
+    job: int                # its number in the instance's queue, drawn at random
+
+
+@wire(86)
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A prompt was read: its job is over, and the instance has gone on to the next."""
+
+    instance: str
+    job: int
+    age_ms: int             # since then, when this was told
 
 
 @wire(81)
 @dataclass(frozen=True, slots=True)
 class Hints:
-    """What was placed since the last word."""
+    """What was placed, and what came to its end, since the last word."""
 
     hints: tuple[Hint, ...]
+    done: tuple[Done, ...] = ()
+
+    def __add__(self, other: Hints) -> Hints:
+        """Put two words together."""
+        return Hints(self.hints + other.hints, self.done + other.done)
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether this says nothing."""
+        return not self.hints and not self.done
 
 
 @wire(85)
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -12,15 +12,19 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
-from hophinge.fleet.placement.hints import Hint, Hints, Reports, Suspects
+from hophinge.fleet.placement.hints import Done, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
-from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool
+from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool, answered
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.placement.weighing import Choice, Weighing
 from hophinge.fleet.registry.instance import Instance
 
+MILLISECONDS = 1_000
+RELAYED_S = 0.03            # that a word takes from one head to another on average
+JOB_BITS = 40               # of a job's number: two alike in one queue are next to impossible
 LEAST_TOKENS = 64           # charged for a request with nothing to read
 SILENT_S = 0.6              # without an answer, before a failed attempt speaks against an instance that answered
 
@@ -46,15 +50,25 @@
     priority: int               # at the instance: 0 first
 
 
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A prompt that was read here and that the others have not been told of."""
+
+    instance: str
+    job: int
+    ended: float
+
+
 class Placement:
     """The books of one data plane."""
 
-    def __init__(self, zone: str, changed: Callable[[str], None]) -> None:
-        self.zone, self.changed = zone, changed
+    def __init__(self, zone: str, changed: Callable[[str], None], random: Random) -> None:
+        self.zone, self.changed, self.random = zone, changed, random
         self.pools: dict[tuple[str, str], Pool] = {}
         self.nodes: dict[str, Node] = {}
         self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
         self.untold: list[Hint] = []
+        self.untold_done: list[Ended] = []
         self.suspects: set[str] = set()
 
     # --- instances -----------------------------------------------------------------------------------------------
@@ -90,10 +104,12 @@
 
     # --- hints ---------------------------------------------------------------------------------------------------
 
-    def told(self) -> Hints | None:
-        """Tell what was placed here since the last call."""
-        hints, self.untold = tuple(self.untold), []
-        return Hints(hints) if hints else None
+    def told(self, now: float) -> Hints | None:
+        """Tell what was placed here, and what came to its end, since the last call."""
+        done = tuple(Done(one.instance, one.job, int((now - one.ended) * MILLISECONDS)) for one in self.untold_done)
+        hints = Hints(tuple(self.untold), done)
+        self.untold, self.untold_done = [], []
+        return None if hints.empty else hints
 
     def hinted(self, now: float, hints: Hints) -> None:
         """Take what other heads placed."""
@@ -101,9 +117,24 @@
             node = self.nodes.get(hint.instance)
             if node is not None:
                 pool = self.pool(node.instance.service, node.instance.stage)
-                pool.others_sent(now, node, hint.units, hint.priority)
+                pool.others_sent(now, node, hint)
                 node.cache.remember(hint.parts)
                 node.sent_since += hint.memory
+        for done in hints.done:
+            node = self.nodes.get(done.instance)
+            job = node.queue.find(done.job) if node is not None else None
+            if node is not None and job is not None:
+                pool = self.pool(node.instance.service, node.instance.stage)
+                pool.finished(now, node, job, now - RELAYED_S - done.age_ms / MILLISECONDS)
+
+    def answered(self, now: float, placed: Placed, streaming: bool) -> None:
+        """An attempt's units are done; where a prompt was read, the other heads are told."""
+        if placed.name not in placed.node.book.slots:
+            return
+        answered(now, placed, streaming)
+        if placed.pool.reads_in_turn and placed.units > LEAST_TOKENS:
+            placed.pool.finished(now, placed.node, placed.job, now)
+            self.untold_done.append(Ended(placed.node.instance.identity, placed.job.number, now))
 
     def failed(self, node: Node, now: float) -> None:
         """An attempt failed at an instance; where nothing was heard of it for a while, the other heads are told."""
@@ -133,7 +164,7 @@
 
     def kept(self) -> Hints:
         """Tell all prompt parts believed to be kept, for a head that has just started."""
-        return Hints(tuple(Hint(identity, 0, tuple(node.cache.parts.items()), 0, 0)
+        return Hints(tuple(Hint(identity, 0, tuple(node.cache.parts.items()), 0, 0, 0)
                            for identity, node in self.nodes.items() if node.cache.parts))
 
     # --- choice --------------------------------------------------------------------------------------------------
@@ -198,5 +229,6 @@
         memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not choice.reads else 0
         offer.node.cache.remember(parts)
         offer.node.sent_since += memory
-        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, offer.priority, memory))
-        return Plan(choice.pool.reserve(wish.now, offer, wish.name), choice.reads, offer.priority)
+        number = self.random.getrandbits(JOB_BITS)
+        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, offer.priority, memory, number))
+        return Plan(choice.pool.reserve(wish.now, offer, wish.name, number), choice.reads, offer.priority)
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -11,6 +11,7 @@
 from hashlib import blake2b
 
 from hophinge.core.choice.nodes import CEILING
+from hophinge.fleet.placement.hints import Hint
 from hophinge.fleet.placement.node import MICROSECONDS, Node
 from hophinge.fleet.placement.queue import Job
 from hophinge.fleet.registry.instance import LOST
@@ -25,9 +26,12 @@
 START_UNIT_US = {PREFILL: 30.0, DECODE: 60.0, PLAIN: 20_000.0}      # until an answer has taught better
 START_FIXED_US = {PREFILL: 25_000.0, DECODE: 30_000.0, PLAIN: 0.0}  # of an answer's time that no unit takes
 QUANTILE = 0.3              # of answers' times, that counts as served without waiting
+NODE_STEP = 0.3             # weight of the newest sample in an instance's time per unit
+TYPICAL_STEP = 0.05         # and in what is typical of its stage
 UNIT_STEP = 0.1             # part by which one answer moves the time per unit at most
 FIXED_STEP_US = 4_000.0     # by which one answer moves it at most
-LEAST_TAUGHT = {PREFILL: 500.0, DECODE: 500.0, PLAIN: 0.0}          # units of a request that teaches the time per unit
+FAR_OFF = 2.0               # times the time per unit: a sample beyond it is mostly something else
+LEAST_TAUGHT = {PREFILL: 1_500.0, DECODE: 1_500.0, PLAIN: 0.0}  # units of a request that teaches the time per unit
 
 
 @dataclass(slots=True)
@@ -86,15 +90,15 @@
         """Take what an answer took. What lies above the lower part of such times is waiting behind others' work."""
         if units < LEAST_TAUGHT[self.stage]:
             return
+        if self.reads_in_turn:
+            self._taught_fixed(node, units, took_us)
+            return
         sample = max(1.0, took_us - self.fixed_us) / units
         node.unit_us = _towards(node.unit_us or self.typical_us, sample)
         self.typical_us = _towards(self.typical_us, sample)
-        self._taught_fixed(node, units, took_us)
 
     def _taught_fixed(self, node: Node, units: float, took_us: float) -> None:
         """Move the fixed time towards the lower part of what answers took beyond their units."""
-        if self.stage == PLAIN:
-            return
         above = took_us - units * self.unit_us(node) > self.fixed_us
         step = FIXED_STEP_US * (QUANTILE if above else QUANTILE - 1)
         self.fixed_us = max(0.0, self.fixed_us + step)
@@ -132,24 +136,38 @@
             made.append(Offer(node, wanted, done, spent, priority))
         return made
 
-    def reserve(self, now: float, offer: Offer, name: tuple[str, int]) -> Placed:
+    def reserve(self, now: float, offer: Offer, name: tuple[str, int], number: int) -> Placed:
         """Put an attempt into an instance's book."""
         unit_us = self.unit_us(offer.node) / self.width
         offer.node.book.reserve(name, offer.units, unit_us, int(now * MICROSECONDS))
         self.placed(offer.units)
-        job = offer.node.queue.add(now * MICROSECONDS, offer.priority, offer.units * unit_us)
+        job = offer.node.queue.add(now * MICROSECONDS, offer.priority, offer.units * unit_us, number, offer.units)
         return Placed(offer.node, name, offer.units, self, job)
 
     def placed(self, units: float) -> None:
         """Take note of a request's size."""
         self.mean_units += (units - self.mean_units) * (1 - MEMORY) * 2
 
-    def others_sent(self, now: float, node: Node, units: float, priority: int) -> None:
+    def others_sent(self, now: float, node: Node, hint: Hint) -> None:
         """Another head sent work to an instance."""
-        if not units:
+        if not hint.units:
             return
-        self.placed(units)
-        node.queue.add(now * MICROSECONDS, priority, units * self.unit_us(node) / self.width)
+        self.placed(hint.units)
+        spent = hint.units * self.unit_us(node) / self.width
+        node.queue.add(now * MICROSECONDS, hint.priority, spent, hint.job, hint.units)
+
+    @property
+    def reads_in_turn(self) -> bool:
+        """Tell whether instances work on one request at a time: engines, on the prompts that they read."""
+        return self.stage != PLAIN
+
+    def finished(self, now: float, node: Node, job: Job, ended: float) -> None:
+        """A prompt was read: its instance's queue goes on from there, and the time spent teaches the time per unit."""
+        spent = node.queue.finished(now * MICROSECONDS, job, ended * MICROSECONDS)
+        if job.units >= LEAST_TAUGHT[self.stage]:
+            sample = spent / job.units
+            node.unit_us = _follow(node.unit_us or self.typical_us, sample, NODE_STEP)
+            self.typical_us = _follow(self.typical_us, sample, TYPICAL_STEP)
 
 
 def _towards(unit_us: float, sample_us: float) -> float:
@@ -157,14 +175,17 @@
     return unit_us * (1 + UNIT_STEP * (QUANTILE if sample_us > unit_us else QUANTILE - 1))
 
 
+def _follow(unit_us: float, sample_us: float, step: float) -> float:
+    """Move a time per unit towards a sample; one far off counts as one at a bound."""
+    return unit_us + step * (min(max(sample_us, unit_us / FAR_OFF), unit_us * FAR_OFF) - unit_us)
+
+
 def answered(now: float, placed: Placed, streaming: bool) -> None:
     """The attempt's units are done: what they took teaches the time per unit. A stream goes on."""
     book, now_us = placed.node.book, int(now * MICROSECONDS)
     if placed.name not in book.slots:
         return
     slot = book.drop(placed.name, now_us)
-    if placed.pool.width == 1:
-        placed.node.queue.finished(now_us, placed.job)
     placed.pool.taught(placed.node, slot.units, now_us - slot.sent)
     book.heard = now_us
     placed.node.answered(now)
--- a/hophinge/fleet/placement/queue.py
+++ b/hophinge/fleet/placement/queue.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 REMEMBERED = 32             # jobs taken to be begun that are kept, to put back those that were not
+LEAST_SAMPLE_US = 1_000.0   # a job takes at least that: less is an error of clocks
 FRESH_US = 500_000.0        # a report is so old at most: what was placed since may not be in it
 PHANTOM_PRIORITY = 9        # of work that an engine reports and nobody told of
 
@@ -25,6 +26,8 @@
     priority: int           # 0 first
     spent_us: float         # what it takes of the instance's time
     arrived_us: float
+    number: int = 0         # by which heads tell each other that it is done; 0 where nobody will
+    units: float = 0.0
 
 
 def _priority(job: Job) -> int:
@@ -38,6 +41,7 @@
         self.free_us = 0.0                  # when the job under way ends
         self.waiting: list[Job] = []        # by priority, then by arrival
         self.begun: deque[Job] = deque(maxlen=REMEMBERED)
+        self.done_us = 0.0                  # when the last job that is known to be done ended
 
     def _advance(self, now_us: float) -> None:
         """Begin the jobs that the instance should have come to by now."""
@@ -46,10 +50,10 @@
             self.free_us = max(self.free_us, job.arrived_us) + job.spent_us
             self.begun.append(job)
 
-    def add(self, now_us: float, priority: int, spent_us: float) -> Job:
+    def add(self, now_us: float, priority: int, spent_us: float, number: int = 0, units: float = 0.0) -> Job:
         """A request was sent there."""
         self._advance(now_us)
-        job = Job(priority, spent_us, now_us)
+        job = Job(priority, spent_us, now_us, number, units)
         insort(self.waiting, job, key=_priority)
         self._advance(now_us)
         return job
@@ -65,16 +69,27 @@
         if job in self.waiting:
             self.waiting.remove(job)
 
-    def finished(self, now_us: float, job: Job) -> None:
-        """A request is done: what stood before it is done as well, and what stands behind it begins now."""
+    def find(self, number: int) -> Job | None:
+        """Find a job by its number."""
+        return next((job for job in (*self.begun, *self.waiting) if job.number == number), None)
+
+    def finished(self, now_us: float, job: Job, ended_us: float) -> float:
+        """A request was done a moment ago: the next began then; tells the time that the instance spent on it.
+
+        Of the jobs reckoned to come before it, all are taken to be done; of those behind it, none is.
+        """
         self._advance(now_us)
+        spent_us = max(LEAST_SAMPLE_US, ended_us - max(self.done_us, job.arrived_us))
+        self.done_us = max(self.done_us, ended_us)
         if job in self.waiting:
             del self.waiting[:self.waiting.index(job) + 1]
-            self.free_us = now_us
+            self.free_us = ended_us
         elif job in self.begun:
             behind = list(self.begun)[self.begun.index(job) + 1:]
-            self.free_us = now_us + sum(one.spent_us for one in behind)
+            self.begun = deque(behind, maxlen=REMEMBERED)
+            self.free_us = ended_us + sum(one.spent_us for one in behind)
         self._advance(now_us)
+        return spent_us
 
     def reported(self, now_us: float, waiting: int, mean_us: float) -> None:
         """The instance told how many requests wait there: the queue is cut, or filled up, to that."""
--- a/tests/test_fleet_emulation.py
+++ b/tests/test_fleet_emulation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks import placement as plays
+from hophinge.fleet.emulation import plays
 from hophinge.fleet.emulation.clock import VirtualClock
 from hophinge.fleet.emulation.virtual_engine import EngineProfile, Event, VirtualEngine, Work
 from hophinge.fleet.placement.pool import DECODE, PREFILL
--- a/tests/test_fleet_life.py
+++ b/tests/test_fleet_life.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from dataclasses import replace
 
 import pytest
@@ -24,7 +26,7 @@
 
 
 def _placement(prefill: int, decode: int, plain: int = 0) -> Placement:
-    placement = Placement("z", lambda identity: None)
+    placement = Placement("z", lambda identity: None, Random(1))
     stages = ["prefill"] * prefill + ["decode"] * decode + [""] * plain
     for number, stage in enumerate(stages):
         instance = Instance(f"i-{number}", "s", f"10.0.0.{number}:80", "z", "v", 8, READY, stage, ())
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.hints import Hint, Hints, Report, Reports
 from hophinge.fleet.placement.placement import Placement, Plan, Wish
-from hophinge.fleet.placement.pool import FEW, GROUP, LATE_PRIORITY, answered, ended
+from hophinge.fleet.placement.pool import FEW, GROUP, LATE_PRIORITY, ended
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import DRAINING, LOST, READY, Instance
 
@@ -15,7 +17,7 @@
 
 
 def _placement(prefill: int, decode: int, plain: int = 0) -> Placement:
-    placement = Placement("z", lambda identity: None)
+    placement = Placement("z", lambda identity: None, Random(1))
     for number, stage in enumerate(["prefill"] * prefill + ["decode"] * decode + [""] * plain):
         placement.instance(f"i-{number}", _instance(number, stage))
     placement.configured({"s": 200_000})
@@ -71,7 +73,7 @@
     alone = _generation(placement, "a", prompt).placed.node.instance.identity
     other = _placement(2, 1)
     elsewhere = next(name for name in ("i-0", "i-1") if name != alone)
-    other.hinted(0.0, Hints((Hint(elsewhere, 100, prompt.parts, 0, 0),)))
+    other.hinted(0.0, Hints((Hint(elsewhere, 100, prompt.parts, 0, 0, 1),)))
     assert _generation(other, "a", prompt).placed.node.instance.identity == elsewhere
 
 
@@ -82,7 +84,7 @@
     for number in range(FEW):
         assert pool.room(node, 1.0, 0.001), number
         offer = pool.offers(0.0, [node], lambda one: 1.0, False)[0]
-        pool.reserve(0.0, offer, (str(number), 1))
+        pool.reserve(0.0, offer, (str(number), 1), number)
     assert not pool.room(node, 1.0, 0.001)
     assert pool.room(node, 1.0, 10.0)
 
@@ -98,15 +100,15 @@
     prompt = _prompt("key", 40_000, 4_000)
     assert _generation(placement, "a", prompt, aim_s=10.0).priority < LATE_PRIORITY
     assert _generation(placement, "b", _prompt("other", 40_000, 4_000), aim_s=0.1).priority == LATE_PRIORITY
-    hints = placement.told()
+    hints = placement.told(0.0)
     assert hints is not None
     assert [hint.priority == LATE_PRIORITY for hint in hints.hints] == [False, True]
 
 
 def test_late_work_that_waits_does_not_hold_up_what_can_be_in_time() -> None:
     placement = _placement(1, 1)
-    under_way = [Hint(name, 1_000, (), 0, 0) for name in ("i-0", "i-1")]
-    late = [Hint(name, 900_000, (), LATE_PRIORITY, 0) for name in ("i-0", "i-1")]
+    under_way = [Hint(name, 1_000, (), 0, 0, 1) for name in ("i-0", "i-1")]
+    late = [Hint(name, 900_000, (), LATE_PRIORITY, 0, 2) for name in ("i-0", "i-1")]
     placement.hinted(0.0, Hints((*under_way, *late)))
     assert _generation(placement, "a", _prompt("key"), aim_s=1.0).priority < LATE_PRIORITY
 
@@ -116,7 +118,7 @@
     prompt = _prompt("key", 100, 100)
     alone = _generation(placement, "a", prompt).placed.node.instance.identity
     other = _placement(2, 1)
-    other.hinted(0.0, Hints((Hint(alone, 900_000, (), LATE_PRIORITY, 0),)))
+    other.hinted(0.0, Hints((Hint(alone, 900_000, (), LATE_PRIORITY, 0, 2),)))
     assert _generation(other, "a", prompt).placed.node.instance.identity != alone
 
 
@@ -129,7 +131,7 @@
 
 def test_a_leaving_instance_gets_nothing_and_an_ended_one_is_forgotten() -> None:
     gone: list[str] = []
-    placement = Placement("z", gone.append)
+    placement = Placement("z", gone.append, Random(1))
     for number in range(2):
         placement.instance(f"i-{number}", _instance(number, ""))
     placement.instance("i-0", _instance(0, "", DRAINING))
@@ -160,7 +162,7 @@
     placement = _placement(1, 1)
     for number in range(200):
         plan = _generation(placement, str(number), _prompt(f"key-{number}", 2_000, 100))
-        answered(0.0, plan.placed, False)
+        placement.answered(0.0, plan.placed, False)
         ended(0.0, plan.placed)
     assert all(pool.unit_us(node) > 0 for pool in placement.pools.values() for node in pool.nodes.values())
     assert placement.generation(_wish("last"), _prompt("key")) is not None
@@ -172,8 +174,8 @@
     node = pool.nodes["i-0"]
     for number in range(60):
         offer = pool.offers(0.0, [node], lambda one: 10_000.0, False)[0]
-        placed = pool.reserve(float(number), offer, (str(number), 1))
-        answered(number + 0.125, placed, False)      # 10 us a unit, and 25 ms beside
+        placed = pool.reserve(float(number), offer, (str(number), 1), number)
+        placement.answered(number + 0.125, placed, False)      # 10 us a unit, and 25 ms beside
         ended(number + 0.125, placed)
     assert 8.0 < pool.unit_us(node) < 13.0
 
@@ -183,7 +185,7 @@
     plan = placement.plain(_wish("a"), "")
     assert plan is not None
     answering = plan.placed.node.instance.identity
-    answered(0.1, plan.placed, False)
+    placement.answered(0.1, plan.placed, False)
     for number in range(2):
         placement.instance(f"i-{number}", _instance(number, "", LOST))
     for number in range(3):
--- a/tests/test_fleet_queue.py
+++ b/tests/test_fleet_queue.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from hophinge.fleet.placement.queue import FRESH_US, WorkQueue
+from hophinge.fleet.placement.queue import FRESH_US, LEAST_SAMPLE_US, WorkQueue
 
 
 def test_jobs_are_worked_on_in_turn() -> None:
@@ -45,7 +45,7 @@
     queue.add(0.0, 0, 1_000.0)
     job = queue.add(0.0, 0, 1_000.0)
     queue.add(0.0, 0, 500.0)
-    queue.finished(300.0, job)
+    assert queue.finished(300.0, job, 300.0) == LEAST_SAMPLE_US
     assert queue.begin(300.0, 0) == 800.0
 
 
@@ -53,7 +53,7 @@
     queue = WorkQueue()
     job = queue.add(0.0, 0, 100.0)
     queue.add(0.0, 0, 200.0)
-    queue.finished(1_000.0, job)
+    assert queue.finished(1_000.0, job, 1_000.0) == 1_000.0
     assert queue.begin(1_000.0, 0) == 1_200.0
 
 
@@ -85,7 +85,7 @@
                 case 0 | 1:
                     jobs.append(queue.add(now, random.randrange(10), random.expovariate(1 / 80)))
                 case 2 if jobs:
-                    queue.finished(now, random.choice(jobs))
+                    queue.finished(now, random.choice(jobs), now - 3.0)
                 case 3 if jobs:
                     queue.drop(random.choice(jobs))
                 case _:
@@ -94,3 +94,15 @@
             assert priorities == sorted(priorities), seed
             assert all(queue.begin(now, one) <= queue.begin(now, one + 1) for one in range(9)), seed
             assert queue.begin(now, 0) >= now, seed
+
+
+def test_the_time_spent_on_a_job_runs_from_the_end_of_the_one_before_it() -> None:
+    queue = WorkQueue()
+    first = queue.add(0.0, 0, 5_000.0, 1, 100.0)
+    second = queue.add(1_000.0, 0, 5_000.0, 2, 100.0)
+    later = queue.add(90_000.0, 0, 5_000.0, 3, 100.0)
+    assert queue.find(2) is second
+    assert queue.find(9) is None
+    assert queue.finished(95_000.0, first, 8_000.0) == 8_000.0
+    assert queue.finished(95_000.0, second, 20_000.0) == 12_000.0
+    assert queue.finished(97_000.0, later, 97_000.0) == 7_000.0
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -10,7 +10,7 @@
 
 
 def _hint(name: str) -> Hints:
-    return Hints((Hint(name, 1, (), 0, 0),))
+    return Hints((Hint(name, 1, (), 0, 0, 1),))
 
 
 class Wire:
