--- a/benchmarks/maintenance_reports.py
+++ b/benchmarks/maintenance_reports.py
@@ -14,7 +14,7 @@
 from hophinge.control.permits import REPORT, report_request
 from hophinge.maintenance.drains import DRAINED, Statement
 from hophinge.maintenance.listing import Teller
-from hophinge.maintenance.words import Listed, Report
+from hophinge.maintenance.messages import Listed, Report
 
 TABLE = Path(__file__).with_suffix(".md")
 BEAT_S, BEATS = 2.0, 300
--- a/benchmarks/stream_costs.py
+++ b/benchmarks/stream_costs.py
@@ -18,7 +18,7 @@
 from hophinge.core.settings import read_settings  # noqa: E402
 from hophinge.routing.forms import read  # noqa: E402
 from hophinge.routing.index import Index  # noqa: E402
-from hophinge.routing.passes import Pass  # noqa: E402
+from hophinge.routing.admitted import Pass  # noqa: E402
 from hophinge.routing.records import Limit, Scope  # noqa: E402
 from hophinge.routing.router import Router  # noqa: E402
 from hophinge.routing.table import EMPTY  # noqa: E402
--- a/hophinge/cluster/copies.py
+++ b/hophinge/cluster/copies.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from hophinge.cluster.messages import Delta, Item
-from hophinge.cluster.shelf import DELTA_BYTES, Shelf, Stream, size
+from hophinge.cluster.entries import DELTA_BYTES, Shelf, Stream, size
 from hophinge.cluster.wire import ROOM
 
 MOST_ITEMS = 100        # of one delta; a reader takes 128
--- a/hophinge/cluster/core.py
+++ b/hophinge/cluster/core.py
@@ -12,7 +12,7 @@
 from hophinge.cluster.messages import SUSPECT, TOPICS, Part, Record, packed
 from hophinge.cluster.roster import Roster
 from hophinge.cluster.rumours import Rumours
-from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.entries import Shelf
 from hophinge.cluster.tuning import Limits, Tuning
 from hophinge.cluster.wire import FIXED, MOST_BYTES, seal
 
--- a/hophinge/cluster/reconcile.py
+++ b/hophinge/cluster/reconcile.py
@@ -13,7 +13,7 @@
 from hophinge.cluster.copies import deltas, take
 from hophinge.cluster.messages import DEAD, TOPICS, Delta, Digest, Part, Record, Row, Summary, encoded, packed
 from hophinge.cluster.roster import BUCKETS, bucket
-from hophinge.cluster.shelf import PARTIAL
+from hophinge.cluster.entries import PARTIAL
 from hophinge.cluster.wire import ROOM
 
 BUCKETS_AT_ONCE = 4         # whose rows are sent for one summary
--- a/hophinge/cluster/rumours.py
+++ b/hophinge/cluster/rumours.py
@@ -10,7 +10,7 @@
 from hophinge.cluster.budget import FIRST_TOPIC, NEWS
 from hophinge.cluster.copies import newest
 from hophinge.cluster.messages import TOPICS, Record, packed
-from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.entries import Shelf
 from hophinge.cluster.wire import ROOM
 
 MOST_AT_ONCE = 16       # records in one datagram
--- a/hophinge/control/permits.py
+++ b/hophinge/control/permits.py
@@ -20,7 +20,7 @@
 from hophinge.maintenance.coordinator import Coordinator
 from hophinge.maintenance.naming import refused, taken_back
 from hophinge.maintenance.shown import shown
-from hophinge.maintenance.words import Report, Word
+from hophinge.maintenance.messages import Report, Word
 from hophinge.routing import records
 from hophinge.routing.document import Form
 from hophinge.routing.records import Record
--- a/hophinge/head/maintenance.py
+++ b/hophinge/head/maintenance.py
@@ -26,7 +26,7 @@
 )
 from hophinge.maintenance.holder import HALT, Go, Holder, halts
 from hophinge.maintenance.listing import Teller
-from hophinge.maintenance.words import Listed, Report
+from hophinge.maintenance.messages import Listed, Report
 from hophinge.state import files
 
 KIND, FORM = "drains", 1
--- a/hophinge/head/popularity.py
+++ b/hophinge/head/popularity.py
@@ -11,7 +11,7 @@
 from hophinge.core.errors import HophingeError, told
 from hophinge.head.sections import PopularityConfig
 from hophinge.maintenance.drains import heard
-from hophinge.objects.beforehand import Fetcher
+from hophinge.objects.prefetch import Fetcher
 from hophinge.objects.cache import Object, PieceCache
 from hophinge.objects.records import Manifest, manifest_id, shard_of
 from hophinge.objects.store import Store
--- a/hophinge/maintenance/coordinator.py
+++ b/hophinge/maintenance/coordinator.py
@@ -18,7 +18,7 @@
 from hophinge.maintenance.releases import Course, Outcome, Releases, Stage
 from hophinge.maintenance.observations import Head, Observations, brick_floors, head_floor
 from hophinge.maintenance.watch import AWAY_US, HeadView
-from hophinge.maintenance.words import Report, Word
+from hophinge.maintenance.messages import Report, Word
 from hophinge.routing.bounds import Maintenance, Outage, Release
 from hophinge.routing.records import Record
 
--- a/hophinge/maintenance/holder.py
+++ b/hophinge/maintenance/holder.py
@@ -13,7 +13,7 @@
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.core.errors import HophingeError
 from hophinge.maintenance.permits import BEGIN_US, Permit, State
-from hophinge.maintenance.words import Word
+from hophinge.maintenance.messages import Word
 
 HALT = "halt/"          # before NAME/AGAIN in the key of an entry that tells of a halt
 
--- a/hophinge/maintenance/listing.py
+++ b/hophinge/maintenance/listing.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hophinge.maintenance.drains import Statement
-from hophinge.maintenance.words import Listed, Part, Parts, Report
+from hophinge.maintenance.messages import Listed, Part, Parts, Report
 
 WHOLE_US = 1_000_000        # between two whole lists of one head, however often it is asked
 DIGESTS = 1 << 64
--- a/hophinge/maintenance/observations.py
+++ b/hophinge/maintenance/observations.py
@@ -10,7 +10,7 @@
 
 from hophinge.maintenance.listing import Listener
 from hophinge.maintenance.permits import Floor, Sighting
-from hophinge.maintenance.words import Listed, Report
+from hophinge.maintenance.messages import Listed, Report
 from hophinge.routing.records import Pool, Record, Route, Spare, Tenant
 from hophinge.tenancy.planner import fits
 
--- a/hophinge/routing/router.py
+++ b/hophinge/routing/router.py
@@ -14,7 +14,7 @@
 from hophinge.core.interface import Plan as PlatformPlan
 from hophinge.routing.eject import Ejector
 from hophinge.routing.limits import Limiter
-from hophinge.routing.passes import Pass
+from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Route
 from hophinge.routing.retries import Budgets
 from hophinge.routing.table import EMPTY, Table
--- a/tests/maintenance_head.py
+++ b/tests/maintenance_head.py
@@ -9,7 +9,7 @@
 from hophinge.maintenance.drains import DRAINED, HeadDrains, Say, TakeOut, TakeUp
 from hophinge.maintenance.holder import Holder
 from hophinge.maintenance.listing import Teller
-from hophinge.maintenance.words import Listed, Report, Word
+from hophinge.maintenance.messages import Listed, Report, Word
 
 if TYPE_CHECKING:
     from tests.maintenance_world import World
--- a/tests/maintenance_world.py
+++ b/tests/maintenance_world.py
@@ -14,7 +14,7 @@
 from hophinge.maintenance.listing import Teller
 from hophinge.maintenance.permits import Kind, Permit, State
 from hophinge.maintenance.releases import Course
-from hophinge.maintenance.words import Word
+from hophinge.maintenance.messages import Word
 from hophinge.routing.bounds import Maintenance, Outage, Release
 from hophinge.routing.records import Record
 from tests.maintenance_head import SimHead
--- a/tests/routes.py
+++ b/tests/routes.py
@@ -6,7 +6,7 @@
 
 from hophinge.core.interface import Arrival, Bounds, ListKind, NodeEntry, NodeList, Phase, Waits
 from hophinge.routing.forms import read
-from hophinge.routing.passes import Pass
+from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Record
 from hophinge.routing.router import Router
 from hophinge.routing.table import EMPTY, Facts, Table, check
--- a/tests/test_cluster_cuts.py
+++ b/tests/test_cluster_cuts.py
@@ -8,7 +8,7 @@
 
 from hophinge.cluster.messages import Item, Record
 from hophinge.cluster.roster import Roster, bucket
-from hophinge.cluster.shelf import Shelf, Stream
+from hophinge.cluster.entries import Shelf, Stream
 from hophinge.cluster.tuning import Limits
 from tests import cluster_cuts as cuts
 
--- a/tests/test_cluster_entries.py
+++ b/tests/test_cluster_entries.py
@@ -12,7 +12,7 @@
 from hophinge.cluster.errors import EntryRefusedError
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.cluster.messages import Delta, Item
-from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.entries import Shelf
 from hophinge.cluster.tuning import Limits
 
 LIMITS = Limits(entries=12, entry_bytes=4_000)
--- a/tests/test_cluster_mutants.py
+++ b/tests/test_cluster_mutants.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from hophinge.cluster import core, machine, membership, roster, shelf, wire
+from hophinge.cluster import core, machine, membership, roster, wire
 from hophinge.cluster.budget import Budget
+from hophinge.cluster.entries import Shelf
 from hophinge.cluster.messages import DEAD, SUSPECT, Record
 from tests import cluster_cuts as cuts
 from tests import cluster_scenarios as scenarios
@@ -25,7 +26,7 @@
     self._take(record)
 
 
-def no_tombstones(self: shelf.Shelf, before_us: int) -> None:
+def no_tombstones(self: Shelf, before_us: int) -> None:
     """Tombstones go, and nothing says that they were there."""
     for held in (stream for topics in self.streams.values() for stream in topics.values()):
         for key in list(held.since):
@@ -93,9 +94,9 @@
     (membership, "HEARSAY_AHEAD", 2 ** 60, scenarios.redirected_stays),
     (machine.Cluster, "_awake", unnoticed, scenarios.sleeper_accuses_nobody),
     (roster.Roster, "grave", lambda self, name: -1, scenarios.nobody_rises),
-    (shelf.Shelf, "tidy", no_tombstones, scenarios.taken_back_stays),
-    (shelf.Shelf, "overrule", lambda self, topic, high: None, scenarios.forged_are_overruled),
-    (shelf.Shelf, "strike", lambda *_: None,
+    (Shelf, "tidy", no_tombstones, scenarios.taken_back_stays),
+    (Shelf, "overrule", lambda self, topic, high: None, scenarios.forged_are_overruled),
+    (Shelf, "strike", lambda *_: None,
      entries.test_what_others_hold_falsely_is_gone_once_its_owner_has_overruled_it),
     (Budget, "room", lambda self, rank: 1_000_000, scenarios.bound_holds),
     (Budget, "spend", lambda self, size: None, scenarios.bound_holds),
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -12,7 +12,7 @@
     BEGIN_US, LEASE_US, Ask, Floor, Kind, Permit, PermitError, Permits, Sighting, State,
 )
 from hophinge.maintenance.observations import brick_floors, need
-from hophinge.maintenance.words import Listed, Word
+from hophinge.maintenance.messages import Listed, Word
 from hophinge.routing.bounds import Most
 from hophinge.routing.records import Pool, Route, Scope, Tenant
 
--- a/tests/test_maintenance_listing.py
+++ b/tests/test_maintenance_listing.py
@@ -15,7 +15,7 @@
 from hophinge.maintenance.coordinator import Coordinator
 from hophinge.maintenance.drains import DRAINED, Statement
 from hophinge.maintenance.listing import WHOLE_US, Listener, Teller
-from hophinge.maintenance.words import Listed, Report
+from hophinge.maintenance.messages import Listed, Report
 from hophinge.routing.bounds import Maintenance, Most, Outage
 from tests.maintenance_world import MemoryStore, World
 
--- a/tests/test_maintenance_naming.py
+++ b/tests/test_maintenance_naming.py
@@ -14,7 +14,7 @@
 from hophinge.maintenance.naming import refused, taken_back
 from hophinge.maintenance.permits import Kind, State
 from hophinge.maintenance.shown import shown
-from hophinge.maintenance.words import Listed, Report, Word
+from hophinge.maintenance.messages import Listed, Report, Word
 from hophinge.routing.bounds import Maintenance, Most, Outage
 from hophinge.routing.forms import read
 from hophinge.routing.records import Record
--- a/tests/test_maintenance_parts.py
+++ b/tests/test_maintenance_parts.py
@@ -20,7 +20,7 @@
 from hophinge.maintenance.holder import Holder
 from hophinge.maintenance.permits import Kind, Permit, State
 from hophinge.maintenance.releases import Course, Stage
-from hophinge.maintenance.words import Word
+from hophinge.maintenance.messages import Word
 from hophinge.routing import records
 from hophinge.routing.bounds import Maintenance, Most, Outage, Release
 from hophinge.routing.forms import read
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -13,7 +13,7 @@
 from hophinge.core.interface import ListKind, NodeList, Phase
 from hophinge.routing.forms import read
 from hophinge.routing.index import Index
-from hophinge.routing.passes import Pass
+from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Plan, Record, Scope
 from hophinge.routing.table import EMPTY, check
 from tests.routes import FACTS, NAMED, POOLS, ask, brick, router, table, within
--- a/tests/test_routing_bounds.py
+++ b/tests/test_routing_bounds.py
@@ -9,7 +9,7 @@
 from hophinge.routing.eject import Ejector
 from hophinge.routing.index import Index
 from hophinge.routing.limits import Limiter
-from hophinge.routing.passes import Pass
+from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Eject, Limit, Retries, Scope
 from hophinge.routing.retries import Budget
 from tests.routes import S, ask, router, within
--- a/tests/test_routing_module.py
+++ b/tests/test_routing_module.py
@@ -10,7 +10,7 @@
 from hophinge.core.interface import (
     Action, Arrival, Cancel, Event, Fail, ListKind, NodeEntry, NodeList, Outcome, Phase, Refuse, Result, Send, TimerDue,
 )
-from hophinge.routing.passes import Pass
+from hophinge.routing.admitted import Pass
 from tests.routes import NAMED, POOLS, ask, brick, router
 from tests.test_choice import MS, T0
 
--- a/tests/test_scoring_head.py
+++ b/tests/test_scoring_head.py
@@ -10,7 +10,7 @@
 
 from hophinge.cluster.interface import Entry, Topic
 from hophinge.cluster.messages import TOPICS
-from hophinge.cluster.shelf import Shelf
+from hophinge.cluster.entries import Shelf
 from hophinge.cluster.tuning import Limits
 from hophinge.core.counters import Counters
 from hophinge.core.errors import HophingeError
