Storage: a background scrub that repairs from memory; an unreadable newer state makes a new disk

Cause: a flipped byte was only met at the next start, where the older slot came back under the old identity without what was promised and synced since. Change: each minute the newer slot and the log are read back, and the whole state is written anew where a byte does not fit; a start that finds a log of a state it cannot read counts as a new disk, which votes and answers for nobody.

--- a/hophinge/coordination/storage/store.py
+++ b/hophinge/coordination/storage/store.py
@@ -29,10 +29,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Recovered:
-    """What a disk held: a state, where there is one, and the records after it."""
+    """What a disk held: a state, where there is one, and the records after it.
+
+    A disk whose newer state cannot be read any more counts as empty: what it promised since is not known.
+    """
 
     state: StateRecord | None
     records: tuple[Record, ...]
+    damaged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Damage:
+    """Bytes on the disk that are not what was written there."""
+
+    file: str
+    finding: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.finding}"
 
 
 def _checksum(generation: int, index: int, payload: bytes) -> bytes:
@@ -54,6 +69,16 @@
     return (generation, state) if isinstance(state, StateRecord) else None
 
 
+def _log_generation(data: bytes) -> int:
+    """Tell the generation of a log's first record, which was synced after that generation's slot; 0 where none fits."""
+    if len(data) < LOG_HEADER.size:
+        return 0
+    generation, index, length, checksum = LOG_HEADER.unpack_from(data)
+    payload = data[LOG_HEADER.size:LOG_HEADER.size + length]
+    whole = index == 0 and len(payload) == length and _checksum(generation, 0, payload) == checksum
+    return int(generation) if whole else 0
+
+
 class Store:
     """The durable state of one replica on one volume."""
 
@@ -75,11 +100,29 @@
                 self.unreadable += bool(data)
             elif newest is None or found[0] > newest[0]:
                 newest, self.slot = found, number
+        log = self.volume.read(LOG)
+        logged = _log_generation(log)
+        if logged > (newest[0] if newest is not None else 0):
+            self.generation = logged            # what is written from now on counts before all that is there
+            return Recovered(None, (), damaged=True)
         if newest is None:
             return Recovered(None, ())
         self.generation = newest[0]
-        records = tuple(self._log(self.volume.read(LOG)))
-        return Recovered(newest[1], records)
+        return Recovered(newest[1], tuple(self._log(log)))
+
+    def scrub(self) -> list[Damage]:
+        """Read back what counts, and tell what does not fit its checksum; raises OSError as recovery does."""
+        found: list[Damage] = []
+        if self.generation:
+            slot = _read_slot(self.volume.read(SLOTS[self.slot]))
+            if slot is None or slot[0] != self.generation:
+                found.append(Damage(SLOTS[self.slot], f"the state of generation {self.generation} cannot be read"))
+        reader = Store(self.volume)
+        reader.generation = self.generation
+        held = sum(1 for _ in reader._log(self.volume.read(LOG)))
+        if held < self.index:
+            found.append(Damage(LOG, f"record {held} of {self.index} cannot be read"))
+        return found
 
     def _log(self, data: bytes) -> Iterator[Record]:
         """Read records of this generation in their order, up to the first that does not fit."""
--- a/hophinge/fleet/controlplane/host.py
+++ b/hophinge/fleet/controlplane/host.py
@@ -8,20 +8,21 @@
 import secrets
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from hophinge.coordination.messages import NO_BALLOT, Record, StateRecord, VoteRecord
 from hophinge.coordination.outputs import Answer, DiskState, Input, Outputs, Published, Received, Requested, Tick
 from hophinge.coordination.registers import Change, Snapshot
 from hophinge.coordination.replica import Membership, ReplicaMachine
-from hophinge.coordination.storage.store import Store
+from hophinge.coordination.storage.store import Damage, Store
 from hophinge.coordination.storage.volume import FileVolume
 from hophinge.coordination.view import Replica
 from hophinge.fleet.settings import Settings
 
 TICK_S = 0.05               # between ticks of the state machine
 DISK_AGAIN_S = 0.25         # between attempts on a disk that takes no writes
+SCRUB_S = 60.0              # between readings of all that counts on the disk
 SLOW_S = 0.4                # a write that takes longer: the disk is told of as one that takes no writes
 
 Clock = Callable[[], float]
@@ -43,6 +44,8 @@
     records: list[Record]
     state: StateRecord | None
     outputs: list[Outputs]
+    scrub: bool = False         # nothing to write: what is there is read back
+    damages: list[Damage] = field(default_factory=list)
 
 
 class DiskWriter(threading.Thread):
@@ -59,7 +62,9 @@
             batch = self.batches.get()
             error: OSError | None = None
             try:
-                if batch.state is not None:
+                if batch.scrub:
+                    batch.damages = self.store.scrub()
+                elif batch.state is not None:
                     self.store.save(batch.state)
                 else:
                     self.store.append(batch.records)
@@ -76,6 +81,8 @@
         self.effects = effects
         self.store = Store(FileVolume(settings.data_dir)) if settings.votes and settings.data_dir else None
         recovered = self.store.recover() if self.store is not None else None
+        if recovered is not None and recovered.damaged:
+            effects.note("the newer state on the disk cannot be read: it counts as a new disk")
         identity = recovered.state.identity if recovered and recovered.state else secrets.token_hex(8)
         self.me = Replica(identity, settings.control_internal, settings.zone)
         membership = Membership(self.me, settings.seed_members(), settings.bootstrap, settings.votes, settings.losses)
@@ -89,6 +96,7 @@
         self.failed_at: float | None = None
         self.callers: dict[int, asyncio.Future[Answer]] = {}
         self.requests = itertools.count(secrets.randbits(40))
+        self.scrubbed = self.loop.time()
         self.writer: DiskWriter | None = None
         if self.store is not None:
             self.writer = DiskWriter(self.store, self._written_elsewhere)
@@ -111,11 +119,18 @@
         now = self.loop.time()
         if self.failed_at is not None and now - self.failed_at >= DISK_AGAIN_S and self.writing_since is None:
             self._catch_up()
+        if self.writer is not None and now - self.scrubbed >= SCRUB_S and self._idle():
+            self.scrubbed = now
+            self._write(Batch([], None, [], scrub=True))
         hung = self.writing_since is not None and now - self.writing_since > SLOW_S
         if self.writer is not None:
             self.handle(DiskState(not hung and self.failed_at is None))
         self.handle(Tick())
 
+    def _idle(self) -> bool:
+        """Tell whether nothing is being written, and nothing waits for it."""
+        return self.writing_since is None and self.failed_at is None and not self.waiting
+
     async def request(self, key: str, change: Change | None, patience: float) -> Answer:
         """Change or read a register."""
         number = next(self.requests)
@@ -165,6 +180,12 @@
         self.writing_since = self.loop.time()
         self.writer.batches.put(batch)
 
+    def _repair(self, damages: list[Damage]) -> None:
+        """Write the whole state anew where the scrub found bytes that do not fit: memory holds what they were."""
+        for damage in damages:
+            self.effects.note(f"scrub: {damage}; the whole state is written anew")
+        self._catch_up()
+
     def _written_elsewhere(self, batch: Batch, error: OSError | None) -> None:
         self.loop.call_soon_threadsafe(self._written, batch, error)
 
@@ -179,6 +200,8 @@
             return
         self.failed_at = None
         self._let_out(batch.outputs)
+        if batch.damages:
+            self._repair(batch.damages)
         if self.waiting and self.writing_since is None:
             self._flush()
 
--- a/tests/test_coordination_storage.py
+++ b/tests/test_coordination_storage.py
@@ -109,7 +109,10 @@
         volume.sync = sync      # type: ignore[method-assign]
         volume.lose_power(random)
         store = Store(volume)
-        found = _entries(store.recover())
+        recovered = store.recover()
+        assert not recovered.damaged, "a loss of power is no damage"
+        assert store.scrub() == []
+        found = _entries(recovered)
         assert found in (list(range(1, done + 1)), list(range(1, done + 2)) if under_way else found)
         assert len(found) >= done, "a synced record is lost"
         done = len(found)
@@ -158,3 +161,38 @@
     assert store.full
     store.save(_state(1))
     assert not store.full
+
+
+def _written() -> tuple[TornVolume, Store]:
+    volume = TornVolume()
+    store = Store(volume)
+    store.save(_state(0))
+    store.save(_state(1))
+    for number in range(2, 5):
+        store.append([_entry(number)])
+    return volume, store
+
+
+def test_a_state_that_was_built_on_and_cannot_be_read_any_more_makes_the_disk_a_new_one() -> None:
+    volume, store = _written()
+    volume.files[SLOTS[store.slot]][-1] ^= 1
+    again = Store(volume)
+    assert again.recover() == Recovered(None, (), damaged=True)
+    again.save(_state(9))
+    assert Store(volume).recover().state == _state(9), "what was there before never counts again"
+
+
+@pytest.mark.parametrize("name", ["slot", LOG])
+def test_the_scrub_finds_any_flipped_byte_that_counts_and_a_whole_state_repairs_it(name: str) -> None:
+    volume, store = _written()
+    file = volume.files[SLOTS[store.slot] if name == "slot" else LOG]
+    assert store.scrub() == []
+    for place in range(len(file)):
+        file[place] ^= 1
+        found = store.scrub()
+        assert [damage.file for damage in found] == [SLOTS[store.slot] if name == "slot" else LOG], place
+        file[place] ^= 1
+    file[len(file) // 2] ^= 1
+    store.save(_state(4))
+    assert store.scrub() == []
+    assert _entries(Store(volume).recover()) == [1, 2, 3, 4]
--- /dev/null
+++ b/tests/test_fleet_host.py
@@ -0,0 +1,48 @@
+"""A replica on a real disk: the scrub finds bytes that have changed, and the replica writes its state anew."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from hophinge.coordination.storage.store import SLOTS
+from hophinge.fleet.controlplane.host import SCRUB_S, Effects, ReplicaHost
+from hophinge.fleet.settings import Settings, parse_settings
+
+
+def _settings(folder: Path) -> Settings:
+    return parse_settings({
+        "node-name": "one", "ip": "127.0.0.1", "zone": "z", "internal-port-range": [7660, 7675],
+        "seed-nodes": ["127.0.0.1:8146"], "bootstrap": True, "counts-for-quorum": True, "data-dir": str(folder)})
+
+
+def test_the_scrub_tells_of_damage_and_the_state_is_written_anew(tmp_path: Path) -> None:
+    notes: list[str] = []
+
+    async def play() -> None:
+        written = asyncio.Queue[bool]()
+        host = ReplicaHost(_settings(tmp_path), Effects(lambda address, message: None, lambda published: None,
+                                                        notes.append))
+        assert host.store is not None
+        after = host._written
+
+        def watched(batch: object, error: OSError | None) -> None:
+            after(batch, error)  # type: ignore[arg-type]
+            written.put_nowait(host.writing_since is None)
+
+        host._written = watched  # type: ignore[method-assign]
+        slot = tmp_path / SLOTS[host.store.slot]
+        data = bytearray(slot.read_bytes())
+        data[-1] ^= 1
+        slot.write_bytes(bytes(data))
+        host.scrubbed = host.loop.time() - SCRUB_S
+        host.tick()
+        while not await written.get():
+            pass
+        assert host.store.scrub() == []
+        identity = host.me.identity
+        again = ReplicaHost(_settings(tmp_path), host.effects)
+        assert again.me.identity == identity
+
+    asyncio.run(asyncio.wait_for(play(), 30.0))
+    assert any(note.startswith("scrub: ") for note in notes)
