--- a/hophinge/fleet/emulation/sizes.py
+++ b/hophinge/fleet/emulation/sizes.py
@@ -45,10 +45,13 @@
     return Holder(f"{number:016x}", f"edge-zone-{number % 19}-{number}", address, f"zone-{number % 19}")
 
 
+JOB_NUMBER = 1 << 39        # of the size that most drawn numbers have
+
+
 def hint(number: int) -> Hint:
     """Make a hint."""
     parts = ((f"{number:08x}", 2520), (f"{number + 1:08x}", 3780), (f"{number + 2:08x}", 2890))
-    return Hint(f"i-{number % 1700:010x}", 2890, parts, 2, 9300, number)
+    return Hint(f"i-{number % 1700:010x}", 2890, parts, 2, 9300, JOB_NUMBER + number)
 
 
 def placement(count: int) -> Placement:
--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -16,7 +16,7 @@
 
 import numpy as np
 
-from hophinge.fleet.emulation.sizes import document, hint, holder, instance, placement, replicas
+from hophinge.fleet.emulation.sizes import JOB_NUMBER, document, hint, holder, instance, placement, replicas
 
 from hophinge.coordination.codec import decode, encode
 from hophinge.coordination.dissemination import BUCKETS, Digest, Dissemination, Push, Replicas, Rows
@@ -26,7 +26,7 @@
 from hophinge.coordination.view import Replica
 from hophinge.fleet.configuration.document import check
 from hophinge.fleet.configuration.routes import COMPRESSION, configuration_record, parse, table_of
-from hophinge.fleet.placement.hints import Hints, Report, Reports
+from hophinge.fleet.placement.hints import Done, Hints, Report, Reports
 from hophinge.fleet.placement.node import Cache
 from hophinge.fleet.placement.placement import Placement, Wish
 from hophinge.fleet.placement.prompt import Prompt
@@ -164,6 +164,8 @@
             (f"i-{one:010x}", 41) for one in range(n)))), many),
         fit("heartbeat of a replica", "B by instances", lambda n: sent(Heartbeat(12, 12, 345, 345, True, True)), many),
         fit("hints", "B by placements", lambda n: sent(Hints(tuple(hint(one) for one in range(n)))), few),
+        fit("ends of reads", "B by ends", lambda n: sent(Hints((), tuple(
+            Done(f"i-{one:010x}", JOB_NUMBER + one, 12) for one in range(n)))), few),
         fit("reports", "B by engines", lambda n: sent(Reports(tuple(
             Report(f"i-{one:010x}", 1, 12, 41_000, 441_937) for one in range(n)))), few),
         fit("configuration as the operator sends it", "KB by routes", lambda n: len(document(n)) / 1024, many),
