Registry: what a member concludes never hides a leaving of which it has heard only the heartbeat

Cause: by reading: a conclusion (lost, found again, under order) took the sequence of the newest heartbeat heard of, so it could count for more than that heartbeat's own record; found again, a leaving instance would have been sent requests. Change: a conclusion counts just above the record it is drawn from.

--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -156,10 +156,12 @@
         return lost
 
     def _stamp_after(self, identity: str) -> tuple[int, int]:
-        """Tell the stamp of what is concluded here: above what is known, below the next heartbeat."""
-        known, beat = self.stamps.get(identity, (0, 0)), self.beats.get(identity)
-        sequence = max(known[0], beat.sequence if beat is not None else 0)
-        return sequence, known[1] + 1
+        """Tell the stamp of what is concluded here: above the record it is drawn from, and below any heartbeat since.
+
+        A newer heartbeat may have been heard of whose record, that the instance is leaving, has not come yet.
+        """
+        sequence, minor = self.stamps.get(identity, (0, 0))
+        return sequence, minor + 1
 
     def seen(self, now: float, identities: Iterable[str]) -> list[Record]:
         """Instances answered a question: they live, though their heartbeats may not arrive; tells those found again."""
--- a/tests/test_fleet_registry.py
+++ b/tests/test_fleet_registry.py
@@ -209,3 +209,23 @@
     assert _pass(registry, 0.0, 20.0) == []
     assert registry.instances["i-1"].state == DRAINING
     assert registry.seen(20.0, ["i-1"]) == []
+
+
+def test_what_is_concluded_here_never_hides_a_leaving_that_others_have_heard_of() -> None:
+    elsewhere, here = _registry(), _registry()
+    first = elsewhere.heartbeat(0.0, ONE, 1)
+    assert first is not None
+    here.learn(0.0, first)
+    _pass(here, 0.0, 6.0)
+    assert here.instances["i-1"].state == LOST
+    leaving = elsewhere.heartbeat(6.0, replace(ONE, state=DRAINING), 7)
+    words = elsewhere.liveness()
+    assert leaving is not None
+    assert words is not None
+    here.heard_elsewhere(6.1, words)                # the word comes before the record
+    [found] = here.seen(6.2, ["i-1"])
+    assert found.stamp < leaving.stamp
+    here.learn(6.3, leaving)
+    assert here.instances["i-1"].state == DRAINING
+    _pass(here, 6.3, 20.0)
+    assert here.instances["i-1"].state == DRAINING
