Fleet programs: one watch of settings, one tick loop; times learned apart from choosing

Cause: both programs watched the settings file by the same lines and five loops ticked alike; Pool learned times and chose, WorkQueue.finished corrected and measured; told, untold, failures were unclear names.

Change: fleet/program.py has every() and reread_settings(); placement/timing.py has StageTiming; WorkQueue.spent_us and finish; outgoing and pending hints, receive_*, consecutive_failures, unsent_beats.

--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -12,14 +12,14 @@
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
 from hophinge.fleet.controlplane.holding import Held, Hold, Holdings
-from hophinge.fleet.controlplane.relay import LEAST_S, Relay
+from hophinge.fleet.controlplane.relay import Relay
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.placement.stages import StageLoads
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.settings import Settings
 
-TICK_S = 0.25
+DIRECTORY_TICK_S = 0.25
 SHARE_S = 0.75              # between two words to the other control members about liveness and leases
 COMPARE_S = 1.0             # between two comparisons of digests with one of them
 MOST_DIRECT = 32            # data planes that get news from here whole; the others get it from these
@@ -135,13 +135,11 @@
         targets = [head for head in heads if head != source]
         self.relay.at_once(message, [*targets, *(self._relays() if source in heads else [])])
 
-    async def run_relay(self) -> None:
-        """Pass on what is gathered, for ever."""
-        while True:
-            await asyncio.sleep(LEAST_S)
-            now, heads = self.loop.time(), self._heads()
-            if self.relay.due(now, len(heads)):
-                self.relay.flush(now, heads, self._relays())
+    def pass_on(self) -> None:
+        """Pass on to the heads what they told each other, where it is time."""
+        now, heads = self.loop.time(), self._heads()
+        if self.relay.due(now, len(heads)):
+            self.relay.flush(now, heads, self._relays())
 
     def _renew(self, now: float, source: str, renew: Renew) -> None:
         self.leases.renew(now, renew.holder)
@@ -195,12 +193,6 @@
 
     # --- time ----------------------------------------------------------------------------------------------------
 
-    async def run(self) -> None:
-        """Tick for ever."""
-        while True:
-            self.tick()
-            await asyncio.sleep(TICK_S)
-
     def tick(self) -> None:
         """Expire what was not renewed, and tell the other control members what is new."""
         now = self.loop.time()
--- a/hophinge/fleet/controlplane/host.py
+++ b/hophinge/fleet/controlplane/host.py
@@ -20,7 +20,7 @@
 from hophinge.coordination.view import Replica
 from hophinge.fleet.settings import Settings
 
-TICK_S = 0.05               # between ticks of the state machine
+REPLICA_TICK_S = 0.05               # between ticks of the state machine
 DISK_AGAIN_S = 0.25         # between attempts on a disk that takes no writes
 SCRUB_S = 60.0              # between readings of all that counts on the disk
 SLOW_S = 0.4                # a write that takes longer: the disk is told of as one that takes no writes
@@ -108,12 +108,6 @@
         """Take a message of another member."""
         self.handle(Received(source, message))
 
-    async def run(self) -> None:
-        """Tick for ever."""
-        while True:
-            self.tick()
-            await asyncio.sleep(TICK_S)
-
     def tick(self) -> None:
         """Let time pass, and watch the disk."""
         now = self.loop.time()
@@ -138,7 +132,7 @@
         self.callers[number] = future
         self.handle(Requested(number, key, change, patience))
         try:
-            async with asyncio.timeout(patience + 2 * TICK_S):
+            async with asyncio.timeout(patience + 2 * REPLICA_TICK_S):
                 return await future
         except TimeoutError:
             return Answer(number, None)
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -10,19 +10,18 @@
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import RECORD_KEY, configuration_record
 from hophinge.fleet.controlplane.api import ControlApi
-from hophinge.fleet.controlplane.directory import Directory
-from hophinge.fleet.controlplane.host import Effects, ReplicaHost
+from hophinge.fleet.controlplane.directory import DIRECTORY_TICK_S, Directory
+from hophinge.fleet.controlplane.host import REPLICA_TICK_S, Effects, ReplicaHost
 from hophinge.fleet.controlplane.keeper import StageKeeper
-from hophinge.fleet.controlplane.relay import Relay
+from hophinge.fleet.controlplane.relay import RELAY_TICK_S, Relay
 from hophinge.fleet.controlplane.reports import Reporter
-from hophinge.fleet.program import Signals, Tasks
-from hophinge.fleet.settings import Settings, SettingsError, read_settings
+from hophinge.fleet.program import REREAD_S, Signals, Tasks, every, reread_settings
+from hophinge.fleet.settings import Settings, SettingsError
 from hophinge.fleet.transport.frames import Hello
 from hophinge.fleet.transport.links import Links
 from hophinge.fleet.transport.server import HttpServer, listening
 
 CONTROL = "control"
-REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 LEAVE_S = 0.3               # for requests under way to come to their end
 
 
@@ -62,28 +61,24 @@
         assert self.settings.control is not None
         self.signals.changed = self._reread
         await self.links.listen()
-        self.tasks.start(self.host.run())
-        self.tasks.start(self.directory.run())
-        self.tasks.start(self.directory.run_relay())
+        self.tasks.start(every(REPLICA_TICK_S, self.host.tick))
+        self.tasks.start(every(DIRECTORY_TICK_S, self.directory.tick))
+        self.tasks.start(every(RELAY_TICK_S, self.directory.pass_on))
         self.tasks.start(self.keeper.run())
         self.tasks.start(self.reporter.run())
         self.tasks.start(self.server.serve([listening(self.settings.control)]))
-        self.tasks.start(self._watch_settings())
+        self.tasks.start(every(REREAD_S, self._tend))
         log.note(f"control member {self.host.me.identity} at {self.settings.control}")
         await self.signals.ending.wait()
         await self._end()
 
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(REREAD_S)
-            self._reread()
-            self.links.tidy()
+    def _tend(self) -> None:
+        self._reread()
+        self.links.tidy()
 
     def _reread(self) -> None:
-        try:
-            settings = read_settings()
-        except SettingsError as error:
-            log.note(f"the settings file is not used: {error}")
+        settings = reread_settings()
+        if settings is None:
             return
         seeds = settings.seed_members()
         if seeds != self.host.machine.seeds:
--- a/hophinge/fleet/controlplane/relay.py
+++ b/hophinge/fleet/controlplane/relay.py
@@ -11,7 +11,7 @@
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.transport.frames import frame
 
-LEAST_S = 0.02              # gathered for so long at least
+RELAY_TICK_S = 0.02              # gathered for so long at least
 EACH_HEAD_S = 0.001         # and for so much longer with each head that is told
 SendFrame = Callable[[str, bytes], None]
 
@@ -33,7 +33,7 @@
 
     def due(self, now: float, heads: int) -> bool:
         """Tell whether what was gathered is to be passed on."""
-        return bool(self.hints) and now - self.flushed >= LEAST_S + EACH_HEAD_S * heads
+        return bool(self.hints) and now - self.flushed >= RELAY_TICK_S + EACH_HEAD_S * heads
 
     def flush(self, now: float, heads: Iterable[str], controls: Iterable[str]) -> None:
         """Pass on what was gathered."""
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -15,7 +15,7 @@
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, Instance, instance_of
 from hophinge.fleet.settings import Settings
 
-TICK_S = 0.25
+KNOWLEDGE_TICK_S = 0.25
 COMPARE_S = 1.5             # between comparisons of digests with another data plane
 SETTLE_S = 0.4              # after the first lease, for what differs to arrive
 Watcher = Callable[[str, Instance | None], None]
@@ -75,12 +75,6 @@
         elif record.key.startswith(INSTANCE_PREFIX):
             self.watcher(record.key.removeprefix(INSTANCE_PREFIX), instance_of(record))
 
-    async def run(self) -> None:
-        """Tick for ever."""
-        while True:
-            self.tick()
-            await asyncio.sleep(TICK_S)
-
     def tick(self) -> None:
         """Renew the lease, and compare with another data plane now and then."""
         now = self.loop.time()
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -10,19 +10,18 @@
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.dataplane.front import Front
-from hophinge.fleet.dataplane.knowledge import Knowledge
+from hophinge.fleet.dataplane.knowledge import KNOWLEDGE_TICK_S, Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects, WantHints
 from hophinge.fleet.placement.placement import Placement
-from hophinge.fleet.program import Signals, Tasks
+from hophinge.fleet.program import REREAD_S, Signals, Tasks, every, reread_settings
 from hophinge.fleet.registry.instance import Instance
-from hophinge.fleet.settings import Settings, SettingsError, read_settings
+from hophinge.fleet.settings import Settings, SettingsError
 from hophinge.fleet.transport.frames import Hello
 from hophinge.fleet.transport.links import Links
 from hophinge.fleet.transport.server import HttpServer, listening
 
 DATA = "data"
-REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 LEAVE_S = 2.6               # the platform needs two misses, a second apart, to send no new connections
 HINT_S = 0.02               # between words about what was placed here
 RESERVE_S = 0.5             # of the time to end that is left unused
@@ -51,13 +50,13 @@
 
     def _received(self, hello: Hello, message: object) -> None:
         if isinstance(message, Hints):
-            self.placement.hinted(asyncio.get_running_loop().time(), message)
+            self.placement.receive_hints(asyncio.get_running_loop().time(), message)
         elif isinstance(message, WantHints):
             self._send(hello.sender.address, self.placement.kept())
         elif isinstance(message, Suspects):
-            self.placement.suspected(asyncio.get_running_loop().time(), message)
+            self.placement.receive_suspects(asyncio.get_running_loop().time(), message)
         elif isinstance(message, Reports):
-            self.placement.reported(asyncio.get_running_loop().time(), message)
+            self.placement.receive_reports(asyncio.get_running_loop().time(), message)
         else:
             self.knowledge.received(hello.sender.address, message)
 
@@ -78,40 +77,34 @@
         if neighbours:
             self._send(neighbours[0], WantHints())
 
-    async def _hint(self) -> None:
+    def _hint(self) -> None:
         """Tell what was placed here, in small batches, to the control member at which the lease is held."""
-        while True:
-            await asyncio.sleep(HINT_S)
-            granter = self.knowledge.renewal.home
-            for message in (self.placement.told(asyncio.get_running_loop().time()), self.placement.told_suspects()):
-                if message is not None and granter is not None:
-                    self.links.send(granter, message)
+        granter = self.knowledge.renewal.home
+        now = asyncio.get_running_loop().time()
+        for message in (self.placement.outgoing_hints(now), self.placement.outgoing_suspects()):
+            if message is not None and granter is not None:
+                self.links.send(granter, message)
 
     async def run(self) -> None:
         """Serve until told to end."""
         self.signals.changed = self._reread
         await self.links.listen()
-        self.tasks.start(self.knowledge.run())
-        self.tasks.start(self._hint())
+        self.tasks.start(every(KNOWLEDGE_TICK_S, self.knowledge.tick))
+        self.tasks.start(every(HINT_S, self._hint))
         self.tasks.start(self.server.serve([listening(address) for address in self.addresses]))
-        self.tasks.start(self._watch_settings())
+        self.tasks.start(every(REREAD_S, self._tend))
         log.note(f"head {self.knowledge.me.identity} at {self.settings.front}")
         await self.signals.ending.wait()
         await self._end()
 
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(REREAD_S)
-            self._reread()
-            self.links.tidy()
+    def _tend(self) -> None:
+        self._reread()
+        self.links.tidy()
 
     def _reread(self) -> None:
-        try:
-            settings = read_settings()
-        except SettingsError as error:
-            log.note(f"the settings file is not used: {error}")
-            return
-        self.knowledge.renewal.seeds = settings.seed_members()
+        settings = reread_settings()
+        if settings is not None:
+            self.knowledge.renewal.seeds = settings.seed_members()
 
     async def _end(self) -> None:
         """Leave: not ready at first, then no resting connections, then no work."""
--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -98,7 +98,7 @@
     def work() -> object:
         prompt = Prompt(9_190, 80, ((f"{random.randrange(500):08x}", 6_300), (f"{random.random()}", 2_890)))
         plan = made.generation(Wish(0.0, (str(random.random()), 1), "service0", set(), 0.72, 0.72), prompt)
-        made.told(0.0)
+        made.outgoing_hints(0.0)
         for node in made.nodes.values():
             node.book.slots.clear()
             node.book.free = node.book.units_out = 0.0
--- a/hophinge/fleet/emulation/virtual_engine.py
+++ b/hophinge/fleet/emulation/virtual_engine.py
@@ -15,7 +15,7 @@
 from hophinge.fleet.emulation.clock import VirtualClock
 from hophinge.fleet.placement.hints import Report
 from hophinge.fleet.placement.node import Cache
-from hophinge.fleet.placement.pool import DECODE, PREFILL
+from hophinge.fleet.placement.timing import DECODE, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
 
 DECODE_PACE = 0.5           # of the pace at which a prefill engine reads
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -115,16 +115,16 @@
     def _reported(self, reports: Reports) -> None:
         self.loads.take(reports)
         for head in self.heads:
-            head.reported(self.clock.now, reports)
+            head.receive_reports(self.clock.now, reports)
 
     def _hint(self) -> None:
         for head in self.heads:
-            hints = head.told(self.clock.now)
+            hints = head.outgoing_hints(self.clock.now)
             if hints is None:
                 continue
             for other in self.heads:
                 if other is not head:
-                    other.hinted(self.clock.now, hints)
+                    other.receive_hints(self.clock.now, hints)
 
     def _look_at_stages(self) -> None:
         """Order a change of stage once it was wanted for a while."""
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -60,7 +60,7 @@
         self.streams = 0                # answers from here that have begun and not ended
         self.cache = Cache(0)
         self.unit_us: float | None = None       # learned time per unit
-        self.failures = 0
+        self.consecutive_failures = 0
         self.rest_until = 0.0
         self.answered_at = float("-inf")
         self.report: Report | None = None
@@ -100,8 +100,8 @@
     def failed(self, now: float) -> None:
         """An attempt failed here; what it answered before is no evidence of life any more."""
         self.answered_at = float("-inf")
-        self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** self.failures)
-        self.failures += 1
+        self.rest_until = now + min(LONGEST_REST_S, REST_S * 2 ** self.consecutive_failures)
+        self.consecutive_failures += 1
 
     def suspected(self, now: float) -> None:
         """Another member had no answer in time; what was heard here lately says more."""
@@ -110,6 +110,6 @@
 
     def answered(self, now: float) -> None:
         """An attempt was served here."""
-        self.failures = 0
+        self.consecutive_failures = 0
         self.rest_until = 0.0
         self.answered_at = now
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -17,7 +17,8 @@
 from hophinge.fleet.placement.hints import Done, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
-from hophinge.fleet.placement.pool import DECODE, PLAIN, PREFILL, Offer, Placed, Pool, answered
+from hophinge.fleet.placement.pool import Offer, Placed, Pool, answered
+from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.placement.weighing import Choice, Weighing
 from hophinge.fleet.registry.instance import Instance
@@ -51,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
+class FinishedRead:
     """A prompt that was read here and that the others have not been told of."""
 
     instance: str
@@ -67,8 +68,8 @@
         self.pools: dict[tuple[str, str], Pool] = {}
         self.nodes: dict[str, Node] = {}
         self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
-        self.untold: list[Hint] = []
-        self.untold_done: list[Ended] = []
+        self.pending_hints: list[Hint] = []
+        self.pending_reads: list[FinishedRead] = []
         self.suspects: set[str] = set()
 
     # --- instances -----------------------------------------------------------------------------------------------
@@ -104,14 +105,14 @@
 
     # --- hints ---------------------------------------------------------------------------------------------------
 
-    def told(self, now: float) -> Hints | None:
+    def outgoing_hints(self, now: float) -> Hints | None:
         """Tell what was placed here, and what came to its end, since the last call."""
-        done = tuple(Done(one.instance, one.job, int((now - one.ended) * MILLISECONDS)) for one in self.untold_done)
-        hints = Hints(tuple(self.untold), done)
-        self.untold, self.untold_done = [], []
+        done = tuple(Done(one.instance, one.job, int((now - one.ended) * MILLISECONDS)) for one in self.pending_reads)
+        hints = Hints(tuple(self.pending_hints), done)
+        self.pending_hints, self.pending_reads = [], []
         return None if hints.empty else hints
 
-    def hinted(self, now: float, hints: Hints) -> None:
+    def receive_hints(self, now: float, hints: Hints) -> None:
         """Take what other heads placed."""
         for hint in hints.hints:
             node = self.nodes.get(hint.instance)
@@ -132,9 +133,9 @@
         if placed.name not in placed.node.book.slots:
             return
         answered(now, placed, streaming)
-        if placed.pool.reads_in_turn and placed.units > LEAST_TOKENS:
+        if placed.pool.timing.reads_in_turn and placed.units > LEAST_TOKENS:
             placed.pool.finished(now, placed.node, placed.job, now)
-            self.untold_done.append(Ended(placed.node.instance.identity, placed.job.number, now))
+            self.pending_reads.append(FinishedRead(placed.node.instance.identity, placed.job.number, now))
 
     def failed(self, node: Node, now: float) -> None:
         """An attempt failed at an instance; where nothing was heard of it for a while, the other heads are told."""
@@ -142,19 +143,19 @@
             node.failed(now)
             self.suspects.add(node.instance.identity)
 
-    def told_suspects(self) -> Suspects | None:
+    def outgoing_suspects(self) -> Suspects | None:
         """Tell the instances that failed here since the last call."""
         suspects, self.suspects = tuple(self.suspects), set()
         return Suspects(suspects) if suspects else None
 
-    def suspected(self, now: float, suspects: Suspects) -> None:
+    def receive_suspects(self, now: float, suspects: Suspects) -> None:
         """Take what failed at others."""
         for identity in suspects.instances:
             node = self.nodes.get(identity)
             if node is not None:
                 node.suspected(now)
 
-    def reported(self, now: float, reports: Reports) -> None:
+    def receive_reports(self, now: float, reports: Reports) -> None:
         """Take what engines told of themselves."""
         for report in reports.reports:
             node = self.nodes.get(report.instance)
@@ -230,5 +231,6 @@
         offer.node.cache.remember(parts)
         offer.node.sent_since += memory
         number = self.random.getrandbits(JOB_BITS)
-        self.untold.append(Hint(offer.node.instance.identity, int(offer.units), parts, offer.priority, memory, number))
+        identity = offer.node.instance.identity
+        self.pending_hints.append(Hint(identity, int(offer.units), parts, offer.priority, memory, number))
         return Plan(choice.pool.reserve(wish.now, offer, wish.name, number), choice.reads, offer.priority)
--- a/hophinge/fleet/placement/queue.py
+++ b/hophinge/fleet/placement/queue.py
@@ -41,7 +41,7 @@
         self.free_us = 0.0                  # when the job under way ends
         self.waiting: list[Job] = []        # by priority, then by arrival
         self.begun: deque[Job] = deque(maxlen=REMEMBERED)
-        self.done_us = 0.0                  # when the last job that is known to be done ended
+        self.done_us = 0.0                  # end of the last job that is known to be done
 
     def _advance(self, now_us: float) -> None:
         """Begin the jobs that the instance should have come to by now."""
@@ -73,13 +73,16 @@
         """Find a job by its number."""
         return next((job for job in (*self.begun, *self.waiting) if job.number == number), None)
 
-    def finished(self, now_us: float, job: Job, ended_us: float) -> float:
-        """A request was done a moment ago: the next began then; tells the time that the instance spent on it.
+    def spent_us(self, job: Job, ended_us: float) -> float:
+        """Tell the time that the instance spent on a job that has just ended: since the one before it ended."""
+        return max(LEAST_SAMPLE_US, ended_us - max(self.done_us, job.arrived_us))
+
+    def finish(self, now_us: float, job: Job, ended_us: float) -> None:
+        """Correct the queue by the end of a job.
 
         Of the jobs reckoned to come before it, all are taken to be done; of those behind it, none is.
         """
         self._advance(now_us)
-        spent_us = max(LEAST_SAMPLE_US, ended_us - max(self.done_us, job.arrived_us))
         self.done_us = max(self.done_us, ended_us)
         if job in self.waiting:
             del self.waiting[:self.waiting.index(job) + 1]
@@ -89,10 +92,13 @@
             self.begun = deque(behind, maxlen=REMEMBERED)
             self.free_us = ended_us + sum(one.spent_us for one in behind)
         self._advance(now_us)
-        return spent_us
 
     def reported(self, now_us: float, waiting: int, mean_us: float) -> None:
-        """The instance told how many requests wait there: the queue is cut, or filled up, to that."""
+        """Correct the queue by the number of requests that the instance reports as waiting.
+
+        A longer queue loses its oldest jobs first, never those that are too new to be in the report; a shorter one is
+        filled with jobs of mean size and least priority. One job more than reported is left: the one under way.
+        """
         self._advance(now_us)
         old = [job for job in self.waiting if now_us - job.arrived_us > FRESH_US]
         surplus = len(old) - waiting - 1
--- a/hophinge/fleet/placement/stages.py
+++ b/hophinge/fleet/placement/stages.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from hophinge.fleet.placement.hints import Reports
-from hophinge.fleet.placement.pool import DECODE, PREFILL
+from hophinge.fleet.placement.timing import DECODE, PREFILL
 from hophinge.fleet.registry.instance import READY, SWITCHING, Instance
 
 MOST_PREFILL = 0.7          # part of a service's instances that only read prompts, at most
--- a/hophinge/fleet/program.py
+++ b/hophinge/fleet/program.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.settings import Settings, SettingsError, read_settings
 
 FAILED = 1                  # exit status where settings cannot be used
+REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 
 
 class Signals:
@@ -55,6 +56,22 @@
             task.cancel()
 
 
+async def every(period_s: float, action: Callable[[], None]) -> None:
+    """Call something for ever, with a pause after each call."""
+    while True:
+        action()
+        await asyncio.sleep(period_s)
+
+
+def reread_settings() -> Settings | None:
+    """Read the settings anew; None, and a line in the log, where they cannot be used."""
+    try:
+        return read_settings()
+    except SettingsError as error:
+        log.note(f"the settings file is not used: {error}")
+        return None
+
+
 def run(program: Callable[[Settings], Awaitable[None]]) -> None:
     """Read the settings and run a program to its end."""
     log.begin()
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -54,7 +54,7 @@
         self.instances: dict[str, Instance] = {}
         self.stamps: dict[str, tuple[int, int]] = {}
         self.ended: dict[str, float] = {}
-        self.untold: dict[str, int] = {}
+        self.unsent_beats: dict[str, int] = {}
         self.ticked = now
         self.switches: dict[str, float] = {}    # instances that change their stage, and until when they are spared
 
@@ -67,7 +67,7 @@
         if beat is not None and sequence <= beat.sequence:
             return None
         self.beats[identity] = Beat(sequence, now)
-        self.untold[identity] = sequence
+        self.unsent_beats[identity] = sequence
         instance = self._as_switching(now, instance)
         if self.instances.get(identity) == instance:
             return None
@@ -107,7 +107,7 @@
         self.instances.pop(identity, None)
         self.stamps.pop(identity, None)
         self.beats.pop(identity, None)
-        self.untold.pop(identity, None)
+        self.unsent_beats.pop(identity, None)
         self.switches.pop(identity, None)
 
     def learn(self, now: float, record: Record) -> None:
@@ -137,7 +137,7 @@
 
     def liveness(self) -> Liveness | None:
         """Tell what was heard here since the last call."""
-        rows, self.untold = tuple(self.untold.items()), {}
+        rows, self.unsent_beats = tuple(self.unsent_beats.items()), {}
         return Liveness(rows) if rows else None
 
     def expire(self, now: float, listening: bool) -> list[Record]:
--- a/tests/test_fleet_emulation.py
+++ b/tests/test_fleet_emulation.py
@@ -7,7 +7,7 @@
 from hophinge.fleet.emulation import plays
 from hophinge.fleet.emulation.clock import VirtualClock
 from hophinge.fleet.emulation.virtual_engine import EngineProfile, Event, VirtualEngine, Work
-from hophinge.fleet.placement.pool import DECODE, PREFILL
+from hophinge.fleet.placement.timing import DECODE, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
 
 PROFILE = EngineProfile(4, 50_000, 0.01, 10_000.0, 1_000, 0.00001, 2.0)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -73,7 +73,7 @@
     alone = _generation(placement, "a", prompt).placed.node.instance.identity
     other = _placement(2, 1)
     elsewhere = next(name for name in ("i-0", "i-1") if name != alone)
-    other.hinted(0.0, Hints((Hint(elsewhere, 100, prompt.parts, 0, 0, 1),)))
+    other.receive_hints(0.0, Hints((Hint(elsewhere, 100, prompt.parts, 0, 0, 1),)))
     assert _generation(other, "a", prompt).placed.node.instance.identity == elsewhere
 
 
@@ -100,7 +100,7 @@
     prompt = _prompt("key", 40_000, 4_000)
     assert _generation(placement, "a", prompt, aim_s=10.0).priority < LATE_PRIORITY
     assert _generation(placement, "b", _prompt("other", 40_000, 4_000), aim_s=0.1).priority == LATE_PRIORITY
-    hints = placement.told(0.0)
+    hints = placement.outgoing_hints(0.0)
     assert hints is not None
     assert [hint.priority == LATE_PRIORITY for hint in hints.hints] == [False, True]
 
@@ -109,7 +109,7 @@
     placement = _placement(1, 1)
     under_way = [Hint(name, 1_000, (), 0, 0, 1) for name in ("i-0", "i-1")]
     late = [Hint(name, 900_000, (), LATE_PRIORITY, 0, 2) for name in ("i-0", "i-1")]
-    placement.hinted(0.0, Hints((*under_way, *late)))
+    placement.receive_hints(0.0, Hints((*under_way, *late)))
     assert _generation(placement, "a", _prompt("key"), aim_s=1.0).priority < LATE_PRIORITY
 
 
@@ -118,7 +118,7 @@
     prompt = _prompt("key", 100, 100)
     alone = _generation(placement, "a", prompt).placed.node.instance.identity
     other = _placement(2, 1)
-    other.hinted(0.0, Hints((Hint(alone, 900_000, (), LATE_PRIORITY, 0, 2),)))
+    other.receive_hints(0.0, Hints((Hint(alone, 900_000, (), LATE_PRIORITY, 0, 2),)))
     assert _generation(other, "a", prompt).placed.node.instance.identity != alone
 
 
@@ -154,7 +154,7 @@
     placement = _placement(0, 2)
     prompt = _prompt("key", 100, 100)
     first = _generation(placement, "a", prompt).placed.node.instance.identity
-    placement.reported(0.0, Reports((Report(first, 12, 60, 199_000, 200_000),)))
+    placement.receive_reports(0.0, Reports((Report(first, 12, 60, 199_000, 200_000),)))
     assert _generation(placement, "b", prompt).placed.node.instance.identity != first
 
 
--- a/tests/test_fleet_queue.py
+++ b/tests/test_fleet_queue.py
@@ -45,7 +45,8 @@
     queue.add(0.0, 0, 1_000.0)
     job = queue.add(0.0, 0, 1_000.0)
     queue.add(0.0, 0, 500.0)
-    assert queue.finished(300.0, job, 300.0) == LEAST_SAMPLE_US
+    assert queue.spent_us(job, 300.0) == LEAST_SAMPLE_US
+    queue.finish(300.0, job, 300.0)
     assert queue.begin(300.0, 0) == 800.0
 
 
@@ -53,7 +54,8 @@
     queue = WorkQueue()
     job = queue.add(0.0, 0, 100.0)
     queue.add(0.0, 0, 200.0)
-    assert queue.finished(1_000.0, job, 1_000.0) == 1_000.0
+    assert queue.spent_us(job, 1_000.0) == 1_000.0
+    queue.finish(1_000.0, job, 1_000.0)
     assert queue.begin(1_000.0, 0) == 1_200.0
 
 
@@ -85,7 +87,7 @@
                 case 0 | 1:
                     jobs.append(queue.add(now, random.randrange(10), random.expovariate(1 / 80)))
                 case 2 if jobs:
-                    queue.finished(now, random.choice(jobs), now - 3.0)
+                    queue.finish(now, random.choice(jobs), now - 3.0)
                 case 3 if jobs:
                     queue.drop(random.choice(jobs))
                 case _:
@@ -103,6 +105,9 @@
     later = queue.add(90_000.0, 0, 5_000.0, 3, 100.0)
     assert queue.find(2) is second
     assert queue.find(9) is None
-    assert queue.finished(95_000.0, first, 8_000.0) == 8_000.0
-    assert queue.finished(95_000.0, second, 20_000.0) == 12_000.0
-    assert queue.finished(97_000.0, later, 97_000.0) == 7_000.0
+    assert queue.spent_us(first, 8_000.0) == 8_000.0
+    queue.finish(95_000.0, first, 8_000.0)
+    assert queue.spent_us(second, 20_000.0) == 12_000.0
+    queue.finish(95_000.0, second, 20_000.0)
+    assert queue.spent_us(later, 97_000.0) == 7_000.0
+    queue.finish(97_000.0, later, 97_000.0)
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hophinge.fleet.controlplane.relay import EACH_HEAD_S, LEAST_S, Relay
+from hophinge.fleet.controlplane.relay import EACH_HEAD_S, RELAY_TICK_S, Relay
 from hophinge.fleet.placement.hints import Hint, Hints, Suspects
 from hophinge.fleet.transport.frames import FrameReader
 
@@ -61,7 +61,7 @@
             if wire.relay.due(now, heads):
                 wire.relay.flush(now, [], [])
                 flushes += 1
-            now += LEAST_S / 2
+            now += RELAY_TICK_S / 2
         assert flushes * heads <= 1.2 / EACH_HEAD_S
 
 
