Fleet tests: machines cut off, frozen, killed and wiped by seed while requests go on

Change: the rig's launcher loses what a process sends to chosen addresses (rig/cuts.py); LoopbackFleet.cut_off and heal; drawn histories of six faults under steady requests, checked by what clients, instances and operator saw.

--- a/hophinge/fleet/emulation/fleet.py
+++ b/hophinge/fleet/emulation/fleet.py
@@ -171,6 +171,20 @@
             return (await self.call(self.address(number, CONTROL), "PUT", "/v1/config", data, fields)).status
         return 0
 
+    def cut_off(self, number: int) -> None:
+        """Lose all that a machine and the others send each other, without a word to either."""
+        others = [ip for ip in self.ips if ip != self.ips[number]]
+        for one in range(len(self.ips)):
+            lost = others if one == number else [self.ips[number]]
+            self.control(one).cut(lost)
+            self.head(one).cut(lost)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        for one in range(len(self.ips)):
+            self.control(one).cut([])
+            self.head(one).cut([])
+
     def _answers(self, process: Process, address: str, target: str, what: str, expected: dict[str, Any]) -> Condition:
         async def look() -> tuple[bool, str]:
             try:
--- a/hophinge/load/rig/launch.py
+++ b/hophinge/load/rig/launch.py
@@ -1,4 +1,4 @@
-"""Runs a module as `python -m` does, in a process that may have a wrong wall clock and a disk that fails.
+"""Runs a module as `python -m` does, in a process whose wall clock, disk and network may have faults.
 
 Read here alone, from the environment: the program itself knows of none of it. `python -m hophinge.load.rig.launch
 MODULE WORDS...` ends with whoever started it.
@@ -19,7 +19,10 @@
 from pathlib import Path
 from typing import Any
 
+from hophinge.load.rig.cuts import Cuts
+
 CLOCK, DISK, PARENT, MEMORY = "RIG_CLOCK_OFF_S", "RIG_DISK", "RIG_PARENT", "RIG_MEMORY_MB"
+CUTS = "RIG_CUTS"
 ERRORS = {"full": errno.ENOSPC, "failing": errno.EIO}
 PR_SET_PDEATHSIG = 1
 
@@ -81,6 +84,8 @@
         clock_off(float(seconds))
     if word := environ.get(DISK):
         disk_by(Path(word))
+    if word := environ.get(CUTS):
+        Cuts(Path(word)).install()
     return True
 
 
--- a/hophinge/load/rig/processes.py
+++ b/hophinge/load/rig/processes.py
@@ -9,11 +9,11 @@
 import signal
 import sys
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from hophinge.core.errors import HophingeError
-from hophinge.load.rig.launch import DISK, MEMORY, PARENT
+from hophinge.load.rig.launch import CUTS, DISK, MEMORY, PARENT
 
 ROOT = Path(__file__).parent.parent.parent.parent
 LAUNCH = "hophinge.load.rig.launch"
@@ -63,7 +63,7 @@
         self.environ.update(changes)
         self.since, self.starts = len(self.lines), self.starts + 1
         environ = {**os.environ, "PYTHONUNBUFFERED": "1", MEMORY: str(MEMORY_MB), PARENT: str(os.getpid()),
-                   DISK: str(self.folder / "disk"), **self.environ}
+                   DISK: str(self.folder / "disk"), CUTS: str(self.folder / "cuts"), **self.environ}
         self.child = await asyncio.create_subprocess_exec(
             sys.executable, "-m", LAUNCH, *self.words, cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
@@ -149,6 +149,13 @@
         _, hard = resource.prlimit(self.pid, resource.RLIMIT_FSIZE)
         resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (0 if word else hard, hard))
 
+    def cut(self, hosts: Iterable[str]) -> None:
+        """Lose what it sends to some addresses from now on, in place of those cut off before; none heals all."""
+        path = self.folder / "cuts"
+        fresh = path.with_suffix(".new")
+        fresh.write_text("\n".join(hosts))
+        fresh.replace(path)
+
     def resident_mb(self) -> float:
         """Tell the memory that it has now."""
         rows = Path(f"/proc/{self.pid}/status").read_text().splitlines()
--- /dev/null
+++ b/tests/test_fleet_histories.py
@@ -0,0 +1,96 @@
+"""Real processes under drawn faults and steady requests: the rules, as clients, instances and the operator see them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from hophinge.fleet.emulation.fleet import LoopbackFleet, Reply, document
+from hophinge.fleet.emulation.stand_in import FAILURES
+from hophinge.fleet.forwarding.headers import NOT_EXECUTED, find
+from hophinge.load.rig.waiting import until
+from tests.fleet_faults import draw_faults
+from tests.test_fleet_together import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, runs, streamed, taken
+
+SEEDS = (1, 2)
+
+
+@dataclass
+class Seen:
+    """What clients got, and which configuration each life of a head was seen under."""
+
+    replies: dict[str, Reply] = field(default_factory=dict)
+    versions: dict[tuple[int, int], list[int]] = field(default_factory=lambda: defaultdict(list))
+
+
+async def _ask(fleet: LoopbackFleet, random: Random, seen: Seen) -> None:
+    """Send one request after another, each under a name of its own and once only."""
+    for count in itertools.count():
+        number = random.randrange(MACHINES)
+        path, name = (("/m/q", f"m{count}"), ("/p/q", f"p{count}"))[count % 2]
+        fields = PROMPT if path == "/m/q" else ()
+        try:
+            seen.replies[name] = await fleet.request(number, path, name, *fields)
+            life = number, fleet.head(number).starts
+            member = await fleet.call(fleet.address(number, 1), "GET", "/v1/member", b"", [(b"Host", b"c")])
+        except FAILURES:
+            await asyncio.sleep(0)
+            continue
+        seen.versions[life].append(json.loads(member.body)["configuration"])
+
+
+async def _faults(fleet: LoopbackFleet, random: Random) -> int:
+    """Let every fault come once while configurations change; tells the last version."""
+    version = 1
+    for fault in draw_faults(random):
+        number = random.randrange(MACHINES)
+        await fault.begin(fleet, number)
+        version += 1
+        routes = (*ROUTES, (f"/v{version}/", "unsafe", "plain"))
+        other = (number + random.randrange(1, MACHINES)) % MACHINES
+        await until([taken(fleet, other, document(version, routes), version - 1)], BOUND_S)
+        await until([fleet.ready(one, version, len(INSTANCES)) for one in range(MACHINES) if one != number], BOUND_S)
+        await fault.mend(fleet, number)
+        await until([fleet.serving(one, version) for one in range(MACHINES)], BOUND_S)
+        await until([fleet.ready(one, version, len(INSTANCES)) for one in range(MACHINES)], BOUND_S)
+    return version
+
+
+def _check(seen: Seen, counted: Counter[str], version: int) -> None:
+    assert len(seen.replies) > 20, "requests went on through the faults"
+    for name, reply in seen.replies.items():
+        if name.startswith("p"):
+            assert counted[name] <= 1, f"{name} ran {counted[name]} times"
+            assert reply.status != 200 or reply.body.endswith(f" {name}".encode())
+        elif reply.status == 200 and reply.whole:
+            assert streamed(reply), f"{name} has a gap or a repeat: {reply.body!r}"
+        if find(reply.fields, NOT_EXECUTED) is not None:
+            assert counted[name] == 0, f"{name} ran, and its client was told that it did not"
+    assert any(reply.status == 200 for reply in seen.replies.values())
+    for life, versions in seen.versions.items():
+        assert versions == sorted(versions), f"head {life} went back: {versions}"
+        assert versions[-1] <= version
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_rules_hold_while_machines_fail_one_after_another(tmp_path: Path, seed: int) -> None:
+    async def run() -> None:
+        random, seen = Random(seed), Seen()
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await begin(fleet)
+            asking = asyncio.create_task(_ask(fleet, Random(seed + 1_000), seen))
+            try:
+                version = await _faults(fleet, random)
+            finally:
+                asking.cancel()
+                await asyncio.gather(asking, return_exceptions=True)
+            _check(seen, runs(fleet), version)
+
+    asyncio.run(run())
--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import shutil
 from collections import Counter
 from pathlib import Path
@@ -21,15 +22,15 @@
              ("d2", "models", "decode"), ("s1", "plain", ""), ("s2", "plain", ""))
 
 
-async def _begin(fleet: LoopbackFleet) -> None:
+async def begin(fleet: LoopbackFleet) -> None:
     await fleet.start()
     for identity, service, stage in INSTANCES:
         await fleet.instance(identity, service, stage)
-    await until([_taken(fleet, 0, document(1, ROUTES), 0)], BOUND_S)
+    await until([taken(fleet, 0, document(1, ROUTES), 0)], BOUND_S)
     await until([fleet.ready(number, 1, len(INSTANCES)) for number in range(MACHINES)], BOUND_S)
 
 
-def _taken(fleet: LoopbackFleet, number: int, data: bytes, base: int) -> Condition:
+def taken(fleet: LoopbackFleet, number: int, data: bytes, base: int) -> Condition:
     async def look() -> tuple[bool, str]:
         status = await fleet.configure(number, data, base)
         return status == 200, f"answered {status}"
@@ -37,11 +38,11 @@
     return Condition(fleet.control(number), "takes a configuration", look)
 
 
-def _runs(fleet: LoopbackFleet) -> Counter[str]:
+def runs(fleet: LoopbackFleet) -> Counter[str]:
     return Counter(run.request for engine in fleet.holders.values() for run in engine.runs)
 
 
-def _streamed(reply: Reply) -> bool:
+def streamed(reply: Reply) -> bool:
     ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
     return reply.status == 200 and reply.whole and ids == [f"id: {number}" for number in range(1, 5)]
 
@@ -49,17 +50,17 @@
 def test_a_calm_fleet_serves_both_kinds_and_each_request_runs_once(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             for number in range(9):
                 head = number % MACHINES
-                assert _streamed(await fleet.request(head, "/m/q", f"m{number}", *PROMPT))
+                assert streamed(await fleet.request(head, "/m/q", f"m{number}", *PROMPT))
                 reply = await fleet.request(head, "/p/q?a=1", f"p{number}", body=b"body %d" % number)
                 assert reply.status == 200
                 assert reply.body.endswith(f"p{number}".encode())
             assert (await fleet.request(0, "/none/", "n")).status == 404
-            runs = _runs(fleet)
-            assert len(runs) == 18
-            assert set(runs.values()) == {1}
+            counted = runs(fleet)
+            assert len(counted) == 18
+            assert set(counted.values()) == {1}
             bodies = {run.body for engine in fleet.holders.values() for run in engine.runs if run.target == "/p/q?a=1"}
             assert bodies == {b"body %d" % number for number in range(9)}
             assert any(run.handle for engine in fleet.holders.values() for run in engine.runs)
@@ -70,7 +71,7 @@
 def test_what_fails_at_an_instance_goes_elsewhere_or_is_told_truly(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             engines = {engine.identity: engine for engine in fleet.holders.values()}
             engines["s1"].faults.add(Fault.FULL)
             for number in range(6):
@@ -78,21 +79,21 @@
             engines["s1"].faults = {Fault.RESET}
             engines["s2"].faults = {Fault.RESET}
             assert (await fleet.request(1, "/p/q", "reset")).status == 502       # it may have run: no promise
-            assert _runs(fleet)["reset"] == 1
+            assert runs(fleet)["reset"] == 1
             engines["s1"].faults = {Fault.FULL}
             engines["s2"].faults = {Fault.FULL}
             refused = await fleet.request(2, "/p/q", "refused")
             assert refused.status == 503
             assert any(name.lower() == b"retry-after" for name, _ in refused.fields)
-            assert _runs(fleet)["refused"] == 0
+            assert runs(fleet)["refused"] == 0
             engines["d1"].faults.add(Fault.CUT)
             replies = [await fleet.request(0, "/m/q", f"cut{number}", *PROMPT) for number in range(4)]
-            assert all(_streamed(reply) for reply in replies), "a resumable stream goes on after its newest event"
+            assert all(streamed(reply) for reply in replies), "a resumable stream goes on after its newest event"
             engines["d2"].faults.add(Fault.NO_MEMORY)
             engines["d1"].faults = {Fault.NO_MEMORY}
             engines["p1"].faults = engines["p2"].faults = set()
             reply = await fleet.request(0, "/m/q", "memory", *PROMPT)
-            assert _streamed(reply) or reply.status == 503
+            assert streamed(reply) or reply.status == 503
 
     asyncio.run(run())
 
@@ -100,14 +101,14 @@
 def test_a_configuration_is_kept_and_spread_while_control_members_are_killed_and_wiped(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             version = 1
             for number in range(MACHINES):
                 await fleet.control(number).kill()
                 alive = (number + 1) % MACHINES
                 routes = (*ROUTES, *((f"/v{one}/", "unsafe", "plain") for one in range(version)))
                 data = document(version + 1, routes)
-                await until([_taken(fleet, alive, data, version)], BOUND_S)
+                await until([taken(fleet, alive, data, version)], BOUND_S)
                 version += 1
                 await until([fleet.ready(one, version, len(INSTANCES)) for one in range(MACHINES)], BOUND_S)
                 shutil.rmtree(fleet.data_folder(number))
@@ -127,9 +128,9 @@
 def test_a_control_member_that_stood_still_comes_back_without_harm(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             await fleet.control(0).stop()
-            await until([_taken(fleet, 1, document(2, ROUTES), 1)], BOUND_S)
+            await until([taken(fleet, 1, document(2, ROUTES), 1)], BOUND_S)
             await until([fleet.ready(one, 2, len(INSTANCES)) for one in range(MACHINES)], BOUND_S)
             fleet.control(0).wake()
             await until([fleet.serving(one, 2) for one in range(MACHINES)], BOUND_S)
@@ -138,10 +139,32 @@
     asyncio.run(run())
 
 
+def test_a_machine_that_is_cut_off_serves_on_but_decides_nothing_until_it_is_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, MACHINES) as fleet:
+            await begin(fleet)
+            fleet.cut_off(2)
+            assert await fleet.configure(2, document(2, ROUTES), 1) != 200, "a minority takes no configuration"
+            await until([taken(fleet, 0, document(2, ROUTES), 1)], BOUND_S)
+            await until([fleet.ready(one, 2, len(INSTANCES)) for one in range(2)], BOUND_S)
+            assert (await fleet.request(0, "/p/q", "beside")).status == 200
+            assert (await fleet.request(2, "/p/q", "alone")).status == 200
+            assert await _configuration(fleet, 2) == 1, "nothing comes through the cut"
+            fleet.heal()
+            await until([fleet.ready(2, 2, len(INSTANCES)), fleet.serving(2, 2)], BOUND_S)
+
+    asyncio.run(run())
+
+
+async def _configuration(fleet: LoopbackFleet, number: int) -> int:
+    reply = await fleet.call(fleet.address(number, 1), "GET", "/v1/member", b"", [(b"Host", b"c")])
+    return int(json.loads(reply.body)["configuration"])
+
+
 def test_after_a_drain_is_acknowledged_no_head_sends_there(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             leaving = fleet.stand_ins["s1"]
             fleet.tasks.pop("s1").cancel()
             leaving.engine.state = "draining"
@@ -168,10 +191,10 @@
 def test_a_head_that_is_told_to_end_finishes_its_requests(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
-            await _begin(fleet)
+            await begin(fleet)
             ending = asyncio.create_task(fleet.head(0).end())
             replies = [await fleet.request(0, "/m/q", f"e{number}", *PROMPT) for number in range(5)]
-            assert all(_streamed(reply) for reply in replies)
+            assert all(streamed(reply) for reply in replies)
             assert all((b"connection", b"close") in reply.fields for reply in replies[1:])
             assert await ending == 0
 
