Leases: a member without one soon asks another granter and takes whichever answers

Change: without a lease the next granter is asked after 0.25 s, and an answer of any granter asked counts; a head without routes tells clients to come back in 0.6 s.

--- a/hophinge/coordination/leases.py
+++ b/hophinge/coordination/leases.py
@@ -17,6 +17,7 @@
 RENEW_S = 1.0               # between renewals
 FIRST_S = 0.25              # between attempts of a member without a lease
 ANSWER_S = 1.2              # a granter that has not answered for so long is left for another
+FIRST_ANSWER_S = 0.2        # the same for a member without a lease: it serves nobody until one is found
 AVOID_S = 4.0               # how long it is not asked again
 MARGIN_S = 1.0              # longer than the lease that a granter counts a holder which another granter told of
 
@@ -115,7 +116,7 @@
         self.zone, self.seeds, self.random = zone, seeds, random
         self.granters: tuple[Replica, ...] = ()
         self.home: str | None = None
-        self.asked = float("-inf")
+        self.asked: dict[str, float] = {}           # when each granter was last asked
         self.waiting_since: float | None = None     # when it asked without an answer since
         self.until = float("-inf")                  # when the lease is over, as the holder counts
         self.avoided: dict[str, float] = {}         # granters that did not answer or are cut off, and until when
@@ -124,15 +125,15 @@
 
     def due(self, now: float) -> str | None:
         """Tell whom to ask now, or None."""
-        if self.waiting_since is not None and now - self.waiting_since > ANSWER_S:
+        again, patience = (RENEW_S, ANSWER_S) if self.holds(now) else (FIRST_S, FIRST_ANSWER_S)
+        if self.waiting_since is not None and now - self.waiting_since > patience:
             self._avoid(now)
-        again = RENEW_S if self.until > now else FIRST_S
-        if self.home is not None and now - self.asked < again:
+        if self.home is not None and now - self.asked[self.home] < again:
             return None
         if self.home is None:
             self.home = self._choose(now)
         if self.home is not None:
-            self.asked = now
+            self.asked[self.home] = now
             self.waiting_since = now if self.waiting_since is None else self.waiting_since
         return self.home
 
@@ -154,11 +155,15 @@
         return min(known, key=lambda address: self.avoided[address]) if known else None
 
     def granted(self, now: float, source: str, grant: Grant) -> None:
-        """Take a lease; a granter cut off from the core is left for another."""
-        if source != self.home:
+        """Take a lease; a granter cut off from the core is left for another.
+
+        Without a lease, the answer of any granter that was asked is taken, however late it comes.
+        """
+        if source not in self.asked or (source != self.home and self.holds(now)):
             return
-        self.waiting_since = None
-        self.until = self.asked + grant.lease_s
+        self.home, self.waiting_since = source, None
+        self.until = self.asked[source] + grant.lease_s
+        self.asked = {source: self.asked[source]}
         self.granters = grant.granters
         self.holders = max(1, grant.holders)
         self.most_holders = max(self.most_holders, self.holders)
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -33,7 +33,7 @@
 MEMBER_PATH = "/v1/member"     # for operators: how this head stands
 MILLISECONDS = 1_000
 MARGIN_S = 0.03             # an answer leaves so long before the deadline
-COME_BACK = (b"retry-after", b"0.3")
+COME_BACK = (b"retry-after", b"0.6")         # from a head without routes: it has just started, and soon has them
 CLOSE = (b"connection", b"close")
 
 
--- a/tests/test_coordination_roles.py
+++ b/tests/test_coordination_roles.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from hophinge.coordination.leases import ANSWER_S, LEASE_S, Grant, Holder, LeaseTable, Renewal
+from hophinge.coordination.leases import ANSWER_S, FIRST_S, LEASE_S, Grant, Holder, LeaseTable, Renewal
 from hophinge.coordination.ownership import MARGIN_S, Role, rendezvous
 from hophinge.coordination.registers import Change, Outcome, Register, Registers
 from hophinge.coordination.registers import Entry
@@ -54,6 +54,19 @@
     assert renewal.due(0.3 + ANSWER_S) != FAR.address
 
 
+def test_a_member_without_a_lease_soon_asks_another_granter_and_takes_whichever_answers() -> None:
+    renewal = Renewal("x", ("10.0.0.8:1", "10.0.0.9:1"), Random(1))
+    first = renewal.due(0.0)
+    second = renewal.due(FIRST_S)
+    assert {first, second} == {"10.0.0.8:1", "10.0.0.9:1"}
+    assert renewal.due(FIRST_S + 0.01) is None
+    renewal.granted(0.4, first or "", Grant(LEASE_S, 2, (), (NEAR, FAR), True))
+    assert renewal.holds(LEASE_S - 0.01)
+    assert not renewal.holds(LEASE_S), "the lease counts from when that granter was asked"
+    renewal.granted(0.5, second or "", Grant(LEASE_S, 9, (), (NEAR, FAR), True))
+    assert renewal.most_holders == 2, "with a lease, only the granter in use counts"
+
+
 def test_a_holder_goes_back_to_a_granter_of_its_own_zone() -> None:
     renewal = Renewal("x", ("10.0.0.8:1",), Random(1))
     renewal.due(0.0)
