--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -41,6 +41,7 @@
         self.holdings = Holdings(send)
         self.safe: set[str] = set()         # instances whose leaving enough control members hold
         self.shared = self.compared = 0.0
+        self.relay_due = False
 
     # --- whom to tell --------------------------------------------------------------------------------------------
 
@@ -129,17 +130,23 @@
         heads = self._heads()
         if isinstance(message, Hints):
             self.relay.take(source, message, source in heads)
+            self._schedule_relay()
             return
         if isinstance(message, Reports):
             self._reported(message)
         targets = [head for head in heads if head != source]
         self.relay.at_once(message, [*targets, *(self._relays() if source in heads else [])])
 
-    def pass_on(self) -> None:
-        """Pass on to the heads what they told each other, where it is time."""
-        now, heads = self.loop.time(), self._heads()
-        if self.relay.due(now, len(heads)):
-            self.relay.flush(now, heads, self._relays())
+    def _schedule_relay(self) -> None:
+        """Pass on soon what heads told each other: nothing wakes this process while nothing is told."""
+        if self.relay_due:
+            return
+        self.relay_due = True
+        self.loop.call_later(self.relay.delay_s(self.loop.time(), len(self._heads())), self._pass_on)
+
+    def _pass_on(self) -> None:
+        self.relay_due = False
+        self.relay.flush(self.loop.time(), self._heads(), self._relays())
 
     def _renew(self, now: float, source: str, renew: Renew) -> None:
         self.leases.renew(now, renew.holder)
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -13,7 +13,7 @@
 from hophinge.fleet.controlplane.directory import DIRECTORY_TICK_S, Directory
 from hophinge.fleet.controlplane.host import REPLICA_TICK_S, Effects, ReplicaHost
 from hophinge.fleet.controlplane.keeper import StageKeeper
-from hophinge.fleet.controlplane.relay import RELAY_TICK_S, Relay
+from hophinge.fleet.controlplane.relay import Relay
 from hophinge.fleet.controlplane.reports import Reporter
 from hophinge.fleet.program import REREAD_S, Signals, Tasks, every, reread_settings
 from hophinge.fleet.settings import Settings, SettingsError
@@ -63,7 +63,6 @@
         await self.links.listen()
         self.tasks.start(every(REPLICA_TICK_S, self.host.tick))
         self.tasks.start(every(DIRECTORY_TICK_S, self.directory.tick))
-        self.tasks.start(every(RELAY_TICK_S, self.directory.pass_on))
         self.tasks.start(self.keeper.run())
         self.tasks.start(self.reporter.run())
         self.tasks.start(self.server.serve([listening(self.settings.control)]))
--- a/hophinge/fleet/controlplane/relay.py
+++ b/hophinge/fleet/controlplane/relay.py
@@ -11,7 +11,8 @@
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.transport.frames import frame
 
-RELAY_TICK_S = 0.02              # gathered for so long at least
+SOON_S = 0.01               # from a word until it is passed on, at least: others may join it
+GATHER_S = 0.02             # between two times of passing on, at least
 EACH_HEAD_S = 0.001         # and for so much longer with each head that is told
 SendFrame = Callable[[str, bytes], None]
 
@@ -31,9 +32,9 @@
         if from_head:
             self.from_heads += hints
 
-    def due(self, now: float, heads: int) -> bool:
-        """Tell whether what was gathered is to be passed on."""
-        return bool(self.hints) and now - self.flushed >= RELAY_TICK_S + EACH_HEAD_S * heads
+    def delay_s(self, now: float, heads: int) -> float:
+        """Tell how long from now what is gathered is to be passed on."""
+        return max(SOON_S, self.flushed + GATHER_S + EACH_HEAD_S * heads - now)
 
     def flush(self, now: float, heads: Iterable[str], controls: Iterable[str]) -> None:
         """Pass on what was gathered."""
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -23,7 +23,7 @@
 
 DATA = "data"
 LEAVE_S = 2.6               # the platform needs two misses, a second apart, to send no new connections
-HINT_S = 0.02               # between words about what was placed here
+HINT_S = 0.01               # that what was placed here is gathered before others are told
 RESERVE_S = 0.5             # of the time to end that is left unused
 
 
@@ -37,7 +37,8 @@
         self.addresses = settings.front, settings.ready
         self.signals = Signals()
         self.tasks = Tasks(self.signals.ending)
-        self.placement = Placement(settings.zone, self._ended, Random())
+        self.placement = Placement(settings.zone, self._ended, Random(), self._schedule_hints)
+        self.hints_due = False
         self.upstream = Upstream()
         self.knowledge = Knowledge(settings, self._send, self._instance, self._configured,
                                    self._granted)
@@ -77,8 +78,15 @@
         if neighbours:
             self._send(neighbours[0], WantHints())
 
-    def _hint(self) -> None:
+    def _schedule_hints(self) -> None:
+        """Have the others told soon: nothing wakes this process while nothing is placed."""
+        if not self.hints_due:
+            self.hints_due = True
+            asyncio.get_running_loop().call_later(HINT_S, self._send_hints)
+
+    def _send_hints(self) -> None:
         """Tell what was placed here, in small batches, to the control member at which the lease is held."""
+        self.hints_due = False
         granter = self.knowledge.renewal.home
         now = asyncio.get_running_loop().time()
         for message in (self.placement.outgoing_hints(now), self.placement.outgoing_suspects()):
@@ -90,7 +98,6 @@
         self.signals.changed = self._reread
         await self.links.listen()
         self.tasks.start(every(KNOWLEDGE_TICK_S, self.knowledge.tick))
-        self.tasks.start(every(HINT_S, self._hint))
         self.tasks.start(self.server.serve([listening(address) for address in self.addresses]))
         self.tasks.start(every(REREAD_S, self._tend))
         log.note(f"head {self.knowledge.me.identity} at {self.settings.front}")
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -63,8 +63,9 @@
 class Placement:
     """The books of one data plane."""
 
-    def __init__(self, zone: str, changed: Callable[[str], None], random: Random) -> None:
-        self.zone, self.changed, self.random = zone, changed, random
+    def __init__(self, zone: str, changed: Callable[[str], None], random: Random,
+                 pending: Callable[[], None] = lambda: None) -> None:
+        self.zone, self.changed, self.random, self.pending = zone, changed, random, pending
         self.pools: dict[tuple[str, str], Pool] = {}
         self.nodes: dict[str, Node] = {}
         self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
@@ -136,12 +137,14 @@
         if placed.pool.timing.reads_in_turn and placed.units > LEAST_TOKENS:
             placed.pool.finished(now, placed.node, placed.job, now)
             self.pending_reads.append(FinishedRead(placed.node.instance.identity, placed.job.number, now))
+            self.pending()
 
     def failed(self, node: Node, now: float) -> None:
         """An attempt failed at an instance; where nothing was heard of it for a while, the other heads are told."""
         if now - node.answered_at > SILENT_S:
             node.failed(now)
             self.suspects.add(node.instance.identity)
+            self.pending()
 
     def outgoing_suspects(self) -> Suspects | None:
         """Tell the instances that failed here since the last call."""
@@ -233,4 +236,5 @@
         number = self.random.getrandbits(JOB_BITS)
         identity = offer.node.instance.identity
         self.pending_hints.append(Hint(identity, int(offer.units), parts, offer.priority, memory, number))
+        self.pending()
         return Plan(choice.pool.reserve(wish.now, offer, wish.name, number), choice.reads, offer.priority)
--- a/hophinge/fleet/transport/lean.py
+++ b/hophinge/fleet/transport/lean.py
@@ -1,7 +1,7 @@
 """Keeps out what the HTTP libraries load on the chance that somebody uses it: start and memory count on small machines.
 
-httpcore loads `trio` and `sniffio` where they happen to be installed beside, and asks for the latter at each call; both
-programs run on asyncio alone. Imported before it.
+httpcore loads `trio` and `sniffio` where they happen to be installed beside, and `certifi` for TLS, which the programs
+do not speak: they run on asyncio alone, in the clear. Imported before it.
 """
 
 from __future__ import annotations
@@ -9,8 +9,11 @@
 import sys
 from types import ModuleType
 
-UNUSED = ("trio", "sniffio")
+ABSENT = ("trio", "sniffio")        # an import of it fails as if it were not installed
+EMPTY = ("certifi",)                # imported by httpcore for a function that is only called for TLS
 
 _modules: dict[str, ModuleType | None] = sys.modules    # type: ignore[assignment]
-for _name in UNUSED:
-    _modules.setdefault(_name, None)        # an import of it fails as if it were not installed
+for _name in ABSENT:
+    _modules.setdefault(_name, None)
+for _name in EMPTY:
+    _modules.setdefault(_name, ModuleType(_name))
--- a/tests/test_fleet_relay.py
+++ b/tests/test_fleet_relay.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from hophinge.fleet.controlplane.relay import EACH_HEAD_S, RELAY_TICK_S, Relay
+import pytest
+
+from hophinge.fleet.controlplane.relay import EACH_HEAD_S, GATHER_S, SOON_S, Relay
 from hophinge.fleet.placement.hints import Hint, Hints, Suspects
 from hophinge.fleet.transport.frames import FrameReader
 
@@ -55,16 +57,24 @@
 def test_messages_a_second_are_bounded_however_many_heads_there_are() -> None:
     for heads in (10, 100, 1_000):
         wire = Wire()
-        now, flushes = 0.0, 0
+        now, due, flushes = 0.0, None, 0
         while now < 1.0:
             wire.relay.take("x", _hint("a"), True)
-            if wire.relay.due(now, heads):
+            due = now + wire.relay.delay_s(now, heads) if due is None else due
+            if now >= due:
                 wire.relay.flush(now, [], [])
-                flushes += 1
-            now += RELAY_TICK_S / 2
+                flushes, due = flushes + 1, None
+            now += GATHER_S / 4
         assert flushes * heads <= 1.2 / EACH_HEAD_S
 
 
+def test_a_word_after_a_rest_is_passed_on_soon() -> None:
+    wire = Wire()
+    wire.relay.flush(1.0, HEADS, CONTROLS)
+    assert wire.relay.delay_s(9.0, 1_000) == SOON_S
+    assert wire.relay.delay_s(1.0, 30) == pytest.approx(GATHER_S + 30 * EACH_HEAD_S)
+
+
 def test_a_word_that_is_not_gathered_goes_at_once() -> None:
     wire = Wire()
     wire.relay.at_once(Suspects(("i",)), HEADS)
