--- a/tests/coordination_histories.py
+++ b/tests/coordination_histories.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 
 from hophinge.coordination.registers import Outcome
 from tests.coordination_world import Attempted, World, change
 
+LEAST_TAKEN = 5             # changes that a history takes, however many faults it has
+
 
 def start_if_there(world: World, address: str) -> None:
     if address in world.members:
@@ -47,22 +50,91 @@
             world.at(0.5, partial(start_if_there, world, one))
 
 
-def play(seed: int, count: int, losses: int = 1) -> tuple[World, list[Attempted]]:
+def may_lose_disk(world: World) -> bool:
+    """Tell whether a disk may be lost beside faults beyond the tolerance: only where enough others hold the state."""
+    views = [member.machine.view.number for member in world.members.values() if member.machine and member.machine.view]
+    newest = max(views, default=0)
+    holding = sum(member.machine is not None and member.machine.chain.serving and member.machine.view is not None
+                  and member.machine.view.number == newest for member in world.members.values())
+    return len(world.members) - holding + 1 <= world.losses
+
+
+def trouble_without_bound(world: World, random: Random) -> None:
+    """Faults of any number of machines at once, which may stop the chain for a while and must break nothing."""
+    address = random.choice(sorted(world.members))
+    seconds = random.uniform(0.05, 4.0)
+    kind = random.choice(["kill", "freeze", "cut", "one_way", "slow", "lag", "wipe", "wipe", "power"])
+    if kind == "kill":
+        world.kill(address)
+        world.at(seconds, partial(start_if_there, world, address))
+    elif kind == "freeze":
+        world.freeze(address, seconds)
+    elif kind in ("cut", "one_way"):
+        world.cut(address, seconds, kind == "one_way")
+    elif kind == "slow":
+        world.slow_disk(address, random.choice([0.03, 0.3]), seconds)
+    elif kind == "lag":
+        world.lag(random.choice([0.05, 0.4]), seconds)
+    elif kind == "wipe" and may_lose_disk(world):
+        world.wipe(address)
+        world.at(min(seconds, 0.8), partial(start_if_there, world, address))
+    elif kind == "power":
+        for one in list(world.members):
+            world.kill(one)
+            world.at(random.uniform(0.1, 1.0), partial(start_if_there, world, one))
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAttempt:
+    """A read, and the newest version that anybody was told of before it was asked."""
+
+    request: int
+    floor: int
+
+
+def told(world: World, requests: dict[int, Attempted]) -> int:
+    """Tell the newest version that an operator was told is in force."""
+    newest = 0
+    for request, answer in world.answers.items():
+        if answer.outcome is Outcome.VALUE:
+            newest = max(newest, answer.version)
+        elif answer.outcome is Outcome.TAKEN and request in requests:
+            newest = max(newest, requests[request].change.version)
+    return newest
+
+
+def check_reads(world: World, reads: list[ReadAttempt]) -> None:
+    """No read tells of less than was told before it was asked."""
+    for read in reads:
+        answer = world.answers.get(read.request)
+        if answer is not None and answer.outcome is Outcome.VALUE:
+            assert answer.version >= read.floor, f"read {answer.version} after {read.floor} was told"
+
+
+def play(seed: int, count: int, losses: int = 1, bounded: bool = True) -> tuple[World, list[Attempted]]:
+    """Play a history; where faults are not bounded, the chain may stop, and only what it says is checked."""
     world, random = World(seed, count, losses), Random(seed)
     world.loss = random.choice([0.0, 0.0, 0.02, 0.1])
     world.run(2.5)
     attempts: list[Attempted] = []
+    reads: list[ReadAttempt] = []
     requests: dict[int, Attempted] = {}
     known, down = 0, dict[str, float]()
     numbers = itertools.count(1)
     for _ in range(60):
         if random.random() < 0.25:
-            trouble(world, random, down)
+            if bounded:
+                trouble(world, random, down)
+            else:
+                trouble_without_bound(world, random)
         for _ in range(random.choice([0, 1, 2])):
             attempt = Attempted(change(known, known + next(numbers), random.choice("abc")))
             attempts.append(attempt)
             for _ in range(random.choice([1, 1, 2])):
                 requests[world.ask(random.choice(sorted(world.members)), attempt.change)] = attempt
+        if random.random() < 0.3:
+            floor = told(world, requests)
+            reads.append(ReadAttempt(world.ask(random.choice(sorted(world.members)), None), floor))
         world.run(random.uniform(0.05, 1.0))
         for request, attempt in requests.items():
             answer = world.answers.get(request)
@@ -74,7 +146,8 @@
             attempt.refused |= answer.outcome in (Outcome.CONFLICT, Outcome.OUTDATED)
             known = max(known, answer.version)
     world.loss = 0.0
-    world.run(8.0)
+    world.run(8.0 if bounded else 14.0)
+    check_reads(world, reads)
     return world, attempts
 
 
@@ -91,4 +164,11 @@
         answer = world.read(address)
         assert answer is not None, f"{address} does not answer reads after the last fault"
         assert answer.version >= newest, "an acknowledged change is lost"
-    assert len(acknowledged) >= 5, "hardly anything was taken"
+    assert len(acknowledged) >= LEAST_TAKEN, "hardly anything was taken"
+
+
+def drawn(seed: int) -> tuple[World, list[Attempted]]:
+    """Play the history of a seed: three to six replicas, one or two losses to bear, faults with and without bound."""
+    count = 3 + seed % 4
+    losses = 2 if count >= 5 and seed % 3 == 0 else 1
+    return play(seed, count, losses, bounded=seed % 2 == 0)
--- a/tests/coordination_world.py
+++ b/tests/coordination_world.py
@@ -16,6 +16,7 @@
 from hophinge.coordination.view import Replica
 
 TICK_S = 0.05
+SYNC_S = 0.001
 KEY = "configuration"
 
 
@@ -36,8 +37,9 @@
     machine: ReplicaMachine | None = None
     life: int = 0
     frozen_until: float = 0.0
-    sync_s: float = 0.001
+    sync_s: float = SYNC_S
     disk_free_at: float = 0.0
+    unsynced: list[Record] = field(default_factory=list)     # written, and lost with the power or not
     published: list[Published] = field(default_factory=list)
 
 
@@ -61,6 +63,7 @@
         self.order = itertools.count()
         self.names = itertools.count()
         self.loss = 0.0
+        self.lag_s = 0.0
         self.blocked: set[tuple[str, str]] = set()
         self.members: dict[str, Member] = {}
         self.answers: dict[int, Answer] = {}
@@ -100,10 +103,28 @@
         member.life += 1
         member.published = []
         member.disk_free_at = self.now
+        member.unsynced = []
         self._tick(member, member.life)
 
     def kill(self, address: str) -> None:
-        self.members[address].machine = None
+        """End a process; of what its disk was writing, the first part lasts, up to a place that is drawn."""
+        member = self.members[address]
+        member.disk.records += member.unsynced[:self.random.randint(0, len(member.unsynced))]
+        member.unsynced = []
+        member.machine = None
+
+    def slow_disk(self, address: str, sync_s: float, seconds: float) -> None:
+        self.members[address].sync_s = sync_s
+        self.at(seconds, lambda: self._quick_disk(address))
+
+    def _quick_disk(self, address: str) -> None:
+        if address in self.members:
+            self.members[address].sync_s = SYNC_S
+
+    def lag(self, most_s: float, seconds: float) -> None:
+        """Have messages come up to so much later, each by itself, so that later ones overtake them."""
+        self.lag_s = most_s
+        self.at(seconds, lambda: setattr(self, "lag_s", 0.0))
 
     def wipe(self, address: str) -> None:
         self.kill(address)
@@ -142,6 +163,7 @@
         begin = max(self.now, member.disk_free_at)
         done = begin + (member.sync_s if outputs.records else 0.0)
         member.disk_free_at = done
+        member.unsynced += outputs.records
         if not (outputs.records or outputs.messages or outputs.answers or outputs.published):
             return
 
@@ -152,6 +174,7 @@
                 self.at(member.frozen_until - self.now, let_out)
                 return
             member.disk.records += outputs.records
+            del member.unsynced[:len(outputs.records)]
             for address, message in outputs.messages:
                 self._send(machine.me, address, encode(message))
             for answer in outputs.answers:
@@ -165,7 +188,7 @@
     def _send(self, source: Replica, address: str, data: bytes) -> None:
         if (source.address, address) in self.blocked or self.random.random() < self.loss:
             return
-        delay = self.random.uniform(0.0002, 0.004)
+        delay = self.random.uniform(0.0002, 0.004) + (self.random.uniform(0.0, self.lag_s) if self.lag_s else 0.0)
         self.at(delay, lambda: self._deliver(source, address, data))
         if self.loss and self.random.random() < self.loss:
             self.at(delay * 3, lambda: self._deliver(source, address, data))
--- /dev/null
+++ b/tests/test_coordination_mutants.py
@@ -0,0 +1,24 @@
+"""Every mutant of the coordination library fails the test that is to find it."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from tests.coordination_mutants import CHOSEN, MUTANTS, ROOT, Mutant
+
+FAILED = 1                  # exit status of pytest where tests ran and some failed
+BOUND_S = 120
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_mutant_is_found(mutant: Mutant) -> None:
+    plugins = ["-p", "tests.coordination_mutants", "-p", "no:cacheprovider"]
+    words = [sys.executable, "-m", "pytest", "-x", "-q", "--tb=line", *plugins, mutant.found_by]
+    environ = {**os.environ, CHOSEN: mutant.name}
+    done = subprocess.run(words, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=BOUND_S, check=False)
+    assert done.returncode == FAILED, done.stdout[-2_000:]
+    assert "failed" in done.stdout
