--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,7 +1,7 @@
 """Ways of placement in virtual time on the same seeds: `python benchmarks/placement.py [--seeds N]`.
 
-Each line: part of the worth earned over the whole time, by the worst class (a kind, its largest tenth or the fifth
-beneath that), in the two worst windows; part served late; engines that read at the end.
+Each line: part of the worth earned over the whole time, by the worst kind, in the two worst windows; part served late;
+engines that read at the end.
 """
 
 from __future__ import annotations
--- a/hophinge/fleet/emulation/plays.py
+++ b/hophinge/fleet/emulation/plays.py
@@ -46,24 +46,17 @@
     """The figures of one play."""
 
     day: float
-    worst_class: float
+    worst_kind: float
     worst_windows: float
     late: float
     reading: int
 
 
 def _part(outcomes: list[Outcome]) -> float:
-    owed = sum(outcome.arrival.kind.worth * outcome.arrival.factor for outcome in outcomes)
+    owed = sum(outcome.arrival.kind.worth for outcome in outcomes)
     return sum(outcome.worth() for outcome in outcomes) / owed if owed else 1.0
 
 
-def _classes(outcomes: list[Outcome]) -> list[list[Outcome]]:
-    """Tell what the operators count apart within a kind: all of it, its largest tenth and the fifth beneath that."""
-    by_size = sorted(outcomes, key=lambda outcome: -outcome.arrival.size)
-    tenth, third = len(by_size) // 10, len(by_size) * 3 // 10
-    return [part for part in (by_size, by_size[:tenth], by_size[tenth:third]) if part]
-
-
 def play(deployment: Deployment, seed: int, load: float, burst: float = 1.0, crash: bool = False) -> Row:
     """Play a deployment once; `load` times its usual rate, with a burst of its first kind and a crash in the middle."""
     kinds = tuple(Kind(one.name, one.shared_tokens, one.own_tokens, one.tokens_out, one.per_s * load, one.aim_s,
@@ -77,15 +70,14 @@
     windows = [[one for one in outcomes if int(one.arrival.at / WINDOW_S) == number]
                for number in range(int(SECONDS / WINDOW_S))]
     worst = sorted(_part(window) for window in windows if window)[:2]
-    of_kinds = [[one for one in outcomes if one.arrival.kind is kind] for kind in kinds]
-    classes = [_part(part) for of_kind in of_kinds for part in _classes(of_kind)]
+    by_kind = [_part([one for one in outcomes if one.arrival.kind is kind]) for kind in kinds]
     late = sum(one.first_s is not None and one.first_s > one.arrival.kind.aim_s for one in outcomes)
     reading = sum(engine.stage == "prefill" for engine in fleet.engines.values())
-    return Row(_part(outcomes), min(classes), sum(worst) / len(worst), late / len(outcomes), reading)
+    return Row(_part(outcomes), min(by_kind), sum(worst) / len(worst), late / len(outcomes), reading)
 
 
 def mean(rows: list[Row]) -> str:
     """Tell the means of some plays."""
-    return (f"day {fmean(row.day for row in rows):.3f}  worst class {fmean(row.worst_class for row in rows):.3f}"
+    return (f"day {fmean(row.day for row in rows):.3f}  worst kind {fmean(row.worst_kind for row in rows):.3f}"
             f"  worst windows {fmean(row.worst_windows for row in rows):.3f}"
             f"  late {fmean(row.late for row in rows):.3f}  reading {fmean(row.reading for row in rows):.1f}")
--- a/hophinge/fleet/emulation/traffic.py
+++ b/hophinge/fleet/emulation/traffic.py
@@ -9,12 +9,9 @@
 
 from hophinge.fleet.placement.prompt import Prompt
 
-SHARED_SPREAD = 0.7         # of the logarithm of shared parts' sizes about their middle
-OWN_SPREAD = 1.1            # of a prompt's own part
-LARGEST = 14.0              # times the mean: no size is larger
+SPREAD = 0.6                # of the logarithm of sizes about their middle
 SKEW = 1.4                  # of subjects: the first ones are asked for more often
-TOKENS_OUT_COUNT = 10       # tokens read that one token made counts for in a request's size
-LEAST_FACTOR, SIZE_FACTOR, MOST_FACTOR = 0.3, 0.7, 4.0      # of a request's worth by its size against the mean
+MEAN_OF_SPREAD = exp(SPREAD * SPREAD / 2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,17 +48,6 @@
     kind: Kind
     prompt: Prompt
 
-    @property
-    def size(self) -> float:
-        """Tell the size against the mean of its kind."""
-        made = TOKENS_OUT_COUNT * self.kind.tokens_out
-        return (self.prompt.tokens_in + made) / (self.kind.shared_tokens + self.kind.own_tokens + made)
-
-    @property
-    def factor(self) -> float:
-        """Tell by what its worth is multiplied, after the operators' rule: larger requests are worth more."""
-        return min(MOST_FACTOR, LEAST_FACTOR + SIZE_FACTOR * self.size)
-
 
 @dataclass(frozen=True, slots=True)
 class TrafficProfile:
@@ -83,17 +69,16 @@
         return kind.per_s * max(times, default=1.0)
 
     def _of(self, kind: Kind, random: Random, seconds: float) -> Iterator[Arrival]:
-        sizes = [_size(random, kind.shared_tokens, SHARED_SPREAD) for _ in range(kind.subjects)]
+        sizes = [_size(random, kind.shared_tokens) for _ in range(kind.subjects)]
         moment, number = random.expovariate(self._rate(kind, 0.0)), 0
         while moment < seconds:
             number += 1
             subject = int(kind.subjects * random.random() ** SKEW)
-            shared, own = sizes[subject], _size(random, kind.own_tokens, OWN_SPREAD)
+            shared, own = sizes[subject], _size(random, kind.own_tokens)
             parts = ((f"{kind.name}-{subject}", shared), (f"{kind.name}-own-{number}", own))
             yield Arrival(moment, kind, Prompt(shared + own, kind.tokens_out, parts))
             moment += random.expovariate(self._rate(kind, moment))
 
 
-def _size(random: Random, mean: int, spread: float) -> int:
-    middle = mean / exp(spread * spread / 2)
-    return max(16, int(min(middle * random.lognormvariate(0.0, spread), LARGEST * mean)))
+def _size(random: Random, mean: int) -> int:
+    return max(16, int(mean / MEAN_OF_SPREAD * random.lognormvariate(0.0, SPREAD)))
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -52,7 +52,7 @@
         kind = self.arrival.kind
         if self.failed or self.first_s is None:
             return 0.0
-        return self.arrival.factor * (kind.worth if self.first_s <= kind.aim_s else kind.late_worth)
+        return kind.worth if self.first_s <= kind.aim_s else kind.late_worth
 
 
 @dataclass(slots=True)
