--- a/tests/coordination_mutants.py
+++ b/tests/coordination_mutants.py
@@ -59,12 +59,12 @@
            "        if request.ballot < vote.promised:\n            return Rejection(vote.target, vote.promised)\n"
            "        self.vote = VoteRecord(vote.target, request.ballot, vote.accepted, vote.proposal)",
            "        self.vote = VoteRecord(vote.target, request.ballot, vote.accepted, vote.proposal)",
-           AGREEMENT + "test_no_order_of_messages_among_three_voters_decides_two_views"),
+           RULES + "test_a_voter_keeps_its_promise"),
     Mutant("a lower ballot is accepted", "agreement",
            "        if request.ballot < vote.promised:\n            return Rejection(vote.target, vote.promised)\n"
            "        self.vote = VoteRecord(vote.target, request.ballot, request.ballot, request.proposal)",
            "        self.vote = VoteRecord(vote.target, request.ballot, request.ballot, request.proposal)",
-           AGREEMENT + "test_no_order_of_messages_among_three_voters_decides_two_views"),
+           RULES + "test_a_voter_keeps_its_promise"),
     Mutant("what an earlier ballot may have decided is forgotten", "elections",
            "        proposal = attempt.bound() or self._plan(now, view, attempt)",
            "        proposal = self._plan(now, view, attempt)",
--- a/tests/test_coordination_rules.py
+++ b/tests/test_coordination_rules.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from hophinge.coordination.agreement import Attempt
+from hophinge.coordination.agreement import Acceptor, Attempt
 from hophinge.coordination.chain import Chain
 from hophinge.coordination.messages import (
     NO_BALLOT,
@@ -16,6 +16,7 @@
     Origin,
     Prepare,
     Promise,
+    Rejection,
     Reply,
     Submit,
     Sync,
@@ -115,6 +116,17 @@
     assert (A.address, Committed(2, 3)) in outputs.messages
 
 
+def test_a_voter_keeps_its_promise() -> None:
+    acceptor = Acceptor(VoteRecord(2, NO_BALLOT, NO_BALLOT, None))
+    high, low = Ballot(5, "a"), Ballot(4, "c")
+    assert isinstance(acceptor.prepare(Prepare(2, high), 0, 0), Promise)
+    kept = acceptor.vote
+    assert acceptor.prepare(Prepare(2, low), 0, 0) == Rejection(2, high)
+    assert acceptor.accept(Accept(low, _view(2, (A, 1)))) == Rejection(2, high)
+    assert acceptor.vote == kept
+    assert acceptor.accept(Accept(high, _view(2, (A, 1)))) == Accepted(2, high)
+
+
 def test_the_newest_proposal_that_may_be_decided_binds() -> None:
     attempt = Attempt(2, Ballot(9, "a"), 0.0)
     older, newer = (View(2, (A, B, C), (Link(name, 2),)) for name in ("a", "b"))
