Tests: a head without a configuration is no fault; a check that could not fail is replaced

Change: no configuration counts as version 0, so going back to none is still found; an unsafe request told to be sent again must not have run; History; tests/fleet_requests.py.

The programs are unchanged.

--- a/tests/coordination_histories.py
+++ b/tests/coordination_histories.py
@@ -13,6 +13,23 @@
 LEAST_TAKEN = 5             # changes that a history takes, however many faults it has
 
 
+@dataclass(frozen=True, slots=True)
+class ReadAttempt:
+    """A read, and the newest version that anybody was told of before it was asked."""
+
+    request: int
+    floor: int
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """What was done in one history, and the world as it was left."""
+
+    world: World
+    attempts: list[Attempted]
+    reads: list[ReadAttempt]
+
+
 def start_if_there(world: World, address: str) -> None:
     if address in world.members:
         world.start(address)
@@ -84,14 +101,6 @@
             world.at(random.uniform(0.1, 1.0), partial(start_if_there, world, one))
 
 
-@dataclass(frozen=True, slots=True)
-class ReadAttempt:
-    """A read, and the newest version that anybody was told of before it was asked."""
-
-    request: int
-    floor: int
-
-
 def told(world: World, requests: dict[int, Attempted]) -> int:
     """Tell the newest version that an operator was told is in force."""
     newest = 0
@@ -111,8 +120,8 @@
             assert answer.version >= read.floor, f"read {answer.version} after {read.floor} was told"
 
 
-def play(seed: int, count: int, losses: int = 1, bounded: bool = True) -> tuple[World, list[Attempted]]:
-    """Play a history; where faults are not bounded, the chain may stop, and only what it says is checked."""
+def play(seed: int, count: int, losses: int = 1, bounded: bool = True) -> History:
+    """Play a history; where faults are not bounded, the chain may stop until they are over."""
     world, random = World(seed, count, losses), Random(seed)
     world.loss = random.choice([0.0, 0.0, 0.02, 0.1])
     world.run(2.5)
@@ -147,12 +156,13 @@
             known = max(known, answer.version)
     world.loss = 0.0
     world.run(8.0 if bounded else 14.0)
-    check_reads(world, reads)
-    return world, attempts
+    return History(world, attempts, reads)
 
 
-def check(world: World, attempts: list[Attempted]) -> None:
+def check(history: History) -> None:
     """Check what a history has to have kept; raises AssertionError."""
+    world, attempts = history.world, history.attempts
+    check_reads(world, history.reads)
     acknowledged = [one for one in attempts if one.acknowledged_at is not None]
     bases = [one.change.base for one in acknowledged]
     assert len(set(bases)) == len(bases), "two changes of one version were acknowledged"
@@ -167,7 +177,7 @@
     assert len(acknowledged) >= LEAST_TAKEN, "hardly anything was taken"
 
 
-def drawn(seed: int) -> tuple[World, list[Attempted]]:
+def drawn(seed: int) -> History:
     """Play the history of a seed: three to six replicas, one or two losses to bear, faults with and without bound."""
     count = 3 + seed % 4
     losses = 2 if count >= 5 and seed % 3 == 0 else 1
--- a/tests/test_coordination_chain.py
+++ b/tests/test_coordination_chain.py
@@ -120,15 +120,15 @@
 
 @pytest.mark.parametrize("seed", range(HISTORIES))
 def test_drawn_histories_keep_what_was_acknowledged(seed: int) -> None:
-    histories.check(*histories.play(seed, 3 + seed % 3))
+    histories.check(histories.play(seed, 3 + seed % 3))
 
 
 @pytest.mark.parametrize("seed", range(HISTORIES // 2))
 def test_drawn_histories_with_two_machines_lost_at_once_keep_what_was_acknowledged(seed: int) -> None:
-    histories.check(*histories.play(seed, 5 + seed % 2, losses=2))
+    histories.check(histories.play(seed, 5 + seed % 2, losses=2))
 
 
 @pytest.mark.parametrize("seed", range(HISTORIES // 2))
 def test_harsher_histories_keep_what_was_told(seed: int) -> None:
     """Faults beyond what may be lost at once, disks that stall or lose half a write, late messages, reads between."""
-    histories.check(*histories.drawn(seed))
+    histories.check(histories.drawn(seed))
--- a/tests/test_fleet_histories.py
+++ b/tests/test_fleet_histories.py
@@ -14,12 +14,14 @@
 
 from hophinge.fleet.emulation.fleet import LoopbackFleet, Reply, document
 from hophinge.fleet.emulation.stand_in import FAILURES
-from hophinge.fleet.forwarding.headers import NOT_EXECUTED, find
+from hophinge.fleet.forwarding.headers import find
 from hophinge.load.rig.waiting import until
 from tests.fleet_faults import draw_faults
-from tests.test_fleet_together import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, runs, streamed, taken
+from tests.fleet_requests import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, runs, streamed, taken
 
 SEEDS = (1, 2)
+NO_CONFIGURATION = 0        # of a head that has just started
+RETRY_AFTER = b"retry-after"        # on an unsafe request: nothing ran, it may be sent again
 
 
 @dataclass
@@ -43,7 +45,7 @@
         except FAILURES:
             await asyncio.sleep(0)
             continue
-        seen.versions[life].append(json.loads(member.body)["configuration"])
+        seen.versions[life].append(json.loads(member.body)["configuration"] or NO_CONFIGURATION)
 
 
 async def _faults(fleet: LoopbackFleet, random: Random) -> int:
@@ -69,10 +71,10 @@
         if name.startswith("p"):
             assert counted[name] <= 1, f"{name} ran {counted[name]} times"
             assert reply.status != 200 or reply.body.endswith(f" {name}".encode())
+            sent_again = find(reply.fields, RETRY_AFTER) is not None
+            assert not sent_again or counted[name] == 0, f"{name} ran, and its client was told to send it again"
         elif reply.status == 200 and reply.whole:
             assert streamed(reply), f"{name} has a gap or a repeat: {reply.body!r}"
-        if find(reply.fields, NOT_EXECUTED) is not None:
-            assert counted[name] == 0, f"{name} ran, and its client was told that it did not"
     assert any(reply.status == 200 for reply in seen.replies.values())
     for life, versions in seen.versions.items():
         assert versions == sorted(versions), f"head {life} went back: {versions}"
--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -5,46 +5,13 @@
 import asyncio
 import json
 import shutil
-from collections import Counter
 from pathlib import Path
 
 from hophinge.fleet.emulation.engine import Fault
-from hophinge.fleet.emulation.fleet import LoopbackFleet, Reply, document
+from hophinge.fleet.emulation.fleet import LoopbackFleet, document
 from hophinge.fleet.emulation.stand_in import call_any
 from hophinge.load.rig.waiting import Condition, until
-
-BOUND_S = 30.0
-MACHINES = 3
-ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
-PROMPT = ((b"Hophinge-Model", b"m"), (b"Hophinge-Token-Usage", b"900,80"),
-          (b"Hophinge-Prompt-Prefix", b"aa:700,bb:200"))
-INSTANCES = (("p1", "models", "prefill"), ("p2", "models", "prefill"), ("d1", "models", "decode"),
-             ("d2", "models", "decode"), ("s1", "plain", ""), ("s2", "plain", ""))
-
-
-async def begin(fleet: LoopbackFleet) -> None:
-    await fleet.start()
-    for identity, service, stage in INSTANCES:
-        await fleet.instance(identity, service, stage)
-    await until([taken(fleet, 0, document(1, ROUTES), 0)], BOUND_S)
-    await until([fleet.ready(number, 1, len(INSTANCES)) for number in range(MACHINES)], BOUND_S)
-
-
-def taken(fleet: LoopbackFleet, number: int, data: bytes, base: int) -> Condition:
-    async def look() -> tuple[bool, str]:
-        status = await fleet.configure(number, data, base)
-        return status == 200, f"answered {status}"
-
-    return Condition(fleet.control(number), "takes a configuration", look)
-
-
-def runs(fleet: LoopbackFleet) -> Counter[str]:
-    return Counter(run.request for engine in fleet.holders.values() for run in engine.runs)
-
-
-def streamed(reply: Reply) -> bool:
-    ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
-    return reply.status == 200 and reply.whole and ids == [f"id: {number}" for number in range(1, 5)]
+from tests.fleet_requests import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, runs, streamed, taken
 
 
 def test_a_calm_fleet_serves_both_kinds_and_each_request_runs_once(tmp_path: Path) -> None:
