Control: an acknowledged leaving is held by a majority of the core; a member that leaves hands over first

Change: QuorumHolds (majority of the view's voters, each in that view, and every voter heard); SIGTERM tells the others, who take the member out of chain and voters before it ends; grants repeat when they were asked for; copies wait for their bytes, twice as long each time; view 0 is written; a member out of contact says so at once; a refused fencing token is not used again. The directory is a shell round InstanceService, a state machine.

--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -15,7 +15,9 @@
 from hophinge.coordination.registers import Entry, Outcome, Register, Registers
 from hophinge.coordination.view import Replica, View
 
-SYNC_AGAIN_S = 0.3          # a successor that lags is sent the whole state at most so often
+SYNC_AGAIN_S = 0.3          # a successor that lags is sent the whole state again after so long at least
+SYNC_BYTES_S = 4 << 20      # and later by the time that its bytes take at this rate, the first time
+MOST_DOUBLINGS = 5          # of that wait, each time that the successor still lags: so any link has time for a copy
 
 
 class Chain:
@@ -30,7 +32,8 @@
         self.published_sequence = 0
         self.published: dict[str, Register] = {}
         self.history: list[tuple[int, dict[str, Register]]] = []     # states not yet known to be committed
-        self.sync_sent = -SYNC_AGAIN_S
+        self.sync_sent = float("-inf")
+        self.syncs = 0                      # times that the successor was sent the state since it last lagged not
 
     # --- place ---------------------------------------------------------------------------------------------------
 
@@ -60,7 +63,7 @@
     def enter(self, now: float, view: View, outputs: Outputs) -> None:
         """Go on in a new view."""
         self.view = view
-        self.committed = 0
+        self.committed = self.syncs = 0
         place = view.position(self.me.identity)
         if place < 0:
             return
@@ -91,6 +94,7 @@
         successor = self._successor()
         if successor is not None:
             self.sync_sent = now
+            self.syncs += 1
             outputs.messages.append((successor.address, Sync(self.synced, self.registers.snapshot())))
         else:
             self._commit(self.registers.sequence, outputs)
@@ -111,10 +115,19 @@
         successor = self._successor()
         if not self.serving or successor is None or successor.identity != source.identity:
             return
-        lags = synced < self.synced or sequence < self.registers.sequence
-        if lags and now - self.sync_sent >= SYNC_AGAIN_S:
+        if synced >= self.synced and sequence >= self.registers.sequence:
+            self.syncs = 0
+        elif now - self.sync_sent >= self._sync_wait():
             self._pass_on(now, outputs)
 
+    def _sync_wait(self) -> float:
+        """Tell how long a copy of the state may be under way before it is sent again, in seconds.
+
+        A copy that is sent anew before the last one has arrived puts a slow link further behind with each.
+        """
+        once = SYNC_AGAIN_S + self.registers.size / SYNC_BYTES_S
+        return once * float(2 ** min(max(0, self.syncs - 1), MOST_DOUBLINGS))
+
     # --- changes and reads ---------------------------------------------------------------------------------------
 
     def submit(self, submit: Submit, outputs: Outputs) -> None:
--- a/hophinge/coordination/elections.py
+++ b/hophinge/coordination/elections.py
@@ -10,6 +10,7 @@
 from hophinge.coordination.outputs import Outputs
 from hophinge.coordination.planning import first_view, needs_change, next_view
 from hophinge.coordination.view import Replica, View
+from hophinge.coordination.voting import voter_name
 
 if TYPE_CHECKING:
     from hophinge.coordination.replica import ReplicaMachine
@@ -40,7 +41,7 @@
         """Begin, go on with or give up a ballot."""
         machine = self.machine
         view = machine.view
-        if view is None or machine.voter_name(view, machine.me) is None or not machine.writable:
+        if view is None or voter_name(view, machine.me) is None or not machine.writable:
             self.abandon(now)
             return
         if self.attempt is not None:
@@ -97,7 +98,7 @@
         view = self.machine.view
         if self.attempt is None or view is None:
             return
-        name = self.machine.voter_name(view, source)
+        name = voter_name(view, source)
         if name is not None:
             self.attempt.promised(name, message)
             self._propose(now, view, outputs)
@@ -131,7 +132,7 @@
         machine, view, attempt = self.machine, self.machine.view, self.attempt
         if attempt is None or view is None or attempt.proposal is None:
             return
-        name = machine.voter_name(view, source)
+        name = voter_name(view, source)
         if name is None:
             return
         attempt.count(name, message)
--- a/hophinge/coordination/leases.py
+++ b/hophinge/coordination/leases.py
@@ -40,6 +40,7 @@
 
     holder: Holder
     marks: tuple[int, ...]
+    asked: float            # by the holder's clock; the grant repeats it
 
 
 @wire(62)
@@ -52,6 +53,7 @@
     neighbours: tuple[str, ...]         # addresses of some of them
     granters: tuple[Replica, ...]       # the core's replicas, the granter among them
     connected: bool                     # the granter hears more than half of the core
+    asked: float                        # when the holder asked for it, by the holder's clock
 
 
 @wire(63)
@@ -116,7 +118,7 @@
         self.zone, self.seeds, self.random = zone, seeds, random
         self.granters: tuple[Replica, ...] = ()
         self.home: str | None = None
-        self.asked: dict[str, float] = {}           # when each granter was last asked
+        self.asked: dict[str, float] = {}           # when each granter was last asked; the lease counts from its grant
         self.waiting_since: float | None = None     # when it asked without an answer since
         self.until = float("-inf")                  # when the lease is over, as the holder counts
         self.avoided: dict[str, float] = {}         # granters that did not answer or are cut off, and until when
@@ -162,7 +164,7 @@
         if source not in self.asked or (source != self.home and self.holds(now)):
             return
         self.home, self.waiting_since = source, None
-        self.until = self.asked[source] + grant.lease_s
+        self.until = max(self.until, min(now, grant.asked) + grant.lease_s)
         self.asked = {source: self.asked[source]}
         self.granters = grant.granters
         self.holders = max(1, grant.holders)
--- a/hophinge/coordination/messages.py
+++ b/hophinge/coordination/messages.py
@@ -89,6 +89,7 @@
     committed: int
     writable: bool
     votes: bool             # this replica has a disk that counts
+    leaving: bool           # it was told to end: the next view is to do without it
 
 
 @wire(18)
--- a/hophinge/coordination/ownership.py
+++ b/hophinge/coordination/ownership.py
@@ -41,6 +41,7 @@
         self.owner: str | None = None
         self.token = 0
         self.owned_since: float | None = None
+        self.refused_token = 0              # a token that an instance refused: it is not used again
 
     def published(self, now: float, register: Register) -> None:
         """Take the committed owner."""
@@ -55,7 +56,8 @@
 
     def claim(self, alive: Set[str]) -> Change | None:
         """Tell the change by which this replica would take the role, where it falls to it now."""
-        if self.owner in alive or rendezvous(self.key, alive) != self.me:
+        outdated = self.owner == self.me and self.refused_token == self.token
+        if not outdated and (self.owner in alive or rendezvous(self.key, alive) != self.me):
             return None
         payload = encode(Owner(self.me))
         version = self.token + 1
@@ -64,7 +66,13 @@
 
     def may_act(self, now: float) -> bool:
         """Tell whether this replica owns the role for long enough; it still has to confirm that it does."""
-        return self.owned_since is not None and now - self.owned_since >= self.lease_s + MARGIN_S
+        if self.owned_since is None or self.refused_token == self.token:
+            return False
+        return now - self.owned_since >= self.lease_s + MARGIN_S
+
+    def refused(self, token: int) -> None:
+        """An instance has seen a higher token: this one is done with, and the next claim takes one above it."""
+        self.refused_token = max(self.refused_token, token)
 
     def confirmed(self, version: int) -> bool:
         """Tell whether a read through the chain confirms the ownership."""
--- a/hophinge/coordination/peers.py
+++ b/hophinge/coordination/peers.py
@@ -30,6 +30,7 @@
     def __init__(self, me: Replica, losses: int) -> None:
         self.me = me
         self.least_voters = 2 * losses + 1
+        self.leaving = False                # this replica itself was told to end
         self.known: dict[str, Peer] = {}
 
     def heard(self, now: float, source: Replica, heartbeat: Heartbeat) -> None:
@@ -61,19 +62,35 @@
     def sight(self, now: float, view: View, writable: bool, started: float) -> Sight:
         """Tell the group as it is seen now."""
         fresh = {name: peer for name, peer in self.known.items() if now - peer.heard <= SUSPECT_S}
-        alive = {name for name, peer in fresh.items() if peer.heartbeat.writable}
+        leaving = {name for name, peer in fresh.items() if peer.heartbeat.leaving}
+        alive = {name for name, peer in fresh.items() if peer.heartbeat.writable} - leaving
         steady = {name for name in alive if now - fresh[name].since >= STEADY_S}
         if now - started < SUSPECT_S:
             # At its start a replica has heard nobody: until it could have, it takes nobody of the view to be gone.
             alive |= {voter.identity for voter in view.voters if voter.identity not in self.known}
-        if writable:
+        if self.leaving:
+            leaving.add(self.me.identity)
+        elif writable:
             alive.add(self.me.identity)
             steady.add(self.me.identity)
         candidates = tuple(peer.replica for name, peer in sorted(fresh.items())
                            if peer.heartbeat.votes and view.voter(name) is None)
         gone = {voter.identity for voter in view.voters
                 if voter.identity not in alive and now - self._last(voter.identity, started) > GONE_S}
-        return Sight(alive, steady, gone, candidates, self.least_voters)
+        return Sight(alive, steady, gone, leaving, candidates, self.least_voters)
+
+    def in_contact(self, now: float, view: View) -> bool:
+        """Tell whether more than half of a view's voters were heard lately, this replica among them where it votes.
+
+        Unlike `sight`, a process that has just started is in contact with nobody until it has heard them.
+        """
+        heard = self.heard_lately(now)
+        return sum(voter.identity in heard for voter in view.voters) >= view.majority
+
+    def heard_lately(self, now: float) -> set[str]:
+        """Tell the identities of those heard lately, this replica among them."""
+        heard = {name for name, peer in self.known.items() if now - peer.heard <= SUSPECT_S}
+        return heard | {self.me.identity}
 
     def _last(self, identity: str, started: float) -> float:
         peer = self.known.get(identity)
--- a/hophinge/coordination/registers.py
+++ b/hophinge/coordination/registers.py
@@ -11,6 +11,7 @@
 from hophinge.coordination.codec import wire
 
 MOST_TAKEN = 4_096          # changes remembered for each register: more than any day of an operator holds
+TAKEN_BYTES = 24            # of a snapshot, for each change remembered
 
 
 class Outcome(IntEnum):
@@ -74,6 +75,12 @@
     values: dict[str, Register] = field(default_factory=dict)
     taken: dict[str, dict[bytes, int]] = field(default_factory=dict)
 
+    @property
+    def size(self) -> int:
+        """Tell about how many bytes a snapshot takes."""
+        digests = sum(len(taken) for taken in self.taken.values())
+        return sum(len(register.payload) for register in self.values.values()) + digests * TAKEN_BYTES
+
     def current(self, key: str) -> Register:
         """Tell a register's value; one never written has version 0."""
         return self.values.get(key, EMPTY)
--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -33,9 +33,11 @@
     VoteRecord,
 )
 from hophinge.coordination.outputs import DiskState, Input, Outputs, Received, Requested, Tick
-from hophinge.coordination.peers import Peers
+from hophinge.coordination.peers import SUSPECT_S, Peers
+from hophinge.coordination.quorum_hold import Core
 from hophinge.coordination.requests import Requests
 from hophinge.coordination.view import Replica, View, seed_view
+from hophinge.coordination.voting import Voting, voter_name
 
 HEARTBEAT_S = 0.25          # between signs of life
 STALL_S = 0.6               # between two ticks: longer, and this process stood still
@@ -63,6 +65,7 @@
         self.chain = Chain(self.me, membership.losses + 1)
         self.view: View | None = None
         self.acceptor = Acceptor(VoteRecord(1, NO_BALLOT, NO_BALLOT, None))
+        self.voting = Voting(self)
         self.elections = Elections(self, random, now)
         self.requests = Requests(self)
         self.started = self.ticked = now
@@ -71,7 +74,8 @@
         if membership.bootstrap and self.me.address in membership.seeds:
             self.view = seed_view(membership.seeds)
         self.handlers: dict[type, Callable[[float, Replica, object, Outputs], None]] = {
-            Heartbeat: self._heartbeat, Prepare: self._prepare, Accept: self._accept, Decided: self._decided,
+            Heartbeat: self._heartbeat, Prepare: self.voting.prepare, Accept: self.voting.accept,
+            Decided: self._decided,
             Promise: self.elections.promise, Accepted: self.elections.accepted, Rejection: self.elections.rejection,
             Submit: self._submit, Forward: self._forward, Sync: self._sync, Reply: self.requests.reply,
             Committed: self._committed,
@@ -134,7 +138,7 @@
         """Tell how this replica stands."""
         number = self.view.number if self.view is not None else -1
         return Heartbeat(number, self.chain.synced, self.chain.registers.sequence, self.chain.committed,
-                         self.writable, self.votes)
+                         self.writable, self.votes, self.peers.leaving)
 
     def _heartbeat(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
         assert isinstance(message, Heartbeat)
@@ -152,51 +156,12 @@
 
     # --- agreement -----------------------------------------------------------------------------------------------
 
-    def voter_name(self, view: View, replica: Replica) -> str | None:
-        """Tell the name under which a replica votes in a view; None where it has no vote."""
-        name = replica.address if view.number == 0 else replica.identity
-        return name if view.voter(name) is not None else None
-
-    def _behind(self, source: Replica, target: int, outputs: Outputs) -> bool:
-        """Tell whether a message is about another view number than the next; who lags is told the view in force."""
-        if self.view is None or self.voter_name(self.view, self.me) is None:
-            return True
-        if target <= self.view.number and self.view.number >= 1:
-            outputs.messages.append((source.address, Decided(self.view)))
-        return target != self.view.number + 1
-
-    def _prepare(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
-        assert isinstance(message, Prepare)
-        if self._behind(source, message.target, outputs) or not self.writable:
-            return
-        self.acceptor.begin(message.target)
-        answer = self.acceptor.prepare(message, self.chain.synced, self.chain.registers.sequence)
-        if isinstance(answer, Promise):
-            outputs.records.append(self.acceptor.vote)
-        self._tell(now, source, answer, outputs)
-
-    def _accept(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
-        assert isinstance(message, Accept)
-        if self._behind(source, message.proposal.number, outputs) or not self.writable:
-            return
-        self.acceptor.begin(message.proposal.number)
-        answer = self.acceptor.accept(message)
-        if isinstance(answer, Accepted):
-            outputs.records.append(self.acceptor.vote)
-        self._tell(now, source, answer, outputs)
-
-    def _tell(self, now: float, target: Replica, message: object, outputs: Outputs) -> None:
-        if target.address != self.me.address:
-            outputs.messages.append((target.address, message))
-        else:
-            self.handlers[type(message)](now, self.me, message, outputs)
-
     def broadcast(self, now: float, view: View, message: object, outputs: Outputs) -> None:
         """Send to all voters of a view, this replica among them."""
         for voter in view.voters:
             if voter.address != self.me.address:
                 outputs.messages.append((voter.address, message))
-        if self.voter_name(view, self.me) is not None:
+        if voter_name(view, self.me) is not None:
             self.handlers[type(message)](now, self.me, message, outputs)
 
     def _decided(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
@@ -236,7 +201,37 @@
     def connected(self, now: float) -> bool:
         """Tell whether more than half of the voters were heard lately."""
         view = self.view
+        return view is not None and view.number >= 1 and self.peers.in_contact(now, view)
+
+    def core(self, now: float) -> Core:
+        """Tell the voters of the view in force, and whom of them were heard lately."""
+        view = self.view
         if view is None or view.number < 1:
+            return Core(0, (), 1, frozenset())
+        return Core(view.number, view.voters, view.majority, self.peers.heard_lately(now))
+
+    def out_of_contact(self, now: float) -> bool:
+        """Tell whether nothing can be answered here now: this replica has heard too few voters for some time.
+
+        Until it could have heard them after its start, and before there is a first view, answers may come yet.
+        """
+        view = self.view
+        formed = view is not None and view.number >= 1
+        return formed and now - self.started > SUSPECT_S and not self.connected(now)
+
+    def leave(self) -> None:
+        """Have the others do without this replica, which goes on until they do; its end is planned."""
+        self.peers.leaving = True
+        self.greeted = float("-inf")        # they hear of it with the next tick
+
+    def needed(self, now: float) -> bool:
+        """Tell whether a replica that leaves is to wait: the chain has it, or does not hold the history without it."""
+        view = self.view
+        if not self.votes or view is None or len(view.voters) == 1 or not self.connected(now):
             return False
-        alive = self.peers.sight(now, view, True, self.started).alive
-        return sum(voter.identity in alive for voter in view.voters) >= view.majority
+        if view.position(self.me.identity) >= 0:
+            return True
+        heard = [self.peers.known[link.identity].heartbeat for link in view.chain
+                 if link.identity in self.peers.known]
+        holding = sum(heartbeat.synced == view.number for heartbeat in heard)
+        return holding < min(len(view.chain), self.losses + 1)
--- a/hophinge/coordination/requests.py
+++ b/hophinge/coordination/requests.py
@@ -34,6 +34,9 @@
 
     def take(self, now: float, requested: Requested, outputs: Outputs) -> None:
         """Begin with a caller's request."""
+        if self.machine.out_of_contact(now):
+            outputs.answers.append(Answer(requested.request, None))
+            return
         pending = Pending(requested, now + requested.patience, now)
         self.pending[requested.request] = pending
         self._send(pending, outputs)
--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -1,22 +1,27 @@
-"""What a control member tells the others: instances, the configuration in force, and who holds a lease."""
+"""The shell round a control member's soft state: instances, leases of heads, hints on their way, the configuration.
+
+It owns the clock and the sockets; what it decides stands in the machines of `registry`, `coordination` and `relay`.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from random import Random
 
-from hophinge.coordination.dissemination import Digest, Dissemination, Push, Record, Rows, Spread, Want
+from hophinge.coordination.dissemination import Digest, Dissemination, Push, Record, Rows, Want
 from hophinge.coordination.leases import LEASE_S, Grant, Leases, LeaseTable, Renew
 from hophinge.coordination.peers import SUSPECT_S
+from hophinge.coordination.quorum_hold import Held, Hold
 from hophinge.coordination.replica import ReplicaMachine
 from hophinge.coordination.view import Replica
-from hophinge.fleet.controlplane.holding import Held, Hold, Holdings
 from hophinge.fleet.controlplane.relay import Relay
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects
 from hophinge.fleet.placement.stages import StageLoads
-from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance
+from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
+from hophinge.fleet.registry.service import InstanceService, ServiceStep, Surroundings
 from hophinge.fleet.settings import Settings
 
 DIRECTORY_TICK_S = 0.25
@@ -31,15 +36,16 @@
 
     def __init__(self, settings: Settings, machine: ReplicaMachine, send: Callable[[str, object], None],
                  relay: Relay) -> None:
-        self.settings, self.machine, self.send, self.relay = settings, machine, send, relay
+        self.machine, self.send, self.relay = machine, send, relay
         self.loop = asyncio.get_running_loop()
         self.random = Random()
         self.dissemination = Dissemination(self.random)
         self.registry = Registry(settings.heartbeat_s, self.loop.time())
+        self.service = InstanceService(machine.me, self.dissemination, self.registry)
         self.leases = LeaseTable()
         self.loads = StageLoads()
-        self.holdings = Holdings(send)
-        self.safe: set[str] = set()         # instances whose leaving enough control members hold
+        self.requests = itertools.count(1)
+        self.callers: dict[int, asyncio.Future[bool]] = {}
         self.shared = self.compared = 0.0
         self.relay_due = False
 
@@ -52,6 +58,10 @@
         found |= {voter.address for voter in view.voters} if view is not None else set()
         return sorted(found - {self.machine.me.address})
 
+    def _around(self) -> Surroundings:
+        core = self.machine.core(self.loop.time())
+        return Surroundings(core, tuple(self._direct()), tuple(self.controls()))
+
     def _granters(self, now: float) -> tuple[Replica, ...]:
         """Tell the core's replicas heard lately, which grant leases; without any, this member does."""
         peers = self.machine.peers.known.values()
@@ -65,6 +75,9 @@
         voting = {peer.replica.address for peer in self.machine.peers.known.values() if peer.heartbeat.votes}
         return sorted(voting - {self.machine.me.address})
 
+    def _heads(self) -> list[str]:
+        return [holder.address for holder in self.leases.own()]
+
     def _direct(self) -> list[str]:
         """Tell the data planes that get news from here."""
         addresses = self._heads()
@@ -76,42 +89,59 @@
         inside = {voter.address for link in view.chain if (voter := view.voter(link.identity))} if view else set()
         return [address for address in self.controls() if address not in inside]
 
-    def _let_go(self, spread: Spread) -> None:
-        for address, message in spread.messages:
-            self.send(address, message)
-        now = self.loop.time()
-        for record in spread.news:
-            if record.key.startswith(INSTANCE_PREFIX):
-                self.registry.learn(now, record)
+    def _let_go(self, step: ServiceStep) -> None:
+        for address, message in step.messages:
+            if address != self.machine.me.address:
+                self.send(address, message)
+        for request, settled in step.settled:
+            caller = self.callers.get(request)
+            if caller is not None and not caller.done():
+                caller.set_result(settled)
 
     # --- what comes in -------------------------------------------------------------------------------------------
 
     def publish_configuration(self, record: Record) -> None:
         """A newer configuration is in force."""
-        self._let_go(self.dissemination.publish(self.loop.time(), [record], [*self._direct(), *self._outside_chain()]))
+        targets = [*self._direct(), *self._outside_chain()]
+        for address, message in self.dissemination.publish(self.loop.time(), [record], targets).messages:
+            self.send(address, message)
 
-    def received(self, source: str, message: object) -> None:
+    def received(self, source: Replica, message: object) -> None:
         """Take another member's message."""
-        now = self.loop.time()
+        now, address = self.loop.time(), source.address
         match message:
             case Renew():
-                self._renew(now, source, message)
+                self._renew(now, address, message)
             case Digest() | Rows() | Want() | Push():
-                self._let_go(self.dissemination.handle(now, source, message, self._direct()))
-            case Hold(token=token, records=records):
-                self._let_go(self.dissemination.handle(now, source, Push(records), self._direct()))
-                self.send(source, Held(token))
-            case Held(token=token):
-                self.holdings.held(token, source)
+                step = ServiceStep()
+                self.service.receive(now, address, message, self._direct(), step)
+                self._let_go(step)
+            case Hold():
+                self._let_go(self.service.hold(now, self._around(), address, message))
+            case Held():
+                self._let_go(self.service.held(now, self._around(), source.identity, message))
             case Leases(holders=holders):
                 self.leases.merge(now, holders)
             case Hints() | Reports() | Suspects():
-                self._relayed(source, message)
+                self._relayed(address, message)
             case Liveness():
-                self.registry.heard_elsewhere(now, message)
+                self.service.heard_elsewhere(now, message)
 
-    def _heads(self) -> list[str]:
-        return [holder.address for holder in self.leases.own()]
+    def _renew(self, now: float, source: str, renew: Renew) -> None:
+        self.leases.renew(now, renew.holder)
+        holders = self.leases.all()
+        others = [one for one in holders if one.identity != renew.holder.identity]
+        near = [one.address for one in others if one.zone == renew.holder.zone]
+        far = [one.address for one in others if one.zone != renew.holder.zone]
+        chosen = self.random.sample(near, min(MOST_NEIGHBOURS - 2, len(near)))
+        chosen += self.random.sample(far, min(2, len(far)))
+        self.send(source, Grant(LEASE_S, len(holders), tuple(chosen), self._granters(now), self.machine.connected(now),
+                                renew.asked))
+        step = ServiceStep()
+        self.service.receive(now, source, Digest(renew.marks), (), step)
+        self._let_go(step)
+
+    # --- hints ---------------------------------------------------------------------------------------------------
 
     def tell_heads(self, message: Reports | Suspects) -> None:
         """Tell the heads here what is known of engines, and the others over the other control members."""
@@ -122,8 +152,8 @@
     def _reported(self, reports: Reports) -> None:
         """Engines that answer questions live, also where their heartbeats reach a member that is cut off."""
         self.loads.take(reports)
-        for record in self.registry.seen(self.loop.time(), [report.instance for report in reports.reports]):
-            self._tell(record)
+        seen = [report.instance for report in reports.reports]
+        self._let_go(self.service.seen(self.loop.time(), self._around(), seen))
 
     def _relayed(self, source: str, message: Hints | Reports | Suspects) -> None:
         """Pass on to the heads here, and what came from one of these to the other control members."""
@@ -148,55 +178,32 @@
         self.relay_due = False
         self.relay.flush(self.loop.time(), self._heads(), self._relays())
 
-    def _renew(self, now: float, source: str, renew: Renew) -> None:
-        self.leases.renew(now, renew.holder)
-        holders = self.leases.all()
-        others = [one for one in holders if one.identity != renew.holder.identity]
-        near = [one.address for one in others if one.zone == renew.holder.zone]
-        far = [one.address for one in others if one.zone != renew.holder.zone]
-        chosen = self.random.sample(near, min(MOST_NEIGHBOURS - 2, len(near)))
-        chosen += self.random.sample(far, min(2, len(far)))
-        self.send(source, Grant(LEASE_S, len(holders), tuple(chosen), self._granters(now), self.machine.connected(now)))
-        self._let_go(self.dissemination.handle(now, source, Digest(renew.marks)))
-
     # --- instances -----------------------------------------------------------------------------------------------
 
     async def beat(self, instance: Instance, sequence: int) -> bool:
         """Take an instance's heartbeat; tells whether it may be acknowledged."""
-        record = self.registry.heartbeat(self.loop.time(), instance, sequence)
-        if instance.state == READY:
-            self.safe.discard(instance.identity)
-            if record is not None:
-                self._tell(record)
-            return self.machine.connected(self.loop.time())     # else it beats at another member, which others hear
-        if instance.identity in self.safe:
-            return True
-        known = record or self.dissemination.replicas.get(INSTANCE_PREFIX + instance.identity)
-        return known is None or await self._hold(instance.identity, known)
-
-    def switching(self, instance: Instance) -> None:
-        """An instance was ordered to change its stage: requests spare it until it is back."""
-        record = self.registry.switching(self.loop.time(), instance.identity)
-        if record is not None:
-            self._tell(record)
+        return await self._ask(
+            lambda request: self.service.beat(self.loop.time(), self._around(), request, instance, sequence))
 
     async def leave(self, identity: str) -> bool:
         """An instance unregisters; tells whether it may be acknowledged."""
-        if identity in self.safe and identity in self.registry.ended:
-            return True
-        return await self._hold(identity, self.registry.unregister(self.loop.time(), identity))
-
-    def _tell(self, record: Record) -> None:
-        self._let_go(self.dissemination.publish(self.loop.time(), [record], [*self._direct(), *self.controls()]))
-
-    async def _hold(self, identity: str, record: Record) -> bool:
-        """Have enough other control members hold a record, so that losing this one hides it from nobody."""
-        others = self.controls()
-        self._let_go(self.dissemination.publish(self.loop.time(), [record], self._direct()))
-        if not await self.holdings.hold(record, others, min(self.settings.losses, len(others))):
-            return False
-        self.safe.add(identity)
-        return True
+        return await self._ask(
+            lambda request: self.service.leave(self.loop.time(), self._around(), request, identity))
+
+    async def _ask(self, ask: Callable[[int], ServiceStep]) -> bool:
+        """Put a caller's request to the service, and wait until it is settled, which its own time bounds."""
+        request = next(self.requests)
+        caller: asyncio.Future[bool] = self.loop.create_future()
+        self.callers[request] = caller
+        try:
+            self._let_go(ask(request))
+            return await caller
+        finally:
+            del self.callers[request]
+
+    def switching(self, instance: Instance) -> None:
+        """An instance was ordered to change its stage: requests spare it until it is back."""
+        self._let_go(self.service.switching(self.loop.time(), self._around(), instance.identity))
 
     # --- time ----------------------------------------------------------------------------------------------------
 
@@ -204,21 +211,22 @@
         """Expire what was not renewed, and tell the other control members what is new."""
         now = self.loop.time()
         self.leases.expire(now)
-        for record in self.registry.expire(now, self.machine.votes and self.machine.connected(now)):
-            self._tell(record)
-        others = self.controls()
+        around = self._around()
+        listening = self.machine.votes and self.machine.connected(now)
+        self._let_go(self.service.tick(now, around, listening))
         if now - self.shared >= SHARE_S:
             self.shared = now
-            liveness = self.registry.liveness()
-            words: list[object] = [Leases(tuple(self.leases.own()))]
-            words += [liveness] if liveness is not None else []
-            for address in others:
-                for word in words:
-                    self.send(address, word)
-        if now - self.compared >= COMPARE_S and others:
+            self._share(around)
+        if now - self.compared >= COMPARE_S and around.controls:
             self.compared = now
-            self.send(self.random.choice(others), self.dissemination.digest(now))
-            self.dissemination.replicas.tidy(now)
-            for record in self.registry.forget(now):
-                self._tell(record)
-            self.safe &= self.registry.ended.keys() | self.registry.instances.keys()
+            self.send(self.random.choice(around.controls), self.dissemination.digest(now))
+            self._let_go(self.service.tidy(now, around))
+
+    def _share(self, around: Surroundings) -> None:
+        """Tell the other control members whom leases were granted to, and which instances were heard."""
+        liveness = self.registry.liveness()
+        words: list[object] = [Leases(tuple(self.leases.own()))]
+        words += [liveness] if liveness is not None else []
+        for address in around.controls:
+            for word in words:
+                self.send(address, word)
--- a/hophinge/fleet/controlplane/host.py
+++ b/hophinge/fleet/controlplane/host.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from hophinge.coordination.messages import NO_BALLOT, Record, StateRecord, VoteRecord
+from hophinge.coordination.messages import Record, StateRecord
 from hophinge.coordination.outputs import Answer, DiskState, Input, Outputs, Published, Received, Requested, Tick
-from hophinge.coordination.registers import Change, Snapshot
+from hophinge.coordination.registers import Change
 from hophinge.coordination.replica import Membership, ReplicaMachine
 from hophinge.coordination.storage.store import Damage, Store
 from hophinge.coordination.storage.volume import FileVolume
@@ -90,7 +90,7 @@
         if recovered is not None and recovered.state is not None:
             self.machine.restore([recovered.state, *recovered.records])
         elif self.store is not None:
-            self.store.save(StateRecord(identity, None, VoteRecord(1, NO_BALLOT, NO_BALLOT, None), 0, Snapshot(0)))
+            self.store.save(self.machine.state())       # with view 0, where this is a seed: promises bind it for ever
         self.waiting: list[Outputs] = []        # outputs that came while a batch is being written
         self.writing_since: float | None = None
         self.failed_at: float | None = None
--- a/hophinge/fleet/controlplane/keeper.py
+++ b/hophinge/fleet/controlplane/keeper.py
@@ -23,6 +23,7 @@
 CONFIRM_S = 0.3             # for the chain to confirm the ownership, right before an order
 ORDER_S = 0.5               # for an instance to answer an order
 TAKEN = (200, 202)
+OUTDATED_TOKEN = 412        # an instance's answer where it has seen a higher token
 
 Request = Callable[[str, Change | None, float], Awaitable[Answer]]
 
@@ -85,9 +86,11 @@
             return
         if answer.outcome is not Outcome.VALUE or not self.role.confirmed(answer.version):
             return
-        self.ordered_at = self.loop.time()
+        self.ordered_at, token = self.loop.time(), self.role.token
         status = await _post_order(switch, self.role)
         log.note(f"instance {switch.instance.identity} is to be {switch.stage}: answered {status}")
+        if status == OUTDATED_TOKEN:
+            self.role.refused(token)
         if status in TAKEN:
             self.directory.switching(switch.instance)
 
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -23,6 +23,7 @@
 
 CONTROL = "control"
 LEAVE_S = 0.3               # for requests under way to come to their end
+RESERVE_S = 1.5             # of the time to end that is left unused
 
 
 class ControlPlane:
@@ -54,7 +55,7 @@
         if type(message) in self.host.machine.handlers:
             self.host.received(hello.sender, message)
         else:
-            self.directory.received(hello.sender.address, message)
+            self.directory.received(hello.sender, message)
 
     async def run(self) -> None:
         """Serve until told to end."""
@@ -86,6 +87,7 @@
 
     async def _end(self) -> None:
         log.note("ending")
+        await self._hand_over()
         self.server.stop_listening()
         self.server.close_resting()
         until = asyncio.get_running_loop().time() + LEAVE_S
@@ -95,6 +97,15 @@
         self.links.close()
 
 
+    async def _hand_over(self) -> None:
+        """Serve on until the others have a view without this member: it may hold what nobody else holds."""
+        machine, loop = self.host.machine, asyncio.get_running_loop()
+        until = loop.time() + self.settings.bounds.grace_s - RESERVE_S
+        machine.leave()
+        while machine.needed(loop.time()) and loop.time() < until:
+            await asyncio.sleep(REPLICA_TICK_S)
+
+
 async def serve(settings: Settings) -> None:
     """Run a control member."""
     if settings.control is None:
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -80,7 +80,7 @@
         now = self.loop.time()
         granter = self.renewal.due(now)
         if granter is not None:
-            self.send(granter, Renew(self.holder, self.dissemination.replicas.marks(now)))
+            self.send(granter, Renew(self.holder, self.dissemination.replicas.marks(now), now))
         neighbours = self.dissemination.neighbours
         if now - self.compared >= COMPARE_S and neighbours:
             self.compared = now
--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -155,14 +155,15 @@
             (f"instance/i-{one:010x}", (1, 0)) for one in range(n // BUCKETS)))), many),
         fit("two members that differ in one record", "B by instances", lambda n: _missed(n), many),
         fit("digest", "B by instances", lambda n: sent(Digest(marks)), many),
-        fit("renewal of a lease", "B by instances", lambda n: sent(Renew(holder(1), marks)), many),
+        fit("renewal of a lease", "B by instances", lambda n: sent(Renew(holder(1), marks, 1.5)), many),
         fit("grant of a lease", "B by core members", lambda n: sent(Grant(
-            3.0, 340, ("10.1.0.35:7661",) * 8, (me,) * n, True)), (3, 5, 8)),
+            3.0, 340, ("10.1.0.35:7661",) * 8, (me,) * n, True, 1.5)), (3, 5, 8)),
         fit("leases told to another core member", "B by leases", lambda n: sent(Leases(tuple(
             holder(one) for one in range(n)))), few),
         fit("heartbeats told to another core member", "B by instances", lambda n: sent(Liveness(tuple(
             (f"i-{one:010x}", 41) for one in range(n)))), many),
-        fit("heartbeat of a replica", "B by instances", lambda n: sent(Heartbeat(12, 12, 345, 345, True, True)), many),
+        fit("heartbeat of a replica", "B by instances", lambda n: sent(Heartbeat(
+            12, 12, 345, 345, True, True, False)), many),
         fit("hints", "B by placements", lambda n: sent(Hints(tuple(hint(one) for one in range(n)))), few),
         fit("ends of reads", "B by ends", lambda n: sent(Hints((), tuple(
             Done(f"i-{one:010x}", JOB_NUMBER + one, 12) for one in range(n)))), few),
--- a/tests/test_coordination_roles.py
+++ b/tests/test_coordination_roles.py
@@ -40,16 +40,30 @@
 def test_a_holder_counts_its_lease_from_before_it_asked() -> None:
     renewal = Renewal("x", ("10.0.0.9:1",), Random(1))
     assert renewal.due(1.0) == "10.0.0.9:1"
-    renewal.granted(2.0, "10.0.0.9:1", Grant(LEASE_S, 5, (), (NEAR, FAR), True))
+    renewal.granted(2.0, "10.0.0.9:1", Grant(LEASE_S, 5, (), (NEAR, FAR), True, 1.0))
     assert renewal.holds(1.0 + LEASE_S - 0.01)
     assert not renewal.holds(1.0 + LEASE_S)
     assert renewal.most_holders == 5
 
 
+def test_a_late_answer_gives_a_lease_from_when_it_was_asked_for_not_from_the_latest_asking() -> None:
+    renewal = Renewal("x", ("10.0.0.9:1",), Random(1))
+    assert renewal.due(0.0) == "10.0.0.9:1"
+    assert renewal.due(FIRST_S) == "10.0.0.9:1"
+    renewal.granted(0.3, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR,), True, 0.0))
+    assert not renewal.holds(LEASE_S), "the granter counted it from before the second asking came"
+    renewal.granted(0.4, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR,), True, FIRST_S))
+    assert renewal.holds(LEASE_S)
+    renewal.granted(0.5, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR,), True, 0.0))
+    assert renewal.holds(LEASE_S), "an answer that comes after a newer one takes nothing away"
+    renewal.granted(0.6, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR,), True, 99.0))
+    assert not renewal.holds(0.6 + LEASE_S), "no grant is for longer than from now"
+
+
 def test_a_granter_that_is_silent_or_cut_off_is_left_for_another() -> None:
     renewal = Renewal("x", ("10.0.0.9:1",), Random(1))
     renewal.due(0.0)
-    renewal.granted(0.1, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR, FAR), False))
+    renewal.granted(0.1, "10.0.0.9:1", Grant(LEASE_S, 1, (), (NEAR, FAR), False, 0.0))
     assert renewal.due(0.2) == FAR.address
     assert renewal.due(0.3 + ANSWER_S) != FAR.address
 
@@ -60,17 +74,17 @@
     second = renewal.due(FIRST_S)
     assert {first, second} == {"10.0.0.8:1", "10.0.0.9:1"}
     assert renewal.due(FIRST_S + 0.01) is None
-    renewal.granted(0.4, first or "", Grant(LEASE_S, 2, (), (NEAR, FAR), True))
+    renewal.granted(0.4, first or "", Grant(LEASE_S, 2, (), (NEAR, FAR), True, 0.0))
     assert renewal.holds(LEASE_S - 0.01)
     assert not renewal.holds(LEASE_S), "the lease counts from when that granter was asked"
-    renewal.granted(0.5, second or "", Grant(LEASE_S, 9, (), (NEAR, FAR), True))
+    renewal.granted(0.5, second or "", Grant(LEASE_S, 9, (), (NEAR, FAR), True, FIRST_S))
     assert renewal.most_holders == 2, "with a lease, only the granter in use counts"
 
 
 def test_a_holder_goes_back_to_a_granter_of_its_own_zone() -> None:
     renewal = Renewal("x", ("10.0.0.8:1",), Random(1))
     renewal.due(0.0)
-    renewal.granted(0.1, "10.0.0.8:1", Grant(LEASE_S, 1, (), (NEAR, FAR), True))
+    renewal.granted(0.1, "10.0.0.8:1", Grant(LEASE_S, 1, (), (NEAR, FAR), True, 0.0))
     assert renewal.due(0.2) == NEAR.address
 
 
@@ -102,6 +116,23 @@
     assert registers.judge(claim) is Outcome.TAKEN
 
 
+def test_a_token_that_was_refused_is_not_used_again_and_the_next_one_is_above_it() -> None:
+    role, registers = Role("stages", "a", 3.0), Registers()
+    claim = role.claim({"a"})
+    assert claim is not None
+    register = _published(registers, role, claim)
+    role.published(10.0, register)
+    assert role.may_act(20.0)
+    role.refused(register.version)
+    assert not role.may_act(20.0)
+    again = role.claim({"a"})
+    assert again is not None
+    assert again.version == register.version + 1
+    role.published(21.0, _published(registers, role, again))
+    assert role.claim({"a"}) is None
+    assert role.may_act(21.0 + 3.0 + MARGIN_S)
+
+
 def test_a_new_owner_waits_until_the_old_ones_time_is_over() -> None:
     role, registers = Role("stages", "a", 3.0), Registers()
     claim = role.claim({"a"})
--- a/tests/test_coordination_rules.py
+++ b/tests/test_coordination_rules.py
@@ -65,7 +65,7 @@
     assert not behind.serving
     assert not outputs.messages
     promises = {name: Promise(4, Ballot(1, "b"), NO_BALLOT, None, synced, 0) for name, synced in (("b", 1), ("c", 1))}
-    sight = Sight({"b", "c"}, {"b", "c"}, set(), (), 3)
+    sight = Sight({"b", "c"}, {"b", "c"}, set(), set(), (), 3)
     assert next_view(View(3, (A, B, C), (Link("a", 1), Link("b", 3), Link("c", 3))), sight, promises) is None
 
 
