Coordination: no ballots without contact, nobody is gone before all could have been heard, long cuts and losses in virtual time

Cause, from simulated runs: after a cut of 20 s the member that came back had two or three views decided within 0.1 s, as it took those whom it had not heard yet to be gone; a ballot begun before the heal proposed without waiting for the third promise. Change: a replica begins no ballot while it hears too few voters, takes silent voters to be there for 0.6 s after a cut or a new view, and gathers promises from when it has a majority. Requests go to the new head at once. A leaving member waits until losses + 1 others hold the state.

--- a/hophinge/coordination/elections.py
+++ b/hophinge/coordination/elections.py
@@ -64,6 +64,8 @@
         if view.number == 0:
             heard = 1 + sum(peer.replica.address in machine.seeds for peer in machine.peers.known.values())
             return heard == len(view.voters) or (heard >= view.majority and now - machine.started > FORMING_S)
+        if not machine.peers.in_contact(now, view):
+            return False                # no majority would answer: a ballot begun now would only disturb the heal
         return needs_change(view, machine.peers.sight(now, view, machine.writable, machine.started))
 
     def _rank(self, now: float, view: View) -> int:
@@ -108,7 +110,9 @@
         attempt = self.attempt
         if attempt is None or attempt.proposal is not None or len(attempt.promises) < view.majority:
             return
-        if len(attempt.promises) < len(view.voters) and now - attempt.began < GATHER_S:
+        if attempt.majority_at is None:
+            attempt.majority_at = now
+        if len(attempt.promises) < len(view.voters) and now - attempt.majority_at < GATHER_S:
             return
         proposal = attempt.bound() or self._plan(now, view, attempt)
         if proposal is None or proposal.chain == () or proposal.number != attempt.target:
--- a/hophinge/coordination/peers.py
+++ b/hophinge/coordination/peers.py
@@ -10,6 +10,7 @@
 
 SUSPECT_S = 1.0             # silence after which a member is taken to be gone for now
 STEADY_S = 0.6              # heard without a gap for so long before it is taken into a chain
+SETTLE_S = 0.6              # after a cut or a change of view, until all others could have been heard
 GONE_S = 2.5                # silence after which an even group of voters does without it
 FORGET_S = 60.0             # silence after which a member outside the view is forgotten
 
@@ -32,6 +33,7 @@
         self.least_voters = 2 * losses + 1
         self.leaving = False                # this replica itself was told to end
         self.known: dict[str, Peer] = {}
+        self.settling_since = float("-inf")     # a new view, or the end of a time without contact to most voters
 
     def heard(self, now: float, source: Replica, heartbeat: Heartbeat) -> None:
         """Take a sign of life; a gap or a disk that takes no writes begins the steady time anew."""
@@ -68,8 +70,11 @@
         if now - started < SUSPECT_S:
             # At its start a replica has heard nobody: until it could have, it takes nobody of the view to be gone.
             alive |= {voter.identity for voter in view.voters if voter.identity not in self.known}
+        if now - self.settling_since < SETTLE_S:
+            alive |= {voter.identity for voter in view.voters if voter.identity not in fresh}
         if self.leaving:
             leaving.add(self.me.identity)
+            alive.discard(self.me.identity)
         elif writable:
             alive.add(self.me.identity)
             steady.add(self.me.identity)
@@ -79,6 +84,10 @@
                 if voter.identity not in alive and now - self._last(voter.identity, started) > GONE_S}
         return Sight(alive, steady, gone, leaving, candidates, self.least_voters)
 
+    def settle(self, now: float) -> None:
+        """Take nobody to be gone until all could have been heard."""
+        self.settling_since = now
+
     def in_contact(self, now: float, view: View) -> bool:
         """Tell whether more than half of a view's voters were heard lately, this replica among them where it votes.
 
--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -132,6 +132,8 @@
             self.resumed = True
             self.chain.restarted(outputs)
         self.requests.tick(now, outputs)
+        if not self.connected(now):
+            self.peers.settle(now)
         self.elections.tick(now, outputs)
 
     def heartbeat(self) -> Heartbeat:
@@ -173,6 +175,8 @@
         if self.view is not None and view.number <= self.view.number:
             return
         self.view = view
+        self.requests.send_anew()
+        self.peers.settle(now)
         outputs.records.append(ViewRecord(view))
         self.acceptor.begin(view.number + 1)
         self.elections.abandon(now)
@@ -224,14 +228,14 @@
         self.peers.leaving = True
         self.greeted = float("-inf")        # they hear of it with the next tick
 
-    def needed(self, now: float) -> bool:
+    def needed(self) -> bool:
         """Tell whether a replica that leaves is to wait: the chain has it, or does not hold the history without it."""
         view = self.view
-        if not self.votes or view is None or len(view.voters) == 1 or not self.connected(now):
+        if not self.votes or view is None or len(view.voters) == 1:
             return False
         if view.position(self.me.identity) >= 0:
             return True
         heard = [self.peers.known[link.identity].heartbeat for link in view.chain
                  if link.identity in self.peers.known]
         holding = sum(heartbeat.synced == view.number for heartbeat in heard)
-        return holding < min(len(view.chain), self.losses + 1)
+        return holding < min(len(view.voters), self.losses + 1)
--- a/hophinge/coordination/requests.py
+++ b/hophinge/coordination/requests.py
@@ -52,6 +52,11 @@
         else:
             machine.chain.submit(submit, outputs)
 
+    def send_anew(self) -> None:
+        """Pass all on with the next tick: another head may be in place, and what went to the last one may be lost."""
+        for pending in self.pending.values():
+            pending.sent = float("-inf")
+
     def tick(self, now: float, outputs: Outputs) -> None:
         """Pass on again, or give up."""
         for request, pending in list(self.pending.items()):
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -102,7 +102,7 @@
         machine, loop = self.host.machine, asyncio.get_running_loop()
         until = loop.time() + self.settings.bounds.grace_s - RESERVE_S
         machine.leave()
-        while machine.needed(loop.time()) and loop.time() < until:
+        while machine.needed() and loop.time() < until:
             await asyncio.sleep(REPLICA_TICK_S)
 
 
--- a/hophinge/fleet/registry/service.py
+++ b/hophinge/fleet/registry/service.py
@@ -55,8 +55,8 @@
         step = ServiceStep()
         record = self.registry.heartbeat(now, instance, sequence)
         if instance.state == READY:
-            self.safe.discard(instance.identity)
             if record is not None:
+                self.safe.discard(instance.identity)
                 self.tell(now, around, record, step)
             voters = {voter.identity for voter in around.core.voters}
             in_contact = around.core.view >= 1 and len(voters & around.core.heard) >= around.core.majority
--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,194 @@
+"""Control members and heads in virtual time: the programs' own shells of soft state, on a network that can be cut."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from hophinge.coordination.codec import decode, encode
+from hophinge.coordination.messages import Record
+from hophinge.coordination.outputs import Outputs, Received, Tick
+from hophinge.coordination.replica import Membership, ReplicaMachine
+from hophinge.coordination.view import Replica
+from hophinge.fleet.controlplane.directory import DIRECTORY_TICK_S, Directory
+from hophinge.fleet.controlplane.host import REPLICA_TICK_S
+from hophinge.fleet.controlplane.relay import Relay
+from hophinge.fleet.dataplane.knowledge import KNOWLEDGE_TICK_S, Knowledge
+from hophinge.fleet.registry.instance import DRAINING, READY, Instance
+from hophinge.fleet.settings import Settings, parse_settings
+
+DRAIN_S, CONTACT_S = 2.0, 3.0       # the operators' bounds: drain-ms and contact-ms
+HEARTBEAT_S = 1.0
+SYNC_S = 0.001
+
+
+def _settings(ip: str, zone: str, votes: bool, bootstrap: bool) -> Settings:
+    return parse_settings({
+        "node-name": ip, "ip": ip, "zone": zone, "internal-port-range": [7660, 7675], "bootstrap": bootstrap,
+        "seed-nodes": [f"10.0.0.{number}:8146" for number in (1, 2, 3)], "heartbeat-ms": HEARTBEAT_S * 1_000,
+        "counts-for-quorum": votes, "data-dir": "/nowhere" if votes else None, "fault-tolerance": {"machines": 1},
+        "listen-addresses": {"control": f"{ip}:8146", "front": f"{ip}:80", "ready": f"{ip}:81"}})
+
+
+@dataclass
+class ControlMember:
+    """One control member: what its disk holds, and its process where one runs."""
+
+    settings: Settings
+    records: list[Record] = field(default_factory=list)
+    machine: ReplicaMachine | None = None
+    directory: Directory | None = None
+
+
+@dataclass
+class Acknowledged:
+    """An instance's leaving that a member acknowledged."""
+
+    instance: str
+    giver: str
+    at: float
+
+
+class ControlWorld:
+    """Members, heads, and the network between them."""
+
+    def __init__(self, seed: int, voters: int = 3, others: int = 2, heads: int = 6) -> None:
+        self.random, self.loop = Random(seed), asyncio.get_running_loop()
+        self.blocked: set[tuple[str, str]] = set()
+        self.disturbed = self.loop.time()       # when a core machine or its links were last touched
+        self.members: dict[str, ControlMember] = {}
+        self.heads: dict[str, Knowledge] = {}
+        self.known: dict[str, dict[str, Instance | None]] = {}      # by head and instance
+        self.acknowledged: list[Acknowledged] = []
+        for number in range(1, voters + others + 1):
+            settings = _settings(f"10.0.0.{number}", f"z{number % 3}", number <= voters, number <= voters)
+            self.members[settings.control_internal] = ControlMember(settings)
+            self.start(settings.control_internal)
+        for number in range(1, heads + 1):
+            self._add_head(_settings(f"10.0.1.{number}", f"z{number % 3}", False, False))
+
+    # --- machines ------------------------------------------------------------------------------------------------
+
+    def start(self, address: str) -> None:
+        """Start a member's process with what its disk holds."""
+        member = self.members[address]
+        settings = member.settings
+        me = Replica(f"disk-{address}" if settings.votes else f"soft-{self.random.random()}", address, settings.zone)
+        bootstrap = settings.bootstrap and not member.records
+        membership = Membership(me, settings.seed_members(), bootstrap, settings.votes, settings.losses)
+        machine = ReplicaMachine(membership, Random(self.random.random()), self.loop.time())
+        machine.restore(list(member.records))
+        member.machine = machine
+
+        def send(target: str, message: object) -> None:
+            self._send(me, target, encode(message))
+
+        def send_frame(target: str, data: bytes) -> None:
+            """Hints are no part of these plays."""
+
+        member.directory = Directory(settings, machine, send, Relay(send_frame))
+        self._every(REPLICA_TICK_S, lambda: self._handle(member, machine, Tick()), machine, member)
+        self._every(DIRECTORY_TICK_S, member.directory.tick, machine, member)
+        self.disturbed = self.loop.time()
+
+    def kill(self, address: str) -> None:
+        """End a member's process."""
+        self.members[address].machine = self.members[address].directory = None
+        self.disturbed = self.loop.time()
+
+    def _every(self, period: float, action: Callable[[], None], machine: ReplicaMachine, member: ControlMember) -> None:
+        def again() -> None:
+            if member.machine is machine:
+                action()
+                self.loop.call_later(period, again)
+        self.loop.call_later(period * self.random.random(), again)
+
+    def _handle(self, member: ControlMember, machine: ReplicaMachine, event: Received | Tick) -> None:
+        outputs = machine.handle(self.loop.time(), event)
+        self.loop.call_later(SYNC_S if outputs.records else 0.0, self._let_out, member, machine, outputs)
+
+    def _let_out(self, member: ControlMember, machine: ReplicaMachine, outputs: Outputs) -> None:
+        if member.machine is machine:
+            member.records += outputs.records
+            for address, message in outputs.messages:
+                self._send(machine.me, address, encode(message))
+
+    def _add_head(self, settings: Settings) -> None:
+        address = settings.data_internal
+        known = self.known.setdefault(address, {})
+        me: list[Replica] = []
+
+        def send(target: str, message: object) -> None:
+            self._send(me[0], target, encode(message))
+
+        head = Knowledge(settings, send, known.__setitem__, lambda table: None, lambda: None)
+        me.append(head.me)
+        self.heads[address] = head
+
+        def again() -> None:
+            head.tick()
+            self.loop.call_later(KNOWLEDGE_TICK_S, again)
+        self.loop.call_later(self.random.random() * KNOWLEDGE_TICK_S, again)
+
+    # --- network -------------------------------------------------------------------------------------------------
+
+    def _send(self, source: Replica, target: str, data: bytes) -> None:
+        if (source.address, target) not in self.blocked:
+            self.loop.call_later(self.random.uniform(0.0005, 0.003), self._deliver, source, target, data)
+
+    def _deliver(self, source: Replica, target: str, data: bytes) -> None:
+        message = decode(data)
+        if target in self.heads:
+            self.heads[target].received(source.address, message)
+            return
+        member = self.members.get(target)
+        if member is None or member.machine is None or member.directory is None:
+            return
+        if type(message) in member.machine.handlers:
+            self._handle(member, member.machine, Received(source, message))
+        else:
+            member.directory.received(source, message)
+
+    def cut(self, inside: set[str], outside: set[str], one_way: bool = False) -> None:
+        """Cut some machines off from others until `heal`."""
+        self.blocked |= {(one, other) for one in inside for other in outside}
+        if not one_way:
+            self.blocked |= {(other, one) for one in inside for other in outside}
+        self.disturbed = self.loop.time()
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.blocked.clear()
+        self.disturbed = self.loop.time()
+
+    # --- instances -----------------------------------------------------------------------------------------------
+
+    async def beat(self, address: str, name: str, state: str, sequence: int) -> bool:
+        """Send an instance's heartbeat to a member; notes a leaving that it acknowledges."""
+        directory = self.members[address].directory
+        if directory is None:
+            return False
+        instance = Instance(name, "s", f"10.9.0.{len(name)}:80", "z1", "v", 8, state, "", ())
+        acknowledged = await directory.beat(instance, sequence)
+        if acknowledged and state == DRAINING:
+            self.acknowledged.append(Acknowledged(name, address, self.loop.time()))
+        return acknowledged
+
+    def ready_at(self, name: str) -> list[str]:
+        """Tell the heads that would send work to an instance."""
+        return [address for address, known in self.known.items()
+                if (instance := known.get(name)) is not None and instance.state == READY]
+
+    def check(self) -> None:
+        """No head in touch sends work to an instance whose leaving was acknowledged longer ago than the bound."""
+        now = self.loop.time()
+        if now - self.disturbed < CONTACT_S:
+            return
+        cut_off = {one for pair in self.blocked for one in pair if one in self.heads}
+        for one in self.acknowledged:
+            late = set(self.ready_at(one.instance)) - cut_off if now - one.at > DRAIN_S else set()
+            assert not late, f"{one.giver} acknowledged {one.instance} at {one.at:.2f}: {late} send there at {now:.2f}"
+
+
--- a/tests/coordination_mutants.py
+++ b/tests/coordination_mutants.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-LIBRARY = ROOT / "hophinge" / "coordination"
+PACKAGE = "hophinge"
 CHOSEN = "COORDINATION_MUTANT"
 RULES = "tests/test_coordination_rules.py::"
 AGREEMENT = "tests/test_coordination_agreement.py::"
@@ -30,81 +30,85 @@
     new: str
     found_by: str
 
+    def path(self) -> Path:
+        """Tell where the module stands."""
+        return ROOT / PACKAGE / f"{self.module}.py"
+
     def source(self) -> str:
         """Tell the module's mutated text; raises ValueError where the place is not there once."""
-        text = (LIBRARY / f"{self.module}.py").read_text()
+        text = self.path().read_text()
         if text.count(self.old) != 1:
             raise ValueError(f"{self.name}: {text.count(self.old)} places in {self.module}.py")
         return text.replace(self.old, self.new)
 
 
 MUTANTS = (
-    Mutant("a chain of one acknowledges", "chain",
+    Mutant("a chain of one acknowledges", "coordination/chain",
            "        return self.view is not None and len(self.view.chain) >= self.required",
            "        return self.view is not None",
            RULES + "test_a_chain_too_short_to_bear_a_loss_neither_takes_nor_commits"),
-    Mutant("a replica without the history heads a view", "planning",
+    Mutant("a replica without the history heads a view", "coordination/planning",
            "             and promises[link.identity].synced >= link.joined]",
            "             ]",
            RULES + "test_a_replica_that_did_not_take_over_the_history_heads_no_view"),
-    Mutant("a replica without the history takes itself for the head", "chain",
+    Mutant("a replica without the history takes itself for the head", "coordination/chain",
            "        if (place == 0 and complete) or view.number == 1:",
            "        if place == 0 or view.number == 1:",
            RULES + "test_a_replica_that_did_not_take_over_the_history_heads_no_view"),
-    Mutant("what belongs to another view is taken", "chain",
+    Mutant("what belongs to another view is taken", "coordination/chain",
            "        if not self.serving or forward.view != self.synced or predecessor is None:",
            "        if not self.serving or predecessor is None:",
            RULES + "test_what_belongs_to_another_view_or_comes_from_elsewhere_is_not_taken"),
-    Mutant("a lower ballot is promised", "agreement",
+    Mutant("a lower ballot is promised", "coordination/agreement",
            "        if request.ballot < vote.promised:\n            return Rejection(vote.target, vote.promised)\n"
            "        self.vote = VoteRecord(vote.target, request.ballot, vote.accepted, vote.proposal)",
            "        self.vote = VoteRecord(vote.target, request.ballot, vote.accepted, vote.proposal)",
            RULES + "test_a_voter_keeps_its_promise"),
-    Mutant("a lower ballot is accepted", "agreement",
+    Mutant("a lower ballot is accepted", "coordination/agreement",
            "        if request.ballot < vote.promised:\n            return Rejection(vote.target, vote.promised)\n"
            "        self.vote = VoteRecord(vote.target, request.ballot, request.ballot, request.proposal)",
            "        self.vote = VoteRecord(vote.target, request.ballot, request.ballot, request.proposal)",
            RULES + "test_a_voter_keeps_its_promise"),
-    Mutant("what an earlier ballot may have decided is forgotten", "elections",
+    Mutant("what an earlier ballot may have decided is forgotten", "coordination/elections",
            "        proposal = attempt.bound() or self._plan(now, view, attempt)",
            "        proposal = self._plan(now, view, attempt)",
            RULES + "test_a_proposal_that_may_be_decided_is_proposed_again"),
-    Mutant("the oldest of the earlier ballots binds", "agreement",
+    Mutant("the oldest of the earlier ballots binds", "coordination/agreement",
            "return max(known, key=", "return min(known, key=",
            RULES + "test_the_newest_proposal_that_may_be_decided_binds"),
-    Mutant("half of the voters decide", "view", "len(self.voters) // 2 + 1", "(len(self.voters) + 1) // 2",
+    Mutant("half of the voters decide", "coordination/view", "len(self.voters) // 2 + 1", "(len(self.voters) + 1) // 2",
            AGREEMENT + "test_a_part_of_a_larger_model_decides_one_view"),
-    Mutant("an acceptance is not written", "replica",
+    Mutant("an acceptance is not written", "coordination/replica",
            "        if isinstance(answer, Accepted):\n            outputs.records.append(self.acceptor.vote)\n", "",
            RULES + "test_votes_are_written_before_they_are_told_and_a_disk_without_room_casts_none"),
-    Mutant("a view is not written", "replica", "        outputs.records.append(ViewRecord(view))\n", "",
+    Mutant("a view is not written", "coordination/replica", "        outputs.records.append(ViewRecord(view))\n", "",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
-    Mutant("a change is not written", "chain", "        outputs.records.append(EntryRecord(entry))\n", "",
+    Mutant("a change is not written", "coordination/chain", "        outputs.records.append(EntryRecord(entry))\n", "",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
-    Mutant("a history taken over is not written", "chain",
+    Mutant("a history taken over is not written", "coordination/chain",
            "SyncedRecord(number, sync.snapshot if sync is not None else None)", "SyncedRecord(number, None)",
            RULES + "test_a_history_taken_over_is_written_with_the_view_it_is_for"),
-    Mutant("a change sent again is judged anew", "registers",
+    Mutant("a change sent again is judged anew", "coordination/registers",
            "        if change.digest in self.taken.get(change.key, {}):\n            return Outcome.TAKEN\n", "",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
-    Mutant("a change need not build on the current version", "registers",
+    Mutant("a change need not build on the current version", "coordination/registers",
            "        if change.base != current.version:\n            return Outcome.CONFLICT\n", "",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
-    Mutant("a change may be taken out of its order", "chain",
+    Mutant("a change may be taken out of its order", "coordination/chain",
            "        if entry is not None and entry.sequence == self.registers.sequence + 1:",
            "        if entry is not None:",
            RULES + "test_changes_are_taken_in_their_order_and_none_is_passed_on_after_a_gap"),
-    Mutant("a gap before a change is not minded", "chain",
+    Mutant("a gap before a change is not minded", "coordination/chain",
            "        if forward.sequence <= self.registers.sequence:\n", "        if True:\n",
            RULES + "test_changes_are_taken_in_their_order_and_none_is_passed_on_after_a_gap"),
-    Mutant("what is not committed is put in force", "chain",
+    Mutant("what is not committed is put in force", "coordination/chain",
            "        covered = [state for state in self.history if state[0] <= self.committed]",
            "        covered = list(self.history)",
            RULES + "test_only_what_the_tail_holds_is_put_in_force"),
-    Mutant("a successor that lags is sent nothing", "chain",
+    Mutant("a successor that lags is sent nothing", "coordination/chain",
            "        if lags and now - self.sync_sent >= SYNC_AGAIN_S:", "        if False:",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
-    Mutant("a head that left answers reads", "chain",
+    Mutant("a head that left answers reads", "coordination/chain",
            "        if not self.heads or not self._lasting():\n            return\n        change = submit.change\n"
            "        outcome = Outcome.VALUE if change is None else self.registers.judge(change)\n",
            "        if not self.heads or not self._lasting():\n            return\n        change = submit.change\n"
@@ -119,11 +123,10 @@
 
 def install(mutant: Mutant) -> None:
     """Have the mutated module imported in place of the sound one; nothing of the library may be imported before."""
-    name = f"hophinge.coordination.{mutant.module}"
-    loaded = [one for one in sys.modules if one.startswith("hophinge.coordination.")]
-    if loaded:
-        raise RuntimeError(f"{loaded[0]} is imported already")
-    path = LIBRARY / f"{mutant.module}.py"
+    name = f"{PACKAGE}.{mutant.module.replace('/', '.')}"
+    if name in sys.modules:
+        raise RuntimeError(f"{name} is imported already")
+    path = mutant.path()
     spec = importlib.util.spec_from_file_location(name, path)
     assert spec is not None
     module = importlib.util.module_from_spec(spec)
--- a/tests/coordination_world.py
+++ b/tests/coordination_world.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from hophinge.coordination.codec import decode, encode
-from hophinge.coordination.messages import Record
+from hophinge.coordination.messages import Record, StateRecord
 from hophinge.coordination.outputs import Answer, Outputs, Published, Received, Requested, Tick
 from hophinge.coordination.registers import Change, Outcome
 from hophinge.coordination.replica import Membership, ReplicaMachine
@@ -25,7 +25,7 @@
     """Records that last, and the identity of the disk."""
 
     identity: str
-    records: list[Record] = field(default_factory=list)
+    records: list[Record | StateRecord] = field(default_factory=list)
 
 
 @dataclass
@@ -40,6 +40,9 @@
     sync_s: float = SYNC_S
     disk_free_at: float = 0.0
     unsynced: list[Record] = field(default_factory=list)     # written, and lost with the power or not
+    votes: bool = True
+    link_free_at: float = 0.0
+    sent_bytes: int = 0
     published: list[Published] = field(default_factory=list)
 
 
@@ -65,6 +68,7 @@
         self.loss = 0.0
         self.lag_s = 0.0
         self.blocked: set[tuple[str, str]] = set()
+        self.link_bytes_s = float("inf")    # of each machine's own link, outwards
         self.members: dict[str, Member] = {}
         self.answers: dict[int, Answer] = {}
         self.answered_at: dict[int, float] = {}
@@ -88,16 +92,37 @@
 
     # --- machines ------------------------------------------------------------------------------------------------
 
-    def add(self, address: str, bootstrap: bool = False) -> None:
-        self.members[address] = Member(address, Disk(f"disk-{next(self.names)}"))
+    def add(self, address: str, bootstrap: bool = False, votes: bool = True) -> None:
+        self.members[address] = Member(address, Disk(f"disk-{next(self.names)}"), votes=votes)
         self.start(address, bootstrap)
 
+    def machine(self, address: str) -> ReplicaMachine:
+        """Tell the machine of a member that runs."""
+        machine = self.members[address].machine
+        assert machine is not None, f"{address} does not run"
+        return machine
+
+    def end(self, address: str, most_s: float = 6.5) -> None:
+        """Tell a process to end, as its platform does: it goes on until the others do without it, or for so long."""
+        machine, until = self.machine(address), self.now + most_s
+        machine.leave()
+
+        def look() -> None:
+            if self.members[address].machine is not machine:
+                return
+            if machine.needed() and self.now < until:
+                self.at(TICK_S, look)
+            else:
+                self.kill(address)
+
+        self.at(TICK_S, look)
+
     def start(self, address: str, bootstrap: bool = False) -> None:
         member = self.members[address]
         if member.machine is not None:
             return
         me = Replica(member.disk.identity, address, "zone")
-        membership = Membership(me, self.seeds, bootstrap, True, self.losses)
+        membership = Membership(me, self.seeds, bootstrap, member.votes, self.losses)
         member.machine = ReplicaMachine(membership, Random(self.random.random()), self.now)
         member.machine.restore(list(member.disk.records))
         member.life += 1
@@ -189,6 +214,11 @@
         if (source.address, address) in self.blocked or self.random.random() < self.loss:
             return
         delay = self.random.uniform(0.0002, 0.004) + (self.random.uniform(0.0, self.lag_s) if self.lag_s else 0.0)
+        sender = self.members.get(source.address)
+        if sender is not None:
+            sender.sent_bytes += len(data)
+            sender.link_free_at = max(self.now, sender.link_free_at) + len(data) / self.link_bytes_s
+            delay += sender.link_free_at - self.now
         self.at(delay, lambda: self._deliver(source, address, data))
         if self.loss and self.random.random() < self.loss:
             self.at(delay * 3, lambda: self._deliver(source, address, data))
