--- a/tests/coordination_world.py
+++ b/tests/coordination_world.py
@@ -139,12 +139,10 @@
         member.machine = None
 
     def slow_disk(self, address: str, sync_s: float, seconds: float) -> None:
-        self.members[address].sync_s = sync_s
-        self.at(seconds, lambda: self._quick_disk(address))
+        member = self.members[address]
+        member.sync_s = sync_s
+        self.at(seconds, lambda: setattr(member, "sync_s", SYNC_S))
 
-    def _quick_disk(self, address: str) -> None:
-        if address in self.members:
-            self.members[address].sync_s = SYNC_S
 
     def lag(self, most_s: float, seconds: float) -> None:
         """Have messages come up to so much later, each by itself, so that later ones overtake them."""
