--- a/hophinge/coordination/elections.py
+++ b/hophinge/coordination/elections.py
@@ -64,8 +64,6 @@
         if view.number == 0:
             heard = 1 + sum(peer.replica.address in machine.seeds for peer in machine.peers.known.values())
             return heard == len(view.voters) or (heard >= view.majority and now - machine.started > FORMING_S)
-        if not machine.peers.in_contact(now, view):
-            return False                # no majority would answer: a ballot begun now would only disturb the heal
         return needs_change(view, machine.peers.sight(now, view, machine.writable, machine.started))
 
     def _rank(self, now: float, view: View) -> int:
--- a/hophinge/coordination/peers.py
+++ b/hophinge/coordination/peers.py
@@ -81,7 +81,8 @@
         candidates = tuple(peer.replica for name, peer in sorted(fresh.items())
                            if peer.heartbeat.votes and view.voter(name) is None)
         gone = {voter.identity for voter in view.voters
-                if voter.identity not in alive and now - self._last(voter.identity, started) > GONE_S}
+                if voter.identity not in alive | {self.me.identity}
+                and now - self._last(voter.identity, started) > GONE_S}
         return Sight(alive, steady, gone, leaving, candidates, self.least_voters)
 
     def settle(self, now: float) -> None:
--- a/tests/coordination_mutants.py
+++ b/tests/coordination_mutants.py
@@ -1,48 +1,14 @@
-"""One-line mutants of the coordination library: each breaks one thing that its safety or progress rests on.
-
-As a plugin of pytest (`-p tests.coordination_mutants`), the one that `COORDINATION_MUTANT` names is imported in place
-of the sound module.
-"""
+"""One-line mutants of the coordination library: each breaks one thing that its safety or progress rests on."""
 
 from __future__ import annotations
 
-import importlib.util
-import os
-import sys
-from dataclasses import dataclass
-from pathlib import Path
+from tests.mutant import Mutant
 
-ROOT = Path(__file__).parent.parent
-PACKAGE = "hophinge"
-CHOSEN = "COORDINATION_MUTANT"
 RULES = "tests/test_coordination_rules.py::"
 AGREEMENT = "tests/test_coordination_agreement.py::"
 HISTORIES = "tests/test_coordination_chain.py::"
 
-
-@dataclass(frozen=True, slots=True)
-class Mutant:
-    """A change of one place of one module, and the test that finds it."""
-
-    name: str
-    module: str
-    old: str
-    new: str
-    found_by: str
-
-    def path(self) -> Path:
-        """Tell where the module stands."""
-        return ROOT / PACKAGE / f"{self.module}.py"
-
-    def source(self) -> str:
-        """Tell the module's mutated text; raises ValueError where the place is not there once."""
-        text = self.path().read_text()
-        if text.count(self.old) != 1:
-            raise ValueError(f"{self.name}: {text.count(self.old)} places in {self.module}.py")
-        return text.replace(self.old, self.new)
-
-
-MUTANTS = (
+COORDINATION = (
     Mutant("a chain of one acknowledges", "coordination/chain",
            "        return self.view is not None and len(self.view.chain) >= self.required",
            "        return self.view is not None",
@@ -78,8 +44,8 @@
            RULES + "test_the_newest_proposal_that_may_be_decided_binds"),
     Mutant("half of the voters decide", "coordination/view", "len(self.voters) // 2 + 1", "(len(self.voters) + 1) // 2",
            AGREEMENT + "test_a_part_of_a_larger_model_decides_one_view"),
-    Mutant("an acceptance is not written", "coordination/replica",
-           "        if isinstance(answer, Accepted):\n            outputs.records.append(self.acceptor.vote)\n", "",
+    Mutant("an acceptance is not written", "coordination/voting",
+           "        if isinstance(answer, Accepted):\n            outputs.records.append(machine.acceptor.vote)\n", "",
            RULES + "test_votes_are_written_before_they_are_told_and_a_disk_without_room_casts_none"),
     Mutant("a view is not written", "coordination/replica", "        outputs.records.append(ViewRecord(view))\n", "",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
@@ -106,7 +72,7 @@
            "        covered = list(self.history)",
            RULES + "test_only_what_the_tail_holds_is_put_in_force"),
     Mutant("a successor that lags is sent nothing", "coordination/chain",
-           "        if lags and now - self.sync_sent >= SYNC_AGAIN_S:", "        if False:",
+           "        elif now - self.sync_sent >= self._sync_wait():", "        elif False:",
            HISTORIES + "test_harsher_histories_keep_what_was_told"),
     Mutant("a head that left answers reads", "coordination/chain",
            "        if not self.heads or not self._lasting():\n            return\n        change = submit.change\n"
@@ -117,29 +83,5 @@
            "            register = self.registers.current(submit.key)\n"
            "            reply = Reply(submit.origin.request, int(outcome), register.version, register.payload)\n"
            "            outputs.messages.append((submit.origin.replica.address, reply))\n",
-           HISTORIES + "test_harsher_histories_keep_what_was_told"),
+           RULES + "test_a_read_goes_down_the_chain_and_only_its_tail_replies"),
 )
-
-
-def install(mutant: Mutant) -> None:
-    """Have the mutated module imported in place of the sound one; nothing of the library may be imported before."""
-    name = f"{PACKAGE}.{mutant.module.replace('/', '.')}"
-    if name in sys.modules:
-        raise RuntimeError(f"{name} is imported already")
-    path = mutant.path()
-    spec = importlib.util.spec_from_file_location(name, path)
-    assert spec is not None
-    module = importlib.util.module_from_spec(spec)
-    sys.modules[name] = module
-    exec(compile(mutant.source(), str(path), "exec"), module.__dict__)
-
-
-def chosen() -> Mutant | None:
-    """Tell the mutant that the environment names."""
-    name = os.environ.get(CHOSEN)
-    return next(one for one in MUTANTS if one.name == name) if name else None
-
-
-_mutant = chosen()
-if _mutant is not None:
-    install(_mutant)
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,23 @@
+"""All mutants; as a plugin of pytest (`-p tests.mutants`), the one that the environment names replaces its module."""
+
+from __future__ import annotations
+
+import os
+
+from tests.coordination_mutants import COORDINATION
+from tests.mutant import Mutant, install
+from tests.worst_days_mutants import WORST_DAYS
+
+CHOSEN = "HOPHINGE_MUTANT"
+MUTANTS = (*COORDINATION, *WORST_DAYS)
+
+
+def chosen() -> Mutant | None:
+    """Tell the mutant that the environment names."""
+    name = os.environ.get(CHOSEN)
+    return next(one for one in MUTANTS if one.name == name) if name else None
+
+
+_mutant = chosen()
+if _mutant is not None:
+    install(_mutant)
--- a/tests/test_coordination_rules.py
+++ b/tests/test_coordination_rules.py
@@ -6,6 +6,7 @@
 
 from hophinge.coordination.agreement import Acceptor, Attempt
 from hophinge.coordination.chain import Chain
+from hophinge.coordination.elections import GATHER_S
 from hophinge.coordination.messages import (
     NO_BALLOT,
     Accept,
@@ -69,6 +70,21 @@
     assert next_view(View(3, (A, B, C), (Link("a", 1), Link("b", 3), Link("c", 3))), sight, promises) is None
 
 
+def test_a_read_goes_down_the_chain_and_only_its_tail_replies() -> None:
+    view = _view(2, (A, 1), (B, 1), (C, 1))
+    marker = Forward(2, 1, ORIGIN, KEY, int(Outcome.VALUE), None)
+    head, outputs = _chain(A, view, 1), Outputs()
+    head.submit(Submit(ORIGIN, KEY, None), outputs)
+    assert outputs.messages == [(B.address, marker)]
+    middle, outputs = _chain(B, view, 1), Outputs()
+    middle.forwarded(A, marker, outputs)
+    assert outputs.messages == [(C.address, marker)]
+    tail, outputs = _chain(C, view, 1), Outputs()
+    tail.forwarded(B, marker, outputs)
+    replies = [(address, message) for address, message in outputs.messages if isinstance(message, Reply)]
+    assert replies == [(C.address, Reply(7, int(Outcome.VALUE), 1, b"1:old"))]
+
+
 def test_what_belongs_to_another_view_or_comes_from_elsewhere_is_not_taken() -> None:
     view = _view(2, (A, 1), (B, 1), (C, 1))
     entry = Entry(1, change(0, 1, "a"))
@@ -142,7 +158,9 @@
     ballot = Ballot(3, B.identity)
     machine.elections.attempt = Attempt(2, ballot, 0.0)
     machine.handle(1.0, Received(A, Promise(2, ballot, Ballot(1, "a"), proposal, 1, 0)))
-    sent = machine.handle(1.0, Received(C, Promise(2, ballot, NO_BALLOT, None, 1, 0)))
+    third = Received(C, Promise(2, ballot, NO_BALLOT, None, 1, 0))
+    assert not machine.handle(1.0, third).messages, "this replica's own promise has a moment to come"
+    sent = machine.handle(1.01 + GATHER_S, third)
     assert {message.proposal for _, message in sent.messages if isinstance(message, Accept)} == {proposal}
 
 
--- a/tests/test_coordination_mutants.py
+++ b/tests/test_mutants.py
@@ -1,4 +1,4 @@
-"""Every mutant of the coordination library fails the test that is to find it."""
+"""Every mutant fails the test that is to find it."""
 
 from __future__ import annotations
 
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.coordination_mutants import CHOSEN, MUTANTS, ROOT, Mutant
+from tests.mutant import ROOT, Mutant
+from tests.mutants import CHOSEN, MUTANTS
 
 FAILED = 1                  # exit status of pytest where tests ran and some failed
 BOUND_S = 120
@@ -18,7 +19,7 @@
 
 
 def _play(mutant: Mutant) -> Played:
-    plugins = ["-p", "tests.coordination_mutants", "-p", "no:cacheprovider"]
+    plugins = ["-p", "tests.mutants", "-p", "no:cacheprovider"]
     words = [sys.executable, "-m", "pytest", "-x", "-q", "--tb=line", *plugins, mutant.found_by]
     environ = {**os.environ, CHOSEN: mutant.name}
     return subprocess.run(words, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=BOUND_S, check=False)
--- /dev/null
+++ b/tests/test_worst_days_catching_up.py
@@ -0,0 +1,184 @@
+"""Worst days, fourth point: members that missed hundreds of changes catch up, in a stated time and with few bytes."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+
+from hophinge.coordination.chain import MOST_DOUBLINGS, SYNC_AGAIN_S, SYNC_BYTES_S, Chain
+from hophinge.coordination.codec import encode
+from hophinge.coordination.outputs import Outputs
+from hophinge.coordination.registers import TAKEN_BYTES, Change, Entry, Outcome
+from hophinge.coordination.view import Link, Replica, View
+from tests.coordination_world import KEY, World, change
+
+A, B, C, D = (f"10.0.0.{number}:7660" for number in range(1, 5))
+CATCH_UP_S = 4.0
+MEGABIT = 125_000
+DOCUMENT = 4 << 20          # bytes of the largest configuration
+
+
+def _formed(seed: int) -> World:
+    world = World(seed)
+    world.run(2.0)
+    return world
+
+
+def _large(base: int, version: int, size: int) -> Change:
+    return Change(KEY, base, version, b"%d" % version, bytes([version % 256]) * size)
+
+
+def _take(world: World, address: str, one: Change) -> None:
+    request = world.ask(address, one)
+    until = world.now + 2.6
+    while request not in world.answers and world.now < until:
+        world.run(0.01)
+    assert world.answers[request].outcome is Outcome.TAKEN
+
+
+def _caught_up_after(world: World, address: str, most_s: float) -> float:
+    """Let time pass until a member holds what the chain holds; tells how long that took."""
+    begin = world.now
+    while world.now - begin < most_s:
+        world.run(0.05)
+        chain = world.machine(address).chain
+        newest = max(world.machine(one).chain.registers.sequence for one in world.members
+                     if world.members[one].machine is not None)
+        if chain.serving and chain.registers.sequence == newest:
+            return world.now - begin
+    raise AssertionError(f"{address} has not caught up after {most_s} s")
+
+
+@pytest.mark.parametrize("place", [A, B, C])
+@pytest.mark.parametrize("missed", [10, 300, 3_000])
+def test_a_member_that_missed_changes_catches_up_with_bytes_that_do_not_grow_with_their_number(
+        missed: int, place: str) -> None:
+    world = _formed(81)
+    _take(world, B, change(0, 1, "first"))
+    world.kill(place)
+    world.run(2.0)
+    alive = next(one for one in (A, B, C) if one != place)
+    for version in range(2, missed + 2):
+        _take(world, alive, change(version - 1, version, "more"))
+    before = sum(member.sent_bytes for member in world.members.values())
+    world.start(place)
+    took = _caught_up_after(world, place, CATCH_UP_S)
+    sent = sum(member.sent_bytes for member in world.members.values()) - before
+    snapshot = len(encode(world.machine(place).chain.registers.snapshot()))
+    assert snapshot <= 2 * TAKEN_BYTES * (missed + 1) + 200
+    assert took <= 2.0
+    assert sent <= 3 * snapshot + 60_000, "a copy for each successor; the rest is signs of life"
+    answer = world.read(place)
+    assert answer is not None
+    assert answer.version == missed + 1
+
+
+@pytest.mark.parametrize("megabits", [100, 60])
+def test_the_largest_document_is_taken_over_a_slow_link_once(megabits: int) -> None:
+    world = _formed(82)
+    _take(world, B, _large(0, 1, DOCUMENT))
+    world.kill(C)
+    world.run(2.0)
+    _take(world, B, _large(1, 2, DOCUMENT))
+    world.link_bytes_s = megabits * MEGABIT
+    before = {one: world.members[one].sent_bytes for one in (A, B)}
+    world.start(C)
+    took = _caught_up_after(world, C, CATCH_UP_S)
+    world.run(2.0)
+    copies = sum(world.members[one].sent_bytes - before[one] for one in (A, B)) / DOCUMENT
+    assert took <= 3.0
+    assert copies < 2.2, "one for each successor in the new view"
+
+
+def _sender_to(world: World, address: str) -> Replica:
+    """Let time pass until a member has joined the tail of a chain; tells who sends it the state."""
+    while True:
+        world.run(0.01)
+        machine = world.machine(address)
+        sender = machine.view.neighbour(machine.me.identity, -1) if machine.view is not None else None
+        if sender is not None and machine.chain.synced < machine.view.number:  # type: ignore[union-attr]
+            return sender
+
+
+def test_a_member_catches_up_while_large_changes_go_on_and_its_sender_is_lost_halfway() -> None:
+    world = _formed(83)
+    world.add(D)
+    world.run(3.0)
+    _take(world, B, _large(0, 1, DOCUMENT))
+    world.kill(D)
+    world.run(2.0)
+    world.link_bytes_s = 100 * MEGABIT
+    world.start(D)
+    sender = _sender_to(world, D)
+    world.run(0.1)
+    assert not world.machine(D).chain.serving, "the copy is on its way"
+    world.kill(sender.address)
+    alive = next(one for one in (A, B, C) if one != sender.address)
+    world.run(1.6)
+    for version in range(2, 6):
+        world.ask(alive, _large(version - 1, version, DOCUMENT // 8))
+        world.run(0.3)
+    _caught_up_after(world, D, CATCH_UP_S)
+    answer = world.read(D)
+    assert answer is not None
+    assert answer.version >= 1
+
+
+@pytest.mark.parametrize("sync_s", [0.015, 0.1])
+def test_a_member_with_a_disk_thirty_times_slower_catches_up_while_changes_go_on(sync_s: float) -> None:
+    world = _formed(84)
+    _take(world, B, change(0, 1, "first"))
+    world.kill(C)
+    world.run(2.0)
+    world.slow_disk(C, sync_s, 60.0)
+    world.start(C)
+    version = 1
+    for _ in range(30):
+        request = world.ask(A, change(version, version + 1, "more"))
+        world.run(0.15)
+        version += request in world.answers and world.answers[request].outcome is Outcome.TAKEN
+    _caught_up_after(world, C, CATCH_UP_S)
+    assert version > 10
+
+
+def _pair() -> tuple[Chain, Replica]:
+    """A head with one successor, in a view that it has just entered."""
+    head, successor = Replica("a", A, "z"), Replica("b", B, "z")
+    chain = Chain(head, 2)
+    chain.synced = 1
+    chain.enter(0.0, View(1, (head, successor), (Link("a", 1), Link("b", 1))), Outputs())
+    return chain, successor
+
+
+def test_a_copy_is_sent_again_only_after_the_time_it_may_take_and_twice_that_each_further_time() -> None:
+    chain, successor = _pair()
+    chain.registers.apply(_entry(DOCUMENT))
+    wait = SYNC_AGAIN_S + (DOCUMENT + TAKEN_BYTES) / SYNC_BYTES_S
+    moments = [0.0]
+    for step in range(4_000):
+        outputs = Outputs()
+        chain.successor_heard(step * 0.05, successor, 1, 0, outputs)
+        if outputs.messages:
+            moments.append(step * 0.05)
+    pauses = [after - before for before, after in pairwise(moments)]
+    assert len(pauses) > MOST_DOUBLINGS
+    for number, pause in enumerate(pauses):
+        assert pause == pytest.approx(wait * 2 ** min(number, MOST_DOUBLINGS), abs=0.11)
+
+
+def test_a_successor_that_has_caught_up_is_sent_the_next_copy_without_the_doubled_wait() -> None:
+    chain, successor = _pair()
+    chain.registers.apply(_entry(10))
+    for moment in (0.4, 1.2):
+        chain.successor_heard(moment, successor, 1, 0, Outputs())
+    assert chain.syncs == 3
+    chain.successor_heard(1.3, successor, 1, 1, Outputs())
+    chain.registers.apply(_entry(10, 2))
+    again = Outputs()
+    chain.successor_heard(1.7, successor, 1, 1, again)
+    assert again.messages
+
+
+def _entry(size: int, sequence: int = 1) -> Entry:
+    return Entry(sequence, _large(sequence - 1, sequence, size))
--- a/tests/test_worst_days_cuts.py
+++ b/tests/test_worst_days_cuts.py
@@ -81,6 +81,11 @@
     assert min(versions) > 10, "the majority's side went on"
     world.run(10.0)
     assert _newest_view(world) - before <= FLAPS
+    view = world.machine(outside).view
+    assert view is not None
+    kept = {link.identity for link in view.chain if link.joined == 1}
+    expected = {world.machine(address).me.identity for address in (A, B, C) if address not in cut_off}
+    assert kept == expected, "a member that was in touch lost its place"
 
 
 @pytest.mark.parametrize("around_s", [-0.4, -0.2, -0.05, 0.0, 0.05, 0.2, 0.4])
@@ -112,6 +117,15 @@
         assert payloads == {(b"2:inside", b"3:outside")[both.index(Outcome.TAKEN)]}
 
 
+def test_a_member_that_is_cut_off_begins_no_ballot() -> None:
+    world = _formed(14)
+    _cut(world, {C})
+    world.run(1.5)
+    promised = world.machine(C).acceptor.vote.promised
+    world.run(CUT_S)
+    assert world.machine(C).acceptor.vote.promised == promised
+
+
 def test_a_member_that_is_cut_off_says_so_at_once() -> None:
     world = _formed(13, others=1)
     _cut(world, {C, "10.0.1.0:7660"})
--- a/tests/test_worst_days_losses.py
+++ b/tests/test_worst_days_losses.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hophinge.coordination.messages import EntryRecord, SyncedRecord
 from hophinge.coordination.registers import Outcome
 from tests.coordination_world import World, change
 
@@ -39,6 +40,14 @@
     return held
 
 
+def _on_disk(world: World, address: str) -> bool:
+    """Tell whether a disk holds the first change: by itself, or in a state that was taken over."""
+    records = world.members[address].disk.records
+    return any(isinstance(record, EntryRecord) or (
+        isinstance(record, SyncedRecord) and record.snapshot is not None and record.snapshot.sequence >= 1)
+        for record in records)
+
+
 def _still_works(world: World, *, within_s: float = BACK_S) -> None:
     """What was acknowledged is there, and a change is taken, at each member that runs."""
     world.run(within_s)
@@ -127,9 +136,11 @@
     world.run(1.0)
     assert world.members[A].machine is not None, "it waits: nobody else that runs holds the state"
     world.start(C)
-    world.run(10.0)
+    until = world.now + 10.0
+    while world.members[A].machine is not None and world.now < until:
+        world.run(0.05)
+    assert [_on_disk(world, address) for address in (B, C)] == [True, True]
     assert world.members[A].machine is None
-    assert _holders(world) >= 2
     _still_works(world)
 
 
--- /dev/null
+++ b/tests/worst_days_mutants.py
@@ -0,0 +1,85 @@
+"""One-line mutants of what holds under the worst days: contact before answers, leaving, catching up, fencing."""
+
+from __future__ import annotations
+
+from tests.mutant import Mutant
+
+CUTS = "tests/test_worst_days_cuts.py::"
+LOSSES = "tests/test_worst_days_losses.py::"
+CATCHING_UP = "tests/test_worst_days_catching_up.py::"
+HOLD = "tests/test_coordination_quorum_hold.py::"
+SERVICE = "tests/test_fleet_instance_service.py::"
+DRAINS = "tests/test_control_drains.py::"
+MODEL = "tests/test_coordination_chain_model.py::"
+ROLES = "tests/test_coordination_roles.py::"
+
+WORST_DAYS = (
+    Mutant("two that reach each other are a quorum", "coordination/quorum_hold",
+           "len(voters & holders) >= self.majority", "len(holders) >= 2",
+           DRAINS + "test_two_of_five_voters_that_are_cut_off_together_acknowledge_nothing"),
+    Mutant("a voter that is heard need not hold", "coordination/quorum_hold",
+           " and voters & self.heard <= holders", "",
+           HOLD + "test_a_majority_and_every_voter_that_is_heard_hold_the_record"),
+    Mutant("an answer out of an older view is a vote", "coordination/quorum_hold",
+           "{name for name, view in holding.holders.items() if view == core.view}", "set(holding.holders)",
+           HOLD + "test_an_answer_out_of_another_view_is_no_vote_in_this_one"),
+    Mutant("what is held for another is not passed on", "fleet/registry/service",
+           "        told = [*around.heads, *voters]", "        told = list(around.heads)",
+           SERVICE + "test_who_holds_a_record_for_another_passes_it_on_before_it_says_so"),
+    Mutant("an older word than what is known is acknowledged", "fleet/registry/service",
+           "        elif record is None or not is_leaving(record):", "        elif record is None:",
+           SERVICE + "test_an_older_word_than_what_is_known_is_not_acknowledged"),
+    Mutant("who is ready again is still taken for held", "fleet/registry/service",
+           "            if record is not None:\n                self.safe.discard(instance.identity)\n",
+           "            if record is not None:\n",
+           SERVICE + "test_one_that_is_ready_again_leaves_anew"),
+    Mutant("an end counts as held with the leaving before it", "fleet/registry/service",
+           "        if identity not in self.registry.ended:\n            self.safe.discard(identity)\n", "",
+           SERVICE + "test_an_end_after_an_acknowledged_leaving_needs_a_quorum_of_its_own"),
+    Mutant("who leaves is kept until it has ended", "coordination/planning",
+           "    return sight.leaving if len(staying) >= sight.least_chain else frozenset()", "    return frozenset()",
+           LOSSES + "test_a_second_loss_right_after_a_planned_replacement_leaves_a_majority"),
+    Mutant("who leaves is dropped though the chain gets too short", "coordination/planning",
+           "    return sight.leaving if len(staying) >= sight.least_chain else frozenset()", "    return sight.leaving",
+           LOSSES + "test_a_member_that_leaves_goes_when_the_others_hold_what_it_holds_and_not_before"),
+    Mutant("who leaves does not wait", "coordination/replica",
+           "        return holding < min(len(view.voters), self.losses + 1)", "        return False",
+           LOSSES + "test_a_member_that_leaves_goes_when_the_others_hold_what_it_holds_and_not_before"),
+    Mutant("a ballot is begun without contact", "coordination/replica",
+           "        if not self.connected(now):\n            self.peers.settle(now)\n", "",
+           CUTS + "test_a_member_that_is_cut_off_begins_no_ballot"),
+    Mutant("whoever was not heard since a cut is gone", "coordination/peers",
+           "        if now - self.settling_since < SETTLE_S:", "        if False:",
+           CUTS + "test_a_side_cut_off_for_20_s_answers_nothing_and_is_soon_back"),
+    Mutant("promises are gathered from when the ballot began", "coordination/elections",
+           "            attempt.majority_at = now", "            attempt.majority_at = attempt.began",
+           CUTS + "test_a_side_cut_off_for_20_s_answers_nothing_and_is_soon_back"),
+    Mutant("a member out of contact lets its callers wait", "coordination/requests",
+           "        if self.machine.out_of_contact(now):", "        if False:",
+           CUTS + "test_a_member_that_is_cut_off_says_so_at_once"),
+    Mutant("what was remembered goes with a snapshot", "coordination/registers",
+           "        self.taken = {key: dict(digests) for key, digests in snapshot.taken}", "        self.taken = {}",
+           CUTS + "test_a_change_that_is_sent_again_is_taken_whatever_came_between"),
+    Mutant("a copy is sent anew before the last may have come", "coordination/chain",
+           "        return once * float(2 ** min(max(0, self.syncs - 1), MOST_DOUBLINGS))",
+           "        return SYNC_AGAIN_S",
+           CATCHING_UP + "test_the_largest_document_is_taken_over_a_slow_link_once"),
+    Mutant("copies are sent at one pace for ever", "coordination/chain",
+           "        return once * float(2 ** min(max(0, self.syncs - 1), MOST_DOUBLINGS))", "        return once",
+           CATCHING_UP + "test_a_copy_is_sent_again_only_after_the_time_it_may_take_and_twice_that_each_further_time"),
+    Mutant("an old member takes from whoever sends", "coordination/chain",
+           "        if view is None or sync.view != view.number or predecessor is None"
+           " or predecessor.identity != source.identity:",
+           "        if view is None or predecessor is None:",
+           MODEL + "test_one_change_a_change_of_view_and_a_lost_disk_in_all_orders"),
+    Mutant("a wiped disk takes the place of the one before it", "coordination/chain",
+           "        if (place == 0 and complete) or view.number == 1:", "        if complete or view.number == 1:",
+           MODEL + "test_one_change_a_change_of_view_and_a_lost_disk_in_all_orders"),
+    Mutant("a lease counts from the latest asking", "coordination/leases",
+           "min(now, grant.asked) + grant.lease_s", "self.asked[source] + grant.lease_s",
+           ROLES + "test_a_late_answer_gives_a_lease_from_when_it_was_asked_for_not_from_the_latest_asking"),
+    Mutant("a refused token is used again", "coordination/ownership",
+           "        if self.owned_since is None or self.refused_token == self.token:",
+           "        if self.owned_since is None:",
+           ROLES + "test_a_token_that_was_refused_is_not_used_again_and_the_next_one_is_above_it"),
+)
