Requests: only a mark says that nothing ran; connections with surplus bytes or too long a rest are not used again

Change: the mark or 421 alone allow another send; such statuses become 502, or another attempt where that is harmless; connections are our own subclass and heed surplus, and half of the rest at which one was found dead. Splits are drawn evenly. Replicas compare marks of their histories with each sign of life and mend what differs.

--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -10,7 +10,17 @@
 
 from __future__ import annotations
 
-from hophinge.coordination.messages import Committed, EntryRecord, Forward, Origin, Reply, Submit, Sync, SyncedRecord
+from hophinge.coordination.messages import (
+    Committed,
+    EntryRecord,
+    Forward,
+    Heartbeat,
+    Origin,
+    Reply,
+    Submit,
+    Sync,
+    SyncedRecord,
+)
 from hophinge.coordination.outputs import Outputs, Published
 from hophinge.coordination.registers import Entry, Outcome, Register, Registers
 from hophinge.coordination.view import Replica, View
@@ -104,20 +114,25 @@
         view, predecessor = self.view, self._predecessor()
         if view is None or sync.view != view.number or predecessor is None or predecessor.identity != source.identity:
             return
-        if self.synced == view.number and sync.snapshot.sequence <= self.registers.sequence:
+        held = self.registers
+        known = sync.snapshot.sequence < held.sequence or sync.snapshot.mark == held.mark
+        if self.synced == view.number and sync.snapshot.sequence <= held.sequence and known:
             return
         self.registers.restore(sync.snapshot)
         self._mark_synced(view.number, sync, outputs)
         self._pass_on(now, outputs)
 
-    def successor_heard(self, now: float, source: Replica, synced: int, sequence: int, outputs: Outputs) -> None:
-        """Send the history again to a successor that lags: messages are lost with a connection or a restart."""
+    def successor_heard(self, now: float, source: Replica, heard: Heartbeat, outputs: Outputs) -> None:
+        """Send the history again to a successor that lags or differs: messages are lost, and copies may go bad."""
         successor = self._successor()
         if not self.serving or successor is None or successor.identity != source.identity:
             return
-        if synced >= self.synced and sequence >= self.registers.sequence:
+        differs = heard.sequence == self.registers.sequence and heard.mark != self.registers.mark
+        if heard.synced >= self.synced and heard.sequence >= self.registers.sequence and not differs:
             self.syncs = 0
         elif now - self.sync_sent >= self._sync_wait():
+            if differs:
+                outputs.notes.append(f"scrub: {source.address} holds another history of {heard.sequence} changes")
             self._pass_on(now, outputs)
 
     def _sync_wait(self) -> float:
--- a/hophinge/coordination/messages.py
+++ b/hophinge/coordination/messages.py
@@ -90,6 +90,7 @@
     writable: bool
     votes: bool             # this replica has a disk that counts
     leaving: bool           # it was told to end: the next view is to do without it
+    mark: bytes             # of the history up to `sequence`
 
 
 @wire(18)
--- a/hophinge/coordination/registers.py
+++ b/hophinge/coordination/registers.py
@@ -7,10 +7,12 @@
 
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
+from hashlib import blake2b
 
-from hophinge.coordination.codec import wire
+from hophinge.coordination.codec import encode, wire
 
 MOST_TAKEN = 4_096          # changes remembered for each register: more than any day of an operator holds
+MARK_BYTES = 8
 TAKEN_BYTES = 24            # of a snapshot, for each change remembered
 
 
@@ -62,6 +64,7 @@
     sequence: int
     registers: tuple[tuple[str, Register], ...] = ()
     taken: tuple[tuple[str, tuple[tuple[bytes, int], ...]], ...] = ()
+    mark: bytes = b""       # of the history that led there
 
 
 EMPTY = Register(0, b"", b"")
@@ -74,6 +77,7 @@
     sequence: int = 0
     values: dict[str, Register] = field(default_factory=dict)
     taken: dict[str, dict[bytes, int]] = field(default_factory=dict)
+    mark: bytes = b""       # of all changes so far in their order: two replicas with one mark hold one history
 
     @property
     def size(self) -> int:
@@ -100,6 +104,7 @@
         """Apply the next change of the history."""
         change = entry.change
         self.sequence = entry.sequence
+        self.mark = blake2b(self.mark + encode(replace(change, payload=b"")), digest_size=MARK_BYTES).digest()
         # A new mapping each time: views of older states, held by whoever publishes, stay as they were.
         self.values = {**self.values, change.key: Register(change.version, change.digest, change.payload)}
         taken = self.taken.setdefault(change.key, {})
@@ -110,11 +115,11 @@
     def snapshot(self) -> Snapshot:
         """Tell the whole state."""
         taken = tuple((key, tuple(digests.items())) for key, digests in self.taken.items())
-        return Snapshot(self.sequence, tuple(self.values.items()), taken)
+        return Snapshot(self.sequence, tuple(self.values.items()), taken, self.mark)
 
     def restore(self, snapshot: Snapshot) -> None:
         """Take a whole state in place of one's own."""
-        self.sequence = snapshot.sequence
+        self.sequence, self.mark = snapshot.sequence, snapshot.mark
         self.values = dict(snapshot.registers)
         self.taken = {key: dict(digests) for key, digests in snapshot.taken}
 
--- a/hophinge/coordination/replica.py
+++ b/hophinge/coordination/replica.py
@@ -140,7 +140,7 @@
         """Tell how this replica stands."""
         number = self.view.number if self.view is not None else -1
         return Heartbeat(number, self.chain.synced, self.chain.registers.sequence, self.chain.committed,
-                         self.writable, self.votes, self.peers.leaving)
+                         self.writable, self.votes, self.peers.leaving, self.chain.registers.mark)
 
     def _heartbeat(self, now: float, source: Replica, message: object, outputs: Outputs) -> None:
         assert isinstance(message, Heartbeat)
@@ -152,7 +152,7 @@
             outputs.messages.append((source.address, Decided(view)))
         elif message.view == view.number:
             if message.writable:
-                self.chain.successor_heard(now, source, message.synced, message.sequence, outputs)
+                self.chain.successor_heard(now, source, message, outputs)
             if message.synced == view.number:
                 self.chain.learn(view.number, message.committed, outputs)
 
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -22,7 +22,15 @@
     returned,
 )
 from hophinge.fleet.forwarding.life import Life, Read, Run
-from hophinge.fleet.forwarding.results import Ending, Handle, Result, belongs, stamped, unexecuted
+from hophinge.fleet.forwarding.results import (
+    Ending,
+    Handle,
+    Result,
+    belongs,
+    may_be_passed_on,
+    stamped,
+    unexecuted,
+)
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.pool import Placed
 from hophinge.fleet.transport.asgi import Send, answer
@@ -99,9 +107,9 @@
         call = self._call(step, [(SERVING_STAGE, b"prefill")])
         try:
             async with asyncio.timeout(call.left_s), self.upstream.call(node.instance.identity, call) as response:
-                body = await response.aread()
                 if not belongs(response.headers, self.inbound.request_id):
-                    return Result(Ending.UNKNOWN)
+                    return Result(Ending.UNKNOWN)       # unread: its connection is closed, the own answer may be behind
+                body = await response.aread()
                 refused = unexecuted(response.status, response.headers)
                 if refused is not None:
                     return Result(refused)
@@ -149,7 +157,7 @@
         if refused is not None:
             await response.aread()
             return Result(refused)
-        if 200 <= response.status < 300 and not stamped(fields):
+        if not may_be_passed_on(response.status) or (200 <= response.status < 300 and not stamped(fields)):
             return Result(Ending.UNKNOWN)
         if response.status == 200 and (find(fields, b"content-type") or "").startswith(EVENT_STREAM):
             return await self._stream(placed, response, reader)
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -24,6 +24,7 @@
     forwarded,
 )
 from hophinge.fleet.forwarding.life import Life
+from hophinge.fleet.forwarding.split import SplitDraws
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
@@ -44,6 +45,7 @@
         self.settings, self.knowledge, self.placement, self.upstream = settings, knowledge, placement, upstream
         self.loop = asyncio.get_running_loop()
         self.random = Random()
+        self.split = SplitDraws(self.random)
         self.budgets: dict[str, RetryBudget] = {}
         self.ready_port = int(settings.ready.rsplit(":", 1)[1]) if settings.ready else 0
         self.ending = False
@@ -125,7 +127,7 @@
     def _life(self, arrived: float, route: Route, fields: Fields, inbound: Inbound) -> Life:
         table = self.knowledge.table
         assert table is not None
-        service = route.service(self.random.random())
+        service = self.split.service(route)
         engine = table.services[service].engine
         usage = find(fields, TOKEN_USAGE)
         prompt = parse_prompt(usage, find(fields, PROMPT_PREFIX)) if engine is not None and usage else None
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -69,6 +69,7 @@
 
     def _configured(self, table: RouteTable) -> None:
         self.server.rest(table.limits.idle_s)
+        self.front.split.keep({route.name for route in table.routes})
         engines = {name: service.engine for name, service in table.services.items()}
         self.placement.configured({name: engine.memory_tokens for name, engine in engines.items() if engine})
 
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -1,4 +1,4 @@
-"""Connections to instances by httpcore: a pool for each, and how far a request got when it failed."""
+"""Calls of instances by httpcore: a pool of connections for each, and how far a request got when it failed."""
 
 from __future__ import annotations
 
@@ -9,13 +9,10 @@
 
 import httpcore
 
-from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields, resting_time
+from hophinge.fleet.dataplane.connections import CONNECTION, InstancePool
+from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.results import Handle
 
-MOST_CONNECTIONS = 48       # of one data plane to one instance
-MOST_RESTING = 16
-RESTING_S = 8.0             # until an instance tells how long it keeps resting connections
-RESTING_PART = 0.8          # of that time after which a connection is not used again: the close may be on its way
 CONNECT_S = 0.4             # for a connection to come up: some thousand times what the network takes
 FREE_S = 0.5                # for an instance to free memory
 UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -34,24 +31,6 @@
     left_s: float               # until the request is given up
 
 
-class InstancePool(httpcore.AsyncConnectionPool):
-    """The connections to one instance, which rest for as long as its answers allow."""
-
-    def __init__(self) -> None:
-        super().__init__(max_connections=MOST_CONNECTIONS, max_keepalive_connections=MOST_RESTING)
-        self.resting_s = RESTING_S
-
-    def create_connection(self, origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
-        """Open a connection that rests no longer than is known to be safe."""
-        return httpcore.AsyncHTTPConnection(origin=origin, keepalive_expiry=self.resting_s)
-
-    def answered(self, fields: Fields) -> None:
-        """Heed the time that an answer's `Keep-Alive` tells; it holds for connections that are opened from now on."""
-        told = resting_time(fields)
-        if told is not None:
-            self.resting_s = RESTING_PART * told
-
-
 class Upstream:
     """The pools of one data plane."""
 
@@ -82,6 +61,7 @@
             yield response
         finally:
             await response.aclose()
+            response.extensions[CONNECTION].released()
 
     def free(self, handle: Handle) -> None:
         """Free memory that was read for nothing; nobody waits for it, and it lapses by itself if this fails."""
--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -163,7 +163,7 @@
         fit("heartbeats told to another core member", "B by instances", lambda n: sent(Liveness(tuple(
             (f"i-{one:010x}", 41) for one in range(n)))), many),
         fit("heartbeat of a replica", "B by instances", lambda n: sent(Heartbeat(
-            12, 12, 345, 345, True, True, False)), many),
+            12, 12, 345, 345, True, True, False, bytes(8))), many),
         fit("hints", "B by placements", lambda n: sent(Hints(tuple(hint(one) for one in range(n)))), few),
         fit("ends of reads", "B by ends", lambda n: sent(Hints((), tuple(
             Done(f"i-{one:010x}", JOB_NUMBER + one, 12) for one in range(n)))), few),
--- a/hophinge/fleet/forwarding/results.py
+++ b/hophinge/fleet/forwarding/results.py
@@ -7,6 +7,9 @@
 
 from hophinge.fleet.forwarding.headers import NOT_EXECUTED, REQUEST_ID, SIGNATURE, Fields, find
 
+MISDIRECTED = 421
+PROMISES = (408, 429, 503)          # and 421: to a client they say that its request has not run and never will
+
 
 class Ending(Enum):
     """How an attempt ended."""
@@ -41,16 +44,25 @@
 
 
 def unexecuted(status: int, fields: Fields) -> Ending | None:
-    """Tell whether an answer says that the request did not run."""
-    if status == 421:
+    """Tell whether an answer says that the request did not run.
+
+    Only `Hophinge-Not-Executed` says so, and 421, which another instance at that address gives.
+    """
+    if status == MISDIRECTED:
         return Ending.MISPLACED
-    if status in (429, 503) and find(fields, NOT_EXECUTED) is not None:
-        return Ending.REFUSED
-    if status == 429:
+    if status in PROMISES and find(fields, NOT_EXECUTED) is not None:
         return Ending.REFUSED
     return None
 
 
+def may_be_passed_on(status: int) -> bool:
+    """Tell whether a client may see this status of an instance that may have run the request.
+
+    To a client some statuses promise that the request has not run and never will.
+    """
+    return status not in PROMISES
+
+
 def belongs(fields: Fields, request_id: str | None) -> bool:
     """Tell whether an answer is this request's: a surplus one bears another's id."""
     return request_id is None or find(fields, REQUEST_ID) == request_id
--- a/tests/chain_model.py
+++ b/tests/chain_model.py
@@ -12,10 +12,21 @@
 from itertools import combinations, pairwise
 
 from hophinge.coordination.chain import Chain
-from hophinge.coordination.messages import NO_BALLOT, Ballot, Committed, Forward, Origin, Promise, Reply, Submit, Sync
+from hophinge.coordination.messages import (
+    NO_BALLOT,
+    Ballot,
+    Committed,
+    Forward,
+    Heartbeat,
+    Origin,
+    Promise,
+    Reply,
+    Submit,
+    Sync,
+)
 from hophinge.coordination.outputs import Outputs
 from hophinge.coordination.planning import Sight, next_view
-from hophinge.coordination.registers import Change, Entry, Outcome
+from hophinge.coordination.registers import Change, Entry, Outcome, Registers
 from hophinge.coordination.view import Link, Replica, View
 
 KEY = "k"
@@ -145,8 +156,15 @@
         """Hear the successor's sign of life, which tells how much it holds now."""
         for other in state.disks:
             if other.view == state.disks[place].view:
-                yield self._changed(state, place, lambda chain, outputs, other=other: chain.successor_heard(  # type: ignore[misc]
-                    LATER, other.replica, other.synced, len(other.entries), outputs))
+                heard = self._heartbeat(other)
+                yield self._changed(state, place, lambda chain, outputs, other=other, heard=heard:  # type: ignore[misc]
+                                    chain.successor_heard(LATER, other.replica, heard, outputs))
+
+    def _heartbeat(self, disk: Disk) -> Heartbeat:
+        registers = Registers()
+        for entry in disk.entries:
+            registers.apply(entry)
+        return Heartbeat(disk.view, disk.synced, len(disk.entries), 0, True, True, False, registers.mark)
 
     # --- what happens to the group -------------------------------------------------------------------------------
 
--- a/tests/test_fleet_upstream.py
+++ b/tests/test_fleet_upstream.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from hophinge.fleet.dataplane.upstream import RESTING_PART, RESTING_S, Call, Upstream
+from hophinge.fleet.dataplane.connections import RESTING_PART, RESTING_S
+from hophinge.fleet.dataplane.upstream import Call, Upstream
 from hophinge.fleet.forwarding.headers import Fields, resting_time
 
 
--- a/tests/test_worst_days_catching_up.py
+++ b/tests/test_worst_days_catching_up.py
@@ -8,6 +8,7 @@
 
 from hophinge.coordination.chain import MOST_DOUBLINGS, SYNC_AGAIN_S, SYNC_BYTES_S, Chain
 from hophinge.coordination.codec import encode
+from hophinge.coordination.messages import Heartbeat
 from hophinge.coordination.outputs import Outputs
 from hophinge.coordination.registers import TAKEN_BYTES, Change, Entry, Outcome
 from hophinge.coordination.view import Link, Replica, View
@@ -158,7 +159,7 @@
     moments = [0.0]
     for step in range(4_000):
         outputs = Outputs()
-        chain.successor_heard(step * 0.05, successor, 1, 0, outputs)
+        chain.successor_heard(step * 0.05, successor, _heard(0), outputs)
         if outputs.messages:
             moments.append(step * 0.05)
     pauses = [after - before for before, after in pairwise(moments)]
@@ -171,14 +172,38 @@
     chain, successor = _pair()
     chain.registers.apply(_entry(10))
     for moment in (0.4, 1.2):
-        chain.successor_heard(moment, successor, 1, 0, Outputs())
+        chain.successor_heard(moment, successor, _heard(0), Outputs())
     assert chain.syncs == 3
-    chain.successor_heard(1.3, successor, 1, 1, Outputs())
+    chain.successor_heard(1.3, successor, _heard(1, chain.registers.mark), Outputs())
     chain.registers.apply(_entry(10, 2))
     again = Outputs()
-    chain.successor_heard(1.7, successor, 1, 1, again)
+    chain.successor_heard(1.7, successor, _heard(1), again)
     assert again.messages
 
 
+def test_copies_that_differ_are_found_and_mended() -> None:
+    """The same number of changes is held by both, but one has another history: no lag would tell of it."""
+    world = _formed(85)
+    _take(world, A, change(0, 1, "first"))
+    world.run(1.0)
+    bad = world.machine(C).chain.registers
+    before = sum(member.sent_bytes for member in world.members.values())
+    world.run(2.0)
+    resting = sum(member.sent_bytes for member in world.members.values()) - before
+    bad.apply(Entry(1, change(0, 1, "other")))
+    assert bad.current(KEY).payload == b"1:other"
+    world.run(2.0)
+    assert bad.current(KEY).payload == b"1:first"
+    assert bad.mark == world.machine(A).chain.registers.mark
+    before = sum(member.sent_bytes for member in world.members.values())
+    world.run(2.0)
+    sent = sum(member.sent_bytes for member in world.members.values()) - before
+    assert sent <= resting * 1.2, "once mended, nothing is sent for it any more"
+
+
+def _heard(sequence: int, mark: bytes = b"") -> Heartbeat:
+    return Heartbeat(1, 1, sequence, 0, True, True, False, mark)
+
+
 def _entry(size: int, sequence: int = 1) -> Entry:
     return Entry(sequence, _large(sequence - 1, sequence, size))
--- a/tests/test_worst_days_cuts.py
+++ b/tests/test_worst_days_cuts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from functools import partial
 
 import pytest
 
@@ -136,6 +137,28 @@
         assert world.answers[request].outcome is None
 
 
+def test_a_processor_quota_looks_like_neither_loss_nor_death() -> None:
+    """Each machine runs for a tenth of the time: 10 ms, then nothing for 90 ms, each at moments of its own."""
+    world = _formed(15)
+
+    def stand_still(address: str) -> None:
+        world.freeze(address, 0.09)
+        world.at(0.1, lambda: stand_still(address))
+
+    for number, address in enumerate((A, B, C)):
+        world.at(0.013 * number, partial(stand_still, address))
+    before = _newest_view(world)
+    version = 0
+    for _ in range(20):
+        while world.members[B].frozen_until > world.now:
+            world.run(0.002)
+        request = world.ask(B, change(version, version + 1, "more"))
+        world.run(2.0)
+        version += world.answers[request].outcome is Outcome.TAKEN
+    assert _newest_view(world) == before
+    assert version == 20, "each change is taken in time"
+
+
 # --- two operators, and changes sent again ---------------------------------------------------------------------------
 
 def test_two_operators_through_both_ends_of_a_split_are_never_both_told_yes() -> None:
--- a/tests/worst_days_mutants.py
+++ b/tests/worst_days_mutants.py
@@ -12,6 +12,8 @@
 DRAINS = "tests/test_control_drains.py::"
 MODEL = "tests/test_coordination_chain_model.py::"
 ROLES = "tests/test_coordination_roles.py::"
+REQUESTS = "tests/test_worst_days_requests.py::test_every_ending_at_every_step"
+CONNECTIONS = "tests/test_worst_days_connections.py::"
 
 WORST_DAYS = (
     Mutant("two that reach each other are a quorum", "coordination/quorum_hold",
@@ -67,6 +69,9 @@
     Mutant("copies are sent at one pace for ever", "coordination/chain",
            "        return once * float(2 ** min(max(0, self.syncs - 1), MOST_DOUBLINGS))", "        return once",
            CATCHING_UP + "test_a_copy_is_sent_again_only_after_the_time_it_may_take_and_twice_that_each_further_time"),
+    Mutant("copies that differ are not compared", "coordination/chain",
+           "heard.sequence == self.registers.sequence and heard.mark != self.registers.mark", "False",
+           CATCHING_UP + "test_copies_that_differ_are_found_and_mended"),
     Mutant("an old member takes from whoever sends", "coordination/chain",
            "        if view is None or sync.view != view.number or predecessor is None"
            " or predecessor.identity != source.identity:",
@@ -75,6 +80,29 @@
     Mutant("a wiped disk takes the place of the one before it", "coordination/chain",
            "        if (place == 0 and complete) or view.number == 1:", "        if complete or view.number == 1:",
            MODEL + "test_one_change_a_change_of_view_and_a_lost_disk_in_all_orders"),
+    Mutant("a refusal without a mark is a promise", "fleet/forwarding/results",
+           "    if status in PROMISES and find(fields, NOT_EXECUTED) is not None:", "    if status in PROMISES:",
+           REQUESTS),
+    Mutant("an instance's promise is passed on though it may have run", "fleet/forwarding/results",
+           "    return status not in PROMISES", "    return True", REQUESTS),
+    Mutant("an answer for another is taken", "fleet/forwarding/results",
+           "    return request_id is None or find(fields, REQUEST_ID) == request_id", "    return True", REQUESTS),
+    Mutant("a success without a signature is taken", "fleet/forwarding/results",
+           "    return find(fields, SIGNATURE) is not None", "    return True", REQUESTS),
+    Mutant("what may have run goes on to another instance", "fleet/forwarding/life",
+           "        if self.possible_runs and not self._may_run_again():", "        if False:", REQUESTS),
+    Mutant("what may have run is promised not to have", "fleet/forwarding/life",
+           "        harmless = not self.ran or self.route.idempotent", "        harmless = True", REQUESTS),
+    Mutant("a connection with surplus bytes is used again", "fleet/dataplane/connections",
+           "        return bool(surplus)", "        return False", REQUESTS),
+    Mutant("a stream that broke off looks whole", "fleet/dataplane/exchange",
+           "        if self.started:\n            raise BrokenOffError\n", "", REQUESTS),
+    Mutant("a connection that died at rest teaches nothing", "fleet/dataplane/connections",
+           "            if rested > 0:\n                self.pool.forgotten(rested)\n", "",
+           CONNECTIONS + "test_an_instance_that_drops_resting_connections_silently_is_learned"),
+    Mutant("a split is drawn by chance", "fleet/forwarding/split",
+           "(place + GOLDEN_RATIO) % 1.0", "self.random.random()",
+           "tests/test_fleet_split.py::test_every_window_of_200_requests_is_split_by_the_weights"),
     Mutant("a lease counts from the latest asking", "coordination/leases",
            "min(now, grant.asked) + grant.lease_s", "self.asked[source] + grant.lease_s",
            ROLES + "test_a_late_answer_gives_a_lease_from_when_it_was_asked_for_not_from_the_latest_asking"),
