Rig: children begin without a copy of the test's process; one that dies before its program begins is its own error

Cause, measured: the event loop that the harness's tests run on starts children by a plain fork, in which whatever libraries registered for a fork is run (a registered handler ran once with that loop, not at all with the standard library's way); beside threads and open channels such a child once died by a segmentation fault before its program. That the handlers of the RPC library were what crashed is not shown. Change: the harness starts children by the standard library, which runs nothing of the parent, and reads them by the loop; a marker tells whether the program began.

--- a/hophinge/load/rig/launch.py
+++ b/hophinge/load/rig/launch.py
@@ -22,7 +22,7 @@
 from hophinge.load.rig.cuts import Cuts
 
 CLOCK, DISK, PARENT, MEMORY = "RIG_CLOCK_OFF_S", "RIG_DISK", "RIG_PARENT", "RIG_MEMORY_MB"
-CUTS = "RIG_CUTS"
+CUTS, BEGUN = "RIG_CUTS", "RIG_BEGUN"
 ERRORS = {"full": errno.ENOSPC, "failing": errno.EIO}
 PR_SET_PDEATHSIG = 1
 
@@ -86,6 +86,8 @@
         disk_by(Path(word))
     if word := environ.get(CUTS):
         Cuts(Path(word)).install()
+    if word := environ.get(BEGUN):
+        Path(word).touch()
     return True
 
 
--- a/hophinge/load/rig/processes.py
+++ b/hophinge/load/rig/processes.py
@@ -13,7 +13,9 @@
 from pathlib import Path
 
 from hophinge.core.errors import HophingeError
-from hophinge.load.rig.launch import CUTS, DISK, MEMORY, PARENT
+from hophinge.load.rig import child
+from hophinge.load.rig.child import Child
+from hophinge.load.rig.launch import BEGUN, CUTS, DISK, MEMORY, PARENT
 
 ROOT = Path(__file__).parent.parent.parent.parent
 LAUNCH = "hophinge.load.rig.launch"
@@ -38,7 +40,7 @@
         self.lines: deque[str] = deque(maxlen=LINES)
         self.since = 0          # lines of earlier starts that the log still holds
         self.starts = 0
-        self.child: asyncio.subprocess.Process | None = None
+        self.child: Child | None = None
         self.reading: asyncio.Task[None] | None = None
         self.zone = ""          # for splits by zone
 
@@ -47,6 +49,16 @@
         """Tell whether it has not ended; one that is stopped runs."""
         return self.child is not None and self.child.returncode is None
 
+    @property
+    def begun(self) -> Path:
+        """Tell the file that is there once its program has begun."""
+        return self.folder / "begun"
+
+    @property
+    def never_began(self) -> bool:
+        """Tell whether it has ended before its program began: what it was to run had no part in that."""
+        return self.child is not None and not self.running and not self.begun.exists()
+
     @property
     def pid(self) -> int:
         """Tell its id; raises ProcessLookupError where it does not run, so that nobody else's is ever taken."""
@@ -63,16 +75,15 @@
         self.environ.update(changes)
         self.since, self.starts = len(self.lines), self.starts + 1
         environ = {**os.environ, "PYTHONUNBUFFERED": "1", MEMORY: str(MEMORY_MB), PARENT: str(os.getpid()),
-                   DISK: str(self.folder / "disk"), CUTS: str(self.folder / "cuts"), **self.environ}
-        self.child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", LAUNCH, *self.words, cwd=ROOT, env=environ, stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+                   DISK: str(self.folder / "disk"), CUTS: str(self.folder / "cuts"), BEGUN: str(self.begun),
+                   **self.environ}
+        self.begun.unlink(missing_ok=True)
+        self.child = child.start([sys.executable, "-m", LAUNCH, *self.words], ROOT, environ)
         self.reading = asyncio.create_task(self._read(self.child))
 
-    async def _read(self, child: asyncio.subprocess.Process) -> None:
-        assert child.stdout is not None
+    async def _read(self, started: Child) -> None:
         rest = b""
-        while data := await child.stdout.read(65_536):
+        while data := await started.stdout.read(65_536):
             *lines, rest = (rest + data).split(b"\n")
             self._note(lines)
             rest = rest[-LONGEST_LINE:]
--- a/hophinge/load/rig/waiting.py
+++ b/hophinge/load/rig/waiting.py
@@ -29,6 +29,13 @@
     remedy = "Look at the log's last lines of the process that is named."
 
 
+class NeverBeganError(HophingeError):
+    """A process that ended before its program began."""
+
+    code = "rig-never-began"
+    remedy = "Look at its status and at the machine's memory: its program had no part in it; then begin the run again."
+
+
 class Condition(Struct, frozen=True):
     """A state of a process that is waited for."""
 
@@ -64,7 +71,7 @@
 async def until(conditions: Iterable[Condition], bound_s: float) -> float:
     """Wait until all conditions are true in one look at all; tells the seconds that it took.
 
-    Raises ConditionError at the bound.
+    Raises ConditionError at the bound, and NeverBeganError for a process that ended before its program began.
     """
     begun = time.monotonic()
     rows = list(conditions)
@@ -76,6 +83,8 @@
         false = {one: seen for one, (true, seen) in zip(open_, found, strict=True) if not true}
         if not false and len(open_) == len(rows):
             return time.monotonic() - begun
+        if stillborn := {one: seen for one, seen in false.items() if one.process.never_began}:
+            raise NeverBeganError(failure(stillborn, time.monotonic() - begun))
         if false and time.monotonic() - begun > bound_s:
             raise ConditionError(failure(false, bound_s))
         open_ = list(false) or rows     # what was true before may be so no more
--- a/tests/test_rig_processes.py
+++ b/tests/test_rig_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
 import signal
 import subprocess
@@ -11,9 +12,10 @@
 
 import pytest
 
-from hophinge.load.rig.launch import CLOCK
+from hophinge.load.rig import child
+from hophinge.load.rig.launch import CLOCK, MEMORY
 from hophinge.load.rig.processes import LAUNCH, ROOT, Process, Processes, TooManyError
-from hophinge.load.rig.waiting import Condition, ConditionError, always, ended, said, until
+from hophinge.load.rig.waiting import Condition, ConditionError, NeverBeganError, always, ended, said, until
 from tests.stand_in import run
 
 BOUND_S = 30.0
@@ -165,3 +167,47 @@
             await asyncio.sleep(0.01)
     run(main())
     assert not gone.exists() or gone.read_text().rpartition(")")[2].split()[0] == "Z"
+
+
+def test_a_child_that_dies_before_its_program_begins_is_told_as_such(tmp_path: Path) -> None:
+    async def main() -> None:
+        made = Processes(tmp_path)
+        one = made.make("one", ["no_such_module_of_rig"], {MEMORY: "not a number"})
+        await one.start()
+        with pytest.raises(NeverBeganError, match="one"):
+            await until([said(one, "hello")], BOUND_S)
+        assert one.never_began
+        other = module(made, "other")
+        await other.start()
+        await until([said(other, "clock")], BOUND_S)
+        assert not other.never_began
+        await other.kill()
+        assert not other.never_began
+        assert await made.close() == []
+
+    run(main())
+
+
+def test_nothing_of_this_process_runs_in_a_child_before_its_program() -> None:
+    """What libraries register for a fork is not run: with threads and channels open it may end the child."""
+    forked = ctypes.c_int(0)
+
+    def prepare() -> None:
+        forked.value += 1
+
+    kept = ctypes.CFUNCTYPE(None)(prepare)
+    register = ctypes.CDLL(None).__register_atfork
+    register(kept, None, None, None)
+    _KEPT.append(kept)          # the C library calls it for as long as this process lives
+
+    async def main() -> None:
+        one = child.start([sys.executable, "-c", "print('hello')"], ROOT, dict(os.environ))
+        assert await one.stdout.read() == b"hello\n"
+        assert await one.wait() == 0
+
+    before = forked.value
+    run(main())
+    assert forked.value == before
+
+
+_KEPT: list[object] = []
--- /dev/null
+++ b/tests/test_worst_days_operators.py
@@ -0,0 +1,109 @@
+"""Worst days, second point: two operators on one version, and changes that are sent again."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from hophinge.coordination.registers import MOST_TAKEN, Change, Entry, Outcome, Registers
+from tests.coordination_world import change
+from tests.worst_days import CONTACT_S, A, B, C, cut, formed, taken
+
+
+def test_two_operators_through_both_ends_of_a_split_are_never_both_told_yes() -> None:
+    for seed, (left, right) in enumerate(itertools.product((A, B, C), repeat=2)):
+        world = formed(20 + seed)
+        assert taken(world, B, change(0, 1, "first"))
+        one, two = world.ask(left, change(1, 2, "left")), world.ask(right, change(1, 2, "right"))
+        cut(world, {left})
+        world.run(6.0)
+        world.blocked.clear()
+        world.run(CONTACT_S)
+        again = world.ask(left, change(1, 2, "left")), world.ask(right, change(1, 2, "right"))
+        world.run(2.6)
+        outcomes = {"left": [world.answers[number].outcome for number in (one, again[0])],
+                    "right": [world.answers[number].outcome for number in (two, again[1])]}
+        told_yes = [name for name, found in outcomes.items() if Outcome.TAKEN in found]
+        assert len(told_yes) == 1, (left, right, outcomes)
+        assert Outcome.CONFLICT not in outcomes[told_yes[0]], "what was taken is never refused"
+        answer = world.read(A)
+        assert answer is not None
+        assert answer.payload == f"2:{told_yes[0]}".encode()
+
+
+def test_the_identical_bytes_of_two_operators_are_one_change() -> None:
+    world = formed(30)
+    requests = [world.ask(address, change(0, 1, "same")) for address in (A, B, C)]
+    world.run(0.5)
+    assert [world.answers[one].outcome for one in requests] == [Outcome.TAKEN] * 3
+    assert world.machine(A).chain.registers.sequence == 1
+
+
+@pytest.mark.parametrize("further", [0, 1, 300])
+@pytest.mark.parametrize("between", ["nothing", "view", "power", "restart"])
+def test_a_change_that_is_sent_again_is_taken_whatever_came_between(further: int, between: str) -> None:
+    world = formed(31)
+    assert taken(world, A, change(0, 1, "first"))
+    for number in range(1, further + 1):
+        request = world.ask(B, change(number, number + 1, "more"))
+        while request not in world.answers:
+            world.run(0.01)
+        assert world.answers[request].outcome is Outcome.TAKEN
+    if between == "view":
+        world.kill(A)
+        world.run(3.0)
+        world.start(A)
+        world.run(3.0)
+    elif between in ("power", "restart"):
+        for address in (A, B, C):
+            if between == "restart":        # from a snapshot: all that a slot holds, and no log
+                world.members[address].disk.records = [world.machine(address).state()]
+            world.kill(address)
+        world.run(0.5)
+        for address in (A, B, C):
+            world.start(address)
+        world.run(3.0)
+    for address in (A, B, C):
+        assert taken(world, address, change(0, 1, "first"))
+    answer = world.read(C)
+    assert answer is not None
+    assert answer.version == further + 1, "nothing was put in force twice"
+
+
+@pytest.mark.parametrize("survives", [True, False])
+def test_a_change_whose_first_copy_is_in_flight_at_an_old_head_is_taken_once(survives: bool) -> None:
+    """Head A has applied the first copy, and passed it on or not, when the rest goes on without A."""
+    world = formed(32)
+    head = world.machine(A).view.head().address  # type: ignore[union-attr]
+    others = [address for address in (A, B, C) if address != head]
+    if not survives:
+        cut(world, {head})
+    first = world.ask(head, change(0, 1, "x"))
+    if survives:
+        world.run(0.0015)
+        cut(world, {head})
+    world.run(2.0)
+    second = world.ask(others[0], change(0, 1, "x"))
+    world.run(2.6)
+    assert world.answers[second].outcome is Outcome.TAKEN
+    assert world.answers[first].outcome in (None, Outcome.TAKEN)
+    world.blocked.clear()
+    world.run(CONTACT_S)
+    assert all(world.machine(address).chain.registers.sequence == 1 for address in (A, B, C))
+    assert taken(world, head, change(0, 1, "x"))
+
+
+def test_the_bound_on_changes_that_are_remembered() -> None:
+    """The newest 4,096 are known again; one that is older is refused like any that builds on an old version."""
+    registers, count = Registers(), MOST_TAKEN + 1
+    changes = [Change("k", number, number + 1, b"%d" % number, b"") for number in range(count)]
+    for number, one in enumerate(changes, 1):
+        assert registers.judge(one) is None
+        registers.apply(Entry(number, one))
+    assert registers.judge(changes[0]) is Outcome.CONFLICT
+    assert {registers.judge(one) for one in changes[1:]} == {Outcome.TAKEN}
+    again = Registers()
+    again.restore(registers.snapshot())
+    assert {again.judge(one) for one in changes[1:]} == {Outcome.TAKEN}
+    assert len(registers.taken["k"]) == MOST_TAKEN
--- /dev/null
+++ b/tests/worst_days.py
@@ -0,0 +1,53 @@
+"""What the simulated worst days share."""
+
+from __future__ import annotations
+
+from hophinge.coordination.registers import Change, Outcome
+from tests.coordination_world import World, change
+
+A, B, C, D = (f"10.0.0.{number}:7660" for number in range(1, 5))
+CONTACT_S = 3.0
+BACK_S = 3.0                # for changes to be taken again after a loss
+
+
+def formed(seed: int, count: int = 3, others: int = 0) -> World:
+    world = World(seed, count)
+    for number in range(others):
+        world.add(f"10.0.1.{number}:7660", votes=False)
+    world.run(2.0)
+    return world
+
+
+def taken(world: World, address: str, one: Change) -> bool:
+    request = world.ask(address, one)
+    world.run(2.6)
+    return world.answers[request].outcome is Outcome.TAKEN
+
+
+def cut(world: World, inside: set[str], one_way: bool = False) -> None:
+    outside = set(world.members) - inside
+    world.blocked |= {(one, other) for one in inside for other in outside}
+    if not one_way:
+        world.blocked |= {(other, one) for one in inside for other in outside}
+
+
+def formed_with_a_change(seed: int, count: int = 3) -> World:
+    world = World(seed, count)
+    world.run(2.0)
+    request = world.ask(B, change(0, 1, "first"))
+    world.run(0.3)
+    assert world.answers[request].outcome is Outcome.TAKEN
+    return world
+
+
+def still_works(world: World, *, within_s: float = BACK_S) -> None:
+    """What was acknowledged is there, and a change is taken, at each member that runs."""
+    world.run(within_s)
+    running = [address for address in sorted(world.members) if world.members[address].machine is not None]
+    answers = [world.read(address) for address in running]
+    assert None not in answers, "no majority is left, or no chain"
+    newest = max(answer.version for answer in answers if answer is not None)
+    assert newest >= 1
+    request = world.ask(running[-1], change(newest, newest + 1, "later"))
+    world.run(2.6)
+    assert world.answers[request].outcome is Outcome.TAKEN
--- a/tests/worst_days_mutants.py
+++ b/tests/worst_days_mutants.py
@@ -5,6 +5,7 @@
 from tests.mutant import Mutant
 
 CUTS = "tests/test_worst_days_cuts.py::"
+OPERATORS = "tests/test_worst_days_operators.py::"
 LOSSES = "tests/test_worst_days_losses.py::"
 CATCHING_UP = "tests/test_worst_days_catching_up.py::"
 HOLD = "tests/test_coordination_quorum_hold.py::"
@@ -61,7 +62,7 @@
            CUTS + "test_a_member_that_is_cut_off_says_so_at_once"),
     Mutant("what was remembered goes with a snapshot", "coordination/registers",
            "        self.taken = {key: dict(digests) for key, digests in snapshot.taken}", "        self.taken = {}",
-           CUTS + "test_a_change_that_is_sent_again_is_taken_whatever_came_between"),
+           OPERATORS + "test_a_change_that_is_sent_again_is_taken_whatever_came_between"),
     Mutant("a copy is sent anew before the last may have come", "coordination/chain",
            "        return once * float(2 ** min(max(0, self.syncs - 1), MOST_DOUBLINGS))",
            "        return SYNC_AGAIN_S",
