--- a/tests/coordination_histories.py
+++ b/tests/coordination_histories.py
@@ -7,12 +7,23 @@
 from functools import partial
 from random import Random
 
-from hophinge.coordination.registers import Outcome
-from tests.coordination_world import Attempted, World, change
+from hophinge.coordination.registers import Change, Outcome
+from tests import linearizability
+from tests.coordination_world import World, change
+from tests.linearizability import Call
 
 LEAST_TAKEN = 5             # changes that a history takes, however many faults it has
 
 
+@dataclass
+class Attempted:
+    """One change that an operator sent, and what is known of it."""
+
+    change: Change
+    acknowledged_at: float | None = None
+    refused: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ReadAttempt:
     """A read, and the newest version that anybody was told of before it was asked."""
@@ -159,6 +170,19 @@
     return History(world, attempts, reads)
 
 
+def calls(history: History) -> list[Call]:
+    """Tell the calls of a history that were answered."""
+    world = history.world
+    answered = [(request, answer) for request, answer in world.answers.items() if answer.outcome is not None]
+    return [Call(world.asked[request][0], world.answered_at[request], world.asked[request][1], answer.outcome,
+                 answer.version) for request, answer in answered if answer.outcome is not None]
+
+
+def sent(history: History) -> list[tuple[float, Change]]:
+    """Tell all changes that were sent, with when."""
+    return [(asked, one) for asked, one in history.world.asked.values() if one is not None]
+
+
 def check(history: History) -> None:
     """Check what a history has to have kept; raises AssertionError."""
     world, attempts = history.world, history.attempts
@@ -175,6 +199,7 @@
         assert answer is not None, f"{address} does not answer reads after the last fault"
         assert answer.version >= newest, "an acknowledged change is lost"
     assert len(acknowledged) >= LEAST_TAKEN, "hardly anything was taken"
+    linearizability.check(calls(history), sent(history))
 
 
 def drawn(seed: int) -> History:
--- a/tests/coordination_world.py
+++ b/tests/coordination_world.py
@@ -22,7 +22,7 @@
 
 @dataclass
 class Disk:
-    """Records that last, and the identity of the disk."""
+    """Records that last, and the disk's identity."""
 
     identity: str
     records: list[Record | StateRecord] = field(default_factory=list)
@@ -46,15 +46,6 @@
     published: list[Published] = field(default_factory=list)
 
 
-@dataclass
-class Attempted:
-    """One change that an operator sent, and what is known of it."""
-
-    change: Change
-    acknowledged_at: float | None = None
-    refused: bool = False
-
-
 class World:
     """Time, network, disks, and what was seen from outside."""
 
@@ -72,6 +63,7 @@
         self.members: dict[str, Member] = {}
         self.answers: dict[int, Answer] = {}
         self.answered_at: dict[int, float] = {}
+        self.asked: dict[int, tuple[float, Change | None]] = {}
         self.requests = itertools.count(1)
         self.published: dict[int, bytes] = {}
         self.seeds = tuple(f"10.0.0.{number}:7660" for number in range(1, min(3, count) + 1))
@@ -145,7 +137,7 @@
 
 
     def lag(self, most_s: float, seconds: float) -> None:
-        """Have messages come up to so much later, each by itself, so that later ones overtake them."""
+        """Have messages come up to so much later, so that later ones overtake them."""
         self.lag_s = most_s
         self.at(seconds, lambda: setattr(self, "lag_s", 0.0))
 
@@ -233,6 +225,7 @@
     def ask(self, address: str, change: Change | None, patience: float = 2.5) -> int:
         request = next(self.requests)
         member = self.members[address]
+        self.asked[request] = self.now, change
         if member.machine is not None and member.frozen_until <= self.now:
             requested = Requested(request, KEY, change, patience)
             self._settle(member, member.machine.handle(self.now, requested))
--- /dev/null
+++ b/tests/test_linearizability.py
@@ -0,0 +1,45 @@
+"""The checker finds what it is for, and the drawn histories pass it."""
+
+from __future__ import annotations
+
+import pytest
+
+from hophinge.coordination.registers import Change, Outcome
+from tests.coordination_histories import calls, drawn, sent
+from tests.coordination_world import change
+from tests.linearizability import Call, check
+
+ONE, TWO, RIVAL = change(0, 1, "a"), change(1, 2, "b"), change(1, 3, "c")
+SENT = ((0.0, ONE), (2.0, TWO), (0.0, RIVAL))
+
+
+def _call(asked: float, answered: float, one: Change | None, outcome: Outcome, version: int) -> Call:
+    return Call(asked, answered, one, outcome, version)
+
+
+TOOK_ONE = _call(0.0, 1.0, ONE, Outcome.TAKEN, 1)
+TOOK_TWO = _call(2.0, 3.0, TWO, Outcome.TAKEN, 2)
+
+
+@pytest.mark.parametrize("call", [
+    _call(4.0, 5.0, None, Outcome.VALUE, 2), _call(2.5, 5.0, None, Outcome.VALUE, 1),
+    _call(1.5, 2.5, None, Outcome.VALUE, 2), _call(0.5, 1.5, None, Outcome.VALUE, 0),
+    _call(4.0, 5.0, ONE, Outcome.TAKEN, 2),
+    _call(4.0, 5.0, RIVAL, Outcome.CONFLICT, 2)])
+def test_what_fits_one_order_passes(call: Call) -> None:
+    assert check([TOOK_ONE, TOOK_TWO, call], SENT) == 3
+
+
+@pytest.mark.parametrize("call", [
+    _call(4.0, 5.0, None, Outcome.VALUE, 1), _call(4.0, 5.0, RIVAL, Outcome.CONFLICT, 1),
+    _call(4.0, 5.0, None, Outcome.VALUE, 0), _call(0.0, 0.5, None, Outcome.VALUE, 3),
+    _call(0.0, 1.0, RIVAL, Outcome.TAKEN, 3), _call(0.0, 1.5, None, Outcome.VALUE, 2)])
+def test_what_fits_no_order_is_found(call: Call) -> None:
+    with pytest.raises(AssertionError):
+        check([TOOK_ONE, TOOK_TWO, call], SENT)
+
+
+@pytest.mark.parametrize("seed", range(1_000, 1_012))
+def test_drawn_histories_are_linearizable(seed: int) -> None:
+    history = drawn(seed)
+    assert check(calls(history), sent(history)) > 10
