--- a/benchmarks/stream_costs.py
+++ b/benchmarks/stream_costs.py
@@ -16,7 +16,7 @@
 
 from hophinge.core.interface import Arrival, ListKind, NodeEntry, NodeList, Phase  # noqa: E402
 from hophinge.core.settings import read_settings  # noqa: E402
-from hophinge.routing.forms import read  # noqa: E402
+from hophinge.routing.record_reader import read  # noqa: E402
 from hophinge.routing.index import Index  # noqa: E402
 from hophinge.routing.admitted import Pass  # noqa: E402
 from hophinge.routing.records import Limit, Scope  # noqa: E402
--- a/hophinge/cli/main.py
+++ b/hophinge/cli/main.py
@@ -58,7 +58,7 @@
 @app.command()
 def check(files: Annotated[list[Path], typer.Argument(help="service documents")]) -> None:
     """Check service documents; each mistake is one line FILE:LINE:COLUMN: what is wrong, and the status is 2."""
-    from hophinge.routing.forms import read
+    from hophinge.routing.record_reader import read
 
     wrong = False
     for file in files:
--- a/hophinge/control/staff.py
+++ b/hophinge/control/staff.py
@@ -17,7 +17,7 @@
 from hophinge.control.store import StoreError
 from hophinge.control.tokens import bearer
 from hophinge.routing import records
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 
 if TYPE_CHECKING:
     from hophinge.control.service import ControlService
--- a/hophinge/load/plan.py
+++ b/hophinge/load/plan.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from hophinge.routing.document import Atom, Form, Mistake, Node, decode, parse
-from hophinge.routing.forms import Fields
+from hophinge.routing.record_reader import Fields
 
 VERSION = "1"
 FAULTS = ("fail", "hang", "slow", "cold", "vanish")
--- a/hophinge/routing/forms.py
+++ b/hophinge/routing/record_reader.py
@@ -1,4 +1,4 @@
-"""Forms to records, with checks that need nothing but the document itself."""
+"""Reads the records of a configuration document, with checks that need nothing but the document itself."""
 
 from __future__ import annotations
 
--- a/hophinge/routing/table.py
+++ b/hophinge/routing/table.py
@@ -7,7 +7,7 @@
 from typing import TypeVar
 
 from hophinge.core.interface import Settings
-from hophinge.routing.forms import faults
+from hophinge.routing.record_reader import faults
 from hophinge.routing.index import Index
 from hophinge.routing.records import Eject, Limit, Plan, Pool, Record, Retries, Route, Spare, Tenant
 
--- a/tests/request_endings.py
+++ b/tests/request_endings.py
@@ -1,4 +1,4 @@
-"""The ways in which an instance's answer to a request may end, one function each; all but the last few are hostile."""
+"""The ways in which an instance's answer to a request may end, one function each."""
 
 from __future__ import annotations
 
@@ -7,7 +7,6 @@
 from tests.scripted_instance import (
     EXTRA,
     NOT_EXECUTED,
-    SILENT_S,
     STAMP,
     Asked,
     Connection,
@@ -17,8 +16,6 @@
     sound_body,
 )
 
-BEFORE_BODY: set[str] = set()       # endings that come before the request's body was read
-
 
 def before_body(ending: Ending) -> Ending:
     """Mark an ending that does not wait for the body."""
@@ -165,4 +162,3 @@
     two_answers, surplus_bytes, no_length, interim_answers, status(500, executed=True, more=STAMP),
     status(504, executed=True, more=STAMP), status(400, executed=True, more=STAMP))
 SILENCES = (silence, half_an_answer_and_silence)
-assert SILENT_S > 1.0
--- a/tests/routes.py
+++ b/tests/routes.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from hophinge.core.interface import Arrival, Bounds, ListKind, NodeEntry, NodeList, Phase, Waits
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Record
 from hophinge.routing.router import Router
--- a/tests/scripted_instance.py
+++ b/tests/scripted_instance.py
@@ -13,7 +13,6 @@
 from typing import Any
 
 EVENTS = 4
-SILENT_S = 30.0             # longer than any deadline of a test
 EXTRA = (b"HTTP/1.1 200 OK\r\nHophinge-Request-Id: other\r\nHophinge-Server-Signature: s\r\n"
          b"Content-Length: 5\r\n\r\nother")
 
--- a/tests/test_control_drains.py
+++ b/tests/test_control_drains.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 
 import pytest
 
@@ -18,10 +16,6 @@
 ONE, TWO, THREE, FOUR, FIVE = (f"10.0.0.{number}:7660" for number in range(1, 6))
 
 
-def _played(work: Coroutine[Any, Any, None]) -> None:
-    play(work)
-
-
 async def _formed(seed: int, voters: int = 3) -> ControlWorld:
     """A fleet that has stood for some seconds and knows an instance."""
     world = ControlWorld(seed, voters, 5 - voters)
@@ -48,9 +42,11 @@
         assert world.loop.time() - asked < 0.1
         await asyncio.sleep(0.1)
         assert not world.ready_at("i")
-        assert not await world.beat(ONE, "i", READY, 1) or not world.ready_at("i")
+        await world.beat(ONE, "i", READY, 1)
+        await asyncio.sleep(0.1)
+        assert not world.ready_at("i"), "a late heartbeat brings nothing back"
 
-    _played(run())
+    play(run())
 
 
 @pytest.mark.parametrize("cut_off", [{ONE}, {ONE, FOUR}, {FOUR, FIVE}, {ONE, FOUR, FIVE}])
@@ -67,7 +63,7 @@
         await _watch(world, CONTACT_S + DRAIN_S + 1.0)
         assert await world.beat(ONE, "i", DRAINING, 10)
 
-    _played(run())
+    play(run())
 
 
 @pytest.mark.parametrize("giver", [ONE, FIVE])
@@ -84,7 +80,7 @@
         await _watch(world, 6.0)
         assert not world.ready_at("i")
 
-    _played(run())
+    play(run())
 
 
 def test_two_of_five_voters_that_are_cut_off_together_acknowledge_nothing() -> None:
@@ -98,7 +94,7 @@
         assert await world.beat(THREE, "i", DRAINING, 9)
         await _watch(world, CONTACT_S + DRAIN_S + 1.0)
 
-    _played(run())
+    play(run())
 
 
 def test_a_leaving_reaches_those_whom_its_giver_cannot_reach() -> None:
@@ -110,7 +106,7 @@
         await asyncio.sleep(0.05)
         assert not world.ready_at("i")
 
-    _played(run())
+    play(run())
 
 
 def test_a_member_that_reaches_the_core_acknowledges_while_another_is_cut_off() -> None:
@@ -123,7 +119,7 @@
         await _watch(world, 6.0)
         assert not world.ready_at("i")
 
-    _played(run())
+    play(run())
 
 
 def test_an_older_word_than_what_is_known_acknowledges_nothing() -> None:
@@ -133,7 +129,7 @@
         await asyncio.sleep(1.0)
         assert not await world.beat(ONE, "i", DRAINING, 5), "it said since that it is ready"
 
-    _played(run())
+    play(run())
 
 
 async def _disturb(world: ControlWorld, random: Random) -> None:
@@ -184,4 +180,4 @@
             task.cancel()
         assert len(world.acknowledged) >= 3
 
-    _played(run())
+    play(run())
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from hophinge.routing import records
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 from hophinge.routing.quantities import EXAMPLES, UNITS, QuantityError, quantity, written
 
 EXAMPLE = (Path(__file__).parent.parent / "examples" / "service.sexp").read_bytes()
--- a/tests/test_maintenance_naming.py
+++ b/tests/test_maintenance_naming.py
@@ -16,7 +16,7 @@
 from hophinge.maintenance.shown import shown
 from hophinge.maintenance.messages import Listed, Report, Word
 from hophinge.routing.bounds import Maintenance, Most, Outage
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 from hophinge.routing.records import Record
 from tests.maintenance_process import Head
 from tests.maintenance_world import MemoryStore, S, World
--- a/tests/test_maintenance_parts.py
+++ b/tests/test_maintenance_parts.py
@@ -23,7 +23,7 @@
 from hophinge.maintenance.messages import Word
 from hophinge.routing import records
 from hophinge.routing.bounds import Maintenance, Most, Outage, Release
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 from hophinge.state.files import Disk
 from tests.maintenance_process import Head
 from tests.stand_in import run, until
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -11,7 +11,7 @@
 
 from hophinge.core.choice import Scheduler
 from hophinge.core.interface import ListKind, NodeList, Phase
-from hophinge.routing.forms import read
+from hophinge.routing.record_reader import read
 from hophinge.routing.index import Index
 from hophinge.routing.admitted import Pass
 from hophinge.routing.records import Plan, Record, Scope
