Control: tokens of held records begin at a number drawn for each life

Cause, by reading: a word that a record is held, delayed over the giver's restart, could settle another record under the same small number. Change: the numbers begin at 40 random bits.

--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import secrets
 from collections.abc import Callable
 from random import Random
 
@@ -44,7 +45,7 @@
         self.service = InstanceService(machine.me, self.dissemination, self.registry)
         self.leases = LeaseTable()
         self.loads = StageLoads()
-        self.requests = itertools.count(1)
+        self.requests = itertools.count(secrets.randbits(40))      # an answer to the process before this one fits none
         self.callers: dict[int, asyncio.Future[bool]] = {}
         self.shared = self.compared = 0.0
         self.relay_due = False
