--- a/tests/test_tenancy_heads.py
+++ b/tests/test_tenancy_heads.py
@@ -212,7 +212,7 @@
             while not neighbours.done():
                 surge += [asyncio.create_task(put(here, head, client, "cc", next(number))) for _ in range(12)]
                 await asyncio.sleep(0.02)
-            assert await neighbours == [{200: 20}, {200: 20}]
+            assert [dict(codes) for codes in await neighbours] == [{200: 20}, {200: 20}]
             refused = Counter(await asyncio.gather(*surge))
             assert refused[503] > 100 and refused[200] > 20
     run(main())
