Tests: a tenant's requests are all there before those that wait are counted

The test waited for five of them, not for all. Change: it waits until all eleven are inside or waiting, and still asks for five that wait.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -19,6 +19,8 @@
 from tests.stand_in import held_by, run, until
 from tests.test_service import ROOT
 
+UNITS = 8                   # of each request
+
 
 def test_heads_follow_the_accounts_and_serve_from_their_copy_when_the_service_is_gone(tmp_path: Path) -> None:
     async def main() -> None:
@@ -112,13 +114,15 @@
                 async with here.made.client.put(
                         f"{here.made.url(head)}/transfer-write/{volume}/{number:016x}", data=b"x", headers={
                             "X-Txn": f"{number:016x}", "X-Qos-Policy": "priority", "X-Remaining-Ms": "30000",
-                            "X-Placement": "units=8,shard=-1,hosts=1"}) as answer:
+                            "X-Placement": f"units={UNITS},shard=-1,hosts=1"}) as answer:
                     await answer.read()
                     return answer.status
 
             tasks = [asyncio.create_task(ask(at)) for at in range(1, 12)]
-            await until(lambda: router.admission is not None and router.admission.tree.waiting >= 5)
+            await until(lambda: router.admission is not None
+                        and router.admission.tree.waiting + router.admission.inside / UNITS == len(tasks))
             assert router.admission is not None
+            assert router.admission.tree.waiting >= 5
             waiting, inside = router.admission.tree.waiting, 11 - router.admission.tree.waiting
             # The administrator halves its reserve and raises it again meanwhile: what was let in stays in.
             for reserve in (1, 100):
