Placement: mechanisms stand in one policy object, and each request keeps a trace

Cause: constants of placement stood in five modules, so that none could be turned off without an edit, and nobody could say why a request came late.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -62,16 +62,19 @@
         self.loop = asyncio.get_running_loop()
         self.closing = closing
         self.started = False        # an answer's head went to the client
+        self.ending = ""            # what the client got
 
     async def run(self) -> None:
         """Go through attempts until the client has its answer; memory read for nothing is freed."""
         try:
-            await self._attempts()
+            self.ending = "client left"
+            self.ending = await self._attempts()
         finally:
+            self.life.trace.ended(self.loop.time(), self.ending)
             for handle in self.life.leftover():
                 self.upstream.free(handle)
 
-    async def _attempts(self) -> None:
+    async def _attempts(self) -> str:
         while True:
             step = self.life.next(self.loop.time())
             if not isinstance(step, Read | Run):
@@ -82,11 +85,13 @@
             finally:
                 over = self.life.ended(self.loop.time(), step.placed, result)
             if over:
-                return
+                return result.ending.name
         if self.started:
+            self.ending = "broken off"
             raise BrokenOffError
         headers = [] if step.come_back_s is None else [(b"retry-after", f"{step.come_back_s:.2f}".encode())]
         await answer(self.send, step.status, b"", [*headers, *self._closing()])
+        return f"refused {step.status}"
 
     def _closing(self) -> Fields:
         return [(b"connection", b"close")] if self.closing else []
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -9,6 +9,7 @@
 
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import Limits, Route
+from hophinge.fleet.dataplane import request_log
 from hophinge.fleet.dataplane.exchange import BrokenOffError, Exchange, Inbound
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
@@ -25,6 +26,7 @@
 )
 from hophinge.fleet.forwarding.life import Life
 from hophinge.fleet.forwarding.split import SplitDraws
+from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
@@ -138,8 +140,9 @@
         budget.requested(arrived)
         name = inbound.request_id or str(self.random.getrandbits(64))
         heads = self.knowledge.renewal.most_holders
+        trace = RequestTrace(route.name, arrived, route.target_s)
         return Life(name, route, service, prompt, engine is not None, arrived + route.target_s,
-                    deadline, self.placement, budget, heads)
+                    deadline, self.placement, budget, heads, trace)
 
     async def _carry(self, exchange: Exchange, receive: Receive) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
@@ -156,3 +159,5 @@
         finally:
             watching.cancel()
             carrying.cancel()
+            if self.placement.policy.trace:
+                request_log.write(exchange.life.trace, exchange.life.prompt, self.settings.zone)
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -11,6 +11,7 @@
 from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.dataplane.front import Front
 from hophinge.fleet.dataplane.knowledge import KNOWLEDGE_TICK_S, Knowledge
+from hophinge.fleet.dataplane.trial import trial_policy
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.placement.hints import Hints, Reports, Suspects, WantHints
 from hophinge.fleet.placement.placement import Placement
@@ -37,7 +38,7 @@
         self.addresses = settings.front, settings.ready
         self.signals = Signals()
         self.tasks = Tasks(self.signals.ending)
-        self.placement = Placement(settings.zone, self._ended, Random(), self._schedule_hints)
+        self.placement = Placement(settings.zone, self._ended, Random(), self._schedule_hints, trial_policy())
         self.hints_due = False
         self.upstream = Upstream()
         self.knowledge = Knowledge(settings, self._send, self._instance, self._configured,
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -17,6 +17,7 @@
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.life import GiveUp, Life, Read, Run
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
+from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.hints import Reports
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.stages import StageLoads, wanted_switch
@@ -169,7 +170,8 @@
         budget = self.budgets[number]
         budget.requested(now)
         life = Life(f"{id(outcome)}-{retries}", route, SERVICE, outcome.arrival.prompt, True, now + kind.aim_s,
-                    began + kind.deadline_s, self.heads[number], budget, len(self.heads))
+                    began + kind.deadline_s, self.heads[number], budget, len(self.heads),
+                    RequestTrace(kind.name, now, kind.aim_s))
         self._next(Journey(outcome, life, self.heads[number], retries), began)
 
     def _next(self, journey: Journey, began: float) -> None:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -11,6 +11,7 @@
 from hophinge.fleet.configuration.routes import Route
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
+from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.placement import Placement, Plan, Wish
 from hophinge.fleet.placement.pool import Placed, Pool, ended
@@ -66,6 +67,7 @@
     placement: Placement
     budget: RetryBudget
     heads: int
+    trace: RequestTrace
     ran: bool = False           # an attempt may have run
     begun: bool = False         # some of an answer went to the client
     reads: int = 0
@@ -92,6 +94,8 @@
             plan = self._plan(now)
         if plan is None:
             return self._give_up(BAD_GATEWAY)
+        placed = plan.placed
+        self.trace.sent(now, placed.pool.stage, placed.node.instance.identity, placed.units, plan.forecast)
         return self._read(now, plan) if plan.reads else self._run(now, plan)
 
     def _plan(self, now: float) -> Plan | None:
@@ -140,10 +144,12 @@
     def streaming(self, now: float, placed: Placed) -> None:
         """The first event of an answer has come: the instance has read, and makes tokens from now on."""
         self.placement.answered(now, placed, True)
+        self.trace.began(now)
 
     def ended(self, now: float, placed: Placed, result: Result) -> bool:
         """Take the end of an attempt; tells whether the request is over."""
         node, ending = placed.node, result.ending
+        self.trace.attempt_ended(now, ending.name)
         if ending in (Ending.READ, Ending.ANSWERED):
             self.placement.answered(now, placed, False)
         ended(now, placed)
@@ -152,6 +158,7 @@
             self.handle = result.handle
             return False
         if ending in (Ending.ANSWERED, Ending.FAILED):
+            self.trace.began(now)
             return True
         self._failed(now, node, placed.pool, ending)
         return False
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -20,7 +20,6 @@
 ROOMY = 0.6                 # part of its memory up to which an instance admits requests without a wait
 FILLED_US = 3_000_000.0     # what a request waits at an instance that is full beyond that by all of its memory
 WAITING_US = 40_000.0       # what each request that waits there already adds
-KEPT_PART = 0.8             # of an instance's memory that cached parts are believed to have; the rest runs
 
 
 class Cache:
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -16,7 +16,8 @@
 
 from hophinge.fleet.placement.hints import Done, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
-from hophinge.fleet.placement.node import KEPT_PART, MICROSECONDS, Cache, Node
+from hophinge.fleet.placement.node import MICROSECONDS, Cache, Node
+from hophinge.fleet.placement.policy import Policy
 from hophinge.fleet.placement.pool import Offer, Placed, Pool, answered
 from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
@@ -42,6 +43,16 @@
     aim_at: float               # when its answer is due
 
 
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """What was reckoned when an attempt was placed."""
+
+    wait_us: float              # until the instance begins
+    spent_us: float             # of the instance's time
+    done_us: float              # from then on until the first token
+    late: bool                  # it could not be in time anywhere
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Where the next attempt of a request goes."""
@@ -49,6 +60,7 @@
     placed: Placed
     reads: bool                 # only the prompt is read there
     priority: int               # at the instance: 0 first
+    forecast: Forecast
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +76,8 @@
     """The books of one data plane."""
 
     def __init__(self, zone: str, changed: Callable[[str], None], random: Random,
-                 pending: Callable[[], None] = lambda: None) -> None:
+                 pending: Callable[[], None] = lambda: None, policy: Policy = Policy()) -> None:    # noqa: B008 - frozen
+        self.policy = policy
         self.zone, self.changed, self.random, self.pending = zone, changed, random, pending
         self.pools: dict[tuple[str, str], Pool] = {}
         self.nodes: dict[str, Node] = {}
@@ -92,7 +105,7 @@
 
     def configured(self, memory: dict[str, int]) -> None:
         """Take the tokens that instances of each service hold, of which some are for running requests."""
-        self.memory = {service: int(tokens * KEPT_PART) for service, tokens in memory.items()}
+        self.memory = {service: int(tokens * self.policy.kept_part) for service, tokens in memory.items()}
         for node in self.nodes.values():
             node.cache.tokens = self.memory.get(node.instance.service, 0)
 
@@ -101,7 +114,7 @@
         key = service, stage
         found = self.pools.get(key)
         if found is None:
-            found = self.pools[key] = Pool(stage)
+            found = self.pools[key] = Pool(stage, self.policy)
         return found
 
     # --- hints ---------------------------------------------------------------------------------------------------
@@ -188,7 +201,7 @@
     def generation(self, wish: Wish, prompt: Prompt) -> Plan | None:
         """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
         prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
-        weighing = Weighing(prompt, self.zone, prefill, decode)
+        weighing = Weighing(prompt, self.zone, prefill, decode, self.policy)
 
         def units(node: Node) -> float:
             return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
@@ -202,7 +215,7 @@
     def decode(self, wish: Wish, prompt: Prompt, reader: str) -> Plan | None:
         """Place a request whose prompt was read at an instance: it is charged for what moving it takes."""
         decode = self.pool(wish.service, DECODE)
-        weighing = Weighing(prompt, self.zone, self.pool(wish.service, PREFILL), decode)
+        weighing = Weighing(prompt, self.zone, self.pool(wish.service, PREFILL), decode, self.policy)
 
         def choose(late: bool) -> Choice | None:
             offers = self._offers(decode, wish, prompt.key, lambda node: float(LEAST_TOKENS), late)
@@ -224,7 +237,7 @@
         nodes = pool.group(wish.now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
         if not nodes:
             nodes = pool.group(wish.now, key, wish.avoid, lambda node: node.out < CEILING)
-        return pool.offers(wish.now, nodes, units, late)
+        return pool.offers(wish.now, nodes, units, wish.aim_at * MICROSECONDS, late)
 
     def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None) -> Plan:
         """Book an offer, and have the other heads told of it."""
@@ -237,4 +250,5 @@
         identity = offer.node.instance.identity
         self.pending_hints.append(Hint(identity, int(offer.units), parts, offer.priority, memory, number))
         self.pending()
-        return Plan(choice.pool.reserve(wish.now, offer, wish.name, number), choice.reads, offer.priority)
+        forecast = Forecast(offer.wait_us, offer.spent_us, choice.done_us - wish.now * MICROSECONDS, offer.late)
+        return Plan(choice.pool.reserve(wish.now, offer, wish.name, number), choice.reads, offer.priority, forecast)
--- /dev/null
+++ b/hophinge/fleet/placement/policy.py
@@ -0,0 +1,35 @@
+"""The mechanisms of placement that can be turned off one by one, and the figures they work with.
+
+The defaults are what is in service. Trials give other values in a file beside a checkout (`dataplane/trial.py`); no
+deployment sets any of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Order(Enum):
+    """In which order instances are asked to read the prompts that can be in time."""
+
+    SHORTEST = "shortest"       # the least work first
+    SLACK = "slack"             # the least time to spare first
+    ARRIVAL = "arrival"
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What placement does."""
+
+    order: Order = Order.SHORTEST
+    late_last: bool = True              # what can't be in time waits behind everything else
+    pairs: bool = False                 # time to read grows with the square of a prompt's length too
+    group: int = 3                      # members of a key's group
+    kept_part: float = 0.8              # of an instance's memory, believed to hold cached parts
+    others_share: float = 0.3           # weight of an instance's time, which others wait for, beside one's own time
+    streams_share: float = 0.4          # more of it for each answer that is being made there
+    again_us: float = 20.0              # weight of each token that is read again though another instance keeps it
+    guessed_part: float = 0.5           # of a shared part's reading, saved at its first member where nobody keeps it
+    out_part: float = 0.5               # of the route's aim that the units out at an instance may fill
+    trace: bool = False                 # each request's way is logged
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -13,15 +12,13 @@
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.hints import Hint
 from hophinge.fleet.placement.node import MICROSECONDS, Node
+from hophinge.fleet.placement.policy import Policy
 from hophinge.fleet.placement.queue import Job
 from hophinge.fleet.placement.timing import PLAIN, StageTiming
+from hophinge.fleet.placement.urgency import priority_of
 from hophinge.fleet.registry.instance import LOST
 
-GROUP = 3                   # members of a key's group
-PART = 0.5                  # part of the route's aim that the units out at an instance may fill
 FEW = 4                     # requests that may always be out at an instance
-LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
-SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)   # shorter work is admitted before longer
 
 
 @dataclass(slots=True)
@@ -45,6 +42,8 @@
     done_us: float              # when the units would be done
     spent_us: float             # what they take of the instance's time
     priority: int               # that it would have there: 0 first
+    wait_us: float              # until it would be begun
+    late: bool                  # it can't be in time
 
 
 def rank(key: str, node: Node) -> bytes:
@@ -55,8 +54,8 @@
 class Pool:
     """The instances of one stage of one service."""
 
-    def __init__(self, stage: str) -> None:
-        self.stage = stage
+    def __init__(self, stage: str, policy: Policy) -> None:
+        self.stage, self.policy = stage, policy
         self.nodes: dict[str, Node] = {}
         self.timing = StageTiming(stage)
 
@@ -85,26 +84,29 @@
         ready = self._ready(now, avoid)
         usable = [node for node in ready if not node.rests(now)] or ready
         ranked = sorted(usable, key=lambda node: rank(key, node))
-        found = [node for node in ranked[:GROUP] if fits(node)]
-        return found or [node for node in ranked[GROUP:] if fits(node)]
+        found = [node for node in ranked[:self.policy.group] if fits(node)]
+        return found or [node for node in ranked[self.policy.group:] if fits(node)]
 
     def room(self, node: Node, units: float, aim_s: float) -> bool:
         """The bound on what is out at an instance from here."""
         if len(node.book.slots) < FEW:
             return True
-        bound = PART * aim_s * MICROSECONDS / self.unit_us(node) * self.width
+        bound = self.policy.out_part * aim_s * MICROSECONDS / self.unit_us(node) * self.width
         return node.out < CEILING and node.book.units_out + units <= bound
 
-    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], late: bool) -> list[Offer]:
-        """Tell what each of some instances would make of a request; what is late waits behind all else."""
+    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], due_us: float,
+               late: bool) -> list[Offer]:
+        """Tell what each of some instances would make of a request that is due; what is late waits behind all else."""
         made: list[Offer] = []
         now_us = now * MICROSECONDS
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            priority = LATE_PRIORITY if late else bisect_right(SHORT_US, spent)
-            done = node.queue.begin(now_us, priority) + spent + self.timing.fixed_us
-            made.append(Offer(node, wanted, done, spent, priority))
+            spare = due_us - now_us - spent - self.timing.fixed_us
+            priority = priority_of(self.policy, spent, spare, late)
+            begin = node.queue.begin(now_us, priority)
+            done = begin + spent + self.timing.fixed_us
+            made.append(Offer(node, wanted, done, spent, priority, begin - now_us, late))
         return made
 
     def reserve(self, now: float, offer: Offer, name: tuple[str, int], number: int) -> Placed:
--- a/hophinge/fleet/placement/weighing.py
+++ b/hophinge/fleet/placement/weighing.py
@@ -8,17 +8,14 @@
 from dataclasses import dataclass
 
 from hophinge.fleet.placement.node import Node
+from hophinge.fleet.placement.policy import Policy
 from hophinge.fleet.placement.pool import Offer, Pool
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import LOST, READY
 
-SHARE_OF_OTHERS = 0.3       # weight of an instance's time, which others wait for, beside one's own time
-SHARE_OF_STREAMS = 0.4      # more of it for each answer that is being made there, which reading slows down
-AGAIN_US = 20.0             # weight of each token that is read again though another instance keeps it
 MOVE_US = 15_000.0          # from the end of reading to the first token elsewhere
 FAR_BODY_US = 1.0           # weight of each token of a prompt whose request goes to another zone
 FAR_MEMORY_US = 3.0         # weight of each token whose memory is moved to another zone
-GUESSED_PART = 0.5          # of a shared part's reading, saved where nobody is known to keep it, at its first member
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,8 +36,8 @@
 class Weighing:
     """One request's prompt against the instances that could read it."""
 
-    def __init__(self, prompt: Prompt, zone: str, prefill: Pool, decode: Pool) -> None:
-        self.prompt, self.zone = prompt, zone
+    def __init__(self, prompt: Prompt, zone: str, prefill: Pool, decode: Pool, policy: Policy) -> None:
+        self.prompt, self.zone, self.policy = prompt, zone, policy
         self.prefill, self.decode = prefill, decode
         members = [*prefill.nodes.values(), *decode.nodes.values()]
         nodes = [node for node in members if node.instance.state in (READY, LOST)]
@@ -57,8 +54,8 @@
     def _cost_us(self, offer: Offer) -> float:
         """Tell what reading at an instance costs."""
         node = offer.node
-        share = SHARE_OF_OTHERS + SHARE_OF_STREAMS * node.running()
-        again = AGAIN_US * max(0, self.kept - node.cache.cached(self.prompt))
+        share = self.policy.others_share + self.policy.streams_share * node.running()
+        again = self.policy.again_us * max(0, self.kept - node.cache.cached(self.prompt))
         return offer.done_us + share * offer.spent_us + again + self._far_body_us(node)
 
     def _making_us(self, reader: Node, offer: Offer) -> float:
@@ -76,7 +73,7 @@
                        for offer in reading]
         if apart_costs and not self.kept:
             unit_us = self.prefill.unit_us(reading[0].node)
-            apart_costs[0] -= GUESSED_PART * self.prompt.shared_tokens * unit_us
+            apart_costs[0] -= self.policy.guessed_part * self.prompt.shared_tokens * unit_us
         best = min(range(len(reading)), key=lambda number: apart_costs[number], default=None)
         if best is not None and apart_costs[best] < at_once:
             return Choice(self.prefill, reading[best], True, reading[best].done_us + MOVE_US)
--- a/tests/test_fleet_life.py
+++ b/tests/test_fleet_life.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.forwarding.events import EventReader
 from hophinge.fleet.forwarding.headers import forwarded, returned
 from hophinge.fleet.forwarding.life import GiveUp, Life, Read, Run
+from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.forwarding.results import Ending, Handle, Result, unexecuted
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import Prompt, parse_prompt
@@ -38,7 +39,8 @@
 def _life(route: Route, placement: Placement, prompt: Prompt | None = None, slack: float = 100.0) -> Life:
     budget = RetryBudget(0.2, slack, 10.0)
     budget.requested(0.0)
-    return Life("q", route, "s", prompt, prompt is not None, 0.5, 4.0, placement, budget, 1)
+    return Life("q", route, "s", prompt, prompt is not None, 0.5, 4.0, placement, budget, 1,
+                RequestTrace("r", 0.0, 0.5))
 
 
 def _run(life: Life, now: float = 0.0) -> Run:
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -7,8 +7,10 @@
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.hints import Hint, Hints, Report, Reports
 from hophinge.fleet.placement.placement import Placement, Plan, Wish
-from hophinge.fleet.placement.pool import FEW, GROUP, LATE_PRIORITY, ended
+from hophinge.fleet.placement.policy import Policy
+from hophinge.fleet.placement.pool import FEW, ended
 from hophinge.fleet.placement.prompt import Prompt
+from hophinge.fleet.placement.urgency import LATE_PRIORITY
 from hophinge.fleet.registry.instance import DRAINING, LOST, READY, Instance
 
 
@@ -53,7 +55,7 @@
         node.report = Report(node.instance.identity, 9, 60, 190_000, 200_000)
     prompts = [_prompt("key", 3_000, 3_000, str(number)) for number in range(9)]
     used = {_generation(placement, prompt.parts[1][0], prompt).placed.node.instance.identity for prompt in prompts}
-    assert 1 < len(used) <= GROUP
+    assert 1 < len(used) <= Policy().group
 
 
 def test_the_member_whose_book_frees_earliest_takes_a_plain_request() -> None:
@@ -83,7 +85,7 @@
     node = next(iter(pool.nodes.values()))
     for number in range(FEW):
         assert pool.room(node, 1.0, 0.001), number
-        offer = pool.offers(0.0, [node], lambda one: 1.0, False)[0]
+        offer = pool.offers(0.0, [node], lambda one: 1.0, 10e6, False)[0]
         pool.reserve(0.0, offer, (str(number), 1), number)
     assert not pool.room(node, 1.0, 0.001)
     assert pool.room(node, 1.0, 10.0)
@@ -173,7 +175,7 @@
     pool = placement.pool("s", "prefill")
     node = pool.nodes["i-0"]
     for number in range(60):
-        offer = pool.offers(0.0, [node], lambda one: 10_000.0, False)[0]
+        offer = pool.offers(0.0, [node], lambda one: 10_000.0, 10e6, False)[0]
         placed = pool.reserve(float(number), offer, (str(number), 1), number)
         placement.answered(number + 0.125, placed, False)      # 10 us a unit, and 25 ms beside
         ended(number + 0.125, placed)
--- a/tests/test_worst_days_requests.py
+++ b/tests/test_worst_days_requests.py
@@ -18,6 +18,7 @@
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.headers import Fields, find
 from hophinge.fleet.forwarding.life import Life
+from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import READY, Instance
@@ -75,7 +76,8 @@
         inbound = Inbound(b"POST", b"/x", [(b"host", b"h"), (b"hophinge-request-id", name.encode())], body, name)
         now = loop.time()
         prompt = Prompt(TOKENS, 80, ((f"{name}-{next(self.numbers)}", TOKENS),)) if self.staged else None
-        life = Life(name, route, "s", prompt, self.staged, now + 0.5, now + left_s, self.placement, self.budget, 1)
+        life = Life(name, route, "s", prompt, self.staged, now + 0.5, now + left_s, self.placement, self.budget, 1,
+                    RequestTrace("r", now, 0.5))
         try:
             await Exchange(inbound, life, self.upstream, client.send, False).run()
         except BrokenOffError:
