--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import Any
 
 from hophinge.fleet.analysis.losses import Kind, Loss, losses
 from hophinge.fleet.analysis.traces import Request, read_requests
@@ -26,7 +27,7 @@
                  _tokens(one)) for one in raw["classes"]]
 
 
-def _tokens(raw: dict[str, object]) -> float:
+def _tokens(raw: dict[str, Any]) -> float:
     stream = raw.get("stream")
     if not isinstance(stream, dict):
         return 0.0
--- a/hophinge/fleet/placement/policy.py
+++ b/hophinge/fleet/placement/policy.py
@@ -32,8 +32,8 @@
     again_us: float = 20.0              # weight of each token that is read again though another instance keeps it
     guessed_part: float = 0.5           # of a shared part's reading, saved at its first member where nobody keeps it
     out_part: float = 0.5               # of the route's aim that the units out at an instance may fill
-    holders: bool = True                # members outside a key's group that keep its shared parts are asked too
-    stages_by_work: bool = True         # instances change their stage by the work that is reported
+    holders: bool = False               # members outside a key's group that keep its shared parts are asked too
+    stages_by_work: bool = False        # instances change their stage by the work that is reported
     reading_part: float = 0.6           # of the time of instances that read, to which they are to be busy
     making_part: float = 0.4            # of the slots or memory of those that make tokens, that is to be taken
     trace: bool = False                 # each request's way is logged
