--- a/hophinge/fleet/placement/stages.py
+++ b/hophinge/fleet/placement/stages.py
@@ -21,6 +21,7 @@
 NEWEST = 0.4                # weight of the newest report in an instance's means
 QUEUED = 0.25               # of an instance's time that each request that waits there adds to the work there is
 MOST_QUEUED = 4             # requests that wait at one instance and are counted
+LEAST = 2                   # instances of a stage, where there are twice as many in all: one more may be lost
 AT_ONCE = 0.17              # part of a service's instances that change their part together, at most
 
 
@@ -100,11 +101,14 @@
     coming = {member.stage for member in members if member.state == SWITCHING}
     if len(ready) > 1 and not coming and not (prefill and decode):
         return (Switch(_spared(ready, loads, 1)[0], PREFILL if decode else DECODE, True),)
-    if coming or not (prefill and decode) or not policy.stages_by_work:
+    if coming or not (prefill and decode):
         return ()
     most = max(1, int(AT_ONCE * len(ready)))
-    reading = _needed(loads.reading(prefill), policy.reading_part)
-    making = _needed(loads.making(decode), policy.making_part)
+    least = LEAST if len(ready) >= 2 * LEAST else 1
+    if not policy.stages_by_work:
+        return _repaired(prefill, decode, loads, least)
+    reading = max(least, _needed(loads.reading(prefill), policy.reading_part))
+    making = max(least, _needed(loads.making(decode), policy.making_part))
     to_decode = min(making - len(decode), len(prefill) - reading, most)
     to_prefill = min(reading - len(prefill), len(decode) - making, most)
     if to_decode >= 1:
@@ -114,6 +118,15 @@
     return ()
 
 
+def _repaired(prefill: list[Instance], decode: list[Instance], loads: StageLoads, least: int) -> tuple[Switch, ...]:
+    """Tell the change that gives a stage its least number again, whatever the work is."""
+    if len(decode) < least:
+        return (Switch(_spared(prefill, loads, 1)[0], DECODE, False),)
+    if len(prefill) < least:
+        return (Switch(_spared(decode, loads, 1)[0], PREFILL, False),)
+    return ()
+
+
 def _needed(work: float, part: float) -> int:
     """Tell how many instances some work wants, each of which is to be taken to a part only."""
     return max(1, ceil(work / part))
