--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -9,7 +9,6 @@
 import argparse
 import sys
 import tomllib
-from collections import Counter
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -37,10 +36,11 @@
 
 def table(title: str, rows: Iterable[Loss], of: Callable[[Loss], str], owed: float) -> None:
     """Print the parts of all worth owed that are lost by some division."""
-    parts: Counter[str] = Counter()
+    parts: dict[str, float] = {}
     for row in rows:
-        parts[of(row)] += row.lost
-    print(f"{title}: " + ", ".join(f"{name} {lost / owed:.4f}" for name, lost in parts.most_common()))
+        parts[of(row)] = parts.get(of(row), 0.0) + row.lost
+    ordered = sorted(parts.items(), key=lambda part: -part[1])
+    print(f"{title}: " + ", ".join(f"{name} {lost / owed:.4f}" for name, lost in ordered if lost > 0))
 
 
 def main() -> None:
