Tests: a tenant's surge at a real head leaves the core's own refusals out, and asks tenancy itself

Change: requests give 20 s, so the core has no reason; the test asserts besides that tenancy refused none of the neighbours' requests, took all from their reserves, and made every refusal of the surging tenant.

--- a/tests/test_tenancy_heads.py
+++ b/tests/test_tenancy_heads.py
@@ -18,12 +18,20 @@
 from tests.test_streamed import GOOD, SETTINGS, TARGET, follower, installation, status
 
 
-def put(here: Any, head: Any, client: ClientSession, volume: str, number: int) -> Any:
-    fields = headers(number, X_Placement="units=1,shard=-1,hosts=1")
+def put(here: Any, head: Any, client: ClientSession, volume: str, number: int, remaining_ms: int = 750) -> Any:
+    fields = headers(number, X_Placement="units=1,shard=-1,hosts=1", X_Remaining_Ms=str(remaining_ms))
     path = TARGET.format(number % 256).replace("00000003b4d60021", f"00000000000000{volume}")
     return status(client.put(here.made.url(head) + path, data=b"x", headers=fields))
 
 
+async def tenants_of(head: Any, client: ClientSession) -> dict[str, Any]:
+    """Tell what a head's staff are told of its tenants."""
+    place, port = head.control_listener.sockets[0].getsockname()
+    async with client.get(f"http://{place}:{port}/ops/tenants") as answer:
+        found: dict[str, Any] = json.loads(await answer.text())["tenants"]
+    return found
+
+
 def test_requests_wait_at_a_head_end_once_and_a_tenant_that_goes_frees_its_turn(tmp_path: Path) -> None:
     async def main() -> None:
         async with installation(tmp_path) as here, ClientSession(connector=TCPConnector(limit=0)) as client:
@@ -48,10 +56,7 @@
             codes = Counter(await asyncio.gather(*tasks[:11]))
             assert codes == {200: 4, 503: 7} and not router.passes and not router.open
             assert router.admission.inside == 0 and router.figures()["refused_beyond_share"] == 7
-            assert head.control_listener is not None
-            place, port = head.control_listener.sockets[0].getsockname()
-            async with client.get(f"http://{place}:{port}/ops/tenants") as answer:
-                told = json.loads(await answer.text())["tenants"]["aa"]
+            told = (await tenants_of(head, client))["aa"]
             assert (told["spare_units"], told["refused"], told["waiting"]) == (4.0, 7, 0)
             # Without the form nothing waits any more.
             gate.clear()
@@ -192,7 +197,9 @@
 
             for brick in here.made.bricks:
                 brick.behave = slow
-            head = await here.head("n0")
+            # Time enough that the core refuses none as too late, however the machine is loaded: tenancy alone decides.
+            classes = [{**row, "GoalTimeUs": 8_000_000, "DeadlineUs": 20_000_000} for row in SETTINGS["RequestClasses"]]
+            head = await here.head("n0", {**SETTINGS, "RequestClasses": classes})
             document = GOOD + "(spare (depth 6 units) (wait 30 ms) (queue 16 requests))" + "".join(
                 f"(tenant {name} (volumes 00000000000000{name}) (reserve 20 units/s))" for name in ("aa", "bb", "cc"))
             await here.push(document)
@@ -203,9 +210,12 @@
                 for name, each in (("aa", 1), ("bb", 1), ("cc", 12)):
                     for _ in range(each if name == "cc" or step % 3 == 0 else 0):
                         tasks.setdefault(name, []).append(asyncio.create_task(
-                            put(here, head, client, name, next(number))))
+                            put(here, head, client, name, next(number), 20_000)))
                 await asyncio.sleep(0.02)
             codes = {name: Counter(await asyncio.gather(*rows)) for name, rows in tasks.items()}
             assert codes["aa"] == {200: 20} and codes["bb"] == {200: 20}
             assert codes["cc"][503] > 100 and codes["cc"][200] > 20
+            told = await tenants_of(head, client)
+            assert all((told[name]["refused"], told[name]["reserved_units"]) == (0, 20.0) for name in ("aa", "bb"))
+            assert told["cc"]["refused"] == codes["cc"][503]
     run(main())
