Placement: what measured no better is out; stages follow the work where one is clearly short

Change: order by spare time, offers of holders outside a key's group and the way to turn them on are out; a stage is short when its instances that read are busy for over 0.85 of their time, or 0.35 of slots or memory is taken where tokens are made.

--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -28,7 +28,8 @@
 from hophinge.fleet.configuration.routes import COMPRESSION, configuration_record, parse, table_of
 from hophinge.fleet.placement.hints import Done, Hints, Report, Reports
 from hophinge.fleet.placement.node import Cache
-from hophinge.fleet.placement.placement import Placement, Wish
+from hophinge.fleet.placement.placement import Placement
+from hophinge.fleet.placement.plan import Wish
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import record_of
 from hophinge.fleet.registry.registry import Liveness
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -13,7 +13,8 @@
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.node import Node
-from hophinge.fleet.placement.placement import Placement, Plan, Wish
+from hophinge.fleet.placement.placement import Placement
+from hophinge.fleet.placement.plan import Plan, Wish
 from hophinge.fleet.placement.pool import Placed, Pool, ended
 from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
--- a/hophinge/fleet/forwarding/trace.py
+++ b/hophinge/fleet/forwarding/trace.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from hophinge.fleet.placement.placement import Forecast
+from hophinge.fleet.placement.plan import Forecast
 
 
 @dataclass(slots=True)
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -17,6 +17,7 @@
 from hophinge.fleet.placement.hints import Done, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import MICROSECONDS, Cache, Node
+from hophinge.fleet.placement.plan import Forecast, Plan, Wish
 from hophinge.fleet.placement.policy import Policy
 from hophinge.fleet.placement.pool import Offer, Placed, Pool, answered
 from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
@@ -31,38 +32,6 @@
 SILENT_S = 0.6              # without an answer, before a failed attempt speaks against an instance that answered
 
 
-@dataclass(frozen=True, slots=True)
-class Wish:
-    """What is to be placed: a request's name, the instances it has failed at, and what it was promised."""
-
-    now: float
-    name: tuple[str, int]
-    service: str
-    avoid: set[str]
-    aim_s: float
-    aim_at: float               # when its answer is due
-
-
-@dataclass(frozen=True, slots=True)
-class Forecast:
-    """What was reckoned when an attempt was placed."""
-
-    wait_us: float              # until the instance begins
-    spent_us: float             # of the instance's time
-    done_us: float              # from then on until the first token
-    late: bool                  # it could not be in time anywhere
-
-
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """Where the next attempt of a request goes."""
-
-    placed: Placed
-    reads: bool                 # only the prompt is read there
-    priority: int               # at the instance: 0 first
-    forecast: Forecast
-
-
 @dataclass(frozen=True, slots=True)
 class FinishedRead:
     """A prompt that was read here and that the others have not been told of."""
@@ -207,8 +176,8 @@
             return float(max(LEAST_TOKENS, prompt.tokens_in - node.cache.cached(prompt)))
 
         def choose(late: bool) -> Choice | None:
-            reading = self._offers(prefill, wish, prompt.key, units, late, weighing.keeps)
-            return weighing.choose(reading, self._offers(decode, wish, prompt.key, units, late, weighing.keeps))
+            reading = self._offers(prefill, wish, prompt.key, units, late)
+            return weighing.choose(reading, self._offers(decode, wish, prompt.key, units, late))
 
         return self._timely(wish, choose, prompt)
 
@@ -232,12 +201,12 @@
         return self._reserve(choice, wish, prompt) if choice is not None else None
 
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
-                late: bool, keeps: Callable[[Node], bool] = lambda node: False) -> list[Offer]:
+                late: bool) -> list[Offer]:
         """Ask the members of a key's group that have room; where no instance has, any that is not full."""
-        nodes = pool.group(wish.now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s), keeps)
+        nodes = pool.group(wish.now, key, wish.avoid, lambda node: pool.room(node, units(node), wish.aim_s))
         if not nodes:
             nodes = pool.group(wish.now, key, wish.avoid, lambda node: node.out < CEILING)
-        return pool.offers(wish.now, nodes, units, wish.aim_at * MICROSECONDS, late)
+        return pool.offers(wish.now, nodes, units, late)
 
     def _reserve(self, choice: Choice, wish: Wish, prompt: Prompt | None) -> Plan:
         """Book an offer, and have the other heads told of it."""
--- a/hophinge/fleet/placement/policy.py
+++ b/hophinge/fleet/placement/policy.py
@@ -14,7 +14,6 @@
     """In which order instances are asked to read the prompts that can be in time."""
 
     SHORTEST = "shortest"       # the least work first
-    SLACK = "slack"             # the least time to spare first
     ARRIVAL = "arrival"
 
 
@@ -24,7 +23,6 @@
 
     order: Order = Order.SHORTEST
     late_last: bool = True              # what can't be in time waits behind everything else
-    pairs: bool = False                 # time to read grows with the square of a prompt's length too
     group: int = 3                      # members of a key's group
     kept_part: float = 0.8              # of an instance's memory, believed to hold cached parts
     others_share: float = 0.3           # weight of an instance's time, which others wait for, beside one's own time
@@ -32,8 +30,7 @@
     again_us: float = 20.0              # weight of each token that is read again though another instance keeps it
     guessed_part: float = 0.5           # of a shared part's reading, saved at its first member where nobody keeps it
     out_part: float = 0.5               # of the route's aim that the units out at an instance may fill
-    holders: bool = False               # members outside a key's group that keep its shared parts are asked too
-    stages_by_work: bool = False        # instances change their stage by the work that is reported
-    reading_part: float = 0.6           # of the time of instances that read, to which they are to be busy
-    making_part: float = 0.4            # of the slots or memory of those that make tokens, that is to be taken
+    stages_by_work: bool = True         # instances change their stage by the work that is reported
+    reading_part: float = 0.85          # of the time of instances that read, to which they are to be busy
+    making_part: float = 0.35           # of the slots or memory of those that make tokens, that is to be taken
     trace: bool = False                 # each request's way is logged
--- a/hophinge/fleet/placement/pool.py
+++ b/hophinge/fleet/placement/pool.py
@@ -79,17 +79,12 @@
         return ([node for node in others if node.serves(now)]
                 or [node for node in others if node.instance.state == LOST])
 
-    def group(self, now: float, key: str, avoid: set[str], fits: Callable[[Node], bool],
-              keeps: Callable[[Node], bool] = lambda node: False) -> list[Node]:
-        """Tell the members of a key's group that may take a request, and others that keep its parts.
-
-        Where none may, any other that may.
-        """
+    def group(self, now: float, key: str, avoid: set[str], fits: Callable[[Node], bool]) -> list[Node]:
+        """Tell the members of a key's group that may take a request; where none may, any other that may."""
         ready = self._ready(now, avoid)
         usable = [node for node in ready if not node.rests(now)] or ready
         ranked = sorted(usable, key=lambda node: rank(key, node))
         found = [node for node in ranked[:self.policy.group] if fits(node)]
-        found += [node for node in ranked[self.policy.group:] if keeps(node) and fits(node)]
         return found or [node for node in ranked[self.policy.group:] if fits(node)]
 
     def room(self, node: Node, units: float, aim_s: float) -> bool:
@@ -99,16 +94,14 @@
         bound = self.policy.out_part * aim_s * MICROSECONDS / self.unit_us(node) * self.width
         return node.out < CEILING and node.book.units_out + units <= bound
 
-    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], due_us: float,
-               late: bool) -> list[Offer]:
-        """Tell what each of some instances would make of a request that is due; what is late waits behind all else."""
+    def offers(self, now: float, nodes: Iterable[Node], units: Callable[[Node], float], late: bool) -> list[Offer]:
+        """Tell what each of some instances would make of a request; what is late waits behind all else."""
         made: list[Offer] = []
         now_us = now * MICROSECONDS
         for node in nodes:
             wanted = units(node)
             spent = wanted * self.unit_us(node)
-            spare = due_us - now_us - spent - self.timing.fixed_us
-            priority = priority_of(self.policy, spent, spare, late)
+            priority = priority_of(self.policy, spent, late)
             begin = node.queue.begin(now_us, priority)
             done = begin + spent + self.timing.fixed_us
             made.append(Offer(node, wanted, done, spent, priority, begin - now_us, late))
--- a/hophinge/fleet/placement/urgency.py
+++ b/hophinge/fleet/placement/urgency.py
@@ -12,15 +12,12 @@
 LATE_PRIORITY = 8           # of requests that are late already: an instance admits all others before them
 EVEN_PRIORITY = 4           # of all others where arrival alone decides
 SHORT_US = (40_000.0, 100_000.0, 200_000.0, 400_000.0, 800_000.0)           # shorter work comes first
-SPARE_US = (0.0, 30_000.0, 70_000.0, 120_000.0, 200_000.0, 300_000.0, 500_000.0)   # less time to spare comes first
 
 
-def priority_of(policy: Policy, spent_us: float, spare_us: float, late: bool) -> int:
-    """Tell the priority of a prompt by what it takes of the instance's time and by what it has to spare."""
+def priority_of(policy: Policy, spent_us: float, late: bool) -> int:
+    """Tell the priority of a prompt by what it takes of the instance's time, and whether it is late already."""
     if late and policy.late_last:
         return LATE_PRIORITY
     if policy.order is Order.SHORTEST:
         return bisect_right(SHORT_US, spent_us)
-    if policy.order is Order.SLACK:
-        return bisect_right(SPARE_US, spare_us)
     return EVEN_PRIORITY
--- a/hophinge/fleet/placement/weighing.py
+++ b/hophinge/fleet/placement/weighing.py
@@ -44,10 +44,6 @@
         kept = max((node.cache.cached(prompt) for node in nodes), default=0)
         self.kept = min(prompt.shared_tokens, kept)
 
-    def keeps(self, node: Node) -> bool:
-        """Tell whether an instance keeps as much of the prompt's shared parts as any."""
-        return self.policy.holders and self.kept > 0 and node.cache.cached(self.prompt) >= self.kept
-
     def _far_body_us(self, node: Node) -> float:
         return FAR_BODY_US * self.prompt.tokens_in if node.instance.zone != self.zone else 0.0
 
--- a/tests/test_fleet_losses.py
+++ b/tests/test_fleet_losses.py
@@ -10,7 +10,7 @@
 from hophinge.fleet.analysis.losses import Kind, Loss, Reason, losses
 from hophinge.fleet.analysis.traces import Request, read_requests
 from hophinge.fleet.forwarding.trace import RequestTrace
-from hophinge.fleet.placement.placement import Forecast
+from hophinge.fleet.placement.plan import Forecast
 from hophinge.fleet.placement.policy import Order, Policy
 from hophinge.fleet.trial import trial_policy
 
@@ -95,8 +95,8 @@
 def test_a_trial_gives_a_policy_in_a_file_and_a_deployment_has_none(tmp_path: Path) -> None:
     path = tmp_path / "trial-policy.json"
     assert trial_policy(path) == Policy()
-    path.write_text('{"order": "slack", "group": 5}')
-    assert trial_policy(path) == Policy(order=Order.SLACK, group=5)
+    path.write_text('{"order": "arrival", "group": 5}')
+    assert trial_policy(path) == Policy(order=Order.ARRIVAL, group=5)
     for text in ('{"order": "best"}', '{"no-such-mechanism": 1}', '{"group": "many"}', "{"):
         path.write_text(text)
         with pytest.raises(ValueError):
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -6,11 +6,12 @@
 
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.hints import Hint, Hints, Report, Reports
-from hophinge.fleet.placement.placement import Placement, Plan, Wish
-from hophinge.fleet.placement.policy import Policy
+from hophinge.fleet.placement.placement import Placement
+from hophinge.fleet.placement.plan import Plan, Wish
+from hophinge.fleet.placement.policy import Order, Policy
 from hophinge.fleet.placement.pool import FEW, ended
 from hophinge.fleet.placement.prompt import Prompt
-from hophinge.fleet.placement.urgency import LATE_PRIORITY
+from hophinge.fleet.placement.urgency import LATE_PRIORITY, priority_of
 from hophinge.fleet.registry.instance import DRAINING, LOST, READY, Instance
 
 
@@ -85,7 +86,7 @@
     node = next(iter(pool.nodes.values()))
     for number in range(FEW):
         assert pool.room(node, 1.0, 0.001), number
-        offer = pool.offers(0.0, [node], lambda one: 1.0, 10e6, False)[0]
+        offer = pool.offers(0.0, [node], lambda one: 1.0, False)[0]
         pool.reserve(0.0, offer, (str(number), 1), number)
     assert not pool.room(node, 1.0, 0.001)
     assert pool.room(node, 1.0, 10.0)
@@ -175,7 +176,7 @@
     pool = placement.pool("s", "prefill")
     node = pool.nodes["i-0"]
     for number in range(60):
-        offer = pool.offers(0.0, [node], lambda one: 10_000.0, 10e6, False)[0]
+        offer = pool.offers(0.0, [node], lambda one: 10_000.0, False)[0]
         placed = pool.reserve(float(number), offer, (str(number), 1), number)
         placement.answered(number + 0.125, placed, False)      # 10 us a unit, and 25 ms beside
         ended(number + 0.125, placed)
@@ -210,3 +211,26 @@
     placement = _placement(0, 0, 1)
     placement.instance("i-0", _instance(0, "", DRAINING))
     assert placement.plain(_wish("a"), "") is None
+
+
+def test_shorter_work_comes_first_and_what_is_late_last_unless_a_trial_says_otherwise() -> None:
+    by_length = [priority_of(Policy(), spent_us, False) for spent_us in (10_000.0, 90_000.0, 500_000.0, 2_000_000.0)]
+    assert by_length == sorted(set(by_length))
+    assert priority_of(Policy(), 10_000.0, True) == LATE_PRIORITY > by_length[-1]
+    by_arrival = Policy(order=Order.ARRIVAL)
+    assert priority_of(by_arrival, 10_000.0, False) == priority_of(by_arrival, 2_000_000.0, False)
+    assert priority_of(Policy(late_last=False), 10_000.0, True) == by_length[0]
+
+
+def test_answers_that_are_being_made_weigh_little_in_where_a_prompt_is_read() -> None:
+    """Ten answers cost a reading instance less than a quarter of the prompt's own time: their pauses stay bounded."""
+    chosen = []
+    for share in (Policy().streams_share, 4.0):
+        placement = Placement("z", lambda identity: None, Random(1), policy=Policy(streams_share=share))
+        for number, stage in enumerate(("prefill", "decode")):
+            placement.instance(f"i-{number}", _instance(number, stage))
+        placement.configured({"s": 200_000})
+        placement.receive_hints(0.0, Hints((Hint("i-0", 20_000, (), 0, 0, 1),)))      # the prefill instance is busy
+        placement.nodes["i-1"].report = Report("i-1", 0, 8, 100, 200_000)
+        chosen.append(_generation(placement, "a", _prompt("key", 0, 3_000)).reads)
+    assert chosen == [False, True]
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -14,7 +14,7 @@
 
 SLOTS = 16
 MEMORY = 100_000
-POLICY = Policy(stages_by_work=True)
+POLICY = Policy(reading_part=0.6, making_part=0.4)
 
 
 def _staged(prefill: int, decode: int, zones: int = 1) -> list[Instance]:
