--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -142,7 +142,7 @@
         heads = self.knowledge.renewal.most_holders
         trace = RequestTrace(route.name, arrived, route.target_s)
         return Life(name, route, service, prompt, engine is not None, arrived + route.target_s,
-                    deadline, self.placement, budget, heads, trace)
+                    deadline, self.placement, budget, heads, trace, min(deadline, arrived + route.patience_s))
 
     async def _carry(self, exchange: Exchange, receive: Receive) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -181,7 +181,7 @@
         budget.requested(now)
         life = Life(f"{id(outcome)}-{retries}", route, SERVICE, outcome.arrival.prompt, True, now + kind.aim_s,
                     began + kind.deadline_s, self.heads[number], budget, len(self.heads),
-                    RequestTrace(kind.name, now, kind.aim_s))
+                    RequestTrace(kind.name, now, kind.aim_s), now + route.patience_s)
         self._next(Journey(outcome, life, self.heads[number], retries), began)
 
     def _next(self, journey: Journey, began: float) -> None:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -13,14 +13,13 @@
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.node import Node
-from hophinge.fleet.placement.placement import Placement
-from hophinge.fleet.placement.plan import Plan, Wish
-from hophinge.fleet.placement.pool import Placed, Pool, ended
+from hophinge.fleet.placement.placement import COME_BACK_S, Placement
+from hophinge.fleet.placement.plan import Hopeless, Plan, Wish
+from hophinge.fleet.placement.pool import Placed, Pool
 from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
 
 LEAST_LEFT_S = 0.02         # no attempt begins with less time than this
-COME_BACK_S = 0.25          # when a client that was refused is told to come back, at least
 MOST_READS = 4              # prompts read for one request
 UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 503, 502, 504
 
@@ -69,6 +68,7 @@
     budget: RetryBudget
     heads: int
     trace: RequestTrace
+    gone_at: float = float("inf")       # when the client gives up, if nothing has come by then
     ran: bool = False           # an attempt may have run
     begun: bool = False         # some of an answer went to the client
     reads: int = 0
@@ -95,13 +95,16 @@
             plan = self._plan(now)
         if plan is None:
             return self._give_up(BAD_GATEWAY)
+        if isinstance(plan, Hopeless):
+            return self._give_up(BAD_GATEWAY, plan.come_back_s)
         placed = plan.placed
         self.trace.sent(now, placed.pool.stage, placed.node.instance.identity, placed.units, plan.forecast)
         return self._read(now, plan) if plan.reads else self._run(now, plan)
 
-    def _plan(self, now: float) -> Plan | None:
+    def _plan(self, now: float) -> Plan | Hopeless | None:
         """Have the next attempt placed."""
-        wish = Wish(now, (self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at)
+        wish = Wish(now, (self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at,
+                    self.gone_at)
         if self.prompt is None:
             return self.placement.plain(wish, DECODE if self.staged else PLAIN)
         if self.handle is None and self.reads < MOST_READS:
@@ -117,9 +120,9 @@
         reading = self.prompt is not None and self.handle is None
         return (self.reads > 0 and reading) or self.runs > 0
 
-    def _give_up(self, status: int) -> GiveUp:
+    def _give_up(self, status: int, come_back_s: float = COME_BACK_S) -> GiveUp:
         harmless = not self.ran or self.route.idempotent
-        return GiveUp(UNAVAILABLE, COME_BACK_S) if harmless and not self.begun else GiveUp(status, None)
+        return GiveUp(UNAVAILABLE, come_back_s) if harmless and not self.begun else GiveUp(status, None)
 
     def _read(self, now: float, plan: Plan) -> Step:
         self.tries += 1
@@ -153,7 +156,7 @@
         self.trace.attempt_ended(now, ending.name)
         if ending in (Ending.READ, Ending.ANSWERED):
             self.placement.answered(now, placed, False)
-        ended(now, placed)
+        self.placement.ended(now, placed)
         self.event_id = result.event_id or self.event_id
         if ending is Ending.READ:
             self.handle = result.handle
--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -34,6 +34,15 @@
     age_ms: int             # since then, when this was told
 
 
+@wire(87)
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """A prompt will not be read: its client has left, or the attempt failed."""
+
+    instance: str
+    job: int
+
+
 @wire(81)
 @dataclass(frozen=True, slots=True)
 class Hints:
@@ -41,15 +50,16 @@
 
     hints: tuple[Hint, ...]
     done: tuple[Done, ...] = ()
+    dropped: tuple[Dropped, ...] = ()
 
     def __add__(self, other: Hints) -> Hints:
         """Put two words together."""
-        return Hints(self.hints + other.hints, self.done + other.done)
+        return Hints(self.hints + other.hints, self.done + other.done, self.dropped + other.dropped)
 
     @property
     def empty(self) -> bool:
         """Tell whether this says nothing."""
-        return not self.hints and not self.done
+        return not self.hints and not self.done and not self.dropped
 
 
 @wire(85)
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -29,6 +29,7 @@
         self.tokens = tokens            # that fit
         self.used = 0
         self.parts: OrderedDict[str, int] = OrderedDict()
+        self.expected: dict[str, int] = {}      # parts that are not read yet, and the job that is to read them
 
     def remember(self, parts: tuple[tuple[str, int], ...]) -> None:
         """Parts were read, or are going to be read, there."""
@@ -36,9 +37,26 @@
             self.used += tokens - self.parts.pop(part, 0)
             self.parts[part] = tokens
         while self.used > self.tokens and len(self.parts) > len(parts):
-            _, tokens = self.parts.popitem(last=False)
+            part, tokens = self.parts.popitem(last=False)
+            self.expected.pop(part, None)
             self.used -= tokens
 
+    def expect(self, parts: tuple[tuple[str, int], ...], job: int) -> None:
+        """Parts are going to be read there by a job."""
+        new = [part for part, _ in parts if part not in self.parts]
+        self.remember(parts)
+        self.expected.update((part, job) for part in new if part in self.parts)
+
+    def confirm(self, job: int) -> None:
+        """A job has read its parts."""
+        self.expected = {part: reader for part, reader in self.expected.items() if reader != job}
+
+    def cancel(self, job: int) -> None:
+        """A job will not read its parts: those that were not there before are not there."""
+        for part in [part for part, reader in self.expected.items() if reader == job]:
+            del self.expected[part]
+            self.used -= self.parts.pop(part, 0)
+
     def cached(self, prompt: Prompt) -> int:
         """Tell how many of a prompt's first tokens are kept."""
         found = 0
@@ -70,6 +88,13 @@
         state = self.instance.state
         return state == READY or (state == LOST and now - self.answered_at <= EVIDENCE_S)
 
+    def drop(self, job: int) -> None:
+        """A job will not be worked on."""
+        found = self.queue.find(job)
+        if found is not None:
+            self.queue.drop(found)
+        self.cache.cancel(job)
+
     @property
     def out(self) -> int:
         """Tell how many requests it has from here."""
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -14,18 +14,20 @@
 from dataclasses import dataclass
 from random import Random
 
-from hophinge.fleet.placement.hints import Done, Hint, Hints, Reports, Suspects
+from hophinge.fleet.placement.hints import Done, Dropped, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import MICROSECONDS, Cache, Node
-from hophinge.fleet.placement.plan import Forecast, Plan, Wish
+from hophinge.fleet.placement.plan import Forecast, Hopeless, Plan, Wish
 from hophinge.fleet.placement.policy import Policy
-from hophinge.fleet.placement.pool import Offer, Placed, Pool, answered
+from hophinge.fleet.placement.pool import Offer, Placed, Pool, answered, ended
 from hophinge.fleet.placement.timing import DECODE, PLAIN, PREFILL
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.placement.weighing import Choice, Weighing
 from hophinge.fleet.registry.instance import Instance
 
 MILLISECONDS = 1_000
+COME_BACK_S = 0.25          # when a client that was refused is told to come back, at least
+SPREAD_S = 1.0              # over which such clients are spread, at most
 RELAYED_S = 0.03            # that a word takes from one head to another on average
 JOB_BITS = 40               # of a job's number: two alike in one queue are next to impossible
 LEAST_TOKENS = 64           # charged for a request with nothing to read
@@ -53,6 +55,7 @@
         self.memory: dict[str, int] = {}        # tokens that an instance of a service keeps
         self.pending_hints: list[Hint] = []
         self.pending_reads: list[FinishedRead] = []
+        self.pending_drops: list[Dropped] = []
         self.suspects: set[str] = set()
 
     # --- instances -----------------------------------------------------------------------------------------------
@@ -91,8 +94,8 @@
     def outgoing_hints(self, now: float) -> Hints | None:
         """Tell what was placed here, and what came to its end, since the last call."""
         done = tuple(Done(one.instance, one.job, int((now - one.ended) * MILLISECONDS)) for one in self.pending_reads)
-        hints = Hints(tuple(self.pending_hints), done)
-        self.pending_hints, self.pending_reads = [], []
+        hints = Hints(tuple(self.pending_hints), done, tuple(self.pending_drops))
+        self.pending_hints, self.pending_reads, self.pending_drops = [], [], []
         return None if hints.empty else hints
 
     def receive_hints(self, now: float, hints: Hints) -> None:
@@ -102,7 +105,7 @@
             if node is not None:
                 pool = self.pool(node.instance.service, node.instance.stage)
                 pool.others_sent(now, node, hint)
-                node.cache.remember(hint.parts)
+                self._expect(node, hint.parts, hint.units, hint.job)
                 node.sent_since += hint.memory
         for done in hints.done:
             node = self.nodes.get(done.instance)
@@ -110,6 +113,18 @@
             if node is not None and job is not None:
                 pool = self.pool(node.instance.service, node.instance.stage)
                 pool.finished(now, node, job, now - RELAYED_S - done.age_ms / MILLISECONDS)
+                node.cache.confirm(done.job)
+        for dropped in hints.dropped:
+            node = self.nodes.get(dropped.instance)
+            if node is not None:
+                node.drop(dropped.job)
+
+    def _expect(self, node: Node, parts: tuple[tuple[str, int], ...], units: int, job: int) -> None:
+        """Parts are at an instance soon: at once where next to nothing is read, as they are moved there."""
+        if units > LEAST_TOKENS and self.policy.drops_told:
+            node.cache.expect(parts, job)
+        else:
+            node.cache.remember(parts)
 
     def answered(self, now: float, placed: Placed, streaming: bool) -> None:
         """An attempt's units are done; where a prompt was read, the other heads are told."""
@@ -118,9 +133,19 @@
         answered(now, placed, streaming)
         if placed.pool.timing.reads_in_turn and placed.units > LEAST_TOKENS:
             placed.pool.finished(now, placed.node, placed.job, now)
+            placed.node.cache.confirm(placed.job.number)
             self.pending_reads.append(FinishedRead(placed.node.instance.identity, placed.job.number, now))
             self.pending()
 
+    def ended(self, now: float, placed: Placed) -> None:
+        """Nothing of an attempt is out any more; where its prompt was not read, the other heads are told."""
+        unread = placed.name in placed.node.book.slots
+        ended(now, placed)
+        if unread and placed.units > LEAST_TOKENS and self.policy.drops_told:
+            placed.node.drop(placed.job.number)
+            self.pending_drops.append(Dropped(placed.node.instance.identity, placed.job.number))
+            self.pending()
+
     def failed(self, node: Node, now: float) -> None:
         """An attempt failed at an instance; where nothing was heard of it for a while, the other heads are told."""
         if now - node.answered_at > SILENT_S:
@@ -165,9 +190,9 @@
             best = min(offers, key=lambda offer: offer.done_us, default=None)
             return Choice(pool, best, False, best.done_us) if best is not None else None
 
-        return self._timely(wish, choose, None)
+        return self._placed(wish, choose, None)
 
-    def generation(self, wish: Wish, prompt: Prompt) -> Plan | None:
+    def generation(self, wish: Wish, prompt: Prompt) -> Plan | Hopeless | None:
         """Place a request whose prompt is still to be read: at a prefill instance, or where its tokens are made."""
         prefill, decode = self.pool(wish.service, PREFILL), self.pool(wish.service, DECODE)
         weighing = Weighing(prompt, self.zone, prefill, decode, self.policy)
@@ -179,7 +204,14 @@
             reading = self._offers(prefill, wish, prompt.key, units, late)
             return weighing.choose(reading, self._offers(decode, wish, prompt.key, units, late))
 
-        return self._timely(wish, choose, prompt)
+        choice = self._timely(wish, choose)
+        if choice is None:
+            return None
+        wait_us = choice.offer.wait_us
+        hopeless = wait_us > 0 and choice.done_us > wish.gone_at * MICROSECONDS
+        if hopeless and self.policy.refuse_hopeless:
+            return Hopeless(COME_BACK_S + self.random.random() * min(SPREAD_S, wait_us / MICROSECONDS))
+        return self._reserve(choice, wish, prompt)
 
     def decode(self, wish: Wish, prompt: Prompt, reader: str) -> Plan | None:
         """Place a request whose prompt was read at an instance: it is charged for what moving it takes."""
@@ -190,15 +222,17 @@
             offers = self._offers(decode, wish, prompt.key, lambda node: float(LEAST_TOKENS), late)
             return weighing.choose_maker(self.nodes.get(reader), offers)
 
-        return self._timely(wish, choose, prompt)
+        return self._placed(wish, choose, prompt)
 
-    def _timely(self, wish: Wish, choose: Callable[[bool], Choice | None], prompt: Prompt | None) -> Plan | None:
+    def _placed(self, wish: Wish, choose: Callable[[bool], Choice | None], prompt: Prompt | None) -> Plan | None:
+        choice = self._timely(wish, choose)
+        return self._reserve(choice, wish, prompt) if choice is not None else None
+
+    def _timely(self, wish: Wish, choose: Callable[[bool], Choice | None]) -> Choice | None:
         """Choose as if the request could be in time; where it can't, choose anew behind all that is late as well."""
         choice = choose(False)
         late = choice is not None and choice.done_us > wish.aim_at * MICROSECONDS
-        if late:
-            choice = choose(True)
-        return self._reserve(choice, wish, prompt) if choice is not None else None
+        return choose(True) if late else choice
 
     def _offers(self, pool: Pool, wish: Wish, key: str, units: Callable[[Node], float],
                 late: bool) -> list[Offer]:
@@ -213,9 +247,9 @@
         offer = choice.offer
         parts = prompt.parts if prompt is not None else ()
         memory = prompt.tokens_in + prompt.tokens_out if prompt is not None and not choice.reads else 0
-        offer.node.cache.remember(parts)
         offer.node.sent_since += memory
         number = self.random.getrandbits(JOB_BITS)
+        self._expect(offer.node, parts, int(offer.units), number)
         identity = offer.node.instance.identity
         self.pending_hints.append(Hint(identity, int(offer.units), parts, offer.priority, memory, number))
         self.pending()
--- a/hophinge/fleet/placement/plan.py
+++ b/hophinge/fleet/placement/plan.py
@@ -17,6 +17,7 @@
     avoid: set[str]
     aim_s: float
     aim_at: float               # when its answer is due
+    gone_at: float = float("inf")       # when its client gives up, if nothing has come by then
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,13 @@
     late: bool                  # it could not be in time anywhere
 
 
+@dataclass(frozen=True, slots=True)
+class Hopeless:
+    """No attempt could begin to be answered before the client gives up."""
+
+    come_back_s: float          # when the client is told to come back
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """Where the next attempt of a request goes."""
--- a/hophinge/fleet/placement/policy.py
+++ b/hophinge/fleet/placement/policy.py
@@ -30,6 +30,8 @@
     again_us: float = 20.0              # weight of each token that is read again though another instance keeps it
     guessed_part: float = 0.5           # of a shared part's reading, saved at its first member where nobody keeps it
     out_part: float = 0.5               # of the route's aim that the units out at an instance may fill
+    drops_told: bool = True             # heads tell each other of prompts that will not be read
+    refuse_hopeless: bool = True        # what can't begin before its client gives up is refused at once
     stages_by_work: bool = True         # instances change their stage by the work that is reported
     reading_part: float = 0.85          # of the time of instances that read, to which they are to be busy
     making_part: float = 0.35           # of the slots or memory of those that make tokens, that is to be taken
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -37,7 +37,7 @@
 
 def _generation(placement: Placement, name: str, prompt: Prompt, aim_s: float = 10.0) -> Plan:
     plan = placement.generation(_wish(name, 0.0, aim_s), prompt)
-    assert plan is not None
+    assert isinstance(plan, Plan)
     return plan
 
 
