--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -208,7 +208,8 @@
         if choice is None:
             return None
         wait_us = choice.offer.wait_us
-        hopeless = wait_us > 0 and choice.done_us > wish.gone_at * MICROSECONDS
+        patience_s = (wish.gone_at - wish.now) * self.policy.patience_part
+        hopeless = wait_us > 0 and choice.done_us > (wish.now + patience_s) * MICROSECONDS
         if hopeless and self.policy.refuse_hopeless:
             return Hopeless(COME_BACK_S + self.random.random() * min(SPREAD_S, wait_us / MICROSECONDS))
         return self._reserve(choice, wish, prompt)
