Placement: a collapse under more than can be read is met at its cause

Cause: on a copy of the new deployment whose engines read 30 tokens a ms, prompts waited until their clients gave up after 2 s, and engines read for those who had left; parts of prompts that were never read were taken for kept, so what followed was sent there as short. Change: what could not begin within its client's patience is refused at once, with a spread time to come back; heads tell each other of prompts that will not be read, and forget their parts and work.

--- a/hophinge/fleet/placement/hints.py
+++ b/hophinge/fleet/placement/hints.py
@@ -94,3 +94,12 @@
     """What some engines told."""
 
     reports: tuple[Report, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FinishedRead:
+    """A prompt that was read here and that the others have not been told of."""
+
+    instance: str
+    job: int
+    ended: float
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -11,10 +11,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
-from hophinge.fleet.placement.hints import Done, Dropped, Hint, Hints, Reports, Suspects
+from hophinge.fleet.placement.hints import Done, Dropped, FinishedRead, Hint, Hints, Reports, Suspects
 from hophinge.core.choice.nodes import CEILING
 from hophinge.fleet.placement.node import MICROSECONDS, Cache, Node
 from hophinge.fleet.placement.plan import Forecast, Hopeless, Plan, Wish
@@ -34,15 +33,6 @@
 SILENT_S = 0.6              # without an answer, before a failed attempt speaks against an instance that answered
 
 
-@dataclass(frozen=True, slots=True)
-class FinishedRead:
-    """A prompt that was read here and that the others have not been told of."""
-
-    instance: str
-    job: int
-    ended: float
-
-
 class Placement:
     """The books of one data plane."""
 
--- /dev/null
+++ b/tests/test_fleet_overload.py
@@ -0,0 +1,80 @@
+"""Overload: what is hopeless is refused at once, and prompts that are not read are not taken for kept."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hophinge.fleet.placement.hints import Hint, Hints
+from hophinge.fleet.placement.placement import COME_BACK_S, SPREAD_S, Placement
+from hophinge.fleet.placement.plan import Hopeless, Plan
+from tests.fleet_placement_parts import generation, placement_of, prompt_of, wish
+
+
+def _behind(seconds: float) -> Placement:
+    """Make a placement whose only instances have work for so long."""
+    placement = placement_of(1, 1)
+    jobs = tuple(Hint(name, int(seconds * 1e6 / placement.pool("s", stage).timing.typical_us), (), 0, 0, number)
+                 for number, (name, stage) in enumerate((("i-0", "prefill"), ("i-1", "decode")), 1))
+    placement.receive_hints(0.0, Hints(jobs))
+    return placement
+
+
+def test_what_cannot_begin_before_its_client_gives_up_is_refused_at_once() -> None:
+    asked = replace(wish("a", 0.0, 0.5), gone_at=2.0)
+    refused = _behind(3.0).generation(asked, prompt_of("key"))
+    assert isinstance(refused, Hopeless)
+    assert COME_BACK_S <= refused.come_back_s <= COME_BACK_S + SPREAD_S
+    assert isinstance(_behind(0.1).generation(asked, prompt_of("key")), Plan)
+    alone = placement_of(1, 1).generation(asked, prompt_of("key", 500_000))      # nobody waits: it is tried
+    assert isinstance(alone, Plan)
+
+
+def test_clients_that_are_refused_come_back_at_different_times() -> None:
+    placement = _behind(3.0)
+    wishes = [replace(wish(str(number), 0.0, 0.5), gone_at=2.0) for number in range(20)]
+    refused = [placement.generation(asked, prompt_of("key")) for asked in wishes]
+    times = [one.come_back_s for one in refused if isinstance(one, Hopeless)]
+    assert len(times) == 20
+    assert max(times) - min(times) > SPREAD_S / 2
+
+
+def test_a_refused_request_leaves_no_trace_in_books_and_hints() -> None:
+    placement = _behind(3.0)
+    assert isinstance(placement.generation(replace(wish("a", 0.0, 0.5), gone_at=2.0), prompt_of("key")), Hopeless)
+    assert placement.outgoing_hints(0.0) is None
+    assert not any(node.out or node.cache.parts for node in placement.nodes.values())
+
+
+def test_parts_of_a_prompt_that_was_not_read_are_not_taken_for_kept() -> None:
+    placement, other = placement_of(4, 1), placement_of(4, 1)
+    plan = generation(placement, "a", prompt_of("key"))
+    _tell(placement, other)
+    identity = plan.placed.node.instance.identity
+    assert other.nodes[identity].cache.cached(prompt_of("key")) == 5_500
+    placement.ended(0.1, plan.placed)
+    _tell(placement, other)
+    for one in (placement, other):
+        assert one.nodes[identity].cache.cached(prompt_of("key")) == 0
+        assert one.nodes[identity].cache.used == 0
+        assert one.nodes[identity].queue.begin(0.2e6, 9) <= 0.4e6
+
+
+def test_parts_that_another_job_has_read_stay_when_a_later_one_is_dropped() -> None:
+    placement, other = placement_of(4, 1), placement_of(4, 1)
+    first = generation(placement, "a", prompt_of("key"))
+    placement.answered(0.1, first.placed, False)
+    placement.ended(0.1, first.placed)
+    second = generation(placement, "b", prompt_of("key", name="b"))
+    assert second.placed.node is first.placed.node
+    placement.ended(0.2, second.placed)
+    _tell(placement, other)
+    for one in (placement, other):
+        cache = one.nodes[first.placed.node.instance.identity].cache
+        assert cache.cached(prompt_of("key")) == 5_500
+        assert not cache.expected
+
+
+def _tell(placement: Placement, other: Placement) -> None:
+    hints = placement.outgoing_hints(0.1)
+    assert hints is not None
+    other.receive_hints(0.1, hints)
