Placement: hopeless is what would begin after half of a client's patience

Cause: forecasts err to the early side, by 0.2 s for one read in ten, and a client that is refused has to have time to come back. Change: 0.5 in place of 1.

--- a/hophinge/fleet/placement/policy.py
+++ b/hophinge/fleet/placement/policy.py
@@ -32,7 +32,7 @@
     out_part: float = 0.5               # of the route's aim that the units out at an instance may fill
     drops_told: bool = True             # heads tell each other of prompts that will not be read
     refuse_hopeless: bool = True        # what can't begin before its client gives up is refused at once
-    patience_part: float = 1.0          # of a client's patience, beyond which it is hopeless
+    patience_part: float = 0.5          # of a client's patience, beyond which it is hopeless
     stages_by_work: bool = True         # instances change their stage by the work that is reported
     reading_part: float = 0.85          # of the time of instances that read, to which they are to be busy
     making_part: float = 0.35           # of the slots or memory of those that make tokens, that is to be taken
