--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -14,6 +14,7 @@
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.forwarding.budget import RetryBudget
+from hophinge.fleet.forwarding.figures import RequestFigures
 from hophinge.fleet.forwarding.headers import (
     DEADLINE,
     HOST,
@@ -49,6 +50,7 @@
         self.random = Random()
         self.split = SplitDraws(self.random)
         self.budgets: dict[str, RetryBudget] = {}
+        self.figures = RequestFigures()
         self.ready_port = int(settings.ready.rsplit(":", 1)[1]) if settings.ready else 0
         self.ending = False
 
@@ -90,6 +92,7 @@
             "instances": {identity: {"service": node.instance.service, "stage": node.instance.stage,
                                      "state": node.instance.state, "out": node.out, "rests": node.rests(now)}
                           for identity, node in sorted(self.placement.nodes.items())},
+            "requests": self.figures.told(),
             "digest": [f"{mark:016x}" for mark in knowledge.dissemination.replicas.marks(now)],
         }
 
@@ -159,5 +162,6 @@
         finally:
             watching.cancel()
             carrying.cancel()
+            self.figures.take(exchange.life.trace)
             if self.placement.policy.trace:
                 request_log.write(exchange.life.trace, exchange.life.prompt, self.settings.zone)
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -84,19 +84,19 @@
     def next(self, now: float) -> Step:
         """Tell what to do now."""
         if self.deadline - now < LEAST_LEFT_S:
-            return self._give_up(GATEWAY_TIMEOUT)
+            return self._give_up(GATEWAY_TIMEOUT, "no time left")
         if self.possible_runs and not self._may_run_again():
-            return self._give_up(BAD_GATEWAY)
+            return self._give_up(BAD_GATEWAY, "may not run again")
         if self._extra() and not self.budget.allows(now, self.heads):
-            return self._give_up(BAD_GATEWAY)
+            return self._give_up(BAD_GATEWAY, "retry budget")
         plan = self._plan(now)
         if plan is None and self.avoid:
             self.avoid.clear()
             plan = self._plan(now)
         if plan is None:
-            return self._give_up(BAD_GATEWAY)
+            return self._give_up(BAD_GATEWAY, "no instance")
         if isinstance(plan, Hopeless):
-            return self._give_up(BAD_GATEWAY, plan.come_back_s)
+            return self._give_up(BAD_GATEWAY, "hopeless", plan.come_back_s)
         placed = plan.placed
         self.trace.sent(now, placed.pool.stage, placed.node.instance.identity, placed.units, plan.forecast)
         return self._read(now, plan) if plan.reads else self._run(now, plan)
@@ -120,7 +120,8 @@
         reading = self.prompt is not None and self.handle is None
         return (self.reads > 0 and reading) or self.runs > 0
 
-    def _give_up(self, status: int, come_back_s: float = COME_BACK_S) -> GiveUp:
+    def _give_up(self, status: int, reason: str, come_back_s: float = COME_BACK_S) -> GiveUp:
+        self.trace.refusal = reason
         harmless = not self.ran or self.route.idempotent
         return GiveUp(UNAVAILABLE, come_back_s) if harmless and not self.begun else GiveUp(status, None)
 
--- a/hophinge/fleet/forwarding/trace.py
+++ b/hophinge/fleet/forwarding/trace.py
@@ -34,6 +34,7 @@
     first_s: float | None = None        # its first event, or its whole answer
     over_s: float | None = None
     ending: str = ""
+    refusal: str = ""           # why no further attempt was made, where the request was given up
 
     def sent(self, now: float, stage: str, instance: str, units: float, forecast: Forecast) -> None:
         """An attempt is sent."""
--- a/tests/test_fleet_losses.py
+++ b/tests/test_fleet_losses.py
@@ -9,6 +9,7 @@
 
 from hophinge.fleet.analysis.losses import Kind, Loss, Reason, losses
 from hophinge.fleet.analysis.traces import Request, read_requests
+from hophinge.fleet.forwarding.figures import RequestFigures
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.plan import Forecast
 from hophinge.fleet.placement.policy import Order, Policy
@@ -109,3 +110,18 @@
     [request] = read_requests([f" 1.5 n 20:00 INFO request {json.dumps(raw)}"])
     assert isinstance(request, Request)
     assert (request.tokens_in, request.parts, request.shared) == (0, (), ())
+
+
+def test_operators_are_told_how_requests_ended_why_they_were_refused_and_how_forecasts_held() -> None:
+    figures = RequestFigures()
+    for first_s, took_s in ((0.2, 0.15), (0.4, 0.35)):
+        trace = RequestTrace("r", 0.0, AIM_S)
+        trace.sent(0.0, "prefill", "i-1", 500.0, Forecast(50_000.0, 50_000.0, 130_000.0, False))
+        trace.attempt_ended(took_s, "READ")
+        trace.began(first_s)
+        trace.ended(0.5, "ANSWERED")
+        figures.take(trace)
+    figures.take(RequestTrace("r", 0.0, AIM_S, ending="refused 503", refusal="hopeless"))
+    assert figures.told() == {
+        "endings": {"in time": 1, "late": 1, "refused 503": 1}, "refusals": {"hopeless": 1}, "reads": 2,
+        "reads-over-100-ms-late": 1, "read-forecast-ms": 100.0, "read-actual-ms": 250.0}
