--- a/hophinge/fleet/forwarding/figures.py
+++ b/hophinge/fleet/forwarding/figures.py
@@ -1,4 +1,4 @@
-"""What operators are told of requests at one head: how they ended, why they were refused, and how good forecasts were."""
+"""What operators are told of requests at one head: their ends, reasons of refusals, and how forecasts held."""
 
 from __future__ import annotations
 
