--- a/deploy/sites/fleet_variants.py
+++ b/deploy/sites/fleet_variants.py
@@ -11,88 +11,13 @@
 import shutil
 import sys
 import tomllib
-from dataclasses import dataclass
 from pathlib import Path
-from random import Random
-from typing import Any
 
 import tomlkit
 
-BESIDE = ("wire.json", "CUT")
-NOISE = 0.1                 # by which the seed moves each factor either way
-
-
-@dataclass(frozen=True, slots=True)
-class Recipe:
-    """Factors on a base's values; a part that starts as prefill is given as it is."""
-
-    name: str
-    base: str
-    seed: int
-    pace: float = 1.0           # of reading
-    memory: float = 1.0         # of an engine
-    tokens_in: float = 1.0      # of each prompt's own part
-    shared: float = 1.0         # of shared parts
-    openings: float = 1.0       # number of them
-    tokens_out: float = 1.0
-    rate: float = 1.0
-    aims: float = 1.0
-    prefill: float = 0.41
-
-
-SKOVLUND = "further/skovlund-line-grown.toml"
-REMIT, MEJA = "sites/clydebank-remit.toml", "sites/nccb-meja.toml"
-RECIPES = (
-    Recipe("slow-reading", SKOVLUND, 1, pace=0.27, memory=2.4),
-    Recipe("few-readers", SKOVLUND, 2, pace=0.67, prefill=0.15),
-    Recipe("little-memory", SKOVLUND, 3, memory=0.31),
-    Recipe("long-answers", SKOVLUND, 4, tokens_out=3.0, prefill=0.6),
-    Recipe("many-openings", REMIT, 5, openings=4.0, shared=0.6),
-    Recipe("own-prompts", REMIT, 6, shared=0.1, tokens_in=2.0),
-    Recipe("rush", MEJA, 7, rate=1.8, aims=1.4),
-    Recipe("tight", MEJA, 8, aims=0.7, pace=1.3),
-)
-
+from hophinge.fleet.analysis.recipes import RECIPES, vary
 
-def vary(site: dict[str, Any], recipe: Recipe) -> dict[str, Any]:
-    """Put a recipe's values into a site, in place."""
-    random = Random(recipe.seed)
-
-    def factor(value: float) -> float:
-        return value * random.uniform(1 - NOISE, 1 + NOISE) if value != 1.0 else 1.0
-
-    site["name"] = recipe.name
-    for service in site["services"]:
-        if "llm" in service:
-            engine = service["llm"]
-            engine["prefill_tokens_per_ms"] *= factor(recipe.pace)
-            engine["kv_tokens"] = int(engine["kv_tokens"] * factor(recipe.memory))
-            engine["prefill"] = recipe.prefill
-    factors = {name: factor(getattr(recipe, name)) for name in ("tokens_in", "shared", "openings", "tokens_out")}
-    for kind in site["classes"]:
-        kind["aim_ms"] = round(kind["aim_ms"] * recipe.aims)
-        if "stream" in kind:
-            _vary_prompts(kind["stream"], factors)
-    for day in site["day"]:
-        for kind in day.get("small", {}).get("classes", []):
-            _vary_prompts(kind["stream"], factors)
-        for traffic in day.get("traffic", []):
-            traffic["per_s"] = traffic["per_s"] * recipe.rate
-    return site
-
-
-def _vary_prompts(stream: dict[str, Any], factors: dict[str, float]) -> None:
-    for key, name in (("prompt_tokens", "tokens_in"), ("pieces", "tokens_out")):
-        if key in stream:
-            _scale(stream[key], factors[name])
-    for part in stream.get("chain", []):
-        _scale(part["tokens"], factors["shared"])
-        part["things"] = max(1, round(part["things"] * factors["openings"]))
-
-
-def _scale(sizes: dict[str, float], factor: float) -> None:
-    sizes["mean"] *= factor
-    sizes["max"] *= factor
+BESIDE = ("wire.json", "CUT")
 
 
 def make(kit: Path, made: Path) -> list[Path]:
