--- a/tests/test_fleet_variants.py
+++ b/tests/test_fleet_variants.py
@@ -70,7 +70,7 @@
 
 
 def _make(*arguments: Path) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "deploy.sites.fleet_variants", *arguments]
+    command = [sys.executable, "-m", "deploy.sites.fleet_variants", *map(str, arguments)]
     return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
 
 
