--- /dev/null
+++ b/tests/decision_mutants.py
@@ -0,0 +1,43 @@
+"""One-line mutants of what placement decides under overload, and of how stages follow the work."""
+
+from __future__ import annotations
+
+from tests.mutant import Mutant
+
+OVERLOAD = "tests/test_fleet_overload.py::"
+STAGES = "tests/test_fleet_stages.py::"
+LOSSES = "tests/test_fleet_losses.py::"
+
+DECISIONS = (
+    Mutant("what is hopeless is sent all the same", "fleet/placement/placement",
+           "if hopeless and self.policy.refuse_hopeless:", "if False:",
+           OVERLOAD + "test_what_cannot_begin_before_its_client_gives_up_is_refused_at_once"),
+    Mutant("where nobody waits a long prompt is refused", "fleet/placement/placement",
+           "hopeless = wait_us > 0 and ", "hopeless = ",
+           OVERLOAD + "test_what_cannot_begin_before_its_client_gives_up_is_refused_at_once"),
+    Mutant("all refused clients come back at once", "fleet/placement/placement",
+           " + self.random.random() * min(SPREAD_S, wait_us / MICROSECONDS)", "",
+           OVERLOAD + "test_clients_that_are_refused_come_back_at_different_times"),
+    Mutant("nobody is told of a prompt that is not read", "fleet/placement/placement",
+           "self.pending_drops.append(Dropped(placed.node.instance.identity, placed.job.number))", "pass",
+           OVERLOAD + "test_parts_of_a_prompt_that_was_not_read_are_not_taken_for_kept"),
+    Mutant("parts of a prompt that was not read stay", "fleet/placement/node",
+           "            self.used -= self.parts.pop(part, 0)\n\n    def cached", "\n    def cached",
+           OVERLOAD + "test_parts_of_a_prompt_that_was_not_read_are_not_taken_for_kept"),
+    Mutant("a later drop takes what an earlier job read", "fleet/placement/node",
+           "new = [part for part, _ in parts if part not in self.parts]", "new = [part for part, _ in parts]",
+           OVERLOAD + "test_parts_that_another_job_has_read_stay_when_a_later_one_is_dropped"),
+    Mutant("an empty stage waits like any change", "fleet/placement/stages",
+           "PREFILL if decode else DECODE, True)", "PREFILL if decode else DECODE, False)",
+           STAGES + "test_where_nobody_is_left_of_a_stage_one_is_made_at_once"),
+    Mutant("a stage falls to one of many", "fleet/placement/stages",
+           "least = LEAST if len(ready) >= 2 * LEAST else 1", "least = 1",
+           STAGES + "test_a_stage_is_given_a_second_instance_before_its_last_one_is_lost"),
+    Mutant("memory is not counted in what is taken", "fleet/placement/stages",
+           "max((report.running + report.waiting) / max(1, slots), memory)",
+           "(report.running + report.waiting) / max(1, slots)",
+           STAGES + "test_makers_short_of_slots_or_of_memory_are_given_idle_readers"),
+    Mutant("a misspelt mechanism of a trial is passed over", "fleet/trial",
+           "    if unknown:\n", "    if False:\n",
+           LOSSES + "test_a_trial_gives_a_policy_in_a_file_and_a_deployment_has_none"),
+)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -5,11 +5,12 @@
 import os
 
 from tests.coordination_mutants import COORDINATION
+from tests.decision_mutants import DECISIONS
 from tests.mutant import Mutant, install
 from tests.worst_days_mutants import WORST_DAYS
 
 CHOSEN = "HOPHINGE_MUTANT"
-MUTANTS = (*COORDINATION, *WORST_DAYS)
+MUTANTS = (*COORDINATION, *DECISIONS, *WORST_DAYS)
 
 
 def chosen() -> Mutant | None:
--- a/tests/worst_days_mutants.py
+++ b/tests/worst_days_mutants.py
@@ -97,7 +97,7 @@
     Mutant("a connection with surplus bytes is used again", "fleet/dataplane/connections",
            "        return bool(surplus)", "        return False", REQUESTS),
     Mutant("a stream that broke off looks whole", "fleet/dataplane/exchange",
-           "        if self.started:\n            raise BrokenOffError\n", "", REQUESTS),
+           "            self.ending = \"broken off\"\n            raise BrokenOffError\n", "            return \"\"\n", REQUESTS),
     Mutant("a connection that died at rest teaches nothing", "fleet/dataplane/connections",
            "            if rested > 0:\n                self.pool.forgotten(rested)\n", "",
            CONNECTIONS + "test_an_instance_that_drops_resting_connections_silently_is_learned"),
