Lives: a stream that has begun is resumed, whatever its client's patience for a first event was

Cause, on reading the change again: once half of the patience was over, a resumable stream that broke off was taken for hopeless wherever something waited, and broken off for good. Change: patience counts until the first event alone.

--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -104,7 +104,7 @@
     def _plan(self, now: float) -> Plan | Hopeless | None:
         """Have the next attempt placed."""
         wish = Wish(now, (self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at,
-                    self.gone_at)
+                    float("inf") if self.begun else self.gone_at)
         if self.prompt is None:
             return self.placement.plain(wish, DECODE if self.staged else PLAIN)
         if self.handle is None and self.reads < MOST_READS:
--- a/tests/test_fleet_life.py
+++ b/tests/test_fleet_life.py
@@ -15,6 +15,7 @@
 from hophinge.fleet.forwarding.life import GiveUp, Life, Read, Run
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.forwarding.results import Ending, Handle, Result, unexecuted
+from hophinge.fleet.placement.hints import Hint, Hints
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import Prompt, parse_prompt
 from hophinge.fleet.registry.instance import READY, Instance
@@ -212,3 +213,19 @@
     prompt = parse_prompt("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
     assert (prompt.tokens_in, prompt.tokens_out, prompt.key, prompt.shared_tokens) == (1460, 80, "91bd3f06", 1210)
     assert parse_prompt("x", None) == Prompt(0, 0, ())
+
+
+def test_a_stream_that_has_begun_is_resumed_also_where_a_new_one_would_be_hopeless() -> None:
+    """Its client's patience is for the first event; one that has had it waits for the rest."""
+    for begun in (True, False):
+        placement = _placement(0, 2)
+        life = _life(STREAM, placement, PROMPT)
+        life.gone_at = 2.0
+        first = _run(life)
+        if begun:
+            life.streaming(0.1, first.placed)
+        life.ended(1.5, first.placed, Result(Ending.BROKEN if begun else Ending.REFUSED, event_id="3"))
+        placement.receive_hints(1.5, Hints(tuple(Hint(name, 90_000, (), 0, 0, number)
+                                                 for number, name in enumerate(placement.nodes, 1))))
+        step = life.next(1.5)
+        assert isinstance(step, Run if begun else GiveUp)
