--- a/deploy/sites/fleet_variants.py
+++ b/deploy/sites/fleet_variants.py
@@ -15,9 +15,10 @@
 
 import tomlkit
 
-from hophinge.fleet.analysis.recipes import RECIPES, vary
+from hophinge.fleet.analysis.recipes import Recipe, vary
 
 BESIDE = ("wire.json", "CUT")
+RECIPES = Path(__file__).parent / "fleet" / "recipes.toml"
 
 
 def make(kit: Path, made: Path) -> list[Path]:
@@ -26,7 +27,8 @@
     Raises FileNotFoundError: a site file of the kit, or what lies beside it, is not there.
     """
     paths = []
-    for recipe in RECIPES:
+    for raw in tomllib.loads(RECIPES.read_text())["recipe"]:
+        recipe = Recipe(**raw)
         base = kit / recipe.base
         beside = [base.with_name(name) for name in BESIDE]
         for path in (base, *beside):
--- a/hophinge/fleet/analysis/recipes.py
+++ b/hophinge/fleet/analysis/recipes.py
@@ -27,20 +27,6 @@
     prefill: float = 0.41
 
 
-SKOVLUND = "further/skovlund-line-grown.toml"
-REMIT, MEJA = "sites/clydebank-remit.toml", "sites/nccb-meja.toml"
-RECIPES = (
-    Recipe("slow-reading", SKOVLUND, 1, pace=0.27, memory=2.4),
-    Recipe("few-readers", SKOVLUND, 2, pace=0.67, prefill=0.15),
-    Recipe("little-memory", SKOVLUND, 3, memory=0.31),
-    Recipe("long-answers", SKOVLUND, 4, tokens_out=3.0, prefill=0.6),
-    Recipe("many-openings", REMIT, 5, openings=4.0, shared=0.6),
-    Recipe("own-prompts", REMIT, 6, shared=0.1, tokens_in=2.0),
-    Recipe("rush", MEJA, 7, rate=1.8, aims=1.4),
-    Recipe("tight", MEJA, 8, aims=0.7, pace=1.3),
-)
-
-
 def vary(site: dict[str, Any], recipe: Recipe) -> dict[str, Any]:
     """Put a recipe's values into a site, in place."""
     random = Random(recipe.seed)
--- a/tests/test_fleet_variants.py
+++ b/tests/test_fleet_variants.py
@@ -5,15 +5,18 @@
 import copy
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
 import pytest
 import tomlkit
 
-from hophinge.fleet.analysis.recipes import NOISE, RECIPES, Recipe, vary
+from hophinge.fleet.analysis.recipes import NOISE, Recipe, vary
 
 ROOT = Path(__file__).parent.parent
+RECIPES = [Recipe(**raw) for raw in tomllib.loads(
+    (ROOT / "deploy" / "sites" / "fleet" / "recipes.toml").read_text())["recipe"]]
 
 
 def _site() -> dict[str, Any]:
