Sight: each cut answer has one line and one count, with side, step, cause and what was known of the instance

Cause: an answer that is broken off left a traceback of the HTTP server and no word of why, so that none of five hypotheses could be told from another. Change: a typed record of the cut, its line in the log, counts on the member's page; the control plane tells callers that left, both programs what is owed at their end. No logic of requests is changed.

--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -9,6 +9,7 @@
 from pydantic import ValidationError
 
 from hophinge.coordination.registers import Change, Outcome
+from hophinge.fleet import log
 from hophinge.fleet.configuration.document import Findings, check
 from hophinge.fleet.configuration.routes import RECORD_KEY
 from hophinge.fleet.controlplane.directory import Directory
@@ -58,7 +59,7 @@
             else:
                 await answer(send, 404, _body(error="there is no such resource"), (JSON_TYPE,))
         except ClientGoneError:
-            pass
+            log.note(f"cut: {method} {path} by client while arriving")
         except BodyTooLargeError:
             await answer(send, 413, _body(error="the body is too large"), (JSON_TYPE, (b"connection", b"close")))
 
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -95,6 +95,8 @@
         until = asyncio.get_running_loop().time() + LEAVE_S
         while self.server.busy and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.02)
+        for owed in self.server.owed():
+            log.note(f"cut: by the end of this process; {owed}")
         self.tasks.cancel()
         self.links.close()
 
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -6,9 +6,11 @@
 import json
 from dataclasses import dataclass
 
+import anyio
 import httpcore
 
 from hophinge.fleet.dataplane.upstream import FAILURES, UNSENT, Call, Upstream
+from hophinge.fleet.forwarding.cuts import Side, Step
 from hophinge.fleet.forwarding.events import EventReader
 from hophinge.fleet.forwarding.headers import (
     DEADLINE,
@@ -54,6 +56,27 @@
     request_id: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptFailure:
+    """How an attempt failed, for those who look for the cause."""
+
+    side: Side
+    error: str
+
+
+def _failure(error: BaseException) -> AttemptFailure:
+    """Tell who ended an attempt first: an own close shows as a connection that is closed here, not by its peer."""
+    text = f"{type(error).__name__}({error})"
+    if isinstance(error, TimeoutError | httpcore.TimeoutException):
+        return AttemptFailure(Side.TIME, text)
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, anyio.ClosedResourceError):
+            return AttemptFailure(Side.HEAD, text)
+        cause = cause.__cause__ or cause.__context__
+    return AttemptFailure(Side.INSTANCE, text)
+
+
 class Exchange:
     """One request on its way."""
 
@@ -63,6 +86,9 @@
         self.closing = closing
         self.started = False        # an answer's head went to the client
         self.ending = ""            # what the client got
+        self.step = Step.CHOOSING
+        self.instance = ""          # of the newest attempt
+        self.failure: AttemptFailure | None = None      # of the newest attempt, where it failed
 
     async def run(self) -> None:
         """Go through attempts until the client has its answer; memory read for nothing is freed."""
@@ -80,12 +106,15 @@
             if not isinstance(step, Read | Run):
                 break
             result = Result(Ending.UNKNOWN)
+            self.instance, self.failure = step.placed.node.instance.identity, None
+            self._at(Step.READING if isinstance(step, Read) else Step.WAITING)
             try:
                 result = await (self._read(step) if isinstance(step, Read) else self._run(step))
             finally:
                 over = self.life.ended(self.loop.time(), step.placed, result)
             if over:
                 return result.ending.name
+            self._at(Step.CHOOSING)
         if self.started:
             self.ending = "broken off"
             raise BrokenOffError
@@ -93,6 +122,10 @@
         await answer(self.send, step.status, b"", [*headers, *self._closing()])
         return f"refused {step.status}"
 
+    def _at(self, step: Step) -> None:
+        """Note how far the request has got; what has begun to go to the client stays begun."""
+        self.step = Step.ANSWERING if self.started else step
+
     def _closing(self) -> Fields:
         return [(b"connection", b"close")] if self.closing else []
 
@@ -121,7 +154,8 @@
                 return self._handle(node, response.status, body)
         except UNSENT:
             return Result(Ending.UNSENT)
-        except (*FAILURES, TimeoutError):
+        except (*FAILURES, TimeoutError) as error:
+            self.failure = _failure(error)
             return Result(Ending.UNKNOWN)
 
     def _handle(self, node: Node, status: int, body: bytes) -> Result:
@@ -151,19 +185,21 @@
                 return await self._answered(step.placed, response, reader)
         except UNSENT:
             return Result(Ending.UNSENT)
-        except (*FAILURES, TimeoutError):
+        except (*FAILURES, TimeoutError) as error:
+            self.failure = _failure(error)
             return Result(Ending.BROKEN if self.started else Ending.UNKNOWN, event_id=reader.last_id)
 
     async def _answered(self, placed: Placed, response: httpcore.Response, reader: EventReader) -> Result:
         fields = response.headers
         if not belongs(fields, self.inbound.request_id):
-            return Result(Ending.UNKNOWN)
+            return self._unfit("the answer is another request's")
         refused = unexecuted(response.status, fields)
         if refused is not None:
             await response.aread()
+            self.failure = AttemptFailure(Side.INSTANCE, f"not executed, {response.status}")
             return Result(refused)
         if not may_be_passed_on(response.status) or (200 <= response.status < 300 and not stamped(fields)):
-            return Result(Ending.UNKNOWN)
+            return self._unfit(f"status {response.status} may not be passed on")
         if response.status == 200 and (find(fields, b"content-type") or "").startswith(EVENT_STREAM):
             return await self._stream(placed, response, reader)
         body = await response.aread()
@@ -173,12 +209,17 @@
         await answer(self.send, response.status, body, [*head, *self._closing()])
         return Result(Ending.ANSWERED if response.status < 500 else Ending.FAILED)
 
+    def _unfit(self, why: str) -> Result:
+        self.failure = AttemptFailure(Side.INSTANCE, why)
+        return Result(Ending.UNKNOWN)
+
     async def _stream(self, placed: Placed, response: httpcore.Response, reader: EventReader) -> Result:
         """Pass events on as they come; the end is passed on only where the instance's own answer was whole."""
         if not self.started:
             head = [*returned(response.headers), *self._closing()]
             await self.send({"type": "http.response.start", "status": response.status, "headers": head})
             self.started = True
+            self.step = Step.ANSWERING
         async for chunk in response.aiter_stream():
             whole = reader.feed(chunk)
             if whole:
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -10,10 +10,12 @@
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import Limits, Route
 from hophinge.fleet.dataplane import request_log
+from hophinge.fleet.dataplane.cut_log import CutLog
 from hophinge.fleet.dataplane.exchange import BrokenOffError, Exchange, Inbound
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.forwarding.budget import RetryBudget
+from hophinge.fleet.forwarding.cuts import Side
 from hophinge.fleet.forwarding.figures import RequestFigures
 from hophinge.fleet.forwarding.headers import (
     DEADLINE,
@@ -51,6 +53,7 @@
         self.split = SplitDraws(self.random)
         self.budgets: dict[str, RetryBudget] = {}
         self.figures = RequestFigures()
+        self.cuts = CutLog(knowledge, placement, upstream)
         self.ready_port = int(settings.ready.rsplit(":", 1)[1]) if settings.ready else 0
         self.ending = False
 
@@ -67,7 +70,7 @@
         except BodyTooLargeError:
             await answer(send, 413, b"", [CLOSE])
         except BrokenOffError:
-            raise
+            pass                # told of by then; the server closes the connection behind what has gone
         except Exception:
             log.logger.exception("a request failed in the head itself")
             raise
@@ -92,7 +95,7 @@
             "instances": {identity: {"service": node.instance.service, "stage": node.instance.stage,
                                      "state": node.instance.state, "out": node.out, "rests": node.rests(now)}
                           for identity, node in sorted(self.placement.nodes.items())},
-            "requests": self.figures.told(),
+            "requests": self.figures.told(), "cuts": dict(sorted(self.cuts.counts.items())),
             "digest": [f"{mark:016x}" for mark in knowledge.dissemination.replicas.marks(now)],
         }
 
@@ -157,8 +160,19 @@
                 carrying.cancel()
                 with contextlib.suppress(asyncio.CancelledError, BrokenOffError):
                     await carrying
+                self.cuts.note(exchange, Side.CLIENT)
                 raise ClientGoneError
             await carrying
+        except BrokenOffError:
+            failure = exchange.failure
+            self.cuts.note(exchange, failure.side if failure else Side.HEAD, failure.error if failure else "")
+            raise
+        except Exception as error:
+            self.cuts.note(exchange, Side.HEAD, f"{type(error).__name__}({error})")
+            raise
+        except asyncio.CancelledError:
+            self.cuts.note(exchange, Side.PROCESS)
+            raise
         finally:
             watching.cancel()
             carrying.cancel()
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -36,6 +36,7 @@
         self.dissemination = Dissemination(self.random)
         self.renewal = Renewal(settings.zone, settings.seed_members(), self.random)
         self.table: RouteTable | None = None
+        self.table_since = self.loop.time()
         self.first_grant: float | None = None
         self.compared = self.loop.time()
 
@@ -69,7 +70,7 @@
 
     def _learn(self, record: Record) -> None:
         if record.key == RECORD_KEY:
-            self.table = table_of(record)
+            self.table, self.table_since = table_of(record), self.loop.time()
             self.configured(self.table)
             log.note(f"configuration {self.table.version} is in force")
         elif record.key.startswith(INSTANCE_PREFIX):
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -126,6 +126,8 @@
         self.server.close_resting()
         while self.server.busy and loop.time() < until:
             await asyncio.sleep(0.05)
+        for owed in self.server.owed():
+            log.note(f"cut: by the end of this process; {owed}")
         self.tasks.cancel()
         self.links.close()
 
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -15,6 +15,7 @@
 
 CONNECT_S = 0.4             # for a connection to come up: some thousand times what the network takes
 FREE_S = 0.5                # for an instance to free memory
+REMEMBERED_S = 60.0         # for which an instance that has ended is remembered: longer than any request lasts
 UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         self.pools: dict[str, InstancePool] = {}
         self.freeing: set[asyncio.Task[None]] = set()
+        self.ended: dict[str, float] = {}       # instances that have unregistered, and when this head heard of it
 
     def _pool(self, identity: str) -> InstancePool:
         pool = self.pools.get(identity)
@@ -77,8 +79,21 @@
             async with self.call(handle.instance, call) as response:
                 await response.aread()
 
+    def unregistered_s(self, now: float, identity: str) -> float | None:
+        """Tell for how long an instance is known to have ended, in seconds; None where it is not."""
+        at = self.ended.get(identity)
+        return None if at is None else now - at
+
+    def connections(self, identity: str) -> int:
+        """Tell how many connections there are to an instance."""
+        pool = self.pools.get(identity)
+        return len(pool.connections) if pool is not None else 0
+
     async def forget(self, identity: str) -> None:
         """Close the connections to an instance that has ended."""
+        now = asyncio.get_running_loop().time()
+        self.ended = {one: at for one, at in self.ended.items() if now - at < REMEMBERED_S}
+        self.ended[identity] = now
         pool = self.pools.pop(identity, None)
         if pool is not None:
             await pool.aclose()
--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 BACKLOG = 1_024
 IDLE_S = 60.0               # until the configuration tells how long connections may rest
@@ -59,6 +60,19 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
+    def owed(self) -> list[str]:
+        """Tell each connection on which an answer is owed, or has not gone out whole yet."""
+        found: list[str] = []
+        for connection in self.server_state.connections:
+            assert isinstance(connection, HttpToolsProtocol)
+            cycle, waiting = connection.cycle, connection.transport.get_write_buffer_size()
+            unanswered = cycle is not None and not cycle.response_complete
+            if unanswered or waiting:
+                path = cycle.scope["path"] if cycle is not None else "?"
+                found.append(f"{path} of {connection.client}: {'no whole answer' if unanswered else 'answered'}, "
+                             f"{waiting} bytes not sent")
+        return found
+
     @property
     def busy(self) -> bool:
         """Tell whether a request is under way."""
