--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -167,6 +167,8 @@
             failure = exchange.failure
             self.cuts.note(exchange, failure.side if failure else Side.HEAD, failure.error if failure else "")
             raise
+        except ClientGoneError:
+            raise
         except Exception as error:
             self.cuts.note(exchange, Side.HEAD, f"{type(error).__name__}({error})")
             raise
