Repair: what has ended is retired, and closes behind what is under way on it

Cause: connections to an instance that unregisters and serves on were closed in use; the same class elsewhere: work on a request was cancelled once its answer had gone out whole, and left its connection in use for good; the process ended with answers in its buffers, and with one failing periodic step; a message that failed took those behind it. Change: claims and retirement as one type, for pools and connections; the end of a process waits for each connection to close; a connection rests by the configuration in force; a failing step is told of and the next one comes; SIGHUP is ignored in the first and last moments.

--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -90,16 +90,10 @@
     async def _end(self) -> None:
         log.note("ending")
         await self._hand_over()
-        self.server.stop_listening()
-        self.server.close_resting()
-        until = asyncio.get_running_loop().time() + LEAVE_S
-        while self.server.busy and asyncio.get_running_loop().time() < until:
-            await asyncio.sleep(0.02)
-        for owed in self.server.owed():
-            log.note(f"cut: by the end of this process; {owed}")
+        await self.server.finish(asyncio.get_running_loop().time() + LEAVE_S)
         self.tasks.cancel()
         self.links.close()
-
+        self.signals.close()
 
     async def _hand_over(self) -> None:
         """Serve on until the others have a view without this member: it may hold what nobody else holds."""
--- a/hophinge/fleet/dataplane/__main__.py
+++ b/hophinge/fleet/dataplane/__main__.py
@@ -1,5 +1,7 @@
 """Starts a head of the fleet."""
 
+from hophinge.fleet import early_signals  # isort: skip  # noqa: F401 - before all that takes a while
+
 from hophinge.fleet.dataplane.program import serve
 from hophinge.fleet.program import run
 
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -85,6 +85,7 @@
         self.loop = asyncio.get_running_loop()
         self.closing = closing
         self.started = False        # an answer's head went to the client
+        self.answered = False       # the answer has gone out whole
         self.ending = ""            # what the client got
         self.step = Step.CHOOSING
         self.instance = ""          # of the newest attempt
@@ -119,9 +120,14 @@
             self.ending = "broken off"
             raise BrokenOffError
         headers = [] if step.come_back_s is None else [(b"retry-after", f"{step.come_back_s:.2f}".encode())]
-        await answer(self.send, step.status, b"", [*headers, *self._closing()])
+        await self._answer(step.status, b"", [*headers, *self._closing()])
         return f"refused {step.status}"
 
+    async def _answer(self, status: int, body: bytes, fields: Fields) -> None:
+        """Answer the client whole."""
+        await answer(self.send, status, body, fields)
+        self.answered = True
+
     def _at(self, step: Step) -> None:
         """Note how far the request has got; what has begun to go to the client stays begun."""
         self.step = Step.ANSWERING if self.started else step
@@ -206,7 +212,7 @@
         if self.started:
             return Result(Ending.BROKEN, event_id=reader.last_id)
         head = [field for field in returned(fields) if field[0].lower() != b"content-length"]
-        await answer(self.send, response.status, body, [*head, *self._closing()])
+        await self._answer(response.status, body, [*head, *self._closing()])
         return Result(Ending.ANSWERED if response.status < 500 else Ending.FAILED)
 
     def _unfit(self, why: str) -> Result:
@@ -227,4 +233,5 @@
                     self.life.streaming(self.loop.time(), placed)
                 await self.send({"type": "http.response.body", "body": whole, "more_body": True})
         await self.send({"type": "http.response.body", "body": reader.rest})
+        self.answered = True
         return Result(Ending.ANSWERED)
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 from random import Random
 
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import Limits, Route
 from hophinge.fleet.dataplane import request_log
+from hophinge.fleet.dataplane.client import carried
 from hophinge.fleet.dataplane.cut_log import CutLog
 from hophinge.fleet.dataplane.exchange import BrokenOffError, Exchange, Inbound
 from hophinge.fleet.dataplane.knowledge import Knowledge
@@ -152,23 +152,14 @@
 
     async def _carry(self, exchange: Exchange, receive: Receive) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
-        carrying = self.loop.create_task(exchange.run())
-        watching = self.loop.create_task(receive())
+        work = self.loop.create_task(exchange.run())
         try:
-            await asyncio.wait({carrying, watching}, return_when=asyncio.FIRST_COMPLETED)
-            if not carrying.done():
-                carrying.cancel()
-                with contextlib.suppress(asyncio.CancelledError, BrokenOffError):
-                    await carrying
+            if not await carried(work, receive, lambda: exchange.answered):
                 self.cuts.note(exchange, Side.CLIENT)
-                raise ClientGoneError
-            await carrying
         except BrokenOffError:
             failure = exchange.failure
             self.cuts.note(exchange, failure.side if failure else Side.HEAD, failure.error if failure else "")
             raise
-        except ClientGoneError:
-            raise
         except Exception as error:
             self.cuts.note(exchange, Side.HEAD, f"{type(error).__name__}({error})")
             raise
@@ -176,8 +167,6 @@
             self.cuts.note(exchange, Side.PROCESS)
             raise
         finally:
-            watching.cancel()
-            carrying.cancel()
             self.figures.take(exchange.life.trace)
             if self.placement.policy.trace:
                 request_log.write(exchange.life.trace, exchange.life.prompt, self.settings.zone)
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -63,10 +63,10 @@
             self.first_granted()
 
     def _let_go(self, spread: Spread) -> None:
-        for address, message in spread.messages:
-            self.send(address, message)
         for record in spread.news:
             self._learn(record)
+        for address, message in spread.messages:
+            self.send(address, message)
 
     def _learn(self, record: Record) -> None:
         if record.key == RECORD_KEY:
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -63,10 +63,12 @@
             self.knowledge.received(hello.sender.address, message)
 
     def _instance(self, identity: str, instance: Instance | None) -> None:
+        if instance is not None:
+            self.upstream.returned(identity)
         self.placement.instance(identity, instance)
 
     def _ended(self, identity: str) -> None:
-        self.tasks.start(self.upstream.forget(identity))
+        self.tasks.start_aside(self.upstream.forget(identity))
 
     def _configured(self, table: RouteTable) -> None:
         self.server.rest(table.limits.idle_s)
@@ -109,6 +111,7 @@
     def _tend(self) -> None:
         self._reread()
         self.links.tidy()
+        self.tasks.start_aside(self.upstream.tend())
 
     def _reread(self) -> None:
         settings = reread_settings()
@@ -122,14 +125,10 @@
         until = loop.time() + self.settings.bounds.grace_s - RESERVE_S
         self.front.ending = True
         await asyncio.sleep(min(LEAVE_S, self.settings.bounds.grace_s / 3))
-        self.server.stop_listening()
-        self.server.close_resting()
-        while self.server.busy and loop.time() < until:
-            await asyncio.sleep(0.05)
-        for owed in self.server.owed():
-            log.note(f"cut: by the end of this process; {owed}")
+        await self.server.finish(until)
         self.tasks.cancel()
         self.links.close()
+        self.signals.close()
 
 
 async def serve(settings: Settings) -> None:
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass
 
 import httpcore
 
-from hophinge.fleet.dataplane.connections import CONNECTION, InstancePool
+from hophinge.fleet.dataplane.connections import InstanceEndedError, InstancePool
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.results import Handle
 
@@ -37,10 +37,13 @@
 
     def __init__(self) -> None:
         self.pools: dict[str, InstancePool] = {}
-        self.freeing: set[asyncio.Task[None]] = set()
+        self.background: set[asyncio.Task[None]] = set()
         self.ended: dict[str, float] = {}       # instances that have unregistered, and when this head heard of it
 
     def _pool(self, identity: str) -> InstancePool:
+        """Tell an instance's pool; raises InstanceEndedError where the instance has ended: it gets nothing new."""
+        if identity in self.ended:
+            raise InstanceEndedError("the instance has ended")
         pool = self.pools.get(identity)
         if pool is None:
             pool = self.pools[identity] = InstancePool()
@@ -48,7 +51,10 @@
 
     @contextlib.asynccontextmanager
     async def call(self, identity: str, call: Call) -> AsyncIterator[httpcore.Response]:
-        """Send a request; the connection is closed unless the whole answer was read."""
+        """Send a request; the connection is closed unless the whole answer was read.
+
+        Raises InstanceEndedError, with nothing sent, where the instance has ended, and what httpcore raises.
+        """
         host, port = call.address.rsplit(":", 1)
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=call.target)
         timeout = {"connect": min(CONNECT_S, call.left_s), "pool": min(CONNECT_S, call.left_s),
@@ -57,19 +63,33 @@
         request = httpcore.Request(call.method, url, headers=fields, content=call.body,
                                    extensions={"timeout": timeout})
         pool = self._pool(identity)
-        response = await pool.handle_async_request(request)
-        pool.answered(response.headers)
+        claim = pool.claims.claim(asyncio.get_running_loop().time() + call.left_s)
+        assert claim is not None, "the pool of an instance that has not ended is not retired"
         try:
-            yield response
+            response = await pool.handle_async_request(request)
+            pool.answered(response.headers)
+            try:
+                yield response
+            finally:
+                await asyncio.shield(self._start(response.aclose()))   # whoever waits may be cancelled once more
         finally:
-            await response.aclose()
-            response.extensions[CONNECTION].released()
+            if pool.claims.release(claim):
+                self._drop(identity, pool)
+
+    def _drop(self, identity: str, pool: InstancePool) -> None:
+        """Take a pool that nobody uses off the table."""
+        if self.pools.get(identity) is pool:
+            del self.pools[identity]
 
     def free(self, handle: Handle) -> None:
         """Free memory that was read for nothing; nobody waits for it, and it lapses by itself if this fails."""
-        task = asyncio.get_running_loop().create_task(self._free(handle))
-        self.freeing.add(task)
-        task.add_done_callback(self.freeing.discard)
+        self._start(self._free(handle))
+
+    def _start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        return task
 
     async def _free(self, handle: Handle) -> None:
         target = f"/v1/kv-handle/{handle.identity}".encode()
@@ -89,16 +109,35 @@
         pool = self.pools.get(identity)
         return len(pool.connections) if pool is not None else 0
 
+    def returned(self, identity: str) -> None:
+        """An instance that was taken to have ended is there."""
+        self.ended.pop(identity, None)
+
     async def forget(self, identity: str) -> None:
-        """Close the connections to an instance that has ended."""
+        """Retire an instance that has ended: it gets nothing new, and its connections close behind what they carry.
+
+        It may serve on for longer than its streams last, so nothing that is under way there is cut.
+        """
         now = asyncio.get_running_loop().time()
         self.ended = {one: at for one, at in self.ended.items() if now - at < REMEMBERED_S}
         self.ended[identity] = now
-        pool = self.pools.pop(identity, None)
-        if pool is not None:
-            await pool.aclose()
+        pool = self.pools.get(identity)
+        if pool is None:
+            return
+        if pool.claims.retire():
+            self._drop(identity, pool)
+        await pool.aclose()
+
+    async def tend(self) -> None:
+        """Close what should have come to its end by now at instances that have ended."""
+        now = asyncio.get_running_loop().time()
+        for identity, pool in list(self.pools.items()):
+            if pool.claims.overdue(now):
+                self._drop(identity, pool)
+                await pool.cut()
 
     async def close(self) -> None:
-        """Close all connections."""
-        for identity in list(self.pools):
-            await self.forget(identity)
+        """Close all connections, also those in use."""
+        pools, self.pools = list(self.pools.values()), {}
+        for pool in pools:
+            await pool.cut()
--- a/hophinge/fleet/program.py
+++ b/hophinge/fleet/program.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.settings import Settings, SettingsError, read_settings
 
 FAILED = 1                  # exit status where settings cannot be used
+MOST_FAILURES = 20          # in a row, of a periodic step, before the process ends to be started anew
 REREAD_S = 3.0              # between looks at the settings file: it may change without a signal
 
 
@@ -30,6 +31,13 @@
     def _hangup(self) -> None:
         self.changed()
 
+    def close(self) -> None:
+        """Ignore signals from now on: one that comes in a process's last moments must not change how it ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
 
 class Tasks:
     """Tasks that run as long as the program; one that fails is told of and ends the program."""
@@ -44,6 +52,17 @@
         self.running.add(task)
         task.add_done_callback(self._done)
 
+    def start_aside(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a piece of work whose failure is told of and ends nothing else."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.running.add(task)
+        task.add_done_callback(self._done_aside)
+
+    def _done_aside(self, task: asyncio.Task[Any]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.logger.opt(exception=task.exception()).error("a piece of work failed")
+
     def _done(self, task: asyncio.Task[Any]) -> None:
         self.running.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -57,9 +76,21 @@
 
 
 async def every(period_s: float, action: Callable[[], None]) -> None:
-    """Call something for ever, with a pause after each call."""
+    """Call something for ever, with a pause after each call.
+
+    A call that fails is told of, and the next one comes all the same: the process has answers under way that have no
+    part in it. Raises what the call raised once it has failed MOST_FAILURES times with no success between.
+    """
+    failures = 0
     while True:
-        action()
+        try:
+            action()
+            failures = 0
+        except Exception:
+            failures += 1
+            log.logger.exception("a periodic step failed, {} times in a row", failures)
+            if failures >= MOST_FAILURES:
+                raise
         await asyncio.sleep(period_s)
 
 
--- a/hophinge/fleet/transport/links.py
+++ b/hophinge/fleet/transport/links.py
@@ -13,6 +13,7 @@
 
 from hophinge.coordination.codec import CodecError
 from hophinge.coordination.view import Replica
+from hophinge.fleet import log
 from hophinge.fleet.transport.frames import FrameReader, Hello, frame
 
 USER_TIMEOUT_MS = 1_500     # unacknowledged bytes for so long end a connection
@@ -58,13 +59,20 @@
             return
         for message in messages:
             if self.hello is not None:
-                self.links.handler(self.hello, message)
+                self._hand_on(self.hello, message)
             elif isinstance(message, Hello):
                 self.hello = message
             else:
                 self._abort()
                 return
 
+    def _hand_on(self, hello: Hello, message: object) -> None:
+        """Hand one message on; where that fails, those behind it have no part in it, nor has the connection."""
+        try:
+            self.links.handler(hello, message)
+        except Exception:
+            log.logger.exception("a message of {} could not be taken: {}", hello.sender.address, type(message).__name__)
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -11,7 +11,10 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from hophinge.fleet import log
+
 BACKLOG = 1_024
+LOOK_S = 0.05               # between looks at what is still under way at the end
 IDLE_S = 60.0               # until the configuration tells how long connections may rest
 
 
@@ -26,12 +29,30 @@
     return sock
 
 
+class ServerConnection(HttpToolsProtocol):
+    """A connection that somebody opened. It rests for as long as the configuration in force says."""
+
+    def on_response_complete(self) -> None:
+        """Rest behind an answer, or take the next request."""
+        self.timeout_keep_alive = self.config.timeout_keep_alive
+        super().on_response_complete()
+
+    def rest_longer(self) -> None:
+        """Begin the time of rest anew, where it rests."""
+        timer = self.timeout_keep_alive_task
+        if timer is None or self.transport.is_closing():
+            return
+        timer.cancel()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.config.timeout_keep_alive, self.timeout_keep_alive_handler)
+
+
 class HttpServer(uvicorn.Server):
     """A uvicorn server without its own signals, timer and log."""
 
     def __init__(self, app: Any) -> None:
         config = uvicorn.Config(
-            app, http="httptools", ws="none", loop="asyncio", lifespan="off", interface="asgi3", log_config=None,
+            app, http=ServerConnection, ws="none", loop="asyncio", lifespan="off", interface="asgi3", log_config=None,
             access_log=False, server_header=False, date_header=False, proxy_headers=False, backlog=BACKLOG,
             timeout_keep_alive=int(IDLE_S))
         super().__init__(config)
@@ -47,8 +68,20 @@
         await self.ended.wait()
 
     def rest(self, seconds: float) -> None:
-        """Let connections rest for so long; holds for connections that come from now on."""
+        """Let connections rest for so long.
+
+        A longer time holds for those that rest already, as a client may count on it from now on. With a shorter one
+        these keep the time that they began with.
+        """
+        longer = int(seconds) + 1 > self.config.timeout_keep_alive
         self.config.timeout_keep_alive = int(seconds) + 1
+        if longer:
+            for connection in self.connections():
+                connection.rest_longer()
+
+    def connections(self) -> list[ServerConnection]:
+        """Tell the connections that are open."""
+        return [one for one in self.server_state.connections if isinstance(one, ServerConnection)]
 
     def stop_listening(self) -> None:
         """Take no new connections."""
@@ -60,11 +93,23 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
+    async def finish(self, until: float) -> None:
+        """Take nothing new, and close each connection behind what is under way on it, until a time of the loop's clock.
+
+        An answer that is out of the program's hands may still wait to be sent: a connection counts until it is closed.
+        """
+        loop = asyncio.get_running_loop()
+        self.stop_listening()
+        while self.server_state.connections and loop.time() < until:
+            self.close_resting()
+            await asyncio.sleep(LOOK_S)
+        for owed in self.owed():
+            log.note(f"cut: by the end of this process; {owed}")
+
     def owed(self) -> list[str]:
         """Tell each connection on which an answer is owed, or has not gone out whole yet."""
         found: list[str] = []
-        for connection in self.server_state.connections:
-            assert isinstance(connection, HttpToolsProtocol)
+        for connection in self.connections():
             cycle, waiting = connection.cycle, connection.transport.get_write_buffer_size()
             unanswered = cycle is not None and not cycle.response_complete
             if unanswered or waiting:
@@ -72,8 +117,3 @@
                 found.append(f"{path} of {connection.client}: {'no whole answer' if unanswered else 'answered'}, "
                              f"{waiting} bytes not sent")
         return found
-
-    @property
-    def busy(self) -> bool:
-        """Tell whether a request is under way."""
-        return bool(self.server_state.tasks)
