--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -55,16 +55,24 @@
 
     def _received(self, hello: Hello, message: object) -> None:
         if type(message) in self.host.machine.handlers:
-            self.host.received(hello.sender, message)
+            self._replica_received(hello, message)
         else:
             self.directory.received(hello.sender, message)
 
+    def _replica_received(self, hello: Hello, message: object) -> None:
+        """Take a replica's message; one that fails half way ends this process, which starts again from its disk."""
+        try:
+            self.host.received(hello.sender, message)
+        except Exception:
+            self.signals.ending.set()
+            raise
+
     async def run(self) -> None:
         """Serve until told to end."""
         assert self.settings.control is not None
         self.signals.changed = self._reread
         await self.links.listen()
-        self.tasks.start(every(REPLICA_TICK_S, self.host.tick))
+        self.tasks.start(every(REPLICA_TICK_S, self.host.tick, most_failures=1))
         self.tasks.start(every(DIRECTORY_TICK_S, self.directory.tick))
         self.tasks.start(self.keeper.run())
         self.tasks.start(self.reporter.run())
--- a/hophinge/fleet/emulation/fleet.py
+++ b/hophinge/fleet/emulation/fleet.py
@@ -51,8 +51,8 @@
 class LoopbackFleet:
     """Machines, each with a head and a control member, and the instances that register with them."""
 
-    def __init__(self, folder: Path, machines: int, losses: int = 1) -> None:
-        self.folder, self.losses = folder, losses
+    def __init__(self, folder: Path, machines: int, losses: int = 1, grace_s: float = 3.0) -> None:
+        self.folder, self.losses, self.grace_s = folder, losses, grace_s
         self.processes = Processes(folder)
         net = secrets.randbelow(200) + 20
         self.ips = [f"127.{net}.{secrets.randbelow(250) + 1}.{number + 1}" for number in range(machines)]
@@ -108,7 +108,7 @@
                                  "control": self.address(number, CONTROL)},
             "internal-port-range": [first, first + 2], "seed-nodes": self.controls[:3], "bootstrap": self.bootstrap,
             "counts-for-quorum": True, "data-dir": str(self.data_folder(number)), "heartbeat-ms": 400,
-            "fault-tolerance": {"machines": self.losses}, "bounds": {"grace-s": 3, "retry-budget-slack": 60}}
+            "fault-tolerance": {"machines": self.losses}, "bounds": {"grace-s": self.grace_s, "retry-budget-slack": 60}}
 
     async def start(self) -> None:
         """Start all processes for the first time."""
--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -59,9 +59,11 @@
         self.engine, self.service, self.ip, self.zone, self.holders = engine, service, ip, zone, holders
         self.address = ""
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
         self.pause: Callable[[], Awaitable[object]] | None = None     # before each event of a stream but the first
         self.delay: Callable[[], Awaitable[object]] | None = None     # before the head of each answer of a run
         self.under_way: set[str] = set()        # requests whose answers are not out yet
+        self.arrived: set[str] = set()          # all requests that were read here
         self.left: set[str] = set()             # requests whose caller closed the connection before the answer's end
 
     async def start(self) -> None:
@@ -72,10 +74,12 @@
         self.holders[self.address] = self.engine
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError):
             while (taken := await read_request(reader)) is not None:
-                answer = self._answer(taken)
                 request = find(taken.fields, REQUEST_ID) or ""
+                self.arrived.add(request)
+                answer = self._answer(taken)
                 self.under_way.add(request)
                 try:
                     if answer.status and not await self._send(answer, request, reader, writer):
@@ -84,6 +88,7 @@
                     self.under_way.discard(request)
                 if answer.cut or not answer.status or (b"Connection", b"close") in answer.fields:
                     break
+        self.writers.discard(writer)
         writer.close()
 
     async def _send(self, answer: Answered, request: str, reader: asyncio.StreamReader,
@@ -136,6 +141,12 @@
         if self.server is not None:
             self.server.close()
 
+    def end(self) -> None:
+        """End as a process does: nobody listens, and all connections are closed."""
+        self.stop()
+        for writer in self.writers:
+            writer.close()
+
 
 async def call_any(addresses: list[str], method: str, target: str, body: bytes) -> bool:
     """Call members one after the other until one answers with success."""
--- a/hophinge/fleet/program.py
+++ b/hophinge/fleet/program.py
@@ -75,11 +75,12 @@
             task.cancel()
 
 
-async def every(period_s: float, action: Callable[[], None]) -> None:
+async def every(period_s: float, action: Callable[[], None], most_failures: int = MOST_FAILURES) -> None:
     """Call something for ever, with a pause after each call.
 
     A call that fails is told of, and the next one comes all the same: the process has answers under way that have no
-    part in it. Raises what the call raised once it has failed MOST_FAILURES times with no success between.
+    part in it. Raises what the call raised once it has failed so many times with no success between; 1 is for a state
+    that must not go on from half a step, as what is on disk may lack what is in memory.
     """
     failures = 0
     while True:
@@ -89,7 +90,7 @@
         except Exception:
             failures += 1
             log.logger.exception("a periodic step failed, {} times in a row", failures)
-            if failures >= MOST_FAILURES:
+            if failures >= most_failures:
                 raise
         await asyncio.sleep(period_s)
 
--- /dev/null
+++ b/tests/soak_checks.py
@@ -0,0 +1,82 @@
+"""What a soak has to have kept; it needs no rule book but the promises that statuses and whole answers make."""
+
+from __future__ import annotations
+
+import signal
+from collections import Counter
+from collections.abc import Iterator
+
+from tests.soak_client import KINDS, Done, Outcome
+from tests.soak_fleet import EVENTS, Soak
+
+SERVED_PART = 0.85          # of all requests, so that a soak that refuses everything does not pass
+BAD_WORDS = ("cut:", "Traceback", "failed", "Error", "Exception")
+
+
+def findings(soak: Soak) -> list[str]:
+    """Tell all that is wrong, a line each."""
+    return [*_requests(soak), *_processes(soak), *_rest(soak)]
+
+
+def summary(soak: Soak) -> dict[str, object]:
+    """Tell in figures what was played."""
+    outcomes = Counter(f"{done.outcome.name} {done.status}" for done in soak.done)
+    return {"seed": soak.seed, "requests": len(soak.done), "outcomes": dict(sorted(outcomes.items())),
+            "changes": soak.draft.version, "restarts": len(soak.exits), "hangups": soak.hangups,
+            "leavings": soak.leavings}
+
+
+def _requests(soak: Soak) -> Iterator[str]:
+    runs = Counter(run.request for one in soak.stand_ins for run in one.engine.runs)
+    arrived = {name for one in soak.stand_ins for name in one.arrived}
+    for done in soak.done:
+        where = f"{done.kind} {done.name} at head {done.head}, {done.over_at - done.sent_at:.3f} s"
+        kind = KINDS[done.kind]
+        if done.outcome in (Outcome.CUT, Outcome.SILENT):
+            yield f"{done.outcome.name} {done.status}: {where}, {len(done.body)} bytes"
+        if done.outcome is Outcome.UNREAD and (done.name in arrived):
+            yield f"an instance got it and its client nothing: {where}"
+        if done.outcome is Outcome.FAILED and not (kind.may_be_unknown and done.status == 404):
+            yield f"answered {done.status}: {where}"
+        if done.outcome is Outcome.REFUSED and runs[done.name]:
+            yield f"refused with {done.status}, and it ran: {where}"
+        if runs[done.name] > 1 and not kind.idempotent:
+            yield f"ran {runs[done.name]} times: {where}"
+        if done.outcome is Outcome.WHOLE:
+            yield from _whole(done, where)
+    served = sum(done.outcome is Outcome.WHOLE for done in soak.done)
+    if served < SERVED_PART * len(soak.done) or len(soak.done) < 20:
+        yield f"only {served} of {len(soak.done)} requests were served"
+    if len({done.name for done in soak.done}) != len(soak.done):
+        yield "two requests bear one name"
+
+
+def _whole(done: Done, where: str) -> Iterator[str]:
+    if KINDS[done.kind].streams:
+        ids = [line for line in done.body.decode().splitlines() if line.startswith("id:")]
+        if ids != [f"id: {number}" for number in range(1, EVENTS + 1)]:
+            yield f"its events are {ids}: {where}"
+    elif not done.body.decode().endswith(done.name):
+        yield f"an answer of another request, {done.body!r}: {where}"
+
+
+def _processes(soak: Soak) -> Iterator[str]:
+    for end in soak.exits:
+        if not end.asked:
+            yield f"{end.process} ended by itself with {end.status}"
+        elif end.status != 0 and (end.served or end.status != -signal.SIGTERM):
+            yield f"{end.process} ended with {end.status}"
+    for name, lines in soak.logs.items():
+        for line in lines:
+            if any(word in line for word in BAD_WORDS) and "Fatal" not in line:
+                yield f"{name} says: {line}"
+
+
+def _rest(soak: Soak) -> Iterator[str]:
+    expected = set(soak.fleet.stand_ins)
+    for member in soak.members:
+        if set(member["instances"]) != expected:
+            yield f"{member['address']} knows other instances: {sorted(set(member['instances']) ^ expected)}"
+        for identity, seen in member["instances"].items():
+            if seen["out"]:
+                yield f"{member['address']} counts {seen['out']} requests out at {identity}, at rest"
--- /dev/null
+++ b/tests/soak_fleet.py
@@ -0,0 +1,238 @@
+"""A soak of both programs: series of signals, restarts, changes and leavings that overlap, drawn by a seed.
+
+All are planned: no process is killed, no link is cut, no instance breaks off. So each request that a head has read
+whole has to end in one whole answer or a refusal.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from hophinge.fleet.emulation.fleet import FRONT, READY, LoopbackFleet
+from hophinge.fleet.emulation.stand_in import FAILURES, StandIn
+from hophinge.load.rig.processes import Process
+from hophinge.load.rig.waiting import until
+from tests.soak_client import Done, SoakClient
+from tests.soak_document import Draft
+
+EVENTS = 6                  # of each stream
+GRACE_S = 6.0
+PROBE_S = 0.25              # between questions whether a head is ready; two misses take it out
+SERVED_ON_S = 2.0           # by an instance after its leaving was acknowledged, at least: the operators' `drain-ms`
+START_S, SETTLE_S = 40.0, 30.0
+TRIES = 40
+
+@dataclass
+class Course:
+    """How long a soak is, and how much goes on in it. The pauses between steps are drawn up to these, in seconds."""
+
+    machines: int = 3
+    clients: int = 12
+    play_s: float = 9.0
+    change_s: float = 0.5
+    hangup_s: float = 0.4
+    roll_s: float = 0.6
+    leave_s: float = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """The end of a process."""
+
+    process: str
+    status: int
+    asked: bool             # it was told to end
+    served: bool            # it had begun to serve by then
+
+
+@dataclass
+class Soak:
+    """One run."""
+
+    folder: Path
+    seed: int
+    course: Course = field(default_factory=Course)
+    logs: dict[str, list[str]] = field(default_factory=dict)
+    members: list[dict[str, Any]] = field(default_factory=list)     # what heads tell of themselves at the end
+    done: list[Done] = field(default_factory=list)
+    exits: list[Exit] = field(default_factory=list)
+    stand_ins: list[StandIn] = field(default_factory=list)      # all there have been
+    leavings: int = 0
+    hangups: int = 0
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.fleet = LoopbackFleet(self.folder, self.course.machines, grace_s=GRACE_S)
+        self.draft = Draft()
+        self.taking: dict[int, str] = {}            # heads that get new connections, with their addresses
+        self.over = False
+        self.numbers = iter(range(1_000_000))
+
+    # --- instances -----------------------------------------------------------------------------------------------
+
+    async def _join(self, service: str, stage: str) -> None:
+        identity = f"{service}-{stage or 'x'}-{next(self.numbers)}"
+        engine = await self.fleet.instance(identity, service, stage, self.random.randrange(self.course.machines))
+        engine.events = EVENTS
+        stand_in = self.fleet.stand_ins[identity]
+        stand_in.pause = lambda: asyncio.sleep(self.random.choice((0.0, 0.01, 0.05, 0.3)))
+        stand_in.delay = lambda: asyncio.sleep(self.random.choice((0.0, 0.0, 0.02, 0.2)))
+        self.stand_ins.append(stand_in)
+
+    async def _say(self, what: Callable[[], Awaitable[bool]]) -> None:
+        for _ in range(TRIES):
+            if await what():
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("no control member acknowledges a leaving")
+
+    async def _leave(self, identity: str) -> None:
+        """An instance leaves in one of the ways of the pages, and ends when its last answer is out."""
+        stand_in, fleet = self.fleet.stand_ins.pop(identity), self.fleet
+        fleet.tasks.pop(identity).cancel()
+        stand_in.engine.leaving = self.random.random() < 0.5
+        unregisters_first = self.random.random() < 0.5
+        if unregisters_first:
+            await self._say(lambda: stand_in.unregister(fleet.controls))
+        else:
+            stand_in.engine.state = "draining"
+            await self._say(lambda: stand_in.beat(fleet.controls))
+        if unregisters_first and self.random.random() < 0.5:
+            await asyncio.sleep(0.3)
+            await stand_in.beat(fleet.controls)         # a heartbeat that comes late
+        await asyncio.sleep(SERVED_ON_S + self.random.random())
+        while stand_in.under_way:
+            await asyncio.sleep(0.02)
+        if not unregisters_first:
+            await self._say(lambda: stand_in.unregister(fleet.controls))
+        stand_in.end()
+        self.leavings += 1
+
+    async def _turn_over(self) -> None:
+        """Replace instances one after the other; the new one starts first."""
+        async with asyncio.TaskGroup() as leaving:
+            while not self.over:
+                await asyncio.sleep(self.random.random() * self.course.leave_s)
+                identity = self.random.choice(sorted(self.fleet.stand_ins))
+                engine = self.fleet.stand_ins[identity].engine
+                await self._join(identity.split("-")[0], engine.stage)
+                await asyncio.sleep(0.5)                # until it is known: the old one is needed until then
+                leaving.create_task(self._leave(identity))
+
+    # --- operators, signals, restarts -----------------------------------------------------------------------------
+
+    async def _push(self) -> None:
+        """Have the draft acknowledged, by whichever member answers."""
+        data, base = self.draft.data(), self.draft.version - 1
+        for _ in range(TRIES):
+            number = self.random.randrange(self.course.machines)
+            if await self.fleet.configure(number, data, base) == 200:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"version {self.draft.version} is not acknowledged")
+
+    async def _change(self) -> None:
+        while not self.over:
+            self.draft.change(self.random)
+            await self._push()
+            await asyncio.sleep(self.random.random() * self.course.change_s)
+
+    async def _hang_up(self) -> None:
+        while not self.over:
+            for _ in range(self.random.randrange(1, 4)):
+                process = self.random.choice(self.fleet.processes.running() or [None])
+                with contextlib.suppress(ProcessLookupError):
+                    if process is not None and process.begun.exists():
+                        process.send(signal.SIGHUP)
+                        self.hangups += 1
+            await asyncio.sleep(self.random.random() * self.course.hangup_s)
+
+    async def _roll(self, program: str) -> None:
+        """Have the processes of one program end and start again, one after the other, some asked to end twice."""
+        while not self.over:
+            await asyncio.sleep(self.random.random() * self.course.roll_s)
+            process = self.fleet.processes.by_name[f"{program}-{self.random.randrange(self.course.machines)}"]
+            served = process.said(" at ")
+            if not process.running:
+                await self._restart(process, asked=False, served=served)
+                continue
+            process.send(signal.SIGTERM)
+            if self.random.random() < 0.3:
+                await asyncio.sleep(self.random.random() * 0.5)
+                with contextlib.suppress(ProcessLookupError):
+                    process.send(signal.SIGTERM)
+            async with asyncio.timeout(GRACE_S + 3.0):
+                await self._restart(process, asked=True, served=served)
+
+    async def _restart(self, process: Process, asked: bool, served: bool) -> None:
+        assert process.child is not None
+        self.exits.append(Exit(process.name, await process.child.wait(), asked, served))
+        await process.start()
+
+    async def _probe(self, number: int) -> None:
+        """Ask a head whether it is ready, as the platform does."""
+        address, misses = self.fleet.address(number, READY), 2
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    reply = await self.fleet.call(address, "GET", "/v1/ready", b"", [(b"Host", b"c")])
+                misses = 0 if reply.status == 200 else misses + 1
+            except (*FAILURES, TimeoutError):
+                misses += 1
+            if misses == 0:
+                self.taking[number] = self.fleet.address(number, FRONT)
+            elif misses >= 2:
+                self.taking.pop(number, None)
+            await asyncio.sleep(PROBE_S)
+
+    # --- the run -------------------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Play it, and have all come to rest."""
+        async with self.fleet as fleet:
+            await fleet.start()
+            for service, stage in (("models", "prefill"), ("models", "decode"), ("plain", ""), ("other", "")):
+                for _ in range(3 if stage else 2):
+                    await self._join(service, stage)
+            self.draft.version = 1
+            await self._push()
+            everywhere = range(self.course.machines)
+            await until([fleet.ready(number, 1, len(fleet.stand_ins)) for number in everywhere], START_S)
+            probes = [asyncio.create_task(self._probe(number)) for number in everywhere]
+            clients = [SoakClient(f"c{number}", self.random.getrandbits(32), self.taking, self.done)
+                       for number in range(self.course.clients)]
+            asking = [asyncio.create_task(client.run()) for client in clients]
+            await self._trouble()
+            for client in clients:
+                client.stopping = True
+            await asyncio.gather(*asking)
+            for probe in probes:
+                probe.cancel()
+            await until([fleet.ready(number, self.draft.version, len(fleet.stand_ins)) for number in everywhere],
+                        SETTLE_S)
+            self.logs = {name: list(process.lines) for name, process in fleet.processes.by_name.items()}
+            self.members = [json.loads((await fleet.call(
+                fleet.address(number, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])).body)
+                for number in everywhere]
+
+    async def _trouble(self) -> None:
+        """Let everything go on side by side for a while; what fails among it fails the soak."""
+        async with asyncio.TaskGroup() as group:
+            for work in (self._change(), self._hang_up(), self._roll("head"), self._roll("control"),
+                         self._turn_over()):
+                group.create_task(work)
+            await asyncio.sleep(self.course.play_s)
+            self.over = True
+        for process in self.fleet.processes.by_name.values():
+            if not process.running:
+                await self._restart(process, asked=False, served=process.said(" at "))
+        self.draft.passing, self.draft.version = True, self.draft.version + 1
+        await self._push()
