--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -63,6 +63,7 @@
         self.pause: Callable[[], Awaitable[object]] | None = None     # before each event of a stream but the first
         self.delay: Callable[[], Awaitable[object]] | None = None     # before the head of each answer of a run
         self.under_way: set[str] = set()        # requests whose answers are not out yet
+        self.leaves = asyncio.Event()           # it sends no heartbeats by itself any more
         self.arrived: set[str] = set()          # all requests that were read here
         self.left: set[str] = set()             # requests whose caller closed the connection before the answer's end
 
@@ -127,10 +128,12 @@
         return await call_any(controls, "PUT", f"/v1/instances/{self.engine.identity}", body)
 
     async def beat_on(self, controls: list[str]) -> None:
-        """Send heartbeats until cancelled."""
-        while True:
+        """Send heartbeats until it leaves, or until cancelled."""
+        while not self.leaves.is_set():
             await self.beat(controls)
-            await asyncio.sleep(HEARTBEAT_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEARTBEAT_S):
+                    await self.leaves.wait()
 
     async def unregister(self, controls: list[str]) -> bool:
         """Tell the control members that it has ended, and serve on; tells whether one acknowledged it."""
--- a/hophinge/load/rig/processes.py
+++ b/hophinge/load/rig/processes.py
@@ -19,7 +19,8 @@
 
 ROOT = Path(__file__).parent.parent.parent.parent
 LAUNCH = "hophinge.load.rig.launch"
-MOST = 48                   # processes of one run, ended ones not counted
+USUAL_MOST = 48             # processes of one run, ended ones not counted
+MOST = 200                  # that a run may ask for
 MEMORY_MB = 1024            # of one process: several times what any takes
 LINES, LONGEST_LINE = 2_000, 4_000      # of a process's log, the newest, and bytes of one
 END_S = 4.0                 # for an orderly end; then it is killed
@@ -176,7 +177,7 @@
 class Processes:
     """All processes of one run, at most so many at once."""
 
-    def __init__(self, folder: Path, most: int = MOST) -> None:
+    def __init__(self, folder: Path, most: int = USUAL_MOST) -> None:
         self.folder, self.most = folder, min(most, MOST)
         self.by_name: dict[str, Process] = {}
 
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -97,7 +97,8 @@
     async def _leave(self, identity: str) -> None:
         """An instance leaves in one of the ways of the pages, and ends when its last answer is out."""
         stand_in, fleet = self.fleet.stand_ins.pop(identity), self.fleet
-        fleet.tasks.pop(identity).cancel()
+        stand_in.leaves.set()
+        await fleet.tasks.pop(identity)
         stand_in.engine.leaving = self.random.random() < 0.5
         unregisters_first = self.random.random() < 0.5
         if unregisters_first:
