--- /dev/null
+++ b/tests/end_mutants.py
@@ -0,0 +1,43 @@
+"""One-line mutants of how what ends keeps what it owes."""
+
+from __future__ import annotations
+
+from tests.mutant import Mutant
+
+CLAIMS = "tests/test_fleet_claims.py::"
+ENDED = "tests/test_fleet_ended_instances.py::"
+PROCESS = "tests/test_fleet_process_ends.py::"
+
+ENDS = (
+    Mutant("a connection in use is closed with its pool", "fleet/dataplane/connections",
+           "if self.claims.retire():\n            await self.cut()", "self.claims.retire()\n        await self.cut()",
+           ENDED + "test_an_answer_under_way_comes_whole_and_its_connection_closes_behind_it"),
+    Mutant("a retired connection stays open behind its last answer", "fleet/dataplane/connections",
+           "if last or not (super()", "if not (super()",
+           ENDED + "test_an_answer_under_way_comes_whole_and_its_connection_closes_behind_it"),
+    Mutant("a pool of an ended instance stays for ever", "fleet/dataplane/upstream",
+           "            if pool.claims.release(claim):\n                self._drop(identity, pool)",
+           "            pool.claims.release(claim)",
+           ENDED + "test_a_request_whose_answer_has_not_begun_is_answered"),
+    Mutant("what is retired is claimed anew", "fleet/forwarding/claims",
+           "        if self.retired:\n            return None\n", "",
+           CLAIMS + "test_it_closes_once_with_its_last_claim_and_gets_nothing_new_once_retired"),
+    Mutant("it closes with its first claim", "fleet/forwarding/claims",
+           "return held and self.retired and not self._until", "return held and self.retired",
+           CLAIMS + "test_it_closes_once_with_its_last_claim_and_gets_nothing_new_once_retired"),
+    Mutant("an answer that is out is taken for a client that left", "fleet/dataplane/client",
+           "if work.done() or answered():", "if work.done():",
+           CLAIMS + "test_work_whose_answer_has_gone_out_whole_comes_to_its_end"),
+    Mutant("an ended instance gets new requests", "fleet/dataplane/upstream",
+           "if identity in self.ended:", "if False:",
+           ENDED + "test_an_instance_that_has_ended_gets_nothing_new_and_one_that_is_back_does"),
+    Mutant("the end waits for work and not for bytes", "fleet/transport/server",
+           "while self.server_state.connections and", "while self.server_state.tasks and",
+           PROCESS + "test_an_answer_that_waits_in_the_buffers_goes_out_before_the_process_ends"),
+    Mutant("one failing step ends the program", "fleet/program",
+           "if failures >= most_failures:", "if failures:",
+           PROCESS + "test_a_periodic_step_that_fails_now_and_then_does_not_end_the_program"),
+    Mutant("rests that have begun stay short", "fleet/transport/server",
+           "        if longer:\n", "        if False:\n",
+           PROCESS + "test_a_longer_time_of_rest_holds_for_connections_that_rest_already"),
+)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -6,11 +6,12 @@
 
 from tests.coordination_mutants import COORDINATION
 from tests.decision_mutants import DECISIONS
+from tests.end_mutants import ENDS
 from tests.mutant import Mutant, install
 from tests.worst_days_mutants import WORST_DAYS
 
 CHOSEN = "HOPHINGE_MUTANT"
-MUTANTS = (*COORDINATION, *DECISIONS, *WORST_DAYS)
+MUTANTS = (*COORDINATION, *DECISIONS, *ENDS, *WORST_DAYS)
 
 
 def chosen() -> Mutant | None:
--- a/tests/test_fleet_ended_instances.py
+++ b/tests/test_fleet_ended_instances.py
@@ -11,10 +11,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 import httpcore
+import pytest
 
+from hophinge.fleet.dataplane.connections import InstanceEndedError
 from hophinge.fleet.dataplane.upstream import Call, Upstream
 from hophinge.fleet.emulation.fleet import LoopbackFleet
 from hophinge.load.rig.waiting import Condition, until
@@ -39,6 +42,14 @@
         port = self.server.sockets[0].getsockname()[1]
         return Call(f"127.0.0.1:{port}", b"POST", b"/", [(b"host", b"a")], b"x", 20.0)
 
+    async def end(self) -> None:
+        """Wait until the connection is closed, and stop listening."""
+        self.go_on.set()
+        async with asyncio.timeout(BOUND_S):
+            await self.closed.wait()
+        assert self.server is not None
+        self.server.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while await reader.readuntil(b"\r\n\r\n") and await reader.readexactly(1):
@@ -48,9 +59,12 @@
                 await self.go_on.wait()
                 writer.write((HEAD + BODY)[len(begun):])
         except (asyncio.IncompleteReadError, ConnectionError):
-            self.closed.set()
+            pass                # the caller has closed it
         finally:
             writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+            self.closed.set()
 
 
 async def _call_across_the_end(before: int) -> tuple[bytes, bool]:
@@ -70,10 +84,7 @@
         body = await calling
     except httpcore.NetworkError:
         body = b""
-    async with asyncio.timeout(BOUND_S):
-        await instance.closed.wait()
-    assert instance.server is not None
-    instance.server.close()
+    await instance.end()
     return body, not upstream.pools
 
 
@@ -85,6 +96,49 @@
     assert asyncio.run(_call_across_the_end(before=0)) == (BODY, True)
 
 
+def test_an_instance_that_has_ended_gets_nothing_new_and_one_that_is_back_does() -> None:
+    async def play() -> None:
+        instance, upstream = HeldInstance(before=3), Upstream()
+        call = await instance.listen()
+        instance.go_on.set()
+        await upstream.forget("i-1")
+        with pytest.raises(InstanceEndedError):
+            async with upstream.call("i-1", call):
+                pass
+        assert not instance.taken.is_set(), "nothing was sent, so that the request may go elsewhere"
+        upstream.returned("i-1")
+        async with upstream.call("i-1", call) as response:
+            assert await response.aread() == BODY
+        await upstream.close()
+        await instance.end()
+
+    asyncio.run(play())
+
+
+def test_what_outlasts_its_time_at_an_ended_instance_is_closed() -> None:
+    async def play() -> None:
+        instance, upstream = HeldInstance(before=3), Upstream()
+        call, begun = await instance.listen(), asyncio.Event()
+
+        async def answer() -> None:
+            async with upstream.call("i-1", call) as response:
+                upstream.pools["i-1"].claims._until[0] = 0.0      # its time is over, and it goes on all the same
+                begun.set()
+                await response.aread()
+
+        calling = asyncio.create_task(answer())
+        await begun.wait()
+        await upstream.forget("i-1")
+        assert upstream.pools
+        await upstream.tend()
+        with pytest.raises(httpcore.ReadError):
+            await calling
+        assert not upstream.pools
+        await instance.end()
+
+    asyncio.run(play())
+
+
 def test_a_real_head_lets_streams_of_an_instance_that_unregisters_first_come_to_their_end(tmp_path: Path) -> None:
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
