Tests: what is told of cut answers, at a real head

Cause: the line and the counts had no test. Change: an instance that broke off, clients that left while they waited and while they were answered; stand-in instances close what they have at the end of a play.

--- a/hophinge/fleet/emulation/fleet.py
+++ b/hophinge/fleet/emulation/fleet.py
@@ -228,5 +228,5 @@
         for task in self.tasks.values():
             task.cancel()
         for stand_in in self.stand_ins.values():
-            stand_in.stop()
+            stand_in.end()
         await self.processes.close()
--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -76,21 +76,27 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(ConnectionError):
-            while (taken := await read_request(reader)) is not None:
-                request = find(taken.fields, REQUEST_ID) or ""
-                self.arrived.add(request)
-                answer = self._answer(taken)
-                self.under_way.add(request)
-                try:
-                    if answer.status and not await self._send(answer, request, reader, writer):
-                        break
-                finally:
-                    self.under_way.discard(request)
-                if answer.cut or not answer.status or (b"Connection", b"close") in answer.fields:
-                    break
-        self.writers.discard(writer)
-        writer.close()
+        try:
+            while (taken := await read_request(reader)) is not None and await self._one(taken, reader, writer):
+                pass
+        except (ConnectionError, asyncio.CancelledError):
+            pass                # the caller is gone, or the play is over
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _one(self, taken: Taken, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Serve one request; tells whether its connection goes on."""
+        request = find(taken.fields, REQUEST_ID) or ""
+        self.arrived.add(request)
+        answer = self._answer(taken)
+        self.under_way.add(request)
+        try:
+            if not answer.status or not await self._send(answer, request, reader, writer):
+                return False
+        finally:
+            self.under_way.discard(request)
+        return not answer.cut and (b"Connection", b"close") not in answer.fields
 
     async def _send(self, answer: Answered, request: str, reader: asyncio.StreamReader,
                     writer: asyncio.StreamWriter) -> bool:
@@ -147,7 +153,7 @@
     def end(self) -> None:
         """End as a process does: nobody listens, and all connections are closed."""
         self.stop()
-        for writer in self.writers:
+        for writer in list(self.writers):
             writer.close()
 
 
--- /dev/null
+++ b/tests/test_fleet_cuts.py
@@ -0,0 +1,89 @@
+"""Cut answers are told of: who ended first, at which step, and what the head knew; a line and a count for each."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from hophinge.fleet.emulation.engine import Fault
+from hophinge.fleet.emulation.fleet import FRONT, HOST, READY, LoopbackFleet, document
+from hophinge.fleet.forwarding.cuts import Cut, InstanceSeen, Side, Step
+from hophinge.load.rig.waiting import Condition, until
+from tests.fleet_requests import BOUND_S, PROMPT, taken
+
+ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
+INSTANCES = (("p1", "models", "prefill"), ("d1", "models", "decode"), ("s1", "plain", ""))
+
+
+@pytest.mark.parametrize(("error", "unregistered", "line"), [
+    ("ReadError()", 0.0034, "cut: request q1 (r) by head while answering; after ReadError(); instance i-1 (unknown, "
+     "unregistered 0.003 s ago, 2 connections); version 7 for 1.500 s, 4.600 s left"),
+    ("", None, "cut: request q1 (r) by head while answering; instance i-1 (unknown, 2 connections); "
+     "version 7 for 1.500 s, 4.600 s left")])
+def test_the_line_tells_what_was_known(error: str, unregistered: float | None, line: str) -> None:
+    seen = InstanceSeen("i-1", "", unregistered, 2)
+    cut = Cut("q1", "r", Side.HEAD, Step.ANSWERING, error, seen, 7, 1.5, 4.6)
+    assert cut.line() == line
+    assert cut.reason == "head while answering"
+
+
+def test_a_head_tells_an_instance_that_broke_off_from_a_client_that_left(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with LoopbackFleet(tmp_path, 1, losses=0) as fleet:
+            await fleet.start()
+            for identity, service, stage in INSTANCES:
+                await fleet.instance(identity, service, stage)
+            await until([taken(fleet, 0, document(1, ROUTES), 0)], BOUND_S)
+            await until([fleet.ready(0, 1, len(INSTANCES))], BOUND_S)
+            maker = fleet.stand_ins["d1"]
+            maker.engine.faults.add(Fault.CUT)
+            reply = await fleet.request(0, "/m/q", "broken", *PROMPT)
+            assert reply.status == 200 and not reply.whole
+            maker.engine.faults.clear()
+            maker.pause = asyncio.Event().wait
+            await _leave(fleet, "/m/q", "left-answering")
+            fleet.stand_ins["s1"].delay = asyncio.Event().wait
+            await _leave(fleet, "/p/q", "left-waiting")
+            await until([_counts(fleet, {"instance while answering": 1, "client while answering": 1,
+                                         "client while waiting": 1})], BOUND_S)
+            head = fleet.head(0)
+            assert head.said("cut: request broken (r0) by instance while answering; after RemoteProtocolError(")
+            assert head.said("cut: request left-answering (r0) by client while answering; instance d1 (ready, ")
+            assert head.said("cut: request left-waiting (r1) by client while waiting; instance s1 (ready, ")
+            assert not head.said("Traceback")
+            assert {"left-answering"} <= maker.under_way
+
+    asyncio.run(run())
+
+
+async def _leave(fleet: LoopbackFleet, path: str, name: str) -> None:
+    """Make a request and leave once an instance works on it."""
+    host, port = fleet.address(0, FRONT).rsplit(":", 1)
+    _, writer = await asyncio.open_connection(host, int(port))
+    fields = [(b"Host", HOST.encode()), (b"Hophinge-Request-Id", name.encode()), (b"Content-Length", b"1"), *PROMPT]
+    lines = b"".join(field + b": " + value + b"\r\n" for field, value in fields)
+    writer.write(b"POST %s HTTP/1.1\r\n%s\r\nx" % (path.encode(), lines))
+    await until([_works_on(fleet, name)], BOUND_S)
+    writer.close()
+    await writer.wait_closed()
+
+
+def _works_on(fleet: LoopbackFleet, name: str) -> Condition:
+    async def look() -> tuple[bool, str]:
+        makers = [one for one in fleet.stand_ins.values() if one.engine.stage != "prefill"]
+        begun = any(name in one.under_way for one in makers)
+        return begun and any(run.request == name for one in makers for run in one.engine.runs), ""
+
+    return Condition(fleet.head(0), f"has {name} under way", look)
+
+
+def _counts(fleet: LoopbackFleet, expected: dict[str, int]) -> Condition:
+    async def look() -> tuple[bool, str]:
+        reply = await fleet.call(fleet.address(0, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])
+        cuts = json.loads(reply.body)["cuts"]
+        return cuts == expected, str(cuts)
+
+    return Condition(fleet.head(0), "counts the cuts", look)
