--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 # the long runs of several real processes with faults between them; some minutes, not in CI
 soak: build
 	HOPHINGE_SOAK=1 $(PYTHON) -m pytest -q tests/test_together*.py
+	$(PYTHON) -m benchmarks.fleet_soak --first 1 --count 50
 
 # the commands of the fleet's standing test, where the operators' kit is
 fleet:
