--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from hophinge.core.interface import Action, Event, Outcome, Probe, ProbeResult, Result
-from tests.stand_in import VOLUME, Brick, headers, run, setup, until, world
+from tests.stand_in import VOLUME, Brick, headers, held_by, run, setup, until, world
 from tests.test_net import READ, WRITE
 
 
@@ -201,6 +201,27 @@
     run(main())
 
 
+def test_a_request_under_way_at_a_brick_that_leaves_the_list_is_answered_and_its_connection_closes_behind_it() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with world(Brick(0), Brick(1)) as made:
+            service = await made.head()
+            leaving = made.bricks[0]
+            wire = await made.wire(service)
+            wire.send(READ, headers(1, X_Placement="units=2,shard=0,hosts=1"))
+            assert (await wire.receive())[0] == 404
+            leaving.behave = held_by(gate)
+            wire.send(READ, headers(2, X_Placement="units=2,shard=0,hosts=1"))
+            await until(lambda: any(not one.idle for one in service.bricks.roll.open))
+            await made.agent.tell(leaving.target("Gone"))
+            await until(lambda: leaving.name not in service.exchange.phases)
+            assert leaving.connections == 1
+            gate.set()
+            assert (await wire.receive())[0] == 404
+            await until(lambda: leaving.connections == 0)
+    run(main())
+
+
 def test_settings_of_the_pool() -> None:
     async def main() -> None:
         async with world() as made:
