An instance that is back gets a new pool, beside what is still under way on the old one

Cause, on reading the repair again: an instance that was dropped after long silence and comes back while an answer of it is under way would have met its retired pool, and a failed assertion. Change: the retired pool leaves the table, its answers keep their claims. Measured: the new test and the others of ended instances pass.

--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -42,9 +42,9 @@
 
     def _pool(self, identity: str) -> InstancePool:
         """Tell an instance's pool; raises InstanceEndedError where the instance has ended: it gets nothing new."""
-        if identity in self.ended:
-            raise InstanceEndedError("the instance has ended")
         pool = self.pools.get(identity)
+        if identity in self.ended or (pool is not None and pool.claims.retired):
+            raise InstanceEndedError("the instance has ended")
         if pool is None:
             pool = self.pools[identity] = InstancePool()
         return pool
@@ -64,7 +64,7 @@
                                    extensions={"timeout": timeout})
         pool = self._pool(identity)
         claim = pool.claims.claim(asyncio.get_running_loop().time() + call.left_s)
-        assert claim is not None, "the pool of an instance that has not ended is not retired"
+        assert claim is not None, "no retired pool is given out"
         try:
             response = await pool.handle_async_request(request)
             pool.answered(response.headers)
@@ -110,8 +110,9 @@
         return len(pool.connections) if pool is not None else 0
 
     def returned(self, identity: str) -> None:
-        """An instance that was taken to have ended is there."""
-        self.ended.pop(identity, None)
+        """An instance that was taken to have ended is there: it gets a new pool, beside what is still under way."""
+        if self.ended.pop(identity, None) is not None:
+            self.pools.pop(identity, None)
 
     async def forget(self, identity: str) -> None:
         """Retire an instance that has ended: it gets nothing new, and its connections close behind what they carry.
--- a/tests/end_mutants.py
+++ b/tests/end_mutants.py
@@ -29,7 +29,7 @@
            "if work.done() or answered():", "if work.done():",
            CLAIMS + "test_work_whose_answer_has_gone_out_whole_comes_to_its_end"),
     Mutant("an ended instance gets new requests", "fleet/dataplane/upstream",
-           "if identity in self.ended:", "if False:",
+           "if identity in self.ended or (pool is not None and pool.claims.retired):", "if False:",
            ENDED + "test_an_instance_that_has_ended_gets_nothing_new_and_one_that_is_back_does"),
     Mutant("the end waits for work and not for bytes", "fleet/transport/server",
            "while self.server_state.connections and", "while self.server_state.tasks and",
--- a/tests/test_fleet_ended_instances.py
+++ b/tests/test_fleet_ended_instances.py
@@ -116,6 +116,30 @@
     asyncio.run(play())
 
 
+def test_an_instance_that_is_back_is_called_while_an_answer_from_before_is_under_way() -> None:
+    async def play() -> None:
+        instance, upstream = HeldInstance(before=3), Upstream()
+        call = await instance.listen()
+
+        async def answer() -> bytes:
+            async with upstream.call("i-1", call) as response:
+                return await response.aread()
+
+        first = asyncio.create_task(answer())
+        await instance.taken.wait()
+        await upstream.forget("i-1")
+        with pytest.raises(InstanceEndedError):
+            await answer()
+        upstream.returned("i-1")
+        second = asyncio.create_task(answer())
+        instance.go_on.set()
+        assert list(await asyncio.gather(first, second)) == [BODY, BODY]
+        await upstream.close()
+        await instance.end()
+
+    asyncio.run(play())
+
+
 def test_what_outlasts_its_time_at_an_ended_instance_is_closed() -> None:
     async def play() -> None:
         instance, upstream = HeldInstance(before=3), Upstream()
