--- a/benchmarks/fleet_soak.py
+++ b/benchmarks/fleet_soak.py
@@ -14,7 +14,7 @@
 from dataclasses import asdict, dataclass
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, cast
 
 import cappa
 
@@ -22,6 +22,7 @@
 from tests.soak_fleet import Course, Soak
 
 ROOT = Path(__file__).parent.parent
+MOST_SHOWN = 300            # characters of a finding; the report has it whole
 LONG: cappa.Arg[Any] = cappa.Arg(long=True)
 
 
@@ -64,7 +65,9 @@
         report: dict[str, object] = json.loads(output.splitlines()[-1])
     except (ValueError, IndexError):
         report = {"seed": seed, "found": [f"its process ended with {process.returncode} and no report"]}
-    print(json.dumps({**report, "found": len(report["found"])}), flush=True)     # type: ignore[arg-type]
+    found = cast(list[str], report["found"])
+    shown = [f"    {one[:MOST_SHOWN]}" for one in found]
+    print(json.dumps({**report, "found": len(found)}), *shown, sep="\n", flush=True)
     return report
 
 
--- a/hophinge/fleet/controlplane/directory.py
+++ b/hophinge/fleet/controlplane/directory.py
@@ -202,6 +202,12 @@
         finally:
             del self.callers[request]
 
+    def give_up(self) -> None:
+        """Have all who wait told that what they said is not acknowledged."""
+        for caller in self.callers.values():
+            if not caller.done():
+                caller.set_result(False)
+
     def switching(self, instance: Instance) -> None:
         """An instance was ordered to change its stage: requests spare it until it is back."""
         self._let_go(self.service.switching(self.loop.time(), self._around(), instance.identity))
--- a/hophinge/fleet/controlplane/host.py
+++ b/hophinge/fleet/controlplane/host.py
@@ -139,6 +139,12 @@
         finally:
             del self.callers[number]
 
+    def give_up(self) -> None:
+        """Answer all who wait that it is not known whether their requests were carried out."""
+        for number, future in self.callers.items():
+            if not future.done():
+                future.set_result(Answer(number, None))
+
     def handle(self, event: Input) -> None:
         """Give the machine one input; what it returns waits for its records and for all outputs before it."""
         outputs = self.machine.handle(self.loop.time(), event)
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -98,11 +98,16 @@
     async def _end(self) -> None:
         log.note("ending")
         await self._hand_over()
-        await self.server.finish(asyncio.get_running_loop().time() + LEAVE_S)
+        await self.server.finish(asyncio.get_running_loop().time() + LEAVE_S, self._give_up)
         self.tasks.cancel()
         self.links.close()
         self.signals.close()
 
+    def _give_up(self) -> None:
+        """Have callers that wait for others told that nobody knows yet: they ask another member."""
+        self.host.give_up()
+        self.directory.give_up()
+
     async def _hand_over(self) -> None:
         """Serve on until the others have a view without this member: it may hold what nobody else holds."""
         machine, loop = self.host.machine, asyncio.get_running_loop()
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -164,7 +164,8 @@
             self.cuts.note(exchange, Side.HEAD, f"{type(error).__name__}({error})")
             raise
         except asyncio.CancelledError:
-            self.cuts.note(exchange, Side.PROCESS)
+            if not exchange.answered:
+                self.cuts.note(exchange, Side.PROCESS)
             raise
         finally:
             self.figures.take(exchange.life.trace)
--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import uvicorn
@@ -15,6 +15,7 @@
 
 BACKLOG = 1_024
 LOOK_S = 0.05               # between looks at what is still under way at the end
+LAST_S = 0.2                # for answers of those who have given up to go out
 IDLE_S = 60.0               # until the configuration tells how long connections may rest
 
 
@@ -93,19 +94,30 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
-    async def finish(self, until: float) -> None:
+    async def finish(self, until: float, give_up: Callable[[], None] = lambda: None) -> None:
         """Take nothing new, and close each connection behind what is under way on it, until a time of the loop's clock.
 
         An answer that is out of the program's hands may still wait to be sent: a connection counts until it is closed.
+        `give_up` has whoever waits for something then answer at once; there is a moment left for that.
         """
-        loop = asyncio.get_running_loop()
         self.stop_listening()
-        while self.server_state.connections and loop.time() < until:
-            self.close_resting()
-            await asyncio.sleep(LOOK_S)
+        await self._come_to_rest(until)
+        if self.under_way:
+            give_up()
+            await self._come_to_rest(asyncio.get_running_loop().time() + LAST_S)
         for owed in self.owed():
             log.note(f"cut: by the end of this process; {owed}")
 
+    async def _come_to_rest(self, until: float) -> None:
+        while self.under_way and asyncio.get_running_loop().time() < until:
+            self.close_resting()
+            await asyncio.sleep(LOOK_S)
+
+    @property
+    def under_way(self) -> bool:
+        """Tell whether a connection is open, or work on a request goes on, be it the tidying behind its answer."""
+        return bool(self.server_state.connections or self.server_state.tasks)
+
     def owed(self) -> list[str]:
         """Tell each connection on which an answer is owed, or has not gone out whole yet."""
         found: list[str] = []
--- /dev/null
+++ b/tests/test_fleet_failing_steps.py
@@ -0,0 +1,157 @@
+"""A step, a message or a signal that goes wrong in a process: nothing else that the process does has a part in it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from hophinge.coordination.dissemination import Push, Record
+from hophinge.coordination.view import Replica
+from hophinge.fleet import program
+from hophinge.fleet.configuration.routes import RECORD_KEY, configuration_record
+from hophinge.fleet.dataplane.knowledge import Knowledge
+from hophinge.fleet.emulation.fleet import document
+from hophinge.fleet.program import Signals, Tasks, every
+from hophinge.fleet.settings import parse_settings
+from hophinge.fleet.transport.frames import Hello, frame
+from hophinge.fleet.transport.links import Incoming, Links
+from tests.fleet_requests import ROUTES
+
+BOUND_S = 20.0
+
+
+# --- steps that fail ------------------------------------------------------------------------------------------------
+
+async def _failing(fails: int, most: int) -> tuple[int, bool]:
+    """Run a periodic step whose first calls fail; tells its calls, and whether the program was told to end."""
+    ending, calls, enough = asyncio.Event(), 0, asyncio.Event()
+
+    def step() -> None:
+        nonlocal calls
+        calls += 1
+        if calls > fails + 3:
+            enough.set()
+        if calls <= fails:
+            raise ValueError("a step")
+
+    tasks = Tasks(ending)
+    tasks.start(every(0.0, step, most))
+    waits = [asyncio.create_task(one.wait()) for one in (ending, enough)]
+    await asyncio.wait(waits, timeout=BOUND_S, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    tasks.cancel()
+    return calls, ending.is_set()
+
+
+def test_a_periodic_step_that_fails_now_and_then_does_not_end_the_program() -> None:
+    calls, ended = asyncio.run(_failing(3, 4))
+    assert calls >= 7 and not ended
+
+
+def test_one_that_fails_for_ever_does() -> None:
+    calls, ended = asyncio.run(_failing(1_000, 4))
+    assert (calls, ended) == (4, True)
+
+
+def test_work_aside_that_fails_ends_nothing() -> None:
+    async def play() -> bool:
+        ending, failed = asyncio.Event(), asyncio.Event()
+
+        async def work() -> None:
+            failed.set()
+            raise ValueError("work")
+
+        tasks = Tasks(ending)
+        tasks.start_aside(work())
+        await failed.wait()
+        while tasks.running:
+            await asyncio.sleep(0)
+        return ending.is_set()
+
+    assert not asyncio.run(play())
+
+
+def test_a_message_that_cannot_be_taken_takes_neither_its_connection_nor_those_behind_it() -> None:
+    taken: list[object] = []
+
+    def handler(hello: Hello, message: object) -> None:
+        if isinstance(message, Push) and not message.records:
+            raise ValueError("a message")
+        taken.append(message)
+
+    me = Replica("me", "127.0.0.1:1", "z")
+    links = Links(me, "data", handler, lambda text: None)
+    incoming = Incoming(links)
+    other = Push((Record("key", (1, 0), b""),))
+    incoming.data_received(frame(Hello(me, "data")) + frame(other) + frame(Push(())) + frame(other))
+    assert taken == [other, other]
+
+
+def test_a_configuration_is_in_force_even_where_passing_it_on_fails() -> None:
+    async def play() -> None:
+        settings = parse_settings({
+            "node-name": "one", "ip": "127.0.0.1", "zone": "z", "internal-port-range": [7660, 7675],
+            "seed-nodes": ["127.0.0.1:8146"], "listen-addresses": {"front": "127.0.0.1:80", "ready": "127.0.0.1:81"}})
+
+        def send(address: str, message: object) -> None:
+            raise ValueError("it cannot be passed on")
+
+        knowledge = Knowledge(settings, send, lambda identity, instance: None, lambda table: None, lambda: None)
+        knowledge.dissemination.neighbours = ("127.0.0.2:7661",)
+        record = configuration_record(1, document(1, ROUTES))
+        assert record.key == RECORD_KEY
+        with pytest.raises(ValueError, match="passed on"):
+            knowledge.received("127.0.0.3:7661", Push((record,)))
+        assert knowledge.table is not None and knowledge.table.version == 1
+
+    asyncio.run(play())
+
+
+# --- signals --------------------------------------------------------------------------------------------------------
+
+HANGUP_AT_ONCE = """
+import os, signal
+from hophinge.fleet import early_signals
+os.kill(os.getpid(), signal.SIGHUP)
+print("lives")
+"""
+
+
+def test_a_hangup_before_the_handlers_are_there_does_not_end_a_process() -> None:
+    run = subprocess.run([sys.executable, "-c", HANGUP_AT_ONCE], cwd=Path(__file__).parent.parent,
+                         capture_output=True, text=True, timeout=BOUND_S)
+    assert (run.returncode, run.stdout) == (0, "lives\n")
+
+
+def test_signals_in_the_last_moments_change_nothing() -> None:
+    before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+
+    async def play() -> None:
+        signals = Signals()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await signals.ending.wait()
+        signals.close()
+
+    try:
+        asyncio.run(play())
+        for number in before:
+            os.kill(os.getpid(), number)
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
+def test_the_programs_ignore_hangups_before_anything_that_takes_a_while() -> None:
+    for name in ("dataplane", "controlplane"):
+        text = (Path(program.__file__).parent / name / "__main__.py").read_text()
+        imports = [line for line in text.splitlines() if line.startswith(("import", "from"))]
+        assert imports[0].startswith("from hophinge.fleet import early_signals")
+
+
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
+from hophinge.coordination.registers import Change
 from hophinge.coordination.storage.store import SLOTS
 from hophinge.fleet.controlplane.host import SCRUB_S, Effects, ReplicaHost
 from hophinge.fleet.settings import Settings, parse_settings
@@ -46,3 +48,17 @@
 
     asyncio.run(asyncio.wait_for(play(), 30.0))
     assert any(note.startswith("scrub: ") for note in notes)
+
+
+def test_who_waits_for_the_chain_is_told_at_the_end_that_nothing_is_known(tmp_path: Path) -> None:
+    async def play() -> None:
+        host = ReplicaHost(replace(_settings(tmp_path), bootstrap=False), Effects(
+            lambda address, message: None, lambda published: None, lambda text: None))
+        waiting = asyncio.create_task(host.request("configuration", Change("configuration", 0, 1, b"d", b"x"), 60.0))
+        while not host.callers:
+            await asyncio.sleep(0)
+        host.give_up()
+        assert (await waiting).outcome is None
+        host.give_up()
+
+    asyncio.run(asyncio.wait_for(play(), 30.0))
