--- a/tests/test_fleet_claims.py
+++ b/tests/test_fleet_claims.py
@@ -96,8 +96,8 @@
 def test_work_whose_answer_has_gone_out_whole_comes_to_its_end() -> None:
     """The server told of the answer's end as it tells of a client that left, and the tidying behind it was cancelled.
 
-    Seen on ordinary days, about once in 400 answers; each left its connection to the instance in use for good, of the
-    48 that a head may have there.
+    Seen on ordinary days, about once in 400 answers. By reading, such a cancellation can leave the connection to the
+    instance in use for good, of the 48 that a head may have there.
     """
     assert asyncio.run(_carry(True)) == (True, True)
 
