Repair: a change of stage ends at all members with the new stage, and once given up stays so

Cause: a control member that heard of an order from another kept the instance as changing until 12 s were over, unless it was the first to hear of the new stage by a heartbeat. With heartbeats that move between members (each does after a refused or late one), an instance that was ready was spared again, its record set the others' memory anew, and no other change of the service was ordered while one counted as under way. Change: a change is kept with the stage that it leaves; any other stage ends it, however it is heard of. One that was given up comes back by a new order alone. A change holds up others, but not the one that an empty stage needs, unless it is that one. Three mutants.

--- a/hophinge/fleet/placement/stages.py
+++ b/hophinge/fleet/placement/stages.py
@@ -18,6 +18,7 @@
 from hophinge.fleet.placement.timing import DECODE, PREFILL
 from hophinge.fleet.registry.instance import READY, SWITCHING, Instance
 
+OTHER_STAGE = {PREFILL: DECODE, DECODE: PREFILL}
 NEWEST = 0.4                # weight of the newest report in an instance's means
 QUEUED = 0.25               # of an instance's time that each request that waits there adds to the work there is
 MOST_QUEUED = 4             # requests that wait at one instance and are counted
@@ -98,9 +99,10 @@
     ready = [member for member in members if member.state == READY]
     prefill = [member for member in ready if member.stage == PREFILL]
     decode = [member for member in ready if member.stage == DECODE]
-    coming = {member.stage for member in members if member.state == SWITCHING}
-    if len(ready) > 1 and not coming and not (prefill and decode):
-        return (Switch(_spared(ready, loads, 1)[0], PREFILL if decode else DECODE, True),)
+    coming = {OTHER_STAGE[member.stage] for member in members if member.state == SWITCHING}
+    missing = _missing_stage(prefill, decode, coming)
+    if missing:
+        return (Switch(_spared(ready, loads, 1)[0], missing, True),)
     if coming or not (prefill and decode):
         return ()
     most = max(1, int(AT_ONCE * len(ready)))
@@ -118,6 +120,15 @@
     return ()
 
 
+def _missing_stage(prefill: list[Instance], decode: list[Instance], coming: set[str]) -> str:
+    """Tell the stage that has nobody and gets nobody, though somebody can be spared; empty where there is none."""
+    if len(prefill) > 1 and not decode and DECODE not in coming:
+        return DECODE
+    if len(decode) > 1 and not prefill and PREFILL not in coming:
+        return PREFILL
+    return ""
+
+
 def _repaired(prefill: list[Instance], decode: list[Instance], loads: StageLoads, least: int) -> tuple[Switch, ...]:
     """Tell the change that gives a stage its least number again, whatever the work is."""
     if len(decode) < least:
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -45,6 +45,14 @@
     heard: float
 
 
+@dataclass(frozen=True, slots=True)
+class StageChange:
+    """An ordered change of an instance's stage; kept when given up, until another one or the next stage."""
+
+    old_stage: str
+    until: float                # when it counts as not carried out, in seconds on the caller's clock
+
+
 class Registry:
     """What one control member knows of instances; records live in its dissemination."""
 
@@ -56,7 +64,7 @@
         self.ended: dict[str, float] = {}
         self.unsent_beats: dict[str, int] = {}
         self.ticked = now
-        self.switches: dict[str, float] = {}    # instances that change their stage, and until when they are spared
+        self.changes: dict[str, StageChange] = {}   # by instance
 
     def heartbeat(self, now: float, instance: Instance, sequence: int) -> Record | None:
         """Take a heartbeat; tells the record where it changes what is known."""
@@ -74,22 +82,27 @@
         return self._change(instance, (sequence, 0))
 
     def _as_switching(self, now: float, instance: Instance) -> Instance:
-        """While an instance changes its stage, its heartbeats still tell of the old one."""
-        until = self.switches.get(instance.identity)
-        if until is None:
-            return instance
-        known = self.instances.get(instance.identity)
-        if now >= until or (known is not None and known.stage != instance.stage):
-            del self.switches[instance.identity]
-            return instance
-        return replace(instance, state=SWITCHING) if instance.state == READY else instance
+        """While an instance changes its stage, its heartbeats still tell of the old one.
+
+        Any other stage ends the change, whoever heard of the new one first: the heartbeats may have moved here since.
+        """
+        under_way = self._change_under_way(now, instance)
+        return replace(instance, state=SWITCHING) if under_way and instance.state == READY else instance
+
+    def _change_under_way(self, now: float, instance: Instance) -> bool:
+        """Tell whether an instance is changing the stage that it has here; a change to any other one is done."""
+        change = self.changes.get(instance.identity)
+        if change is not None and instance.stage != change.old_stage:
+            del self.changes[instance.identity]
+            return False
+        return change is not None and now < change.until
 
     def switching(self, now: float, identity: str) -> Record | None:
         """An instance was ordered to change its stage."""
         instance = self.instances.get(identity)
         if instance is None or instance.state != READY:
             return None
-        self.switches[identity] = now + SWITCH_S
+        self.changes[identity] = StageChange(instance.stage, now + SWITCH_S)
         return self._change(replace(instance, state=SWITCHING), self._stamp_after(identity))
 
     def _change(self, instance: Instance, stamp: tuple[int, int]) -> Record:
@@ -108,7 +121,7 @@
         self.stamps.pop(identity, None)
         self.beats.pop(identity, None)
         self.unsent_beats.pop(identity, None)
-        self.switches.pop(identity, None)
+        self.changes.pop(identity, None)
 
     def learn(self, now: float, record: Record) -> None:
         """Take a record that another member told."""
@@ -122,12 +135,22 @@
         if identity in self.ended or self.stamps.get(identity, (-1, 0)) >= record.stamp:
             return
         self.instances[identity], self.stamps[identity] = instance, record.stamp
-        if instance.state == SWITCHING:
-            self.switches.setdefault(identity, now + SWITCH_S)
+        self._learn_change(now, instance, record.stamp[1] > 0)
         beat = self.beats.get(identity)
         if beat is None or beat.sequence < record.stamp[0]:
             self.beats[identity] = Beat(record.stamp[0], now)
 
+    def _learn_change(self, now: float, instance: Instance, ordered: bool) -> None:
+        """Learn of a change from another member; `ordered` where the record is that of an order.
+
+        The record of a heartbeat during a change tells whoever missed the order. Where the change was given up it
+        brings nothing back: members would prolong it for one another, and the instance would be spared for ever.
+        """
+        under_way = self._change_under_way(now, instance)
+        given_up = instance.identity in self.changes and not under_way
+        if instance.state == SWITCHING and not under_way and (ordered or not given_up):
+            self.changes[instance.identity] = StageChange(instance.stage, now + SWITCH_S)
+
     def heard_elsewhere(self, now: float, liveness: Liveness) -> None:
         """Take what another control member heard."""
         for identity, sequence in liveness.rows:
--- a/tests/decision_mutants.py
+++ b/tests/decision_mutants.py
@@ -5,6 +5,7 @@
 from tests.mutant import Mutant
 
 OVERLOAD = "tests/test_fleet_overload.py::"
+CHANGES = "tests/test_fleet_stage_changes.py::"
 STAGES = "tests/test_fleet_stages.py::"
 LOSSES = "tests/test_fleet_losses.py::"
 
@@ -28,8 +29,17 @@
            "new = [part for part, _ in parts if part not in self.parts]", "new = [part for part, _ in parts]",
            OVERLOAD + "test_parts_that_another_job_has_read_stay_when_a_later_one_is_dropped"),
     Mutant("an empty stage waits like any change", "fleet/placement/stages",
-           "PREFILL if decode else DECODE, True)", "PREFILL if decode else DECODE, False)",
+           "missing, True)", "missing, False)",
            STAGES + "test_where_nobody_is_left_of_a_stage_one_is_made_at_once"),
+    Mutant("a change holds up the one that its stage needs", "fleet/placement/stages",
+           "coming = {OTHER_STAGE[member.stage] for", "coming = {member.stage for",
+           STAGES + "test_a_change_that_takes_the_last_one_from_a_stage_does_not_hold_up_the_one_that_it_needs"),
+    Mutant("a change lasts at whoever did not hear of its end first", "fleet/registry/registry",
+           "if change is not None and instance.stage != change.old_stage:", "if False:",
+           CHANGES + "test_an_instance_that_has_changed_its_stage_is_ready_wherever_it_beats_next"),
+    Mutant("members prolong a change for one another", "fleet/registry/registry",
+           "not under_way and (ordered or not given_up)", "not under_way",
+           CHANGES + "test_a_change_that_was_given_up_is_not_begun_anew_by_a_member_that_gives_it_up_later"),
     Mutant("a stage falls to one of many", "fleet/placement/stages",
            "least = LEAST if len(ready) >= 2 * LEAST else 1", "least = 1",
            STAGES + "test_a_stage_is_given_a_second_instance_before_its_last_one_is_lost"),
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -74,6 +74,16 @@
     assert _wanted([*members, changing], _loads(members, (2, 1), (0, 1, 0))) == ()
 
 
+def test_a_change_that_takes_the_last_one_from_a_stage_does_not_hold_up_the_one_that_it_needs() -> None:
+    """The maker that was ordered to read is under way when the other makers are lost."""
+    to_read = replace(_staged(0, 1)[0], identity="i-99", state=SWITCHING)
+    [switch] = _wanted([*_staged(3, 0), to_read])
+    assert (switch.instance.stage, switch.stage, switch.urgent) == ("prefill", "decode", True)
+    to_make = replace(_staged(1, 0)[0], identity="i-99", state=SWITCHING)
+    [switch] = _wanted([*_staged(0, 3), to_make])
+    assert (switch.instance.stage, switch.stage, switch.urgent) == ("decode", "prefill", True)
+
+
 def test_busy_readers_are_given_several_instances_that_make_little() -> None:
     members = _staged(29, 41)
     switches = _wanted(members, _loads(members, (1, 1), (0, 2, 0)))
