Soak: instances beat at different members and are ordered to change their stage; postmortem of the spared instance

Cause: the soak's instances beat at one member and took no orders, so that it could not meet the fault of the registry. Change: stand-ins take orders and report what is pressed upon a stage; a third of the heartbeats go elsewhere; at rest all heads must take all instances for ready, in their stages, within 8 s. SIGHUP goes to processes that ignore or catch it, by the system's own word. The instances' part is a module of its own.

--- a/hophinge/fleet/emulation/engine.py
+++ b/hophinge/fleet/emulation/engine.py
@@ -66,6 +66,9 @@
         self.freed: set[str] = set()
         self.sequence = 0
         self.leaving = False        # each answer says that its connection closes behind it
+        self.waiting = self.running = 0         # requests that it reports
+        self.orders = 0             # that it has taken
+        self.next_stage = ""        # while it changes its stage
 
     def registration(self, service: str, address: str, zone: str) -> bytes:
         """Tell the body of the next heartbeat."""
@@ -75,10 +78,28 @@
             "cold-remaining-ms": 0, "stage": self.stage or None, "models": [{"name": "m", "version": 1}],
             "sequence": self.sequence}).encode()
 
+    def order(self, body: bytes) -> Answered:
+        """Take an order to change the stage; `change` carries it out."""
+        wanted = str(json.loads(body).get("stage"))
+        if wanted not in ("prefill", "decode") or not self.stage:
+            return Answered(400)
+        if self.next_stage:
+            return Answered(409)
+        if wanted == self.stage:
+            return Answered(200)
+        self.next_stage = wanted
+        self.orders += 1
+        return Answered(202)
+
+    def change(self) -> None:
+        """Change the stage as ordered."""
+        self.stage, self.next_stage = self.next_stage, ""
+
     def report(self) -> bytes:
         """Tell how full it is."""
-        return json.dumps({"stage": self.stage, "models": [], "busy": False, "sequence": 0, "waiting": 0, "running": 0,
-                           "kv-used": 0, "kv-total": 400_000, "handles": len(self.handles)}).encode()
+        return json.dumps({"stage": self.stage, "models": [], "busy": bool(self.next_stage), "sequence": self.orders,
+                           "waiting": self.waiting, "running": self.running, "kv-used": 0, "kv-total": 400_000,
+                           "handles": len(self.handles)}).encode()
 
     def serve(self, target: str, fields: Fields, body: bytes, holders: dict[str, Engine]) -> Answered:
         """Answer a request; `holders` are the instances by address, from which memory is fetched."""
--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT_S = 0.4
 CALL_S = 1.0
+CHANGE_S = 0.8              # that a change of stage takes
 MOST_HEAD = 65_536
 EVENT_END = b"\n\n"
 FAILURES = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -64,6 +65,7 @@
         self.delay: Callable[[], Awaitable[object]] | None = None     # before the head of each answer of a run
         self.under_way: set[str] = set()        # requests whose answers are not out yet
         self.leaves = asyncio.Event()           # it sends no heartbeats by itself any more
+        self.ranked: Callable[[list[str]], list[str]] = list    # control members, in the order in which it calls them
         self.arrived: set[str] = set()          # all requests that were read here
         self.left: set[str] = set()             # requests whose caller closed the connection before the answer's end
 
@@ -123,15 +125,23 @@
     def _answer(self, taken: Taken) -> Answered:
         if taken.target == "/v1/report":
             return Answered(200, [], self.engine.report())
+        if taken.target == "/v1/order":
+            return self._order(taken.body)
         if taken.method == "DELETE":
             self.engine.free(taken.target.rsplit("/", 1)[1])
             return Answered(200)
         return self.engine.serve(taken.target, taken.fields, taken.body, self.holders)
 
+    def _order(self, body: bytes) -> Answered:
+        answer = self.engine.order(body)
+        if answer.status == 202:
+            asyncio.get_running_loop().call_later(CHANGE_S, self.engine.change)
+        return answer
+
     async def beat(self, controls: list[str]) -> bool:
         """Send a heartbeat to the first control member that answers; tells whether one acknowledged it."""
         body = self.engine.registration(self.service, self.address, self.zone)
-        return await call_any(controls, "PUT", f"/v1/instances/{self.engine.identity}", body)
+        return await call_any(self.ranked(controls), "PUT", f"/v1/instances/{self.engine.identity}", body)
 
     async def beat_on(self, controls: list[str]) -> None:
         """Send heartbeats until it leaves, or until cancelled."""
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterator
 
 from tests.soak_client import KINDS, Done, Outcome
-from tests.soak_fleet import EVENTS, Soak
+from tests.soak_fleet import Soak
+from tests.soak_instances import EVENTS
 
 SERVED_PART = 0.97          # of requests whose route is always there, so that refusing everything does not pass
 BAD_WORDS = ("cut:", "Traceback", "failed", "Error", "Exception")
@@ -23,12 +24,12 @@
     outcomes = Counter(f"{done.outcome.name} {done.status}" for done in soak.done)
     return {"seed": soak.seed, "requests": len(soak.done), "outcomes": dict(sorted(outcomes.items())),
             "changes": soak.draft.version, "restarts": len(soak.exits), "hangups": soak.hangups,
-            "leavings": soak.leavings}
+            "leavings": soak.instances.leavings, "orders": sum(one.engine.orders for one in soak.instances.all)}
 
 
 def _requests(soak: Soak) -> Iterator[str]:
-    runs = Counter(run.request for one in soak.stand_ins for run in one.engine.runs)
-    arrived = {name for one in soak.stand_ins for name in one.arrived}
+    runs = Counter(run.request for one in soak.instances.all for run in one.engine.runs)
+    arrived = {name for one in soak.instances.all for name in one.arrived}
     for done in soak.done:
         where = f"{done.kind} {done.name} at head {done.head}, {done.over_at - done.sent_at:.3f} s"
         kind = KINDS[done.kind]
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -1,4 +1,4 @@
-"""A soak of both programs: series of signals, restarts, changes and leavings that overlap, drawn by a seed.
+"""A soak of both programs: signals, restarts, changes, orders and leavings that overlap, drawn by a seed.
 
 All are planned: no process is killed, no link is cut, no instance breaks off. So each request that a head has read
 whole has to end in one whole answer or a refusal.
@@ -10,25 +10,32 @@
 import contextlib
 import json
 import signal
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from hophinge.fleet.emulation.fleet import FRONT, READY, LoopbackFleet
-from hophinge.fleet.emulation.stand_in import FAILURES, StandIn
+from hophinge.fleet.emulation.stand_in import FAILURES
 from hophinge.load.rig.processes import Process
 from hophinge.load.rig.waiting import until
 from tests.soak_client import Done, SoakClient
 from tests.soak_document import Draft
+from tests.soak_instances import SoakInstances
 
-EVENTS = 6                  # of each stream
 GRACE_S = 6.0
 PROBE_S = 0.25              # between questions whether a head is ready; two misses take it out
-SERVED_ON_S = 2.0           # by an instance after its leaving was acknowledged, at least: the operators' `drain-ms`
 START_S, SETTLE_S = 40.0, 30.0
 TRIES = 40
+SPARED_S = 8.0              # after which no instance at rest is spared for a change of stage that is done
+
+
+def handles_hangup(pid: int) -> bool:
+    """Tell whether a process ignores or catches SIGHUP: before its program's first line the system ends it."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(mask & 1 << signal.SIGHUP - 1 for mask in masks)
+
 
 @dataclass
 class Course:
@@ -41,6 +48,7 @@
     hangup_s: float = 0.4
     roll_s: float = 0.6
     leave_s: float = 0.8
+    press_s: float = 3.0        # for which one stage is short: about what an order takes to come
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +72,6 @@
     members: list[dict[str, Any]] = field(default_factory=list)     # what heads tell of themselves at the end
     done: list[Done] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
-    stand_ins: list[StandIn] = field(default_factory=list)      # all there have been
-    leavings: int = 0
     hangups: int = 0
 
     def __post_init__(self) -> None:
@@ -73,60 +79,25 @@
         self.fleet = LoopbackFleet(self.folder, self.course.machines, grace_s=GRACE_S)
         self.draft = Draft()
         self.taking: dict[int, str] = {}            # heads that get new connections, with their addresses
+        self.instances = SoakInstances(self.fleet, self.random)
         self.over = False
-        self.numbers = iter(range(1_000_000))
 
     # --- instances -----------------------------------------------------------------------------------------------
 
-    async def _join(self, service: str, stage: str) -> None:
-        identity = f"{service}-{stage or 'x'}-{next(self.numbers)}"
-        engine = await self.fleet.instance(identity, service, stage, self.random.randrange(self.course.machines))
-        engine.events = EVENTS
-        stand_in = self.fleet.stand_ins[identity]
-        stand_in.pause = lambda: asyncio.sleep(self.random.choice((0.0, 0.01, 0.05, 0.3)))
-        stand_in.delay = lambda: asyncio.sleep(self.random.choice((0.0, 0.0, 0.02, 0.2)))
-        self.stand_ins.append(stand_in)
-
-    async def _say(self, what: Callable[[], Awaitable[bool]]) -> None:
-        for _ in range(TRIES):
-            if await what():
-                return
-            await asyncio.sleep(0.05)
-        raise AssertionError("no control member acknowledges a leaving")
-
-    async def _leave(self, identity: str) -> None:
-        """An instance leaves in one of the ways of the pages, and ends when its last answer is out."""
-        stand_in, fleet = self.fleet.stand_ins.pop(identity), self.fleet
-        stand_in.leaves.set()
-        await fleet.tasks.pop(identity)
-        stand_in.engine.leaving = self.random.random() < 0.5
-        unregisters_first = self.random.random() < 0.5
-        if unregisters_first:
-            await self._say(lambda: stand_in.unregister(fleet.controls))
-        else:
-            stand_in.engine.state = "draining"
-            await self._say(lambda: stand_in.beat(fleet.controls))
-        if unregisters_first and self.random.random() < 0.5:
-            await asyncio.sleep(0.3)
-            await stand_in.beat(fleet.controls)         # a heartbeat that comes late
-        await asyncio.sleep(SERVED_ON_S + self.random.random())
-        while stand_in.under_way:
-            await asyncio.sleep(0.02)
-        if not unregisters_first:
-            await self._say(lambda: stand_in.unregister(fleet.controls))
-        stand_in.end()
-        self.leavings += 1
-
     async def _turn_over(self) -> None:
-        """Replace instances one after the other; the new one starts first."""
+        """Replace instances one after the other."""
         async with asyncio.TaskGroup() as leaving:
             while not self.over:
                 await asyncio.sleep(self.random.random() * self.course.leave_s)
-                identity = self.random.choice(sorted(self.fleet.stand_ins))
-                engine = self.fleet.stand_ins[identity].engine
-                await self._join(identity.split("-")[0], engine.stage)
-                await asyncio.sleep(0.5)                # until it is known: the old one is needed until then
-                leaving.create_task(self._leave(identity))
+                old = await self.instances.replace_one()
+                leaving.create_task(self.instances.leave(old))
+
+    async def _press(self) -> None:
+        """Have now one stage short and then the other, so that some instances are ordered to change."""
+        while not self.over:
+            self.instances.pressed = self.random.choice(("prefill", "decode"))
+            await asyncio.sleep(self.course.press_s)
+        self.instances.pressed = ""
 
     # --- operators, signals, restarts -----------------------------------------------------------------------------
 
@@ -150,8 +121,8 @@
         while not self.over:
             for _ in range(self.random.randrange(1, 4)):
                 process = self.random.choice(self.fleet.processes.running() or [None])
-                with contextlib.suppress(ProcessLookupError):
-                    if process is not None and process.begun.exists():
+                with contextlib.suppress(ProcessLookupError, FileNotFoundError):
+                    if process is not None and handles_hangup(process.pid):
                         process.send(signal.SIGHUP)
                         self.hangups += 1
             await asyncio.sleep(self.random.random() * self.course.hangup_s)
@@ -202,12 +173,13 @@
             await fleet.start()
             for service, stage in (("models", "prefill"), ("models", "decode"), ("plain", ""), ("other", "")):
                 for _ in range(3 if stage else 2):
-                    await self._join(service, stage)
+                    await self.instances.join(service, stage)
             self.draft.version = 1
             await self._push()
             everywhere = range(self.course.machines)
             await until([fleet.ready(number, 1, len(fleet.stand_ins)) for number in everywhere], START_S)
             probes = [asyncio.create_task(self._probe(number)) for number in everywhere]
+            probes.append(asyncio.create_task(self.instances.report()))
             clients = [SoakClient(f"c{number}", self.random.getrandbits(32), self.taking, self.done)
                        for number in range(self.course.clients)]
             asking = [asyncio.create_task(client.run()) for client in clients]
@@ -219,6 +191,7 @@
                 probe.cancel()
             await until([fleet.ready(number, self.draft.version, len(fleet.stand_ins)) for number in everywhere],
                         SETTLE_S)
+            await until([self.instances.all_ready(number) for number in everywhere], SPARED_S)
             self.logs = {name: list(process.lines) for name, process in fleet.processes.by_name.items()}
             self.members = [json.loads((await fleet.call(
                 fleet.address(number, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])).body)
@@ -228,7 +201,7 @@
         """Let everything go on side by side for a while; what fails among it fails the soak."""
         async with asyncio.TaskGroup() as group:
             for work in (self._change(), self._hang_up(), self._roll("head"), self._roll("control"),
-                         self._turn_over()):
+                         self._turn_over(), self._press()):
                 group.create_task(work)
             await asyncio.sleep(self.course.play_s)
             self.over = True
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -18,4 +18,4 @@
     soak = Soak(tmp_path, seed)
     asyncio.run(soak.run())
     assert not findings(soak), "\n".join([str(summary(soak)), *findings(soak)[:40]])
-    assert soak.exits and soak.hangups and soak.leavings and soak.draft.version > 5
+    assert soak.exits and soak.hangups and soak.instances.leavings and soak.draft.version > 5
