Soak: heads are asked all along whether they spare an instance for a change that is over

Change: each head is asked every 0.3 s; an instance taken to be leaving the stage that it has, without an order, is a finding.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -75,6 +75,7 @@
 
 
 def _rest(soak: Soak) -> Iterator[str]:
+    yield from sorted(soak.instances.spared)
     expected = set(soak.fleet.stand_ins)
     for member in soak.members:
         if set(member["instances"]) != expected:
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -27,7 +27,7 @@
 PROBE_S = 0.25              # between questions whether a head is ready; two misses take it out
 START_S, SETTLE_S = 40.0, 30.0
 TRIES = 40
-SPARED_S = 8.0              # after which no instance at rest is spared for a change of stage that is done
+READY_S = 8.0               # after which heads take all instances for ready, at rest
 
 
 def handles_hangup(pid: int) -> bool:
@@ -180,6 +180,7 @@
             await until([fleet.ready(number, 1, len(fleet.stand_ins)) for number in everywhere], START_S)
             probes = [asyncio.create_task(self._probe(number)) for number in everywhere]
             probes.append(asyncio.create_task(self.instances.report()))
+            probes += [asyncio.create_task(self.instances.watch(number)) for number in everywhere]
             clients = [SoakClient(f"c{number}", self.random.getrandbits(32), self.taking, self.done)
                        for number in range(self.course.clients)]
             asking = [asyncio.create_task(client.run()) for client in clients]
@@ -191,7 +192,7 @@
                 probe.cancel()
             await until([fleet.ready(number, self.draft.version, len(fleet.stand_ins)) for number in everywhere],
                         SETTLE_S)
-            await until([self.instances.all_ready(number) for number in everywhere], SPARED_S)
+            await until([self.instances.all_ready(number) for number in everywhere], READY_S)
             self.logs = {name: list(process.lines) for name, process in fleet.processes.by_name.items()}
             self.members = [json.loads((await fleet.call(
                 fleet.address(number, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])).body)
--- a/tests/soak_instances.py
+++ b/tests/soak_instances.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from random import Random
 
 from hophinge.fleet.emulation.fleet import READY, LoopbackFleet
-from hophinge.fleet.emulation.stand_in import StandIn
+from hophinge.fleet.emulation.stand_in import FAILURES, StandIn
 from hophinge.load.rig.waiting import Condition
 
 EVENTS = 6                  # of each stream
@@ -16,6 +17,7 @@
 TRIES = 40
 MOVED = 0.3                 # of heartbeats, that go to another control member than the first
 QUEUED = 4                  # requests that a busy instance reports as waiting
+WATCH_S = 0.3               # between looks at what heads take instances for
 KNOWN_S = 0.5               # until a new instance is known, at the latest: the old one is needed until then
 
 
@@ -28,6 +30,7 @@
         self.leavings = 0
         self.pressed = ""                       # the stage that is short
         self.numbers = iter(range(1_000_000))
+        self.spared: set[str] = set()           # findings: instances that were taken to be changing, and were not
 
     async def join(self, service: str, stage: str) -> None:
         """Start an instance."""
@@ -91,13 +94,32 @@
         await asyncio.sleep(KNOWN_S)
         return identity
 
+    async def watch(self, number: int) -> None:
+        """Look again and again whether a head spares an instance for a change that is over."""
+        while True:
+            with contextlib.suppress(*FAILURES):
+                for identity, (stage, state) in (await self._seen(number)).items():
+                    if state == "switching" and self._keeps(identity, stage):
+                        self.spared.add(f"head-{number} takes {identity} to be leaving its new stage, {stage}")
+            await asyncio.sleep(WATCH_S)
+
+    def _keeps(self, identity: str, stage: str) -> bool:
+        """Tell whether an instance has a stage and isn't ordered to leave it."""
+        stand_in = self.fleet.stand_ins.get(identity)
+        return stand_in is not None and stand_in.engine.stage == stage and not stand_in.engine.next_stage
+
+    async def _seen(self, number: int) -> dict[str, tuple[str, str]]:
+        """Tell stage and state of the instances that a head knows."""
+        reply = await self.fleet.call(self.fleet.address(number, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])
+        if reply.status != 200 or not reply.whole:
+            return {}
+        return {identity: (seen["stage"], seen["state"])
+                for identity, seen in json.loads(reply.body)["instances"].items()}
+
     def all_ready(self, number: int) -> Condition:
         """A head takes all instances that are there for ready, in the stage that they have."""
         async def look() -> tuple[bool, str]:
-            address = self.fleet.address(number, READY)
-            reply = await self.fleet.call(address, "GET", "/v1/member", b"", [(b"Host", b"c")])
-            known = {identity: (seen["stage"], seen["state"])
-                     for identity, seen in json.loads(reply.body)["instances"].items()}
+            known = await self._seen(number)
             there = {identity: (one.engine.stage, "ready") for identity, one in self.fleet.stand_ins.items()}
             wrong = {identity: (known.get(identity), there.get(identity)) for identity in known.keys() | there.keys()
                      if known.get(identity) != there.get(identity)}
