--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -65,5 +65,6 @@
     for line in lines:
         test, cause, issue = line.split(" | ")
         path, _, name = test.partition("::")
-        assert f"def {name}(" in (ROOT / path).read_text()
+        function, _, _ = name.partition("[")        # one case of several is listed with its arguments
+        assert f"def {function}(" in (ROOT / path).read_text()
         assert cause and issue.startswith("issue ")
