Tests: the three known failures are traced to a process that stands still, and the harness they share leaves stalls out

Cause: a stall of 0.8 s in a test's process gives 503 for the upload's part and the wait that never ends of the idle connections (5 of 12 runs); a head that is stopped for 0.7 s answers 502 where a request had 750 ms.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 from hophinge.core.interface import Action, Event, Refuse, Send
 from hophinge.net.payload import MOST_LONG
 from hophinge.head.service import Service
-from tests.stand_in import OBJECT, VOLUME, Brick, Wire, World, headers, held_by, run, until, world
+from tests.stand_in import OBJECT, VOLUME, Brick, Wire, World, headers, held_by, run_in_real_time as run, until, world
 
 READ = f"/record-read/{VOLUME}/{OBJECT}"
 WRITE = f"/transfer-write/{VOLUME}/{OBJECT}"
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -16,7 +16,7 @@
 from hophinge.net.brick import BrickConnection
 from hophinge.net.budget import Budget
 from hophinge.net.roll import Roll
-from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, headers, run, setup, until, world
+from tests.stand_in import OBJECT, VOLUME, Behaviour, Brick, headers, run_in_real_time as run, setup, until, world
 from tests.test_net import READ
 
 SOUND = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkept"
--- a/tests/test_net_attempts.py
+++ b/tests/test_net_attempts.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from hophinge.core.interface import Action, Event, Outcome, Probe, ProbeResult, Result
-from tests.stand_in import VOLUME, Brick, headers, held_by, run, setup, until, world
+from tests.stand_in import VOLUME, Brick, headers, held_by, run_in_real_time as run, setup, until, world
 from tests.test_net import READ, WRITE
 
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.stand_in import Brick, headers, run, until, world
+from tests.stand_in import Brick, headers, run_in_real_time as run, until, world
 from tests.test_net import READ, WRITE
 
 HEADER = "".join(f"{name}: {text}\r\n" for name, text in headers().items()).encode()
--- a/tests/test_net_clock.py
+++ b/tests/test_net_clock.py
@@ -8,7 +8,7 @@
 from unittest.mock import Mock
 
 from hophinge.net.clock import LoopClock, now_us
-from tests.stand_in import run, until
+from tests.stand_in import run_in_real_time as run, until
 
 
 def test_a_timer_never_fires_early() -> None:
--- a/tests/test_net_connects.py
+++ b/tests/test_net_connects.py
@@ -11,7 +11,7 @@
 
 from hophinge.net.connects import MOST_BESIDE, SPARE_BURST, Connects, Usual
 from tests.servers import Brick, held_by
-from tests.stand_in import headers, run, until, world
+from tests.stand_in import headers, run_in_real_time as run, until, world
 from tests.test_net import READ
 
 Create = Callable[..., Awaitable[object]]
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -6,7 +6,7 @@
 
 from hophinge.core.interface import ListKind
 from hophinge.net.discovery import Listing, Target
-from tests.stand_in import Brick, headers, run, until, world
+from tests.stand_in import Brick, headers, run_in_real_time as run, until, world
 from tests.test_net import READ
 
 
--- a/tests/test_net_end.py
+++ b/tests/test_net_end.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from tests.stand_in import Brick, headers, held_by, run, until, world
+from tests.stand_in import Brick, headers, held_by, run_in_real_time as run, until, world
 from tests.test_net import READ
 
 
--- a/tests/test_steady.py
+++ b/tests/test_steady.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from tests.stand_in import Brick, headers, run, world
 from tests.steady import LONGEST_STEP_S, SteadyClock, run_steadily
+from tests.test_net import READ
 
 
 def test_a_stall_between_two_looks_counts_as_one_step() -> None:
@@ -34,3 +36,19 @@
     passed, real_passed = run_steadily(main(), monkeypatch)
     assert 0.1 <= passed < 0.1 + 3 * LONGEST_STEP_S
     assert real_passed >= passed - LONGEST_STEP_S
+
+
+def test_a_head_whose_process_stands_still_refuses_nothing_on_it() -> None:
+    """By the machine's clock, five of twelve such runs failed: 503 for a request whose 750 ms were over."""
+    async def main() -> list[int]:
+        async with world(Brick(0)) as made:
+            wire = await made.wire(await made.head())
+            statuses = []
+            for number in range(12):
+                wire.send(READ, headers(number))
+                await asyncio.sleep(0)
+                time.sleep(0.4)
+                statuses.append((await wire.receive())[0])
+            return statuses
+
+    assert set(run(main())) == {404}
