--- /dev/null
+++ b/tests/test_fleet_cut_days.py
@@ -0,0 +1,63 @@
+"""What cut the answers of a played day, from its report with the heads' logs."""
+
+from __future__ import annotations
+
+import pytest
+
+from hophinge.fleet.analysis.cuts import Cause, causes, cut_answers, read_day
+
+HEAD = "  {at:.4f} {machine}/data-plane 18:01:42.600 INFO {text}\n"
+CUT = "cut: request {request} (r-1) by {reason}; instance i-1 (ready, 0 connections); version 3 for 0.1 s, 5.2 s left"
+CASE = """not served, last try 'cut in the answer': 5; the first:
+    13.540 s  request aa11 (log-ruling, one.example/a/) sent to edge-one
+    15.600 s  its run ends: 200 cut
+    15.604 s  the connection is closed in the middle of the answer (200)
+not served, last try '503': 1; the first:
+     1.000 s  request bb22 (log-ruling, one.example/a/) sent to edge-two
+"""
+
+
+def line(at: float, text: str, machine: str = "edge-one") -> str:
+    """A line of a head in a report."""
+    return HEAD.format(at=at, machine=machine, text=text)
+
+
+def cut(reason: str, at: float = 15.6, request: str = "aa11") -> str:
+    """A head's line of a cut answer."""
+    return line(at, CUT.format(request=request, reason=reason))
+
+
+@pytest.mark.parametrize(("reason", "cause"), [
+    ("instance while answering; after ReadError()", Cause.CONNECTION),
+    ("instance while answering; after RemoteProtocolError(x)", Cause.INSTANCE),
+    ("client while reading", Cause.CLIENT), ("time while waiting; after TimeoutError()", Cause.TIME),
+    ("head while answering; after KeyError('i-1')", Cause.HEAD), ("process while answering", Cause.HEAD),
+    ("nobody while answering", Cause.UNKNOWN)])
+def test_a_head_s_line_tells_what_cut_an_answer(reason: str, cause: Cause) -> None:
+    (found,) = cut_answers(read_day(line(-2.0, "head 5a at 10.0.0.1:80") + cut(reason) + CASE))
+    assert (found.request, found.machine, found.cause) == ("aa11", "edge-one", cause)
+
+
+def test_a_head_may_cut_at_the_end_of_its_grace_and_not_where_its_own_work_failed() -> None:
+    told = line(-2.0, "head 5a at 10.0.0.1:80") + line(8.0, "ending") + cut("process while answering")
+    assert cut_answers(read_day(told))[0].cause is Cause.GRACE
+    again = line(8.0, "ending") + line(9.0, "head 5b at 10.0.0.1:80") + cut("process while answering")
+    assert cut_answers(read_day(again))[0].cause is Cause.HEAD
+    failed = read_day(line(7.9, "a task failed") + told)
+    assert cut_answers(failed)[0].cause is Cause.HEAD and len(failed.failures()) == 1
+
+
+def test_a_case_without_a_line_is_a_killed_head_s_or_a_finding() -> None:
+    before = line(-2.0, "head 5a at 10.0.0.1:80")
+    start = line(19.0, "head 5b at 10.0.0.1:80")
+    assert cut_answers(read_day(before + start + CASE))[0].cause is Cause.KILLED
+    assert cut_answers(read_day(before + CASE))[0].cause is Cause.UNKNOWN
+    lived_on = before + line(16.0, "configuration 3 is in force") + start
+    assert cut_answers(read_day(lived_on + CASE))[0].cause is Cause.UNKNOWN
+    other = before + line(19.0, "head 5b at 10.0.0.1:80", "edge-two")
+    assert cut_answers(read_day(other + CASE))[0].cause is Cause.UNKNOWN
+
+
+def test_a_day_is_counted_by_causes() -> None:
+    clients = cut("client while reading", 3.0, "c1") + cut("client while reading", 4.0, "c2")
+    assert causes(cut_answers(read_day(clients + cut("head while waiting") + CASE))) == {Cause.CLIENT: 2, Cause.HEAD: 1}
