--- /dev/null
+++ b/tests/test_fleet_client_connections.py
@@ -0,0 +1,224 @@
+"""What a client's connection ends, and what it still owes: a real head, whose clients do what users' clients do.
+
+Seen: one answer in thousands was cut in the middle, with nobody near who had told the head to. One way to it: the server
+kept one parser and one newest request for a connection, so what came behind a request ended the answer to it. Bytes
+that are no request stood as a 400 within the chunks of a stream; a request behind a stream, read whole as the process was
+told to end, had no answer at all; and a header without an end could take all memory, and with it each stream of the head.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from hophinge.fleet.emulation.fleet import FRONT, HOST, LoopbackFleet, document
+from hophinge.load.rig.waiting import until
+from tests.fleet_requests import BOUND_S, PROMPT, taken
+from tests.soak_client import Answer, read_answer
+
+ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
+INSTANCES = (("p1", "models", "prefill"), ("d1", "models", "decode"), ("s1", "plain", ""))
+EVENTS = 8
+PAUSE_S = 0.05
+GRACE_S = 8.0
+DEADLINE_MS = 20_000
+BOUNDS = {"max-header-bytes": 8_192, "max-body-bytes": 100_000}
+SHORT = {"idle-timeout-ms": 1_500, "header-timeout-ms": 500, **BOUNDS}
+LONG = {"idle-timeout-ms": 60_000, "header-timeout-ms": 60_000, **BOUNDS}
+LATE_S = 8.0                # by when each of these times has run out, on a busy machine too
+GARBAGE = b"\x00\x01 no request\r\n\r\n"
+Play = Callable[[LoopbackFleet], Awaitable[None]]
+
+
+def configuration(limits: dict[str, int]) -> bytes:
+    """A document with some limits for what clients send, and long times for answers."""
+    raw = json.loads(document(1, ROUTES))
+    routes = [{**route, "timeout-ms": DEADLINE_MS} for route in raw["routes"]]
+    return json.dumps({**raw, "routes": routes, "limits": limits}).encode()
+
+
+async def with_head(folder: Path, limits: dict[str, int], play: Play) -> None:
+    """Play something at one head with three instances."""
+    async with LoopbackFleet(folder, 1, losses=0, grace_s=GRACE_S) as fleet:
+        await fleet.start()
+        for identity, service, stage in INSTANCES:
+            await fleet.instance(identity, service, stage)
+        await until([taken(fleet, 0, configuration(limits), 0)], BOUND_S)
+        await until([fleet.ready(0, 1, len(INSTANCES))], BOUND_S)
+        maker = fleet.stand_ins["d1"]
+        maker.engine.events = EVENTS
+        maker.pause = lambda: asyncio.sleep(PAUSE_S)
+        await play(fleet)
+
+
+def request(path: str, name: str, body: bytes = b"x", *fields: tuple[bytes, bytes]) -> bytes:
+    """A request with a measured body."""
+    every = [(b"Host", HOST.encode()), (b"Hophinge-Request-Id", name.encode()), (b"Hophinge-Deadline-Ms", b"%d" % DEADLINE_MS),
+             (b"Content-Length", str(len(body)).encode()), *PROMPT, *fields]
+    lines = b"".join(name + b": " + value + b"\r\n" for name, value in every)
+    return b"POST %s HTTP/1.1\r\n%s\r\n%s" % (path.encode(), lines, body)
+
+
+class Client:
+    """One connection, byte by byte."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def open(cls, fleet: LoopbackFleet) -> Client:
+        """Connect to the head."""
+        host, port = fleet.address(0, FRONT).rsplit(":", 1)
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def send(self, data: bytes) -> None:
+        """Send some bytes."""
+        self.writer.write(data)
+
+    async def first_event(self) -> bytes:
+        """Read up to the first event of a stream; the rest is still to come."""
+        return await self.reader.readuntil(b"\n\n")
+
+    async def answer(self) -> Answer | None:
+        """Read one answer."""
+        async with asyncio.timeout(BOUND_S):
+            return await read_answer(self.reader)
+
+    async def ends(self) -> bool:
+        """Tell whether nothing more comes but the connection's end."""
+        async with asyncio.timeout(LATE_S):
+            try:
+                return await self.reader.read() == b""
+            except ConnectionError:
+                return True
+
+
+def is_stream(answer: Answer | None) -> bool:
+    """Tell whether an answer is a whole stream."""
+    if answer is None or not answer.whole or answer.status != 200:
+        return False
+    ids = [line for line in answer.body.decode().splitlines() if line.startswith("id:")]
+    return ids == [f"id: {number}" for number in range(1, EVENTS + 1)]
+
+
+# --- what comes behind a request -----------------------------------------------------------------------------------
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_bytes_behind_a_request_have_no_part_in_its_answer(at_once: bool, tmp_path: Path) -> None:
+    async def garbage(fleet: LoopbackFleet) -> None:
+        client = await Client.open(fleet)
+        await send_two(fleet, client, request("/m/q", "first"), GARBAGE)
+        assert is_stream(await client.answer()), "the stream goes out whole"
+        refused = await client.answer()
+        assert refused is not None and (refused.status, refused.whole, refused.closes) == (400, True, True)
+        assert await client.ends()
+
+    async def requests(fleet: LoopbackFleet) -> None:
+        client = await Client.open(fleet)
+        await send_two(fleet, client, request("/m/q", "second"), request("/p/q", "third") + request("/m/q", "fourth"))
+        assert is_stream(await client.answer())
+        plain = await client.answer()
+        assert plain is not None and plain.status == 200 and plain.body.endswith(b"third")
+        assert is_stream(await client.answer())
+
+    async def half_a_request(fleet: LoopbackFleet) -> None:
+        client = await Client.open(fleet)
+        await send_two(fleet, client, request("/m/q", "fifth"), request("/p/q", "sixth")[:40])
+        assert is_stream(await client.answer())
+        refused = await client.answer()
+        assert refused is not None and (refused.status, refused.closes) == (408, True)
+        assert await client.ends()
+
+    async def body_that_cannot_be_read(fleet: LoopbackFleet) -> None:
+        client = await Client.open(fleet)
+        chunked = request("/p/q", "eighth").replace(b"Content-Length: 1", b"Transfer-Encoding: chunked")
+        await send_two(fleet, client, request("/m/q", "seventh"), chunked[:-1] + b"no length\r\nx")
+        assert is_stream(await client.answer())
+        refused = await client.answer()
+        assert refused is not None and (refused.status, refused.closes) == (400, True)
+
+    async def send_two(fleet: LoopbackFleet, client: Client, first: bytes, second: bytes) -> None:
+        """Send two pieces in one segment, or the second while the first is answered."""
+        if at_once:
+            client.send(first + second)
+            return
+        client.send(first)
+        while not fleet.stand_ins["d1"].under_way:
+            await asyncio.sleep(0)
+        client.send(second)
+
+    async def play(fleet: LoopbackFleet) -> None:
+        for scenario in (garbage, requests, half_a_request, body_that_cannot_be_read):
+            await scenario(fleet)
+        assert not fleet.head(0).said("cut:")
+
+    asyncio.run(with_head(tmp_path, SHORT, play))
+
+
+# --- what comes slowly, or not at all, or without an end -----------------------------------------------------------
+
+def test_what_a_client_leaves_open_ends_in_time_and_within_bounds(tmp_path: Path) -> None:
+    async def status_of(client: Client) -> int:
+        refused = await client.answer()
+        assert refused is not None and refused.whole and refused.closes
+        return refused.status
+
+    async def play(fleet: LoopbackFleet) -> None:
+        other = await Client.open(fleet)
+        other.send(request("/m/q", "other"))
+        nothing, half, body, blank, endless = [await Client.open(fleet) for _ in range(5)]
+        half.send(request("/p/q", "half")[:40])
+        body.send(request("/p/q", "body", b"y" * 100)[:-50])
+        blank.send(b"\r\n\r\n")
+        endless.send(b"GET / HTTP/1.1\r\nx: " + b"z" * 200_000)
+        assert await status_of(endless) == 431
+        assert is_stream(await other.answer()), "another connection has no part in it"
+        async with asyncio.timeout(LATE_S):
+            assert await status_of(half) == 408 and await status_of(body) == 408
+            assert await nothing.ends() and await blank.ends()
+        upgrade = await Client.open(fleet)
+        upgrade.send(request("/p/q", "upgrade", b"whole body", (b"Connection", b"Upgrade, HTTP2-Settings"),
+                             (b"Upgrade", b"h2c"), (b"HTTP2-Settings", b"AAMAAABk")))
+        served = await upgrade.answer()
+        assert served is not None and served.status == 200 and served.body.endswith(b"upgrade")
+        (run,) = [run for run in fleet.stand_ins["s1"].engine.runs if run.request == "upgrade"]
+        assert run.body == b"whole body"
+
+    asyncio.run(with_head(tmp_path, SHORT, play))
+
+
+# --- the end of the process ----------------------------------------------------------------------------------------
+
+def test_each_request_that_was_read_whole_is_answered_or_refused_as_the_process_ends(tmp_path: Path) -> None:
+    async def play(fleet: LoopbackFleet) -> None:
+        fleet.stand_ins["d1"].pause = lambda: asyncio.sleep(0.75)      # the stream outlasts the head's leaving
+        client, busy, resting = [await Client.open(fleet) for _ in range(3)]
+        client.send(request("/m/q", "long"))
+        busy.send(request("/m/q", "busy"))
+        await client.first_event()
+        await busy.first_event()
+        fleet.head(0).send(signal.SIGTERM)
+        assert await resting.ends()         # by now connections are told to end; the streams go on
+        client.send(request("/p/q", "behind") + request("/p/q", "last"))
+        await last_event(client)
+        statuses = []
+        for _ in range(2):
+            answer = await client.answer()
+            assert answer is not None and answer.whole, "a request that was read whole has an answer"
+            statuses.append(answer.status)
+        assert set(statuses) <= {200, 503}
+        assert answer is not None and answer.closes and await client.ends()
+        await last_event(busy)
+        assert await busy.ends()
+        assert not fleet.head(0).said("cut:")
+
+    async def last_event(client: Client) -> None:
+        async with asyncio.timeout(BOUND_S):
+            await client.reader.readuntil(b"id: %d\ndata: d1 %d\n\n" % (EVENTS, EVENTS))
+
+    asyncio.run(with_head(tmp_path, LONG, play))
