Repair: a request read on a client's connection is a claim, and the connection closes behind the last one

Cause: the HTTP library keeps one parser, one newest request and one queue for a connection: bad bytes, a time, a close or the process's end spoke for all of them; what a client leaves open had no bound in time or bytes. Change: a state of a connection without sockets says what is owed, refused and closed; the library parses and frames beneath it. A wish for an upgrade is passed over with its body kept; 400, 408 and 431 go out behind the last claim and linger; a client that closes its side has left, told apart from a reset; ends are counted on the member's page. header-timeout-ms and idle-timeout-ms hold. Checks replaced: the test of a longer rest reads the state's time and its timer in place of the library's timer, as strictly.

--- a/hophinge/fleet/configuration/routes.py
+++ b/hophinge/fleet/configuration/routes.py
@@ -75,6 +75,7 @@
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     idle_s: float = 15.0
+    header_s: float = 3.0
 
 
 class RouteTable:
@@ -126,7 +127,7 @@
     return RouteTable(
         raw["version"], [_route(one) for one in raw["routes"]], [_service(one) for one in raw["services"]],
         Limits(limits.get("max-header-bytes", 16_384), limits.get("max-body-bytes", 4_194_304),
-               limits.get("idle-timeout-ms", 15_000) / 1_000))
+               limits.get("idle-timeout-ms", 15_000) / 1_000, limits.get("header-timeout-ms", 3_000) / 1_000))
 
 
 def configuration_record(sequence: int, document: bytes) -> Record:
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Mapping
 from random import Random
 
 from hophinge.fleet import log
@@ -34,6 +35,8 @@
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
 from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.connection_context import connection_of
+from hophinge.fleet.transport.connection_state import ConnectionState
 
 READY_PATH = "/v1/ready"
 MEMBER_PATH = "/v1/member"     # for operators: how this head stands
@@ -56,6 +59,7 @@
         self.cuts = CutLog(knowledge, placement, upstream)
         self.ready_port = int(settings.ready.rsplit(":", 1)[1]) if settings.ready else 0
         self.ending = False
+        self.connection_ends: Mapping[str, int] = {}        # of the server in front, where something had been left open
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -96,6 +100,7 @@
                                      "state": node.instance.state, "out": node.out, "rests": node.rests(now)}
                           for identity, node in sorted(self.placement.nodes.items())},
             "requests": self.figures.told(), "cuts": dict(sorted(self.cuts.counts.items())),
+            "connection-ends": dict(sorted(self.connection_ends.items())),
             "digest": [f"{mark:016x}" for mark in knowledge.dissemination.replicas.marks(now)],
         }
 
@@ -130,7 +135,7 @@
         target = scope["raw_path"] + (b"?" + scope["query_string"] if scope["query_string"] else b"")
         inbound = Inbound(scope["method"].encode(), target, forwarded(fields), body, find(fields, REQUEST_ID))
         life = self._life(arrived, route, fields, inbound)
-        await self._carry(Exchange(inbound, life, self.upstream, send, self.ending), receive)
+        await self._carry(Exchange(inbound, life, self.upstream, send, self.ending), receive, connection_of(scope))
 
     def _life(self, arrived: float, route: Route, fields: Fields, inbound: Inbound) -> Life:
         table = self.knowledge.table
@@ -150,12 +155,12 @@
         return Life(name, route, service, prompt, engine is not None, arrived + route.target_s,
                     deadline, self.placement, budget, heads, trace, min(deadline, arrived + route.patience_s))
 
-    async def _carry(self, exchange: Exchange, receive: Receive) -> None:
+    async def _carry(self, exchange: Exchange, receive: Receive, connection: ConnectionState) -> None:
         """Carry a request; where its client leaves, the instance's work is given up with the connection."""
         work = self.loop.create_task(exchange.run())
         try:
             if not await carried(work, receive, lambda: exchange.answered):
-                self.cuts.note(exchange, Side.CLIENT)
+                self.cuts.note(exchange, Side.CLIENT, connection.ending.value if connection.ending else "")
         except BrokenOffError:
             failure = exchange.failure
             self.cuts.note(exchange, failure.side if failure else Side.HEAD, failure.error if failure else "")
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -18,6 +18,7 @@
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.settings import Settings, SettingsError
 from hophinge.fleet.trial import trial_policy
+from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.frames import Hello
 from hophinge.fleet.transport.links import Links
 from hophinge.fleet.transport.server import HttpServer, listening
@@ -25,6 +26,7 @@
 DATA = "data"
 LEAVE_S = 2.6               # the platform needs two misses, a second apart, to send no new connections
 HINT_S = 0.01               # that what was placed here is gathered before others are told
+SLACK_S = 1.0               # beyond the configuration's times: what a client sent in time may be on its way
 RESERVE_S = 0.5             # of the time to end that is left unused
 
 
@@ -46,6 +48,7 @@
         self.links = Links(self.knowledge.me, DATA, self._received, log.note)
         self.front = Front(settings, self.knowledge, self.placement, self.upstream)
         self.server = HttpServer(self.front)
+        self.front.connection_ends = self.server.context.ends
 
     def _send(self, address: str, message: object) -> None:
         self.links.send(address, message)
@@ -71,7 +74,8 @@
         self.tasks.start_aside(self.upstream.forget(identity))
 
     def _configured(self, table: RouteTable) -> None:
-        self.server.rest(table.limits.idle_s)
+        limits = table.limits
+        self.server.bound(ConnectionBounds(limits.idle_s + SLACK_S, limits.header_s + SLACK_S, limits.header_bytes))
         self.front.split.keep({route.name for route in table.routes})
         engines = {name: service.engine for name, service in table.services.items()}
         self.placement.configured({name: engine.memory_tokens for name, engine in engines.items() if engine})
--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -6,17 +6,18 @@
 import contextlib
 import socket
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, cast
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from hophinge.fleet import log
+from hophinge.fleet.transport.connection_context import ConnectionContext
+from hophinge.fleet.transport.connection_state import ConnectionBounds
+from hophinge.fleet.transport.server_connection import ServerConnection
 
 BACKLOG = 1_024
 LOOK_S = 0.05               # between looks at what is still under way at the end
 LAST_S = 0.2                # for answers of those who have given up to go out
-IDLE_S = 60.0               # until the configuration tells how long connections may rest
 
 
 def listening(address: str) -> socket.socket:
@@ -30,32 +31,15 @@
     return sock
 
 
-class ServerConnection(HttpToolsProtocol):
-    """A connection that somebody opened. It rests for as long as the configuration in force says."""
-
-    def on_response_complete(self) -> None:
-        """Rest behind an answer, or take the next request."""
-        self.timeout_keep_alive = self.config.timeout_keep_alive
-        super().on_response_complete()
-
-    def rest_longer(self) -> None:
-        """Begin the time of rest anew, where it rests."""
-        timer = self.timeout_keep_alive_task
-        if timer is None or self.transport.is_closing():
-            return
-        timer.cancel()
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.config.timeout_keep_alive, self.timeout_keep_alive_handler)
-
-
 class HttpServer(uvicorn.Server):
     """A uvicorn server without its own signals, timer and log."""
 
     def __init__(self, app: Any) -> None:
+        self.context = ConnectionContext()
         config = uvicorn.Config(
-            app, http=ServerConnection, ws="none", loop="asyncio", lifespan="off", interface="asgi3", log_config=None,
-            access_log=False, server_header=False, date_header=False, proxy_headers=False, backlog=BACKLOG,
-            timeout_keep_alive=int(IDLE_S))
+            app, http=cast(Any, self._connection), ws="none", loop="asyncio", lifespan="off", interface="asgi3",
+            log_config=None, access_log=False, server_header=False, date_header=False, proxy_headers=False,
+            backlog=BACKLOG)
         super().__init__(config)
         self.ended = asyncio.Event()
 
@@ -68,17 +52,14 @@
         """Wait for the end without a timer."""
         await self.ended.wait()
 
-    def rest(self, seconds: float) -> None:
-        """Let connections rest for so long.
+    def _connection(self, **params: Any) -> ServerConnection:
+        return ServerConnection(self.context, **params)
 
-        A longer time holds for those that rest already, as a client may count on it from now on. With a shorter one
-        these keep the time that they began with.
-        """
-        longer = int(seconds) + 1 > self.config.timeout_keep_alive
-        self.config.timeout_keep_alive = int(seconds) + 1
-        if longer:
-            for connection in self.connections():
-                connection.rest_longer()
+    def bound(self, bounds: ConnectionBounds) -> None:
+        """Bound what clients may leave open on their connections, also on those that are open."""
+        self.context.bounds = bounds
+        for connection in self.connections():
+            connection.bounded_by(bounds)
 
     def connections(self) -> list[ServerConnection]:
         """Tell the connections that are open."""
@@ -120,12 +101,4 @@
 
     def owed(self) -> list[str]:
         """Tell each connection on which an answer is owed, or has not gone out whole yet."""
-        found: list[str] = []
-        for connection in self.connections():
-            cycle, waiting = connection.cycle, connection.transport.get_write_buffer_size()
-            unanswered = cycle is not None and not cycle.response_complete
-            if unanswered or waiting:
-                path = cycle.scope["path"] if cycle is not None else "?"
-                found.append(f"{path} of {connection.client}: {'no whole answer' if unanswered else 'answered'}, "
-                             f"{waiting} bytes not sent")
-        return found
+        return [told for connection in self.connections() for told in connection.owed()]
--- a/tests/end_mutants.py
+++ b/tests/end_mutants.py
@@ -7,6 +7,8 @@
 CLAIMS = "tests/test_fleet_claims.py::"
 ENDED = "tests/test_fleet_ended_instances.py::"
 PROCESS = "tests/test_fleet_process_ends.py::"
+STATE = "tests/test_fleet_connection_state.py::"
+WIRE = "tests/test_fleet_server_connection.py::"
 STEPS = "tests/test_fleet_failing_steps.py::"
 
 ENDS = (
@@ -44,7 +46,29 @@
     Mutant("one failing step ends the program", "fleet/program",
            "if failures >= most_failures:", "if failures:",
            STEPS + "test_a_periodic_step_that_fails_now_and_then_does_not_end_the_program"),
-    Mutant("rests that have begun stay short", "fleet/transport/server",
-           "        if longer:\n", "        if False:\n",
+    Mutant("rests that have begun stay short", "fleet/transport/connection_state",
+           "self.rest_s = max(self.rest_s, bounds.rest_s)", "pass",
            PROCESS + "test_a_longer_time_of_rest_holds_for_connections_that_rest_already"),
+    Mutant("a refusal is written into an answer", "fleet/transport/connection_state",
+           "if self.owed or self.ending is None or self.over:", "if self.ending is None or self.over:",
+           STATE + "test_each_claim_is_answered_in_its_order_and_the_connection_closes_behind_the_last"),
+    Mutant("what is read behind the end is served", "fleet/transport/connection_state",
+           "served = self.ending is None", "served = True",
+           WIRE + "test_a_request_read_behind_the_process_s_end_is_refused_in_its_turn"),
+    Mutant("a close that an answer asks for waits for nobody", "fleet/transport/server_connection",
+           "            self._do(self.state.close_asked())", "            self._close()",
+           WIRE + "test_a_request_read_behind_the_process_s_end_is_refused_in_its_turn"),
+    Mutant("only the newest request learns that its client left", "fleet/transport/server_connection",
+           "        for cycle in self.cycles:\n            self._disconnect(cycle)",
+           "        self._disconnect(self.cycle)",
+           WIRE + "test_a_client_that_leaves_is_seen_by_what_is_under_way_and_nothing_that_waits_is_begun"),
+    Mutant("a header is bounded once it is whole", "fleet/transport/connection_state",
+           "self.header_bytes > self.bounds.header_bytes", "False",
+           WIRE + "test_a_header_without_an_end_is_refused_at_its_bound"),
+    Mutant("a body behind a wish for an upgrade is lost", "fleet/transport/server_connection",
+           " + data[upgrade.args[0]:])", ")",
+           WIRE + "test_however_requests_are_cut_into_pieces_each_has_its_answer_and_what_is_none_a_400_behind_them"),
+    Mutant("half a body is waited for", "fleet/transport/connection_state",
+           "if not self.taking or self.owed > (self.reading is Reading.BODY):", "if not self.taking or self.owed:",
+           WIRE + "test_a_body_that_does_not_come_is_given_up_with_408"),
 )
--- a/tests/test_fleet_client_connections.py
+++ b/tests/test_fleet_client_connections.py
@@ -1,9 +1,9 @@
 """What a client's connection ends, and what it still owes: a real head, whose clients do what users' clients do.
 
-Seen: one answer in thousands was cut in the middle, with nobody near who had told the head to. One way to it: the server
+Seen: one answer in thousands was cut in the middle, and nobody near had told the head to. One way to it: the server
 kept one parser and one newest request for a connection, so what came behind a request ended the answer to it. Bytes
-that are no request stood as a 400 within the chunks of a stream; a request behind a stream, read whole as the process was
-told to end, had no answer at all; and a header without an end could take all memory, and with it each stream of the head.
+that are no request stood as a 400 within a stream; a request behind a stream, read whole as the process was told to
+end, had no answer at all; a header without an end could take all memory, and with it each stream of the head.
 """
 
 from __future__ import annotations
@@ -53,13 +53,18 @@
         maker = fleet.stand_ins["d1"]
         maker.engine.events = EVENTS
         maker.pause = lambda: asyncio.sleep(PAUSE_S)
-        await play(fleet)
+        try:
+            await play(fleet)
+        finally:
+            while CLIENTS:
+                CLIENTS.pop().writer.close()
 
 
 def request(path: str, name: str, body: bytes = b"x", *fields: tuple[bytes, bytes]) -> bytes:
     """A request with a measured body."""
-    every = [(b"Host", HOST.encode()), (b"Hophinge-Request-Id", name.encode()), (b"Hophinge-Deadline-Ms", b"%d" % DEADLINE_MS),
-             (b"Content-Length", str(len(body)).encode()), *PROMPT, *fields]
+    every = [(b"Host", HOST.encode()), (b"Hophinge-Request-Id", name.encode()),
+             (b"Hophinge-Deadline-Ms", b"%d" % DEADLINE_MS), (b"Content-Length", str(len(body)).encode()),
+             *PROMPT, *fields]
     lines = b"".join(name + b": " + value + b"\r\n" for name, value in every)
     return b"POST %s HTTP/1.1\r\n%s\r\n%s" % (path.encode(), lines, body)
 
@@ -74,7 +79,9 @@
     async def open(cls, fleet: LoopbackFleet) -> Client:
         """Connect to the head."""
         host, port = fleet.address(0, FRONT).rsplit(":", 1)
-        return cls(*await asyncio.open_connection(host, int(port)))
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        CLIENTS.append(client)
+        return client
 
     def send(self, data: bytes) -> None:
         """Send some bytes."""
@@ -98,6 +105,9 @@
                 return True
 
 
+CLIENTS: list[Client] = []      # that are open
+
+
 def is_stream(answer: Answer | None) -> bool:
     """Tell whether an answer is a whole stream."""
     if answer is None or not answer.whole or answer.status != 200:
--- a/tests/test_fleet_cuts.py
+++ b/tests/test_fleet_cuts.py
@@ -51,8 +51,10 @@
                                          "client while waiting": 1})], BOUND_S)
             head = fleet.head(0)
             assert head.said("cut: request broken (r0) by instance while answering; after RemoteProtocolError(")
-            assert head.said("cut: request left-answering (r0) by client while answering; instance d1 (ready, ")
-            assert head.said("cut: request left-waiting (r1) by client while waiting; instance s1 (ready, ")
+            assert head.said("cut: request left-answering (r0) by client while answering; after closed by the client; "
+                             "instance d1 (ready, ")
+            assert head.said("cut: request left-waiting (r1) by client while waiting; after closed by the client; "
+                             "instance s1 (ready, ")
             assert not head.said("Traceback")
             assert {"left-answering"} <= maker.under_way
 
--- a/tests/test_fleet_process_ends.py
+++ b/tests/test_fleet_process_ends.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hophinge.fleet.transport.asgi import Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.server import HttpServer, listening
 
 BOUND_S = 20.0
@@ -130,23 +131,25 @@
 
 def test_a_longer_time_of_rest_holds_for_connections_that_rest_already() -> None:
     async def play(server: HttpServer, host: str, port: int) -> None:
-        server.rest(2.0)
+        server.bound(ConnectionBounds(rest_s=2.0))
         reader, writer = await asyncio.open_connection(host, port)
         writer.write(b"GET /small HTTP/1.1\r\nhost: a\r\n\r\n")
         assert (await reader.readuntil(b"small")).startswith(b"HTTP/1.1 200")
         (connection,) = server.connections()
-        loop = asyncio.get_running_loop()
-        timer = connection.timeout_keep_alive_task
-        assert timer is not None and timer.when() <= loop.time() + 3.0
-        server.rest(60.0)
-        timer = connection.timeout_keep_alive_task
-        assert timer is not None and timer.when() > loop.time() + 50.0
-        server.rest(2.0)
-        assert connection.timeout_keep_alive_task is timer, "it keeps the time that it began with"
+        loop, state = asyncio.get_running_loop(), connection.state
+        due = state.due
+        assert due is not None and due <= loop.time() + 2.0
+        assert connection.timer is not None and connection.timer.when() <= due, "a timer looks by then"
+        server.bound(ConnectionBounds(rest_s=60.0))
+        longer = state.due
+        assert longer is not None and longer > loop.time() + 50.0
+        server.bound(ConnectionBounds(rest_s=2.0))
+        assert state.due == longer, "it keeps the time that it began with"
         writer.write(b"GET /small HTTP/1.1\r\nhost: a\r\n\r\n")
         await reader.readuntil(b"small")
-        timer = connection.timeout_keep_alive_task
-        assert timer is not None and timer.when() <= loop.time() + 3.0, "the next rest is by the time in force"
+        due = state.due
+        assert due is not None and due <= loop.time() + 2.0, "the next rest is by the time in force"
+        assert connection.timer.when() <= due
         writer.close()
 
     asyncio.run(_serve(play))
