Repair: the retry budget holds over restarts, and instances that refuse are asked again behind a pause

Cause: a head that has just started divided the slack by the one head that it knew, and knew nothing of what was spent on its machine before; and once all instances of a service had refused, one of them was asked again at once, five times in 71 ms. Change: no slack for one window from a start; pauses from 20 ms, each twice the last, between rounds.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -23,7 +23,7 @@
     find,
     returned,
 )
-from hophinge.fleet.forwarding.life import Life, Read, Run
+from hophinge.fleet.forwarding.life import GiveUp, Life, Pause, Read, Run
 from hophinge.fleet.forwarding.results import (
     Ending,
     Handle,
@@ -104,7 +104,10 @@
     async def _attempts(self) -> str:
         while True:
             step = self.life.next(self.loop.time())
-            if not isinstance(step, Read | Run):
+            if isinstance(step, Pause):
+                await asyncio.sleep(step.seconds)
+                continue
+            if isinstance(step, GiveUp):
                 break
             result = Result(Ending.UNKNOWN)
             self.instance, self.failure = step.placed.node.instance.identity, None
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -52,6 +52,7 @@
     def __init__(self, settings: Settings, knowledge: Knowledge, placement: Placement, upstream: Upstream) -> None:
         self.settings, self.knowledge, self.placement, self.upstream = settings, knowledge, placement, upstream
         self.loop = asyncio.get_running_loop()
+        self.started = self.loop.time()
         self.random = Random()
         self.split = SplitDraws(self.random)
         self.budgets: dict[str, RetryBudget] = {}
@@ -109,7 +110,8 @@
         budget = self.budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
-            budget = RetryBudget(bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s)
+            budget = RetryBudget(
+                bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s, self.started)
             self.budgets[service] = budget
         return budget
 
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -15,7 +15,7 @@
 from hophinge.fleet.emulation.traffic import Arrival, TrafficProfile
 from hophinge.fleet.emulation.virtual_engine import EngineProfile, Event, VirtualEngine, Work
 from hophinge.fleet.forwarding.budget import RetryBudget
-from hophinge.fleet.forwarding.life import GiveUp, Life, Read, Run
+from hophinge.fleet.forwarding.life import GiveUp, Life, Pause, Read, Run
 from hophinge.fleet.forwarding.results import Ending, Handle, Result
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.placement.hints import Reports
@@ -81,7 +81,8 @@
         self.heads = [Placement(self.zones[number % zones], lambda identity: None, Random(seed + number),
                                 policy=policy)
                       for number in range(heads)]
-        self.budgets = [RetryBudget(BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S) for _ in range(heads)]
+        self.budgets = [RetryBudget(BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, -BUDGET_WINDOW_S)
+                        for _ in range(heads)]
         self.outcomes: list[Outcome] = []
         self.switch_wanted: tuple[str, float] | None = None
         self.switched_at = float("-inf")
@@ -189,6 +190,9 @@
         if isinstance(step, GiveUp):
             self._given_up(journey, step, began)
             return
+        if isinstance(step, Pause):
+            self.clock.after(step.seconds, lambda: self._next(journey, began))
+            return
         engine = self.engines[step.placed.node.instance.identity]
         fetched_from = None
         if isinstance(step, Run) and step.handle is not None:
--- a/hophinge/fleet/forwarding/budget.py
+++ b/hophinge/fleet/forwarding/budget.py
@@ -1,7 +1,8 @@
 """The retry budget that all data planes share: each spends a part, and the parts never add up to more than the whole.
 
 A service may get, in any window, `ratio` times the requests for it and `slack` arrivals beyond the first of each
-request. The part by requests adds up by itself; the slack is split evenly over the most heads ever heard of.
+request. The part by requests adds up by itself; the slack is split evenly over the most heads ever heard of. A head
+that has just started knows neither the others nor what was spent on its machine before: it has no slack for one window.
 """
 
 from __future__ import annotations
@@ -14,8 +15,9 @@
 class RetryBudget:
     """One data plane's part of one service's budget."""
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(self, ratio: float, slack: float, window_s: float, started: float) -> None:
         self.ratio, self.slack, self.window_s = ratio, slack, window_s
+        self.slack_from = started + window_s        # seconds of the clock by which the head counts
         self.requests: deque[float] = deque()
         self.extras: deque[float] = deque()
 
@@ -31,7 +33,8 @@
     def allows(self, now: float, heads: int) -> bool:
         """Tell whether one more arrival is within this head's part."""
         self._forget(now)
-        part = self.ratio * len(self.requests) + self.slack / max(1, heads)
+        slack = self.slack / max(1, heads) if now >= self.slack_from else 0.0
+        part = self.ratio * len(self.requests) + slack
         return len(self.extras) + 1 <= USED_PART * part
 
     def spend(self, now: float) -> None:
--- a/hophinge/fleet/forwarding/life.py
+++ b/hophinge/fleet/forwarding/life.py
@@ -20,6 +20,8 @@
 from hophinge.fleet.placement.prompt import Prompt
 
 LEAST_LEFT_S = 0.02         # no attempt begins with less time than this
+FIRST_PAUSE_S = 0.02        # behind the first round of instances that all refused; each later pause is twice as long
+LONGEST_PAUSE_S = 0.32
 MOST_READS = 4              # prompts read for one request
 UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 503, 502, 504
 
@@ -50,7 +52,14 @@
     come_back_s: float | None
 
 
-Step = Read | Run | GiveUp
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Each instance has had its turn and didn't take the request: wait before the next round."""
+
+    seconds: float
+
+
+Step = Read | Run | GiveUp | Pause
 
 
 @dataclass
@@ -80,6 +89,7 @@
     event_id: str | None = None
     avoid: set[str] = field(default_factory=set)
     tries: int = 0
+    rounds: int = 0             # in which each instance has refused
 
     def next(self, now: float) -> Step:
         """Tell what to do now."""
@@ -91,8 +101,7 @@
             return self._give_up(BAD_GATEWAY, "retry budget")
         plan = self._plan(now)
         if plan is None and self.avoid:
-            self.avoid.clear()
-            plan = self._plan(now)
+            return self._next_round(now)
         if plan is None:
             return self._give_up(BAD_GATEWAY, "no instance")
         if isinstance(plan, Hopeless):
@@ -101,6 +110,15 @@
         self.trace.sent(now, placed.pool.stage, placed.node.instance.identity, placed.units, plan.forecast)
         return self._read(now, plan) if plan.reads else self._run(now, plan)
 
+    def _next_round(self, now: float) -> Step:
+        """Have all instances asked once more after a pause: an instance that has just refused would do so again."""
+        pause_s = min(FIRST_PAUSE_S * 2 ** self.rounds, LONGEST_PAUSE_S)
+        if self.deadline - now < pause_s + LEAST_LEFT_S:
+            return self._give_up(BAD_GATEWAY, "no instance")
+        self.avoid.clear()
+        self.rounds += 1
+        return Pause(pause_s)
+
     def _plan(self, now: float) -> Plan | Hopeless | None:
         """Have the next attempt placed."""
         wish = Wish(now, (self.name, self.tries + 1), self.service, self.avoid, self.route.target_s, self.aim_at,
--- /dev/null
+++ b/tests/connection_wire.py
@@ -0,0 +1,139 @@
+"""A server's connection with a transport that keeps what is written, and an application that answers when it is let."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+from hophinge.fleet.transport.asgi import ClientGoneError, Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.connection_state import ConnectionBounds
+from hophinge.fleet.transport.server import HttpServer
+from hophinge.fleet.transport.server_connection import ServerConnection
+
+FIRST = b"POST /first HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nhello"
+CHUNKED = b"POST /chunked HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+UPGRADE = (b"POST /upgrade HTTP/1.1\r\nhost: a\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+           b"HTTP2-Settings: AAMAAABk\r\ncontent-length: 4\r\n\r\nbody")
+GARBAGE = b"\x00 no request at all\r\n\r\n"
+MOST_BODY = 1_000
+Play = Callable[["Wire", HttpServer], Awaitable[None]]
+
+
+class Pipe(asyncio.Transport):
+    """A transport that keeps what is written to it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written, self.closed, self.eof, self.paused, self.aborted = bytearray(), False, False, False, False
+        self.unsent = 0
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        assert not self.closed and not self.eof, "nothing is written behind the close"
+        self.written += data
+
+    def write_eof(self) -> None:
+        self.eof = True
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = self.aborted = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+
+class Wire:
+    """A connection, its transport, and an application that answers in three pieces when it is let."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+        self.gone: list[str] = []
+        self.bodies: list[bytes] = []
+        self.go_on: dict[str, asyncio.Event] = {}
+        self.held = False
+        self.pipe = Pipe()
+        self.connection: ServerConnection | None = None
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Read a request whole, then answer with its path."""
+        path = scope["path"]
+        try:
+            body = await read_body(receive, MOST_BODY)
+        except ClientGoneError:
+            self.gone.append(path)
+            return
+        self.begun.append(path)
+        self.bodies.append(body)
+        gate = self.go_on[path] = asyncio.Event()
+        if path == "/early":
+            await answer(send, 200, b"early")
+            return
+        await send({"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"9")]})
+        await send({"type": "http.response.body", "body": b"one", "more_body": True})
+        if self.held:
+            await gate.wait()
+        await send({"type": "http.response.body", "body": b"two", "more_body": True})
+        if path == "/broken":
+            return
+        await send({"type": "http.response.body", "body": b"end"})
+
+    async def feed(self, data: bytes) -> None:
+        """Let bytes come, and all that follows from them."""
+        assert self.connection is not None
+        if data and not self.pipe.closed:
+            self.connection.data_received(data)
+        await settle()
+
+    def statuses(self) -> list[int]:
+        """Read what was written as whole answers; anything else fails."""
+        found, rest = [], bytes(self.pipe.written)
+        while rest:
+            head, end, rest = rest.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 ") and end, f"no answer begins with {head[:60]!r}"
+            lines = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+            length = int(lines[b"content-length"])
+            assert len(rest) >= length, "an answer lacks its end"
+            found.append(int(head.split()[1]))
+            rest = rest[length:]
+        return found
+
+
+async def settle() -> None:
+    """Let all go on that can."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def played(play: Play) -> None:
+    """Play something on a connection."""
+    async def run() -> None:
+        wire = Wire()
+        server = HttpServer(wire.app)
+        server.bound(ConnectionBounds(rest_s=30.0, header_s=5.0, header_bytes=400))
+        server.config.load()
+        connection = wire.connection = ServerConnection(
+            server.context, config=server.config, server_state=server.server_state, app_state={})
+        connection.connection_made(wire.pipe)
+        await play(wire, server)
+        connection.connection_lost(None)
+        await settle()
+        assert not server.server_state.tasks and not server.server_state.connections
+
+    asyncio.run(run())
+
+
+def cuts(data: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """Tell all ways to cut bytes into two pieces."""
+    for at in range(len(data) + 1):
+        yield data[:at], data[at:]
