Repair: work that fails, memory and descriptors end no process that others have answers of

Cause: in the control plane one failing look at stages or round of questions ended the member (an instance that registers with port 99999 is enough), and a write that failed for no disk's reason ended the writing thread in silence; settings with a number without an end raised at each look, and ended a process after 20 of them; bodies of many clients, each within its bound, had no bound together; connections were taken until no descriptor was left. Change: rounds are repeated as steps are; whatever a write fails for is told and made good; such ports and numbers are findings; 64 MiB for all bodies of a head, 503 beyond; six tenths of the descriptors for connections, the longest resting one yields.

--- a/hophinge/fleet/controlplane/forms.py
+++ b/hophinge/fleet/controlplane/forms.py
@@ -4,7 +4,9 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, Field
+from pydantic import BaseModel, Field, field_validator
+
+MOST_PORT = 65_535
 
 
 class ModelForm(BaseModel):
@@ -26,3 +28,11 @@
     stage: str | None = None
     models: list[ModelForm] = []
     sequence: int = Field(ge=0)
+
+    @field_validator("address")
+    @classmethod
+    def _port_exists(cls, address: str) -> str:
+        """Turn down a port that nobody can connect to: each call there would fail in an unforeseen way."""
+        if not 0 < int(address.rsplit(":", 1)[1]) <= MOST_PORT:
+            raise ValueError("the port is not one from 1 to 65535")
+        return address
--- a/hophinge/fleet/controlplane/host.py
+++ b/hophinge/fleet/controlplane/host.py
@@ -51,16 +51,16 @@
 class DiskWriter(threading.Thread):
     """The one thread that writes: a disk that hangs stops nothing else."""
 
-    def __init__(self, store: Store, done: Callable[[Batch, OSError | None], None]) -> None:
+    def __init__(self, store: Store, done: Callable[[Batch, Exception | None], None]) -> None:
         super().__init__(daemon=True, name="disk")
         self.store, self.done = store, done
         self.batches: queue.SimpleQueue[Batch] = queue.SimpleQueue()
 
     def run(self) -> None:
-        """Write batches in their order."""
+        """Write batches in their order. Whatever a write fails for is told: a thread that ends would write no more."""
         while True:
             batch = self.batches.get()
-            error: OSError | None = None
+            error: Exception | None = None
             try:
                 if batch.scrub:
                     batch.damages = self.store.scrub()
@@ -68,7 +68,7 @@
                     self.store.save(batch.state)
                 else:
                     self.store.append(batch.records)
-            except OSError as failure:
+            except Exception as failure:
                 error = failure
             self.done(batch, error)
 
@@ -186,15 +186,15 @@
             self.effects.note(f"scrub: {damage}; the whole state is written anew")
         self._catch_up()
 
-    def _written_elsewhere(self, batch: Batch, error: OSError | None) -> None:
+    def _written_elsewhere(self, batch: Batch, error: Exception | None) -> None:
         self.loop.call_soon_threadsafe(self._written, batch, error)
 
-    def _written(self, batch: Batch, error: OSError | None) -> None:
+    def _written(self, batch: Batch, error: Exception | None) -> None:
         """Go on after a write. A failed one is made good by a whole state, which covers all that came since."""
         self.writing_since = None
         if error is not None:
             if self.failed_at is None:
-                self.effects.note(f"a write failed: {error}")
+                self.effects.note(f"a write failed: {error!r}")
             self.failed_at = self.loop.time()
             self.waiting = batch.outputs + self.waiting
             return
--- a/hophinge/fleet/controlplane/keeper.py
+++ b/hophinge/fleet/controlplane/keeper.py
@@ -17,6 +17,7 @@
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.placement.policy import Policy
 from hophinge.fleet.placement.stages import Switch, wanted_switches
+from hophinge.fleet.program import repeat
 
 TICK_S = 0.5
 STEADY_S = 1.2              # for which a change is wanted before it is ordered: instances come and go in between
@@ -56,10 +57,8 @@
         return {link.identity for link in view.chain} & (heard | {self.machine.me.identity})
 
     async def run(self) -> None:
-        """Look for ever."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            await self._look()
+        """Look for ever: an order that fails in an unforeseen way ends no member."""
+        await repeat(TICK_S, self._look)
 
     async def _look(self) -> None:
         now = self.loop.time()
--- a/hophinge/fleet/controlplane/reports.py
+++ b/hophinge/fleet/controlplane/reports.py
@@ -15,6 +15,7 @@
 from hophinge.coordination.ownership import rendezvous
 from hophinge.fleet.controlplane.directory import Directory
 from hophinge.fleet.placement.hints import Report, Reports
+from hophinge.fleet.program import repeat
 from hophinge.fleet.registry.instance import Instance
 
 PERIOD_S = 0.8              # between two questions to one instance
@@ -48,13 +49,14 @@
 
     async def run(self) -> None:
         """Ask for ever."""
-        while True:
-            await asyncio.sleep(PERIOD_S)
-            asked = self.asked()
-            answers = await asyncio.gather(*(self._ask(instance) for instance in asked))
-            reports = tuple(answer for answer in answers if answer is not None)
-            if reports:
-                self.directory.tell_heads(Reports(reports))
+        await repeat(PERIOD_S, self._round)
+
+    async def _round(self) -> None:
+        """Ask each instance that falls to this member once."""
+        answers = await asyncio.gather(*(self._ask(instance) for instance in self.asked()))
+        reports = tuple(answer for answer in answers if answer is not None)
+        if reports:
+            self.directory.tell_heads(Reports(reports))
 
     async def _ask(self, instance: Instance) -> Report | None:
         headers = [(b"hophinge-expected-instance", instance.identity.encode())]
--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -34,7 +34,17 @@
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
-from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.asgi import (
+    BodyMemory,
+    BodyTooLargeError,
+    ClientGoneError,
+    NoRoomError,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    read_body,
+)
 from hophinge.fleet.transport.connection_context import connection_of
 from hophinge.fleet.transport.connection_state import ConnectionState
 
@@ -44,6 +54,7 @@
 MARGIN_S = 0.03             # an answer leaves so long before the deadline
 COME_BACK = (b"retry-after", b"0.6")         # from a head without routes: it has just started, and soon has them
 CLOSE = (b"connection", b"close")
+MOST_BODIES = 64 << 20      # bytes of the bodies of all requests under way: a fifth of the memory of a machine
 
 
 class Front:
@@ -56,6 +67,7 @@
         self.random = Random()
         self.split = SplitDraws(self.random)
         self.budgets: dict[str, RetryBudget] = {}
+        self.bodies = BodyMemory(MOST_BODIES)
         self.figures = RequestFigures()
         self.cuts = CutLog(knowledge, placement, upstream)
         self.ready_port = int(settings.ready.rsplit(":", 1)[1]) if settings.ready else 0
@@ -74,6 +86,8 @@
             pass
         except BodyTooLargeError:
             await answer(send, 413, b"", [CLOSE])
+        except NoRoomError:
+            await answer(send, 503, b"", [COME_BACK, CLOSE])
         except BrokenOffError:
             pass                # told of by then; the server closes the connection behind what has gone
         except Exception:
@@ -118,13 +132,19 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = self.loop.time()
         fields: Fields = scope["headers"]
-        closing = [CLOSE] if self.ending else []
         table = self.knowledge.table
         limits = table.limits if table is not None else Limits()
         if sum(len(name) + len(value) + 4 for name, value in fields) > limits.header_bytes:
             await answer(send, 431, b"", [CLOSE])
             return
-        body = await read_body(receive, limits.body_bytes)
+        with self.bodies.share() as share:
+            body = await read_body(receive, limits.body_bytes, share)
+            await self._route(arrived, scope, receive, send, body)
+
+    async def _route(self, arrived: float, scope: Scope, receive: Receive, send: Send, body: bytes) -> None:
+        """Find a request's route, and carry it by the configuration in force once it was read whole."""
+        fields: Fields = scope["headers"]
+        closing = [CLOSE] if self.ending else []
         table = self.knowledge.table
         if table is None:
             await answer(send, 503, b"", [COME_BACK, *closing])
--- a/hophinge/fleet/program.py
+++ b/hophinge/fleet/program.py
@@ -75,17 +75,17 @@
             task.cancel()
 
 
-async def every(period_s: float, action: Callable[[], None], most_failures: int = MOST_FAILURES) -> None:
-    """Call something for ever, with a pause after each call.
+async def repeat(period_s: float, work: Callable[[], Awaitable[None]], most_failures: int = MOST_FAILURES) -> None:
+    """Do a round of work for ever, with a pause after each.
 
-    A call that fails is told of, and the next one comes all the same: the process has answers under way that have no
-    part in it. Raises what the call raised once it has failed so many times with no success between; 1 is for a state
+    A round that fails is told of, and the next one comes all the same: the process has answers under way that have no
+    part in it. Raises what the round raised once it has failed so many times with no success between; 1 is for a state
     that must not go on from half a step, as what is on disk may lack what is in memory.
     """
     failures = 0
     while True:
         try:
-            action()
+            await work()
             failures = 0
         except Exception:
             failures += 1
@@ -95,6 +95,14 @@
         await asyncio.sleep(period_s)
 
 
+async def every(period_s: float, action: Callable[[], None], most_failures: int = MOST_FAILURES) -> None:
+    """Call something for ever, as `repeat` does."""
+    async def call() -> None:
+        action()
+
+    await repeat(period_s, call, most_failures)
+
+
 def reread_settings() -> Settings | None:
     """Read the settings anew; None, and a line in the log, where they cannot be used."""
     try:
--- a/hophinge/fleet/settings.py
+++ b/hophinge/fleet/settings.py
@@ -11,6 +11,7 @@
 
 VARIABLE = "HOPHINGE_CONFIG"
 DEFAULT_PATH = "/etc/hophinge/local.json"
+MOST_NUMBER = 1e12          # that a setting may be
 CONTROL_PORT, DATA_PORT = 0, 1      # places in the internal port range
 
 
@@ -64,6 +65,11 @@
         return tuple(f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.seeds)
 
 
+def _is_number(value: Any) -> bool:
+    """Tell whether a value is a number that can be counted with; not a number that is none, nor one without an end."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= MOST_NUMBER
+
+
 class Reader:
     """Reads fields of a mapping and collects what is wrong with them."""
 
@@ -85,8 +91,7 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         """Read a number that is not below 0."""
-        fits = lambda value: isinstance(value, int | float) and not isinstance(value, bool) and value >= 0  # noqa: E731
-        return float(self._take(name, "a number from 0", fits, default) or 0.0)
+        return float(self._take(name, "a number from 0", _is_number, default) or 0.0)
 
     def flag(self, name: str, default: bool) -> bool:
         """Read true or false."""
--- a/hophinge/fleet/transport/asgi.py
+++ b/hophinge/fleet/transport/asgi.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
 Scope = dict[str, Any]
@@ -19,8 +20,45 @@
     """The body exceeds what is allowed."""
 
 
-async def read_body(receive: Receive, most: int) -> bytes:
-    """Read a whole body."""
+class NoRoomError(Exception):
+    """The bodies of all requests together exceed what may be held."""
+
+
+class BodyMemory:
+    """The bytes of bodies that one process holds: clients that each keep within their bound could end it together."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+
+    @contextlib.contextmanager
+    def share(self) -> Iterator[BodyShare]:
+        """Hold one request's part until its end."""
+        share = BodyShare(self)
+        try:
+            yield share
+        finally:
+            self.held -= share.held
+
+
+class BodyShare:
+    """The part that one request holds."""
+
+    def __init__(self, memory: BodyMemory) -> None:
+        self.memory, self.held = memory, 0
+
+    def take(self, count: int) -> None:
+        """Hold so many bytes more; raises NoRoomError where there is no room for them."""
+        if self.memory.held + count > self.memory.most:
+            raise NoRoomError
+        self.memory.held += count
+        self.held += count
+
+
+async def read_body(receive: Receive, most: int, share: BodyShare | None = None) -> bytes:
+    """Read a whole body, within a share of what the process holds where one is given.
+
+    Raises ClientGoneError, BodyTooLargeError and NoRoomError.
+    """
     parts: list[bytes] = []
     size = 0
     while True:
@@ -31,6 +69,8 @@
         size += len(body)
         if size > most:
             raise BodyTooLargeError
+        if share is not None:
+            share.take(len(body))
         if body:
             parts.append(body)
         if not message.get("more_body", False):
--- a/hophinge/fleet/transport/connection_context.py
+++ b/hophinge/fleet/transport/connection_context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,14 +11,22 @@
 from hophinge.fleet.transport.asgi import Scope
 from hophinge.fleet.transport.connection_state import ConnectionBounds, ConnectionState
 
+CONNECTIONS_PART = 0.6      # of the descriptors that a process may have
 CONNECTION = "connection"   # where a request's scope tells the state of its connection
 
 
+def places() -> int:
+    """Tell how many connections may be open: instances, members and files need descriptors, too."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int(CONNECTIONS_PART * soft)
+
+
 @dataclass(slots=True)
 class ConnectionContext:
     """What the connections of a server share."""
 
     bounds: ConnectionBounds = field(default_factory=ConnectionBounds)
+    most_connections: int = field(default_factory=places)
     ends: Counter[str] = field(default_factory=Counter)     # of connections, where something had been left open
 
 
--- a/hophinge/fleet/transport/connection_state.py
+++ b/hophinge/fleet/transport/connection_state.py
@@ -29,6 +29,7 @@
     SAID_CLOSE = "a request or an answer that said so"
     BROKEN_ANSWER = "an answer that could not be brought to its end"
     PROCESS = "the end of the process"
+    NO_ROOM = "more connections than there is room for"
 
 
 class Reading(Enum):
@@ -142,6 +143,16 @@
         self._end(Ending.PROCESS)
         return self._behind_the_last()
 
+    def yield_place(self) -> list[Action]:
+        """Close where nothing is owed, as another connection needs the place."""
+        self._end(Ending.NO_ROOM)
+        return self._behind_the_last()
+
+    @property
+    def rests(self) -> bool:
+        """Tell whether nothing is owed, and nothing is being read."""
+        return self.owed == 0 and self.reading is Reading.NOTHING and not self.over
+
     def lost(self, ending: Ending) -> None:
         """Forget all: the client is gone, or the connection was ended."""
         self._end(ending)
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -19,6 +19,7 @@
     Ending,
     Reading,
 )
+from hophinge.fleet.transport.upgrade import without_upgrade
 
 MOST_WAITING = 8            # requests behind the one that is answered, from which on the client is not read
 LINGER_S = 1.0              # for a client to read why it was refused, while it still sends
@@ -49,6 +50,14 @@
         self.raw = transport
         self.transport = AnswerTransport(transport, self.close_asked)       # type: ignore[assignment]
         self._watch_time()
+        if len(self.connections) > self.context.most_connections:
+            self._make_room()
+
+    def _make_room(self) -> None:
+        """Have the connection that rests longest yield its place; this one, where none rests."""
+        resting = [one for one in self.connections if isinstance(one, ServerConnection) and one.state.rests]
+        longest = min(resting, key=lambda one: one.state.since, default=self)
+        longest._do(longest.state.yield_place())
 
     def data_received(self, data: bytes) -> None:
         """Read requests. What comes behind the connection's end, or behind a refusal, is passed over."""
@@ -71,21 +80,11 @@
             self._read(self._without_upgrade() + data[upgrade.args[0]:])
 
     def _without_upgrade(self) -> bytes:
-        """Write the newest header anew as one that wishes for no other protocol, for a new parser.
-
-        A server may ignore the wish (RFC 9110, 7.8); the parser takes the body for the other protocol's bytes.
-        """
-        method, version = self.parser.get_method(), self.parser.get_http_version()
-        lines = [b"%s %s HTTP/%s" % (method, self.url, version.encode())]
-        for name, value in self.headers:
-            if name == b"connection":
-                tokens = [token.strip() for token in value.split(b",")]
-                value = b", ".join(token for token in tokens if token.lower() != b"upgrade")
-            if name != b"upgrade":
-                lines.append(name + b": " + value)
+        """Have a new parser read the newest header anew, as one that wishes for no other protocol."""
+        head = without_upgrade(self.parser.get_method(), self.url, self.parser.get_http_version(), self.headers)
         self.parser = httptools.HttpRequestParser(self)
         self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
-        return b"\r\n".join([*lines, b"", b""])
+        return head
 
     def eof_received(self) -> None:
         """Give up what is open: a client that closes its side has left."""
--- /dev/null
+++ b/hophinge/fleet/transport/upgrade.py
@@ -0,0 +1,22 @@
+"""Requests that wish for another protocol: a server may ignore the wish (RFC 9110, 7.8), and then owes an answer.
+
+The parser takes the body of such a request for the other protocol's bytes, so its header is written anew without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+UPGRADE, CONNECTION = b"upgrade", b"connection"
+
+
+def without_upgrade(method: bytes, target: bytes, version: str, fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Write a header without the wish; field names are in small letters."""
+    lines = [b"%s %s HTTP/%s" % (method, target, version.encode())]
+    for name, value in fields:
+        if name == CONNECTION:
+            tokens = [token.strip() for token in value.split(b",")]
+            value = b", ".join(token for token in tokens if token.lower() != UPGRADE)
+        if name != UPGRADE:
+            lines.append(name + b": " + value)
+    return b"\r\n".join([*lines, b"", b""])
--- a/tests/connection_wire.py
+++ b/tests/connection_wire.py
@@ -95,6 +95,13 @@
             self.connection.data_received(data)
         await settle()
 
+    def another(self, server: HttpServer) -> Pipe:
+        """Open another connection to the same server."""
+        pipe = Pipe()
+        ServerConnection(server.context, config=server.config, server_state=server.server_state,
+                         app_state={}).connection_made(pipe)
+        return pipe
+
     def statuses(self) -> list[int]:
         """Read what was written as whole answers; anything else fails."""
         found, rest = [], bytes(self.pipe.written)
--- a/tests/test_fleet_client_connections.py
+++ b/tests/test_fleet_client_connections.py
@@ -16,21 +16,19 @@
 
 import pytest
 
-from hophinge.fleet.emulation.fleet import FRONT, HOST, LoopbackFleet, document
+from hophinge.fleet.dataplane.front import MOST_BODIES
+from hophinge.fleet.emulation.fleet import LoopbackFleet, document
 from hophinge.load.rig.waiting import until
-from tests.fleet_requests import BOUND_S, PROMPT, taken
-from tests.soak_client import Answer, read_answer
+from tests.fleet_client import CLIENTS, DEADLINE_MS, EVENTS, LATE_S, Client, is_stream, request
+from tests.fleet_requests import BOUND_S, taken
 
 ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
 INSTANCES = (("p1", "models", "prefill"), ("d1", "models", "decode"), ("s1", "plain", ""))
-EVENTS = 8
 PAUSE_S = 0.05
 GRACE_S = 8.0
-DEADLINE_MS = 20_000
 BOUNDS = {"max-header-bytes": 8_192, "max-body-bytes": 100_000}
 SHORT = {"idle-timeout-ms": 1_500, "header-timeout-ms": 500, **BOUNDS}
 LONG = {"idle-timeout-ms": 60_000, "header-timeout-ms": 60_000, **BOUNDS}
-LATE_S = 8.0                # by when each of these times has run out, on a busy machine too
 GARBAGE = b"\x00\x01 no request\r\n\r\n"
 Play = Callable[[LoopbackFleet], Awaitable[None]]
 
@@ -60,62 +58,6 @@
                 CLIENTS.pop().writer.close()
 
 
-def request(path: str, name: str, body: bytes = b"x", *fields: tuple[bytes, bytes]) -> bytes:
-    """A request with a measured body."""
-    every = [(b"Host", HOST.encode()), (b"Hophinge-Request-Id", name.encode()),
-             (b"Hophinge-Deadline-Ms", b"%d" % DEADLINE_MS), (b"Content-Length", str(len(body)).encode()),
-             *PROMPT, *fields]
-    lines = b"".join(name + b": " + value + b"\r\n" for name, value in every)
-    return b"POST %s HTTP/1.1\r\n%s\r\n%s" % (path.encode(), lines, body)
-
-
-class Client:
-    """One connection, byte by byte."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-
-    @classmethod
-    async def open(cls, fleet: LoopbackFleet) -> Client:
-        """Connect to the head."""
-        host, port = fleet.address(0, FRONT).rsplit(":", 1)
-        client = cls(*await asyncio.open_connection(host, int(port)))
-        CLIENTS.append(client)
-        return client
-
-    def send(self, data: bytes) -> None:
-        """Send some bytes."""
-        self.writer.write(data)
-
-    async def first_event(self) -> bytes:
-        """Read up to the first event of a stream; the rest is still to come."""
-        return await self.reader.readuntil(b"\n\n")
-
-    async def answer(self) -> Answer | None:
-        """Read one answer."""
-        async with asyncio.timeout(BOUND_S):
-            return await read_answer(self.reader)
-
-    async def ends(self) -> bool:
-        """Tell whether nothing more comes but the connection's end."""
-        async with asyncio.timeout(LATE_S):
-            try:
-                return await self.reader.read() == b""
-            except ConnectionError:
-                return True
-
-
-CLIENTS: list[Client] = []      # that are open
-
-
-def is_stream(answer: Answer | None) -> bool:
-    """Tell whether an answer is a whole stream."""
-    if answer is None or not answer.whole or answer.status != 200:
-        return False
-    ids = [line for line in answer.body.decode().splitlines() if line.startswith("id:")]
-    return ids == [f"id: {number}" for number in range(1, EVENTS + 1)]
-
-
 # --- what comes behind a request -----------------------------------------------------------------------------------
 
 @pytest.mark.parametrize("at_once", [True, False])
@@ -202,6 +144,30 @@
     asyncio.run(with_head(tmp_path, SHORT, play))
 
 
+def test_bodies_of_many_clients_do_not_take_all_memory(tmp_path: Path) -> None:
+    """Each client keeps within its bound; together they would end a head with 300 MB, and all its streams with it."""
+    async def play(fleet: LoopbackFleet) -> None:
+        body = bytes(4_000_000)
+        held = [await Client.open(fleet) for _ in range(MOST_BODIES // len(body))]
+        for number, client in enumerate(held):
+            client.send(request("/p/q", f"held-{number}", body)[:-1])
+            await client.writer.drain()
+        late = await Client.open(fleet)
+        late.send(request("/p/q", "late", body))
+        refused = await late.answer()
+        assert refused is not None and (refused.status, refused.closes) == (503, True)
+        for client in held:
+            client.send(body[-1:])
+        answers = [await client.answer() for client in held]
+        assert all(answer is not None and answer.status == 200 for answer in answers)
+        late = await Client.open(fleet)
+        late.send(request("/p/q", "later", body))
+        served = await late.answer()
+        assert served is not None and served.status == 200, "the room is there again"
+
+    asyncio.run(with_head(tmp_path, {**LONG, "max-body-bytes": 4_194_304}, play))
+
+
 # --- the end of the process ----------------------------------------------------------------------------------------
 
 def test_each_request_that_was_read_whole_is_answered_or_refused_as_the_process_ends(tmp_path: Path) -> None:
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -28,7 +28,7 @@
         assert host.store is not None
         after = host._written
 
-        def watched(batch: object, error: OSError | None) -> None:
+        def watched(batch: object, error: Exception | None) -> None:
             after(batch, error)  # type: ignore[arg-type]
             written.put_nowait(host.writing_since is None)
 
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hophinge.fleet.transport.asgi import BodyMemory, NoRoomError
 from hophinge.fleet.transport.connection_state import Ending
 from hophinge.fleet.transport.server import HttpServer
 from hophinge.fleet.transport.server_connection import MOST_WAITING
@@ -188,3 +189,34 @@
         assert wire.statuses() == [400] and not wire.begun
 
     played(play)
+
+
+def test_the_connection_that_rests_longest_yields_where_there_are_too_many() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        server.context.most_connections = 2
+        wire.held = True
+        await wire.feed(FIRST)
+        resting = [wire.another(server) for _ in range(2)]
+        assert [pipe.closed for pipe in resting] == [True, False] and not wire.pipe.closed
+        newest = wire.another(server)
+        assert [pipe.closed for pipe in (*resting, newest)] == [True, True, False]
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.statuses() == [200] and not wire.pipe.closed
+        for connection in server.connections():
+            connection.connection_lost(None)
+        assert server.context.ends == {Ending.NO_ROOM.value: 2}
+
+    played(play)
+
+
+def test_a_body_is_held_within_the_room_for_all_of_them() -> None:
+    memory = BodyMemory(10)
+    with memory.share() as one:
+        one.take(8)
+        with memory.share() as other, pytest.raises(NoRoomError):
+            other.take(3)
+        with memory.share() as third:
+            third.take(2)
+            assert memory.held == 10
+    assert memory.held == 0
