--- a/hophinge/fleet/dataplane/front.py
+++ b/hophinge/fleet/dataplane/front.py
@@ -111,6 +111,7 @@
             "ready": knowledge.informed and not self.ending, "ending": self.ending,
             "configuration": table.version if table is not None else None,
             "lease-holds": renewal.holds(now), "granter": renewal.home, "heads": renewal.holders,
+            "heads-for-budgets": knowledge.heads(now),
             "instances": {identity: {"service": node.instance.service, "stage": node.instance.stage,
                                      "state": node.instance.state, "out": node.out, "rests": node.rests(now)}
                           for identity, node in sorted(self.placement.nodes.items())},
@@ -172,7 +173,7 @@
         budget = self.budget(service)
         budget.requested(arrived)
         name = inbound.request_id or str(self.random.getrandbits(64))
-        heads = self.knowledge.renewal.most_holders
+        heads = self.knowledge.heads(arrived)
         trace = RequestTrace(route.name, arrived, route.target_s)
         return Life(name, route, service, prompt, engine is not None, arrived + route.target_s,
                     deadline, self.placement, budget, heads, trace, min(deadline, arrived + route.patience_s))
--- a/hophinge/fleet/dataplane/knowledge.py
+++ b/hophinge/fleet/dataplane/knowledge.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from hophinge.coordination.dissemination import Digest, Dissemination, Push, Record, Rows, Spread, Want
-from hophinge.coordination.leases import Grant, Holder, Renew, Renewal
+from hophinge.coordination.leases import LEASE_S, Grant, Holder, Renew, Renewal
 from hophinge.coordination.view import Replica
 from hophinge.fleet import log
 from hophinge.fleet.configuration.routes import RECORD_KEY, RouteTable, table_of
@@ -46,6 +46,11 @@
         settled = self.first_grant is not None and self.loop.time() - self.first_grant >= SETTLE_S
         return self.table is not None and settled
 
+    def heads(self, now: float) -> int:
+        """Tell how many heads have been known at once; 0 while those that started with this one are still coming."""
+        known = self.first_grant is not None and now - self.first_grant >= LEASE_S
+        return self.renewal.most_holders if known else 0
+
     def received(self, source: str, message: object) -> None:
         """Take another member's message."""
         now = self.loop.time()
--- a/hophinge/fleet/emulation/stand_in.py
+++ b/hophinge/fleet/emulation/stand_in.py
@@ -33,7 +33,7 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> Taken | None:
-    """Read one request with a measured body; None at the end of the connection."""
+    """Read one request with a measured body; None at the end of the connection, be it in the middle of a request."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -42,7 +42,11 @@
     method, target, _ = first.split(b" ", 2)
     fields = [(name, value.strip()) for name, _, value in (line.partition(b":") for line in lines)]
     length = next((int(value) for name, value in fields if name.lower() == b"content-length"), 0)
-    return Taken(method.decode(), target.decode(), fields, await reader.readexactly(length))
+    try:
+        body = await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return Taken(method.decode(), target.decode(), fields, body)
 
 
 def write_answer(answer: Answered) -> bytes:
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -197,7 +197,11 @@
         assert self.raw is not None
         if self.raw.is_closing():
             return
-        self.raw.write_eof()
+        try:
+            self.raw.write_eof()
+        except OSError:                         # it was reset, and nobody has noticed yet
+            self._close()
+            return
         self.flow.resume_reading()
         self.loop.call_later(LINGER_S, self._close)
 
--- a/tests/fleet_requests.py
+++ b/tests/fleet_requests.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 
-from hophinge.fleet.emulation.fleet import LoopbackFleet, Reply, document
+from hophinge.fleet.emulation.fleet import READY, LoopbackFleet, Reply, document
 from hophinge.load.rig.waiting import Condition, until
 
 BOUND_S = 30.0
@@ -39,3 +40,13 @@
 def streamed(reply: Reply) -> bool:
     ids = [line for line in reply.body.decode().splitlines() if line.startswith("id:")]
     return reply.status == 200 and reply.whole and ids == [f"id: {number}" for number in range(1, 5)]
+
+
+def counts_heads(fleet: LoopbackFleet, number: int) -> Condition:
+    """A head has been there for long enough to know how many share the retry budget."""
+    async def look() -> tuple[bool, str]:
+        reply = await fleet.call(fleet.address(number, READY), "GET", "/v1/member", b"", [(b"Host", b"c")])
+        heads = json.loads(reply.body)["heads-for-budgets"]
+        return heads == len(fleet.ips), f"counts {heads}"
+
+    return Condition(fleet.head(number), "counts all heads", look)
--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -11,7 +11,18 @@
 from hophinge.fleet.emulation.fleet import LoopbackFleet, document
 from hophinge.fleet.emulation.stand_in import call_any
 from hophinge.load.rig.waiting import Condition, until
-from tests.fleet_requests import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, runs, streamed, taken
+from tests.fleet_requests import (
+    BOUND_S,
+    INSTANCES,
+    MACHINES,
+    PROMPT,
+    ROUTES,
+    begin,
+    counts_heads,
+    runs,
+    streamed,
+    taken,
+)
 
 
 def test_a_calm_fleet_serves_both_kinds_and_each_request_runs_once(tmp_path: Path) -> None:
@@ -39,6 +50,8 @@
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
             await begin(fleet)
+            # A head that doesn't know how many share the budget repeats little.
+            await until([counts_heads(fleet, number) for number in range(MACHINES)], BOUND_S)
             engines = {engine.identity: engine for engine in fleet.holders.values()}
             engines["s1"].faults.add(Fault.FULL)
             for number in range(6):
