--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -233,7 +233,7 @@
 
 
 def test_a_refusal_to_a_client_that_has_reset_its_connection_fails_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Seen in a soak: the refusal raised in the middle of another answer's end, and was told as the head's own fault."""
+    """Seen in a soak: the refusal raised at the end of another answer, and was told as the head's own fault."""
     def gone() -> None:
         raise OSError(107, "Transport endpoint is not connected")
 
