--- a/tests/end_mutants.py
+++ b/tests/end_mutants.py
@@ -9,6 +9,7 @@
 PROCESS = "tests/test_fleet_process_ends.py::"
 STATE = "tests/test_fleet_connection_state.py::"
 WIRE = "tests/test_fleet_server_connection.py::"
+BUDGET = "tests/test_fleet_budget.py::"
 STEPS = "tests/test_fleet_failing_steps.py::"
 
 ENDS = (
@@ -71,4 +72,22 @@
     Mutant("half a body is waited for", "fleet/transport/connection_state",
            "if not self.taking or self.owed > (self.reading is Reading.BODY):", "if not self.taking or self.owed:",
            WIRE + "test_a_body_that_does_not_come_is_given_up_with_408"),
+    Mutant("a head that knows nobody takes the whole slack", "fleet/forwarding/budget",
+           "self.slack / heads if heads else 0.0", "self.slack / max(1, heads)",
+           BUDGET + "test_heads_that_start_anew_take_no_part_that_others_may_have_taken"),
+    Mutant("a life forgets what the one before it spent", "fleet/forwarding/budget",
+           "            slack *= STARTING_PART\n", "            pass\n",
+           BUDGET + "test_heads_that_start_anew_take_no_part_that_others_may_have_taken"),
+    Mutant("instances that refuse are asked again at once", "fleet/forwarding/life",
+           "min(FIRST_PAUSE_S * 2 ** self.rounds, LONGEST_PAUSE_S)", "0.0",
+           "tests/test_fleet_life.py::test_instances_that_all_refused_are_asked_again_behind_a_pause_that_grows"),
+    Mutant("bodies have no bound together", "fleet/transport/asgi",
+           "            raise NoRoomError\n", "            pass\n",
+           WIRE + "test_a_body_is_held_within_the_room_for_all_of_them"),
+    Mutant("a job of no size teaches", "fleet/placement/timing",
+           "if units <= 0 or units <", "if units <",
+           "tests/test_fleet_life_histories.py::test_no_step_of_a_request_fails_whatever_becomes_of_its_instances"),
+    Mutant("a head whose own work failed is taken to have been told to end", "fleet/analysis/cuts",
+           "return told and not failed", "return told",
+           "tests/test_fleet_cut_days.py::test_a_head_may_cut_at_the_end_of_its_grace_and_not_where_its_own_work_failed"),
 )
--- a/tests/test_fleet_failing_steps.py
+++ b/tests/test_fleet_failing_steps.py
@@ -17,7 +17,7 @@
 from hophinge.fleet.configuration.routes import RECORD_KEY, configuration_record
 from hophinge.fleet.dataplane.knowledge import Knowledge
 from hophinge.fleet.emulation.fleet import document
-from hophinge.fleet.program import Signals, Tasks, every
+from hophinge.fleet.program import Signals, Tasks, every, repeat
 from hophinge.fleet.settings import parse_settings
 from hophinge.fleet.transport.frames import Hello, frame
 from hophinge.fleet.transport.links import Incoming, Links
@@ -28,8 +28,11 @@
 
 # --- steps that fail ------------------------------------------------------------------------------------------------
 
-async def _failing(fails: int, most: int) -> tuple[int, bool]:
-    """Run a periodic step whose first calls fail; tells its calls, and whether the program was told to end."""
+async def _failing(fails: int, most: int, awaited: bool) -> tuple[int, bool]:
+    """Run a periodic step, or round of work, whose first calls fail.
+
+    Tells its calls, and whether the program was told to end.
+    """
     ending, calls, enough = asyncio.Event(), 0, asyncio.Event()
 
     def step() -> None:
@@ -40,8 +43,12 @@
         if calls <= fails:
             raise ValueError("a step")
 
+    async def work() -> None:
+        await asyncio.sleep(0)
+        step()
+
     tasks = Tasks(ending)
-    tasks.start(every(0.0, step, most))
+    tasks.start(repeat(0.0, work, most) if awaited else every(0.0, step, most))
     waits = [asyncio.create_task(one.wait()) for one in (ending, enough)]
     await asyncio.wait(waits, timeout=BOUND_S, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
@@ -50,13 +57,15 @@
     return calls, ending.is_set()
 
 
-def test_a_periodic_step_that_fails_now_and_then_does_not_end_the_program() -> None:
-    calls, ended = asyncio.run(_failing(3, 4))
+@pytest.mark.parametrize("awaited", [False, True])
+def test_a_periodic_step_that_fails_now_and_then_does_not_end_the_program(awaited: bool) -> None:
+    calls, ended = asyncio.run(_failing(3, 4, awaited))
     assert calls >= 7 and not ended
 
 
-def test_one_that_fails_for_ever_does() -> None:
-    calls, ended = asyncio.run(_failing(1_000, 4))
+@pytest.mark.parametrize("awaited", [False, True])
+def test_one_that_fails_for_ever_does(awaited: bool) -> None:
+    calls, ended = asyncio.run(_failing(1_000, 4, awaited))
     assert (calls, ended) == (4, True)
 
 
--- a/tests/test_fleet_failing_work.py
+++ b/tests/test_fleet_failing_work.py
@@ -16,7 +16,6 @@
 
 from hophinge.coordination.storage.store import Store
 from hophinge.fleet.controlplane.host import Batch, DiskWriter
-from hophinge.fleet.program import Tasks, repeat
 from hophinge.fleet.settings import SettingsError, read_settings
 
 BOUND_S = 20.0
@@ -29,40 +28,6 @@
                                ["a"], [None], {}, {"a": 1}, {"machines": "x"})
 
 
-# --- rounds of work -------------------------------------------------------------------------------------------------
-
-async def _rounds(fails: int, most: int) -> tuple[int, bool]:
-    """Repeat work whose first rounds fail; tells its rounds, and whether the program was told to end."""
-    ending, rounds, enough = asyncio.Event(), 0, asyncio.Event()
-
-    async def work() -> None:
-        nonlocal rounds
-        rounds += 1
-        await asyncio.sleep(0)
-        if rounds > fails + 3:
-            enough.set()
-        if rounds <= fails:
-            raise ValueError("a round")
-
-    tasks = Tasks(ending)
-    tasks.start(repeat(0.0, work, most))
-    waits = [asyncio.create_task(one.wait()) for one in (ending, enough)]
-    await asyncio.wait(waits, timeout=BOUND_S, return_when=asyncio.FIRST_COMPLETED)
-    for wait in waits:
-        wait.cancel()
-    tasks.cancel()
-    return rounds, ending.is_set()
-
-
-def test_a_round_of_work_that_fails_now_and_then_does_not_end_the_program() -> None:
-    rounds, ended = asyncio.run(_rounds(3, 4))
-    assert rounds >= 7 and not ended
-
-
-def test_one_that_fails_for_ever_does() -> None:
-    assert asyncio.run(_rounds(1_000, 4)) == (4, True)
-
-
 # --- the disk -------------------------------------------------------------------------------------------------------
 
 class Broken(Store):
