--- a/hophinge/fleet/analysis/cuts.py
+++ b/hophinge/fleet/analysis/cuts.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-LOG_LINE = re.compile(r"^ *(-?\d+\.\d+) (\S+)/data-plane \S+ \w+ (.*)$")
+# A machine with one role is named without it.
+LOG_LINE = re.compile(r"^ *(-?\d+\.\d+) ([^\s/]+)(?:/data-plane)? \d+:\S+ \w+ (.*)$")
 CUT_LINE = re.compile(r"^cut: request (\S+) \(.*?\) by (\w+) while (\w+)(?:; after ([^;]*))?")
 CASE_BEGIN = re.compile(r"^not served, last try '(cut in the answer|cut, no answer)'")
 CASE_LINE = re.compile(r"^ +(\d+\.\d+) s  (.*)$")
--- a/tests/test_fleet_cut_days.py
+++ b/tests/test_fleet_cut_days.py
@@ -58,6 +58,14 @@
     assert cut_answers(read_day(other + CASE))[0].cause is Cause.UNKNOWN
 
 
+def test_a_machine_with_one_role_is_told_without_it_and_a_control_member_s_lines_count_for_nothing() -> None:
+    """Seen on three days: a head's line was there, and the case was told as left over."""
+    lines = (line(-2.0, "head 5a at 10.0.0.1:80") + cut("client while reading")).replace("/data-plane", "")
+    assert cut_answers(read_day(lines + CASE))[0].cause is Cause.CLIENT
+    other = lines.replace("edge-one", "edge-one/control-plane")
+    assert cut_answers(read_day(other + CASE))[0].cause is Cause.UNKNOWN
+
+
 def test_a_day_is_counted_by_causes() -> None:
     clients = cut("client while reading", 3.0, "c1") + cut("client while reading", 4.0, "c2")
     assert causes(cut_answers(read_day(clients + cut("head while waiting") + CASE))) == {Cause.CLIENT: 2, Cause.HEAD: 1}
