--- a/hophinge/fleet/emulation/fleet.py
+++ b/hophinge/fleet/emulation/fleet.py
@@ -24,6 +24,7 @@
 PORTS = range(12_000, 28_000)       # none that the system gives to connections on their way out
 ANSWER_S = 5.0
 START_S = 20.0
+BUDGET_WINDOW_S = 2.0       # for which a head that has just started has a small part of the slack
 PROGRAMS = 2                # on each machine
 HOST = "models.example"
 ENGINES = {"slots": 8, "kv-cache-tokens": 400_000, "kv-token-bytes": 1_000, "handle-ttl-s": 5.0}
@@ -109,7 +110,8 @@
                                  "control": self.address(number, CONTROL)},
             "internal-port-range": [first, first + 2], "seed-nodes": self.controls[:3], "bootstrap": self.bootstrap,
             "counts-for-quorum": True, "data-dir": str(self.data_folder(number)), "heartbeat-ms": 400,
-            "fault-tolerance": {"machines": self.losses}, "bounds": {"grace-s": self.grace_s, "retry-budget-slack": 60}}
+            "fault-tolerance": {"machines": self.losses}, "bounds": {
+                "grace-s": self.grace_s, "retry-budget-slack": 60, "budget-window-s": BUDGET_WINDOW_S}}
 
     async def start(self) -> None:
         """Start all processes for the first time."""
