Tests: streams are asked of heads that know how many share the retry budget

Cause: a head has no slack for 3 s from its start; a stream whose first instance refuses is refused then, and the test waited for it.

--- a/tests/test_fleet_ended_instances.py
+++ b/tests/test_fleet_ended_instances.py
@@ -22,7 +22,7 @@
 from hophinge.fleet.emulation.fleet import LoopbackFleet, document
 from hophinge.fleet.emulation.stand_in import StandIn
 from hophinge.load.rig.waiting import Condition, until
-from tests.fleet_requests import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, streamed, taken
+from tests.fleet_requests import BOUND_S, INSTANCES, MACHINES, PROMPT, ROUTES, begin, counts_heads, streamed, taken
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 7)]
 BODY = b"".join(EVENTS)
@@ -168,6 +168,8 @@
     async def run() -> None:
         async with LoopbackFleet(tmp_path, MACHINES) as fleet:
             await begin(fleet)
+            # A head that doesn't know how many share the budget repeats little.
+            await until([counts_heads(fleet, number) for number in range(MACHINES)], BOUND_S)
             go_on = asyncio.Event()
             for identity in ("d1", "d2"):
                 fleet.stand_ins[identity].pause = go_on.wait
