--- a/tests/connection_wire.py
+++ b/tests/connection_wire.py
@@ -66,8 +66,11 @@
         self.connection: ServerConnection | None = None
 
     async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Read a request whole, then answer with its path."""
+        """Read a request whole, then answer with its path; `/unread` begins its answer without its body."""
         path = scope["path"]
+        if path == "/unread":
+            await self._answer(path, send)
+            return
         try:
             body = await read_body(receive, MOST_BODY)
         except ClientGoneError:
@@ -75,10 +78,13 @@
             return
         self.begun.append(path)
         self.bodies.append(body)
-        gate = self.go_on[path] = asyncio.Event()
         if path == "/early":
             await answer(send, 200, b"early")
             return
+        await self._answer(path, send)
+
+    async def _answer(self, path: str, send: Send) -> None:
+        gate = self.go_on[path] = asyncio.Event()
         await send({"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"9")]})
         await send({"type": "http.response.body", "body": b"one", "more_body": True})
         if self.held:
