Repair: an answer that has begun before its request came whole goes out whole; steps and messages that failed are findings

Change: such a request has its answer and no refusal, and the connection closes behind it; the tool lists both.

--- a/hophinge/fleet/analysis/cuts.py
+++ b/hophinge/fleet/analysis/cuts.py
@@ -20,7 +20,8 @@
 SENT = re.compile(r"^request (\w+) \(.*\) sent to (\S+)$")
 STARTED = re.compile(r"^head \w+ at ")
 ENDING = "ending"
-FAILED_WORK = ("a task failed", "a piece of work failed", "a request failed in the head itself", "Fatal error")
+FAILED_WORK = ("a task failed", "a periodic step failed", "could not be taken", "a piece of work failed",
+               "a request failed in the head itself", "Fatal error")
 
 
 class Cause(Enum):
--- a/hophinge/fleet/transport/connection_state.py
+++ b/hophinge/fleet/transport/connection_state.py
@@ -111,14 +111,17 @@
             return self.unfit(Ending.LARGE_HEADER, LARGE_HEADER)
         return []
 
-    def unfit(self, ending: Ending, status: int) -> list[Action]:
-        """Take nothing new, as what comes is no request or does not come: refused behind the last claim."""
+    def unfit(self, ending: Ending, status: int, begun: bool = False) -> list[Action]:
+        """Take nothing new, as what comes is no request or does not come: refused behind the last claim.
+
+        A request whose answer has `begun` before it came whole has that answer, and no refusal.
+        """
         if not self.taking:
             return []
         self.taking = False
         self._end(ending)
-        abandons = self.reading is Reading.BODY and self.owed > 0
-        if abandons or self.reading is not Reading.BODY:    # else it was answered before it had come whole
+        abandons = self.reading is Reading.BODY and self.owed > 0 and not begun
+        if abandons or self.reading is not Reading.BODY:    # else it is answered, or was, before it had come whole
             self.refusal = status
         self.owed -= abandons
         return [Action.ABANDON] * abandons + self._behind_the_last()
@@ -177,15 +180,15 @@
             return None
         return self.since + (self.bounds.header_s if self.reading is Reading.HEAD else self.rest_s)
 
-    def time(self, now: float) -> list[Action]:
-        """End what the client has left open for too long."""
+    def time(self, now: float, begun: bool = False) -> list[Action]:
+        """End what the client has left open for too long; `begun` as for `unfit`."""
         due = self.due
         if due is None or now < due:
             return []
         if self.reading is Reading.HEAD:
             return self.unfit(Ending.HEADER_TIME, REQUEST_TIMEOUT)
         if self.reading is Reading.BODY:
-            return self.unfit(Ending.BODY_TIME, REQUEST_TIMEOUT)
+            return self.unfit(Ending.BODY_TIME, REQUEST_TIMEOUT, begun)
         self._end(Ending.REST)
         return self._behind_the_last()
 
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -65,7 +65,7 @@
         try:
             self._read(data)
         except httptools.HttpParserError:
-            self._do(self.state.unfit(Ending.BAD_BYTES, BAD_REQUEST))
+            self._do(self.state.unfit(Ending.BAD_BYTES, BAD_REQUEST, self._newest_begun()))
         else:
             self._do(self.state.bytes_read(self.loop.time(), len(data)))
         self._watch_time()
@@ -180,6 +180,10 @@
             else:
                 self._close()
 
+    def _newest_begun(self) -> bool:
+        """Tell whether the answer to the newest request has begun."""
+        return bool(self.cycles) and self.cycles[-1].response_started
+
     def _abandon(self) -> None:
         cycle = self.cycles.pop()
         if self.pipeline and self.pipeline[0][0] is cycle:
@@ -221,7 +225,7 @@
         self.timer = None
         if self.flow.read_paused:
             self.state.since = self.loop.time()     # it is not its client that keeps it waiting
-        self._do(self.state.time(self.loop.time()))
+        self._do(self.state.time(self.loop.time(), self._newest_begun()))
         self._watch_time()
 
     # --- what is told --------------------------------------------------------------------------------------------
--- a/tests/end_mutants.py
+++ b/tests/end_mutants.py
@@ -90,4 +90,8 @@
     Mutant("a head whose own work failed is taken to have been told to end", "fleet/analysis/cuts",
            "return told and not failed", "return told",
            "tests/test_fleet_cut_days.py::test_a_head_may_cut_at_the_end_of_its_grace_and_not_where_its_own_work_failed"),
+    Mutant("an answer that has begun is cut by a refusal", "fleet/transport/connection_state",
+           "self.owed > 0 and not begun", "self.owed > 0",
+           "tests/test_fleet_begun_answers.py::"
+           "test_an_answer_that_has_begun_goes_out_whole_whatever_ends_its_request"),
 )
--- a/tests/test_fleet_cut_days.py
+++ b/tests/test_fleet_cut_days.py
@@ -66,6 +66,12 @@
     assert cut_answers(read_day(other + CASE))[0].cause is Cause.UNKNOWN
 
 
+@pytest.mark.parametrize("text", ["a periodic step failed, 1 times in a row", "a piece of work failed", "a task failed",
+                                  "a message of 10.0.0.2:80 could not be taken: Push"])
+def test_work_that_failed_in_a_head_is_told(text: str) -> None:
+    assert [found.text for found in read_day(line(3.0, text) + line(4.0, "ending")).failures()] == [text]
+
+
 def test_a_day_is_counted_by_causes() -> None:
     clients = cut("client while reading", 3.0, "c1") + cut("client while reading", 4.0, "c2")
     assert causes(cut_answers(read_day(clients + cut("head while waiting") + CASE))) == {Cause.CLIENT: 2, Cause.HEAD: 1}
