review: case 1 hangs less on the pace of the machine

Cause: the bricks of case 1 were full for 20 ms from the first arrival, so that on a slow machine the third of them could take the request at once.

Change: each brick refuses the trial's request once, whenever it comes; the work takes 90 ms, as the site's seat call does, and the surplus answer comes 70 ms after the first. The check is the same.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import sys
 from collections import Counter
 from pathlib import Path
@@ -15,25 +16,23 @@
 BRICKS = 4
 TRIALS = 24
 OTHERS = 80  # other requests for each trial: a brick repeats fewer than 6 in 100 of its answers
-FULL_S = 0.02  # for which the bricks are full in a trial
-SURPLUS_S = 0.06  # after which a brick sends an answer once more
+WORK_S = 0.09
+SURPLUS_S = 0.07  # after which a brick sends an answer once more
 MAX_SURPLUS = 0.06
 DEADLINE_MS = 4000
 
 
 class Load:
-    """When the bricks are full: for a moment from the first arrival of a trial's request."""
+    """When the bricks are full: in a trial each of them is, until its first request has come."""
 
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.is_trial = False
-        self.full_until = 0.0
+    def __init__(self) -> None:
+        self.full: set[str] = set()  # bricks
 
-    def is_full(self) -> bool:
+    def is_full(self, identity: str) -> bool:
         """Return whether a brick is full now."""
-        if self.is_trial and not self.full_until:
-            self.full_until = self.record.now() + FULL_S
-        return self.is_trial and self.record.now() < self.full_until
+        was_full = identity in self.full
+        self.full.discard(identity)
+        return was_full
 
 
 def repeat_refusals(server: Server, repeated: Counter[str]) -> None:
@@ -50,14 +49,16 @@
 
 async def case(record: Record, fleet: Fleet) -> bool:
     """Send unsafe requests to bricks that are full now and then; return whether each ran once at most."""
-    load = Load(record)
+    load = Load()
     repeated: Counter[str] = Counter()
-    servers = [Server(f"i-{number}", "panggil", f"hall-{number % MACHINES}", record) for number in range(BRICKS)]
+    servers = [
+        Server(f"i-{number}", "panggil", f"hall-{number % MACHINES}", record, WORK_S) for number in range(BRICKS)
+    ]
     await fleet.configure([route("r", "/seat/", "unsafe", "panggil")], [service("panggil", 100)])
     beats = []
     for server in servers:
         await server.start()
-        server.is_full = load.is_full
+        server.is_full = functools.partial(load.is_full, server.identity)
         if has_trouble():
             repeat_refusals(server, repeated)
         beats.append(asyncio.create_task(server.run_heartbeats(fleet.controls)))
@@ -69,11 +70,11 @@
         for first in range(0, OTHERS, 8):
             names = [f"other-{trial}-{number}" for number in range(first, first + 8)]
             await asyncio.gather(*(fleet.request(head, "/seat/1", name, DEADLINE_MS) for name in names))
-        load.is_trial, load.full_until = True, 0.0
+        load.full = {server.identity for server in servers}
         answer = await fleet.request(head, "/seat/1", f"trial-{trial}", DEADLINE_MS)
         answers[f"trial-{trial}"] = answer.status if answer is not None else 0
-        load.is_trial = False
-        await asyncio.sleep(0.15)
+        load.full.clear()
+        await asyncio.sleep(0.2)
     for task in beats:
         task.cancel()
     runs = Counter(arrival.request for server in servers for arrival in server.arrivals if arrival.is_run)
