--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,6 +35,7 @@
 CONTACT_S = BOUNDS["contact-ms"] / 1000
 PROBES = 4  # requests to each head
 READY_S = 10.0  # for a head that was started to be ready
+END_S = BOUNDS["grace-s"] + 1.0  # for a head that was stopped to end
 REJECTED = range(400, 500)
 
 Document = dict[str, Any]
@@ -111,7 +112,7 @@
     ready = 0
     for machine in fleet.machines:
         fleet.signal(machine, "data-plane", signal.SIGTERM)
-        await asyncio.to_thread(fleet.processes[machine.name, "data-plane"].wait)
+        await asyncio.to_thread(fleet.processes[machine.name, "data-plane"].wait, END_S)
         fleet.start_process(machine, "data-plane")
         for _ in range(int(READY_S / 0.25)):
             if await fleet.is_ready(machine):
