--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -10,8 +10,9 @@
 from pydantic import ValidationError
 
 from hophinge.coordination.registers import Change, Outcome
-from hophinge.fleet.configuration.document import Findings, validate_document
-from hophinge.fleet.configuration.routes import RECORD_KEY
+from hophinge.fleet.configuration.document import validate_document
+from hophinge.fleet.configuration.findings import Findings
+from hophinge.fleet.configuration.record import RECORD_KEY, compress_document, read_configuration_record
 from hophinge.fleet.controlplane.replica_host import ReplicaHost
 from hophinge.fleet.controlplane.schemas import HeartbeatBody
 from hophinge.fleet.controlplane.soft_state import SoftState
@@ -132,14 +133,15 @@
         body = await read_body(receive, MAX_CONFIGURATION_BYTES)
         base_version = _if_match(scope)
         validated = validate_document(body)
-        if validated.is_error():
+        version = self._version_in_force(body) if validated.is_error() else validated.ok.version
+        if version is None:
             await _reject_configuration(send, validated.error)
             return
         if base_version is None:
             await answer(send, 400, _body(error="If-Match is missing or is not a version"), (JSON_TYPE,))
             return
         digest = blake2b(str(base_version).encode() + b"\0" + body, digest_size=16).digest()
-        change = Change(RECORD_KEY, base_version, validated.ok.version, digest, body)
+        change = Change(RECORD_KEY, base_version, version, digest, body)
         result = await self.host.request(RECORD_KEY, change, CHANGE_TIMEOUT_S)
         match result.outcome:
             case Outcome.APPLIED:
@@ -154,6 +156,16 @@
                 text = "nobody knows yet whether the change was taken: send it again"
                 await answer(send, 503, _body(error=text), (JSON_TYPE, RETRY_AFTER))
 
+    def _version_in_force(self, body: bytes) -> int | None:
+        """Return the version of a document that is in force already; None for any other one.
+
+        It was taken, maybe by an older version of this program by other rules: sent again, it is not refused.
+        """
+        record = self.soft_state.dissemination.store.get(RECORD_KEY)
+        if record is None or record.value != compress_document(body):
+            return None
+        return read_configuration_record(record).table.version
+
     async def _get_configuration(self, send: Send) -> None:
         result = await self.host.request(RECORD_KEY, None, READ_TIMEOUT_S)
         if result.outcome is not Outcome.VALUE:
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -17,7 +17,7 @@
 from hophinge.coordination.events import CommittedValue
 from hophinge.fleet.configuration.evacuations import EVACUATION_PREFIX, evacuation_record, is_evacuated
 from hophinge.coordination.view import Replica
-from hophinge.fleet.configuration.routes import RECORD_KEY, configuration_record
+from hophinge.fleet.configuration.record import RECORD_KEY, configuration_record
 from hophinge.fleet.controlplane.api import ControlApi
 from hophinge.fleet.controlplane.evacuation_api import EVACUATIONS_PATH, ZONE_PREFIX, EvacuationApi
 from hophinge.fleet.controlplane.counter_api import COUNTERS_PATH, CounterApi
--- a/hophinge/fleet/controlplane/status.py
+++ b/hophinge/fleet/controlplane/status.py
@@ -6,7 +6,7 @@
 
 from hophinge.coordination.replica import ReplicaStateMachine
 from hophinge.fleet.configuration.evacuations import evacuated_zones
-from hophinge.fleet.configuration.routes import RECORD_KEY
+from hophinge.fleet.configuration.record import RECORD_KEY
 from hophinge.fleet.controlplane.soft_state import SoftState
 
 
--- a/hophinge/fleet/dataplane/cluster_state.py
+++ b/hophinge/fleet/dataplane/cluster_state.py
@@ -20,7 +20,8 @@
 )
 from hophinge.coordination.leases import LEASE_DURATION_S, LeaseGrant, LeaseHolder, RenewLease, LeaseRenewal
 from hophinge.coordination.view import Replica
-from hophinge.fleet.configuration.routes import RECORD_KEY, RouteTable, route_table_of
+from hophinge.fleet.configuration.record import RECORD_KEY, read_configuration_record
+from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, Instance, instance_of
 from hophinge.fleet.settings import Settings
 
@@ -105,12 +106,19 @@
         for address, message in spread.messages:
             self.send(address, message)
 
+    def _apply_configuration(self, record: GossipRecord) -> None:
+        """Put a configuration in force; what of it cannot be read is logged, and the rest is in force."""
+        table, findings = read_configuration_record(record)
+        for finding in findings:
+            logger.warning("configuration only partly readable version={} finding={}", table.version, finding)
+        self.on_configuration(table)
+        self.route_table = table
+        self.route_table_since = self.loop.time()
+        logger.info("configuration applied version={} findings={}", table.version, len(findings))
+
     def _apply_record(self, record: GossipRecord) -> None:
         if record.key == RECORD_KEY:
-            self.route_table = route_table_of(record)
-            self.route_table_since = self.loop.time()
-            self.on_configuration(self.route_table)
-            logger.info("configuration applied version={}", self.route_table.version)
+            self._apply_configuration(record)
         elif record.key.startswith(INSTANCE_PREFIX):
             self.on_instance(record.key.removeprefix(INSTANCE_PREFIX), instance_of(record))
         else:
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -28,6 +28,7 @@
     Fields,
     find_field,
     forwarded_fields,
+    host_name,
 )
 from hophinge.fleet.forwarding.request_lifecycle import RequestLifecycle
 from hophinge.fleet.forwarding.split import TrafficSplit
@@ -181,10 +182,13 @@
             await answer(send, 503, b"", [RETRY_AFTER, *closing])
             return
         path = scope["raw_path"].decode("latin-1")
-        route = table.find((find_field(fields, HOST) or "").rsplit(":", 1)[0], path)
+        route = table.find(host_name(find_field(fields, HOST) or ""), path)
         if route is None:
             await answer(send, 404, b"", closing)
             return
+        if not route.is_available:
+            await answer(send, 503, b"", [RETRY_AFTER, *closing])
+            return
         target = scope["raw_path"] + (b"?" + scope["query_string"] if scope["query_string"] else b"")
         inbound = Inbound(
             scope["method"].encode(), target, forwarded_fields(fields), body, find_field(fields, REQUEST_ID)
--- a/hophinge/fleet/emulation/slopes.py
+++ b/hophinge/fleet/emulation/slopes.py
@@ -33,12 +33,8 @@
 from hophinge.coordination.registers import Change, HistoryEntry, Registers
 from hophinge.coordination.view import Replica
 from hophinge.fleet.configuration.document import validate_document
-from hophinge.fleet.configuration.routes import (
-    COMPRESSION_LEVEL,
-    configuration_record,
-    parse_route_table,
-    route_table_of,
-)
+from hophinge.fleet.configuration.record import COMPRESSION_LEVEL, configuration_record, read_configuration_record
+from hophinge.fleet.configuration.route_table_reader import read_route_table
 from hophinge.fleet.placement.hints import PrefillDone, PlacementHints, EngineReport, EngineReports
 from hophinge.fleet.placement.node import PrefixCache
 from hophinge.fleet.placement.placement import Placement
@@ -278,7 +274,7 @@
         fit(
             "putting a configuration in force",
             "us by routes",
-            lambda n: _timed(route_table_of, configuration_record(1, configuration_document(n))),
+            lambda n: _timed(read_configuration_record, configuration_record(1, configuration_document(n))),
             MANY,
         ),
     ]
@@ -346,7 +342,7 @@
 
 
 def _table_memory(data: bytes) -> float:
-    return kilobytes(lambda: parse_route_table(data))
+    return kilobytes(lambda: read_route_table(data).table)
 
 
 def main() -> None:
--- a/hophinge/fleet/forwarding/headers.py
+++ b/hophinge/fleet/forwarding/headers.py
@@ -35,6 +35,13 @@
     return None
 
 
+def host_name(host: str) -> str:
+    """Return the name or address in a `Host` field, without its port (RFC 9110, 7.2)."""
+    if host.startswith("["):
+        return host[: host.find("]") + 1]
+    return host.partition(":")[0]
+
+
 def keep_alive_timeout_s(fields: Fields) -> float | None:
     """Return the seconds for which an idle connection is kept, by `Keep-Alive: timeout=N`; None where not given."""
     for parameter in (find_field(fields, KEEP_ALIVE) or "").split(","):
--- a/tests/test_fleet_failing_steps.py
+++ b/tests/test_fleet_failing_steps.py
@@ -14,7 +14,7 @@
 from hophinge.coordination.dissemination import Push, GossipRecord
 from hophinge.coordination.view import Replica
 from hophinge.fleet import program
-from hophinge.fleet.configuration.routes import RECORD_KEY, configuration_record
+from hophinge.fleet.configuration.record import RECORD_KEY, configuration_record
 from hophinge.fleet.dataplane.cluster_state import ClusterState
 from hophinge.fleet.emulation.loopback_fleet import configuration_document
 from hophinge.fleet.program import Signals, Tasks, call_periodically, run_periodically
--- a/tests/test_fleet_frontend.py
+++ b/tests/test_fleet_frontend.py
@@ -13,7 +13,7 @@
 import pytest
 
 from hophinge.coordination.leases import LEASE_DURATION_S
-from hophinge.fleet.configuration.routes import configuration_record
+from hophinge.fleet.configuration.record import configuration_record
 from hophinge.fleet.dataplane.cluster_state import ClusterState
 from hophinge.fleet.dataplane.http_frontend import HttpFrontend
 from hophinge.fleet.dataplane.upstream import Upstream
@@ -155,6 +155,24 @@
     asyncio.run(asyncio.wait_for(play(), BOUND_S))
 
 
+def test_a_request_on_a_stored_route_that_cannot_be_read_is_refused_and_gets_no_other_route() -> None:
+    """Guards against 404, and against a run by the service of a shorter prefix, for what an older version accepted."""
+
+    async def play() -> None:
+        async with front_end({"s1": ""}) as here:
+            routes = [("/", "safe", "plain"), ("/p/", "safe", "plain")]
+            raw = json.loads(configuration_document(2, routes))
+            raw["routes"][1]["timeout-ms"] = {}
+            here.state._apply_record(configuration_record(2, json.dumps(raw).encode()))
+            refused, served = Caller(), Caller()
+            await here.call(refused, "safe")
+            await here.call(served, "unsafe")
+            assert (refused.status, served.status) == (503, 200)
+            assert find_field(refused.messages[0]["headers"], b"retry-after") is not None
+
+    run(play)
+
+
 @pytest.mark.parametrize("size", ["header", "body", "small"])
 def test_a_head_without_a_configuration_answers_503_whatever_is_asked(size: str) -> None:
     """What is too large is for a configuration to say."""
