A record that can't be applied is tried again, and keeps no other from being applied

Seen by callers: a head restarted with a configuration that raised when it was applied was never ready again.

Cause: a member stored a record before it applied it. Where that raised, the store's stamp kept others from sending it again, nobody tried again, and the records behind it in the message were lost: instances, evacuated zones. A control member also passed nothing of such a message on.

Change: heads apply each record by itself, keep those that raise and try them each second; /v1/member names them under `unapplied`. Control members skip what they can't read, log its key, and pass it on.

Two tests; both failed before, with the record's exception leaving the message's handler.

--- a/hophinge/fleet/controlplane/soft_state.py
+++ b/hophinge/fleet/controlplane/soft_state.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+from loguru import logger
+
 from hophinge.coordination.dissemination import Digest, Dissemination, Push, GossipRecord, DigestEntries, PullRequest
 from hophinge.coordination.leases import (
     LEASE_DURATION_S,
@@ -72,6 +74,8 @@
         for address, message in step.messages:
             if address != self.machine.me.address:
                 self.send(address, message)
+        for key in step.unreadable_keys:
+            logger.warning("record unreadable key={}", key)
         for request_id, is_acknowledged in step.completed:
             future = self.pending_requests.get(request_id)
             if future is not None and not future.done():
--- a/hophinge/fleet/dataplane/cluster_state.py
+++ b/hophinge/fleet/dataplane/cluster_state.py
@@ -27,6 +27,7 @@
 
 CLUSTER_STATE_TICK_S = 0.25
 DIGEST_INTERVAL_S = 1.5  # between comparisons of digests with another data plane
+APPLY_RETRY_INTERVAL_S = 1.0  # between attempts to apply the records that could not be applied
 STABILIZATION_S = 0.4  # after the first lease, for records that differ to arrive
 InstanceListener = Callable[[str, Instance | None], None]
 RecordListener = Callable[[str, GossipRecord], None]  # the key without its prefix, and the record
@@ -61,6 +62,8 @@
         self.first_granted_at: float | None = None
         self.first_connected_at: float | None = None  # when a granter in contact with a majority granted the lease
         self.last_digest_at = self.loop.time()
+        self.unapplied: dict[str, GossipRecord] = {}  # by key: stored and passed on, but not in force here
+        self.last_apply_retry_at = self.loop.time()
 
     def listen(self, prefix: str, listener: RecordListener) -> None:
         """Have a listener called with each new record whose key begins with a prefix."""
@@ -102,10 +105,28 @@
 
     def _apply_step(self, spread: DisseminationStep) -> None:
         for record in spread.updates:
-            self._apply_record(record)
+            self._try_to_apply(record)
         for address, message in spread.messages:
             self.send(address, message)
 
+    def _try_to_apply(self, record: GossipRecord) -> None:
+        """Apply a record; one that fails is kept for another attempt, and the others are applied all the same.
+
+        The store holds the record by now, so that no other member sends it again.
+        """
+        try:
+            self._apply_record(record)
+        except Exception:  # broad: whatever is wrong with one record must not keep the others from being applied
+            logger.exception("record not applied key={} stamp={}", record.key, record.stamp)
+            self.unapplied[record.key] = record
+        else:
+            self.unapplied.pop(record.key, None)
+
+    def _retry_unapplied(self, now: float) -> None:
+        self.last_apply_retry_at = now
+        for record in list(self.unapplied.values()):
+            self._try_to_apply(record)
+
     def _apply_configuration(self, record: GossipRecord) -> None:
         """Put a configuration in force; what of it cannot be read is logged, and the rest is in force."""
         table, findings = read_configuration_record(record)
@@ -129,6 +150,8 @@
     def tick(self) -> None:
         """Renew the lease and exchange digests with another data plane when scheduled."""
         now = self.loop.time()
+        if self.unapplied and now - self.last_apply_retry_at >= APPLY_RETRY_INTERVAL_S:
+            self._retry_unapplied(now)
         granter = self.renewal.granter_to_contact(now)
         if granter is not None:
             self.send(granter, RenewLease(self.lease_holder, self.dissemination.store.fingerprints(now), now))
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -120,6 +120,7 @@
             "ready": cluster_state.is_ready and not self.is_shutting_down,
             "ending": self.is_shutting_down,
             "configuration": table.version if table is not None else None,
+            "unapplied": sorted(cluster_state.unapplied),
             "evacuated-zones": sorted(self.placement.admission.evacuated_zones),
             "lease-holds": renewal.holds_lease(now),
             "granter": renewal.granter,
--- a/hophinge/fleet/registry/service.py
+++ b/hophinge/fleet/registry/service.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from hophinge.coordination.codec import CodecError
 from hophinge.coordination.dissemination import Dissemination, GossipMessage, Push, GossipRecord, DisseminationStep
 from hophinge.coordination.quorum_acknowledgements import (
     QuorumView,
@@ -41,10 +42,14 @@
 
 @dataclass(slots=True)
 class ServiceStep:
-    """The effects of one input: messages by address, and callers' requests that are completed."""
+    """The effects of one input: messages by address, and callers' requests that are completed.
+
+    `unreadable_keys` are those of new records that this member cannot read; it passes them on all the same.
+    """
 
     messages: list[tuple[str, object]] = field(default_factory=list)
     completed: list[CompletedRequest] = field(default_factory=list)
+    unreadable_keys: list[str] = field(default_factory=list)
 
 
 def is_draining(record: GossipRecord) -> bool:
@@ -207,10 +212,16 @@
     def _apply_dissemination(self, now: float, dissemination_step: DisseminationStep, step: ServiceStep) -> None:
         step.messages += dissemination_step.messages
         for record in dissemination_step.updates:
-            if record.key.startswith(INSTANCE_PREFIX):
-                self.registry.apply_record(now, record)
-            elif record.key.startswith(WARMUP_PREFIX):
-                self.registry.warmup.apply_record(now, record)
+            try:
+                self._apply_record(now, record)
+            except CodecError:
+                step.unreadable_keys.append(record.key)
+
+    def _apply_record(self, now: float, record: GossipRecord) -> None:
+        if record.key.startswith(INSTANCE_PREFIX):
+            self.registry.apply_record(now, record)
+        elif record.key.startswith(WARMUP_PREFIX):
+            self.registry.warmup.apply_record(now, record)
 
     # --- time ----------------------------------------------------------------------------------------------------
 
--- a/tests/test_fleet_failing_steps.py
+++ b/tests/test_fleet_failing_steps.py
@@ -7,17 +7,25 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from random import Random
 
 import pytest
 
-from hophinge.coordination.dissemination import Push, GossipRecord
+from hophinge.coordination.dissemination import Dissemination, Push, GossipRecord
+from hophinge.coordination.registers import Register
 from hophinge.coordination.view import Replica
 from hophinge.fleet import program
+from hophinge.fleet.configuration.evacuations import EVACUATED, EVACUATION_PREFIX, evacuation_key, evacuation_record
 from hophinge.fleet.configuration.record import RECORD_KEY, configuration_record
-from hophinge.fleet.dataplane.cluster_state import ClusterState
+from hophinge.fleet.configuration.routes import RouteTable
+from hophinge.fleet.dataplane.cluster_state import APPLY_RETRY_INTERVAL_S, ClusterState
 from hophinge.fleet.emulation.loopback_fleet import configuration_document
 from hophinge.fleet.program import Signals, Tasks, call_periodically, run_periodically
+from hophinge.fleet.registry.instance import INSTANCE_PREFIX, READY, Instance, record_of
+from hophinge.fleet.registry.registry import Registry
+from hophinge.fleet.registry.service import InstanceService, ServiceStep
 from hophinge.fleet.settings import parse_settings
 from hophinge.fleet.transport.frames import Hello, frame
 from hophinge.fleet.transport.links import IncomingLink, Links
@@ -104,23 +112,26 @@
     assert taken == [other, other]
 
 
+def _cluster_state(send: Callable[[str, object], None], apply: Callable[[RouteTable], None]) -> ClusterState:
+    settings = parse_settings(
+        {
+            "node-name": "one",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "internal-port-range": [7660, 7675],
+            "seed-nodes": ["127.0.0.1:8146"],
+            "listen-addresses": {"front": "127.0.0.1:80", "ready": "127.0.0.1:81"},
+        }
+    )
+    return ClusterState(settings, send, lambda identity, instance: None, apply, lambda: None)
+
+
 def test_a_configuration_is_applied_even_where_forwarding_it_fails() -> None:
     async def play() -> None:
-        settings = parse_settings(
-            {
-                "node-name": "one",
-                "ip": "127.0.0.1",
-                "zone": "z",
-                "internal-port-range": [7660, 7675],
-                "seed-nodes": ["127.0.0.1:8146"],
-                "listen-addresses": {"front": "127.0.0.1:80", "ready": "127.0.0.1:81"},
-            }
-        )
-
         def send(address: str, message: object) -> None:
             raise ValueError("it cannot be passed on")
 
-        knowledge = ClusterState(settings, send, lambda identity, instance: None, lambda table: None, lambda: None)
+        knowledge = _cluster_state(send, lambda table: None)
         knowledge.dissemination.neighbours = ("127.0.0.2:7661",)
         record = configuration_record(1, configuration_document(1, ROUTES))
         assert record.key == RECORD_KEY
@@ -131,6 +142,51 @@
     asyncio.run(play())
 
 
+def test_a_record_that_is_not_applied_is_tried_again_and_keeps_no_other_from_being_applied() -> None:
+    """Guards against a head that holds a configuration in its store, and is never ready (review, case CONFIG)."""
+
+    async def play() -> None:
+        failures = [ValueError("once"), ValueError("twice")]
+        zones: list[str] = []
+
+        def apply(table: RouteTable) -> None:
+            if failures:
+                raise failures.pop()
+
+        knowledge = _cluster_state(lambda address, message: None, apply)
+        knowledge.listen(EVACUATION_PREFIX, lambda zone, record: zones.append(zone))
+        unreadable = GossipRecord(f"{INSTANCE_PREFIX}i", (1, 0), b"no message")
+        zone = evacuation_record(evacuation_key("z"), Register(1, b"", EVACUATED))
+        record = configuration_record(1, configuration_document(1, ROUTES))
+        knowledge.receive("127.0.0.3:7661", Push((record, unreadable, zone)))
+        assert zones == ["z"]
+        assert knowledge.route_table is None
+        assert set(knowledge.unapplied) == {RECORD_KEY, unreadable.key}
+        for _ in range(2):
+            knowledge.last_apply_retry_at -= APPLY_RETRY_INTERVAL_S
+            knowledge.tick()
+        assert knowledge.route_table is not None
+        assert set(knowledge.unapplied) == {unreadable.key}
+        tombstone = GossipRecord(unreadable.key, (2, 0), b"", True)
+        knowledge.receive("127.0.0.3:7661", Push((tombstone,)))
+        assert not knowledge.unapplied
+
+    asyncio.run(play())
+
+
+def test_a_record_that_a_control_member_cannot_read_keeps_no_other_from_being_applied_and_passed_on() -> None:
+    """Guards against an instance that one member never knows, as its record came behind one that cannot be read."""
+    me = Replica("me", "10.0.0.1:7660", "z")
+    service = InstanceService(me, Dissemination(Random(1)), Registry(1.0, 0.0))
+    instance = Instance("i", "s", "10.0.0.9:80", "z", "v", 1, READY, "", ())
+    unreadable = GossipRecord(f"{INSTANCE_PREFIX}j", (1, 0), b"no message")
+    step = ServiceStep()
+    service.receive(0.0, "10.0.0.2:7660", Push((unreadable, record_of(instance, 1))), ["10.0.0.3:7661"], step)
+    assert list(service.registry.instances) == ["i"]
+    assert step.unreadable_keys == [unreadable.key]
+    assert [address for address, _ in step.messages] == ["10.0.0.3:7661"]
+
+
 # --- signals --------------------------------------------------------------------------------------------------------
 
 HANGUP_AT_ONCE = """
