Header fields with digits that are no number count as absent

Seen by callers: 500 to a request whose deadline is "²", or whose prompt's size has 5,000 digits; 500 to each attempt of a change with such an If-Match; an answer dropped after it had run where its instance sent such a Keep-Alive.

Cause: str.isdigit is true of digits that int and float reject, and int rejects more than 4,300 digits.

--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -17,6 +17,7 @@
 from hophinge.fleet.controlplane.schemas import HeartbeatBody
 from hophinge.fleet.controlplane.soft_state import SoftState
 from hophinge.fleet.controlplane.status import member_status
+from hophinge.fleet.numerals import parse_decimal
 from hophinge.fleet.registry.instance import Instance, Model
 from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
 
@@ -185,6 +186,5 @@
     """Return the version in the If-Match header; None where there is none or it is not a version."""
     for name, value in scope["headers"]:
         if name == b"if-match":
-            text = value.decode("latin-1").strip().strip('"')
-            return int(text) if text.isdigit() else None
+            return parse_decimal(value.decode("latin-1").strip().strip('"'))
     return None
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -33,6 +33,7 @@
 from hophinge.fleet.forwarding.request_lifecycle import RequestLifecycle
 from hophinge.fleet.forwarding.split import TrafficSplit
 from hophinge.fleet.forwarding.trace import RequestTrace
+from hophinge.fleet.numerals import parse_decimal
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
@@ -206,8 +207,8 @@
         engine = table.services[service].engine
         usage = find_field(fields, TOKEN_USAGE)
         prompt = parse_prompt(usage, find_field(fields, PROMPT_PREFIX)) if engine is not None and usage else None
-        text = (find_field(fields, DEADLINE) or "").strip()
-        requested_s = float(text) / MILLISECONDS if text.isdigit() else route.timeout_s
+        requested_ms = parse_decimal(find_field(fields, DEADLINE) or "")
+        requested_s = requested_ms / MILLISECONDS if requested_ms is not None else route.timeout_s
         deadline = arrived + min(requested_s, route.timeout_s) - DEADLINE_MARGIN_S
         budget = self.budget(service)
         budget.record_request(arrived)
--- a/hophinge/fleet/forwarding/headers.py
+++ b/hophinge/fleet/forwarding/headers.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+from hophinge.fleet.numerals import parse_decimal
+
 REQUEST_ID = b"hophinge-request-id"
 DEADLINE = b"hophinge-deadline-ms"
 EXPECTED_INSTANCE = b"hophinge-expected-instance"
@@ -46,8 +48,9 @@
     """Return the seconds for which an idle connection is kept, by `Keep-Alive: timeout=N`; None where not given."""
     for parameter in (find_field(fields, KEEP_ALIVE) or "").split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return float(value)
+        seconds = parse_decimal(value) if name.lower() == "timeout" else None
+        if seconds is not None:
+            return float(seconds)
     return None
 
 
--- a/hophinge/fleet/placement/prompt.py
+++ b/hophinge/fleet/placement/prompt.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from hophinge.fleet.numerals import parse_decimal
 
 PromptSegment = tuple[str, int]  # name, and tokens: a plain tuple, as placement compares many for each request
 
@@ -45,5 +46,4 @@
 
 
 def _number(text: str) -> int:
-    text = text.strip()
-    return int(text) if text.isdigit() else 0
+    return parse_decimal(text) or 0
--- a/tests/test_fleet_control_api.py
+++ b/tests/test_fleet_control_api.py
@@ -85,8 +85,9 @@
     assert len(chain.changes) == 1
 
 
-@pytest.mark.parametrize("base", [b"", b"x", b"-1"])
+@pytest.mark.parametrize("base", [b"", b"x", b"-1", "\u00b2".encode("latin-1"), b"9" * 5_000])
 def test_a_base_that_is_no_version_is_rejected(base: bytes) -> None:
+    """Guards against 500 for digits that are not ASCII, and for more of them than are converted."""
     status, answer, chain = _put(json.dumps(proper_document(VERSION)).encode(), base)
     assert status == 400
     assert "If-Match" in answer["error"]
--- a/tests/test_fleet_frontend.py
+++ b/tests/test_fleet_frontend.py
@@ -209,6 +209,20 @@
     run(play)
 
 
+@pytest.mark.parametrize("field", ["\u00b2", "9" * 5_000, "soon", ""])
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_a_deadline_that_is_no_number_counts_as_absent(kind: str, field: str) -> None:
+    """Guards against 500 to a request for its client's deadline, or for the time that its instance names."""
+
+    async def play() -> None:
+        async with front_end(PLAIN) as here:
+            caller = Caller()
+            await here.call(caller, kind, [(DEADLINE, field.encode("latin-1"))])
+            assert caller.status == 200
+
+    run(play)
+
+
 def _watch_deadlines(here: FrontEnd) -> list[int]:
     """Return the list that the forwarded deadlines are added to, in milliseconds."""
     seen: list[int] = []
--- a/tests/test_fleet_headers.py
+++ b/tests/test_fleet_headers.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from hophinge.fleet.forwarding.headers import host_name
+from hophinge.fleet.forwarding.headers import host_name, keep_alive_timeout_s
+from hophinge.fleet.numerals import parse_decimal
+from hophinge.fleet.placement.prompt import parse_prompt
 
 
 @pytest.mark.parametrize(
@@ -22,3 +24,23 @@
 def test_a_host_is_read_without_its_port(field: str, name: str) -> None:
     """Guards against a route with an IPv6 address that no request without a port finds."""
     assert host_name(field) == name
+
+
+NO_NUMBERS = ["", " ", "-1", "+1", "1.5", "0x1", "1_0", "nan", "inf", "\u00b2", "\u00b9\u00b2", "9" * 19, "9" * 5_000]
+
+
+@pytest.mark.parametrize(("text", "number"), [("0", 0), (" 17 ", 17), ("007", 7), ("9" * 18, 10**18 - 1)])
+def test_a_decimal_is_read(text: str, number: int) -> None:
+    assert parse_decimal(text) == number
+
+
+@pytest.mark.parametrize("text", NO_NUMBERS)
+def test_what_is_no_decimal_counts_as_absent(text: str) -> None:
+    """Guards against an exception for digits that are not ASCII, and for more than the interpreter converts."""
+    assert parse_decimal(text) is None
+    assert keep_alive_timeout_s([(b"Keep-Alive", f"timeout={text}, max=3".encode("latin-1"))]) is None
+    assert parse_prompt(f"{text},{text}", f"a:{text},b:5").tokens_in == 5
+
+
+def test_the_time_of_an_idle_connection_is_read() -> None:
+    assert keep_alive_timeout_s([(b"keep-alive", b"max=3, Timeout=15")]) == 15.0
