An odd report of one instance is ignored, loses no other one, and keeps no head busy

Cause: nobody judged a report's numbers. A head queued one object for each request told as waiting, and removed them one by one; int(inf) and deep nesting raise what the collector did not expect, which failed the whole round.

Change: reports are read by a schema with bounds; a failure at one instance loses its report alone; a queue holds at most 256 such objects, as an older member may relay any number.

--- a/hophinge/fleet/controlplane/report_collector.py
+++ b/hophinge/fleet/controlplane/report_collector.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
 
 import httpcore
+from loguru import logger
+from pydantic import ValidationError
 
 from hophinge.coordination.ownership import rendezvous
+from hophinge.fleet.controlplane.schemas import ReportBody
 from hophinge.fleet.controlplane.soft_state import SoftState
 from hophinge.fleet.placement.hints import EngineReport, EngineReports
 from hophinge.fleet.program import run_periodically
@@ -26,9 +28,7 @@
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
-    ValueError,
-    KeyError,
-    TypeError,
+    ValidationError,
 )
 
 
@@ -36,11 +36,11 @@
     """Parse an instance's report.
 
     Raises:
-        ValueError, KeyError, TypeError: The body is anything else.
+        ValidationError: The body is anything else, or holds a number that no instance can mean.
 
     """
-    raw = json.loads(body)
-    return EngineReport(identity, int(raw["waiting"]), int(raw["running"]), int(raw["kv-used"]), int(raw["kv-total"]))
+    report = ReportBody.model_validate_json(body)
+    return EngineReport(identity, report.waiting, report.running, report.used_tokens, report.total_tokens)
 
 
 class ReportCollector:
@@ -88,3 +88,6 @@
             return parse_report(instance.identity, response.content) if response.status == 200 else None
         except REQUEST_ERRORS:
             return None
+        except Exception:  # broad: whatever is wrong with one instance must not lose the reports of all others
+            logger.exception("report not collected instance={}", instance.identity)
+            return None
--- a/hophinge/fleet/controlplane/schemas.py
+++ b/hophinge/fleet/controlplane/schemas.py
@@ -8,6 +8,8 @@
 
 MAX_PORT = 65_535
 MILLISECONDS = 1_000
+MAX_QUEUE_LENGTH = 100_000  # requests at one instance
+MAX_TOKENS = 2**53 - 1
 
 
 class ModelBody(BaseModel):
@@ -17,6 +19,15 @@
     version: int = 1
 
 
+class ReportBody(BaseModel):
+    """An instance's report of its load; fields that are not used here are ignored."""
+
+    waiting: int = Field(ge=0, le=MAX_QUEUE_LENGTH)
+    running: int = Field(ge=0, le=MAX_QUEUE_LENGTH)
+    used_tokens: int = Field(ge=0, le=MAX_TOKENS, alias="kv-used")
+    total_tokens: int = Field(ge=0, le=MAX_TOKENS, alias="kv-total")
+
+
 class HeartbeatBody(BaseModel):
     """An instance's heartbeat; fields that are not known here are ignored."""
 
--- a/hophinge/fleet/placement/queue.py
+++ b/hophinge/fleet/placement/queue.py
@@ -16,6 +16,7 @@
 MAX_STARTED_JOBS = 32  # of those believed to have started, stored to correct the estimate
 MIN_SAMPLE_US = 1_000.0  # a shorter service time is an error of clocks
 MAX_REPORT_AGE_US = 500_000.0  # jobs placed more recently may be missing in a report
+MAX_PHANTOM_JOBS = 256  # in one queue: by then no request is placed there, and each costs time and memory
 PHANTOM_PRIORITY = 9  # of jobs that an engine reports and no head placed
 
 
@@ -97,7 +98,8 @@
         """Correct the queue by the number of requests that the instance reports as waiting.
 
         A longer queue loses its oldest jobs first, never those that are too new to be in the report; a shorter one is
-        filled with jobs of mean size and the lowest priority. One job more than reported remains: the running one.
+        filled with jobs of mean size and the lowest priority, up to MAX_PHANTOM_JOBS of them. One job more than
+        reported remains: the running one.
         """
         self._advance(now_us)
         reportable = [job for job in self.queued if now_us - job.arrived_at_us > MAX_REPORT_AGE_US]
@@ -106,6 +108,7 @@
             self.queued.remove(job)
         if not queued_count and not self.queued:
             self.free_at_us = min(self.free_at_us, now_us + mean_us)
-        for _ in range(queued_count - len(self.queued) - 1):
+        missing = queued_count - len(self.queued) - 1
+        for _ in range(min(missing, MAX_PHANTOM_JOBS - len(self.queued))):
             self.queued.append(Job(PHANTOM_PRIORITY, mean_us, now_us))
         self._advance(now_us)
--- /dev/null
+++ b/tests/test_fleet_reports.py
@@ -0,0 +1,100 @@
+"""Reports of engines: one that is odd is ignored, loses no other one, and keeps no head busy."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import httpcore
+import pytest
+from pydantic import ValidationError
+
+from hophinge.coordination.ownership import rendezvous
+from hophinge.fleet.controlplane.report_collector import ReportCollector, parse_report
+from hophinge.fleet.placement.hints import EngineReport, EngineReports
+from hophinge.fleet.placement.queue import MAX_PHANTOM_JOBS, WorkQueue
+from hophinge.fleet.registry.instance import READY, Instance
+
+REPORT = {"stage": "decode", "waiting": 1, "running": 12, "kv-used": 41_000, "kv-total": 90_000, "handles": 0}
+ME = "me"
+ODD_COUNTS: tuple[object, ...] = (-1, 1_000_000, 1.5, None, "x", [], 10**400)
+ODD_BODIES = (
+    *(b"", b"[]", b"{}", b"\xff", b"[" * 100_000),
+    *(json.dumps({**REPORT, "waiting": value}).encode() for value in ODD_COUNTS),
+    *(json.dumps({**REPORT, "kv-used": number}).encode() for number in (float("inf"), float("nan"), 1e300, -1)),
+)
+
+
+def test_a_report_is_parsed() -> None:
+    assert parse_report("i", json.dumps(REPORT).encode()) == EngineReport("i", 1, 12, 41_000, 90_000)
+
+
+@pytest.mark.parametrize("body", ODD_BODIES)
+def test_an_odd_report_is_invalid(body: bytes) -> None:
+    with pytest.raises(ValidationError):
+        parse_report("i", body)
+
+
+@dataclass
+class _SoftState:
+    """Stands for a member's soft state: its instances, and what is published."""
+
+    instances: dict[str, Instance]
+    published: list[EngineReports] = field(default_factory=list)
+
+    @property
+    def registry(self) -> _SoftState:
+        return self
+
+    def publish_hints(self, reports: EngineReports) -> None:
+        self.published.append(reports)
+
+
+class _Pool:
+    """Stands for the connections: answers by address, or raises."""
+
+    def __init__(self, answers: dict[str, bytes | Exception]) -> None:
+        self.answers = answers
+
+    async def request(self, _method: str, url: str, **_more: Any) -> httpcore.Response:
+        answer = self.answers[url.split("/")[2]]
+        if isinstance(answer, Exception):
+            raise answer
+        response = httpcore.Response(200, content=answer)
+        await response.aread()
+        return response
+
+
+@pytest.mark.parametrize("odd", [*ODD_BODIES, RuntimeError("unforeseen"), httpcore.ReadTimeout("silent")])
+def test_an_odd_report_does_not_lose_the_others(odd: bytes | Exception) -> None:
+    """Guards against a round without any report, and a member that ends after twenty of them."""
+
+    async def play() -> list[EngineReports]:
+        instances = {
+            name: Instance(name, "s", f"10.0.0.{number}:80", "z", "v", 8, READY, "decode", ())
+            for number, name in enumerate("abc")
+        }
+        soft_state = _SoftState(instances)
+        collector = ReportCollector(cast(Any, soft_state), lambda: {ME}, ME)
+        assert all(rendezvous(name, {ME}) == ME for name in instances)
+        good = json.dumps(REPORT).encode()
+        collector.pool = cast(Any, _Pool({"10.0.0.0:80": good, "10.0.0.1:80": odd, "10.0.0.2:80": good}))
+        await collector.collect_once()
+        return soft_state.published
+
+    (reports,) = asyncio.run(play())
+    assert [report.instance for report in reports.reports] == ["a", "c"]
+
+
+def test_a_queue_that_is_told_as_very_long_stays_bounded() -> None:
+    """Guards against heads that keep their core busy for minutes after one wrong number, and answer nobody."""
+    queue = WorkQueue()
+    job = queue.add(0.0, 0, 1_000.0)
+    queue.apply_queue_length(1.0, 10**12, 1_000.0)
+    assert len(queue.queued) <= MAX_PHANTOM_JOBS
+    assert queue.start_at_us(1.0, 9) >= (MAX_PHANTOM_JOBS - 1) * 1_000.0
+    queue.apply_queue_length(2_000_000.0, 0, 1_000.0)
+    queue.finish(2_000_000.0, job, 1_500_000.0)
+    assert queue.start_at_us(2_000_001.0, 9) <= 2_002_000.0
