What instances send is judged where it is read: addresses, sequences, handles

Seen by callers: 500 where an instance's answer to a prefill held tokens=Infinity, or a handle that no header can hold (by reading; the exception was run). An instance with a name for an address had it looked up by each head; one with a sequence of 2^62 could not unregister, as its tombstone was no newer.

Cause: values were judged by one rule, or by none, and used by another.

Change: the handle alone is read, and has to fit a header and a path; a heartbeat's address is an IPv4 address with a port, as the protocol has it, and its sequence below that of tombstones: 400 with the field otherwise.

Before, the schema took all four of host:80, 10.0.0:80, 10.0.0.256:80 and a/b:80, with sequence 2^62.

--- a/hophinge/fleet/controlplane/schemas.py
+++ b/hophinge/fleet/controlplane/schemas.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Literal
 
 from pydantic import BaseModel, Field, field_validator
 
+from hophinge.fleet.registry.registry import UNREGISTERED_SEQUENCE
+
 MAX_PORT = 65_535
 MILLISECONDS = 1_000
 MAX_QUEUE_LENGTH = 100_000  # requests at one instance
@@ -40,7 +43,7 @@
     cold_remaining_ms: float | None = Field(default=0.0, allow_inf_nan=False, alias="cold-remaining-ms")
     stage: str | None = None
     models: list[ModelBody] = []
-    sequence: int = Field(ge=0)
+    sequence: int = Field(ge=0, lt=UNREGISTERED_SEQUENCE)
 
     @property
     def cold_remaining_s(self) -> float:
@@ -49,8 +52,10 @@
 
     @field_validator("address")
     @classmethod
-    def _port_exists(cls, address: str) -> str:
-        """Reject a port that cannot be connected to: each call there would fail in an unforeseen way."""
-        if not 0 < int(address.rsplit(":", 1)[1]) <= MAX_PORT:
+    def _can_be_connected_to(cls, address: str) -> str:
+        """Reject what cannot be connected to: each call there would fail in an unforeseen way, or look a name up."""
+        host, port = address.rsplit(":", 1)
+        if not 0 < int(port) <= MAX_PORT:
             raise ValueError("the port is not one from 1 to 65535")
+        IPv4Address(host)
         return address
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from dataclasses import dataclass
 
 import anyio
@@ -23,6 +22,7 @@
     find_field,
     returned_fields,
 )
+from hophinge.fleet.forwarding.prefill_response import parse_handle
 from hophinge.fleet.forwarding.request_lifecycle import Reject, RequestLifecycle, Backoff, Prefill, Generate
 from hophinge.fleet.forwarding.attempt_results import (
     AttemptOutcome,
@@ -188,14 +188,10 @@
             )
 
     def _parse_handle(self, node: Node, status: int, body: bytes) -> AttemptResult:
-        if status != 200:
+        handle = parse_handle(body) if status == 200 else None
+        if handle is None:
             return AttemptResult(AttemptOutcome.UNKNOWN)
-        try:
-            raw = json.loads(body)
-            name, tokens = str(raw["prefill-handle"]), int(raw.get("tokens", 0))
-        except (ValueError, KeyError, TypeError):
-            return AttemptResult(AttemptOutcome.UNKNOWN)
-        return AttemptResult(AttemptOutcome.READ, KvHandle(node.instance.identity, node.instance.address, name, tokens))
+        return AttemptResult(AttemptOutcome.READ, KvHandle(node.instance.identity, node.instance.address, handle))
 
     # --- generation ----------------------------------------------------------------------------------------------
 
--- a/hophinge/fleet/emulation/virtual_fleet.py
+++ b/hophinge/fleet/emulation/virtual_fleet.py
@@ -279,7 +279,7 @@
         result = AttemptResult(_attempt_outcome(event, life.is_response_started or outcome.first_s is not None))
         if event is EngineEvent.PREFILLED:
             identity = step.reservation.node.instance.identity
-            result = AttemptResult(AttemptOutcome.READ, KvHandle(identity, identity, "h", 0))
+            result = AttemptResult(AttemptOutcome.READ, KvHandle(identity, identity, "h"))
         if not life.complete_attempt(now, step.reservation, result):
             self._execute_step(attempt)
 
--- a/hophinge/fleet/forwarding/attempt_results.py
+++ b/hophinge/fleet/forwarding/attempt_results.py
@@ -32,7 +32,6 @@
     instance: str
     address: str
     identity: str
-    tokens: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_fleet_evacuations.py
+++ b/tests/test_fleet_evacuations.py
@@ -65,7 +65,7 @@
 
 def _read(step: object) -> AttemptResult:
     assert isinstance(step, Prefill)
-    return AttemptResult(AttemptOutcome.READ, KvHandle(step.reservation.node.instance.identity, "10.0.0.1:80", "h", 1))
+    return AttemptResult(AttemptOutcome.READ, KvHandle(step.reservation.node.instance.identity, "10.0.0.1:80", "h"))
 
 
 def test_first_attempts_avoid_an_evacuated_zone_with_and_without_stages() -> None:
@@ -88,7 +88,7 @@
         placement.instances.update_instance(instance.identity, instance)
     placement.instances.update_evacuation("a", True, 0.1)
     assert isinstance(step, Prefill | Generate)
-    result = AttemptResult(ending, KvHandle("a-prefill-0", "10.0.0.1:80", "h", 1), last_event_id="2")
+    result = AttemptResult(ending, KvHandle("a-prefill-0", "10.0.0.1:80", "h"), last_event_id="2")
     if not life.complete_attempt(0.2, step.reservation, result):
         assert _zone(life.next_step(0.2)) == "b"
 
@@ -109,7 +109,7 @@
 
 def test_no_handle_is_freed_at_an_evacuated_instance() -> None:
     placement = _staged("a", "b")
-    handles = [KvHandle("a-prefill-0", "10.0.0.1:80", "h", 1), KvHandle("b-prefill-0", "10.0.0.1:80", "h", 1)]
+    handles = [KvHandle("a-prefill-0", "10.0.0.1:80", "h"), KvHandle("b-prefill-0", "10.0.0.1:80", "h")]
     life = _lifecycle(placement)
     life.unused_handles = list(handles)
     placement.instances.update_evacuation("a", True, 0.0)
--- /dev/null
+++ b/tests/test_fleet_instance_bodies.py
@@ -0,0 +1,54 @@
+"""Bodies that instances send: what is odd in them is rejected with the field, or counts as no answer."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from pydantic import ValidationError
+
+from hophinge.fleet.controlplane.schemas import HeartbeatBody
+from hophinge.fleet.forwarding.prefill_response import parse_handle
+from hophinge.fleet.registry.registry import UNREGISTERED_SEQUENCE
+
+HEARTBEAT = {"service": "s", "address": "10.128.0.9:8080", "slots": 64, "sequence": 4}
+
+
+def test_a_heartbeat_is_read() -> None:
+    assert HeartbeatBody.model_validate(HEARTBEAT).address == "10.128.0.9:8080"
+
+
+@pytest.mark.parametrize(
+    "address", ["host:80", "10.0.0:80", "10.0.0.256:80", "10.0.0.1:0", "10.0.0.1:65536", "a/b:80", "[::1]:80", ":80"]
+)
+def test_an_address_that_cannot_be_connected_to_is_rejected(address: str) -> None:
+    """Guards against calls that look a name up, and against a URL that means another host."""
+    with pytest.raises(ValidationError) as raised:
+        HeartbeatBody.model_validate({**HEARTBEAT, "address": address})
+    assert [detail["loc"] for detail in raised.value.errors()] == [("address",)]
+
+
+@pytest.mark.parametrize("sequence", [-1, UNREGISTERED_SEQUENCE, 10**30])
+def test_a_sequence_that_nothing_can_follow_is_rejected(sequence: int) -> None:
+    """Guards against an instance that can never unregister: its tombstone would be older than its record."""
+    with pytest.raises(ValidationError) as raised:
+        HeartbeatBody.model_validate({**HEARTBEAT, "sequence": sequence})
+    assert [detail["loc"] for detail in raised.value.errors()] == [("sequence",)]
+
+
+def test_a_handle_is_read() -> None:
+    assert parse_handle(b'{"prefill-handle":"3fa09c41b7d5","tokens":1460,"version":1}') == "3fa09c41b7d5"
+    assert parse_handle(b'{"prefill-handle":"h","tokens":Infinity}') == "h"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"{}", b"\xff", b"[" * 100_000]
+    + [
+        json.dumps({"prefill-handle": handle}).encode()
+        for handle in (None, 7, "", " ", "a b", "a\r\nX: y", "a/b", "\u00e9", "\ud800", "h" * 257)
+    ],
+)
+def test_a_handle_that_cannot_be_sent_on_is_none(body: bytes) -> None:
+    """Guards against 500 to a client, and against a header that ends early, for what an instance sent."""
+    assert parse_handle(body) is None
--- a/tests/test_fleet_lifecycle_histories.py
+++ b/tests/test_fleet_lifecycle_histories.py
@@ -146,7 +146,7 @@
         if isinstance(step, Prefill):
             identity = step.reservation.node.instance.identity
             endings = [
-                AttemptResult(AttemptOutcome.READ, KvHandle(identity, "10.0.0.1:80", "h", 100)),
+                AttemptResult(AttemptOutcome.READ, KvHandle(identity, "10.0.0.1:80", "h")),
                 AttemptResult(AttemptOutcome.UNSENT),
                 AttemptResult(AttemptOutcome.UNKNOWN),
                 AttemptResult(AttemptOutcome.REFUSED),
--- a/tests/test_fleet_request_lifecycle.py
+++ b/tests/test_fleet_request_lifecycle.py
@@ -60,7 +60,7 @@
 
 
 def _handle(step: Prefill) -> AttemptResult:
-    return AttemptResult(AttemptOutcome.READ, KvHandle("i-0", step.reservation.node.instance.address, "h1", 1_000))
+    return AttemptResult(AttemptOutcome.READ, KvHandle("i-0", step.reservation.node.instance.address, "h1"))
 
 
 def test_an_unsafe_request_that_may_have_run_is_not_retried_and_gets_502() -> None:
@@ -121,7 +121,7 @@
     life = _lifecycle(STREAM, _placement(2, 3), PROMPT)
     step = _read(life)
     reader = step.reservation.node.instance.identity
-    handle = KvHandle(reader, step.reservation.node.instance.address, "h1", 1_000)
+    handle = KvHandle(reader, step.reservation.node.instance.address, "h1")
     life.complete_attempt(0.1, step.reservation, AttemptResult(AttemptOutcome.READ, handle))
     run = _run(life, 0.1)
     life.complete_attempt(0.2, run.reservation, AttemptResult(AttemptOutcome.REFUSED))
