--- a/hophinge/fleet/dataplane/connections.py
+++ b/hophinge/fleet/dataplane/connections.py
@@ -31,6 +31,9 @@
 CONNECTION_ERRORS = (httpcore.NetworkError, httpcore.RemoteProtocolError)
 
 
+CARRIERS = "hophinge-carriers"  # the extension of a request that holds the connections it was sent on
+
+
 class InstanceEndedError(httpcore.ConnectError):
     """The instance has unregistered: nothing was sent, and the request goes to another."""
 
@@ -69,7 +72,8 @@
     """A connection that is reused only where that is safe, and closes after the request in flight.
 
     Bytes behind a complete response belong to no request. httpcore itself finds those that are still in the socket;
-    those that its parser has read and not used, it would take for the next request's response.
+    those that its parser has read and not used, it would take for the next request's response. Those that arrive
+    later are told apart by the id of the request, so that no request is sent twice on one connection.
 
     httpcore's pool closes connections whether they are in use or not: when it is closed itself, and when a request was
     assigned an idle one and has not begun on it yet. Here such a close waits for the end of the request.
@@ -87,11 +91,13 @@
 
         Raises:
             InstanceEndedError: The instance has unregistered.
-            httpcore.ConnectionNotAvailable: The connection is retired or in use; the pool then tries another one.
+            httpcore.ConnectionNotAvailable: The connection is retired or in use, or has carried the request before; the
+                pool then tries another one.
 
         """
         if self.pool.claims.is_retired:
             raise InstanceEndedError("the instance has ended")
+        await self._refuse_second_send(request)
         self._claim(request)
         was_idle_s = self.idle_s()
         self.idle_since = None
@@ -105,6 +111,14 @@
         response.stream = ReleasingStream(cast(ResponseStream, response.stream), self)
         return response
 
+    async def _refuse_second_send(self, request: httpcore.Request) -> None:
+        """Close the connection instead of sending a request on it again: an answer to the first send may still come."""
+        carriers: set[InstanceConnection] = request.extensions[CARRIERS]
+        if self in carriers:
+            await self.aclose()
+            raise httpcore.ConnectionNotAvailable
+        carriers.add(self)
+
     def _claim(self, request: httpcore.Request) -> None:
         left_s = request.extensions["timeout"]["read"]
         claim = None if self.claims.is_used else self.claims.acquire(asyncio.get_running_loop().time() + left_s)
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -8,6 +8,7 @@
 import anyio
 import httpcore
 
+from hophinge.fleet.dataplane.connections import InstanceConnection
 from hophinge.fleet.dataplane.upstream import UPSTREAM_ERRORS, UNSENT_ERRORS, Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.aborted_responses import AbortSide, RequestPhase
 from hophinge.fleet.forwarding.events import EventReader
@@ -100,6 +101,7 @@
         self.phase = RequestPhase.CHOOSING
         self.instance = ""  # of the latest attempt
         self.failure: AttemptFailure | None = None  # of the latest attempt
+        self.carriers: set[InstanceConnection] = set()  # that the request was sent on
 
     async def run(self) -> None:
         """Run attempts until the client has its response; then free the KV handles that were not used."""
@@ -162,7 +164,9 @@
         if self.lifecycle.has_stages:
             fields.append((PRIORITY, str(step.priority).encode()))
         inbound = self.inbound
-        return Call(node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s)
+        return Call(
+            node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s, self.carriers
+        )
 
     # --- prefill -------------------------------------------------------------------------------------------------
 
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -10,7 +10,7 @@
 
 import httpcore
 
-from hophinge.fleet.dataplane.connections import InstanceEndedError, InstancePool
+from hophinge.fleet.dataplane.connections import CARRIERS, InstanceConnection, InstanceEndedError, InstancePool
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
 
@@ -44,6 +44,7 @@
     fields: Fields
     body: bytes
     timeout_s: float  # until the request is cancelled
+    carriers: set[InstanceConnection] | None = None  # that carried the request; None for one that is sent once
 
 
 class Upstream:
@@ -86,7 +87,8 @@
             "write": call.timeout_s,
         }
         fields = [*call.fields, (b"content-length", str(len(call.body)).encode())]
-        request = httpcore.Request(call.method, url, headers=fields, content=call.body, extensions={"timeout": timeout})
+        extensions = {"timeout": timeout, CARRIERS: set() if call.carriers is None else call.carriers}
+        request = httpcore.Request(call.method, url, headers=fields, content=call.body, extensions=extensions)
         pool = self._pool(identity)
         claim = pool.claims.acquire(asyncio.get_running_loop().time() + call.timeout_s)
         assert claim is not None, "no retired pool is given out"
--- a/tests/test_fleet_frontend.py
+++ b/tests/test_fleet_frontend.py
@@ -26,7 +26,7 @@
 from hophinge.fleet.transport.connection_context import CONNECTION
 from hophinge.fleet.transport.connection_state import ConnectionBounds, ConnectionState
 from tests.request_endings import half_an_answer_and_silence, silence
-from tests.scripted_instance import Connection, Ending, ReceivedCall, Script, ScriptedInstance
+from tests.scripted_instance import NOT_EXECUTED, STAMP, Connection, Ending, ReceivedCall, Script, ScriptedInstance
 
 BOUND_S = 20.0
 TIMEOUT_S = 0.4  # of the routes
@@ -223,6 +223,33 @@
     run(play)
 
 
+async def _repeated_refusal(script: Script, connection: Connection, asked: ReceivedCall) -> bool:
+    """Refuse a request, and once more where the same one comes again on this connection, which then runs."""
+    refusal = script.answer(asked, 503, NOT_EXECUTED, b"")
+    connection.say(refusal)
+    await connection.reader.readuntil(b"\r\n\r\n")
+    await connection.reader.readexactly(len(asked.body))
+    script.ran(asked)
+    connection.say(refusal + script.answer(asked, more=STAMP))
+    return True
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+def test_a_refusal_that_arrives_once_more_is_not_the_answer_to_the_next_attempt(kind: str) -> None:
+    """Guards against an unsafe request that runs up to five times (review, case TWICE)."""
+
+    async def play() -> None:
+        async with front_end({"s1": ""}) as here:
+            here.spoil(kind, "", _repeated_refusal)
+            caller = Caller()
+            await here.call(caller, kind)
+            assert caller.status == 200
+            assert here.script.runs == {f"{kind}-1": 1}
+            assert here.script.connections == 2
+
+    run(play)
+
+
 def _watch_deadlines(here: FrontEnd) -> list[int]:
     """Return the list that the forwarded deadlines are added to, in milliseconds."""
     seen: list[int] = []
--- a/tests/test_fleet_upstream.py
+++ b/tests/test_fleet_upstream.py
@@ -10,7 +10,12 @@
 import httpcore
 import pytest
 
-from hophinge.fleet.dataplane.connections import KEEP_ALIVE_FRACTION, DEFAULT_MAX_IDLE_S, InstanceEndedError
+from hophinge.fleet.dataplane.connections import (
+    DEFAULT_MAX_IDLE_S,
+    KEEP_ALIVE_FRACTION,
+    InstanceConnection,
+    InstanceEndedError,
+)
 from hophinge.fleet.dataplane.upstream import Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.headers import Fields, keep_alive_timeout_s
 
@@ -150,3 +155,33 @@
 )
 def test_a_refusal_or_a_reset_is_an_answer_and_silence_is_not(error: Exception, is_silent: bool) -> None:
     assert is_peer_silent(error) == is_silent
+
+
+def test_a_request_is_never_sent_twice_on_one_connection() -> None:
+    """A late answer to the first send would be taken for that to the second one: both have the request's id."""
+    connections: list[list[bytes]] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        received: list[bytes] = []
+        connections.append(received)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                received.append(head.split(b" ")[1])
+                writer.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
+        writer.close()
+
+    async def play() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        upstream = Upstream()
+        carriers: dict[bytes, set[InstanceConnection]] = {b"/a": set(), b"/b": set()}
+        for target in (b"/a", b"/b", b"/a", b"/b", b"/b"):
+            call = Call(address, b"GET", target, [(b"host", b"a")], b"", 5.0, carriers[target])
+            async with upstream.call("i-1", call) as response:
+                await response.aread()
+        await upstream.close()
+        server.close()
+
+    asyncio.run(play())
+    assert connections == [[b"/a", b"/b"], [b"/a", b"/b"], [b"/b"]]
