--- a/hophinge/coordination/quorum_acknowledgements.py
+++ b/hophinge/coordination/quorum_acknowledgements.py
@@ -65,6 +65,7 @@
     record: GossipRecord
     expires_at: float
     last_sent_at: float
+    is_stored_here: bool = True
     acknowledged_views: dict[str, int] = field(default_factory=dict)  # by identity: the view it acknowledged in
 
 
@@ -90,14 +91,28 @@
         self.me = me
         self.pending: dict[int, PendingAcknowledgement] = {}
 
-    def begin(self, now: float, quorum_view: QuorumView, token: int, record: GossipRecord) -> AcknowledgementStep:
-        """Replicate a record under a token that is new here."""
+    def begin(
+        self, now: float, quorum_view: QuorumView, token: int, record: GossipRecord, is_stored_here: bool = True
+    ) -> AcknowledgementStep:
+        """Replicate a record under a token that is new here.
+
+        Where `is_stored_here` is false, this member counts from when `record_stored_here` is called.
+        """
         step = AcknowledgementStep()
-        self.pending[token] = PendingAcknowledgement(record, now + ACKNOWLEDGEMENT_TIMEOUT_S, now)
+        self.pending[token] = PendingAcknowledgement(record, now + ACKNOWLEDGEMENT_TIMEOUT_S, now, is_stored_here)
         self._send_record(quorum_view, token, step)
         self._resolve(now, quorum_view, token, step)
         return step
 
+    def record_stored_here(self, now: float, quorum_view: QuorumView, token: int) -> AcknowledgementStep:
+        """Count this member, whose disk holds the record by now."""
+        step = AcknowledgementStep()
+        acknowledgement = self.pending.get(token)
+        if acknowledgement is not None:
+            acknowledgement.is_stored_here = True
+            self._resolve(now, quorum_view, token, step)
+        return step
+
     def handle_replicated(
         self, now: float, quorum_view: QuorumView, source: str, message: RecordReplicated
     ) -> AcknowledgementStep:
@@ -123,14 +138,14 @@
         """Return who has the record in the view in force; a confirmation in another view does not count in this one."""
         acknowledged_views = acknowledgement.acknowledged_views
         confirmed = {name for name, number in acknowledged_views.items() if number == quorum_view.view_number}
-        return confirmed | {self.me.identity}
+        return confirmed | {self.me.identity} if acknowledgement.is_stored_here else confirmed
 
     def _send_record(self, quorum_view: QuorumView, token: int, step: AcknowledgementStep) -> None:
         acknowledgement = self.pending[token]
         acknowledged_by = self._acknowledged_by(quorum_view, acknowledgement)
         message = ReplicateRecord(token, acknowledgement.record)
         for voter in quorum_view.voters:
-            if voter.identity not in acknowledged_by:
+            if voter.identity not in acknowledged_by | {self.me.identity}:
                 step.messages.append(AddressedMessage(voter.address, message))
 
     def _resolve(self, now: float, quorum_view: QuorumView, token: int, step: AcknowledgementStep) -> None:
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -22,6 +22,7 @@
 from hophinge.fleet.controlplane.evacuation_api import EVACUATIONS_PATH, ZONE_PREFIX, EvacuationApi
 from hophinge.fleet.controlplane.counter_api import COUNTERS_PATH, CounterApi
 from hophinge.fleet.controlplane.counter_host import COUNTER_TICK_S, CounterDirectory, CounterEffects, CounterHost
+from hophinge.fleet.controlplane.departure_host import DepartureHost
 from hophinge.fleet.controlplane.hint_relay import HintRelay
 from hophinge.fleet.controlplane.replica_host import REPLICA_TICK_S, ReplicaEffects, ReplicaHost
 from hophinge.fleet.controlplane.report_collector import ReportCollector
@@ -52,6 +53,8 @@
         machine = self.host.machine
         self.links = Links(self.host.me, CONTROL, self._receive)
         self.soft_state = SoftState(settings, machine, self._send, HintRelay(self.links.send_frame))
+        if settings.can_vote and settings.data_dir is not None:
+            self.soft_state.keep_departures(DepartureHost(settings.data_dir, self.soft_state.confirm_stored))
         self.stage_controller = StageController(
             machine, self.soft_state, self.host.request, settings.bounds.lease_s, policy
         )
--- a/hophinge/fleet/controlplane/soft_state.py
+++ b/hophinge/fleet/controlplane/soft_state.py
@@ -30,6 +30,7 @@
 from hophinge.fleet.controlplane.recipients import Recipients
 from hophinge.fleet.placement.hints import PlacementHints, EngineReports, SuspectedInstances
 from hophinge.fleet.placement.stages import StageLoads
+from hophinge.fleet.registry.departures import DepartureStorage, StoreRequest
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.registry.service import InstanceService, RegistryContext, ServiceStep
@@ -65,6 +66,17 @@
         self.last_shared_at = 0.0
         self.last_digest_at = 0.0
         self.is_relay_scheduled = False
+        self.departures: DepartureStorage | None = None
+
+    def keep_departures(self, storage: DepartureStorage) -> None:
+        """Keep acknowledged departures on a disk, and restore those that it holds."""
+        self.departures = storage
+        self.service.is_durable = True
+        self.service.restore(self.loop.time(), storage.recovered)
+
+    def confirm_stored(self, request: StoreRequest) -> None:
+        """Confirm a record of a departure that the disk holds by now."""
+        self._apply_step(self.service.record_stored(self.loop.time(), self._context(), request))
 
     def _context(self) -> RegistryContext:
         return self.recipients.registry_context(self.loop.time())
@@ -74,6 +86,9 @@
         for address, message in step.messages:
             if address != self.machine.me.address:
                 self.send(address, message)
+        if self.departures is not None:
+            for request in step.to_store:
+                self.departures.store(request)
         for key in step.unreadable_keys:
             logger.warning("record unreadable key={}", key)
         for request_id, is_acknowledged in step.completed:
@@ -231,6 +246,8 @@
     def tick(self) -> None:
         """Expire leases and instances, and exchange updates and digests with other control members when scheduled."""
         now = self.loop.time()
+        if self.departures is not None:
+            self.departures.tick()
         self.leases.expire(now)
         context = self._context()
         is_connected = self.machine.can_vote and self.machine.is_connected(now)
--- a/hophinge/fleet/registry/service.py
+++ b/hophinge/fleet/registry/service.py
@@ -19,6 +19,7 @@
     QuorumAcknowledgements,
 )
 from hophinge.coordination.view import Replica
+from hophinge.fleet.registry.departures import StoreRequest
 from hophinge.fleet.registry.instance import DRAINING, INSTANCE_PREFIX, READY, Instance, instance_of
 from hophinge.fleet.registry.registry import Liveness, Registry
 from hophinge.fleet.registry.warmup import WARMUP_PREFIX
@@ -44,11 +45,13 @@
 class ServiceStep:
     """The effects of one input: messages by address, and callers' requests that are completed.
 
+    `to_store` are records that the host is to sync, and then to give to `InstanceService.record_stored`.
     `unreadable_keys` are those of new records that this member cannot read; it passes them on all the same.
     """
 
     messages: list[tuple[str, object]] = field(default_factory=list)
     completed: list[CompletedRequest] = field(default_factory=list)
+    to_store: list[StoreRequest] = field(default_factory=list)
     unreadable_keys: list[str] = field(default_factory=list)
 
 
@@ -68,6 +71,7 @@
         self.quorum_acknowledgements = QuorumAcknowledgements(me)
         self.pending_requests: dict[int, str] = {}  # the instance of each request that waits for a quorum
         self.acknowledged_drains: set[str] = set()  # instances whose draining record a quorum holds
+        self.is_durable = False  # a disk here keeps departures, which the host writes
 
     # --- callers -------------------------------------------------------------------------------------------------
 
@@ -132,7 +136,12 @@
         else:
             self._apply_dissemination(now, self.dissemination.publish(now, [record], context.heads), step)
             self.pending_requests[request] = identity
-            self._complete_requests(self.quorum_acknowledgements.begin(now, context.core, request, record), step)
+            if self.is_durable:
+                step.to_store.append(StoreRequest(record, request))
+            quorum_step = self.quorum_acknowledgements.begin(
+                now, context.core, request, record, is_stored_here=not self.is_durable
+            )
+            self._complete_requests(quorum_step, step)
 
     def _complete_requests(self, quorum_step: AcknowledgementStep, step: ServiceStep) -> None:
         step.messages += quorum_step.messages
@@ -152,9 +161,26 @@
         voters = [voter.address for voter in context.core.voters if voter.identity != self.me.identity]
         recipients = [*context.heads, *voters]
         self.receive(now, source, Push((request.record,)), recipients, step)
-        step.messages.append((source, RecordReplicated(request.token, context.core.view_number)))
+        if self.is_durable:
+            step.to_store.append(StoreRequest(request.record, request.token, source))
+        else:
+            step.messages.append((source, RecordReplicated(request.token, context.core.view_number)))
         return step
 
+    def record_stored(self, now: float, context: RegistryContext, request: StoreRequest) -> ServiceStep:
+        """Confirm a record that the disk here holds by now."""
+        step = ServiceStep()
+        if request.requester is not None:
+            step.messages.append((request.requester, RecordReplicated(request.token, context.core.view_number)))
+        else:
+            quorum_step = self.quorum_acknowledgements.record_stored_here(now, context.core, request.token)
+            self._complete_requests(quorum_step, step)
+        return step
+
+    def restore(self, now: float, records: Iterable[GossipRecord]) -> None:
+        """Apply the records of departures that the disk here holds."""
+        self._apply_dissemination(now, self.dissemination.publish(now, records), ServiceStep())
+
     def record_replicated(
         self, now: float, context: RegistryContext, source: str, acknowledgement: RecordReplicated
     ) -> ServiceStep:
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from hophinge.coordination.codec import decode, encode
+from hophinge.coordination.dissemination import GossipRecord
 from hophinge.coordination.messages import LogRecord
 from hophinge.coordination.events import Input, Outputs, MessageReceived, Tick
 from hophinge.coordination.replica import ReplicaStateMachine
@@ -17,6 +18,7 @@
 from hophinge.fleet.controlplane.replica_host import REPLICA_TICK_S
 from hophinge.fleet.controlplane.hint_relay import HintRelay
 from hophinge.fleet.dataplane.cluster_state import CLUSTER_STATE_TICK_S, ClusterState
+from hophinge.fleet.registry.departures import StoreRequest
 from hophinge.fleet.registry.instance import DRAINING, READY, Instance
 from hophinge.fleet.settings import Settings, parse_settings
 
@@ -49,11 +51,33 @@
 
     settings: Settings
     records: list[LogRecord] = field(default_factory=list)
+    departures: list[GossipRecord] = field(default_factory=list)
     disk: int = 0  # how many disks it has lost
     machine: ReplicaStateMachine | None = None
     soft_state: SoftState | None = None
 
 
+class SimulatedDepartures:
+    """The part of a member's disk that keeps departures: a record is there once its sync is over."""
+
+    def __init__(self, member: ControlMember, confirm: Callable[[StoreRequest], None]) -> None:
+        self.member = member
+        self.machine = member.machine
+        self.confirm = confirm
+        self.recovered = list(member.departures)
+
+    def store(self, request: StoreRequest) -> None:
+        asyncio.get_running_loop().call_later(SYNC_S, self._complete, request)
+
+    def _complete(self, request: StoreRequest) -> None:
+        if self.member.machine is self.machine:  # the process has not been killed meanwhile
+            self.member.departures.append(request.record)
+            self.confirm(request)
+
+    def tick(self) -> None:
+        """Its disk never fails."""
+
+
 @dataclass
 class AcknowledgedDrain:
     """An instance's leaving that a member acknowledged."""
@@ -106,9 +130,11 @@
         def send_frame(target: str, data: bytes) -> None:
             """Hints are no part of these plays."""
 
-        member.soft_state = SoftState(settings, machine, send, HintRelay(send_frame))
+        soft_state = member.soft_state = SoftState(settings, machine, send, HintRelay(send_frame))
+        if settings.can_vote:
+            soft_state.keep_departures(SimulatedDepartures(member, soft_state.confirm_stored))
         self._every(REPLICA_TICK_S, lambda: self._handle(member, machine, Tick()), machine, member)
-        self._every(SOFT_STATE_TICK_S, member.soft_state.tick, machine, member)
+        self._every(SOFT_STATE_TICK_S, soft_state.tick, machine, member)
         self.disturbed = self.loop.time()
 
     def kill(self, address: str) -> None:
@@ -116,10 +142,18 @@
         self.members[address].machine = self.members[address].soft_state = None
         self.disturbed = self.loop.time()
 
+    def restart_head(self, address: str) -> None:
+        """Replace a head's process by a new one, which knows nothing."""
+        old = self.heads[address]
+        old.send = lambda target, message: None
+        self.known[address].clear()
+        self._add_head(old.settings)
+
     def wipe(self, address: str) -> None:
         """End a member's process, and lose its disk."""
         self.kill(address)
         self.members[address].records = []
+        self.members[address].departures = []
         self.members[address].disk += 1
 
     def _every(
