Fields behind a body are no fields of the request

An instance may run no request whose model, usage or prompt isn't the client's.

Cause: the HTTP library adds trailer fields to the list that the request's scope holds. Change: they are dropped (RFC 9110, 6.5.1). The test, over each cut of the bytes in two, failed before.

--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -129,6 +129,11 @@
         self.scope["state"][CONNECTION] = self.state
         self.state.begin_header(self.loop.time())
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a field of the header; one behind the body, a trailer field, is dropped (RFC 9110, section 6.5.1)."""
+        if self.state.read_state is not ReadState.BODY:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Handle a complete header: its response is outstanding from now on."""
         if self.parser.should_upgrade():
--- a/tests/connection_wire.py
+++ b/tests/connection_wire.py
@@ -62,6 +62,7 @@
         self.begun: list[str] = []
         self.gone: list[str] = []
         self.bodies: list[bytes] = []
+        self.fields: list[list[tuple[bytes, bytes]]] = []  # of each request, once its body was read
         self.go_on: dict[str, asyncio.Event] = {}
         self.held = False
         self.pipe = Pipe()
@@ -80,6 +81,7 @@
             return
         self.begun.append(path)
         self.bodies.append(body)
+        self.fields.append(list(scope["headers"]))
         if path == "/early":
             await answer(send, 200, b"early")
             return
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -251,3 +251,20 @@
         assert wire.statuses() == [200, 400] and wire.pipe.closed
 
     played(play)
+
+
+def test_fields_behind_a_body_are_no_fields_of_the_request() -> None:
+    """Guards against a second request id, model or prompt that reaches an instance behind the client's own."""
+    trailers = b"0\r\nHophinge-Request-Id: other\r\nHophinge-Model: x\r\n\r\n"
+    data = CHUNKED.replace(b"0\r\n\r\n", trailers) + FIRST
+    for first, second in cuts(data):
+
+        async def play(wire: Wire, server: HttpServer, first: bytes = first, second: bytes = second) -> None:
+            await wire.feed(first)
+            await wire.feed(second)
+            assert wire.statuses() == [200, 200]
+            assert wire.bodies == [b"abc", b"hello"]
+            names = [[name for name, _ in fields] for fields in wire.fields]
+            assert names == [[b"host", b"transfer-encoding"], [b"host", b"content-length"]]
+
+        played(play)
