--- a/hophinge/fleet/forwarding/budget.py
+++ b/hophinge/fleet/forwarding/budget.py
@@ -33,6 +33,7 @@
 
     def record_request(self, now: float) -> None:
         """Record a client's request."""
+        self._drop_expired(now)
         self.requests.append(now)
 
     def allows_extra_attempt(self, now: float, heads: int) -> bool:
--- a/tests/test_fleet_budget.py
+++ b/tests/test_fleet_budget.py
@@ -91,3 +91,11 @@
             budget.record_extra_attempt(begin)
             spent += 1
         assert spent == extras
+
+
+def test_what_is_recorded_is_dropped_after_the_window_also_where_nothing_is_repeated() -> None:
+    """Guards against a record for each request since the last extra attempt: memory that grows for days."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S, 0.0)
+    for number in range(10_000):
+        budget.record_request(number * STEP_S)
+    assert len(budget.requests) <= WINDOW_S / STEP_S + 1
