--- a/tests/soak_client.py
+++ b/tests/soak_client.py
@@ -42,6 +42,7 @@
     sent_at: float
     over_at: float
     manner: str
+    rested_s: float  # before it was sent, on its connection; 0 for the first one
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,7 @@
         self.name, self.random, self.heads, self.done = name, Random(seed), heads, done
         self.stopping = False
         self.number = 0
+        self.rested_s = 0.0  # the connection in use, before the request under way
 
     async def run(self) -> None:
         """Make requests, one behind the other, until told to stop. `heads` names those that get new connections."""
@@ -115,10 +117,14 @@
                     await writer.wait_closed()
 
     async def _use(self, head: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
         first = True
+        self.rested_s = 0.0
         while not self.stopping and await self._turn(head, first, reader, writer):
             first = False
+            answered_at = loop.time()
             await asyncio.sleep(self.random.choice(BACKOFFS_S))
+            self.rested_s = loop.time() - answered_at
 
     async def _turn(self, head: int, first: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Make requests in one manner; tells whether the connection may be used again."""
@@ -198,6 +204,7 @@
                 sent_at,
                 asyncio.get_running_loop().time(),
                 manner.name,
+                self.rested_s,
             )
         )
 
