--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -4,6 +4,7 @@
 
 import os
 
+from tests.acknowledgement_mutants import ACKNOWLEDGEMENT_MUTANTS
 from tests.coordination_mutants import COORDINATION
 from tests.counter_mutants import COUNTER_MUTANTS
 from tests.decision_mutants import DECISIONS
@@ -15,6 +16,7 @@
 
 CHOSEN = "HOPHINGE_MUTANT"
 MUTANTS = (
+    *ACKNOWLEDGEMENT_MUTANTS,
     *COORDINATION,
     *COUNTER_MUTANTS,
     *DECISIONS,
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -15,6 +15,7 @@
 
 
 NOTHING = {"service": "s", "weight": 0}
+ENGINE = {"slots": 8, "kv-cache-tokens": 5_000, "handle-ttl-s": 5.0}
 
 
 def _document(**changes: Any) -> dict[str, Any]:
@@ -76,6 +77,10 @@
         ({"services": [{"name": "s", "cold-per-s": "3"}]}, "services.0.cold-per-s"),
         ({"services": [{"name": "s"}, {"name": "s"}]}, "services.1.name"),
         ({"services": [{"name": "s", "tls": True}]}, "services.0.tls"),
+        ({"services": [{"name": "s", "max-connections": "3"}]}, "services.0.max-connections"),
+        ({"services": [{"name": "s", "engine": {**ENGINE, "slots": "8"}}]}, "services.0.engine.slots"),
+        ({"services": [{"name": "s", "engine": {**ENGINE, "models": ["m"]}}]}, "services.0.engine.models.0"),
+        ({"routes": [_route(**{"session-affinity": 1})]}, "routes.0.session-affinity"),
         ({"routes": [_route(host="a.example:80")]}, "routes.0.host"),
         ({"routes": [_route(**{"path-prefix": "/x"})]}, "routes.0.path-prefix"),
         ({"version": 0}, "version"),
