Reading and judging a configuration take less processor time

Change: numbers and texts of the right type are read in one step, paths are put together for findings alone, the judge parses once for the heads' reader and for repeated names, hosts and plain prefixes are found valid at once.

--- a/hophinge/fleet/configuration/document.py
+++ b/hophinge/fleet/configuration/document.py
@@ -10,6 +10,7 @@
 import re
 from collections import Counter
 from collections.abc import Iterator, Set
+from functools import lru_cache
 from typing import Annotated, Any, Literal
 
 from expression import Error, Ok, Result
@@ -19,7 +20,7 @@
 from hophinge.fleet.configuration.route_table_reader import (
     MAX_INTEGER,
     UnreadableDocumentError,
-    read_route_table,
+    read_parsed_document,
 )
 
 MAX_FINDINGS = 50  # reported of one document
@@ -38,8 +39,11 @@
 _PATH = re.compile(r"/(?:[A-Za-z0-9._~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*")
 _PATH_AND_QUERY = re.compile(_PATH.pattern + r"(?:\?(?:[A-Za-z0-9._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*)?")
 _DOT_SEGMENTS = {".", ".."}
+# The prefixes of nearly all routes, so that they are found valid in one step.
+_PLAIN_PREFIX = re.compile(r"/(?:[A-Za-z0-9_-]+/)*")
 
 
+@lru_cache(maxsize=64)  # most routes of a document have one of a few hosts
 def _validate_host(host: str) -> str:
     if not _HOST.fullmatch(host):
         raise ValueError("is not a host name or address without a port")
@@ -47,6 +51,8 @@
 
 
 def _validate_prefix(prefix: str) -> str:
+    if _PLAIN_PREFIX.fullmatch(prefix):
+        return prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError("does not begin and end with a slash")
     if not _PATH.fullmatch(prefix):
@@ -183,9 +189,11 @@
         document = DocumentModel.model_validate_json(data)
     except ValidationError as error:
         return Error(tuple(_schema_findings(error))[:MAX_FINDINGS])
-    findings = (*_check_json(data), *_check_references(document))
-    if not findings:
-        findings = _check_reader(data)
+    try:
+        raw = _parse_strictly(data)
+    except AmbiguousJsonError as error:
+        return Error((Finding(error.field, str(error)),))
+    findings = tuple(_check_references(document)) or _check_reader(raw)
     return Error(findings[:MAX_FINDINGS]) if findings else Ok(document)
 
 
@@ -195,31 +203,48 @@
         yield Finding(".".join(map(str, detail["loc"])) or "document", message)
 
 
-def _check_json(data: bytes) -> Iterator[Finding]:
-    """Find what JSON readers take in different ways: repeated names, and numbers that JSON does not have."""
-    try:
-        json.loads(data, object_pairs_hook=_check_object, parse_constant=NotANumber)
-    except AmbiguousJsonError as error:
-        yield Finding(error.field, str(error))
+class StrictObjects:
+    """Builds the objects of one JSON text, and rejects what readers take in different ways."""
+
+    def __init__(self) -> None:
+        self.has_constants = False
+
+    def constant(self, text: str) -> NotANumber:
+        """Return a constant that is not JSON; the object that holds it is rejected, as its name is known there."""
+        self.has_constants = True
+        return NotANumber(text)
+
+    def build(self, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        """Return an object.
+
+        Raises:
+            AmbiguousJsonError: A name stands there twice, or a value is no number in JSON.
+
+        """
+        fields = dict(pairs)
+        if len(fields) < len(pairs):
+            name = Counter(name for name, _ in pairs).most_common(1)[0][0]
+            raise AmbiguousJsonError(name, "stands more than once in an object")
+        if self.has_constants:
+            self._reject_constants(pairs)
+        return fields
+
+    def _reject_constants(self, pairs: list[tuple[str, Any]]) -> None:
+        for name, value in pairs:
+            values = value if isinstance(value, list) else [value]
+            if any(isinstance(one, NotANumber) for one in values):
+                raise AmbiguousJsonError(name, "is not a number in JSON")
 
 
-def _check_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    fields = dict(pairs)
-    if len(fields) < len(pairs):
-        name = Counter(name for name, _ in pairs).most_common(1)[0][0]
-        raise AmbiguousJsonError(name, "stands more than once in an object")
-    for name, value in pairs:
-        if isinstance(value, NotANumber) or (
-            isinstance(value, list) and any(isinstance(one, NotANumber) for one in value)
-        ):
-            raise AmbiguousJsonError(name, "is not a number in JSON")
-    return fields
+def _parse_strictly(data: bytes) -> Any:
+    objects = StrictObjects()
+    return json.loads(data, object_pairs_hook=objects.build, parse_constant=objects.constant)
 
 
-def _check_reader(data: bytes) -> Findings:
+def _check_reader(raw: object) -> Findings:
     """Return what the heads' reader does not take as it stands."""
     try:
-        return read_route_table(data).findings
+        return read_parsed_document(raw).findings
     except UnreadableDocumentError as error:
         return (Finding("document", str(error)),)
 
--- a/hophinge/fleet/configuration/route_table_reader.py
+++ b/hophinge/fleet/configuration/route_table_reader.py
@@ -19,7 +19,7 @@
 
 MAX_INTEGER = 2**53 - 1  # the largest that all JSON readers agree on (RFC 8259, section 6)
 MILLISECONDS = 1_000
-DEFAULT_TARGET_MS = 1_000
+DEFAULT_TARGET_MS = 1_000.0
 DEFAULT_LIMITS = Limits()
 
 
@@ -65,14 +65,22 @@
 class ObjectReader:
     """Reads the fields of one JSON object by type, and collects what is wrong with them."""
 
-    def __init__(self, raw: object, path: str, findings: list[Finding]) -> None:
-        self.path = path
+    __slots__ = ("fields", "findings", "index", "parent_path")
+
+    def __init__(self, raw: object, parent_path: str, findings: list[Finding], index: int | None = None) -> None:
+        self.parent_path = parent_path
+        self.index = index  # of the object, where the parent is a list
         self.findings = findings
         if not isinstance(raw, dict):
             self.add_finding("", "is not an object")
             raise UnreadablePartError
         self.fields: dict[str, Any] = raw
 
+    @property
+    def path(self) -> str:
+        """The path of the object."""
+        return self.parent_path if self.index is None else f"{self.parent_path}.{self.index}"
+
     def path_of(self, name: str) -> str:
         """Return the path of a field; with an empty name, that of the object itself."""
         return ".".join(part for part in (self.path, name) if part)
@@ -84,7 +92,7 @@
     def text(self, name: str, default: str | None = None) -> str:
         """Read a string."""
         value = self.fields.get(name, default)
-        if isinstance(value, str):
+        if type(value) is str:
             return value
         self.add_finding(name, "is not a string")
         if default is None:
@@ -93,10 +101,21 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         """Read a number; null is as good as nothing where there is a default."""
+        value: Any = self.fields.get(name)
+        kind = type(value)
+        if (kind is int or kind is float) and -MAX_INTEGER <= value <= MAX_INTEGER:  # documents have many numbers
+            return float(value)
+        if value is None and default is not None:
+            return default
         return float(self._numeric(name, default, _is_number, "is not a number"))
 
     def integer(self, name: str, default: int | None = None) -> int:
         """Read a whole number; null is as good as nothing where there is a default."""
+        value: Any = self.fields.get(name)
+        if type(value) is int and -MAX_INTEGER <= value <= MAX_INTEGER:
+            return value
+        if value is None and default is not None:
+            return default
         return int(self._numeric(name, default, _is_integer, "is not a whole number"))
 
     def _numeric(
@@ -137,12 +156,24 @@
         UnreadableDocumentError: The document is not a JSON object with a version.
 
     """
-    findings: list[Finding] = []
     try:
-        reader = ObjectReader(json.loads(document), "", findings)
-        version = reader.integer("version")
+        raw = json.loads(document)
     except (ValueError, RecursionError) as error:
         raise UnreadableDocumentError(f"not readable as JSON: {error}") from error
+    return read_parsed_document(raw)
+
+
+def read_parsed_document(raw: object) -> ReadRouteTable:
+    """Read the route table of a document that was parsed as JSON.
+
+    Raises:
+        UnreadableDocumentError: The document is not an object with a version.
+
+    """
+    findings: list[Finding] = []
+    try:
+        reader = ObjectReader(raw, "", findings)
+        version = reader.integer("version")
     except UnreadablePartError as error:
         raise UnreadableDocumentError("; ".join(map(str, findings))) from error
     services = _read_services(reader)
@@ -159,7 +190,7 @@
     services: list[Service] = []
     for index, raw in enumerate(document.items("services")):
         try:
-            services.append(_read_service(ObjectReader(raw, f"services.{index}", document.findings)))
+            services.append(_read_service(ObjectReader(raw, "services", document.findings, index)))
         except UnreadablePartError:
             continue
     return services
@@ -198,7 +229,7 @@
     routes: list[Route] = []
     for index, raw in enumerate(document.items("routes")):
         try:
-            reader = ObjectReader(raw, f"routes.{index}", document.findings)
+            reader = ObjectReader(raw, "routes", document.findings, index)
             host, prefix = reader.text("host"), reader.text("path-prefix")
         except UnreadablePartError:
             continue
@@ -218,7 +249,7 @@
         route_type=reader.text("route-type", "safe"),
         timeout_s=reader.number("timeout-ms") / MILLISECONDS,
         target_s=reader.number("target-latency-ms", DEFAULT_TARGET_MS) / MILLISECONDS,
-        gap_s=reader.number("gap_aim_ms", 0) / MILLISECONDS,
+        gap_s=reader.number("gap_aim_ms", 0.0) / MILLISECONDS,
         priority=reader.integer("priority", 0),
         max_attempts=reader.integer("max-attempts", 1),
         is_resumable=reader.flag("resumable"),
@@ -246,7 +277,11 @@
 
 def _read_targets(route: ObjectReader, services: Set[str]) -> WeightedServices:
     """Read the services of a route with their weights: those of its split, or else its only one."""
-    weights = _read_split(route) if route.fields.get("traffic-split") else [(route.text("service"), 1.0)]
+    if not route.fields.get("traffic-split"):
+        service = route.text("service")
+        if service in services:
+            return WeightedServices((service,), (1.0,))
+    weights = _read_split(route) if route.fields.get("traffic-split") else []
     known = [(service, weight) for service, weight in weights if weight > 0 and service in services]
     if not known:
         route.add_finding("", "leads to no service that can be read")
@@ -261,7 +296,7 @@
     weights: list[tuple[str, float]] = []
     for index, raw in enumerate(route.items("traffic-split")):
         try:
-            entry = ObjectReader(raw, route.path_of(f"traffic-split.{index}"), route.findings)
+            entry = ObjectReader(raw, route.path_of("traffic-split"), route.findings, index)
             weights.append((entry.text("service"), entry.number("weight")))
         except UnreadablePartError:
             continue
