--- a/tests/test_fleet_upstream.py
+++ b/tests/test_fleet_upstream.py
@@ -6,6 +6,7 @@
 import contextlib
 import errno
 import socket
+from dataclasses import replace
 
 import httpcore
 import pytest
@@ -75,9 +76,11 @@
     assert opened == 1
 
 
-def test_a_connection_with_bytes_behind_a_response_is_not_reused() -> None:
-    """The surplus arrives in one segment with the response, so the parser has read it before the next request."""
-    answers = {b"GET /surplus": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokno response at all"}
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+async def _sent_targets(calls: list[Call], answers: dict[bytes, bytes]) -> list[list[bytes]]:
+    """Send calls one after the other to a server that answers by target; return each connection's targets."""
     connections: list[list[bytes]] = []
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -86,23 +89,30 @@
         with contextlib.suppress(asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                received.append(head.split(b" HTTP", 1)[0])
-                writer.write(answers.get(received[-1], b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"))
+                received.append(head.split(b" ")[1])
+                writer.write(answers.get(received[-1], OK))
         writer.close()
 
-    async def play() -> None:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        upstream = Upstream()
-        for target in (b"/first", b"/surplus", b"/next"):
-            call = Call(address, b"GET", target, [(b"host", b"a")], b"", 5.0)
-            async with upstream.call("i-1", call) as response:
-                assert await response.aread() == b"ok"
-        await upstream.close()
-        server.close()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    upstream = Upstream()
+    for call in calls:
+        async with upstream.call("i-1", replace(call, address=address)) as response:
+            assert await response.aread() == b"ok"
+    await upstream.close()
+    server.close()
+    return connections
 
-    asyncio.run(play())
-    assert connections == [[b"GET /first", b"GET /surplus"], [b"GET /next"]]
+
+def _call(target: bytes, carriers: set[InstanceConnection] | None = None) -> Call:
+    return Call("", b"GET", target, [(b"host", b"a")], b"", 5.0, carriers)
+
+
+def test_a_connection_with_bytes_behind_a_response_is_not_reused() -> None:
+    """The surplus arrives in one segment with the response, so the parser has read it before the next request."""
+    calls = [_call(target) for target in (b"/first", b"/surplus", b"/next")]
+    connections = asyncio.run(_sent_targets(calls, {b"/surplus": OK + b"no response at all"}))
+    assert connections == [[b"/first", b"/surplus"], [b"/next"]]
 
 
 def test_a_silent_peer_is_found_by_the_kernel_within_a_fraction_of_a_client_s_patience() -> None:
@@ -159,29 +169,7 @@
 
 def test_a_request_is_never_sent_twice_on_one_connection() -> None:
     """A late answer to the first send would be taken for that to the second one: both have the request's id."""
-    connections: list[list[bytes]] = []
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        received: list[bytes] = []
-        connections.append(received)
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                received.append(head.split(b" ")[1])
-                writer.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
-        writer.close()
-
-    async def play() -> None:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        upstream = Upstream()
-        carriers: dict[bytes, set[InstanceConnection]] = {b"/a": set(), b"/b": set()}
-        for target in (b"/a", b"/b", b"/a", b"/b", b"/b"):
-            call = Call(address, b"GET", target, [(b"host", b"a")], b"", 5.0, carriers[target])
-            async with upstream.call("i-1", call) as response:
-                await response.aread()
-        await upstream.close()
-        server.close()
-
-    asyncio.run(play())
+    carriers: dict[bytes, set[InstanceConnection]] = {b"/a": set(), b"/b": set()}
+    calls = [_call(target, carriers[target]) for target in (b"/a", b"/b", b"/a", b"/b", b"/b")]
+    connections = asyncio.run(_sent_targets(calls, {}))
     assert connections == [[b"/a", b"/b"], [b"/a", b"/b"], [b"/b"]]
