A connection counts as having carried a request from its send on, not from its choice

Cause: a connection was entered among those that had carried a request before it was claimed. One that turned out to be in use, or retired, could then be closed on the request's next try though nothing had been sent on it.

Change: it is entered behind the claim, directly before the send.

--- a/hophinge/fleet/dataplane/connections.py
+++ b/hophinge/fleet/dataplane/connections.py
@@ -99,6 +99,7 @@
             raise InstanceEndedError("the instance has ended")
         await self._refuse_second_send(request)
         self._claim(request)
+        request.extensions[CARRIERS].add(self)
         was_idle_s = self.idle_s()
         self.idle_since = None
         try:
@@ -113,11 +114,9 @@
 
     async def _refuse_second_send(self, request: httpcore.Request) -> None:
         """Close the connection instead of sending a request on it again: an answer to the first send may still come."""
-        carriers: set[InstanceConnection] = request.extensions[CARRIERS]
-        if self in carriers:
+        if self in request.extensions[CARRIERS]:
             await self.aclose()
             raise httpcore.ConnectionNotAvailable
-        carriers.add(self)
 
     def _claim(self, request: httpcore.Request) -> None:
         left_s = request.extensions["timeout"]["read"]
--- a/tests/test_fleet_upstream.py
+++ b/tests/test_fleet_upstream.py
@@ -12,10 +12,12 @@
 import pytest
 
 from hophinge.fleet.dataplane.connections import (
+    CARRIERS,
     DEFAULT_MAX_IDLE_S,
     KEEP_ALIVE_FRACTION,
     InstanceConnection,
     InstanceEndedError,
+    InstancePool,
 )
 from hophinge.fleet.dataplane.upstream import Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.headers import Fields, keep_alive_timeout_s
@@ -173,3 +175,18 @@
     calls = [_call(target, carriers[target]) for target in (b"/a", b"/b", b"/a", b"/b", b"/b")]
     connections = asyncio.run(_sent_targets(calls, {}))
     assert connections == [[b"/a", b"/b"], [b"/a", b"/b"], [b"/b"]]
+
+
+def test_a_connection_that_could_not_take_a_request_may_take_it_later() -> None:
+    """Guards against a connection that is closed for a request that was never sent on it."""
+
+    async def play() -> set[InstanceConnection]:
+        connection = InstanceConnection(InstancePool(), httpcore.Origin(b"http", b"127.0.0.1", 9))
+        assert connection.claims.acquire(5.0) is not None, "another request is on it"
+        carriers: set[InstanceConnection] = set()
+        extensions = {"timeout": {"read": 5.0}, CARRIERS: carriers}
+        with pytest.raises(httpcore.ConnectionNotAvailable):
+            await connection.handle_async_request(httpcore.Request("GET", "http://127.0.0.1:9/", extensions=extensions))
+        return carriers
+
+    assert asyncio.run(play()) == set()
