Surplus responses are read past, and the request's own response is awaited behind them

Cause: an instance may send a response once more, late, where the next one is due. The head told it apart by its id, but then gave the request up and closed the connection: 502 for an unsafe request that ran and whose instance answered, a second run, an attempt and a share of the retry budget for a safe one. A freed KV handle took any response for its own.

Change: one decision (forwarding/response_ownership.py) for generation, prefill, resumed streams and freed handles; a response to another request is read to its end, up to 8 of them and 1 MiB for one request, and the connection's next one is awaited until the deadline. Past the bound, without a length, truncated (no byte for 0.5 s) or no HTTP: as before. A connection with more than that is not reused. Counted by instance in the status; an instance that repeats many (at least 5 and 15 in 100 of the attempts in 10 s) is placed as one in trouble.

Two endings of tests/request_endings.py change sides. 'answer_for_another_first', another's response and then the own one, has to be served now with one run (it counted as lost). Endings whose own response is whole must now give 200 and one run in every phase, which was not asserted before.

--- a/hophinge/fleet/dataplane/connections.py
+++ b/hophinge/fleet/dataplane/connections.py
@@ -5,12 +5,15 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
 from typing import Protocol, cast
 
 import httpcore
 
+from hophinge.fleet.dataplane.surplus_responses import ForeignResponseError, read_past
 from hophinge.fleet.forwarding.claims import Claims
 from hophinge.fleet.forwarding.headers import Fields, keep_alive_timeout_s
+from hophinge.fleet.forwarding.response_ownership import ResponseOwner, SurplusTally, response_owner
 
 MAX_CONNECTIONS = 48  # of one data plane to one instance
 MAX_IDLE = 16
@@ -30,8 +33,16 @@
 )
 CONNECTION_ERRORS = (httpcore.NetworkError, httpcore.RemoteProtocolError)
 
+CONTEXT = "hophinge-context"  # the extension of a request that holds its RequestContext
 
-CARRIERS = "hophinge-carriers"  # the extension of a request that holds the connections it was sent on
+
+@dataclass(slots=True, eq=False)
+class RequestContext:
+    """What the attempts of one request share: they have one id, so their responses cannot be told apart by it."""
+
+    request_id: str | None = None
+    carriers: set[InstanceConnection] = field(default_factory=set)  # that the request was sent on
+    surplus: SurplusTally = field(default_factory=SurplusTally)
 
 
 class InstanceEndedError(httpcore.ConnectError):
@@ -73,7 +84,8 @@
 
     Bytes behind a complete response belong to no request. httpcore itself finds those that are still in the socket;
     those that its parser has read and not used, it would take for the next request's response. Those that arrive
-    later are told apart by the id of the request, so that no request is sent twice on one connection.
+    later are told apart by the id of the request, so that no request is sent twice on one connection; those of other
+    requests are read past.
 
     httpcore's pool closes connections whether they are in use or not: when it is closed itself, and when a request was
     assigned an idle one and has not begun on it yet. Here such a close waits for the end of the request.
@@ -85,36 +97,71 @@
         self.idle_since: float | None = None
         self.claims = Claims()
         self.claim_id: int | None = None  # of the request in flight
+        self.has_carried_unidentified = False  # a request without an id, whose response has none either
+        self.surplus = SurplusTally()
 
     async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
-        """Send a request; where it finds the connection dead, the pool learns how long connections may be idle.
+        """Send a request and return its own response, whatever surplus ones come before it.
 
         Raises:
             InstanceEndedError: The instance has unregistered.
+            ForeignResponseError: What came is not the request's response, and its own cannot be awaited.
             httpcore.ConnectionNotAvailable: The connection is retired or in use, or has carried the request before; the
                 pool then tries another one.
 
         """
         if self.pool.claims.is_retired:
             raise InstanceEndedError("the instance has ended")
-        await self._refuse_second_send(request)
+        context: RequestContext = request.extensions[CONTEXT]
+        await self._refuse_second_send(context)
         self._claim(request)
-        request.extensions[CARRIERS].add(self)
-        was_idle_s = self.idle_s()
-        self.idle_since = None
+        context.carriers.add(self)
         try:
-            response = await super().handle_async_request(request)
-        except BaseException as error:  # broad: the claim is released whatever failed, cancellation included
-            if isinstance(error, CONNECTION_ERRORS) and was_idle_s > 0:
-                self.pool.record_dead_connection(was_idle_s)
+            response = await self._receive_own_response(request, await self._send(request), context)
+        except BaseException:  # broad: the claim is released whatever failed, cancellation included
             await self.release()
             raise
+        self.has_carried_unidentified = self.has_carried_unidentified or context.request_id is None
         response.stream = ReleasingStream(cast(ResponseStream, response.stream), self)
         return response
 
-    async def _refuse_second_send(self, request: httpcore.Request) -> None:
-        """Close the connection instead of sending a request on it again: an answer to the first send may still come."""
-        if self in request.extensions[CARRIERS]:
+    async def _send(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request; where it finds the connection dead, the pool learns how long connections may be idle."""
+        was_idle_s = self.idle_s()
+        self.idle_since = None
+        try:
+            return await super().handle_async_request(request)
+        except CONNECTION_ERRORS:
+            if was_idle_s > 0:
+                self.pool.record_dead_connection(was_idle_s)
+            raise
+
+    async def _receive_own_response(
+        self, request: httpcore.Request, response: httpcore.Response, context: RequestContext
+    ) -> httpcore.Response:
+        """Return the request's own response: the first one to arrive, or one behind surplus responses.
+
+        Raises:
+            ForeignResponseError: The first one is neither, or there are more surplus ones than are read past.
+
+        """
+        while True:
+            owner = response_owner(response.headers, context.request_id, self.has_carried_unidentified)
+            if owner is ResponseOwner.REQUEST:
+                return response
+            if owner is ResponseOwner.UNKNOWN:
+                raise ForeignResponseError("a response to no request that was sent here")
+            self.surplus.add_response()
+            context.surplus.add_response()
+            self.pool.surplus_responses += 1
+            if context.surplus.is_over:
+                raise ForeignResponseError("too many surplus responses")
+            inner = cast(httpcore.AsyncHTTP11Connection, self._connection)
+            response = await read_past(inner, request, response, (context.surplus, self.surplus))
+
+    async def _refuse_second_send(self, context: RequestContext) -> None:
+        """Close the connection instead of sending a request on it again: a response to the first may still come."""
+        if self in context.carriers:
             await self.aclose()
             raise httpcore.ConnectionNotAvailable
 
@@ -150,7 +197,7 @@
         return 0.0 if self.idle_since is None else asyncio.get_running_loop().time() - self.idle_since
 
     def _is_unusable(self) -> bool:
-        return self.idle_s() > self.pool.max_idle_s or self._has_surplus()
+        return self.idle_s() > self.pool.max_idle_s or self.surplus.is_over or self._has_surplus()
 
     def _has_surplus(self) -> bool:
         connection = self._connection
@@ -180,6 +227,7 @@
         self.max_idle_s = DEFAULT_MAX_IDLE_S
         self.learned_max_idle_s = float("inf")  # learned from connections that were dead when reused
         self.claims = Claims()
+        self.surplus_responses = 0  # that were met on its connections
         self.created: set[InstanceConnection] = (
             set()
         )  # that may still be open, including those in use after a retirement
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -8,7 +8,7 @@
 import anyio
 import httpcore
 
-from hophinge.fleet.dataplane.connections import InstanceConnection
+from hophinge.fleet.dataplane.connections import RequestContext
 from hophinge.fleet.dataplane.upstream import UPSTREAM_ERRORS, UNSENT_ERRORS, Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.aborted_responses import AbortSide, RequestPhase
 from hophinge.fleet.forwarding.events import EventReader
@@ -29,7 +29,6 @@
     AttemptOutcome,
     KvHandle,
     AttemptResult,
-    belongs_to_request,
     may_forward_status,
     is_signed,
     unexecuted_outcome,
@@ -101,7 +100,8 @@
         self.phase = RequestPhase.CHOOSING
         self.instance = ""  # of the latest attempt
         self.failure: AttemptFailure | None = None  # of the latest attempt
-        self.carriers: set[InstanceConnection] = set()  # that the request was sent on
+        self.context = RequestContext(inbound.request_id)
+        self.recorded_surplus = 0  # surplus responses, of the attempts so far
 
     async def run(self) -> None:
         """Run attempts until the client has its response; then free the KV handles that were not used."""
@@ -130,6 +130,7 @@
                 result = await (self._prefill(step) if isinstance(step, Prefill) else self._generate(step))
             finally:
                 is_complete = self.lifecycle.complete_attempt(self.loop.time(), step.reservation, result)
+                self._record_surplus(step.reservation)
             if is_complete:
                 return result.outcome.name
             self._enter_phase(RequestPhase.CHOOSING)
@@ -140,6 +141,12 @@
         await self._answer(step.status, b"", [*headers, *self._close_fields()])
         return f"refused {step.status}"
 
+    def _record_surplus(self, reservation: Reservation) -> None:
+        """Record the surplus responses that the attempt met."""
+        surplus = self.context.surplus.responses - self.recorded_surplus
+        self.recorded_surplus += surplus
+        reservation.node.surplus_rate.record_attempt(self.loop.time(), surplus)
+
     async def _answer(self, status: int, body: bytes, fields: Fields) -> None:
         """Send the complete response to the client."""
         await answer(self.send, status, body, fields)
@@ -165,7 +172,7 @@
             fields.append((PRIORITY, str(step.priority).encode()))
         inbound = self.inbound
         return Call(
-            node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s, self.carriers
+            node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s, self.context
         )
 
     # --- prefill -------------------------------------------------------------------------------------------------
@@ -175,9 +182,6 @@
         call = self._build_call(step, [(SERVING_STAGE, b"prefill")])
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
-                if not belongs_to_request(response.headers, self.inbound.request_id):
-                    # Left unread, so that its connection is closed: this request's response may follow on it.
-                    return AttemptResult(AttemptOutcome.UNKNOWN)
                 body = await response.aread()
                 refused = unexecuted_outcome(response.status, response.headers)
                 if refused is not None:
@@ -227,8 +231,6 @@
         self, reservation: Reservation, response: httpcore.Response, reader: EventReader
     ) -> AttemptResult:
         fields = response.headers
-        if not belongs_to_request(fields, self.inbound.request_id):
-            return self._reject_response("the answer is another request's")
         refused = unexecuted_outcome(response.status, fields)
         if refused is not None:
             await response.aread()
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -134,6 +134,7 @@
                     "state": node.instance.state,
                     "out": node.outstanding,
                     "rests": node.is_ejected(now),
+                    "surplus": self.upstream.surplus_responses(identity),
                 }
                 for identity, node in sorted(self.placement.nodes.items())
             },
@@ -253,5 +254,6 @@
             raise
         finally:
             self.metrics.record(exchange.lifecycle.trace)
+            self.metrics.record_surplus(exchange.context.surplus.responses)
             if self.placement.policy.trace:
                 request_log.log_request(exchange.lifecycle.trace, exchange.lifecycle.prompt, self.settings.zone)
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -10,7 +10,7 @@
 
 import httpcore
 
-from hophinge.fleet.dataplane.connections import CARRIERS, InstanceConnection, InstanceEndedError, InstancePool
+from hophinge.fleet.dataplane.connections import CONTEXT, InstanceEndedError, InstancePool, RequestContext
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
 
@@ -44,7 +44,7 @@
     fields: Fields
     body: bytes
     timeout_s: float  # until the request is cancelled
-    carriers: set[InstanceConnection] | None = None  # that carried the request; None for one that is sent once
+    context: RequestContext | None = None  # None for a request that has no id and is sent once
 
 
 class Upstream:
@@ -75,6 +75,7 @@
 
         Raises:
             InstanceEndedError: The instance has unregistered; nothing was sent.
+            ForeignResponseError: What came is not the request's response, and its own cannot be awaited.
             httpcore.ConnectError, httpcore.NetworkError, ...: As httpcore raises them.
 
         """
@@ -87,7 +88,7 @@
             "write": call.timeout_s,
         }
         fields = [*call.fields, (b"content-length", str(len(call.body)).encode())]
-        extensions = {"timeout": timeout, CARRIERS: set() if call.carriers is None else call.carriers}
+        extensions = {"timeout": timeout, CONTEXT: call.context or RequestContext()}
         request = httpcore.Request(call.method, url, headers=fields, content=call.body, extensions=extensions)
         pool = self._pool(identity)
         claim = pool.claims.acquire(asyncio.get_running_loop().time() + call.timeout_s)
@@ -122,8 +123,8 @@
         target = f"/v1/kv-handle/{handle.identity}".encode()
         expected = [(EXPECTED_INSTANCE, handle.instance.encode()), (b"host", handle.address.encode())]
         call = Call(handle.address, b"DELETE", target, expected, b"", FREE_TIMEOUT_S)
-        with contextlib.suppress(*UPSTREAM_ERRORS):
-            async with self.call(handle.instance, call) as response:
+        with contextlib.suppress(TimeoutError, *UPSTREAM_ERRORS):
+            async with asyncio.timeout(FREE_TIMEOUT_S), self.call(handle.instance, call) as response:
                 await response.aread()
 
     def unregistered_s(self, now: float, identity: str) -> float | None:
@@ -136,6 +137,11 @@
         pool = self.pools.get(identity)
         return len(pool.connections) if pool is not None else 0
 
+    def surplus_responses(self, identity: str) -> int:
+        """Return the number of surplus responses that were met on connections to an instance."""
+        pool = self.pools.get(identity)
+        return pool.surplus_responses if pool is not None else 0
+
     def reinstate(self, identity: str) -> None:
         """Give an instance that was taken for unregistered a new pool, beside the requests still in flight."""
         if self.unregistered.pop(identity, None) is not None:
--- a/hophinge/fleet/forwarding/attempt_results.py
+++ b/hophinge/fleet/forwarding/attempt_results.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from hophinge.fleet.forwarding.headers import NOT_EXECUTED, REQUEST_ID, SIGNATURE, Fields, find_field
+from hophinge.fleet.forwarding.headers import NOT_EXECUTED, SIGNATURE, Fields, find_field
 
 MISDIRECTED = 421
 # To a client these and 421 say that its request has not run and never will.
@@ -70,11 +70,6 @@
     return status not in NOT_EXECUTED_STATUSES
 
 
-def belongs_to_request(fields: Fields, request_id: str | None) -> bool:
-    """Return whether a response is this request's: a surplus one has another's id."""
-    return request_id is None or find_field(fields, REQUEST_ID) == request_id
-
-
 def is_signed(fields: Fields) -> bool:
     """Return whether a successful response has the instance's signature."""
     return find_field(fields, SIGNATURE) is not None
--- a/hophinge/fleet/forwarding/request_metrics.py
+++ b/hophinge/fleet/forwarding/request_metrics.py
@@ -18,11 +18,16 @@
     def __init__(self) -> None:
         self.outcomes: Counter[str] = Counter()
         self.refusals: Counter[str] = Counter()
+        self.surplus = 0
         self.prefills = 0
         self.late_prefills = 0
         self.forecast_s = 0.0
         self.actual_s = 0.0
 
+    def record_surplus(self, count: int) -> None:
+        """Record the surplus responses that a request's attempts met."""
+        self.surplus += count
+
     def record(self, trace: RequestTrace) -> None:
         """Record a completed request."""
         self.outcomes[_outcome_name(trace)] += 1
@@ -45,6 +50,7 @@
         return {
             "endings": dict(sorted(self.outcomes.items())),
             "refusals": dict(sorted(self.refusals.items())),
+            "surplus-responses": self.surplus,
             "reads": self.prefills,
             "reads-over-100-ms-late": self.late_prefills,
             "read-forecast-ms": round(self.forecast_s / reads * MILLISECONDS, 1),
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -9,6 +9,7 @@
 from hophinge.fleet.placement.hints import EngineReport
 from hophinge.fleet.placement.prompt import Prompt, PromptSegment
 from hophinge.fleet.placement.queue import WorkQueue
+from hophinge.fleet.placement.surplus_rate import SurplusRate
 from hophinge.fleet.registry.instance import LOST, READY, Instance
 
 MICROSECONDS = 1_000_000
@@ -80,6 +81,7 @@
         self.unit_us: float | None = None  # learned service time per unit
         self.consecutive_failures = 0
         self.ejected_until = 0.0
+        self.surplus_rate = SurplusRate()
         self.last_answer_at = float("-inf")
         self.last_report: EngineReport | None = None
         self.tokens_since_report = 0  # of memory, for requests placed since the last report
@@ -123,8 +125,8 @@
         )
 
     def is_ejected(self, now: float) -> bool:
-        """Return whether it gets no requests for now, after a failure."""
-        return now < self.ejected_until
+        """Return whether it gets no requests for now, after a failure or many surplus responses."""
+        return now < self.ejected_until or self.surplus_rate.is_avoided(now)
 
     def record_failure(self, now: float) -> None:
         """Eject the instance after a failed attempt, for longer with each; earlier answers no longer count."""
--- a/tests/acknowledgement_mutants.py
+++ b/tests/acknowledgement_mutants.py
@@ -87,7 +87,7 @@
     Mutant(
         "a request is sent twice on one connection",
         "fleet/dataplane/connections",
-        "        if self in request.extensions[CARRIERS]:",
+        "        if self in context.carriers:",
         "        if False:",
         UPSTREAM + "test_a_request_is_never_sent_twice_on_one_connection",
     ),
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -15,8 +15,58 @@
 LIFECYCLE = "tests/test_fleet_request_lifecycle.py::"
 UPSTREAM = "tests/test_fleet_upstream.py::"
 STEPS = "tests/test_fleet_failing_steps.py::"
+SURPLUS = "tests/test_fleet_surplus_responses.py::"
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a surplus response costs the request behind it its own",
+        "fleet/dataplane/connections",
+        "            if context.surplus.is_over:",
+        "            if True:",
+        SURPLUS + "test_as_many_surplus_responses_as_the_bound_are_read_past",
+    ),
+    Mutant(
+        "surplus responses are read past without a bound",
+        "fleet/forwarding/response_ownership",
+        "        return self.responses > MAX_SURPLUS_RESPONSES or self.size_bytes > MAX_SURPLUS_BYTES",
+        "        return False",
+        SURPLUS + "test_what_cannot_be_read_past_fails_the_request_at_once_and_closes_the_connection",
+    ),
+    Mutant(
+        "a connection with many surplus responses is reused",
+        "fleet/dataplane/connections",
+        "self.idle_s() > self.pool.max_idle_s or self.surplus.is_over or",
+        "self.idle_s() > self.pool.max_idle_s or",
+        SURPLUS + "test_a_connection_with_many_surplus_responses_is_not_reused",
+    ),
+    Mutant(
+        "a request without an id takes any response for its own",
+        "fleet/forwarding/response_ownership",
+        "    if response_id == request_id:",
+        "    if request_id in (None, response_id):",
+        SURPLUS + "test_a_freed_handle_takes_no_other_request_s_response_for_its_own",
+    ),
+    Mutant(
+        "the surplus response of a freed handle is nobody's",
+        "fleet/dataplane/connections",
+        "        self.has_carried_unidentified = self.has_carried_unidentified or context.request_id is None",
+        "        self.has_carried_unidentified = False",
+        SURPLUS + "test_the_surplus_response_of_a_freed_handle_is_read_past",
+    ),
+    Mutant(
+        "a truncated surplus response is awaited for as long as the request",
+        "fleet/dataplane/surplus_responses",
+        'extensions={"timeout": {"read": STALL_TIMEOUT_S}}',
+        'extensions={"timeout": {"read": 60.0}}',
+        SURPLUS + "test_what_cannot_be_read_past_fails_the_request_at_once_and_closes_the_connection",
+    ),
+    Mutant(
+        "an instance that repeats many responses is placed like any other",
+        "fleet/placement/node",
+        "now < self.ejected_until or self.surplus_rate.is_avoided(now)",
+        "now < self.ejected_until",
+        SURPLUS + "test_an_avoided_instance_counts_as_one_in_trouble_until_it_is_over",
+    ),
     Mutant(
         "a prompt is read by a decode instance where its group cannot pass it on",
         "fleet/placement/placement",
--- a/tests/request_endings.py
+++ b/tests/request_endings.py
@@ -168,7 +168,6 @@
     closed_after_the_run,
     silence,
     answer_for_another,
-    answer_for_another_first,
     garbage,
     no_length_and_reset,
     half_an_answer,
@@ -185,8 +184,10 @@
     surplus_bytes,
     no_length,
     interim_answers,
+    answer_for_another_first,
     status(500, executed=True, more=STAMP),
     status(504, executed=True, more=STAMP),
     status(400, executed=True, more=STAMP),
 )
-SILENCES = (silence, half_an_answer_and_silence)
+SILENCES = (silence, half_an_answer_and_silence, answer_for_another)
+OWN_ANSWER_IS_WHOLE = (two_answers, surplus_bytes, no_length, interim_answers, answer_for_another_first)
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -22,7 +22,7 @@
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import READY, Instance
-from tests.request_endings import NOT_RUN, RUN, SERVED, SILENCES
+from tests.request_endings import NOT_RUN, OWN_ANSWER_IS_WHOLE, RUN, SERVED, SILENCES
 from tests.scripted_instance import EVENTS, Ending, Script, ScriptedInstance
 
 UNSAFE = Route("r", "h", "/", "unsafe", 4.0, 0.5, 0.0, 1, 2, False, ("s",), (1.0,))
@@ -173,7 +173,10 @@
         harmless = ROUTES[kind].is_idempotent or stage == "prefill"
         if ending in NOT_RUN or (harmless and ending not in SILENCES and ending not in SERVED):
             assert client.status == 200, "what surely did not run, or may run twice, is served elsewhere"
+        runs = script.runs["plain-1"] + script.runs["stream-1"]
         if ending in SILENCES and not harmless:
-            assert script.runs["plain-1"] + script.runs["stream-1"] == 1
+            assert runs == 1
+        if ending in OWN_ANSWER_IS_WHOLE:
+            assert (client.status, client.whole, runs) == (200, True, 1), "an own answer that came is the client's"
 
     asyncio.run(asyncio.wait_for(run(), BOUND_S))
--- a/tests/test_fleet_upstream.py
+++ b/tests/test_fleet_upstream.py
@@ -12,12 +12,13 @@
 import pytest
 
 from hophinge.fleet.dataplane.connections import (
-    CARRIERS,
+    CONTEXT,
     DEFAULT_MAX_IDLE_S,
     KEEP_ALIVE_FRACTION,
     InstanceConnection,
     InstanceEndedError,
     InstancePool,
+    RequestContext,
 )
 from hophinge.fleet.dataplane.upstream import Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.headers import Fields, keep_alive_timeout_s
@@ -106,8 +107,8 @@
     return connections
 
 
-def _call(target: bytes, carriers: set[InstanceConnection] | None = None) -> Call:
-    return Call("", b"GET", target, [(b"host", b"a")], b"", 5.0, carriers)
+def _call(target: bytes, context: RequestContext | None = None) -> Call:
+    return Call("", b"GET", target, [(b"host", b"a")], b"", 5.0, context)
 
 
 def test_a_connection_with_bytes_behind_a_response_is_not_reused() -> None:
@@ -171,8 +172,8 @@
 
 def test_a_request_is_never_sent_twice_on_one_connection() -> None:
     """A late answer to the first send would be taken for that to the second one: both have the request's id."""
-    carriers: dict[bytes, set[InstanceConnection]] = {b"/a": set(), b"/b": set()}
-    calls = [_call(target, carriers[target]) for target in (b"/a", b"/b", b"/a", b"/b", b"/b")]
+    contexts = {b"/a": RequestContext(), b"/b": RequestContext()}
+    calls = [_call(target, contexts[target]) for target in (b"/a", b"/b", b"/a", b"/b", b"/b")]
     connections = asyncio.run(_sent_targets(calls, {}))
     assert connections == [[b"/a", b"/b"], [b"/a", b"/b"], [b"/b"]]
 
@@ -183,10 +184,10 @@
     async def play() -> set[InstanceConnection]:
         connection = InstanceConnection(InstancePool(), httpcore.Origin(b"http", b"127.0.0.1", 9))
         assert connection.claims.acquire(5.0) is not None, "another request is on it"
-        carriers: set[InstanceConnection] = set()
-        extensions = {"timeout": {"read": 5.0}, CARRIERS: carriers}
+        context = RequestContext()
+        extensions = {"timeout": {"read": 5.0}, CONTEXT: context}
         with pytest.raises(httpcore.ConnectionNotAvailable):
             await connection.handle_async_request(httpcore.Request("GET", "http://127.0.0.1:9/", extensions=extensions))
-        return carriers
+        return context.carriers
 
     assert asyncio.run(play()) == set()
