--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable, Mapping
 from hashlib import blake2b
@@ -10,8 +11,8 @@
 from pydantic import ValidationError
 
 from hophinge.coordination.registers import Change, Outcome
-from hophinge.fleet.configuration.document import validate_document
 from hophinge.fleet.configuration.findings import Findings
+from hophinge.fleet.configuration.judged_documents import JudgedDocuments, Judgement
 from hophinge.fleet.configuration.record import RECORD_KEY, compress_document, read_configuration_record
 from hophinge.fleet.controlplane.replica_host import ReplicaHost
 from hophinge.fleet.controlplane.schemas import HeartbeatBody
@@ -28,6 +29,7 @@
 MAX_HEARTBEAT_BYTES = 64 << 10
 CHANGE_TIMEOUT_S = 2.5  # for a change to complete, within the operator's bound on an acknowledgement
 READ_TIMEOUT_S = 2.0
+MILLISECONDS = 1_000
 JSON_TYPE = (b"content-type", b"application/json")
 RETRY_AFTER = (b"retry-after", b"0.2")
 
@@ -45,6 +47,7 @@
     def __init__(self, host: ReplicaHost, soft_state: SoftState) -> None:
         self.host = host
         self.soft_state = soft_state
+        self.judged_documents = JudgedDocuments()
         self.handlers: dict[str, PathHandler] = {}  # by path prefix
         self.path_handlers: dict[str, PathHandler] = {}  # by complete path
         self.status_sections: dict[str, Callable[[], object]] = {}  # further keys of the status
@@ -133,10 +136,10 @@
     async def _put_configuration(self, scope: Scope, receive: Receive, send: Send) -> None:
         body = await read_body(receive, MAX_CONFIGURATION_BYTES)
         base_version = _if_match(scope)
-        validated = validate_document(body)
-        version = self._version_in_force(body) if validated.is_error() else validated.ok.version
+        judgement = self._judge(body)
+        version = self._version_in_force(body) if judgement.is_error() else judgement.ok
         if version is None:
-            await _reject_configuration(send, validated.error)
+            await _reject_configuration(send, judgement.error)
             return
         if base_version is None:
             await answer(send, 400, _body(error="If-Match is missing or is not a version"), (JSON_TYPE,))
@@ -157,6 +160,15 @@
                 text = "nobody knows yet whether the change was taken: send it again"
                 await answer(send, 503, _body(error=text), (JSON_TYPE, RETRY_AFTER))
 
+    def _judge(self, body: bytes) -> Judgement:
+        """Judge a document, and log how long the event loop stood still for it."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        judgement = self.judged_documents.judge(body)
+        took_ms = (loop.time() - began) * MILLISECONDS
+        logger.info("configuration judged valid={} bytes={} took_ms={:.1f}", judgement.is_ok(), len(body), took_ms)
+        return judgement
+
     def _version_in_force(self, body: bytes) -> int | None:
         """Return the version of a document that is in force already; None for any other one.
 
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -29,6 +29,7 @@
 from hophinge.fleet.controlplane.soft_state import SOFT_STATE_TICK_S, SoftState
 from hophinge.fleet.controlplane.stage_controller import StageController
 from hophinge.fleet.placement.policy import PlacementPolicy
+from hophinge.fleet.event_loop import log_stall
 from hophinge.fleet.program import SETTINGS_REREAD_INTERVAL_S, Signals, Tasks, call_periodically, reread_settings
 from hophinge.fleet.settings import Settings, SettingsError
 from hophinge.fleet.transport.frames import Hello
@@ -61,11 +62,11 @@
         live_replicas = self.stage_controller.live_replicas
         self.report_collector = ReportCollector(self.soft_state, live_replicas, self.host.me.identity)
         self.counters = self._create_counters()
-        api = ControlApi(self.host, self.soft_state)
-        self._register_evacuations(api)
-        self._register_counters(api)
-        self.server = HttpServer(api)
-        api.connection_outcomes = self.server.context.close_reasons
+        self.api = ControlApi(self.host, self.soft_state)
+        self._register_evacuations(self.api)
+        self._register_counters(self.api)
+        self.server = HttpServer(self.api)
+        self.api.connection_outcomes = self.server.context.close_reasons
 
     def _register_evacuations(self, api: ControlApi) -> None:
         evacuations = EvacuationApi(
@@ -106,6 +107,7 @@
                 self.stage_controller.apply_lease(update.register)
             if update.key == RECORD_KEY:
                 logger.info("configuration applied version={}", update.register.version)
+                self.api.judged_documents.record_committed(update.register.payload, update.register.version)
                 record = configuration_record(update.sequence, update.register.payload)
                 self.soft_state.publish_register(record)
             if update.key.startswith(EVACUATION_PREFIX):
@@ -139,7 +141,7 @@
         assert self.settings.control_address is not None
         self.signals.on_hangup = self._reread
         await self.links.listen()
-        self.tasks.start(call_periodically(REPLICA_TICK_S, self.host.tick, max_failures=1))
+        self.tasks.start(call_periodically(REPLICA_TICK_S, self.host.tick, max_failures=1, on_late=log_stall))
         self.tasks.start(call_periodically(SOFT_STATE_TICK_S, self.soft_state.tick))
         if self.counters is not None:
             self.tasks.start(call_periodically(COUNTER_TICK_S, self.counters.tick, max_failures=1))
--- a/hophinge/fleet/dataplane/cluster_state.py
+++ b/hophinge/fleet/dataplane/cluster_state.py
@@ -25,6 +25,7 @@
 from hophinge.fleet.registry.instance import INSTANCE_PREFIX, Instance, instance_of
 from hophinge.fleet.settings import Settings
 
+MILLISECONDS = 1_000
 CLUSTER_STATE_TICK_S = 0.25
 DIGEST_INTERVAL_S = 1.5  # between comparisons of digests with another data plane
 APPLY_RETRY_INTERVAL_S = 1.0  # between attempts to apply the records that could not be applied
@@ -129,13 +130,21 @@
 
     def _apply_configuration(self, record: GossipRecord) -> None:
         """Put a configuration in force; what of it cannot be read is logged, and the rest is in force."""
+        began = self.loop.time()
         table, findings = read_configuration_record(record)
+        read_at = self.loop.time()
         for finding in findings:
             logger.warning("configuration only partly readable version={} finding={}", table.version, finding)
         self.on_configuration(table)
         self.route_table = table
         self.route_table_since = self.loop.time()
-        logger.info("configuration applied version={} findings={}", table.version, len(findings))
+        logger.info(
+            "configuration applied version={} findings={} read_ms={:.1f} applied_ms={:.1f}",
+            table.version,
+            len(findings),
+            (read_at - began) * MILLISECONDS,
+            (self.route_table_since - read_at) * MILLISECONDS,
+        )
 
     def _apply_record(self, record: GossipRecord) -> None:
         if record.key == RECORD_KEY:
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -18,6 +18,7 @@
 from hophinge.fleet.placement.hints import PlacementHints, EngineReports, SuspectedInstances, HintsRequest
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.policy import PlacementPolicy
+from hophinge.fleet.event_loop import log_stall
 from hophinge.fleet.program import SETTINGS_REREAD_INTERVAL_S, Signals, Tasks, call_periodically, reread_settings
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.registry.warmup import WARMUP_PREFIX, warmup_of
@@ -145,7 +146,7 @@
         """Serve until the process is asked to terminate."""
         self.signals.on_hangup = self._reread
         await self.links.listen()
-        self.tasks.start(call_periodically(CLUSTER_STATE_TICK_S, self._tick))
+        self.tasks.start(call_periodically(CLUSTER_STATE_TICK_S, self._tick, on_late=log_stall))
         self.tasks.start(self.server.serve([bind_listener(address) for address in self.addresses]))
         self.tasks.start(call_periodically(SETTINGS_REREAD_INTERVAL_S, self._maintain))
         logger.info("head started identity={} address={}", self.cluster_state.me.identity, self.settings.front_address)
--- a/hophinge/fleet/program.py
+++ b/hophinge/fleet/program.py
@@ -82,7 +82,10 @@
 
 
 async def run_periodically(
-    period_s: float, work: Callable[[], Awaitable[None]], max_failures: int = MAX_FAILURES
+    period_s: float,
+    work: Callable[[], Awaitable[None]],
+    max_failures: int = MAX_FAILURES,
+    on_late: Callable[[float], None] = lambda late_s: None,
 ) -> None:
     """Run a step forever, sleeping after each.
 
@@ -94,12 +97,14 @@
         work: The step.
         max_failures: How many consecutive failures end the repetition. 1 is for a state that must not go on from
             half a step, as what is on disk may lack what is in memory.
+        on_late: Is told before each further step by how many seconds it is late.
 
     Raises:
         Exception: What the last step raised, after so many consecutive failures.
 
     """
     failures = 0
+    loop = asyncio.get_running_loop()
     while True:
         try:
             await work()
@@ -109,16 +114,23 @@
             logger.exception("periodic step failed consecutive_failures={}", failures)
             if failures >= max_failures:
                 raise
+        due = loop.time() + period_s
         await asyncio.sleep(period_s)
+        on_late(loop.time() - due)
 
 
-async def call_periodically(period_s: float, action: Callable[[], None], max_failures: int = MAX_FAILURES) -> None:
-    """Call a function forever, as `repeat` does."""
+async def call_periodically(
+    period_s: float,
+    action: Callable[[], None],
+    max_failures: int = MAX_FAILURES,
+    on_late: Callable[[float], None] = lambda late_s: None,
+) -> None:
+    """Call a function forever, as `run_periodically` does."""
 
     async def call() -> None:
         action()
 
-    await run_periodically(period_s, call, max_failures)
+    await run_periodically(period_s, call, max_failures, on_late)
 
 
 def reread_settings() -> Settings | None:
