--- a/tests/test_fleet_losses.py
+++ b/tests/test_fleet_losses.py
@@ -217,9 +217,12 @@
         trace.complete(0.5, "ANSWERED")
         metrics.record(trace)
     metrics.record(RequestTrace("r", 0.0, TARGET_S, ending="refused 503", refusal="hopeless"))
+    for surplus in (0, 2, 1):
+        metrics.record_surplus(surplus)
     assert metrics.snapshot() == {
         "endings": {"in time": 1, "late": 1, "refused 503": 1},
         "refusals": {"hopeless": 1},
+        "surplus-responses": 3,
         "reads": 2,
         "reads-over-100-ms-late": 1,
         "read-forecast-ms": 100.0,
