What an instance answered stands, however the close of its connection ends

Seen by callers: a second answer (503) behind a whole 200, and a complete stream that counted as broken off.

Cause: the close of a connection is awaited inside the attempt. Where the deadline came between the end of the answer and that close, or the close failed, the attempt counted as one without an answer: the request was rejected, or, where it may run again, sent once more.

Change: a result that is known is the attempt's, whatever the close does; for prefills, too.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -180,16 +180,20 @@
     async def _prefill(self, step: Prefill) -> AttemptResult:
         node = step.reservation.node
         call = self._build_call(step, [(SERVING_STAGE, b"prefill")])
+        result: AttemptResult | None = None
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
                 body = await response.aread()
                 refused = unexecuted_outcome(response.status, response.headers)
-                if refused is not None:
-                    return AttemptResult(refused)
-                return self._parse_handle(node, response.status, body)
+                result = (
+                    AttemptResult(refused) if refused is not None else self._parse_handle(node, response.status, body)
+                )
+            return result
         except UNSENT_ERRORS as error:
             return AttemptResult(AttemptOutcome.UNSENT, is_silent=is_peer_silent(error))
         except (*UPSTREAM_ERRORS, TimeoutError) as error:
+            if result is not None:
+                return result  # what the instance answered stands, however the close of its connection ended
             self.failure = _classify_failure(error)
             return AttemptResult(
                 AttemptOutcome.UNKNOWN, is_silent=is_peer_silent(error), is_abandoned=_is_own_timeout(error)
@@ -213,12 +217,16 @@
             fields = [field for field in call.fields if field[0].lower() != LAST_EVENT_ID]
             call.fields[:] = [*fields, (LAST_EVENT_ID, step.last_event_id.encode())]
         reader = EventReader()
+        result: AttemptResult | None = None
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
-                return await self._forward_response(step.reservation, response, reader)
+                result = await self._forward_response(step.reservation, response, reader)
+            return result
         except UNSENT_ERRORS as error:
             return AttemptResult(AttemptOutcome.UNSENT, is_silent=is_peer_silent(error))
         except (*UPSTREAM_ERRORS, TimeoutError) as error:
+            if result is not None:
+                return result  # what went to the client stands, however the close of the connection ended
             self.failure = _classify_failure(error)
             return AttemptResult(
                 AttemptOutcome.BROKEN if self.is_response_started else AttemptOutcome.UNKNOWN,
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -13,6 +13,7 @@
 import pytest
 
 from hophinge.fleet.configuration.routes import Route
+from hophinge.fleet.dataplane.connections import ReleasingStream
 from hophinge.fleet.dataplane.exchange import ResponseAbortedError, Exchange, Inbound
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.forwarding.budget import RetryBudget
@@ -180,3 +181,26 @@
             assert (client.status, client.whole, runs) == (200, True, 1), "an own answer that came is the client's"
 
     asyncio.run(asyncio.wait_for(run(), BOUND_S))
+
+
+@pytest.mark.parametrize("stage", ["", "decode"])
+@pytest.mark.parametrize("kind", ROUTES)
+def test_a_deadline_within_the_close_of_a_connection_adds_no_second_answer(
+    kind: str, stage: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a 503 behind a whole 200, where the deadline comes between the answer's end and its release."""
+    close = ReleasingStream.aclose
+
+    async def slow_close(stream: ReleasingStream) -> None:
+        await asyncio.sleep(SHORT_S)
+        await close(stream)
+
+    async def run() -> None:
+        async with _playing(bool(stage)) as play:
+            name = f"{'stream' if kind.startswith('stream') else 'plain'}-1"
+            client = await play.request(name, ROUTES[kind], left_s=1.5 * SHORT_S if stage else SHORT_S / 2)
+            assert (client.status, client.whole, client.broken) == (200, True, False)
+            _check(kind, name, client, play.script)
+
+    monkeypatch.setattr(ReleasingStream, "aclose", slow_close)
+    asyncio.run(asyncio.wait_for(run(), BOUND_S))
