--- a/tests/test_fleet_surplus_responses.py
+++ b/tests/test_fleet_surplus_responses.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from hophinge.fleet.dataplane import upstream
 from hophinge.fleet.dataplane.connections import RequestContext
 from hophinge.fleet.dataplane.surplus_responses import STALL_TIMEOUT_S, ForeignResponseError
 from hophinge.fleet.dataplane.upstream import UPSTREAM_ERRORS, Call, Upstream
@@ -27,6 +28,12 @@
 DEADLINE_S = 2.0
 
 
+@pytest.fixture(autouse=True)
+def patient_connects(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have connects last as long as they need: on a busy machine they take longer than a head waits."""
+    monkeypatch.setattr(upstream, "CONNECT_TIMEOUT_S", DEADLINE_S)
+
+
 def response(request_id: str | None, body: bytes = b"body", more: bytes = b"") -> bytes:
     """Encode a response."""
     identity = b"" if request_id is None else b"Hophinge-Request-Id: %s\r\n" % request_id.encode()
