The load tool keeps durations itself: hdrhistogram has no wheel for aarch64

Cause: the build takes wheels only, and hdrhistogram 0.10.8 has Linux wheels for x86_64 alone, so on an aarch64 machine `make build` ended with an error and no test could run.

A test covers the empty case and the ranks.

--- a/hophinge/load/clients.py
+++ b/hophinge/load/clients.py
@@ -12,25 +12,16 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from hdrh.histogram import HdrHistogram
 
+from hophinge.load.durations import Durations
 from hophinge.load.plan import Arrival, ClientClass, LoadPlan, arrivals
 
-# Range and precision of the histograms.
-MIN_RECORDED_US = 1
-MAX_RECORDED_US = 60_000_000
-SIGNIFICANT_DIGITS = 3
 MIN_COUNTED_S = 1e-9
 RETRY_JITTER = (0.5, 1.5)  # range of the factor on the retry interval
 DRAIN_TIMEOUT_S = 5.0  # after the last arrival; requests that are still open then count as timed out
 OUTCOMES = ("aim", "late", "refused", "failed", "timed out", "left", "broken")
 
 
-def histogram() -> HdrHistogram:
-    """Return an empty histogram of durations in microseconds."""
-    return HdrHistogram(MIN_RECORDED_US, MAX_RECORDED_US, SIGNIFICANT_DIGITS)
-
-
 @dataclass
 class ClientClassResult:
     """Outcomes of the requests of one client class; a request counts once, together with its retries."""
@@ -38,10 +29,10 @@
     client: ClientClass
     outcomes: dict[str, int] = field(default_factory=lambda: dict.fromkeys(OUTCOMES, 0))
     attempts: int = 0
-    latencies: HdrHistogram = field(default_factory=histogram)  # of served requests, from their scheduled times
-    rejection_times: HdrHistogram = field(default_factory=histogram)  # from the sending of an attempt to its rejection
+    latencies: Durations = field(default_factory=Durations)  # of served requests, from their scheduled times
+    rejection_times: Durations = field(default_factory=Durations)  # from the sending of an attempt to its rejection
     # From scheduled times to the sending of first attempts: the delay that the load tool itself adds.
-    start_delays: HdrHistogram = field(default_factory=histogram)
+    start_delays: Durations = field(default_factory=Durations)
 
     @property
     def requests(self) -> int:
@@ -134,11 +125,11 @@
                 if is_counted:
                     result.attempts += 1
                     if not attempt:
-                        result.start_delays.record_value(max(1, int((attempt_started_s - due_s) * 1e6)))
+                        result.start_delays.record_s(attempt_started_s - due_s)
                 outcome, retry_after_s = await self._attempt(session, client, arrival, attempt)
                 took_s = time.monotonic() - attempt_started_s
                 if outcome == "refused" and is_counted:
-                    result.rejection_times.record_value(max(1, int(took_s * 1e6)))
+                    result.rejection_times.record_s(took_s)
                 if outcome in ("served", "left") or attempt == client.retries:
                     break
                 await asyncio.sleep(
@@ -148,10 +139,10 @@
             outcome = "timed out"
         if not is_counted:
             return
-        took_us = max(1, int((time.monotonic() - due_s) * 1e6))
+        took_s = time.monotonic() - due_s
         if outcome == "served":
-            result.latencies.record_value(min(took_us, MAX_RECORDED_US))
-            outcome = "aim" if took_us <= client.target_latency_us else "late"
+            result.latencies.record_s(took_s)
+            outcome = "aim" if took_s * 1e6 <= client.target_latency_us else "late"
         result.outcomes[outcome] += 1
         second = self.result.slices.setdefault(arrival.at_us // 1_000_000, {"due": 0.0, "earned": 0.0})
         second["due"] += client.value * client.units
--- a/hophinge/load/report.py
+++ b/hophinge/load/report.py
@@ -49,8 +49,8 @@
                     *(class_result.outcomes[outcome] for outcome in OUTCOMES[1:]),
                     class_result.attempts,
                     *(
-                        f"{histogram.get_value_at_percentile(percentile) / 1000:.1f}"
-                        for histogram, percentile in (
+                        f"{durations.percentile_us(percentile) / 1000:.1f}"
+                        for durations, percentile in (
                             (class_result.latencies, 50),
                             (class_result.latencies, 99),
                             (class_result.rejection_times, 99),
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,6 +11,7 @@
 import pytest
 
 from hophinge.load.backends import COLD_SHARE, COLD_US, Platform
+from hophinge.load.durations import Durations
 from hophinge.load.clients import LoadGenerator, LoadResult
 from hophinge.load.plan import ClientClass, Fault, LoadPlan, Surge, arrivals, read_plan
 from hophinge.load.report import earned_share_by_second, render_chart, render_table
@@ -102,7 +103,7 @@
         )
         assert (
             class_result.outcomes["aim"] >= 0.9 * class_result.requests
-            and class_result.latencies.get_value_at_percentile(50) >= plan.work_us
+            and class_result.latencies.percentile_us(50) >= plan.work_us
         )
     assert sum(backend.served for backend in platform.backends) == counts["requests_served"] == len(arrivals(plan))
     table = render_table("a title", {"1": result})
@@ -147,7 +148,7 @@
     )
     assert sum(backend.failed for backend in platform.backends) > 0
     # A closed-loop client, which waits for a response before it sends again, would have started requests late.
-    assert class_result.start_delays.get_value_at_percentile(50) < 100_000
+    assert class_result.start_delays.percentile_us(50) < 100_000
     slices = {second: row["earned"] / row["due"] for second, row in result.slices.items()}
     assert slices[0] < 1.0 or slices[1] < 1.0
 
@@ -202,3 +203,19 @@
     plan.write_text("(load 1)(odd)")
     completed = run_command("bricks", str(plan))
     assert completed.returncode == 2 and completed.stderr.startswith(f"{plan}:1:9: unknown form 'odd'")
+
+
+def test_percentiles_are_recorded_durations_and_none_are_recorded_at_first() -> None:
+    durations = Durations()
+    assert durations.percentile_us(99) == 0
+    for milliseconds in (4, 1, 3, 2):
+        durations.record_s(milliseconds / 1000)
+    durations.record_s(0.0)
+    assert [durations.percentile_us(percent) for percent in (0, 20, 21, 60, 99, 100)] == [
+        1,
+        1,
+        1_000,
+        2_000,
+        4_000,
+        4_000,
+    ]
