The chain's head logs each change that it evaluates, with base, current version and outcome

Change: one event line for each change at the head of the chain: key, base, version, current version, outcome, origin and request. Reads are not logged.

--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -25,7 +25,7 @@
     Sync,
     SyncedRecord,
 )
-from hophinge.coordination.registers import HistoryEntry, Outcome, Register, Registers
+from hophinge.coordination.registers import Change, HistoryEntry, Outcome, Register, Registers
 from hophinge.coordination.view import Replica, View
 
 SYNC_RETRY_INTERVAL_S = 0.3  # the shortest time after which a lagging successor is sent the complete state again
@@ -177,6 +177,8 @@
             return
         change = submit.change
         outcome = Outcome.VALUE if change is None else self.registers.evaluate(change)
+        if change is not None:
+            outputs.log_lines.append(self._describe_evaluation(submit.origin, change, outcome))
         if change is not None and outcome is None:
             entry = HistoryEntry(self.registers.sequence + 1, change)
             self._apply(entry, outputs)
@@ -184,6 +186,14 @@
         elif outcome is not None:
             self._forward_to_successor(submit.origin, submit.key, outcome, None, outputs)
 
+    def _describe_evaluation(self, origin: RequestOrigin, change: Change, outcome: Outcome | None) -> str:
+        current_version = self.registers.current(change.key).version
+        return (
+            f"change evaluated key={change.key} base={change.base} version={change.version} current={current_version} "
+            f"outcome={outcome.name if outcome is not None else 'NEW'} origin={origin.replica.address} "
+            f"request={origin.request_id}"
+        )
+
     def handle_forward(self, source: Replica, forward: Forward, outputs: Outputs) -> None:
         """Apply an entry forwarded by the predecessor, in the order of the history, and forward it in turn."""
         predecessor = self._predecessor()
