--- a/hophinge/coordination/chain.py
+++ b/hophinge/coordination/chain.py
@@ -171,14 +171,19 @@
     def handle_submit(self, submit: Submit, outputs: Outputs) -> None:
         """Evaluate a change or a read at the head.
 
-        A rejection goes down the chain as well: the head of an old view may be out of date.
+        A rejection goes down the chain as well: the head of an old view may be out of date. A change whose base is
+        still to come has no outcome yet, since a later copy of it may be applied; its origin submits it again.
         """
         if not self.is_head or not self._tolerates_losses():
             return
         change = submit.change
+        if change is not None and self.registers.awaits_base(change):
+            outputs.log_lines.append(self._describe_evaluation(submit.origin, change, "BASE_MISSING"))
+            return
         outcome = Outcome.VALUE if change is None else self.registers.evaluate(change)
         if change is not None:
-            outputs.log_lines.append(self._describe_evaluation(submit.origin, change, outcome))
+            outcome_name = outcome.name if outcome is not None else "NEW"
+            outputs.log_lines.append(self._describe_evaluation(submit.origin, change, outcome_name))
         if change is not None and outcome is None:
             entry = HistoryEntry(self.registers.sequence + 1, change)
             self._apply(entry, outputs)
@@ -186,12 +191,11 @@
         elif outcome is not None:
             self._forward_to_successor(submit.origin, submit.key, outcome, None, outputs)
 
-    def _describe_evaluation(self, origin: RequestOrigin, change: Change, outcome: Outcome | None) -> str:
+    def _describe_evaluation(self, origin: RequestOrigin, change: Change, outcome_name: str) -> str:
         current_version = self.registers.current(change.key).version
         return (
             f"change evaluated key={change.key} base={change.base} version={change.version} current={current_version} "
-            f"outcome={outcome.name if outcome is not None else 'NEW'} origin={origin.replica.address} "
-            f"request={origin.request_id}"
+            f"outcome={outcome_name} origin={origin.replica.address} request={origin.request_id}"
         )
 
     def handle_forward(self, source: Replica, forward: Forward, outputs: Outputs) -> None:
--- a/hophinge/coordination/client_requests.py
+++ b/hophinge/coordination/client_requests.py
@@ -67,6 +67,19 @@
 
     def handle_reply(self, now: float, source: Replica, reply: Reply, outputs: Outputs) -> None:
         """Answer the client with the tail's reply; a second reply to one request is ignored."""
-        if self.pending.pop(reply.request_id, None) is not None:
-            outcome = Outcome(reply.outcome)
-            outputs.responses.append(ClientResponse(reply.request_id, outcome, reply.version, reply.payload))
+        pending = self.pending.get(reply.request_id)
+        if pending is None:
+            return
+        outcome = Outcome(reply.outcome)
+        if outcome is Outcome.CONFLICT and not _is_final_conflict(pending.request, reply.version):
+            return
+        del self.pending[reply.request_id]
+        outputs.responses.append(ClientResponse(reply.request_id, outcome, reply.version, reply.payload))
+
+
+def _is_final_conflict(request: ClientRequest, current_version: int) -> bool:
+    """Return whether a change that conflicts with the current version cannot be applied later.
+
+    The head of the chain may run an older release, which rejects a change whose base is still to come.
+    """
+    return request.change is None or request.change.is_superseded_at(current_version)
--- a/hophinge/coordination/registers.py
+++ b/hophinge/coordination/registers.py
@@ -36,6 +36,13 @@
     digest: bytes
     payload: bytes
 
+    def is_superseded_at(self, current_version: int) -> bool:
+        """Return whether the change can be applied neither on top of a version nor on any later one.
+
+        Versions only rise: a base below the current version never is current again, but a base above it may come yet.
+        """
+        return current_version > self.base or self.version <= self.base
+
 
 @wire(5)
 @dataclass(frozen=True, slots=True)
@@ -90,8 +97,16 @@
         """Return a register; one that was never written has version 0."""
         return self.values.get(key, EMPTY_REGISTER)
 
+    def awaits_base(self, change: Change) -> bool:
+        """Return whether the version that a change builds on is still to come, so that no outcome would be final."""
+        current_version = self.current(change.key).version
+        return change.base > current_version and not change.is_superseded_at(current_version)
+
     def evaluate(self, change: Change) -> Outcome | None:
-        """Return the outcome of a change that is not to be applied now, or None where it is to be applied."""
+        """Return the outcome of a change that is not to be applied now, or None where it is to be applied.
+
+        The outcome is final, also for copies that are evaluated later, unless the change awaits its base.
+        """
         if change.digest in self.applied_digests.get(change.key, {}):
             return Outcome.APPLIED
         current = self.current(change.key)
--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -159,7 +159,9 @@
                 text = f"version: is not above the current version {result.version}"
                 await answer(send, 400, _body(error=text, version=result.version), (JSON_TYPE,))
             case _:
-                text = "it is unknown whether the change was applied; retry it"
+                text = (
+                    f"it is unknown whether the change was applied or version {base_version} is still to come; retry it"
+                )
                 await answer(send, 503, _body(error=text), (JSON_TYPE, RETRY_AFTER))
 
     def _validate(self, body: bytes) -> ValidationResult:
--- a/tests/chain_model.py
+++ b/tests/chain_model.py
@@ -81,12 +81,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ChainModel:
-    """The bounds of the search: changes, and numbers of views, wipes and reads."""
+    """The bounds of the search: changes, and numbers of views, wipes and reads.
+
+    Where callers are pipelined, they also build on versions that are not acknowledged yet.
+    """
 
     changes: tuple[Change, ...]
     views: int
     wipes: int
     reads: int
+    is_pipelined: bool = False
 
     def initial_state(self) -> ChainState:
         """Return the state in which view 1 has just been formed."""
@@ -148,8 +152,8 @@
     def _submit(self, state: ChainState, index: int) -> Iterator[ChainState]:
         origin = state.disks[index].replica
         for change in self.changes:
-            if change.base and change.base not in state.acknowledged:
-                continue  # no caller builds on a version that was not acknowledged
+            if change.base and change.base not in state.acknowledged and not self.is_pipelined:
+                continue  # such a caller does not build on a version that was not acknowledged
             submit = Submit(RequestOrigin(origin, change.version), KEY, change)
             yield self._after_step(state, index, _submit_step(submit))
         if state.reads < self.reads:
--- a/tests/coordination_histories.py
+++ b/tests/coordination_histories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -136,8 +137,41 @@
             assert answer.version >= read.min_version, f"read {answer.version} after {read.min_version}"
 
 
-def play(seed: int, count: int, losses: int = 1, bounded: bool = True) -> History:
-    """Play a random history; where faults are not bounded, the chain may stop until they are over."""
+def freeze_one(world: World, random: Random, down: dict[str, float]) -> None:
+    """Freeze a member shortly where none counts as lost, so that copies are evaluated late; it counts as lost then."""
+    if random.random() < 0.6 or any(until > world.now for until in down.values()):
+        return
+    address, seconds = random.choice(sorted(world.members)), random.uniform(0.2, 1.5)
+    world.freeze(address, seconds)
+    down[address] = world.now + seconds + 4.0
+
+
+def send_pipeline(world: World, random: Random, base: int, numbers: Iterator[int]) -> dict[int, AttemptedChange]:
+    """Send changes that build on each other, in any order and some of them twice; return them by request."""
+    attempts = []
+    for _ in range(random.choice([2, 2, 3])):
+        version = next(numbers)  # above all versions sent before
+        attempts.append(AttemptedChange(change(base, version, random.choice("abc"))))
+        base = version
+    copies = [attempt for attempt in attempts for _ in range(random.choice([1, 1, 2]))]
+    random.shuffle(copies)
+    return {world.request(random.choice(sorted(world.members)), copy.change): copy for copy in copies}
+
+
+def send_rejected_again(world: World, random: Random, attempts: list[AttemptedChange]) -> dict[int, AttemptedChange]:
+    """Send one of the changes that were rejected once more; return it by its new request."""
+    rejected = [attempt for attempt in attempts if attempt.is_rejected]
+    if not rejected or random.random() < 0.5:
+        return {}
+    again = random.choice(rejected)
+    return {world.request(random.choice(sorted(world.members)), again.change): again}
+
+
+def play(seed: int, count: int, losses: int = 1, bounded: bool = True, is_pipelined: bool = False) -> History:
+    """Play a random history; where faults are not bounded, the chain may stop until they are over.
+
+    Where operators are pipelined, they also send changes on top of others that are in flight.
+    """
     world, random = World(seed, count, losses), Random(seed)
     world.loss_rate = random.choice([0.0, 0.0, 0.02, 0.1])
     world.run(2.5)
@@ -153,10 +187,16 @@
             else:
                 inject_fault(world, random)
         for _ in range(random.choice([0, 1, 2])):
-            attempt = AttemptedChange(change(known_version, known_version + next(numbers), random.choice("abc")))
+            version = next(numbers) if is_pipelined else known_version + next(numbers)
+            attempt = AttemptedChange(change(known_version, version, random.choice("abc")))
             attempts.append(attempt)
             for _ in range(random.choice([1, 1, 2])):
                 requests[world.request(random.choice(sorted(world.members)), attempt.change)] = attempt
+        if is_pipelined:
+            freeze_one(world, random, recovers_at)
+            pipelined = send_pipeline(world, random, known_version, numbers)
+            attempts += {id(attempt): attempt for attempt in pipelined.values()}.values()
+            requests |= pipelined | send_rejected_again(world, random, attempts)
         if random.random() < 0.3:
             min_version = acknowledged_version(world, requests)
             reads.append(AttemptedRead(world.request(random.choice(sorted(world.members)), None), min_version))
@@ -221,3 +261,8 @@
     count = 3 + seed % 4
     losses = 2 if count >= 5 and seed % 3 == 0 else 1
     return play(seed, count, losses, bounded=seed % 2 == 0)
+
+
+def pipelined_history_of_seed(seed: int) -> History:
+    """Play the history of a seed in which operators also build on changes that are in flight."""
+    return play(seed, 3 + seed % 3, 1, bounded=seed % 2 == 0, is_pipelined=True)
--- a/tests/coordination_mutants.py
+++ b/tests/coordination_mutants.py
@@ -131,6 +131,20 @@
         "",
         HISTORIES + "test_random_histories_with_unbounded_faults_keep_acknowledged_changes",
     ),
+    Mutant(
+        "a change is rejected before its base is there",
+        "coordination/chain",
+        "        if change is not None and self.registers.awaits_base(change):",
+        "        if False:",
+        RULES + "test_a_change_whose_base_is_still_to_come_is_neither_applied_nor_rejected",
+    ),
+    Mutant(
+        "a rejection counts though a later copy may be applied",
+        "coordination/client_requests",
+        "        if outcome is Outcome.CONFLICT and not _is_final_conflict(pending.request, reply.version):",
+        "        if False:",
+        RULES + "test_a_rejection_by_an_older_head_counts_only_where_no_later_copy_can_be_applied",
+    ),
     Mutant(
         "a change is applied out of order",
         "coordination/chain",
--- a/tests/test_coordination_chain.py
+++ b/tests/test_coordination_chain.py
@@ -132,3 +132,64 @@
 def test_random_histories_with_unbounded_faults_keep_acknowledged_changes(seed: int) -> None:
     """Faults beyond the tolerated losses, disks that stall or tear a write, late messages, reads between."""
     histories.check(histories.history_of_seed(seed))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_histories_with_changes_on_top_of_changes_in_flight_apply_no_rejected_change(seed: int) -> None:
+    """A caller was told 412, and a later copy of the change was in force (review/4)."""
+    histories.check(histories.pipelined_history_of_seed(seed))
+
+
+def test_a_change_that_arrives_before_its_base_is_applied_after_it_at_one_member_and_at_two() -> None:
+    """The change that builds on another one in flight was rejected and then applied (review/4)."""
+    world = World(5)
+    world.run(1.0)
+    copies = [world.request(address, change(1, 2, "b")) for address in ("10.0.0.1:7660", "10.0.0.2:7660")]
+    world.run(0.2)
+    assert not any(copy in world.responses for copy in copies), "it is undecided until its base is there"
+    first = world.request("10.0.0.3:7660", change(0, 1, "a"))
+    world.run(0.5)
+    assert [world.responses[request].outcome for request in (first, *copies)] == [Outcome.APPLIED] * 3
+
+
+def test_a_change_whose_base_is_replaced_stays_rejected_at_every_member_after_a_restart_and_under_another_head() -> (
+    None
+):
+    world = World(6)
+    world.run(1.0)
+    world.request("10.0.0.1:7660", change(0, 3, "a"))
+    world.run(0.3)
+    loser = change(0, 4, "b")
+
+    def is_rejected_everywhere() -> bool:
+        requests = [
+            world.request(address, loser) for address in sorted(world.members) if world.members[address].machine
+        ]
+        world.run(0.5)
+        return all(world.responses[request].outcome is Outcome.CONFLICT for request in requests)
+
+    assert is_rejected_everywhere()
+    for address in sorted(world.members):
+        world.kill(address)
+        world.start(address)
+    world.run(2.0)
+    assert is_rejected_everywhere()
+    world.kill("10.0.0.1:7660")
+    world.run(3.0)
+    assert is_rejected_everywhere()
+
+
+def test_a_copy_that_a_member_submits_after_it_stood_still_is_decided_as_the_first_copy_was() -> None:
+    """The copy of an order at a machine that stood still could be applied after the 412 at another (review/4)."""
+    world = World(7)
+    world.run(1.0)
+    early = change(1, 2, "b")
+    late_copy = world.request("10.0.0.2:7660", early)
+    world.freeze("10.0.0.2:7660", 0.7)
+    other_copy = world.request("10.0.0.3:7660", early)
+    world.run(0.35)
+    base = world.request("10.0.0.1:7660", change(0, 1, "a"))
+    world.run(2.5)
+    assert world.responses[base].outcome is Outcome.APPLIED
+    outcomes = {world.responses[request].outcome for request in (late_copy, other_copy) if request in world.responses}
+    assert outcomes == {Outcome.APPLIED}
--- a/tests/test_coordination_chain_model.py
+++ b/tests/test_coordination_chain_model.py
@@ -35,3 +35,16 @@
 )
 def test_larger_models_keep_acknowledged_changes_in_the_states_searched(model: ChainModel) -> None:
     assert search(model, SEARCHED_STATES) >= SEARCHED_STATES
+
+
+@pytest.mark.parametrize(
+    "model",
+    [
+        ChainModel(SUCCESSIVE, views=1, wipes=0, reads=0, is_pipelined=True),
+        ChainModel(SUCCESSIVE, views=2, wipes=1, reads=0, is_pipelined=True),
+        ChainModel((*SUCCESSIVE, _change(1, 3)), views=2, wipes=0, reads=0, is_pipelined=True),
+    ],
+)
+def test_a_rejected_change_is_never_applied_though_its_base_is_applied_later(model: ChainModel) -> None:
+    """A caller was told 412, and a later copy of the change was in force (review/4)."""
+    assert search(model, SEARCHED_STATES) >= SEARCHED_STATES
--- a/tests/test_coordination_rules.py
+++ b/tests/test_coordination_rules.py
@@ -4,6 +4,8 @@
 
 from random import Random
 
+import pytest
+
 from hophinge.coordination.agreement import Acceptor, BallotAttempt
 from hophinge.coordination.chain import ChainReplica
 from hophinge.coordination.elections import PROMISE_GATHER_S
@@ -24,7 +26,7 @@
     SyncedRecord,
     VoteRecord,
 )
-from hophinge.coordination.events import DiskStatus, Outputs, MessageReceived, Tick
+from hophinge.coordination.events import ClientRequest, DiskStatus, Outputs, MessageReceived, Tick
 from hophinge.coordination.view_planning import MembershipObservation, next_view
 from hophinge.coordination.registers import HistoryEntry, Outcome, Snapshot
 from hophinge.coordination.replica import ReplicaStateMachine
@@ -89,6 +91,36 @@
     assert replies == [(C.address, Reply(7, int(Outcome.VALUE), 1, b"1:old"))]
 
 
+def test_a_change_whose_base_is_still_to_come_is_neither_applied_nor_rejected() -> None:
+    """It was rejected, and a later copy of it was applied (review/4)."""
+    head, outputs = _chain(A, _view(2, (A, 1), (B, 1)), 1), Outputs()
+    early = Submit(ORIGIN, KEY, change(2, 3, "c"))
+    head.handle_submit(early, outputs)
+    assert not outputs.messages
+    assert head.registers.sequence == 1
+    head.handle_submit(Submit(ORIGIN, KEY, change(1, 2, "b")), Outputs())
+    head.handle_submit(early, outputs)
+    assert [message.outcome for _, message in outputs.messages if isinstance(message, Forward)] == [Outcome.APPLIED]
+
+
+def test_a_change_not_above_its_own_base_is_rejected_at_once() -> None:
+    head, outputs = _chain(A, _view(2, (A, 1), (B, 1)), 1), Outputs()
+    head.handle_submit(Submit(ORIGIN, KEY, change(5, 5, "x")), outputs)
+    assert [message.outcome for _, message in outputs.messages if isinstance(message, Forward)] == [Outcome.CONFLICT]
+
+
+@pytest.mark.parametrize(("current_version", "is_answered"), [(3, False), (4, False), (5, True)])
+def test_a_rejection_by_an_older_head_counts_only_where_no_later_copy_can_be_applied(
+    current_version: int, is_answered: bool
+) -> None:
+    machine = _state_machine(_view(1, (A, 1), (B, 1), (C, 1)))
+    machine.handle(0.1, ClientRequest(7, KEY, change(4, 6, "a"), 2.5))
+    rejection = MessageReceived(C, Reply(7, int(Outcome.CONFLICT), current_version, b""))
+    assert bool(machine.handle(0.2, rejection).responses) == is_answered
+    applied = machine.handle(0.3, MessageReceived(C, Reply(7, int(Outcome.APPLIED), 6, b"")))
+    assert [response.outcome for response in applied.responses] == [Outcome.APPLIED] * (not is_answered)
+
+
 def test_messages_of_another_view_or_another_source_are_ignored() -> None:
     view = _view(2, (A, 1), (B, 1), (C, 1))
     entry = HistoryEntry(1, change(0, 1, "a"))
