--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -21,6 +21,7 @@
     SERVING_STAGE,
     Fields,
     find_field,
+    is_close_delimited,
     returned_fields,
 )
 from hophinge.fleet.forwarding.prefill_response import parse_handle
@@ -262,7 +263,10 @@
     async def _forward_events(
         self, reservation: Reservation, response: httpcore.Response, reader: EventReader
     ) -> AttemptResult:
-        """Forward events as they arrive; end the response only after the instance's response is complete."""
+        """Forward events as they arrive; end the response only after the instance's response is complete.
+
+        A response that ends with its connection is incomplete where that is within an event, or before the first one.
+        """
         if not self.is_response_started:
             fields = [*returned_fields(response.headers), *self._close_fields()]
             await self.send({"type": "http.response.start", "status": response.status, "headers": fields})
@@ -274,6 +278,9 @@
                 if not reservation.is_streaming:
                     self.lifecycle.record_first_event(self.loop.time(), reservation)
                 await self.send({"type": "http.response.body", "body": events, "more_body": True})
+        if is_close_delimited(self.inbound.method, response.headers) and not reader.is_between_events:
+            self.failure = AttemptFailure(AbortSide.INSTANCE, "connection closed within an event or before the first")
+            return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
         await self.send({"type": "http.response.body", "body": reader.buffer})
         self.is_response_complete = True
         return AttemptResult(AttemptOutcome.ANSWERED)
--- a/hophinge/fleet/forwarding/headers.py
+++ b/hophinge/fleet/forwarding/headers.py
@@ -20,13 +20,15 @@
 PRIORITY = b"priority"
 HOST = b"host"
 KEEP_ALIVE = b"keep-alive"
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
 
 Fields = list[tuple[bytes, bytes]]
 
 _HOP_BY_HOP = frozenset(
-    {b"connection", KEEP_ALIVE, b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect"}
+    {b"connection", KEEP_ALIVE, b"proxy-connection", b"te", b"trailer", TRANSFER_ENCODING, b"upgrade", b"expect"}
 )
-_SET_PER_ATTEMPT = frozenset({b"content-length", DEADLINE, EXPECTED_INSTANCE, SERVING_STAGE, KV_FROM, PRIORITY})
+_SET_PER_ATTEMPT = frozenset({CONTENT_LENGTH, DEADLINE, EXPECTED_INSTANCE, SERVING_STAGE, KV_FROM, PRIORITY})
 
 
 def find_field(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
@@ -37,6 +39,15 @@
     return None
 
 
+def is_close_delimited(method: bytes, fields: Fields) -> bool:
+    """Return whether the body of the response to a method ends with the connection (RFC 9112, 6.3).
+
+    The kernel closes the connections of a process that was killed in the ordinary way, so such an end proves nothing.
+    """
+    states_length = any(find_field(fields, name) is not None for name in (CONTENT_LENGTH, TRANSFER_ENCODING))
+    return method != b"HEAD" and not states_length
+
+
 def host_name(host: str) -> str:
     """Return the name or address in a `Host` field, without its port (RFC 9110, 7.2)."""
     if host.startswith("["):
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -15,9 +15,24 @@
 LIFECYCLE = "tests/test_fleet_request_lifecycle.py::"
 UPSTREAM = "tests/test_fleet_upstream.py::"
 STEPS = "tests/test_fleet_failing_steps.py::"
+CLOSE_DELIMITED = "tests/test_fleet_close_delimited_responses.py::"
 SURPLUS = "tests/test_fleet_surplus_responses.py::"
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a stream that ends with its connection is complete wherever that is",
+        "fleet/dataplane/exchange",
+        "        if is_close_delimited(self.inbound.method, response.headers) and not reader.is_between_events:",
+        "        if False:",
+        CLOSE_DELIMITED + "test_a_stream_whose_connection_closes_within_an_event_is_broken_off",
+    ),
+    Mutant(
+        "a stream that ends before its first event is complete",
+        "fleet/forwarding/events",
+        "        return self.has_event and not self.buffer.strip(LINE_ENDS)",
+        "        return not self.buffer.strip(LINE_ENDS)",
+        CLOSE_DELIMITED + "test_a_resumable_stream_whose_connection_closes_within_an_event_is_resumed",
+    ),
     Mutant(
         "a surplus response makes the request after it fail",
         "fleet/dataplane/connections",
--- /dev/null
+++ b/tests/test_fleet_close_delimited_responses.py
@@ -0,0 +1,77 @@
+"""Responses that end with their connection: a stream that is cut within an event, or before one, is not complete."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.close_delimited_responses import play_seeds
+from tests.scripted_instance import STAMP, Connection, Ending, ReceivedCall, Script, ScriptedInstance, sound_body
+from tests.test_failures_requests import ROUTES, Client, Play
+
+BODY = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
+SECOND_EVENT = len(BODY) // 4
+SEEDS = 60
+PLACES = {
+    "before the first event": 0,
+    "within the first line": 3,
+    "between two lines of an event": SECOND_EVENT + 6,
+    "within the end of an event": 2 * SECOND_EVENT - 1,
+    "within the last event": len(BODY) - 4,
+}
+
+
+def closed_after(sent_bytes: int) -> Ending:
+    """Send a response without a length, and close the connection in the ordinary way after some of its bytes."""
+
+    async def ending(script: Script, connection: Connection, call: ReceivedCall) -> bool:
+        script.ran(call)
+        name = b"Hophinge-Request-Id: %s\r\n" % call.name.encode()
+        header = b"HTTP/1.1 200 X\r\n%s%sContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" % (name, STAMP)
+        connection.say(header + sound_body(call)[:sent_bytes])
+        return False
+
+    return ending
+
+
+async def _request(kind: str, stage: str, sent_bytes: int) -> tuple[Client, int]:
+    """Return what a client gets whose first response is cut, and how often its request ran."""
+    script = Script(closed_after(sent_bytes), stage, "stream-1")
+    stages = ["prefill", "decode", "decode"] if stage else ["", ""]
+    instances = [ScriptedInstance(f"i-{number}", one, script) for number, one in enumerate(stages)]
+    for instance in instances:
+        await instance.listen()
+    play = Play(script, instances)
+    client = await play.request("stream-1", ROUTES[kind])
+    await play.upstream.close()
+    for instance in instances:
+        await instance.close()
+    return client, script.runs["stream-1"]
+
+
+@pytest.mark.parametrize("stage", ["", "decode"])
+@pytest.mark.parametrize("place", PLACES)
+def test_a_stream_whose_connection_closes_within_an_event_is_broken_off(place: str, stage: str) -> None:
+    """The client got half of an event and the end of a complete response (review/5)."""
+    client, runs = asyncio.run(_request("stream", stage, PLACES[place]))
+    assert (client.whole, client.broken, runs) == (False, True, 1)
+    assert client.body == BODY[: PLACES[place] // SECOND_EVENT * SECOND_EVENT], "only whole events are sent on"
+
+
+@pytest.mark.parametrize("stage", ["", "decode"])
+@pytest.mark.parametrize("place", PLACES)
+def test_a_resumable_stream_whose_connection_closes_within_an_event_is_resumed(place: str, stage: str) -> None:
+    """It was taken for complete, so that nobody resumed it (review/5)."""
+    client, runs = asyncio.run(_request("stream-resumable", stage, PLACES[place]))
+    assert (client.status, client.whole, client.body, runs) == (200, True, BODY, 2)
+
+
+def test_a_stream_without_a_length_that_ends_after_an_event_is_complete() -> None:
+    client, runs = asyncio.run(_request("stream-resumable", "", len(BODY)))
+    assert (client.status, client.whole, client.body, runs) == (200, True, BODY, 1)
+
+
+def test_responses_of_any_framing_that_are_cut_anywhere_never_look_complete() -> None:
+    """Requests drawn by seed, with cuts in first and in resumed parts, in prefills and in other bodies."""
+    assert asyncio.run(play_seeds(0, SEEDS)) == []
--- a/tests/test_fleet_request_lifecycle.py
+++ b/tests/test_fleet_request_lifecycle.py
@@ -11,7 +11,7 @@
 from hophinge.fleet.configuration.routes import Route
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.events import EventReader
-from hophinge.fleet.forwarding.headers import forwarded_fields, returned_fields
+from hophinge.fleet.forwarding.headers import forwarded_fields, is_close_delimited, returned_fields
 from hophinge.fleet.forwarding.request_lifecycle import Reject, RequestLifecycle, Backoff, Prefill, Generate
 from hophinge.fleet.forwarding.trace import RequestTrace
 from hophinge.fleet.forwarding.attempt_results import AttemptOutcome, KvHandle, AttemptResult, unexecuted_outcome
@@ -271,6 +271,35 @@
     assert (reader.latest_id, reader.buffer) == ("2", b"id: 3")
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_events_end_with_an_empty_line_of_any_kind(line_end: bytes) -> None:
+    reader = EventReader()
+    event = line_end.join([b"id: 1", b"data: a", b"", b""])
+    assert reader.feed(event + b"id: 2") == event
+    assert (reader.latest_id, reader.buffer, reader.is_between_events) == ("1", b"id: 2", False)
+    rest = line_end.join([b"", b"data: b", b"", b""])
+    assert reader.feed(rest) == b"id: 2" + rest
+    assert reader.is_between_events
+
+
+def test_a_stream_may_end_after_an_event_and_neither_before_the_first_nor_within_one() -> None:
+    reader = EventReader()
+    assert not reader.is_between_events
+    reader.feed(b": alive\n\n")
+    assert not reader.is_between_events, "a comment is no event"
+    reader.feed(b"data: a\n\n\n")
+    assert reader.is_between_events, "a further empty line begins no event"
+    reader.feed(b"d")
+    assert not reader.is_between_events
+
+
+def test_a_body_ends_with_its_connection_only_where_no_field_states_its_length() -> None:
+    assert is_close_delimited(b"POST", [(b"Connection", b"close")])
+    assert not is_close_delimited(b"POST", [(b"Content-Length", b"0")])
+    assert not is_close_delimited(b"POST", [(b"Transfer-Encoding", b"chunked")])
+    assert not is_close_delimited(b"HEAD", [])
+
+
 def test_only_the_instance_itself_says_that_it_did_not_run_a_request() -> None:
     assert unexecuted_outcome(503, [(b"Hophinge-Not-Executed", b"1")]) is AttemptOutcome.REFUSED
     assert unexecuted_outcome(503, []) is None
