--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -36,6 +36,7 @@
 )
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.pool import Reservation
+from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.transport.asgi import Send, answer
 
 MILLISECONDS = 1_000
@@ -265,7 +266,7 @@
     ) -> AttemptResult:
         """Forward events as they arrive; end the response only after the instance's response is complete.
 
-        A response that ends with its connection is incomplete where that is within an event, or before the first one.
+        A close ends a response without a length only between two events, and only if the instance has not ended too.
         """
         if not self.is_response_started:
             fields = [*returned_fields(response.headers), *self._close_fields()]
@@ -278,9 +279,18 @@
                 if not reservation.is_streaming:
                     self.lifecycle.record_first_event(self.loop.time(), reservation)
                 await self.send({"type": "http.response.body", "body": events, "more_body": True})
-        if is_close_delimited(self.inbound.method, response.headers) and not reader.is_between_events:
-            self.failure = AttemptFailure(AbortSide.INSTANCE, "connection closed within an event or before the first")
-            return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
+        if is_close_delimited(self.inbound.method, response.headers):
+            self.failure = await self._find_truncation(reservation.node.instance, reader)
+            if self.failure is not None:
+                return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
         await self.send({"type": "http.response.body", "body": reader.buffer})
         self.is_response_complete = True
         return AttemptResult(AttemptOutcome.ANSWERED)
+
+    async def _find_truncation(self, instance: Instance, reader: EventReader) -> AttemptFailure | None:
+        """Return why a stream that ended with its connection is not complete; None if it is."""
+        if not reader.is_between_events:
+            return AttemptFailure(AbortSide.INSTANCE, "connection closed within an event or before the first")
+        if not await self.upstream.is_listening(instance):
+            return AttemptFailure(AbortSide.INSTANCE, "connection closed by an instance that accepts no new one")
+        return None
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.dataplane.connections import CONTEXT, InstanceEndedError, InstancePool, RequestContext
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
+from hophinge.fleet.registry.instance import READY, Instance
 
 CONNECT_TIMEOUT_S = 0.25  # about a hundred times the usual time; a lost SYN is retransmitted only after 1 s
 FREE_TIMEOUT_S = 0.5  # for an instance to free a KV handle
@@ -132,6 +133,22 @@
         learned_at = self.unregistered.get(identity)
         return None if learned_at is None else now - learned_at
 
+    async def is_listening(self, instance: Instance) -> bool:
+        """Return whether an instance still accepts connections, or has announced its end.
+
+        A killed process does not: the kernel closes its listening socket together with its connections.
+        """
+        if instance.state != READY or instance.identity in self.unregistered:
+            return True
+        host, port = instance.address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     def connection_count(self, identity: str) -> int:
         """Return the number of open connections to an instance."""
         pool = self.pools.get(identity)
--- a/tests/close_delimited_responses.py
+++ b/tests/close_delimited_responses.py
@@ -2,7 +2,8 @@
 
 Instances send streams, other bodies and prefill responses without a length (RFC 9112, section 6.3), in chunks or with a
 length, whole or cut anywhere: within the header, before the first event, within a line or an event, between two events.
-A cut is a close or a reset. `python -m tests.close_delimited_responses FIRST COUNT` plays seeds by hand.
+A cut is a close, a reset, or the death of the instance, which stops listening too.
+`python -m tests.close_delimited_responses FIRST COUNT` plays seeds by hand.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 MAX_ATTEMPTS = 2
 MAX_PAUSE_S = 0.02  # between two writes
 RESET_DELAY_S = 0.02  # for the bytes to be read before the reset drops them
+RESTART_S = 0.1  # until an instance that was killed listens again
 PARALLEL_SEEDS = 20
 DEADLINE_S = 60.0  # far longer than any request takes, even on a busy machine
 EVENT_END = b"\n\n"
@@ -45,6 +47,7 @@
     sent: bytes  # of the body
     is_cut: bool
     is_reset: bool
+    is_killed: bool = False  # the instance is gone for a moment
 
     @property
     def events(self) -> bytes:
@@ -60,7 +63,8 @@
             return False
         if self.framing is not Framing.CLOSE:
             return not self.is_cut
-        return not self.is_reset and (not is_stream or (self.events == self.sent and bool(self.sent)))
+        is_between_events = self.events == self.sent and bool(self.sent)
+        return not self.is_reset and (not is_stream or (is_between_events and not self.is_killed))
 
 
 @dataclass
@@ -121,7 +125,10 @@
         has_header = random.random() < 0.9
         sent = body[: draw_length(body, is_stream, random)] if has_header else b""
         is_whole = framing is Framing.LENGTH and has_header and sent == body
-        return Ending(framing, has_header, sent, not is_whole, random.random() < 0.4)
+        is_reset = random.random() < 0.4
+        return Ending(
+            framing, has_header, sent, not is_whole, is_reset, not (is_whole or is_reset) and random.random() < 0.5
+        )
 
     async def _send(self, wire: Wire, header: bytes, body: bytes, ending: Ending, random: Random) -> None:
         if not ending.has_header:
@@ -144,6 +151,10 @@
     async def _end(self, wire: Wire, ending: Ending) -> None:
         """Close or reset the connection, and stop serving it."""
         await wire.writer.drain()
+        if ending.is_killed:
+            await self.close()
+            task = asyncio.create_task(self._listen_again())
+            self.state.tasks.add(task)
         if ending.is_reset:
             await asyncio.sleep(RESET_DELAY_S)
             await Connection(asyncio.StreamReader(), wire.writer).reset()
@@ -152,6 +163,11 @@
             await wire.writer.wait_closed()
         raise ConnectionAbortedError
 
+    async def _listen_again(self) -> None:
+        await asyncio.sleep(RESTART_S)
+        host, port = self.address.rsplit(":", 1)
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+
 
 @dataclass(frozen=True)
 class Result:
@@ -200,7 +216,9 @@
         name = f"{'stream' if kind.startswith('stream') else 'plain'}-{number}"
         client = await play.request(name, replace(ROUTES[kind], max_attempts=MAX_ATTEMPTS), left_s=DEADLINE_S)
         faults += Result(kind, name, client, state.endings[name]).faults()
-    await asyncio.gather(*play.upstream.background)  # handles that are being freed open connections of their own
+    await asyncio.gather(
+        *play.upstream.background, *state.tasks
+    )  # handles that are being freed open connections of their own
     await play.upstream.close()
     for instance in instances:
         await instance.close()
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -22,10 +22,17 @@
     Mutant(
         "a stream that ends with its connection is complete wherever that is",
         "fleet/dataplane/exchange",
-        "        if is_close_delimited(self.inbound.method, response.headers) and not reader.is_between_events:",
+        "        if not reader.is_between_events:",
         "        if False:",
         CLOSE_DELIMITED + "test_a_stream_whose_connection_closes_within_an_event_is_broken_off",
     ),
+    Mutant(
+        "a stream of a killed instance is complete between two events",
+        "fleet/dataplane/exchange",
+        "        if not await self.upstream.is_listening(instance):",
+        "        if False:",
+        CLOSE_DELIMITED + "test_a_stream_of_a_killed_instance_is_not_complete_between_two_events",
+    ),
     Mutant(
         "a stream that ends before its first event is complete",
         "fleet/forwarding/events",
--- a/tests/test_fleet_close_delimited_responses.py
+++ b/tests/test_fleet_close_delimited_responses.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from hophinge.fleet.dataplane.upstream import Upstream
+from hophinge.fleet.registry.instance import READY, Instance
 from tests.close_delimited_responses import play_seeds
 from tests.scripted_instance import STAMP, Connection, Ending, ReceivedCall, Script, ScriptedInstance, sound_body
 from tests.test_failures_requests import ROUTES, Client, Play
@@ -35,9 +37,18 @@
     return ending
 
 
-async def _request(kind: str, stage: str, sent_bytes: int) -> tuple[Client, int]:
-    """Return what a client gets whose first response is cut, and how often its request ran."""
-    script = Script(closed_after(sent_bytes), stage, "stream-1")
+async def _request(kind: str, stage: str, sent_bytes: int, is_killed: bool = False) -> tuple[Client, int]:
+    """Return what a client gets whose first response is cut, and how often its request ran.
+
+    An instance that is killed stops listening when it closes the connection.
+    """
+    ending = closed_after(sent_bytes)
+
+    async def killed(script: Script, connection: Connection, call: ReceivedCall) -> bool:
+        await next(instance for instance in instances if instance.name == call.instance).close()
+        return await ending(script, connection, call)
+
+    script = Script(killed if is_killed else ending, stage, "stream-1")
     stages = ["prefill", "decode", "decode"] if stage else ["", ""]
     instances = [ScriptedInstance(f"i-{number}", one, script) for number, one in enumerate(stages)]
     for instance in instances:
@@ -72,6 +83,28 @@
     assert (client.status, client.whole, client.body, runs) == (200, True, BODY, 1)
 
 
+@pytest.mark.parametrize("stage", ["", "decode"])
+@pytest.mark.parametrize("events", [1, 3])
+def test_a_stream_of_a_killed_instance_is_not_complete_between_two_events(events: int, stage: str) -> None:
+    """Five of twenty events looked like a complete stream, since the kernel closes connections in the ordinary way."""
+    client, runs = asyncio.run(_request("stream", stage, events * SECOND_EVENT, is_killed=True))
+    assert (client.whole, client.broken, client.body, runs) == (False, True, BODY[: events * SECOND_EVENT], 1)
+    client, runs = asyncio.run(_request("stream-resumable", stage, events * SECOND_EVENT, is_killed=True))
+    assert (client.status, client.whole, client.body, runs) == (200, True, BODY, 2)
+
+
+@pytest.mark.parametrize("is_known", ["draining", "unregistered"])
+def test_an_instance_that_has_announced_its_end_may_end_with_its_last_stream(is_known: str) -> None:
+    async def run() -> bool:
+        upstream = Upstream()
+        state = "draining" if is_known == "draining" else READY
+        if is_known == "unregistered":
+            await upstream.retire("i")
+        return await upstream.is_listening(Instance("i", "s", "127.0.0.1:9", "z", "v", 8, state, "", ()))
+
+    assert asyncio.run(run())
+
+
 def test_responses_of_any_framing_that_are_cut_anywhere_never_look_complete() -> None:
     """Requests drawn by seed, with cuts in first and in resumed parts, in prefills and in other bodies."""
     assert asyncio.run(play_seeds(0, SEEDS)) == []
