--- a/hophinge/fleet/controlplane/evacuation_api.py
+++ b/hophinge/fleet/controlplane/evacuation_api.py
@@ -129,13 +129,14 @@
         return OrderResult.IN_FORCE
 
     async def _execute(self, zone: str, should_evacuate: bool, disconnect: asyncio.Task[Any]) -> OrderResult:
-        """Set the register to the ordered value, unless it has that value already."""
+        """Set the register to the ordered value, also where it has that value already.
+
+        The new version makes each earlier order without an answer conflict, should it arrive later.
+        """
         deadline = self.now() + ORDER_TIMEOUT_S
         current = await self._read(zone, ORDER_TIMEOUT_S)
         if current.outcome is not Outcome.VALUE:
             return OrderResult.UNKNOWN
-        if is_evacuated(current.payload) == should_evacuate:
-            return self._acknowledge(zone, current.version, current.payload)
         if disconnect.done():
             return OrderResult.ABANDONED
         change = evacuation_change(zone, current.version, should_evacuate)
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -10,7 +10,7 @@
 import pytest
 
 from hophinge.coordination.events import ClientResponse
-from hophinge.coordination.registers import Change, Outcome
+from hophinge.coordination.registers import Change, HistoryEntry, Outcome, Registers
 from hophinge.fleet.configuration.evacuations import EVACUATED, IN_SERVICE, evacuation_key, is_evacuated
 from hophinge.fleet.controlplane.evacuation_api import ORDER_TIMEOUT_S, EvacuationApi
 from hophinge.fleet.dataplane.cluster_state import STABILIZATION_S
@@ -258,6 +258,63 @@
     play(run())
 
 
+class DelayingChain:
+    """The registers of a chain, at which changes may arrive after their callers have stopped waiting."""
+
+    def __init__(self) -> None:
+        self.registers = Registers()
+        self.is_delaying = False
+        self.delayed: list[Change] = []
+
+    async def request(self, key: str, change: Change | None, timeout_s: float) -> ClientResponse:
+        """Apply or read, as `ReplicaHost.request` does."""
+        if change is None:
+            register = self.registers.current(key)
+            return ClientResponse(1, Outcome.VALUE, register.version, register.payload)
+        if self.is_delaying:
+            self.delayed.append(change)
+            return ClientResponse(1, None)
+        return ClientResponse(1, self.submit(change), self.registers.current(key).version)
+
+    def submit(self, change: Change) -> Outcome:
+        """Evaluate a change, and apply it if it is new."""
+        outcome = self.registers.evaluate(change)
+        if outcome is None:
+            self.registers.apply(HistoryEntry(self.registers.sequence + 1, change))
+        return outcome or Outcome.APPLIED
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return the value in force."""
+        return is_evacuated(self.registers.current(evacuation_key(zone)).payload)
+
+
+@pytest.mark.parametrize("last", ["POST", "DELETE"])
+def test_an_earlier_order_without_an_answer_does_not_undo_an_order_that_found_nothing_to_change(last: str) -> None:
+    """The change of the first order arrives after the opposite order was acknowledged on a read alone."""
+
+    async def run() -> None:
+        chain = DelayingChain()
+        api = EvacuationApi(ZONES, chain.request, lambda record: None, asyncio.get_running_loop().time)
+        orders = {True: "POST", False: "DELETE"}
+        should_evacuate = last == "POST"
+
+        async def order(method: str) -> int | None:
+            call = Call()
+            await api.serve_zone(method, Z0, call.receive, call.send)
+            return call.status
+
+        assert await order(last) == 200
+        chain.is_delaying = True
+        assert await order(orders[not should_evacuate]) == 503
+        chain.is_delaying = False
+        assert await order(last) == 200
+        for change in chain.delayed:
+            chain.submit(change)
+        assert chain.is_evacuated(Z0) is should_evacuate
+
+    play(run())
+
+
 def test_orders_for_unknown_zones_and_other_methods_are_rejected_and_change_nothing() -> None:
     async def run() -> None:
         world = await _start_world(9)
