A mutant follows the lines that it changes: the head answers reads

Change: the mutant replaces the one line that it needs; the change that it makes is the same.

Measured: played alone, its test fails under the mutant, as it has to.

--- a/tests/coordination_mutants.py
+++ b/tests/coordination_mutants.py
@@ -176,11 +176,7 @@
     Mutant(
         "the head answers reads",
         "coordination/chain",
-        "        if not self.is_head or not self._tolerates_losses():\n            return\n"
-        "        change = submit.change\n"
         "        outcome = Outcome.VALUE if change is None else self.registers.evaluate(change)\n",
-        "        if not self.is_head or not self._tolerates_losses():\n            return\n"
-        "        change = submit.change\n"
         "        outcome = Outcome.VALUE if change is None else self.registers.evaluate(change)\n"
         "        if outcome is Outcome.VALUE:\n"
         "            register = self.registers.current(submit.key)\n"
