Only a refused connection shows that an instance has ended; a slow one does not

Silence proves nothing: a machine that is lost closes no connection, and a busy one is slow.

Change: has_ended is true only where the connection is refused.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -291,6 +291,6 @@
         """Return why a stream that ended with its connection is not complete; None if it is."""
         if not reader.is_between_events:
             return AttemptFailure(AbortSide.INSTANCE, "connection closed within an event or before the first")
-        if not await self.upstream.is_listening(instance):
-            return AttemptFailure(AbortSide.INSTANCE, "connection closed by an instance that accepts no new one")
+        if await self.upstream.has_ended(instance):
+            return AttemptFailure(AbortSide.INSTANCE, "connection closed by an instance that refuses new ones")
         return None
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -133,21 +133,23 @@
         learned_at = self.unregistered.get(identity)
         return None if learned_at is None else now - learned_at
 
-    async def is_listening(self, instance: Instance) -> bool:
-        """Return whether an instance still accepts connections, or has announced its end.
+    async def has_ended(self, instance: Instance) -> bool:
+        """Return whether the process of an instance is gone though the instance has not announced its end.
 
-        A killed process does not: the kernel closes its listening socket together with its connections.
+        The kernel closes the listening socket of a killed process together with its connections, and then refuses new
+        ones. Silence proves nothing: an instance or this head may be busy.
         """
         if instance.state != READY or instance.identity in self.unregistered:
-            return True
+            return False
         host, port = instance.address.rsplit(":", 1)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return True
+                writer.close()
+                await writer.wait_closed()
+        except (OSError, TimeoutError) as error:
+            return isinstance(error, ConnectionRefusedError)
+        return False
 
     def connection_count(self, identity: str) -> int:
         """Return the number of open connections to an instance."""
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -29,7 +29,7 @@
     Mutant(
         "a stream of a killed instance is complete between two events",
         "fleet/dataplane/exchange",
-        "        if not await self.upstream.is_listening(instance):",
+        "        if await self.upstream.has_ended(instance):",
         "        if False:",
         CLOSE_DELIMITED + "test_a_stream_of_a_killed_instance_is_not_complete_between_two_events",
     ),
--- a/tests/test_fleet_close_delimited_responses.py
+++ b/tests/test_fleet_close_delimited_responses.py
@@ -100,7 +100,30 @@
         state = "draining" if is_known == "draining" else READY
         if is_known == "unregistered":
             await upstream.retire("i")
-        return await upstream.is_listening(Instance("i", "s", "127.0.0.1:9", "z", "v", 8, state, "", ()))
+        return await upstream.has_ended(Instance("i", "s", "127.0.0.1:9", "z", "v", 8, state, "", ()))
+
+    assert not asyncio.run(run())
+
+
+def test_an_instance_that_does_not_answer_in_time_has_not_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Beside load a whole stream was resumed, since opening the connection took longer than its time-out."""
+
+    async def connect_without_end(*_: object) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(asyncio, "open_connection", connect_without_end)
+    ready = Instance("i", "s", "127.0.0.1:9", "z", "v", 8, READY, "", ())
+    assert not asyncio.run(Upstream().has_ended(ready))
+
+
+def test_an_instance_that_refuses_connections_has_ended() -> None:
+    async def run() -> bool:
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        ready = Instance("i", "s", address, "z", "v", 8, READY, "", ())
+        assert not await Upstream().has_ended(ready)
+        server.close()
+        return await Upstream().has_ended(ready)
 
     assert asyncio.run(run())
 
