--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -253,6 +253,10 @@
         body = await response.aread()
         if self.is_response_started:
             return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
+        if is_close_delimited(self.inbound.method, fields):
+            failure = await self._find_termination(reservation.node.instance)
+            if failure is not None:
+                return self._reject_response(failure.error)
         returned = [field for field in returned_fields(fields) if field[0].lower() != b"content-length"]
         await self._answer(response.status, body, [*returned, *self._close_fields()])
         return AttemptResult(AttemptOutcome.ANSWERED if response.status < 500 else AttemptOutcome.FAILED)
@@ -291,6 +295,10 @@
         """Return why a stream that ended with its connection is not complete; None if it is."""
         if not reader.is_between_events:
             return AttemptFailure(AbortSide.INSTANCE, "connection closed within an event or before the first")
+        return await self._find_termination(instance)
+
+    async def _find_termination(self, instance: Instance) -> AttemptFailure | None:
+        """Return why a response that ended with its connection may be cut: its instance is gone; None if it is not."""
         if await self.upstream.has_ended(instance):
             return AttemptFailure(AbortSide.INSTANCE, "connection closed by an instance that refuses new ones")
         return None
--- a/tests/close_delimited_responses.py
+++ b/tests/close_delimited_responses.py
@@ -57,14 +57,15 @@
     def is_complete(self, is_stream: bool) -> bool:
         """Return whether the response counts as complete.
 
-        A close is the end of a body without a length, so that a cut of it is seen only within an event or before one.
+        A close is the end of a body without a length, so that a cut of it is seen only within an event or before one,
+        or where the instance is gone too.
         """
         if not self.has_header:
             return False
         if self.framing is not Framing.CLOSE:
             return not self.is_cut
         is_between_events = self.events == self.sent and bool(self.sent)
-        return not self.is_reset and (not is_stream or (is_between_events and not self.is_killed))
+        return not self.is_reset and not self.is_killed and (not is_stream or is_between_events)
 
 
 @dataclass
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -33,6 +33,13 @@
         "        if False:",
         CLOSE_DELIMITED + "test_a_stream_of_a_killed_instance_is_not_complete_between_two_events",
     ),
+    Mutant(
+        "a body of a killed instance is complete where its connection closes",
+        "fleet/dataplane/exchange",
+        "        if is_close_delimited(self.inbound.method, fields):",
+        "        if False:",
+        CLOSE_DELIMITED + "test_a_body_without_a_length_of_a_killed_instance_is_not_complete",
+    ),
     Mutant(
         "a stream that ends before its first event is complete",
         "fleet/forwarding/events",
--- a/tests/test_fleet_close_delimited_responses.py
+++ b/tests/test_fleet_close_delimited_responses.py
@@ -14,6 +14,7 @@
 
 BODY = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
 SECOND_EVENT = len(BODY) // 4
+PLAIN_BODY = b"answer to plain-1 of 4"
 SEEDS = 60
 PLACES = {
     "before the first event": 0,
@@ -30,7 +31,8 @@
     async def ending(script: Script, connection: Connection, call: ReceivedCall) -> bool:
         script.ran(call)
         name = b"Hophinge-Request-Id: %s\r\n" % call.name.encode()
-        header = b"HTTP/1.1 200 X\r\n%s%sContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" % (name, STAMP)
+        kind = b"Content-Type: text/event-stream\r\n" if call.name.startswith("stream") else b""
+        header = b"HTTP/1.1 200 X\r\n%s%s%sConnection: close\r\n\r\n" % (name, STAMP, kind)
         connection.say(header + sound_body(call)[:sent_bytes])
         return False
 
@@ -48,17 +50,18 @@
         await next(instance for instance in instances if instance.name == call.instance).close()
         return await ending(script, connection, call)
 
-    script = Script(killed if is_killed else ending, stage, "stream-1")
+    name = "stream-1" if kind.startswith("stream") else "plain-1"
+    script = Script(killed if is_killed else ending, stage, name)
     stages = ["prefill", "decode", "decode"] if stage else ["", ""]
     instances = [ScriptedInstance(f"i-{number}", one, script) for number, one in enumerate(stages)]
     for instance in instances:
         await instance.listen()
     play = Play(script, instances)
-    client = await play.request("stream-1", ROUTES[kind])
+    client = await play.request(name, ROUTES[kind])
     await play.upstream.close()
     for instance in instances:
         await instance.close()
-    return client, script.runs["stream-1"]
+    return client, script.runs[name]
 
 
 @pytest.mark.parametrize("stage", ["", "decode"])
@@ -93,6 +96,21 @@
     assert (client.status, client.whole, client.body, runs) == (200, True, BODY, 2)
 
 
+@pytest.mark.parametrize("stage", ["", "decode"])
+@pytest.mark.parametrize("sent_bytes", [0, 6])
+def test_a_body_without_a_length_of_a_killed_instance_is_not_complete(sent_bytes: int, stage: str) -> None:
+    """Half of a body that is no stream looked complete, since the kernel closes connections in the ordinary way."""
+    client, runs = asyncio.run(_request("unsafe", stage, sent_bytes, is_killed=True))
+    assert (client.status, client.whole, client.body, runs) == (502, True, b"", 1)
+    client, runs = asyncio.run(_request("safe", stage, sent_bytes, is_killed=True))
+    assert (client.status, client.whole, client.body, runs) == (200, True, PLAIN_BODY, 2)
+
+
+def test_a_body_without_a_length_that_ends_with_its_connection_is_complete() -> None:
+    client, runs = asyncio.run(_request("unsafe", "", len(PLAIN_BODY)))
+    assert (client.status, client.whole, client.body, runs) == (200, True, PLAIN_BODY, 1)
+
+
 @pytest.mark.parametrize("is_known", ["draining", "unregistered"])
 def test_an_instance_that_has_announced_its_end_may_end_with_its_last_stream(is_known: str) -> None:
     async def run() -> bool:
