--- a/hophinge/fleet/placement/instance_table.py
+++ b/hophinge/fleet/placement/instance_table.py
@@ -78,7 +78,7 @@
         members = self.pool(service, stage).available_nodes()
         other_stage = OTHER_STAGE.get(stage)
         others = self.pool(service, other_stage).available_nodes() if other_stage is not None else []
-        return predict_stage(now, members, others, self.stage_switch_s.get(service))
+        return predict_stage(now, stage, members, others, self.stage_switch_s.get(service))
 
     def pool(self, service: str, stage: str) -> InstancePool:
         """Return the instances of a stage of a service."""
--- a/hophinge/fleet/placement/stage_outlook.py
+++ b/hophinge/fleet/placement/stage_outlook.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from hophinge.fleet.placement.node import Node
+from hophinge.fleet.placement.stages import can_refill
 from hophinge.fleet.registry.instance import READY, SWITCHING
 
 ORDER_DELAY_S = 0.8  # from the loss of a stage's last instance until another instance starts to switch
@@ -35,12 +36,13 @@
 
 
 def predict_stage(
-    now: float, members: Collection[Node], others: Collection[Node], stage_switch_s: float | None
+    now: float, stage: str, members: Collection[Node], others: Collection[Node], stage_switch_s: float | None
 ) -> StageOutlook:
     """Predict when a stage will accept requests.
 
     Args:
         now: The current time.
+        stage: The stage.
         members: The instances of the stage.
         others: The instances of the other stage, from which the stage can be refilled.
         stage_switch_s: The duration of a stage change; None if it is not known.
@@ -58,6 +60,6 @@
     expected = [ready_at for ready_at in arrivals if now - ready_at <= MAX_OVERDUE_S]
     if expected:
         return StageOutlook(StageState.SWITCHING, max(min(expected), now + OVERDUE_RETRY_S))
-    if sum(node.instance.state == READY for node in others) > 1:
+    if can_refill(stage, sum(node.instance.state == READY for node in others)):
         return StageOutlook(StageState.EMPTY, now + ORDER_DELAY_S + stage_switch_s + SWITCH_SLACK_S)
     return StageOutlook(StageState.EMPTY)
--- a/hophinge/fleet/placement/stages.py
+++ b/hophinge/fleet/placement/stages.py
@@ -23,6 +23,8 @@
 QUEUED_WEIGHT = 0.25  # load that each queued request adds, in instances
 MAX_QUEUED = 4  # queued requests of one instance that count as load
 MIN_STAGE_INSTANCES = 2  # if the service has twice as many: a stage then survives the loss of one instance
+# Instances of the other stage from which an empty one is refilled. The last decode instance stays: it can also prefill.
+MIN_INSTANCES_TO_REFILL = {DECODE: 1, PREFILL: 2}
 MAX_SWITCHED_FRACTION = 0.17  # of a service's instances that may switch together
 
 
@@ -145,14 +147,19 @@
 
 
 def _missing_stage(prefill: list[Instance], decode: list[Instance], arriving_stages: set[str]) -> str:
-    """Return the stage that has no instance and none arriving while the other has several; else an empty name."""
-    if len(prefill) > 1 and not decode and DECODE not in arriving_stages:
+    """Return the stage that has no instance and none arriving, if the other can spare one; else an empty name."""
+    if not decode and DECODE not in arriving_stages and can_refill(DECODE, len(prefill)):
         return DECODE
-    if len(decode) > 1 and not prefill and PREFILL not in arriving_stages:
+    if not prefill and PREFILL not in arriving_stages and can_refill(PREFILL, len(decode)):
         return PREFILL
     return ""
 
 
+def can_refill(stage: str, other_instances: int) -> bool:
+    """Return whether an empty stage can be refilled from the other stage, which has some instances."""
+    return other_instances >= MIN_INSTANCES_TO_REFILL[stage]
+
+
 def _restore_minimum(
     prefill: list[Instance], decode: list[Instance], loads: StageLoads, min_instances: int
 ) -> tuple[StageSwitch, ...]:
--- a/tests/decision_mutants.py
+++ b/tests/decision_mutants.py
@@ -62,6 +62,20 @@
         "missing, SwitchReason.LOAD)",
         STAGES + "test_an_empty_stage_gets_an_instance_at_once",
     ),
+    Mutant(
+        "the last prefill instance keeps its stage",
+        "fleet/placement/stages",
+        "MIN_INSTANCES_TO_REFILL = {DECODE: 1, PREFILL: 2}",
+        "MIN_INSTANCES_TO_REFILL = {DECODE: 2, PREFILL: 2}",
+        STAGES + "test_a_single_prefill_instance_switches_since_only_a_decode_instance_can_serve_alone",
+    ),
+    Mutant(
+        "the last decode instance switches to prefill",
+        "fleet/placement/stages",
+        "MIN_INSTANCES_TO_REFILL = {DECODE: 1, PREFILL: 2}",
+        "MIN_INSTANCES_TO_REFILL = {DECODE: 1, PREFILL: 1}",
+        STAGES + "test_a_single_decode_instance_keeps_its_stage",
+    ),
     Mutant(
         "a switch delays the switch that refills its old stage",
         "fleet/placement/stages",
