--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -13,7 +13,7 @@
 from hophinge.fleet.dataplane.connections import CONTEXT, InstanceEndedError, InstancePool, RequestContext
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
-from hophinge.fleet.registry.instance import READY, Instance
+from hophinge.fleet.registry.instance import DRAINING, Instance
 
 CONNECT_TIMEOUT_S = 0.25  # about a hundred times the usual time; a lost SYN is retransmitted only after 1 s
 FREE_TIMEOUT_S = 0.5  # for an instance to free a KV handle
@@ -139,7 +139,7 @@
         The kernel closes the listening socket of a killed process together with its connections, and then refuses new
         ones. Silence proves nothing: an instance or this head may be busy.
         """
-        if instance.state != READY or instance.identity in self.unregistered:
+        if instance.state == DRAINING or instance.identity in self.unregistered:
             return False
         host, port = instance.address.rsplit(":", 1)
         try:
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -33,6 +33,13 @@
         "        if False:",
         CLOSE_DELIMITED + "test_a_stream_of_a_killed_instance_is_not_complete_between_two_events",
     ),
+    Mutant(
+        "only a ready instance is asked whether it has ended",
+        "fleet/dataplane/upstream",
+        "        if instance.state == DRAINING or instance.identity in self.unregistered:",
+        "        if instance.state != 'ready' or instance.identity in self.unregistered:",
+        CLOSE_DELIMITED + "test_an_instance_that_refuses_connections_has_ended_unless_it_announced_its_end",
+    ),
     Mutant(
         "a body of a killed instance is complete where its connection closes",
         "fleet/dataplane/exchange",
--- a/tests/test_fleet_close_delimited_responses.py
+++ b/tests/test_fleet_close_delimited_responses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hophinge.fleet.dataplane.upstream import Upstream
-from hophinge.fleet.registry.instance import READY, Instance
+from hophinge.fleet.registry.instance import LOST, READY, SWITCHING, Instance
 from tests.close_delimited_responses import play_seeds
 from tests.scripted_instance import STAMP, Connection, Ending, ReceivedCall, Script, ScriptedInstance, sound_body
 from tests.test_failures_requests import ROUTES, Client, Play
@@ -134,14 +134,17 @@
     assert not asyncio.run(Upstream().has_ended(ready))
 
 
-def test_an_instance_that_refuses_connections_has_ended() -> None:
+@pytest.mark.parametrize("state", [READY, SWITCHING, LOST])
+def test_an_instance_that_refuses_connections_has_ended_unless_it_announced_its_end(state: str) -> None:
+    """One that was killed while it changed its stage had streams that looked complete between two events."""
+
     async def run() -> bool:
         server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        ready = Instance("i", "s", address, "z", "v", 8, READY, "", ())
-        assert not await Upstream().has_ended(ready)
+        instance = Instance("i", "s", address, "z", "v", 8, state, "", ())
+        assert not await Upstream().has_ended(instance)
         server.close()
-        return await Upstream().has_ended(ready)
+        return await Upstream().has_ended(instance)
 
     assert asyncio.run(run())
 
