--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -28,6 +28,7 @@
 MAX_CONFIGURATION_BYTES = 8 << 20  # above the operator's own limit on a configuration
 MAX_HEARTBEAT_BYTES = 64 << 10
 CHANGE_TIMEOUT_S = 2.5  # for a change to complete, shorter than the operator waits for an acknowledgement
+CURRENT_VERSION_TIMEOUT_S = 0.3  # for reading the version that the text of an error names
 READ_TIMEOUT_S = 2.0
 MILLISECONDS = 1_000
 JSON_TYPE = (b"content-type", b"application/json")
@@ -159,10 +160,17 @@
                 text = f"version: is not above the current version {result.version}"
                 await answer(send, 400, _body(error=text, version=result.version), (JSON_TYPE,))
             case _:
-                text = (
-                    f"it is unknown whether the change was applied or version {base_version} is still to come; retry it"
-                )
-                await answer(send, 503, _body(error=text), (JSON_TYPE, RETRY_AFTER))
+                await self._answer_unknown_change(send, base_version)
+
+    async def _answer_unknown_change(self, send: Send, base_version: int) -> None:
+        """Answer a change without an outcome; name the current version where the one it builds on is still to come."""
+        current = await self.host.request(RECORD_KEY, None, CURRENT_VERSION_TIMEOUT_S)
+        if current.outcome is Outcome.VALUE and current.version < base_version:
+            text = f"If-Match: version {base_version} is still to come, the current version is {current.version}; retry"
+            body = _body(error=text, version=current.version)
+        else:
+            body = _body(error="it is unknown whether the change was applied; retry it")
+        await answer(send, 503, body, (JSON_TYPE, RETRY_AFTER))
 
     def _validate(self, body: bytes) -> ValidationResult:
         """Validate a document, and log for how long that blocked the event loop."""
--- a/tests/test_fleet_control_api.py
+++ b/tests/test_fleet_control_api.py
@@ -19,14 +19,18 @@
 
 
 class _Chain:
-    """A fake chain that records the changes sent to it, and applies all of them."""
+    """A fake chain that records the changes sent to it, and responds to all of them, and to reads, alike."""
 
-    def __init__(self) -> None:
-        self.changes: list[Change | None] = []
+    def __init__(self, outcome: Outcome | None = Outcome.APPLIED, read: ClientResponse | None = None) -> None:
+        self.changes: list[Change] = []
+        self.outcome = outcome
+        self.read = read
 
     async def request(self, _key: str, change: Change | None, _timeout_s: float) -> ClientResponse:
+        if change is None:
+            return self.read or ClientResponse(2, None)
         self.changes.append(change)
-        return ClientResponse(1, Outcome.APPLIED)
+        return ClientResponse(1, self.outcome)
 
 
 class _SoftState:
@@ -37,9 +41,11 @@
         self.store = GossipStore()
 
 
-def _put(body: bytes, base: bytes, committed: bytes | None = None) -> tuple[int, dict[str, Any], _Chain]:
+def _put(
+    body: bytes, base: bytes, committed: bytes | None = None, chain: _Chain | None = None
+) -> tuple[int, dict[str, Any], _Chain]:
     """Send a configuration to a member that may have a committed one; return status, response body and the chain."""
-    chain, soft_state, messages = _Chain(), _SoftState(), []
+    chain, soft_state, messages = chain or _Chain(), _SoftState(), []
     if committed is not None:
         soft_state.store.store_if_newer(0.0, configuration_record(3, committed))
 
@@ -67,7 +73,6 @@
     status, _, chain = _put(body, b"6")
     (change,) = chain.changes
     assert status == 200
-    assert change is not None
     assert (change.key, change.base, change.version, change.payload) == (RECORD_KEY, 6, VERSION, body)
 
 
@@ -94,3 +99,17 @@
     assert status == 400
     assert "If-Match" in answer["error"]
     assert not chain.changes
+
+
+@pytest.mark.parametrize(("read_version", "is_named"), [(4, True), (6, False), (None, False)])
+def test_a_change_without_an_outcome_is_unavailable_and_names_the_version_if_its_base_is_still_to_come(
+    read_version: int | None, is_named: bool
+) -> None:
+    """A wrong If-Match above the current version got a text from which nobody could tell what was wrong."""
+    read = None if read_version is None else ClientResponse(2, Outcome.VALUE, read_version)
+    chain = _Chain(None, read)
+    status, answer, _ = _put(json.dumps(complete_document(VERSION)).encode(), b"6", chain=chain)
+    assert status == 503
+    assert answer.get("version") == (read_version if is_named else None)
+    assert ("version 6 is still to come, the current version is 4" in answer["error"]) == is_named
+    assert ("unknown whether the change was applied" in answer["error"]) != is_named
