--- a/hophinge/fleet/emulation/virtual_engine.py
+++ b/hophinge/fleet/emulation/virtual_engine.py
@@ -108,8 +108,10 @@
         return sum(request.prompt.tokens_in + request.prompt.tokens_out for request in busy)
 
     def _fits(self, request: EngineRequest) -> bool:
+        """Return whether there is memory for a request; a prefill may wait for it, unless it is larger than all."""
         required_tokens = request.prompt.tokens_in + request.prompt.tokens_out
-        return request.is_prefill_only or self._pinned_tokens() + required_tokens <= self.profile.memory_tokens
+        pinned_tokens = 0 if request.is_prefill_only else self._pinned_tokens()
+        return pinned_tokens + required_tokens <= self.profile.memory_tokens
 
     def _transfer_kv_cache(self, request: EngineRequest) -> None:
         """Transfer a prompt's KV cache here; transfers share the link one after another."""
