Test of a full disk at a head: the service may hear of the version a moment later

The output shows the order: the head says that version 1.2 is active, and the service's list, read at once, still has 1.1, since the head's statement is on its way.

Change: the test waits until the service lists the version; it ends with the test's limit where that does not come.

Measured: the file's tests pass.

--- a/tests/test_control_service_failures.py
+++ b/tests/test_control_service_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import re
@@ -16,6 +17,8 @@
 from tests.installation import GOOD, follower, installation, write
 from tests.stand_in import run, until
 
+POLL_INTERVAL_S = 0.002
+
 
 def test_heads_serve_while_a_killed_service_restarts(tmp_path: Path) -> None:
     # Killed after a version was stored and before it was sent on open streams: the restarted service sends it whole.
@@ -166,6 +169,9 @@
             assert "No space left" in str(status["keep_error"]) and status["kept"] == "1.1"
             stored = last_known_good.load(tmp_path / "state" / "last-good-n0.state")
             assert stored is not None and stored.version_id == (1, 1)
-            assert [row["runs"] for row in (await system.call_operator_api("Status"))["heads"]] == ["1.2"]
+            while [row["runs"] for row in (await system.call_operator_api("Status"))["heads"]] != ["1.2"]:
+                await asyncio.sleep(
+                    POLL_INTERVAL_S
+                )  # the head's statement may be on its way; the test's limit ends this
 
     run(main())
