Requests sent ahead are read a few at a time, and all clients share one account of memory

Callers saw: 24 clients that sent requests ahead and read no answer ended a process whose machine has little memory, at the front, ready and control addresses of both programs; ordinary callers lost theirs with it.

Cause: the parser is handed all bytes of a read and cannot be paused, so 256 KiB became up to 14,000 requests, each of some 3 KB; and reading was resumed after each answer and by each request that waited for its client, whatever waited already. Beside it nothing summed over clients what they make a process hold: headers, bodies before they are read, unread answers, connections (accepted 1,024 at a time, so that two listeners could take all descriptors), and the address that says ready shared its connections with clients.

Change: bytes are divided into pieces in which at most two requests end, and the rest waits as bytes, which get their answers or 503 also behind a shutdown. One account over all connections, by `memory-mb`, takes memory back from clients that do not read, then from uploads that stall, then from the latest uploads; it refuses with 503 what has not run. A client that reads nothing for the idle time is closed. Connections are bounded by `max-fds`, 16 are accepted at a time, the ready address has 64 of its own, and lingering or waiting connections yield.

--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -20,7 +20,18 @@
 from hophinge.fleet.controlplane.status import member_status
 from hophinge.fleet.numerals import parse_decimal
 from hophinge.fleet.registry.instance import Instance, Model
-from hophinge.fleet.transport.asgi import BodyTooLargeError, ClientGoneError, Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.asgi import (
+    BodyTooLargeError,
+    ClientGoneError,
+    Receive,
+    Scope,
+    Send,
+    answer,
+    counted,
+    read_body,
+)
+from hophinge.fleet.transport.client_memory import BodyMemoryFullError, MemoryReservation
+from hophinge.fleet.transport.connection_context import memory_of
 
 CONFIGURATION_PATH = "/v1/config"
 INSTANCES_PATH = "/v1/instances/"
@@ -33,6 +44,8 @@
 MILLISECONDS = 1_000
 JSON_TYPE = (b"content-type", b"application/json")
 RETRY_AFTER = (b"retry-after", b"0.2")
+CLOSE = (b"connection", b"close")
+MAX_LOGGED_PATH = 200  # characters
 
 # Serves a request. Arguments: method, remainder of the path after the registered prefix, receive, send.
 PathHandler = Callable[[str, str, Receive, Send], Awaitable[None]]
@@ -75,26 +88,34 @@
         """Serve one request."""
         method, path = scope["method"], scope["path"]
         try:
-            if path == CONFIGURATION_PATH and method == "PUT":
-                await self._put_configuration(scope, receive, send)
-            elif path == CONFIGURATION_PATH and method == "GET":
-                await self._get_configuration(send)
-            elif path == MEMBER_PATH and method == "GET":
-                await self._get_status(send)
-            elif path.startswith(INSTANCES_PATH) and method == "PUT":
-                await self._put_heartbeat(path[len(INSTANCES_PATH) :], receive, send)
-            elif path.startswith(INSTANCES_PATH) and method == "DELETE":
-                is_acknowledged = await self.soft_state.unregister(path[len(INSTANCES_PATH) :])
-                await self._acknowledge(send, is_acknowledged)
-            elif (found := self._handler(path)) is not None:
-                name, handler = found
-                await handler(method, name, receive, send)
-            else:
-                await answer(send, 404, _body(error="the resource does not exist"), (JSON_TYPE,))
+            with MemoryReservation(memory_of(scope)) as reservation:
+                await self._serve(scope, counted(receive, reservation), send)
         except ClientGoneError:
-            logger.info("upload aborted side=client phase=arriving method={} path={}", method, path)
+            logger.info("upload aborted side=client phase=arriving method={} path={}", method, path[:MAX_LOGGED_PATH])
         except BodyTooLargeError:
-            await answer(send, 413, _body(error="the body is too large"), (JSON_TYPE, (b"connection", b"close")))
+            await answer(send, 413, _body(error="the body is too large"), (JSON_TYPE, CLOSE))
+        except BodyMemoryFullError:
+            text = "too much memory is used by other callers; retry"
+            await answer(send, 503, _body(error=text), (JSON_TYPE, RETRY_AFTER, CLOSE))
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        method, path = scope["method"], scope["path"]
+        if path == CONFIGURATION_PATH and method == "PUT":
+            await self._put_configuration(scope, receive, send)
+        elif path == CONFIGURATION_PATH and method == "GET":
+            await self._get_configuration(send)
+        elif path == MEMBER_PATH and method == "GET":
+            await self._get_status(send)
+        elif path.startswith(INSTANCES_PATH) and method == "PUT":
+            await self._put_heartbeat(path[len(INSTANCES_PATH) :], receive, send)
+        elif path.startswith(INSTANCES_PATH) and method == "DELETE":
+            is_acknowledged = await self.soft_state.unregister(path[len(INSTANCES_PATH) :])
+            await self._acknowledge(send, is_acknowledged)
+        elif (found := self._handler(path)) is not None:
+            name, handler = found
+            await handler(method, name, receive, send)
+        else:
+            await answer(send, 404, _body(error="the resource does not exist"), (JSON_TYPE,))
 
     async def _get_status(self, send: Send) -> None:
         status = member_status(self.host.machine, self.soft_state, self.host.loop.time())
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -32,6 +32,7 @@
 from hophinge.fleet.event_loop import log_stall
 from hophinge.fleet.program import SETTINGS_REREAD_INTERVAL_S, Signals, Tasks, call_periodically, reread_settings
 from hophinge.fleet.settings import Settings, SettingsError
+from hophinge.fleet.transport.connection_context import ConnectionContext
 from hophinge.fleet.transport.frames import Hello
 from hophinge.fleet.transport.links import Links
 from hophinge.fleet.transport.server import HttpServer, bind_listener
@@ -65,7 +66,9 @@
         self.api = ControlApi(self.host, self.soft_state)
         self._register_evacuations(self.api)
         self._register_counters(self.api)
-        self.server = HttpServer(self.api)
+        self.server = HttpServer(
+            self.api, ConnectionContext.of_machine(settings.memory_bytes, settings.max_descriptors)
+        )
         self.api.connection_outcomes = self.server.context.close_reasons
 
     def _register_evacuations(self, api: ControlApi) -> None:
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -38,17 +38,17 @@
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
 from hophinge.fleet.transport.asgi import (
-    BodyMemory,
     BodyTooLargeError,
     ClientGoneError,
-    BodyMemoryFullError,
     Receive,
     Scope,
     Send,
     answer,
+    counted,
     read_body,
 )
-from hophinge.fleet.transport.connection_context import connection_of
+from hophinge.fleet.transport.client_memory import BodyMemoryFullError, MemoryReservation
+from hophinge.fleet.transport.connection_context import connection_of, memory_of
 from hophinge.fleet.transport.connection_state import ConnectionState
 
 READY_PATH = "/v1/ready"
@@ -57,7 +57,6 @@
 DEADLINE_MARGIN_S = 0.03  # a response is sent this long before the deadline
 RETRY_AFTER = (b"retry-after", b"0.6")  # in seconds; a head that has just started soon has its routes
 CLOSE = (b"connection", b"close")
-MAX_BODY_BYTES = 64 << 20  # of all requests in flight together: a fifth of a machine's memory
 
 
 class HttpFrontend:
@@ -75,7 +74,6 @@
         self.random = Random()
         self.traffic_split = TrafficSplit(self.random)
         self.budgets: dict[str, RetryBudget] = {}
-        self.body_memory = BodyMemory(MAX_BODY_BYTES)
         self.metrics = RequestMetrics()
         self.abort_log = AbortLog(cluster_state, placement, upstream)
         self.ready_port = int(settings.ready_address.rsplit(":", 1)[1]) if settings.ready_address else 0
@@ -161,9 +159,9 @@
         if sum(len(name) + len(value) + 4 for name, value in fields) > limits.header_bytes:
             await self._reject_size(send, 431, table)
             return
-        with self.body_memory.reserve() as reservation:
+        with MemoryReservation(memory_of(scope)) as reservation:
             try:
-                body = await read_body(receive, limits.body_bytes, reservation)
+                body = await read_body(counted(receive, reservation), limits.body_bytes)
             except BodyTooLargeError:
                 await self._reject_size(send, 413, table)
                 return
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -23,12 +23,14 @@
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.registry.warmup import WARMUP_PREFIX, warmup_of
 from hophinge.fleet.settings import Settings, SettingsError
+from hophinge.fleet.transport.connection_context import ConnectionContext
 from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.frames import Hello
 from hophinge.fleet.transport.links import Links
 from hophinge.fleet.transport.server import HttpServer, bind_listener
 
 DATA = "data"
+MAX_READY_CONNECTIONS = 64  # to the address that the platform and operators ask
 UNREADY_S = 2.6  # of reporting not ready: the platform sends no new connections after two failed checks, 1 s apart
 HINT_DELAY_S = 0.01  # for which placements are collected before they are published
 CLIENT_SLACK_S = 1.0  # added to the configured timeouts: what a client sent in time may be in flight
@@ -63,9 +65,15 @@
         self.cluster_state.listen(WARMUP_PREFIX, self._update_warmup)
         self.links = Links(self.cluster_state.me, DATA, self._receive)
         self.frontend = HttpFrontend(settings, self.cluster_state, self.placement, self.upstream)
-        self.server = HttpServer(self.frontend)
+        self.server = HttpServer(self.frontend, self._create_connection_context())
         self.frontend.connection_outcomes = self.server.context.close_reasons
 
+    def _create_connection_context(self) -> ConnectionContext:
+        """Return the limits on clients; the platform and operators have connections of their own."""
+        context = ConnectionContext.of_machine(self.settings.memory_bytes, self.settings.max_descriptors)
+        context.reserved_connections[self.frontend.ready_port] = MAX_READY_CONNECTIONS
+        return context
+
     def _send(self, address: str, message: object) -> None:
         self.links.send(address, message)
 
--- a/hophinge/fleet/emulation/engine.py
+++ b/hophinge/fleet/emulation/engine.py
@@ -73,6 +73,7 @@
         self.running = 0  # as it reports
         self.order_count = 0  # accepted so far
         self.next_stage = ""  # while it switches its stage
+        self.padding = b""  # behind each response that is no stream
 
     def heartbeat_body(self, service: str, address: str, zone: str) -> bytes:
         """Return the body of the next heartbeat."""
@@ -177,7 +178,7 @@
         signature = SIGNATURE_FORMAT.format(identity=self.identity, request=request)
         stamped = [*own, (b"Hophinge-Server-Signature", signature.encode())]
         if not self.stage:
-            return EngineResponse(200, stamped, f"{self.identity} {request}".encode())
+            return EngineResponse(200, stamped, f"{self.identity} {request}".encode() + self.padding)
         first = int(find_field(fields, LAST_EVENT_ID) or 0) + 1
         text = "".join(
             EVENT_FORMAT.format(number=number, identity=self.identity) for number in range(first, self.events + 1)
--- a/hophinge/fleet/emulation/loopback_fleet.py
+++ b/hophinge/fleet/emulation/loopback_fleet.py
@@ -31,6 +31,8 @@
 STARTED = " started identity="  # in the log line of a process that has read its settings
 BUDGET_WINDOW_S = 2.0  # after its start a head has only a fraction of the slack
 PROGRAMS_PER_MACHINE = 2
+DEFAULT_MEMORY_MB = 300  # of each process, as its settings say
+DEFAULT_MAX_DESCRIPTORS = 4_100
 HOST = "models.example"
 ENGINE_SETTINGS = {"slots": 8, "kv-cache-tokens": 400_000, "kv-token-bytes": 1_000, "handle-ttl-s": 5.0}
 
@@ -73,8 +75,18 @@
 class LoopbackFleet:
     """Machines, each with a head and a control member, and the emulated instances that register with them."""
 
-    def __init__(self, folder: Path, machines: int, losses: int = 1, grace_s: float = 3.0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        machines: int,
+        losses: int = 1,
+        grace_s: float = 3.0,
+        memory_mb: int = DEFAULT_MEMORY_MB,
+        max_descriptors: int = DEFAULT_MAX_DESCRIPTORS,
+    ) -> None:
         self.folder = folder
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self.losses = losses
         self.grace_s = grace_s
         self.processes = Processes(folder, max(DEFAULT_MAX_PROCESSES, PROGRAMS_PER_MACHINE * machines))
@@ -140,6 +152,7 @@
             "seed-nodes": self.controls[:3],
             "bootstrap": self.bootstrap,
             "counts-for-quorum": True,
+            "limits": {"memory-mb": self.memory_mb, "max-fds": self.max_descriptors},
             "data-dir": str(self.data_folder(number)),
             "heartbeat-ms": 400,
             "fault-tolerance": {"machines": self.losses},
--- a/hophinge/fleet/settings.py
+++ b/hophinge/fleet/settings.py
@@ -11,6 +11,8 @@
 
 SETTINGS_VARIABLE = "HOPHINGE_CONFIG"
 DEFAULT_SETTINGS_PATH = "/etc/hophinge/local.json"
+MIB = 1 << 20
+DEFAULT_MEMORY_MB = 300
 MAX_NUMBER = 1e12  # the largest number accepted in a setting
 # Offsets into the internal port range:
 CONTROL_PORT_OFFSET = 0
@@ -63,6 +65,8 @@
     data_dir: Path | None
     heartbeat_s: float
     max_machine_losses: int  # the number of simultaneous machine losses to tolerate
+    memory_bytes: int  # that this process may use
+    max_descriptors: int  # that this process may open; 0 where the file does not say
     bounds: Bounds
 
     def seed_members(self) -> tuple[str, ...]:
@@ -148,6 +152,7 @@
     top = SettingsReader(raw, "", findings)
     addresses = top.section("listen-addresses")
     bounds = top.section("bounds")
+    limits = top.section("limits")
     ip = top.text("ip")
     first_port = _parse_first_port(top)
     folder = top.optional("data-dir")
@@ -168,6 +173,8 @@
         data_dir=Path(folder) if folder else None,
         heartbeat_s=top.number("heartbeat-ms", 1_000) / 1_000,
         max_machine_losses=int(top.section("fault-tolerance").number("machines", 0)),
+        memory_bytes=int(limits.number("memory-mb", DEFAULT_MEMORY_MB) * MIB),
+        max_descriptors=int(limits.number("max-fds", 0)),
         bounds=_parse_bounds(bounds),
     )
     if findings:
--- a/hophinge/fleet/transport/asgi.py
+++ b/hophinge/fleet/transport/asgi.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
+from hophinge.fleet.transport.client_memory import MemoryReservation
+
 Scope = dict[str, Any]
 Receive = Callable[[], Coroutine[Any, Any, dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -20,72 +21,37 @@
     """The body exceeds its limit."""
 
 
-class BodyMemoryFullError(Exception):
-    """The bodies of all requests together would exceed the limit."""
-
-
-class BodyMemory:
-    """The memory for bodies in one process: clients could exhaust it together though each keeps its own limit."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self.reserved = 0
-
-    @contextlib.contextmanager
-    def reserve(self) -> Iterator[BodyReservation]:
-        """Open a reservation for one request; the end of the context releases its memory."""
-        reservation = BodyReservation(self)
-        try:
-            yield reservation
-        finally:
-            self.reserved -= reservation.reserved
+def counted(receive: Receive, reservation: MemoryReservation) -> Receive:
+    """Return a channel whose bodies are reserved as they arrive; BodyMemoryFullError where they do not fit."""
 
+    async def receive_counted() -> dict[str, Any]:
+        message = await receive()
+        if message["type"] == "http.request":
+            reservation.extend(len(message.get("body", b"")))
+        return message
 
-class BodyReservation:
-    """The memory reserved for one request."""
-
-    def __init__(self, memory: BodyMemory) -> None:
-        self.memory = memory
-        self.reserved = 0
-
-    def extend(self, count: int) -> None:
-        """Reserve more bytes.
-
-        Raises:
-            BodyMemoryFullError: The limit of the process would be exceeded.
-
-        """
-        if self.memory.reserved + count > self.memory.max_bytes:
-            raise BodyMemoryFullError
-        self.memory.reserved += count
-        self.reserved += count
+    return receive_counted
 
 
-async def read_body(receive: Receive, max_bytes: int, reservation: BodyReservation | None = None) -> bytes:
-    """Read a complete body, and count its bytes in a reservation if one is given.
+async def read_body(receive: Receive, max_bytes: int) -> bytes:
+    """Read a complete body.
 
     Raises:
         ClientGoneError: The client disconnected before the body was complete.
         BodyTooLargeError: The body exceeds `max_bytes`.
-        BodyMemoryFullError: The bodies of all requests exceed the limit of the process.
+        BodyMemoryFullError: All clients together would hold too much; only where `receive` is `counted`.
 
     """
-    chunks: list[bytes] = []
-    size = 0
+    received = bytearray()  # not a list of chunks: each of many short ones would take more memory than its bytes
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ClientGoneError
-        body = message.get("body", b"")
-        size += len(body)
-        if size > max_bytes:
+        received += message.get("body", b"")
+        if len(received) > max_bytes:
             raise BodyTooLargeError
-        if reservation is not None:
-            reservation.extend(len(body))
-        if body:
-            chunks.append(body)
         if not message.get("more_body", False):
-            return b"".join(chunks)
+            return bytes(received)
 
 
 async def answer(send: Send, status: int, body: bytes = b"", headers: Headers = ()) -> None:
--- a/hophinge/fleet/transport/connection_state.py
+++ b/hophinge/fleet/transport/connection_state.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-BAD_REQUEST, REQUEST_TIMEOUT, HEADER_FIELDS_TOO_LARGE = 400, 408, 431
+BAD_REQUEST, REQUEST_TIMEOUT, HEADER_FIELDS_TOO_LARGE, SERVICE_UNAVAILABLE = 400, 408, 431, 503
 
 
 class CloseReason(Enum):
@@ -31,6 +31,8 @@
     RESPONSE_ABORTED = "an answer that could not be brought to its end"
     SHUTDOWN = "the end of the process"
     AT_CAPACITY = "more connections than there is room for"
+    OUT_OF_MEMORY = "more held for clients than there is memory for"
+    RESPONSE_UNREAD = "an answer that the client did not read"
 
 
 class ReadState(Enum):
@@ -74,6 +76,7 @@
         self.close_reason: CloseReason | None = None
         self.rejection_status = 0  # to send after the last outstanding response; 0 for none
         self.waiting_since = now  # since when the server waits for the client
+        self.has_unparsed_bytes = False  # received, and not parsed yet
         self.is_closed = False  # or closing
 
     # --- requests ------------------------------------------------------------------------------------------------
@@ -158,15 +161,16 @@
         self._set_close_reason(CloseReason.SHUTDOWN)
         return self._close_when_answered()
 
-    def yield_to_another(self) -> list[Action]:
-        """Close once nothing is outstanding, to make room for another connection."""
-        self._set_close_reason(CloseReason.AT_CAPACITY)
+    def yield_to_others(self, reason: CloseReason) -> list[Action]:
+        """Close once nothing is outstanding, to make room for other clients; requests read until then are rejected."""
+        self._set_close_reason(reason)
         return self._close_when_answered()
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing is outstanding, and nothing is being read."""
-        return self.outstanding == 0 and self.read_state is ReadState.NOTHING and not self.is_closed
+        is_at_rest = self.outstanding == 0 and self.read_state is ReadState.NOTHING
+        return is_at_rest and not self.has_unparsed_bytes and not self.is_closed
 
     def abandon(self, reason: CloseReason) -> None:
         """Record that the client has disconnected or the connection was closed."""
@@ -178,9 +182,16 @@
         if self.close_reason is None:
             self.close_reason = reason
 
+    def record_unparsed(self, has_unparsed_bytes: bool) -> list[Action]:
+        """Record whether received bytes are still to be parsed: they may hold requests, which are answered first."""
+        had_unparsed_bytes, self.has_unparsed_bytes = self.has_unparsed_bytes, has_unparsed_bytes
+        return self._close_when_answered() if had_unparsed_bytes and not has_unparsed_bytes else []
+
     def _close_when_answered(self) -> list[Action]:
         if self.outstanding or self.close_reason is None or self.is_closed:
             return []
+        if self.has_unparsed_bytes and self.is_accepting:
+            return []
         self.is_accepting = False
         self.is_closed = True
         return [Action.REJECT if self.rejection_status else Action.CLOSE]
@@ -190,7 +201,9 @@
     @property
     def deadline(self) -> float | None:
         """Until when the server waits for the client; None while the client waits for the server."""
-        if not self.is_accepting or self.outstanding > (self.read_state is ReadState.BODY):
+        if not self.is_accepting or self.has_unparsed_bytes:
+            return None
+        if self.outstanding > (self.read_state is ReadState.BODY):
             return None
         return self.waiting_since + (self.bounds.header_s if self.read_state is ReadState.HEAD else self.idle_s)
 
--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -16,7 +16,8 @@
 from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.server_connection import ServerConnection
 
-BACKLOG = 1_024
+BACKLOG = 1_024  # connections that the kernel holds for a socket until they are accepted
+ACCEPT_BATCH = 16  # connections accepted from a socket in one iteration of the event loop
 POLL_INTERVAL_S = 0.05  # between checks for work in flight while draining
 FINAL_FLUSH_S = 0.2  # for sending responses after `on_deadline`
 
@@ -35,8 +36,8 @@
 class HttpServer(Server):
     """A uvicorn server without uvicorn's signal handlers, timer and log."""
 
-    def __init__(self, app: Any) -> None:
-        self.context = ConnectionContext()
+    def __init__(self, app: Any, context: ConnectionContext | None = None) -> None:
+        self.context = context or ConnectionContext()
         config = Config(
             app,
             http=cast(Any, self._connection),
@@ -49,11 +50,21 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            backlog=BACKLOG,
+            backlog=ACCEPT_BATCH,
         )
         super().__init__(config)
         self.shutdown_requested = asyncio.Event()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen.
+
+        asyncio accepts as many connections at once as the kernel may hold, which could take all descriptors before the
+        limit on connections applies; so the kernel's number is set apart.
+        """
+        await super().startup(sockets)
+        for sock in sockets or []:
+            sock.listen(BACKLOG)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave signals to the program."""
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -4,41 +4,90 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import httptools
-from uvicorn.protocols.http.flow_control import service_unavailable
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl, service_unavailable
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
 from hophinge.fleet.transport.closing import close, linger
-from hophinge.fleet.transport.connection_context import CONNECTION, ResponseTransport, ConnectionContext
+from hophinge.fleet.transport.client_memory import BodyMemoryFullError
+from hophinge.fleet.transport.connection_context import CONNECTION, MEMORY, ResponseTransport, ConnectionContext
 from hophinge.fleet.transport.connection_state import (
     BAD_REQUEST,
+    SERVICE_UNAVAILABLE,
     Action,
     ConnectionBounds,
     ConnectionState,
     CloseReason,
     ReadState,
 )
+from hophinge.fleet.transport.message_boundaries import MessageBoundaries
 from hophinge.fleet.transport.upgrade import without_upgrade
 
 MAX_PIPELINED = 8  # requests waiting behind the one being answered, at which reading pauses
+MAX_PIPELINED_BYTES = 64 << 10  # that these requests may hold
+MAX_PIECES_PER_TURN = 64  # parsed for one connection in one iteration of the event loop
+REQUEST_BYTES = 4_096  # held for a request besides its header fields and its body
+FIELD_BYTES = 400  # held for a header field besides its name and value
+STALL_S = 5.0  # in which less than MIN_PROGRESS_BYTES of a request arrive, after which its client counts as stalled
+MIN_PROGRESS_BYTES = 64 << 10
+CAPACITY_STALL_S = 1.0  # of waiting for a client, after which its connection may be closed for a new one
+LINGERING_FRACTION = 1 / 8  # of the limit on connections, that may linger beyond it
 CLOSED_BY_CLIENT = (CloseReason.CLIENT_CLOSED, CloseReason.CLIENT_RESET)
 
 
+class RequestFlow(FlowControl):
+    """The flow control of a connection, which parses what it has received before it reads more."""
+
+    def __init__(self, transport: asyncio.Transport, on_resume: Callable[[], None]) -> None:
+        super().__init__(transport)
+        self._on_resume = on_resume
+
+    def resume_reading(self) -> None:
+        """Ask for more of the requests, as a response does."""
+        self._on_resume()
+
+    def update_reading(self, should_read: bool) -> None:
+        """Resume or pause reading from the socket."""
+        if should_read:
+            super().resume_reading()
+        else:
+            self.pause_reading()
+
+
 class ServerConnection(HttpToolsProtocol):
     """A connection that a client opened.
 
     uvicorn tracks only the latest request of a connection, and closes, rejects or drops by that one alone. This class
-    keeps every request that was read until its response is complete, and never mixes the bytes of responses.
+    keeps every request that was read until its response is complete, and never mixes the bytes of responses. It parses
+    only as many requests ahead as may wait, and accounts for what it holds.
     """
 
+    flow: RequestFlow
+
     def __init__(self, context: ConnectionContext, **params: Any) -> None:
         super().__init__(**params)
         self.context = context
         self.raw_transport: asyncio.Transport | None = None
+        self.port = 0  # to which the client connected
         self.cycles: deque[RequestResponseCycle] = deque()  # outstanding, in the order of requests
+        self.request_bytes: deque[int] = deque()  # held for each of them, besides its body
+        self.boundaries = MessageBoundaries()
+        self.received = b""  # of which the bytes from `parsed_to` are not parsed yet
+        self.parsed_to = 0
+        self.is_parsing = False
+        self.is_aborted = False  # closed at once: what it holds is released within a few iterations of the event loop
+        self.continuation: asyncio.Handle | None = None  # parses on in the next iteration of the event loop
+        self.reserved_bytes = 0  # for the bodies of requests, and for responses that are not sent yet
+        self.abandoned_bytes = 0  # of these, of a request that was rejected and will release them soon
+        self.began_at = 0.0  # the beginning of the latest request
+        self.progress_since = 0.0  # the beginning of the latest MIN_PROGRESS_BYTES of a request
+        self.progress_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
+        self.write_paused_since: float | None = None
         self.state = ConnectionState(context.bounds, self.loop.time())
 
     # --- the connection ------------------------------------------------------------------------------------------
@@ -48,35 +97,186 @@
         super().connection_made(transport)
         self.raw_transport = transport
         self.transport = ResponseTransport(  # type: ignore[assignment]
-            transport, self.request_close, self._disconnect_all
+            transport, self.request_close, self._disconnect_all, self._update_memory
         )
+        self.flow = RequestFlow(transport, self._parse_more)
+        self.port = self.server[1] or 0 if self.server is not None else 0
+        self.context.open_connections[self.port] += 1
         self._schedule_deadline()
-        if len(self.connections) > self.context.max_connections:
+        if self.context.open_connections[self.port] > self.context.connection_limit(self.port):
             self._enforce_capacity()
 
     def _enforce_capacity(self) -> None:
-        """Close the connection that has been idle longest, or this one if none is idle."""
-        idle = [
+        """Close the connection that can be spared most: one that lingers, the longest idle, one that waits, or this."""
+        others = [
             connection
             for connection in self.connections
-            if isinstance(connection, ServerConnection) and connection.state.is_idle
+            if isinstance(connection, ServerConnection) and connection.port == self.port
         ]
-        longest_idle = min(idle, key=lambda connection: connection.state.waiting_since, default=self)
-        longest_idle._perform(longest_idle.state.yield_to_another())
+        spared = (
+            [connection for connection in others if connection.state.is_closed and not connection.is_aborted]
+            or [connection for connection in others if connection.state.is_idle]
+            or [connection for connection in others if connection.is_waiting_for_client()]
+        )
+        longest = min(spared, key=lambda connection: connection.waiting_since, default=self)
+        longest._yield_to_another()
+
+    @property
+    def waiting_since(self) -> float:
+        """Since when the server waits for the client."""
+        return self.write_paused_since if self.write_paused_since is not None else self.state.waiting_since
+
+    def is_waiting_for_client(self) -> bool:
+        """Return whether the client has not sent the rest of a request, or not read a response, for a while."""
+        is_incomplete = self.state.read_state is not ReadState.NOTHING and not self.flow.read_paused
+        is_waiting = (is_incomplete or self.write_paused_since is not None) and not self.state.is_closed
+        return is_waiting and self.loop.time() - self.waiting_since >= CAPACITY_STALL_S
+
+    def _yield_to_another(self) -> None:
+        """Make room for another connection; linger only as long as not too many connections do."""
+        limit = self.context.connection_limit(self.port)
+        if self.write_paused_since is not None or self.state.is_closed:
+            self._abort(CloseReason.AT_CAPACITY)
+        elif self.state.read_state is ReadState.NOTHING:
+            self._perform(self.state.yield_to_others(CloseReason.AT_CAPACITY))
+        else:
+            self._reject_incomplete(CloseReason.AT_CAPACITY)
+        if self.context.open_connections[self.port] > limit * (1 + LINGERING_FRACTION):
+            self._abort(CloseReason.AT_CAPACITY)
+
+    def _abort(self, reason: CloseReason) -> None:
+        """Close at once, with what is outstanding."""
+        assert self.raw_transport is not None
+        self.is_aborted = True
+        self.state.abandon(reason)
+        self._discard_unparsed()
+        self._disconnect_all()
+        self.raw_transport.abort()
+
+    def _reject_incomplete(self, reason: CloseReason) -> None:
+        """Answer 503 to the request that is being read, and accept nothing new; it was not executed."""
+        was_reading_header = self.state.read_state is ReadState.HEAD
+        self._perform(self.state.reject(reason, SERVICE_UNAVAILABLE, self._is_newest_response_started()))
+        self._discard_unparsed()
+        if was_reading_header:
+            self.headers.clear()
+
+    def pause_writing(self) -> None:
+        """Begin to wait for the client to read."""
+        super().pause_writing()
+        self.write_paused_since = self.loop.time()
+        self._watch_reader(self.unsent_bytes)
+
+    def resume_writing(self) -> None:
+        """End the wait for the client."""
+        super().resume_writing()
+        self.write_paused_since = None
+        if self.write_timer is not None:
+            self.write_timer.cancel()
+            self.write_timer = None
+
+    def _watch_reader(self, unsent_bytes: int) -> None:
+        self.write_timer = self.loop.call_later(self.context.bounds.idle_s, self._check_reader, unsent_bytes)
+
+    def _check_reader(self, previous_unsent_bytes: int) -> None:
+        """Close a connection whose client has read nothing for as long as it may be idle."""
+        self.write_timer = None
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes >= previous_unsent_bytes:
+            self._abort(CloseReason.RESPONSE_UNREAD)
+        else:
+            self.write_paused_since = self.loop.time()
+            self._watch_reader(unsent_bytes)
+
+    # --- reading -------------------------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
         """Read requests; ignore data that arrives once the connection accepts nothing new."""
         if not self.state.is_accepting:
             return
+        self.received = self.received[self.parsed_to :] + data if self.received else data
+        self.parsed_to = 0
+        self._parse()
+
+    @property
+    def _has_unparsed(self) -> bool:
+        return self.parsed_to < len(self.received)
+
+    def _discard_unparsed(self) -> None:
+        self.received, self.parsed_to = b"", 0
+        if self.continuation is not None:
+            self.continuation.cancel()
+            self.continuation = None
+
+    def _parse_more(self) -> None:
+        """Parse and read on, if a response asks for more of its request or is complete."""
+        if self.is_parsing:
+            return
+        if self._has_unparsed or not self.state.is_accepting:
+            self._parse()
+        elif self.flow.read_paused and self._may_parse():
+            self.flow.update_reading(True)
+
+    def _parse(self) -> None:
+        """Parse what was received, as far as the requests that are outstanding permit."""
+        self.is_parsing = True
+        try:
+            self._parse_pieces()
+        finally:
+            self.is_parsing = False
+        if not self.state.is_accepting or not self._has_unparsed:
+            self._discard_unparsed()
+        if self._has_unparsed or self.state.has_unparsed_bytes:
+            self._perform(self.state.record_unparsed(self._has_unparsed))
+        if self.raw_transport is not None and not self.raw_transport.is_closing():
+            self.flow.update_reading(not self._has_unparsed and (self._may_parse() or not self.state.is_accepting))
+            self._require_memory()
+        self._schedule_deadline()
+
+    def _require_memory(self) -> None:
+        """Account for what was read, and accept nothing more of this client where that is too much."""
         try:
-            self._feed_parser(data)
+            self.context.memory.require(self)
+        except BodyMemoryFullError:
+            if self.state.read_state is not ReadState.NOTHING:
+                self._reject_incomplete(CloseReason.OUT_OF_MEMORY)
+                self._update_memory()
+            elif self.pipeline:
+                self._perform(self.state.yield_to_others(CloseReason.OUT_OF_MEMORY))
+
+    def _parse_pieces(self) -> None:
+        for _ in range(MAX_PIECES_PER_TURN):
+            if not (self._has_unparsed and self.state.is_accepting and self._may_parse()):
+                return
+            self._parse_piece()
+        if self._has_unparsed and self.continuation is None:
+            self.continuation = self.loop.call_soon(self._continue_parsing)
+
+    def _continue_parsing(self) -> None:
+        self.continuation = None
+        self._parse()
+
+    def _may_parse(self) -> bool:
+        """Return whether the outstanding requests leave room for more."""
+        if self.state.read_state is ReadState.BODY:
+            return self.cycle.response_complete or len(self.cycle.body) <= HIGH_WATER_LIMIT
+        if not self.pipeline:
+            return True
+        waiting_bytes = sum(self.request_bytes) + sum(len(cycle.body) for cycle, _ in self.pipeline)
+        return len(self.pipeline) < MAX_PIPELINED and waiting_bytes - self.request_bytes[0] <= MAX_PIPELINED_BYTES
+
+    def _parse_piece(self) -> None:
+        size = self.boundaries.next_size(self.received, self.parsed_to, self.state.bounds.header_bytes)
+        piece = self.received[self.parsed_to : self.parsed_to + size]
+        self.parsed_to += size
+        try:
+            self._feed_parser(piece)
         except httptools.HttpParserError:
             self._perform(
                 self.state.reject(CloseReason.INVALID_REQUEST, BAD_REQUEST, self._is_newest_response_started())
             )
         else:
-            self._perform(self.state.receive_bytes(self.loop.time(), len(data)))
-        self._schedule_deadline()
+            self._perform(self.state.receive_bytes(self.loop.time(), size))
 
     def _feed_parser(self, data: bytes) -> None:
         try:
@@ -96,6 +296,7 @@
     def eof_received(self) -> None:
         """Cancel the requests in flight: a client that closes its side counts as disconnected."""
         self.state.abandon(CloseReason.CLIENT_CLOSED)
+        self._discard_unparsed()
         self._disconnect_all()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -104,8 +305,12 @@
         A close is clean if no request was incomplete and the client, a request or a response asked for it.
         """
         self.state.abandon(CloseReason.CLIENT_RESET if exc is not None else CloseReason.CLIENT_CLOSED)
-        if self.timer is not None:
-            self.timer.cancel()
+        self._discard_unparsed()
+        for timer in (self.timer, self.write_timer):
+            if timer is not None:
+                timer.cancel()
+        self.context.open_connections[self.port] -= 1
+        self.context.memory.forget(self)
         reason = self.state.close_reason
         is_left_open = self.state.outstanding or self.state.read_state is not ReadState.NOTHING
         if reason is not None and (is_left_open or reason not in (*CLOSED_BY_CLIENT, CloseReason.CLOSE_REQUESTED)):
@@ -113,6 +318,74 @@
         self._disconnect_all()
         super().connection_lost(exc)
 
+    # --- memory --------------------------------------------------------------------------------------------------
+
+    def measure_memory(self) -> int:
+        """Return the bytes that this connection makes the process hold."""
+        if self.is_aborted:
+            return 0
+        held = self.unsent_bytes + len(self.received) + self.reserved_bytes - self.abandoned_bytes
+        if self.state.read_state is ReadState.HEAD:
+            held += (self.state.header_bytes if self.state.is_accepting else 0) + FIELD_BYTES * len(self.headers)
+        for cycle in self.cycles:
+            held += len(cycle.body)
+        return held + sum(self.request_bytes)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the client has not read."""
+        return self.raw_transport.get_write_buffer_size() if self.raw_transport is not None else 0
+
+    def is_incomplete(self) -> bool:
+        """Return whether the latest request is still being read."""
+        return self.state.read_state is not ReadState.NOTHING and self.state.is_accepting
+
+    def is_stalled(self) -> bool:
+        """Return whether the server waits for the rest of a request, and nearly nothing of it arrives."""
+        return self.is_incomplete() and self.loop.time() - self.progress_since > STALL_S
+
+    def release_memory(self) -> None:
+        """Reject the request that is being read, or close the connection if its client does not read responses."""
+        if self.unsent_bytes:
+            self._abort(CloseReason.OUT_OF_MEMORY)
+        else:
+            self.abandoned_bytes = self.reserved_bytes
+            self._reject_incomplete(CloseReason.OUT_OF_MEMORY)
+
+    def reserve(self, count: int) -> None:
+        """Reserve memory for a request.
+
+        Raises:
+            BodyMemoryFullError: All clients together would hold too much.
+
+        """
+        self.reserved_bytes += count
+        if not self.state.is_closed:
+            self.context.memory.require(self)
+
+    def hold(self, count: int) -> None:
+        """Account for memory that a request takes in any case."""
+        self.reserved_bytes += count
+        if not self.state.is_closed:
+            self._update_memory()
+
+    def release(self, count: int) -> None:
+        """Release reserved memory."""
+        self.reserved_bytes -= count
+        self.abandoned_bytes = max(0, self.abandoned_bytes - count)
+        if not self.state.is_closed:
+            self._update_memory()
+
+    def _update_memory(self) -> None:
+        self.context.memory.update(self)
+
+    def _record_progress(self, count: int) -> None:
+        self.progress_bytes += count
+        if self.progress_bytes >= MIN_PROGRESS_BYTES:
+            self.progress_since, self.progress_bytes = self.loop.time(), 0
+
+    # --- the end of the client -----------------------------------------------------------------------------------
+
     def _disconnect_all(self) -> None:
         """Notify the requests that their client has disconnected; those that wait are not started."""
         self.pipeline.clear()
@@ -130,6 +403,9 @@
         """Handle the first byte of a request."""
         super().on_message_begin()
         self.scope["state"][CONNECTION] = self.state
+        self.scope["state"][MEMORY] = self
+        self.began_at = self.progress_since = self.loop.time()
+        self.progress_bytes = 0
         self.state.begin_header(self.loop.time())
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -143,12 +419,18 @@
             return  # the header is parsed again without its upgrade
         super().on_headers_complete()
         self.cycles.append(self.cycle)
+        field_bytes = sum(len(name) + len(value) + FIELD_BYTES for name, value in self.headers)
+        self.request_bytes.append(REQUEST_BYTES + len(self.url) + field_bytes)
+        self.boundaries.begin_body(self.headers)
         is_served = self.state.complete_header(self.cycle.keep_alive)
-        if self.pipeline and self.pipeline[0][0] is self.cycle:
-            if not is_served:
-                self.pipeline[0] = (self.cycle, service_unavailable)
-            if len(self.pipeline) < MAX_PIPELINED:
-                self.flow.resume_reading()  # to detect a disconnect of the client
+        if self.pipeline and self.pipeline[0][0] is self.cycle and not is_served:
+            self.pipeline[0] = (self.cycle, service_unavailable)
+
+    def on_body(self, body: bytes) -> None:
+        """Handle a part of a request's body."""
+        super().on_body(body)
+        self.boundaries.consume_body(len(body))
+        self._record_progress(len(body))
 
     def on_message_complete(self) -> None:
         """Handle a request's last byte."""
@@ -161,9 +443,12 @@
         """Start the next response, or close if the connection is to close."""
         self.server_state.total_requests += 1
         self.cycles.popleft()
-        self.flow.resume_reading()
+        self.request_bytes.popleft()
         self._perform(self.state.complete_response(self.loop.time()))
+        self._parse_more()
         self._schedule_deadline()
+        if not self.cycles and not self.state.is_closed:
+            self._update_memory()
 
     def request_close(self) -> None:
         """Close after the last outstanding response; at once if a started response cannot be completed."""
@@ -202,6 +487,7 @@
 
     def _abandon_newest(self) -> None:
         cycle = self.cycles.pop()
+        self.request_bytes.pop()
         if self.pipeline and self.pipeline[0][0] is cycle:
             self.pipeline.popleft()
         self._disconnect(cycle)
@@ -214,7 +500,7 @@
     def _linger(self) -> None:
         """Half-close, and keep reading for LINGER_S."""
         assert self.raw_transport is not None
-        self.flow.resume_reading()
+        self.flow.update_reading(True)
         linger(self.loop, self.raw_transport)
 
     def _close(self) -> None:
@@ -248,7 +534,7 @@
 
     def outstanding_responses(self) -> list[str]:
         """Return a description of each response that is outstanding or not sent completely, for the log."""
-        unsent_bytes = self.raw_transport.get_write_buffer_size() if self.raw_transport is not None else 0
+        unsent_bytes = self.unsent_bytes
         descriptions = [
             f"path={cycle.scope['path']} client={self.client} response=incomplete unsent_bytes={unsent_bytes}"
             for cycle in self.cycles
--- a/tests/connection_wire.py
+++ b/tests/connection_wire.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 
-from hophinge.fleet.transport.asgi import ClientGoneError, Receive, Scope, Send, answer, read_body
+from hophinge.fleet.transport.asgi import ClientGoneError, Receive, Scope, Send, answer, counted, read_body
+from hophinge.fleet.transport.client_memory import MemoryReservation
+from hophinge.fleet.transport.connection_context import memory_of
 from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.server import HttpServer
 from hophinge.fleet.transport.server_connection import ServerConnection
@@ -21,6 +23,22 @@
 Play = Callable[["Wire", HttpServer], Awaitable[None]]
 
 
+class RecordedMemory:
+    """The memory of a connection without a limit, as a request uses it."""
+
+    def __init__(self) -> None:
+        self.reserved = 0
+
+    def reserve(self, count: int) -> None:
+        self.reserved += count
+
+    def hold(self, count: int) -> None:
+        self.reserved += count
+
+    def release(self, count: int) -> None:
+        self.reserved -= count
+
+
 class Pipe(asyncio.Transport):
     """A transport that records what is written to it."""
 
@@ -74,11 +92,16 @@
         if path == "/unread":
             await self._answer(path, send)
             return
-        try:
-            body = await read_body(receive, MAX_BODY)
-        except ClientGoneError:
-            self.gone.append(path)
-            return
+        with MemoryReservation(memory_of(scope)) as reservation:
+            try:
+                body = await read_body(counted(receive, reservation), MAX_BODY)
+            except ClientGoneError:
+                self.gone.append(path)
+                return
+            await self._respond(scope, body, send)
+
+    async def _respond(self, scope: Scope, body: bytes, send: Send) -> None:
+        path = scope["path"]
         self.begun.append(path)
         self.bodies.append(body)
         self.fields.append(list(scope["headers"]))
--- a/tests/decision_mutants.py
+++ b/tests/decision_mutants.py
@@ -150,6 +150,7 @@
         "a response is written to a lost connection",
         "fleet/transport/connection_context",
         "        if not self.transport.is_closing():\n            self.transport.write(data)\n"
+        "            if self.transport.get_write_buffer_size():\n                self.on_unsent()\n"
         "        if self.transport.is_closing():\n            self.on_lost()\n",
         "        self.transport.write(data)\n",
         LOST_CLIENTS + "test_a_burst_of_events_to_a_client_that_reset_its_connection_logs_nothing",
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -9,6 +9,7 @@
 PROCESS = "tests/test_fleet_process_ends.py::"
 STATE = "tests/test_fleet_connection_state.py::"
 WIRE = "tests/test_fleet_server_connection.py::"
+CROWDED = "tests/test_fleet_crowded_connections.py::"
 BUDGET = "tests/test_fleet_budget.py::"
 TRANSFERS = "tests/test_fleet_kv_transfers.py::"
 REACHABILITY = "tests/test_fleet_reachability.py::"
@@ -337,8 +338,8 @@
     Mutant(
         "an incomplete body has no timeout",
         "fleet/transport/connection_state",
-        "if not self.is_accepting or self.outstanding > (self.read_state is ReadState.BODY):",
-        "if not self.is_accepting or self.outstanding:",
+        "if self.outstanding > (self.read_state is ReadState.BODY):",
+        "if self.outstanding:",
         WIRE + "test_a_body_that_does_not_arrive_gets_408",
     ),
     Mutant(
@@ -364,11 +365,60 @@
     ),
     Mutant(
         "bodies have no common limit",
-        "fleet/transport/asgi",
-        "            raise BodyMemoryFullError\n",
-        "            pass\n",
+        "fleet/transport/client_memory",
+        "                raise BodyMemoryFullError\n",
+        "                pass\n",
         WIRE + "test_all_bodies_share_one_memory_limit",
     ),
+    Mutant(
+        "requests sent ahead are parsed without a limit",
+        "fleet/transport/server_connection",
+        "return len(self.pipeline) < MAX_PIPELINED and",
+        "return True or",
+        CROWDED + "test_requests_sent_ahead_are_read_a_few_at_a_time",
+    ),
+    Mutant(
+        "requests that are not parsed yet are lost at a shutdown",
+        "fleet/transport/server_connection",
+        "        if not self.state.is_accepting or not self._has_unparsed:\n",
+        "        if self.state.close_reason is not None or not self._has_unparsed:\n",
+        CROWDED + "test_requests_sent_ahead_of_a_shutdown_are_all_rejected",
+    ),
+    Mutant(
+        "a client that reads nothing keeps its connection",
+        "fleet/transport/server_connection",
+        "            self._abort(CloseReason.RESPONSE_UNREAD)\n",
+        "            pass\n",
+        CROWDED + "test_a_client_that_reads_nothing_is_closed",
+    ),
+    Mutant(
+        "responses that are not read are kept",
+        "fleet/transport/client_memory",
+        "        self._release_largest(lambda holder: holder.unsent_bytes if holder is not spared else 0)\n",
+        "",
+        CROWDED + "test_the_largest_unread_response_is_given_up_first",
+    ),
+    Mutant(
+        "a stalled upload keeps its memory",
+        "fleet/transport/client_memory",
+        "holder is not spared and holder.is_stalled()",
+        "False",
+        CROWDED + "test_a_stalled_upload_is_rejected_where_its_memory_is_needed",
+    ),
+    Mutant(
+        "a later upload takes the memory of an earlier one",
+        "fleet/transport/client_memory",
+        "            self._reject_younger(holder)\n",
+        "",
+        CROWDED + "test_of_two_uploads_the_earlier_one_is_completed",
+    ),
+    Mutant(
+        "a crowd takes the connections of the platform",
+        "fleet/transport/connection_context",
+        "return self.reserved_connections.get(port, self.max_connections)",
+        "return self.max_connections",
+        CROWDED + "test_a_port_with_a_limit_of_its_own_does_not_share_it",
+    ),
     Mutant(
         "a job of size zero updates the timing",
         "fleet/placement/timing",
--- a/tests/test_fleet_client_connections.py
+++ b/tests/test_fleet_client_connections.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from hophinge.fleet.dataplane.http_frontend import MAX_BODY_BYTES
-from hophinge.fleet.emulation.loopback_fleet import LoopbackFleet, configuration_document
+from hophinge.fleet.emulation.loopback_fleet import DEFAULT_MEMORY_MB, LoopbackFleet, configuration_document
+from hophinge.fleet.transport.client_memory import MIB, MemoryLimits
 from hophinge.load.rig.conditions import wait_until
 from tests.fleet_client import CLIENTS, DEADLINE_MS, EVENTS, LATE_S, Client, is_stream, request
 from tests.fleet_requests import BOUND_S, taken
@@ -158,7 +158,8 @@
 
     async def play(fleet: LoopbackFleet) -> None:
         body = bytes(4_000_000)
-        held = [await Client.open(fleet) for _ in range(MAX_BODY_BYTES // len(body))]
+        limits = MemoryLimits.of_machine(DEFAULT_MEMORY_MB * MIB)
+        held = [await Client.open(fleet) for _ in range(limits.common_bytes // len(body))]
         for number, client in enumerate(held):
             client.send(request("/p/q", f"held-{number}", body)[:-1])
             await client.writer.drain()
--- a/tests/test_fleet_control_api.py
+++ b/tests/test_fleet_control_api.py
@@ -13,6 +13,8 @@
 from hophinge.coordination.registers import Change, Outcome
 from hophinge.fleet.configuration.record import RECORD_KEY, configuration_record
 from hophinge.fleet.controlplane.api import CONFIGURATION_PATH, ControlApi
+from hophinge.fleet.transport.connection_context import MEMORY
+from tests.connection_wire import RecordedMemory
 from tests.odd_documents import complete_document
 
 VERSION = 7
@@ -55,7 +57,13 @@
     async def send(message: dict[str, Any]) -> None:
         messages.append(message)
 
-    scope = {"type": "http", "method": "PUT", "path": CONFIGURATION_PATH, "headers": [(b"if-match", base)]}
+    scope = {
+        "type": "http",
+        "method": "PUT",
+        "path": CONFIGURATION_PATH,
+        "headers": [(b"if-match", base)],
+        "state": {MEMORY: RecordedMemory()},
+    }
     api = ControlApi(cast(Any, chain), cast(Any, soft_state))
     asyncio.run(api(cast(Any, scope), cast(Any, receive), cast(Any, send)))
     content = b"".join(message.get("body", b"") for message in messages)
--- a/tests/test_fleet_counters.py
+++ b/tests/test_fleet_counters.py
@@ -33,9 +33,11 @@
 )
 from hophinge.fleet.emulation.instance_server import FAILURES
 from hophinge.fleet.emulation.loopback_fleet import LoopbackFleet
+from hophinge.fleet.transport.connection_context import MEMORY
 from hophinge.fleet.settings import Settings, parse_settings
 from hophinge.fleet.transport.asgi import BodyTooLargeError
 from hophinge.load.rig.conditions import Condition, wait_until
+from tests.connection_wire import RecordedMemory
 from tests.fleet_requests import BOUND_S, MACHINES
 
 SETTINGS = {
@@ -178,7 +180,13 @@
 
     api = ControlApi(cast(Any, None), cast(Any, None))
     api.register("/v1/tallies/", handler)
-    _play(api({"method": "GET", "path": "/v1/tallies/50%41"}, cast(Any, None), cast(Any, None)))
+    _play(
+        api(
+            {"method": "GET", "path": "/v1/tallies/50%41", "state": {MEMORY: RecordedMemory()}},
+            cast(Any, None),
+            cast(Any, None),
+        )
+    )
     assert names == ["50%41"]
 
 
--- a/tests/test_fleet_frontend.py
+++ b/tests/test_fleet_frontend.py
@@ -23,8 +23,9 @@
 from hophinge.fleet.registry.instance import DRAINING, READY, SWITCHING, Instance
 from hophinge.fleet.settings import parse_settings
 from hophinge.fleet.transport.asgi import Scope
-from hophinge.fleet.transport.connection_context import CONNECTION
+from hophinge.fleet.transport.connection_context import CONNECTION, MEMORY
 from hophinge.fleet.transport.connection_state import ConnectionBounds, ConnectionState
+from tests.connection_wire import RecordedMemory
 from tests.request_endings import half_an_answer_and_silence, silence
 from tests.scripted_instance import NOT_EXECUTED, STAMP, Connection, Ending, ReceivedCall, Script, ScriptedInstance
 
@@ -118,7 +119,7 @@
             "raw_path": path,
             "query_string": b"",
             "headers": fields,
-            "state": {CONNECTION: connection},
+            "state": {CONNECTION: connection, MEMORY: RecordedMemory()},
         }
 
     async def call(self, caller: Caller, kind: str, more: list[tuple[bytes, bytes]] | None = None) -> None:
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hophinge.fleet.transport.asgi import BodyMemory, BodyMemoryFullError
+from hophinge.fleet.transport.client_memory import ClientMemory, BodyMemoryFullError, MemoryLimits, MemoryReservation
 from hophinge.fleet.transport.connection_state import CloseReason
 from hophinge.fleet.transport.server import HttpServer
 from hophinge.fleet.transport.server_connection import MAX_PIPELINED
@@ -230,15 +230,22 @@
 
 
 def test_all_bodies_share_one_memory_limit() -> None:
-    memory = BodyMemory(10)
-    with memory.reserve() as first:
-        first.extend(8)
-        with memory.reserve() as second, pytest.raises(BodyMemoryFullError):
-            second.extend(3)
-        with memory.reserve() as third:
-            third.extend(2)
-            assert memory.reserved == 10
-    assert memory.reserved == 0
+    async def play(wire: Wire, server: HttpServer) -> None:
+        memory = server.context.memory = ClientMemory(MemoryLimits(10, 0))
+        wire.another(server)
+        first, second = server.connections()
+        with MemoryReservation(first) as reservation:
+            reservation.extend(8)
+            with MemoryReservation(second) as other, pytest.raises(BodyMemoryFullError):
+                other.extend(3)
+            with MemoryReservation(second) as other:
+                other.extend(2)
+                assert memory.used == 10
+        assert memory.used == 0
+        for connection in server.connections():
+            connection.connection_lost(None)
+
+    played(play)
 
 
 def test_rejecting_a_client_that_reset_its_connection_raises_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
