A connection that is lost with the last bytes of a response begins no other

A write that finds the connection lost clears the requests that wait, but the state still counted them, and the completed response began the next of them. Now the loss abandons the state, too, and a closed connection begins nothing.

--- a/hophinge/fleet/transport/connection_state.py
+++ b/hophinge/fleet/transport/connection_state.py
@@ -147,6 +147,8 @@
         self.outstanding -= 1
         self.waiting_since = now
         self.idle_s = self.bounds.idle_s
+        if self.is_closed:
+            return []  # the connection was lost with the last bytes of the response
         return [Action.BEGIN_NEXT_RESPONSE] if self.outstanding else self._close_when_answered()
 
     def request_close(self) -> list[Action]:
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -97,7 +97,7 @@
         super().connection_made(transport)
         self.raw_transport = transport
         self.transport = ResponseTransport(  # type: ignore[assignment]
-            transport, self.request_close, self._disconnect_all, self._update_memory
+            transport, self.request_close, self._abandon_lost, self._update_memory
         )
         self.flow = RequestFlow(transport, self._parse_more)
         self.port = self.server[1] or 0 if self.server is not None else 0
@@ -386,6 +386,12 @@
 
     # --- the end of the client -----------------------------------------------------------------------------------
 
+    def _abandon_lost(self) -> None:
+        """Cancel the requests in flight: a write has found the connection lost."""
+        self.state.abandon(CloseReason.CLIENT_RESET)
+        self._discard_unparsed()
+        self._disconnect_all()
+
     def _disconnect_all(self) -> None:
         """Notify the requests that their client has disconnected; those that wait are not started."""
         self.pipeline.clear()
--- a/tests/test_fleet_crowded_connections.py
+++ b/tests/test_fleet_crowded_connections.py
@@ -85,6 +85,41 @@
     played(play)
 
 
+def test_a_connection_lost_with_the_last_bytes_of_a_response_begins_no_other(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        wire.held = True
+        await wire.feed(FIRST + SHORT * 3)
+
+        def lose(data: bytes) -> None:
+            wire.pipe.closed = data.endswith(b"end")
+
+        monkeypatch.setattr(wire.pipe, "write", lose)
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.begun == ["/first"]
+
+    played(play)
+    assert not caplog.records
+
+
+def test_an_aborted_response_begins_no_other(caplog: pytest.LogCaptureFixture) -> None:
+    """A write may exceed the memory for all clients: its own connection is then closed within it."""
+
+    async def play(wire: Wire, server: HttpServer) -> None:
+        server.context.memory = ClientMemory(MemoryLimits(100_000, 0))
+        wire.held = True
+        await wire.feed(FIRST + SHORT * 3)
+        wire.pipe.unsent = 1_000_000
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.begun == ["/first"] and wire.pipe.aborted
+
+    played(play)
+    assert not caplog.records
+
+
 def test_pieces_hold_the_ends_of_at_most_two_requests() -> None:
     """Whatever the requests are and however their bytes arrive, the parser completes few of them at a time."""
 
