Responses that are read whole are bounded over all requests

24 clients that asked for responses of 2 MiB and read none took a head of 120 MB to 124 MB. Each request read its instance's response whole, whatever others held. Now those being read hold an eighth of the machine's memory together; beyond it only the oldest is read on, and the others leave the rest with their instances. What waits for its client is in the account of all connections.

--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from hophinge.fleet.dataplane.connections import RequestContext
+from hophinge.fleet.dataplane.response_buffers import ResponseReader
 from hophinge.fleet.dataplane.upstream import UPSTREAM_ERRORS, UNSENT_ERRORS, Call, Upstream, is_peer_silent
 from hophinge.fleet.forwarding.aborted_responses import AbortSide, RequestPhase
 from hophinge.fleet.forwarding.events import EventReader
@@ -38,6 +39,7 @@
 from hophinge.fleet.placement.pool import Reservation
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.transport.asgi import Send, answer
+from hophinge.fleet.transport.client_memory import MemoryReservation
 
 MILLISECONDS = 1_000
 EVENT_STREAM = "text/event-stream"
@@ -88,7 +90,13 @@
     """One request in flight."""
 
     def __init__(
-        self, inbound: Inbound, lifecycle: RequestLifecycle, upstream: Upstream, send: Send, is_shutting_down: bool
+        self,
+        inbound: Inbound,
+        lifecycle: RequestLifecycle,
+        upstream: Upstream,
+        send: Send,
+        is_shutting_down: bool,
+        memory: MemoryReservation,
     ) -> None:
         self.inbound = inbound
         self.lifecycle = lifecycle
@@ -96,6 +104,7 @@
         self.send = send
         self.loop = asyncio.get_running_loop()
         self.is_shutting_down = is_shutting_down
+        self.memory = memory  # for responses that are read whole
         self.is_response_started = False  # its header was sent to the client
         self.is_response_complete = False  # all of it was sent
         self.outcome = ""  # for the client, as in the request log
@@ -185,7 +194,7 @@
         result: AttemptResult | None = None
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
-                body = await response.aread()
+                body = await self._read_body(response)
                 refused = unexecuted_outcome(response.status, response.headers)
                 result = (
                     AttemptResult(refused) if refused is not None else self._parse_handle(node, response.status, body)
@@ -243,14 +252,14 @@
         fields = response.headers
         refused = unexecuted_outcome(response.status, fields)
         if refused is not None:
-            await response.aread()
+            await self._read_body(response)
             self.failure = AttemptFailure(AbortSide.INSTANCE, f"not executed, status {response.status}")
             return AttemptResult(refused)
         if not may_forward_status(response.status) or (200 <= response.status < 300 and not is_signed(fields)):
             return self._reject_response(f"a response with status {response.status} that must not be forwarded")
         if response.status == 200 and (find_field(fields, b"content-type") or "").startswith(EVENT_STREAM):
             return await self._forward_events(reservation, response, reader)
-        body = await response.aread()
+        body = await self._read_body(response)
         if self.is_response_started:
             return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
         if is_close_delimited(self.inbound.method, fields):
@@ -261,6 +270,11 @@
         await self._answer(response.status, body, [*returned, *self._close_fields()])
         return AttemptResult(AttemptOutcome.ANSWERED if response.status < 500 else AttemptOutcome.FAILED)
 
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        """Read the whole body of an instance's response."""
+        with ResponseReader(self.upstream.response_buffers, self.memory) as reader:
+            return await reader.read(response)
+
     def _reject_response(self, reason: str) -> AttemptResult:
         self.failure = AttemptFailure(AbortSide.INSTANCE, reason)
         return AttemptResult(AttemptOutcome.UNKNOWN)
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -165,7 +165,7 @@
             except BodyTooLargeError:
                 await self._reject_size(send, 413, table)
                 return
-            await self._route(arrived, scope, receive, send, body)
+            await self._route(arrived, scope, receive, send, body, reservation)
 
     async def _reject_size(self, send: Send, status: int, table: RouteTable | None) -> None:
         """Reject a request that exceeds the limits; without a configuration these are defaults, and 503 is sent."""
@@ -174,7 +174,9 @@
         else:
             await answer(send, status, b"", [CLOSE])
 
-    async def _route(self, arrived: float, scope: Scope, receive: Receive, send: Send, body: bytes) -> None:
+    async def _route(
+        self, arrived: float, scope: Scope, receive: Receive, send: Send, body: bytes, reservation: MemoryReservation
+    ) -> None:
         """Find the route of a completely read request in the configuration applied by now, and run the request."""
         fields: Fields = scope["headers"]
         close_fields = [CLOSE] if self.is_shutting_down else []
@@ -196,7 +198,9 @@
         )
         lifecycle = self._begin_lifecycle(arrived, route, fields, inbound)
         await self._run_exchange(
-            Exchange(inbound, lifecycle, self.upstream, send, self.is_shutting_down), receive, connection_of(scope)
+            Exchange(inbound, lifecycle, self.upstream, send, self.is_shutting_down, reservation),
+            receive,
+            connection_of(scope),
         )
 
     def _begin_lifecycle(self, arrived: float, route: Route, fields: Fields, inbound: Inbound) -> RequestLifecycle:
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -14,6 +14,7 @@
 from hophinge.fleet.configuration.routes import RouteTable
 from hophinge.fleet.dataplane.http_frontend import HttpFrontend
 from hophinge.fleet.dataplane.cluster_state import CLUSTER_STATE_TICK_S, ClusterState
+from hophinge.fleet.dataplane.response_buffers import ResponseBuffers
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.placement.hints import PlacementHints, EngineReports, SuspectedInstances, HintsRequest
 from hophinge.fleet.placement.placement import Placement
@@ -53,7 +54,7 @@
             settings.zone, self._retire_instance, Random(), self._schedule_hints, policy, settings.name
         )
         self.are_hints_scheduled = False
-        self.upstream = Upstream()
+        self.upstream = Upstream(ResponseBuffers.of_machine(settings.memory_bytes))
         self.cluster_state = ClusterState(
             settings, self._send, self._update_instance, self._apply_configuration, self._request_hints
         )
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -11,9 +11,11 @@
 import httpcore
 
 from hophinge.fleet.dataplane.connections import CONTEXT, InstanceEndedError, InstancePool, RequestContext
+from hophinge.fleet.dataplane.response_buffers import ResponseBuffers
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
 from hophinge.fleet.registry.instance import DRAINING, Instance
+from hophinge.fleet.transport.client_memory import DEFAULT_MEMORY_BYTES
 
 CONNECT_TIMEOUT_S = 0.25  # about a hundred times the usual time; a lost SYN is retransmitted only after 1 s
 FREE_TIMEOUT_S = 0.5  # for an instance to free a KV handle
@@ -51,7 +53,8 @@
 class Upstream:
     """The connection pools of one data plane."""
 
-    def __init__(self) -> None:
+    def __init__(self, response_buffers: ResponseBuffers | None = None) -> None:
+        self.response_buffers = response_buffers or ResponseBuffers.of_machine(DEFAULT_MEMORY_BYTES)
         self.pools: dict[str, InstancePool] = {}
         self.background: set[asyncio.Task[None]] = set()
         self.unregistered: dict[str, float] = {}  # by instance: when this head learned that it unregistered
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -419,6 +419,13 @@
         "return self.max_connections",
         CROWDED + "test_a_port_with_a_limit_of_its_own_does_not_share_it",
     ),
+    Mutant(
+        "all responses are read on at once",
+        "fleet/dataplane/response_buffers",
+        "next(iter(self._readers)) is not reader",
+        "False",
+        "tests/test_fleet_bounded_tables.py::test_beyond_the_limit_only_the_oldest_response_is_read_on",
+    ),
     Mutant(
         "a job of size zero updates the timing",
         "fleet/placement/timing",
--- a/tests/test_failures_requests.py
+++ b/tests/test_failures_requests.py
@@ -23,6 +23,8 @@
 from hophinge.fleet.placement.placement import Placement
 from hophinge.fleet.placement.prompt import Prompt
 from hophinge.fleet.registry.instance import READY, Instance
+from hophinge.fleet.transport.client_memory import MemoryReservation
+from tests.connection_wire import RecordedMemory
 from tests.request_endings import NOT_RUN, OWN_ANSWER_IS_WHOLE, RUN, SERVED, SILENCES
 from tests.scripted_instance import EVENTS, Ending, Script, ScriptedInstance
 from tests.steady import run_steadily
@@ -96,7 +98,7 @@
             RequestTrace("r", now, 0.5),
         )
         try:
-            await Exchange(inbound, life, self.upstream, client.send, False).run()
+            await Exchange(inbound, life, self.upstream, client.send, False, MemoryReservation(RecordedMemory())).run()
         except ResponseAbortedError:
             client.broken = True
         return client
--- a/tests/test_fleet_client_crowds.py
+++ b/tests/test_fleet_client_crowds.py
@@ -67,6 +67,7 @@
     Case(FRONT_PORT, Crowd("requests at paths that no route has", repeated(NO_ROUTE, SENT_BYTES))),
 ]
 FRONT = [
+    Case(FRONT_PORT, Crowd("served requests with large responses", numbered(SERVED, 20)), response_bytes=2 * MIB),
     Case(FRONT_PORT, Crowd("bodies behind each other", repeated(WITH_BODY, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("bodies without an end", incomplete_body)),
     Case(FRONT_PORT, Crowd("headers without an end", incomplete_header, connections=80)),
