Prompt segments and names of instances are bounded by number, not by tokens alone

Prompts of segments without tokens never filled the assumed prefix cache of an instance: 24 clients with names of their own took a head of 120 MB to 373 MB. Pools and zones of instances go with their last instance.

--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -32,6 +32,7 @@
 
 DATA = "data"
 MAX_READY_CONNECTIONS = 64  # to the address that the platform and operators ask
+MEMORY_BYTES_PER_SEGMENT = 1_500  # of the machine; a cached segment takes about a quarter of that
 UNREADY_S = 2.6  # of reporting not ready: the platform sends no new connections after two failed checks, 1 s apart
 HINT_DELAY_S = 0.01  # for which placements are collected before they are published
 CLIENT_SLACK_S = 1.0  # added to the configured timeouts: what a client sent in time may be in flight
@@ -53,6 +54,7 @@
         self.placement = Placement(
             settings.zone, self._retire_instance, Random(), self._schedule_hints, policy, settings.name
         )
+        self.placement.instances.segment_budget.max_segments = settings.memory_bytes // MEMORY_BYTES_PER_SEGMENT
         self.are_hints_scheduled = False
         self.upstream = Upstream(ResponseBuffers.of_machine(settings.memory_bytes))
         self.cluster_state = ClusterState(
@@ -125,6 +127,7 @@
         warmup.cold_start_s = {name: service.cold_start_s for name, service in table.services.items()}
         engines = {name: service.engine for name, service in table.services.items()}
         self.placement.instances.configure({name: engine.memory_tokens for name, engine in engines.items() if engine})
+        self.placement.instances.configured_services = frozenset(table.services)
         self.placement.instances.stage_switch_s = {
             name: engine.stage_switch_s for name, engine in engines.items() if engine
         }
--- a/hophinge/fleet/placement/instance_table.py
+++ b/hophinge/fleet/placement/instance_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from hophinge.fleet.placement.admission import InstanceAdmission
-from hophinge.fleet.placement.node import Node, PrefixCache
+from hophinge.fleet.placement.node import Node, PrefixCache, SegmentBudget
 from hophinge.fleet.placement.policy import PlacementPolicy
 from hophinge.fleet.placement.pool import InstancePool
 from hophinge.fleet.placement.stage_outlook import StageOutlook, predict_stage
@@ -13,6 +13,9 @@
 from hophinge.fleet.registry.instance import SWITCHING, Instance
 
 
+DEFAULT_MAX_SEGMENTS = 200_000  # cached at all instances together
+
+
 class InstanceTable:
     """The instances of all services, each in the pool of its service and stage."""
 
@@ -24,6 +27,8 @@
         self.on_instance_removed = on_instance_removed
         self.pools: dict[tuple[str, str], InstancePool] = {}
         self.nodes: dict[str, Node] = {}
+        self.segment_budget = SegmentBudget(DEFAULT_MAX_SEGMENTS)
+        self.configured_services: frozenset[str] | None = None  # None before the first configuration
         self.cache_tokens: dict[str, int] = {}  # by service: an instance's memory for cached segments
         self.stage_switch_s: dict[str, float | None] = {}  # by service: the duration of a stage change
 
@@ -34,13 +39,16 @@
             self.pool_of(node).nodes.pop(identity, None)
         if instance is None:
             self.admission.warmup.remove(identity)
-            if self.nodes.pop(identity, None) is not None:
+            if node is not None:
+                del self.nodes[identity]
+                node.cache.clear()
+                self._forget_names(node.instance)
                 self.on_instance_removed(identity)
             return
         self.admission.warmup.update_instance(now, instance, node is None)
         if node is None:
             node = self.nodes[identity] = Node(instance)
-            node.cache = PrefixCache(self.cache_tokens.get(instance.service, 0))
+            node.cache = PrefixCache(self.cache_tokens.get(instance.service, 0), self.segment_budget)
         node.instance = instance
         if instance.state != SWITCHING:
             node.switching_since = None
@@ -48,6 +56,16 @@
             node.switching_since = now
         self.pool_of(node).nodes[identity] = node
 
+    def _forget_names(self, removed: Instance) -> None:
+        """Forget a zone and a pool without instances: instances choose these names when they register."""
+        if not any(node.instance.zone == removed.zone for node in self.nodes.values()):
+            self.admission.reachability.zones.pop(removed.zone, None)
+        key = removed.service, removed.stage
+        pool = self.pools.get(key)
+        is_configured = self.configured_services is None or removed.service in self.configured_services
+        if pool is not None and not pool.nodes and not is_configured:
+            del self.pools[key]
+
     def update_evacuation(self, zone: str, is_evacuated: bool, now: float) -> None:
         """Record that a zone is evacuated or in use again; instances may have become cold during the evacuation."""
         if is_evacuated:
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from hophinge.core.choice.node_state import NodeState
 from hophinge.core.interface.nodes import NodeEntry, Phase
@@ -13,6 +14,7 @@
 from hophinge.fleet.registry.instance import LOST, READY, Instance
 
 MICROSECONDS = 1_000_000
+MAX_SEGMENTS = 4_096  # that an instance is assumed to have cached
 BASE_EJECTION_S = 0.15  # after a failure; doubles with each consecutive failure
 MAX_EJECTION_S = 2.4
 SUSPICION_EJECTION_S = 0.7  # of an instance that did not respond to another head
@@ -23,10 +25,27 @@
 QUEUED_REQUEST_WAIT_US = 40_000.0  # expected wait for each request that is queued at the instance
 
 
+@dataclass(slots=True)
+class SegmentBudget:
+    """The number of segments that all prefix caches of a head may hold together: clients choose their names."""
+
+    max_segments: int
+    used: int = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether segments have to be evicted."""
+        return self.used > self.max_segments
+
+
 class PrefixCache:
-    """The prompt segments that an instance is assumed to have cached, least recently used first."""
+    """The prompt segments that an instance is assumed to have cached, least recently used first.
 
-    def __init__(self, capacity_tokens: int) -> None:
+    Segments may be of any size, also without tokens, so their number is limited as well as their tokens.
+    """
+
+    def __init__(self, capacity_tokens: int, budget: SegmentBudget | None = None) -> None:
+        self.budget = budget or SegmentBudget(MAX_SEGMENTS)
         self.capacity_tokens = capacity_tokens
         self.used_tokens = 0
         self.segments: OrderedDict[str, int] = OrderedDict()
@@ -34,13 +53,31 @@
 
     def insert(self, segments: tuple[PromptSegment, ...]) -> None:
         """Insert segments, and evict the least recently used ones if the capacity is exceeded."""
+        previous_count = len(self.segments)
         for segment, tokens in segments:
             self.used_tokens += tokens - self.segments.pop(segment, 0)
             self.segments[segment] = tokens
-        while self.used_tokens > self.capacity_tokens and len(self.segments) > len(segments):
-            segment, tokens = self.segments.popitem(last=False)
+        self.budget.used += len(self.segments) - previous_count
+        while self._is_full() and len(self.segments) > len(segments):
+            segment, _ = next(iter(self.segments.items()))
             self.pending_jobs.pop(segment, None)
+            self._remove(segment)
+
+    def _is_full(self) -> bool:
+        return self.used_tokens > self.capacity_tokens or len(self.segments) > MAX_SEGMENTS or self.budget.is_exceeded
+
+    def _remove(self, segment: str) -> None:
+        tokens = self.segments.pop(segment, None)
+        if tokens is not None:
             self.used_tokens -= tokens
+            self.budget.used -= 1
+
+    def clear(self) -> None:
+        """Remove all segments."""
+        self.budget.used -= len(self.segments)
+        self.segments.clear()
+        self.pending_jobs.clear()
+        self.used_tokens = 0
 
     def insert_pending(self, segments: tuple[PromptSegment, ...], job_id: int) -> None:
         """Insert segments that a job will prefill."""
@@ -56,7 +93,7 @@
         """Remove the segments that a job was to prefill, except those that were cached before it."""
         for segment in [segment for segment, reader in self.pending_jobs.items() if reader == job_id]:
             del self.pending_jobs[segment]
-            self.used_tokens -= self.segments.pop(segment, 0)
+            self._remove(segment)
 
     def cached_tokens(self, prompt: Prompt) -> int:
         """Return the number of tokens in the longest cached prefix of a prompt."""
--- a/hophinge/fleet/placement/prompt.py
+++ b/hophinge/fleet/placement/prompt.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from hophinge.fleet.numerals import parse_decimal
 
+MAX_NAME_CHARACTERS = 32  # of a segment; a longer name is replaced by its digest, as names are kept for a long time
+DIGEST_BYTES = 16
+
 PromptSegment = tuple[str, int]  # name and tokens: a plain tuple, as placement compares many of them for each request
 
 
@@ -41,9 +45,15 @@
     for field in (prefix or "").split(","):
         name, separator, tokens = field.strip().partition(":")
         if separator:
-            segments.append((name, _number(tokens)))
+            segments.append((_short_name(name), _number(tokens)))
     return Prompt(tokens_in or sum(tokens for _, tokens in segments), tokens_out, tuple(segments))
 
 
+def _short_name(name: str) -> str:
+    if len(name) <= MAX_NAME_CHARACTERS:
+        return name
+    return blake2b(name.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
 def _number(text: str) -> int:
     return parse_decimal(text) or 0
--- a/tests/decision_mutants.py
+++ b/tests/decision_mutants.py
@@ -44,7 +44,7 @@
     Mutant(
         "segments of a dropped prefill stay cached",
         "fleet/placement/node",
-        "            self.used_tokens -= self.segments.pop(segment, 0)\n\n    def cached_tokens",
+        "            self._remove(segment)\n\n    def cached_tokens",
         "\n    def cached_tokens",
         OVERLOAD + "test_segments_of_a_dropped_prefill_do_not_count_as_cached",
     ),
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -426,6 +426,13 @@
         "False",
         "tests/test_fleet_bounded_tables.py::test_beyond_the_limit_only_the_oldest_response_is_read_on",
     ),
+    Mutant(
+        "cached segments are counted by their tokens alone",
+        "fleet/placement/node",
+        "or len(self.segments) > MAX_SEGMENTS or self.budget.is_exceeded",
+        "",
+        "tests/test_fleet_bounded_tables.py::test_segments_without_tokens_are_limited_by_their_number",
+    ),
     Mutant(
         "a job of size zero updates the timing",
         "fleet/placement/timing",
--- a/tests/test_fleet_client_crowds.py
+++ b/tests/test_fleet_client_crowds.py
@@ -75,6 +75,7 @@
     Case(FRONT_PORT, Crowd("many header fields", repeated(MANY_FIELDS, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("bytes that are no request", repeated(GARBAGE, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("more connections than may be open", half_a_header, connections=600)),
+    Case(FRONT_PORT, Crowd("prompts of many names", many_names, reads=True)),
 ]
 READY_ADDRESS = [
     Case(READY_PORT, Crowd("status requests", repeated(MEMBER, SENT_BYTES))),
