A document of many invalid entries or values no longer takes a control member's memory

A document of 300 KB with 100,000 empty routes took 488 MB and 3 s to reject, as every finding of every entry was made before the first 50 were told; with 6 MiB of them a control member of 120 MB answered nobody for a minute and more. Now no entry is validated behind 50 invalid ones, and a document has a bound on its bytes and values by `memory-mb` (413).

--- a/hophinge/fleet/configuration/document.py
+++ b/hophinge/fleet/configuration/document.py
@@ -11,10 +11,20 @@
 from collections import Counter
 from collections.abc import Iterator, Set
 from functools import lru_cache
-from typing import Annotated, Any, Literal
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal, TypeVar
 
 from expression import Error, Ok, Result
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    ValidationInfo,
+    ValidatorFunctionWrapHandler,
+    WrapValidator,
+)
 
 from hophinge.fleet.configuration.findings import Finding, Findings
 from hophinge.fleet.configuration.route_table_reader import (
@@ -75,6 +85,32 @@
     return is_secure
 
 
+@dataclass(slots=True)
+class InvalidEntries:
+    """The number of invalid list entries found in one document."""
+
+    count: int = 0
+
+
+def _validate_entry(entry: Any, validate: ValidatorFunctionWrapHandler, info: ValidationInfo) -> Any:
+    """Validate a list entry, unless MAX_FINDINGS entries are invalid already.
+
+    The document is then rejected anyway, and findings in all entries of a large one could take all memory.
+    """
+    invalid = info.context
+    assert isinstance(invalid, InvalidEntries)
+    if invalid.count >= MAX_FINDINGS:
+        return None
+    try:
+        return validate(entry)
+    except ValidationError:
+        invalid.count += 1
+        raise
+
+
+Entry = TypeVar("Entry")
+Entries = list[Annotated[Entry, WrapValidator(_validate_entry)]]
+
 Host = Annotated[str, Field(max_length=MAX_HOST_CHARACTERS), AfterValidator(_validate_host)]
 PathPrefix = Annotated[str, Field(max_length=MAX_PREFIX_CHARACTERS), AfterValidator(_validate_prefix)]
 PositiveInteger = Annotated[int, Field(gt=0, le=MAX_INTEGER)]
@@ -115,7 +151,7 @@
     gap_aim_ms: Milliseconds = Field(default=0.0, alias="gap_aim_ms")
     priority: Annotated[int, Field(ge=0, le=MAX_INTEGER)] = 0
     service: str | None = None
-    traffic_split: list[WeightedServiceModel] | None = None
+    traffic_split: Entries[WeightedServiceModel] | None = None
     max_attempts: PositiveInteger = 1
     session_affinity: bool = False
     resumable: bool = False
@@ -137,7 +173,7 @@
     stride: Number | None = None
     handle_ttl_s: PositiveSeconds
     stage_switch_s: Seconds | None = None
-    models: list[EngineModelModel] = []
+    models: Entries[EngineModelModel] = []
 
 
 class ServiceModel(ConfigurationModel):
@@ -166,8 +202,8 @@
     """The complete document."""
 
     version: PositiveInteger
-    routes: list[RouteModel]
-    services: list[ServiceModel]
+    routes: Entries[RouteModel]
+    services: Entries[ServiceModel]
     limits: LimitsModel = LimitsModel()
 
 
@@ -186,7 +222,7 @@
 def validate_document(data: bytes) -> Result[DocumentModel, Findings]:
     """Parse and validate a document; an error holds the findings, at most `MAX_FINDINGS`."""
     try:
-        document = DocumentModel.model_validate_json(data)
+        document = DocumentModel.model_validate_json(data, context=InvalidEntries())
     except ValidationError as error:
         return Error(tuple(_schema_findings(error))[:MAX_FINDINGS])
     try:
--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -11,6 +11,7 @@
 from pydantic import ValidationError
 
 from hophinge.coordination.registers import Change, Outcome
+from hophinge.fleet.configuration.document_limits import DEFAULT_DOCUMENT_LIMITS, DocumentLimits
 from hophinge.fleet.configuration.findings import Findings
 from hophinge.fleet.configuration.judged_documents import ValidationCache, ValidationResult
 from hophinge.fleet.configuration.record import RECORD_KEY, compress_document, read_configuration_record
@@ -36,7 +37,6 @@
 CONFIGURATION_PATH = "/v1/config"
 INSTANCES_PATH = "/v1/instances/"
 MEMBER_PATH = "/v1/member"  # for operators: this member's status
-MAX_CONFIGURATION_BYTES = 8 << 20  # above the operator's own limit on a configuration
 MAX_HEARTBEAT_BYTES = 64 << 10
 CHANGE_TIMEOUT_S = 2.5  # for a change to complete, shorter than the operator waits for an acknowledgement
 CURRENT_VERSION_TIMEOUT_S = 0.3  # for reading the version that the text of an error names
@@ -58,8 +58,11 @@
 class ControlApi:
     """The ASGI application of the control API."""
 
-    def __init__(self, host: ReplicaHost, soft_state: SoftState) -> None:
+    def __init__(
+        self, host: ReplicaHost, soft_state: SoftState, document_limits: DocumentLimits = DEFAULT_DOCUMENT_LIMITS
+    ) -> None:
         self.host = host
+        self.document_limits = document_limits
         self.soft_state = soft_state
         self.validation_cache = ValidationCache()
         self.handlers: dict[str, PathHandler] = {}  # by path prefix
@@ -158,7 +161,9 @@
     # --- configuration -------------------------------------------------------------------------------------------
 
     async def _put_configuration(self, scope: Scope, receive: Receive, send: Send) -> None:
-        body = await read_body(receive, MAX_CONFIGURATION_BYTES)
+        body = await read_body(receive, self.document_limits.max_bytes)
+        if self.document_limits.has_too_many_values(body) and self._committed_version(body) is None:
+            raise BodyTooLargeError
         base_version = _if_match(scope)
         validation = self._validate(body)
         version = self._committed_version(body) if validation.is_error() else validation.ok
--- a/hophinge/fleet/controlplane/program.py
+++ b/hophinge/fleet/controlplane/program.py
@@ -17,6 +17,7 @@
 from hophinge.coordination.events import CommittedValue
 from hophinge.fleet.configuration.evacuations import EVACUATION_PREFIX, evacuation_record, is_evacuated
 from hophinge.coordination.view import Replica
+from hophinge.fleet.configuration.document_limits import DocumentLimits
 from hophinge.fleet.configuration.record import RECORD_KEY, configuration_record
 from hophinge.fleet.controlplane.api import ControlApi
 from hophinge.fleet.controlplane.evacuation_api import EVACUATIONS_PATH, ZONE_PREFIX, EvacuationApi
@@ -63,7 +64,7 @@
         live_replicas = self.stage_controller.live_replicas
         self.report_collector = ReportCollector(self.soft_state, live_replicas, self.host.me.identity)
         self.counters = self._create_counters()
-        self.api = ControlApi(self.host, self.soft_state)
+        self.api = ControlApi(self.host, self.soft_state, DocumentLimits.of_machine(settings.memory_bytes))
         self._register_evacuations(self.api)
         self._register_counters(self.api)
         self.server = HttpServer(
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -433,6 +433,13 @@
         "",
         "tests/test_fleet_bounded_tables.py::test_segments_without_tokens_are_limited_by_their_number",
     ),
+    Mutant(
+        "all entries of an invalid document are validated",
+        "fleet/configuration/document",
+        "    if invalid.count >= MAX_FINDINGS:\n        return None\n",
+        "",
+        "tests/test_fleet_bounded_tables.py::test_a_document_of_many_invalid_entries_is_not_validated_to_its_end",
+    ),
     Mutant(
         "a job of size zero updates the timing",
         "fleet/placement/timing",
--- a/tests/test_fleet_control_crowds.py
+++ b/tests/test_fleet_control_crowds.py
@@ -58,6 +58,8 @@
     Case(CONTROL_PORT, Crowd("status requests", repeated(MEMBER, SENT_BYTES))),
     Case(CONTROL_PORT, Crowd("reads of the configuration", repeated(CONFIGURATION, SENT_BYTES)), routes=4_000),
     Case(CONTROL_PORT, Crowd("configurations without an end", incomplete_configuration)),
+    Case(CONTROL_PORT, Crowd("configurations of many numbers", repeated(odd_configuration(b"0"), 1), 3)),
+    Case(CONTROL_PORT, Crowd("configurations of many objects", repeated(odd_configuration(b"{}"), 1), 3)),
     Case(CONTROL_PORT, Crowd("more connections than may be open", repeated(b"GET / HT", 8), connections=600)),
 ]
 
