Instances and departures are bounded by number

Heartbeats of 48,000 instances took a head of 120 MB to 162 MB, those with long versions to 251 MB, and departures of unknown identities a control member to 183 MB.

--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -38,6 +38,7 @@
 INSTANCES_PATH = "/v1/instances/"
 MEMBER_PATH = "/v1/member"  # for operators: this member's status
 MAX_HEARTBEAT_BYTES = 64 << 10
+MAX_IDENTITY_CHARACTERS = 256  # of an instance
 CHANGE_TIMEOUT_S = 2.5  # for a change to complete, shorter than the operator waits for an acknowledgement
 CURRENT_VERSION_TIMEOUT_S = 0.3  # for reading the version that the text of an error names
 READ_TIMEOUT_S = 2.0
@@ -109,6 +110,8 @@
             await self._get_configuration(send)
         elif path == MEMBER_PATH and method == "GET":
             await self._get_status(send)
+        elif path.startswith(INSTANCES_PATH) and len(path) - len(INSTANCES_PATH) > MAX_IDENTITY_CHARACTERS:
+            await answer(send, 400, _body(error="the instance's identity is too long"), (JSON_TYPE, CLOSE))
         elif path.startswith(INSTANCES_PATH) and method == "PUT":
             await self._put_heartbeat(path[len(INSTANCES_PATH) :], receive, send)
         elif path.startswith(INSTANCES_PATH) and method == "DELETE":
--- a/hophinge/fleet/controlplane/schemas.py
+++ b/hophinge/fleet/controlplane/schemas.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import IPv4Address
-from typing import Literal
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, Field, field_validator
 
@@ -11,14 +11,19 @@
 
 MAX_PORT = 65_535
 MILLISECONDS = 1_000
+MAX_NAME_CHARACTERS = 256  # of a service, zone, version, stage or model
+MAX_MODELS = 64  # of one instance
 MAX_QUEUE_LENGTH = 100_000  # requests at one instance
 MAX_TOKENS = 2**53 - 1
 
 
+Name = Annotated[str, Field(max_length=MAX_NAME_CHARACTERS)]
+
+
 class ModelBody(BaseModel):
     """A model that an instance serves."""
 
-    name: str
+    name: Name
     version: int = 1
 
 
@@ -34,15 +39,15 @@
 class HeartbeatBody(BaseModel):
     """An instance's heartbeat; unknown fields are ignored."""
 
-    service: str
-    address: str = Field(pattern=r"^[^\s:]+:[0-9]{1,5}$")
-    zone: str = ""
-    version: str = ""
+    service: Name
+    address: str = Field(pattern=r"^[^\s:]+:[0-9]{1,5}$", max_length=MAX_NAME_CHARACTERS)
+    zone: Name = ""
+    version: Name = ""
     slots: int = Field(default=1, ge=0)
     state: Literal["ready", "draining"] = "ready"
     cold_remaining_ms: float | None = Field(default=0.0, allow_inf_nan=False, alias="cold-remaining-ms")
-    stage: str | None = None
-    models: list[ModelBody] = []
+    stage: Name | None = None
+    models: list[ModelBody] = Field(default=[], max_length=MAX_MODELS)
     sequence: int = Field(ge=0, lt=UNREGISTERED_SEQUENCE)
 
     @property
--- a/hophinge/fleet/controlplane/soft_state.py
+++ b/hophinge/fleet/controlplane/soft_state.py
@@ -36,6 +36,7 @@
 from hophinge.fleet.registry.service import InstanceService, RegistryContext, ServiceStep
 from hophinge.fleet.settings import Settings
 
+MEMORY_BYTES_PER_INSTANCE = 64 << 10  # of the machine: several times what an instance's records take
 SOFT_STATE_TICK_S = 0.25
 SHARE_INTERVAL_S = 0.75  # between updates of liveness and leases to the other control members
 DIGEST_INTERVAL_S = 1.0  # between digests to a random other control member
@@ -55,7 +56,9 @@
         self.loop = asyncio.get_running_loop()
         self.random = Random()
         self.dissemination = Dissemination(self.random)
-        self.registry = Registry(settings.heartbeat_s, self.loop.time())
+        self.registry = Registry(
+            settings.heartbeat_s, self.loop.time(), settings.memory_bytes // MEMORY_BYTES_PER_INSTANCE
+        )
         self.service = InstanceService(machine.me, self.dissemination, self.registry)
         self.leases = LeaseTable()
         self.recipients = Recipients(machine, self.leases, self.random)
@@ -202,7 +205,9 @@
     # --- instances -----------------------------------------------------------------------------------------------
 
     async def heartbeat(self, instance: Instance, sequence: int, cold_remaining_s: float = 0.0) -> bool:
-        """Apply an instance's heartbeat; return whether to acknowledge it."""
+        """Apply an instance's heartbeat; return whether to acknowledge it, which needs room for a new instance."""
+        if not self.registry.has_room_for(instance.identity):
+            return False
 
         def operation(request_id: int) -> ServiceStep:
             context = self._context()
@@ -211,7 +216,9 @@
         return await self._run_request(operation)
 
     async def unregister(self, identity: str) -> bool:
-        """Unregister an instance; return whether to acknowledge that."""
+        """Unregister an instance; return whether to acknowledge that, which needs room for an unknown one."""
+        if not self.registry.may_unregister(identity):
+            return False
 
         def operation(request_id: int) -> ServiceStep:
             return self.service.unregister(self.loop.time(), self._context(), request_id, identity)
--- a/hophinge/fleet/registry/registry.py
+++ b/hophinge/fleet/registry/registry.py
@@ -27,6 +27,7 @@
 STAGE_CHANGE_TIMEOUT_S = 12.0  # longest time for which an instance ordered to change its stage gets no requests
 SILENT_RETENTION_S = 600.0  # silence after which a lost or draining instance is removed, until its next heartbeat
 UNREGISTERED_RETENTION_S = 600.0  # for which heartbeats of an unregistered identity are ignored
+DEFAULT_MAX_INSTANCES = 4_800
 UNREGISTERED_SEQUENCE = 1 << 62  # of the record of an unregistered instance: above the sequence of any heartbeat
 
 
@@ -60,8 +61,9 @@
 class Registry:
     """The instances known to one control member; their records are stored by its `Dissemination`."""
 
-    def __init__(self, heartbeat_s: float, now: float) -> None:
+    def __init__(self, heartbeat_s: float, now: float, max_instances: int = DEFAULT_MAX_INSTANCES) -> None:
         self.heartbeat_s = heartbeat_s
+        self.max_instances = max_instances
         self.heartbeats: dict[str, Heartbeat] = {}
         self.instances: dict[str, Instance] = {}
         self.stamps: dict[str, tuple[int, int]] = {}
@@ -71,6 +73,15 @@
         self.stage_changes: dict[str, StageChange] = {}  # by instance
         self.warmup = WarmupTable()
 
+    def has_room_for(self, identity: str) -> bool:
+        """Return whether an instance may register: it is known, or others leave room for it."""
+        return identity in self.instances or len(self.instances) < self.max_instances
+
+    def may_unregister(self, identity: str) -> bool:
+        """Return whether an instance may unregister: it is known, or there is room to remember an unknown one."""
+        is_known = identity in self.instances or identity in self.unregistered
+        return is_known or len(self.unregistered) < self.max_instances
+
     def record_heartbeat(self, now: float, instance: Instance, sequence: int) -> GossipRecord | None:
         """Record a heartbeat.
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -433,6 +433,13 @@
         "",
         "tests/test_fleet_bounded_tables.py::test_segments_without_tokens_are_limited_by_their_number",
     ),
+    Mutant(
+        "an unknown instance may always unregister",
+        "fleet/registry/registry",
+        "return is_known or len(self.unregistered) < self.max_instances",
+        "return True",
+        "tests/test_fleet_bounded_tables.py::test_unknown_instances_register_and_unregister_only_while_there_is_room",
+    ),
     Mutant(
         "all entries of an invalid document are validated",
         "fleet/configuration/document",
--- a/tests/test_fleet_control_crowds.py
+++ b/tests/test_fleet_control_crowds.py
@@ -60,6 +60,9 @@
     Case(CONTROL_PORT, Crowd("configurations without an end", incomplete_configuration)),
     Case(CONTROL_PORT, Crowd("configurations of many numbers", repeated(odd_configuration(b"0"), 1), 3)),
     Case(CONTROL_PORT, Crowd("configurations of many objects", repeated(odd_configuration(b"{}"), 1), 3)),
+    Case(CONTROL_PORT, Crowd("heartbeats of many instances", numbered(heartbeat(20), 2_000), reads=True)),
+    Case(CONTROL_PORT, Crowd("heartbeats of many long versions", numbered(heartbeat(30_000), 100), reads=True)),
+    Case(CONTROL_PORT, Crowd("departures of many instances", numbered(UNREGISTER, 2_000), reads=True)),
     Case(CONTROL_PORT, Crowd("more connections than may be open", repeated(b"GET / HT", 8), connections=600)),
 ]
 
