Increments are bounded by the bytes of their names

100,000 increments were allowed, whatever their names: 36,000 with the longest took a control member of 120 MB to 234 MB. Names of up to 87 characters still allow 100,000 where the machine has 300 MB.

--- a/hophinge/coordination/counter_replication.py
+++ b/hophinge/coordination/counter_replication.py
@@ -41,6 +41,7 @@
 RESEND_INTERVAL_S = 0.5  # between attempts to replicate an increment to a member that has not confirmed it
 PENDING_TIMEOUT_S = 5.0  # after which a caller is told that the outcome is unknown
 MAX_PENDING = 1_000  # increments that wait for their acknowledgement
+MAX_NAME_BYTES = 8 << 20
 MAX_INCREMENTS = 100_000  # that callers may bring a member to: some 3 MB in each slot
 
 
@@ -51,11 +52,13 @@
     Attributes:
         me: the local member; its identity is that of its disk.
         tolerated_losses: members whose disks may be lost at once without losing what was acknowledged.
+        max_name_bytes: of all identifiers and counters' names, that callers may bring this member to.
 
     """
 
     me: Replica
     tolerated_losses: int
+    max_name_bytes: int = MAX_NAME_BYTES
 
     @property
     def required_disks(self) -> int:
@@ -164,7 +167,7 @@
             return "the disk takes no writes"
         if len(self.pending) >= MAX_PENDING:
             return "too many increments wait for their acknowledgement"
-        if self.counters.count >= MAX_INCREMENTS:
+        if self.counters.count >= MAX_INCREMENTS or self.counters.name_bytes >= self.config.max_name_bytes:
             return "the counters are full"
         return None
 
--- a/hophinge/coordination/counters.py
+++ b/hophinge/coordination/counters.py
@@ -37,6 +37,10 @@
     return int.from_bytes(blake2b(encode(increment), digest_size=FINGERPRINT_BYTES).digest(), "big")
 
 
+def _name_bytes(increment: Increment) -> int:
+    return len(increment.identifier) + len(increment.counter)
+
+
 class CounterSet:
     """The increments that one member has, the totals, and fingerprints by which two members compare what they have."""
 
@@ -46,6 +50,7 @@
         self.root = 0  # the XOR of all fingerprints: equal where two members have the same increments
         self.totals: dict[str, int] = {}
         self.count = 0
+        self.name_bytes = 0  # of all identifiers and of the counters' names beside them
 
     def merge(self, increment: Increment) -> bool:
         """Add an increment; return whether the set has changed."""
@@ -58,12 +63,14 @@
         self.buckets[index][increment.identifier] = increment
         self._count(index, increment, increment.amount)
         self.count += 1
+        self.name_bytes += _name_bytes(increment)
         return True
 
     def _remove(self, index: int, increment: Increment) -> None:
         del self.buckets[index][increment.identifier]
         self._count(index, increment, -increment.amount)
         self.count -= 1
+        self.name_bytes -= _name_bytes(increment)
 
     def _count(self, index: int, increment: Increment, amount: int) -> None:
         """Add to the total, and to or from the fingerprints: XOR is its own inverse."""
--- a/hophinge/fleet/controlplane/counter_host.py
+++ b/hophinge/fleet/controlplane/counter_host.py
@@ -35,6 +35,7 @@
 from hophinge.fleet.controlplane.group_commit import CommitCallbacks, GroupCommit
 from hophinge.fleet.settings import Settings
 
+MEMORY_BYTES_PER_NAME_BYTE = 36  # of the machine, for each byte of an increment's names
 COUNTER_TICK_S = 0.05
 ANNOUNCE_INTERVAL_S = 0.25  # between announcements that this member stores counters
 COUNTERS_PREFIX = "counters/"  # key prefix of the records by which members announce that they store counters
@@ -78,7 +79,10 @@
         self.replica = replica
         self.effects = effects
         self.me = replica.me
-        self.machine = CounterReplica(CounterConfig(self.me, settings.max_machine_losses), self.loop.time())
+        config = CounterConfig(
+            self.me, settings.max_machine_losses, settings.memory_bytes // MEMORY_BYTES_PER_NAME_BYTE
+        )
+        self.machine = CounterReplica(config, self.loop.time())
         store = counter_store(FileVolume(settings.data_dir))
         recovered = store.recover()
         if recovered.is_damaged:
--- a/tests/test_fleet_control_crowds.py
+++ b/tests/test_fleet_control_crowds.py
@@ -63,6 +63,7 @@
     Case(CONTROL_PORT, Crowd("heartbeats of many instances", numbered(heartbeat(20), 2_000), reads=True)),
     Case(CONTROL_PORT, Crowd("heartbeats of many long versions", numbered(heartbeat(30_000), 100), reads=True)),
     Case(CONTROL_PORT, Crowd("departures of many instances", numbered(UNREGISTER, 2_000), reads=True)),
+    Case(CONTROL_PORT, Crowd("increments of many counters", increments, reads=True)),
     Case(CONTROL_PORT, Crowd("more connections than may be open", repeated(b"GET / HT", 8), connections=600)),
 ]
 
