Crowds drawn by seed in the soak of both programs

One crowd after the other presses the addresses of machines that are drawn, beside signals, restarts, changes and leavings; the peak of each process is checked against its settings (160 MB).

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -9,7 +9,8 @@
 
 from tests.soak_client import Done, Outcome
 from tests.soak_document import MAX_REST_S
-from tests.soak_fleet import Soak
+from tests.soak_crowds import is_about_crowd
+from tests.soak_fleet import MEMORY_MB, Soak
 from tests.soak_instances import EVENTS
 from tests.soak_manners import KINDS
 
@@ -34,6 +35,8 @@
         "restarts": len(soak.exits),
         "hangups": soak.hangups,
         "leavings": soak.instances.leavings,
+        "crowds": soak.crowds.played,
+        "peak-mb": round(max(soak.crowds.peaks_mb.values(), default=0.0)),
         "orders": sum(one.engine.order_count for one in soak.instances.all),
     }
 
@@ -94,12 +97,16 @@
         elif end.status != 0 and (end.served or end.status != -signal.SIGTERM):
             yield f"{end.process} ended with {end.status}"
     left = {done.name for done in soak.done if done.outcome is Outcome.LEFT}
+    for name, peak_mb in soak.crowds.peaks_mb.items():
+        if peak_mb >= MEMORY_MB:
+            yield f"{name} took {peak_mb:.0f} MB"
     for name, lines in soak.logs.items():
         for line in lines:
             if (
                 any(word in line for word in BAD_WORDS)
                 and "Fatal" not in line
                 and not _is_client_disconnect(line, left)
+                and not is_about_crowd(line)
             ):
                 yield f"{name} says: {line}"
 
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -19,11 +19,13 @@
 from hophinge.fleet.emulation.instance_server import FAILURES
 from hophinge.load.rig.processes import Process
 from hophinge.load.rig.conditions import wait_until
+from tests.soak_crowds import SoakCrowds
 from tests.soak_client import Done, SoakClient
 from tests.soak_document import Draft
 from tests.soak_instances import SoakInstances
 
 GRACE_S = 6.0
+MEMORY_MB = 160  # of each process, as its settings say
 PROBE_S = 0.25  # between questions whether a head is ready; two misses take it out
 START_S, SETTLE_S = 40.0, 30.0
 MAX_ATTEMPTS = 40
@@ -49,6 +51,7 @@
     roll_s: float = 0.6
     leave_s: float = 0.8
     press_s: float = 3.0  # for which one stage is short: about what an order takes to come
+    crowds: int = 1  # of clients that don't behave, side by side
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,8 @@
 
     def __post_init__(self) -> None:
         self.random = Random(self.seed)
-        self.fleet = LoopbackFleet(self.folder, self.course.machines, grace_s=GRACE_S)
+        self.fleet = LoopbackFleet(self.folder, self.course.machines, grace_s=GRACE_S, memory_mb=MEMORY_MB)
+        self.crowds = SoakCrowds(self.fleet, Random(self.seed))
         self.draft = Draft()
         self.taking: dict[int, str] = {}  # heads that get new connections, with their addresses
         self.instances = SoakInstances(self.fleet, self.random)
@@ -197,6 +201,7 @@
                 SETTLE_S,
             )
             await wait_until([self.instances.all_ready(number) for number in everywhere], READY_S)
+            self.crowds.measure()
             self.logs = {name: list(process.lines) for name, process in fleet.processes.by_name.items()}
             self.members = [
                 json.loads(
@@ -217,10 +222,11 @@
                 self._roll("control"),
                 self._turn_over(),
                 self._press(),
+                *(self.crowds.run() for _ in range(self.course.crowds)),
             ):
                 group.create_task(work)
             await asyncio.sleep(self.course.play_s)
-            self.over = True
+            self.over = self.crowds.over = True
         for process in self.fleet.processes.by_name.values():
             if not process.is_running:
                 await self._restart(process, asked=False, served=process.has_logged(STARTED))
