Only the last response announces the close, and nothing behind it runs

What callers saw: requests sent ahead ran behind a response that says `Connection: close`, and were answered there.

Cause: the application announced the close of a connection whose other requests it does not know; the connection went on with what it had read (RFC 9112, 9.6 forbids it).

Fix: the state of the connection decides when a response starts. Only a response with no request behind it says close; from then on nothing is accepted. Requests that were read before are answered, each in turn, so none that was read is lost. uvicorn's own 500 and the last response of a shutdown go the same way.

Two tests changed: a request read during a shutdown is still rejected in turn, but only the last response may say close, which is asserted now. Reading goes on in test_fleet_connection_state.py as it did, with the start of each response as steps of their own.

--- a/hophinge/fleet/controlplane/api.py
+++ b/hophinge/fleet/controlplane/api.py
@@ -22,6 +22,7 @@
 from hophinge.fleet.numerals import parse_decimal
 from hophinge.fleet.registry.instance import Instance, Model
 from hophinge.fleet.transport.asgi import (
+    CLOSE,
     BodyTooLargeError,
     ClientGoneError,
     Receive,
@@ -45,7 +46,6 @@
 MILLISECONDS = 1_000
 JSON_TYPE = (b"content-type", b"application/json")
 RETRY_AFTER = (b"retry-after", b"0.2")
-CLOSE = (b"connection", b"close")
 MAX_LOGGED_PATH = 200  # characters
 
 # Serves a request. Arguments: method, remainder of the path after the registered prefix, receive, send.
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -38,7 +38,7 @@
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.pool import Reservation
 from hophinge.fleet.registry.instance import Instance
-from hophinge.fleet.transport.asgi import Send, answer
+from hophinge.fleet.transport.asgi import CLOSE, Send, answer
 from hophinge.fleet.transport.client_memory import MemoryReservation
 
 MILLISECONDS = 1_000
@@ -168,7 +168,7 @@
         self.phase = RequestPhase.ANSWERING if self.is_response_started else phase
 
     def _close_fields(self) -> Fields:
-        return [(b"connection", b"close")] if self.is_shutting_down else []
+        return [CLOSE] if self.is_shutting_down else []
 
     def _build_call(self, step: Prefill | Generate, extra: Fields) -> Call:
         node = step.reservation.node
--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -7,8 +7,6 @@
 from collections.abc import Mapping
 from random import Random
 
-from loguru import logger
-
 from hophinge.fleet.configuration.routes import Limits, Route, RouteTable
 from hophinge.fleet.dataplane import request_log
 from hophinge.fleet.dataplane.client import run_until_disconnect
@@ -38,6 +36,7 @@
 from hophinge.fleet.placement.prompt import parse_prompt
 from hophinge.fleet.settings import Settings
 from hophinge.fleet.transport.asgi import (
+    CLOSE,
     BodyTooLargeError,
     ClientGoneError,
     Receive,
@@ -56,7 +55,6 @@
 MILLISECONDS = 1_000
 DEADLINE_MARGIN_S = 0.03  # a response is sent this long before the deadline
 RETRY_AFTER = (b"retry-after", b"0.6")  # in seconds; a head that has just started soon has its routes
-CLOSE = (b"connection", b"close")
 
 
 class HttpFrontend:
@@ -94,9 +92,6 @@
             await answer(send, 503, b"", [RETRY_AFTER, CLOSE])
         except ResponseAbortedError:
             pass  # already logged; the server closes the connection after the incomplete response
-        except Exception:  # broad: any failure is logged, and the server answers 500
-            logger.exception("request handling failed")
-            raise
 
     async def _serve_platform(self, scope: Scope, send: Send) -> None:
         if scope["path"] == MEMBER_PATH:
--- a/hophinge/fleet/transport/asgi.py
+++ b/hophinge/fleet/transport/asgi.py
@@ -12,6 +12,8 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
 
+CLOSE = (b"connection", b"close")  # an application's wish; the connection decides which response says so
+
 
 class ClientGoneError(Exception):
     """The client closed its connection."""
--- a/hophinge/fleet/transport/connection_state.py
+++ b/hophinge/fleet/transport/connection_state.py
@@ -2,10 +2,13 @@
 
 A request is outstanding from when its header was read until its response is complete; responses are sent in the order
 of the requests (RFC 9112, 9.3.2). After an invalid request, a timeout, the shutdown of the process or
-`Connection: close`, nothing new is accepted, and the connection closes after the last outstanding response. A client
+`Connection: close`, nothing new is served, and the connection closes after the last outstanding response. A client
 that closes its side counts as disconnected, even if it could still read: an instance would work for a response that may
 never be read.
 
+A client takes requests behind a response that says `Connection: close` as unread, and may send them again elsewhere. So
+only a response with no request behind it says so, and whatever arrives after that is ignored (RFC 9112, 9.6).
+
 Each input returns the actions to perform, in order. Times are seconds of one clock.
 """
 
@@ -77,6 +80,8 @@
         self.rejection_status = 0  # to send after the last outstanding response; 0 for none
         self.waiting_since = now  # since when the server waits for the client
         self.has_unparsed_bytes = False  # received, and not parsed yet
+        self.is_last_request_read = False  # the header of a request behind which the client wants the close
+        self.has_announced_close = False  # the response that says so has started
         self.is_closed = False  # or closing
 
     # --- requests ------------------------------------------------------------------------------------------------
@@ -87,28 +92,31 @@
         self.is_header_new = True
         self.waiting_since = now
 
-    def complete_header(self, keeps_alive: bool) -> bool:
+    @property
+    def serves_requests(self) -> bool:
+        """Whether new requests are served; those that arrive once the connection is to close are rejected in turn."""
+        return self.close_reason is None
+
+    def complete_header(self, keeps_alive: bool) -> None:
         """Record a complete header.
 
         Args:
             keeps_alive: Whether the client keeps the connection after this request.
 
-        Returns:
-            Whether the request is to be served; one that arrives once the connection is to close is rejected in turn.
-
         """
         self.read_state = ReadState.BODY
         self.outstanding += 1
-        is_served = self.close_reason is None
         if not keeps_alive:
+            self.is_last_request_read = True
             self._set_close_reason(CloseReason.CLOSE_REQUESTED)
-        return is_served
 
     def complete_request(self, now: float) -> None:
-        """Record a request's last byte."""
+        """Record a request's last byte; what follows the last request is ignored."""
         self.read_state = ReadState.NOTHING
         self.waiting_since = now
         self.completed_requests += 1
+        if self.is_last_request_read or self.has_announced_close:
+            self.is_accepting = False
 
     def receive_bytes(self, now: float, count: int) -> list[Action]:
         """Record the arrival of bytes, after the events that they completed."""
@@ -142,6 +150,24 @@
 
     # --- responses -----------------------------------------------------------------------------------------------
 
+    def begin_response(self, asks_close: bool) -> bool:
+        """Record that the first outstanding response starts.
+
+        Args:
+            asks_close: Whether the application wants the connection to close.
+
+        Returns:
+            Whether the response says `Connection: close`. Then it is the last one, and no further request is accepted.
+
+        """
+        if asks_close:
+            self._set_close_reason(CloseReason.CLOSE_REQUESTED)
+        is_last = self.outstanding == 1 and not self.rejection_status and not self._has_requests_to_parse
+        self.has_announced_close = is_last and self.close_reason is not None
+        if self.has_announced_close and self.read_state is not ReadState.BODY:
+            self.is_accepting = False
+        return self.has_announced_close
+
     def complete_response(self, now: float) -> list[Action]:
         """Record that the first outstanding response is complete."""
         self.outstanding -= 1
@@ -192,12 +218,17 @@
     def _close_when_answered(self) -> list[Action]:
         if self.outstanding or self.close_reason is None or self.is_closed:
             return []
-        if self.has_unparsed_bytes and self.is_accepting:
+        if self._has_requests_to_parse:
             return []
         self.is_accepting = False
         self.is_closed = True
         return [Action.REJECT if self.rejection_status else Action.CLOSE]
 
+    @property
+    def _has_requests_to_parse(self) -> bool:
+        """Whether bytes that are still to be parsed may hold requests."""
+        return self.has_unparsed_bytes and self.is_accepting
+
     # --- deadlines -----------------------------------------------------------------------------------------------
 
     @property
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import httptools
-from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl, service_unavailable
+from loguru import logger
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
+from hophinge.fleet.transport.asgi import CLOSE, Receive, Scope, Send, answer
 from hophinge.fleet.transport.closing import close, linger
 from hophinge.fleet.transport.client_memory import BodyMemoryFullError
 from hophinge.fleet.transport.connection_context import CONNECTION, MEMORY, ResponseTransport, ConnectionContext
@@ -35,9 +37,15 @@
 MIN_PROGRESS_BYTES = 64 << 10
 CAPACITY_STALL_S = 1.0  # of waiting for a client, after which its connection may be closed for a new one
 LINGERING_FRACTION = 1 / 8  # of the limit on connections, that may linger beyond it
+INTERNAL_SERVER_ERROR = 500
 CLOSED_BY_CLIENT = (CloseReason.CLIENT_CLOSED, CloseReason.CLIENT_RESET)
 
 
+async def reject_in_turn(scope: Scope, receive: Receive, send: Send) -> None:
+    """Reject a request that was read once its connection was to close: it is not executed."""
+    await answer(send, SERVICE_UNAVAILABLE, b"", [CLOSE])
+
+
 class RequestFlow(FlowControl):
     """The flow control of a connection, which parses what it has received before it reads more."""
 
@@ -282,6 +290,8 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
+            if not self.state.is_accepting:
+                return
             if self.parser.get_method() == b"CONNECT":
                 raise httptools.HttpParserError("CONNECT is not served") from upgrade
             self._feed_parser(self._without_upgrade() + data[upgrade.args[0] :])
@@ -407,6 +417,8 @@
 
     def on_message_begin(self) -> None:
         """Handle the first byte of a request."""
+        if not self.state.is_accepting:
+            return  # the parser reads on to the end of the bytes that it was given
         super().on_message_begin()
         self.scope["state"][CONNECTION] = self.state
         self.scope["state"][MEMORY] = self
@@ -416,31 +428,32 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header field; drop a trailer field, which arrives after the body (RFC 9110, section 6.5.1)."""
-        if self.state.read_state is not ReadState.BODY:
+        if self.state.is_accepting and self.state.read_state is not ReadState.BODY:
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Handle a complete header: its response is outstanding from now on."""
-        if self.parser.should_upgrade():
-            return  # the header is parsed again without its upgrade
+        if self.parser.should_upgrade() or not self.state.is_accepting:
+            return  # a header with an upgrade is parsed again without it
+        self.app = self.config.loaded_app if self.state.serves_requests else reject_in_turn
         super().on_headers_complete()
         self.cycles.append(self.cycle)
         field_bytes = sum(len(name) + len(value) + FIELD_BYTES for name, value in self.headers)
         self.request_bytes.append(REQUEST_BYTES + len(self.url) + field_bytes)
         self.boundaries.begin_body(self.headers)
-        is_served = self.state.complete_header(self.cycle.keep_alive)
-        if self.pipeline and self.pipeline[0][0] is self.cycle and not is_served:
-            self.pipeline[0] = (self.cycle, service_unavailable)
+        self.state.complete_header(self.cycle.keep_alive)
 
     def on_body(self, body: bytes) -> None:
         """Handle a part of a request's body."""
+        if not self.state.is_accepting:
+            return
         super().on_body(body)
         self.boundaries.consume_body(len(body))
         self._record_progress(len(body))
 
     def on_message_complete(self) -> None:
         """Handle a request's last byte."""
-        if self.parser.should_upgrade():
+        if self.parser.should_upgrade() or not self.state.is_accepting:
             return
         super().on_message_complete()
         self.state.complete_request(self.loop.time())
@@ -466,10 +479,36 @@
             self._perform(self.state.request_close())
 
     def shutdown(self) -> None:
-        """Accept nothing new, as the process shuts down; the last response, if not started yet, announces the close."""
+        """Serve nothing new, as the process shuts down; the last response, if not started yet, announces the close."""
         self._perform(self.state.shut_down())
-        if self.cycles:
-            self.cycles[-1].keep_alive = False
+
+    # --- responses -----------------------------------------------------------------------------------------------
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        """Start the response to a request; the state decides whether it announces the close."""
+
+        async def respond(scope: Scope, receive: Receive, send: Send) -> None:
+            async def send_decided(message: dict[str, Any]) -> None:
+                await send(self._decide_close(cycle, message))
+
+            try:
+                await app(scope, receive, send_decided)
+            except Exception:  # broad: any failure is logged, and the client gets a response
+                logger.exception("request handling failed")
+                if cycle.response_started or cycle.disconnected:
+                    raise
+                await answer(send_decided, INTERNAL_SERVER_ERROR, b"", [CLOSE])
+
+        super()._start_asgi_task(cycle, cast(Any, respond))
+
+    def _decide_close(self, cycle: RequestResponseCycle, message: dict[str, Any]) -> dict[str, Any]:
+        """Replace what the application says of the close by what the state decides; uvicorn writes the field."""
+        if message["type"] != "http.response.start":
+            return message
+        fields = list(message.get("headers", []))
+        kept = [field for field in fields if field != CLOSE]
+        cycle.keep_alive = not self.state.begin_response(asks_close=len(kept) < len(fields))
+        return {**message, "headers": kept}
 
     # --- actions -------------------------------------------------------------------------------------------------
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -18,8 +18,45 @@
 STEPS = "tests/test_fleet_failing_steps.py::"
 CLOSE_DELIMITED = "tests/test_fleet_close_delimited_responses.py::"
 SURPLUS = "tests/test_fleet_surplus_responses.py::"
+PROMISES = "tests/test_fleet_promises.py::"
+ORDERS = PROMISES + "test_in_random_orders_nothing_runs_that_was_rejected_or_stands_behind_a_close[0]"
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a response announces the close though requests stand behind it",
+        "fleet/transport/connection_state",
+        "        is_last = self.outstanding == 1 and not self.rejection_status and not self._has_requests_to_parse",
+        "        is_last = True",
+        ORDERS,
+    ),
+    Mutant(
+        "requests are accepted behind the announced close",
+        "fleet/transport/connection_state",
+        "        if self.has_announced_close and self.read_state is not ReadState.BODY:",
+        "        if False:",
+        STATE + "test_only_a_response_with_nothing_behind_it_announces_the_close",
+    ),
+    Mutant(
+        "requests are accepted behind the one with which the client asks for the close",
+        "fleet/transport/connection_state",
+        "        if self.is_last_request_read or self.has_announced_close:",
+        "        if self.has_announced_close:",
+        STATE + "test_nothing_is_accepted_behind_the_request_with_which_a_client_asks_for_the_close",
+    ),
+    Mutant(
+        "an application's close is announced as it asks for it",
+        "fleet/transport/server_connection",
+        '        return {**message, "headers": kept}',
+        "        return message",
+        ORDERS,
+    ),
+    Mutant(
+        "a failing application's response announces the close whatever stands behind it",
+        "fleet/transport/server_connection",
+        "                if cycle.response_started or cycle.disconnected:",
+        "                if True:",
+        ORDERS,
+    ),
     Mutant(
         "a stream that ends with its connection is complete wherever that is",
         "fleet/dataplane/exchange",
@@ -303,8 +340,8 @@
     Mutant(
         "a request read after the close is served",
         "fleet/transport/connection_state",
-        "is_served = self.close_reason is None",
-        "is_served = True",
+        "        return self.close_reason is None\n",
+        "        return True\n",
         WIRE + "test_a_request_read_during_shutdown_is_rejected_in_turn",
     ),
     Mutant(
--- a/tests/test_fleet_client_connections.py
+++ b/tests/test_fleet_client_connections.py
@@ -24,6 +24,7 @@
 ROUTES = (("/m/", "streaming", "models"), ("/p/", "unsafe", "plain"))
 INSTANCES = (("p1", "models", "prefill"), ("d1", "models", "decode"), ("s1", "plain", ""))
 PAUSE_S = 0.05
+SENT_AHEAD = 40  # requests, more than are read ahead
 GRACE_S = 8.0
 BOUNDS = {"max-header-bytes": 8_192, "max-body-bytes": 100_000}
 SHORT = {"idle-timeout-ms": 1_500, "header-timeout-ms": 500, **BOUNDS}
@@ -112,6 +113,33 @@
     asyncio.run(with_head(tmp_path, SHORT, play))
 
 
+# Guards against requests that run though their client takes them as unread, and against a reset in place of a response.
+def test_requests_behind_a_response_that_announces_the_close_do_not_run(tmp_path: Path) -> None:
+    async def play(fleet: LoopbackFleet) -> None:
+        client = await Client.open(fleet)
+        too_large = request("/p/q", "too-large", b"x", (b"X-Pad", b"a" * (BOUNDS["max-header-bytes"] - 100)))
+        client.send(request("/p/q", "served") + too_large)
+        served = await client.answer()
+        assert served is not None and (served.status, served.closes) == (200, False)
+        for number in range(SENT_AHEAD):
+            client.send(request("/p/q", f"behind-{number}", b"x" * 10_000))
+            await asyncio.sleep(0)
+        rejected = await client.answer()
+        assert rejected is not None and rejected.status == 431
+        following = []
+        while (answer := await client.answer()) is not None:
+            following.append(answer)
+        closing = [answer.closes for answer in (rejected, *following)]
+        assert closing == [False] * len(following) + [True], "only the last response announces the close"
+        assert all(answer.status in (200, 503) for answer in following)
+        await asyncio.sleep(PAUSE_S)
+        ran = {run.request for run in fleet.instances["s1"].engine.runs}
+        served_behind = sum(answer.status == 200 for answer in following)
+        assert ran == {"served", *(f"behind-{number}" for number in range(served_behind))}
+
+    asyncio.run(with_head(tmp_path, SHORT, play))
+
+
 # --- slow, incomplete and endless requests ---------------------------------------------------------------------------
 
 
--- a/tests/test_fleet_connection_state.py
+++ b/tests/test_fleet_connection_state.py
@@ -27,6 +27,8 @@
     "complete request",
     "invalid bytes",
     "deadline",
+    "begin response",
+    "begin closing response",
     "response",
     "close request",
     "shutdown",
@@ -40,7 +42,8 @@
     state: ConnectionState = field(default_factory=lambda: ConnectionState(BOUNDS, 0.0))
     now: float = 0.0
     read: int = 0  # requests whose header was read
-    started: int = 0  # responses, in the order of their requests
+    started: int = 0  # requests, in their order
+    begun: int = 0  # responses, in the order of their requests
     completed: int = 0  # responses
     abandoned: int = 0  # requests
     last_action: Action | None = None  # REJECT or CLOSE, which closes the connection
@@ -48,7 +51,9 @@
     def is_possible(self, step: str) -> bool:
         """Return whether a step is possible now."""
         if step == "response":
-            return self.started > self.completed and self.last_action is None
+            return self.begun > self.completed and self.last_action is None
+        if step in ("begin response", "begin closing response"):
+            return self.begun == self.completed < self.started and self.last_action is None
         if step in ("close request", "shutdown"):
             return self.last_action is None
         if not self.state.is_accepting or self.last_action is not None:
@@ -68,16 +73,20 @@
             state.begin_header(self.now)
         elif step in ("header", "last header"):
             is_pipelined = state.outstanding > 0
+            assert not state.has_announced_close, "nothing is read behind the close"
             state.complete_header(keeps_alive=step == "header")
             self.read += 1
             self.started += not is_pipelined  # uvicorn itself starts the first response
         elif step == "complete request":
             state.complete_request(self.now)
         elif step == "invalid bytes":
-            self.act(state.reject(CloseReason.INVALID_REQUEST, BAD_REQUEST))
+            self.act(state.reject(CloseReason.INVALID_REQUEST, BAD_REQUEST, self.is_newest_begun))
         elif step == "deadline":
             self.now = max(self.now, state.deadline or 0.0)
-            self.act(state.check_deadline(self.now))
+            self.act(state.check_deadline(self.now, self.is_newest_begun))
+        elif step in ("begin response", "begin closing response"):
+            self.begun += 1
+            state.begin_response(asks_close=step == "begin closing response")
         elif step == "response":
             self.completed += 1
             self.act(state.complete_response(self.now))
@@ -85,6 +94,11 @@
             self.act(state.request_close() if step == "close request" else state.shut_down())
         self.check()
 
+    @property
+    def is_newest_begun(self) -> bool:
+        """Whether the response to the latest request has started."""
+        return self.begun == self.read - self.abandoned
+
     def act(self, actions: list[Action]) -> None:
         """Perform the state's actions."""
         for action in actions:
@@ -105,6 +119,7 @@
         if self.last_action is not None:
             assert not self.state.outstanding, "it closes after the last response"
             assert self.last_action is not Action.REJECT or self.state.rejection_status
+            assert self.last_action is not Action.REJECT or not self.state.has_announced_close
         elif not self.state.outstanding:
             assert self.state.close_reason is None and self.state.deadline is not None, (
                 "an idle connection has a deadline"
@@ -150,17 +165,52 @@
 def test_requests_read_after_the_close_are_rejected() -> None:
     state = ConnectionState(BOUNDS, 0.0)
     state.begin_header(0.0)
-    assert state.complete_header(keeps_alive=True)
+    assert state.serves_requests
+    state.complete_header(keeps_alive=True)
     state.complete_request(0.0)
     assert state.shut_down() == []
     state.begin_header(0.1)
-    assert not state.complete_header(keeps_alive=True)
+    assert not state.serves_requests
+    state.complete_header(keeps_alive=True)
     state.complete_request(0.1)
     assert state.complete_response(0.2) == [Action.BEGIN_NEXT_RESPONSE] and state.complete_response(0.3) == [
         Action.CLOSE
     ]
 
 
+def test_only_a_response_with_nothing_behind_it_announces_the_close() -> None:
+    state = ConnectionState(BOUNDS, 0.0)
+    for _ in range(2):
+        state.begin_header(0.0)
+        state.complete_header(keeps_alive=True)
+        state.complete_request(0.0)
+    assert not state.begin_response(asks_close=True) and state.is_accepting
+    assert state.complete_response(0.1) == [Action.BEGIN_NEXT_RESPONSE]
+    assert state.record_unparsed(True) == [] and not state.begin_response(asks_close=False)
+    assert state.record_unparsed(False) == [] and state.begin_response(asks_close=False)
+    assert not state.is_accepting and state.complete_response(0.2) == [Action.CLOSE]
+
+
+def test_nothing_is_accepted_behind_the_request_with_which_a_client_asks_for_the_close() -> None:
+    state = ConnectionState(BOUNDS, 0.0)
+    state.begin_header(0.0)
+    state.complete_header(keeps_alive=False)
+    assert state.is_accepting, "its body may still arrive"
+    state.complete_request(0.1)
+    assert not state.is_accepting and state.begin_response(asks_close=False)
+    assert state.complete_response(0.2) == [Action.CLOSE]
+
+
+@pytest.mark.parametrize("asks_close", [True, False])
+def test_the_rest_of_a_request_is_read_behind_its_early_response_and_then_nothing(asks_close: bool) -> None:
+    state = ConnectionState(BOUNDS, 0.0)
+    state.begin_header(0.0)
+    state.complete_header(keeps_alive=True)
+    assert state.begin_response(asks_close) is asks_close and state.is_accepting
+    state.complete_request(0.1)
+    assert state.is_accepting is not asks_close
+
+
 @pytest.mark.parametrize(
     ("pipelined_after", "action", "status"), [(0, Action.REJECT, REQUEST_TIMEOUT), (1, Action.REJECT, REQUEST_TIMEOUT)]
 )
--- /dev/null
+++ b/tests/test_fleet_promises.py
@@ -0,0 +1,68 @@
+"""Rules REFUSED and TWICE: what a client is told has not run, or takes as unread, has not run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from hophinge.fleet.transport.server import HttpServer
+from tests.connection_histories import ConnectionHistory
+from tests.connection_wire import CHUNKED, FIRST, Wire, played, settle
+
+SEEDS = 300  # of each group
+MIN_SHARE = 0.02  # of the histories, in which each case occurs
+
+
+async def _play(seed: int) -> ConnectionHistory:
+    history = ConnectionHistory(seed)
+    await history.play()
+    return history
+
+
+@pytest.mark.parametrize("first", range(0, 10 * SEEDS, SEEDS))
+def test_in_random_orders_nothing_runs_that_was_rejected_or_stands_behind_a_close(first: int) -> None:
+    seen: Counter[str] = Counter()
+    for seed in range(first, first + SEEDS):
+        history = asyncio.run(_play(seed))
+        assert not history.findings(), (seed, history.findings())
+        responses = history.responses()
+        seen["rejected"] += any(response.status in (408, 503) for response in responses)
+        seen["closed"] += any(response.closes for response in responses)
+        seen["unread"] += any(response.closes for response in responses) and len(responses) < len(history.kinds)
+        seen["failed"] += any(response.status == 500 for response in responses)
+        seen["several ran"] += len(history.started) > 1
+    assert all(seen[case] > MIN_SHARE * SEEDS for case in ("rejected", "closed", "unread", "failed", "several ran")), (
+        seen
+    )
+
+
+# Guards against requests that run though their client takes them as unread and tries them again (rule TWICE).
+def test_only_the_last_response_announces_the_close_and_nothing_behind_it_is_started() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        wire.held = True
+        await wire.feed(FIRST + CHUNKED)
+        assert wire.connection is not None
+        wire.connection.shutdown()
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.begun == ["/first", "/chunked"], "it was read before the close was announced"
+        await wire.feed(FIRST)
+        wire.go_on["/chunked"].set()
+        await settle()
+        assert wire.begun == ["/first", "/chunked"], "nothing is started behind the close"
+        assert wire.statuses() == [200, 200] and wire.pipe.written.count(b"connection: close") == 1
+        assert wire.pipe.written.rindex(b"connection: close") > wire.pipe.written.index(b"end")
+
+    played(play)
+
+
+def test_what_a_client_sends_behind_its_own_close_is_ignored() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        closing = FIRST.replace(b"host: a", b"host: a\r\nconnection: close")
+        await wire.feed(closing + CHUNKED)
+        assert wire.begun == ["/first"] and wire.statuses() == [200] and wire.pipe.closed
+        assert wire.pipe.written.count(b"connection: close") == 1
+
+    played(play)
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -61,6 +61,7 @@
         wire.go_on["/first"].set()
         await settle()
         assert wire.statuses() == [200, 503, 503] and wire.begun == ["/first"] and wire.pipe.closed
+        assert wire.pipe.written.count(b"connection: close") == 1, "only the last response announces the close"
 
     played(play)
 
