A connection whose close was announced is read on, so that its client reads the response

What callers saw: a reset in place of the response to a request that had run.

Cause: a connection was closed right behind its last response. Where the client had sent more, the kernel resets a connection that is closed with unread bytes.

Fix: behind a response that announces the close the connection is closed for writing, and read on for a second, as behind a rejection. A connection that closes without having announced it is closed at once, as before: what crosses that close stays unread, which its client may try again.

--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -521,7 +521,7 @@
                 self._abandon_newest()
             elif action is Action.REJECT:
                 self._reject(self.state.rejection_status)
-            elif self.state.read_state is ReadState.BODY:
+            elif self.state.has_announced_close or self.state.read_state is ReadState.BODY:
                 self._linger()
             else:
                 self._close()
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -57,6 +57,13 @@
         "                if True:",
         ORDERS,
     ),
+    Mutant(
+        "a connection whose close was announced is closed with unread bytes",
+        "fleet/transport/server_connection",
+        "            elif self.state.has_announced_close or self.state.read_state is ReadState.BODY:",
+        "            elif self.state.read_state is ReadState.BODY:",
+        PROMISES + "test_behind_a_response_that_announces_the_close_the_client_is_read_on",
+    ),
     Mutant(
         "a stream that ends with its connection is complete wherever that is",
         "fleet/dataplane/exchange",
