A process that exits starts no waiting request

Found by reading, while listing what may run after its client was left: at the end of the grace period the requests in flight are cancelled, and the end of each response started the request that waited behind it, whose client gets nothing more.

Fix: once the grace period is over, a connection starts nothing. test_a_process_that_exits_starts_no_waiting_request failed before.

--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -115,6 +115,8 @@
             await self._wait_until_idle(asyncio.get_running_loop().time() + FINAL_FLUSH_S)
         for response in self.outstanding_responses():
             logger.info("connection aborted side=process {}", response)
+        for connection in self.connections():
+            connection.stop()
 
     async def _wait_until_idle(self, deadline: float) -> None:
         while self.has_work and asyncio.get_running_loop().time() < deadline:
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -482,6 +482,12 @@
         """Serve nothing new, as the process shuts down; the last response, if not started yet, announces the close."""
         self._perform(self.state.shut_down())
 
+    def stop(self) -> None:
+        """Start no further request, as the process is about to exit."""
+        self.state.abandon(CloseReason.SHUTDOWN)
+        self._discard_unparsed()
+        self.pipeline.clear()
+
     # --- responses -----------------------------------------------------------------------------------------------
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -64,6 +64,13 @@
         "            elif self.state.read_state is ReadState.BODY:",
         PROMISES + "test_behind_a_response_that_announces_the_close_the_client_is_read_on",
     ),
+    Mutant(
+        "a process that exits starts the requests that wait",
+        "fleet/transport/server_connection",
+        "        self._discard_unparsed()\n        self.pipeline.clear()\n\n    # --- responses",
+        "        self._discard_unparsed()\n        self.state.is_closed = False\n\n    # --- responses",
+        PROMISES + "test_a_process_that_exits_starts_no_waiting_request",
+    ),
     Mutant(
         "a stream that ends with its connection is complete wherever that is",
         "fleet/dataplane/exchange",
--- a/tests/test_fleet_promises.py
+++ b/tests/test_fleet_promises.py
@@ -72,6 +72,19 @@
     played(play)
 
 
+def test_a_process_that_exits_starts_no_waiting_request() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        wire.held = True
+        await wire.feed(FIRST + CHUNKED)
+        assert wire.connection is not None
+        wire.connection.stop()
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.begun == ["/first"] and wire.statuses() == [200]
+
+    played(play)
+
+
 def test_what_a_client_sends_behind_its_own_close_is_ignored() -> None:
     async def play(wire: Wire, server: HttpServer) -> None:
         closing = FIRST.replace(b"host: a", b"host: a\r\nconnection: close")
