A line of the log tells each send, outcome and promise of a request; random attempts check both rules

Change: one line for each request of a client, with its id, its connection, each attempt with instance, times and outcome, the status and what that promises; also for requests that are rejected in turn or before routing.

The truth of what instances ran, drawn at random, is compared with what the client is told (2,000 requests), as is the order of events on a connection; four mutants each.

--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -7,12 +7,15 @@
 from collections.abc import Mapping
 from random import Random
 
+from loguru import logger
+
 from hophinge.fleet.configuration.routes import Limits, Route, RouteTable
 from hophinge.fleet.dataplane import request_log
 from hophinge.fleet.dataplane.client import run_until_disconnect
 from hophinge.fleet.dataplane.abort_log import AbortLog
 from hophinge.fleet.dataplane.exchange import ResponseAbortedError, Exchange, Inbound
 from hophinge.fleet.dataplane.cluster_state import ClusterState
+from hophinge.fleet.dataplane.response_recorder import ResponseRecorder
 from hophinge.fleet.dataplane.upstream import Upstream
 from hophinge.fleet.forwarding.budget import RetryBudget
 from hophinge.fleet.forwarding.aborted_responses import AbortSide
@@ -84,14 +87,18 @@
         if server is not None and server[1] == self.ready_port:
             await self._serve_platform(scope, send)
             return
+        recorder = ResponseRecorder(send)
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, recorder)
         except ClientGoneError:
-            pass
+            recorder.reason = "client left before the request was complete"
         except BodyMemoryFullError:
-            await answer(send, 503, b"", [RETRY_AFTER, CLOSE])
+            recorder.reason = "no memory"
+            await answer(recorder, 503, b"", [RETRY_AFTER, CLOSE])
         except ResponseAbortedError:
             pass  # already logged; the server closes the connection after the incomplete response
+        finally:
+            logger.info("{}", recorder.completed_request(scope).event())
 
     async def _serve_platform(self, scope: Scope, send: Send) -> None:
         if scope["path"] == MEMBER_PATH:
@@ -146,7 +153,7 @@
             self.budgets[service] = budget
         return budget
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve(self, scope: Scope, receive: Receive, send: ResponseRecorder) -> None:
         arrived = self.loop.time()
         fields: Fields = scope["headers"]
         table = self.cluster_state.route_table
@@ -170,21 +177,30 @@
             await answer(send, status, b"", [CLOSE])
 
     async def _route(
-        self, arrived: float, scope: Scope, receive: Receive, send: Send, body: bytes, reservation: MemoryReservation
+        self,
+        arrived: float,
+        scope: Scope,
+        receive: Receive,
+        send: ResponseRecorder,
+        body: bytes,
+        reservation: MemoryReservation,
     ) -> None:
         """Find the route of a completely read request in the configuration applied by now, and run the request."""
         fields: Fields = scope["headers"]
         close_fields = [CLOSE] if self.is_shutting_down else []
         table = self.cluster_state.route_table
         if table is None:
+            send.reason = "no configuration"
             await answer(send, 503, b"", [RETRY_AFTER, *close_fields])
             return
         path = scope["raw_path"].decode("latin-1")
         route = table.find(host_name(find_field(fields, HOST) or ""), path)
         if route is None:
+            send.reason = "no route"
             await answer(send, 404, b"", close_fields)
             return
         if not route.is_available:
+            send.reason = "route not available"
             await answer(send, 503, b"", [RETRY_AFTER, *close_fields])
             return
         target = scope["raw_path"] + (b"?" + scope["query_string"] if scope["query_string"] else b"")
@@ -192,11 +208,9 @@
             scope["method"].encode(), target, forwarded_fields(fields), body, find_field(fields, REQUEST_ID)
         )
         lifecycle = self._begin_lifecycle(arrived, route, fields, inbound)
-        await self._run_exchange(
-            Exchange(inbound, lifecycle, self.upstream, send, self.is_shutting_down, reservation),
-            receive,
-            connection_of(scope),
-        )
+        exchange = Exchange(inbound, lifecycle, self.upstream, send, self.is_shutting_down, reservation)
+        send.exchange = exchange
+        await self._run_exchange(exchange, receive, connection_of(scope))
 
     def _begin_lifecycle(self, arrived: float, route: Route, fields: Fields, inbound: Inbound) -> RequestLifecycle:
         table = self.cluster_state.route_table
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -12,6 +12,7 @@
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
+from hophinge.fleet.forwarding.completed_requests import CompletedRequest
 from hophinge.fleet.transport.asgi import CLOSE, Receive, Scope, Send, answer
 from hophinge.fleet.transport.closing import close, linger
 from hophinge.fleet.transport.client_memory import BodyMemoryFullError
@@ -44,6 +45,9 @@
 async def reject_in_turn(scope: Scope, receive: Receive, send: Send) -> None:
     """Reject a request that was read once its connection was to close: it is not executed."""
     await answer(send, SERVICE_UNAVAILABLE, b"", [CLOSE])
+    reason = "read once the connection was to close"
+    rejected = CompletedRequest.without_attempts(scope["headers"], scope["client"], SERVICE_UNAVAILABLE, reason)
+    logger.info("{}", rejected.event())
 
 
 class RequestFlow(FlowControl):
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -21,7 +21,39 @@
 PROMISES = "tests/test_fleet_promises.py::"
 ORDERS = PROMISES + "test_in_random_orders_nothing_runs_that_was_rejected_or_stands_behind_a_close[0]"
 
+ATTEMPTS = (
+    PROMISES + "test_whatever_instances_do_a_request_runs_once_at_most_and_not_at_all_where_its_client_is_told_so"
+)
+
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a status of an instance that does not say so is taken as a promise",
+        "fleet/forwarding/attempt_results",
+        "    if status in NOT_EXECUTED_STATUSES and find_field(fields, NOT_EXECUTED) is not None:",
+        "    if status in NOT_EXECUTED_STATUSES:",
+        ATTEMPTS,
+    ),
+    Mutant(
+        "a request that may have run is rejected with a promise",
+        "fleet/forwarding/request_lifecycle",
+        "        may_promise = not self.may_have_run or self.route.is_idempotent",
+        "        may_promise = True",
+        ATTEMPTS,
+    ),
+    Mutant(
+        "a request that may have run is sent again whatever its route",
+        "fleet/forwarding/request_lifecycle",
+        "        return self.route.is_idempotent and self.possible_runs",
+        "        return self.possible_runs",
+        ATTEMPTS,
+    ),
+    Mutant(
+        "a request whose response broke off counts as not run",
+        "fleet/forwarding/request_lifecycle",
+        "        if not is_prefill and outcome in (AttemptOutcome.UNKNOWN, AttemptOutcome.BROKEN):",
+        "        if not is_prefill and outcome is AttemptOutcome.UNKNOWN:",
+        ATTEMPTS,
+    ),
     Mutant(
         "a response announces the close though requests stand behind it",
         "fleet/transport/connection_state",
--- a/tests/test_fleet_promises.py
+++ b/tests/test_fleet_promises.py
@@ -7,11 +7,19 @@
 
 import pytest
 
+from loguru import logger
+
+from hophinge.fleet.forwarding.completed_requests import CompletedRequest, promises_not_executed
+from hophinge.fleet.forwarding.trace import Attempt
+from hophinge.fleet.placement.plan import Forecast
 from hophinge.fleet.transport.server import HttpServer
+from tests.attempt_histories import AttemptHistory
 from tests.connection_histories import ConnectionHistory
 from tests.connection_wire import CHUNKED, FIRST, Wire, played, settle
 
 SEEDS = 300  # of each group
+FORECAST = Forecast(0.0, 0.0, 0.0, False)
+ATTEMPT_SEEDS = 2_000
 MIN_SHARE = 0.02  # of the histories, in which each case occurs
 
 
@@ -38,6 +46,52 @@
     )
 
 
+def test_whatever_instances_do_a_request_runs_once_at_most_and_not_at_all_where_its_client_is_told_so() -> None:
+    seen: Counter[str] = Counter()
+    for seed in range(ATTEMPT_SEEDS):
+        history = AttemptHistory(seed)
+        history.play()
+        assert not history.findings(), (seed, history.findings(), history.route.route_type)
+        seen["rejected after a send"] += promises_not_executed(history.status) and history.sends > 0
+        seen["several sends"] += history.sends > 1
+        seen["no promise"] += history.status in (502, 504)
+        seen["answered"] += history.is_answered
+    assert min(seen.values()) > MIN_SHARE * ATTEMPT_SEEDS and len(seen) == 4, seen
+
+
+def test_a_line_of_the_log_tells_each_send_outcome_and_promise_of_a_request() -> None:
+    attempts = (
+        Attempt("", "i-1", 0.001, 0.0, FORECAST, 0.02, "REFUSED"),
+        Attempt("decode", "i-2", 0.03, 0.0, FORECAST, None, ""),
+    )
+    rejected = CompletedRequest("q-1", "127.0.0.1:5", 503, "refused 503", "r1", "unsafe", attempts)
+    assert rejected.event() == (
+        "request completed request=q-1 client=127.0.0.1:5 route=r1 type=unsafe"
+        " attempts=plain@i-1:0.001-0.020:REFUSED,decode@i-2:0.030-: status=503 promise=not-executed reason=refused 503"
+    )
+    unread = CompletedRequest.without_attempts([], None, 0, "client left")
+    assert unread.event().endswith("attempts=- status=0 promise=none reason=client left")
+    assert [status for status in range(200, 600) if promises_not_executed(status)] == [408, 421, 429, 503]
+
+
+def test_a_request_that_is_rejected_in_turn_is_logged_with_its_promise() -> None:
+    events: list[str] = []
+
+    async def play(wire: Wire, server: HttpServer) -> None:
+        wire.held = True
+        await wire.feed(FIRST)
+        assert wire.connection is not None
+        wire.connection.shutdown()
+        await wire.feed(CHUNKED.replace(b"host: a", b"host: a\r\nHophinge-Request-Id: q-2"))
+        wire.go_on["/first"].set()
+        await settle()
+
+    sink = logger.add(events.append, format="{message}")
+    played(play)
+    logger.remove(sink)
+    assert any("request=q-2 " in event and "status=503 promise=not-executed" in event for event in events), events
+
+
 # Guards against requests that run though their client takes them as unread and tries them again (rule TWICE).
 def test_only_the_last_response_announces_the_close_and_nothing_behind_it_is_started() -> None:
     async def play(wire: Wire, server: HttpServer) -> None:
