--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -12,7 +12,7 @@
 from tests.soak_crowds import is_about_crowd
 from tests.soak_fleet import MEMORY_MB, Soak
 from tests.soak_instances import EVENTS
-from tests.soak_manners import KINDS
+from tests.soak_manners import KINDS, OVERSIZED
 
 SERVED_FRACTION = 0.97  # of requests whose route is always there, so that refusing everything does not pass
 BY_CLIENT = re.compile(r"response aborted request=(\S+) route=\S+ side=client ")
@@ -51,7 +51,11 @@
             yield f"{done.outcome.name} {done.status}: {where}, {len(done.body)} bytes"
         if done.outcome is Outcome.UNREAD and (done.name in arrived):
             yield f"an instance got it and its client nothing: {where}"
-        if done.outcome is Outcome.FAILED and not (kind.may_be_unknown and done.status == 404):
+        if done.outcome is Outcome.BEHIND and done.name in arrived:
+            yield f"an instance got it behind the close: {where}"
+        if done.outcome is Outcome.ANSWERED_BEHIND:
+            yield f"answered {done.status} behind the close: {where}"
+        if done.outcome is Outcome.FAILED and not _is_expected_failure(done):
             yield f"answered {done.status}: {where}"
         if done.outcome is Outcome.REFUSED and runs[done.name]:
             yield f"refused with {done.status}, and it ran: {where}"
@@ -71,14 +75,22 @@
         yield "two requests bear one name"
 
 
+def _is_expected_failure(done: Done) -> bool:
+    """Tell whether a status is due to what the client sent, or to a route that comes and goes."""
+    if done.status == 431:
+        return done.name.endswith(OVERSIZED)
+    return done.status == 404 and KINDS[done.kind].may_be_unknown
+
+
 def _is_clients_own(done: Done) -> bool:
     """Return whether a request has no whole answer by its client's doing.
 
-    It left, or sent the request on a connection that had rested for longer than clients may: the head had closed it
-    before, as the configuration says.
+    It left, sent it behind a close or with too large a header, or sent it on a connection that had rested for longer
+    than clients may: the head had closed it before, as the configuration says.
     """
     is_late = done.outcome is Outcome.UNREAD and done.rested_s > MAX_REST_S
-    return is_late or done.outcome is Outcome.LEFT
+    is_given_up = done.outcome in (Outcome.LEFT, Outcome.BEHIND) or done.name.endswith(OVERSIZED)
+    return is_late or is_given_up
 
 
 def _complete(done: Done, where: str) -> Iterator[str]:
--- a/tests/soak_client.py
+++ b/tests/soak_client.py
@@ -8,11 +8,12 @@
 from enum import Enum, auto
 from random import Random
 
-from tests.soak_manners import KINDS, LAST, TWOS, Manner, draw, send, written
+from tests.soak_manners import KINDS, LAST, OVERSIZED, SENT_AHEAD, TWOS, Manner, draw, send, written
 
 BACKOFFS_S = (0.0, 0.0, 0.01, 0.05, 0.05, 0.05, 2.0)  # between turns; the last outlasts the shortest resting time
 GIVE_UP_S = 12.0  # well behind the deadline: by then an answer of some kind has to be there
 CONNECT_S = 2.0
+OVERSIZED_FRACTION = 0.15  # of the requests that are sent ahead
 
 
 class Outcome(Enum):
@@ -25,6 +26,8 @@
     CUT = auto()  # the connection was closed in the middle of an answer
     SILENT = auto()  # nothing came in time
     UNANSWERED = auto()  # a request behind another one, which was answered: the connection ended without its answer
+    BEHIND = auto()  # nothing came, behind an answer that said close: its client takes it as unread
+    ANSWERED_BEHIND = auto()  # an answer came behind one that said close
     LEFT = auto()  # the client left, or did not send it whole
 
 
@@ -63,6 +66,9 @@
     closes: bool
 
 
+CLOSED = Answer(0, b"", False, True)  # in place of an answer behind the close
+
+
 async def read_answer(reader: asyncio.StreamReader) -> Answer | None:
     """Read one answer; None where the connection ended before its head."""
     try:
@@ -129,7 +135,9 @@
     async def _turn(self, head: int, first: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Make requests in one manner; tells whether the connection may be used again."""
         manner = draw(self.random)
-        asked = [self._ask() for _ in range(2 if manner in TWOS else 1)]
+        asked = (
+            self._ask_ahead() if manner is Manner.AHEAD else [self._ask() for _ in range(2 if manner in TWOS else 1)]
+        )
         data = b"".join(written(one.name, one.kind, manner) for one in asked)
         sending = asyncio.create_task(send(writer, data, manner, self.random))
         try:
@@ -146,12 +154,19 @@
         if manner is Manner.HALF_A_HEADER:
             return await self._refused(head, first, asked[0], sent_at, reader)
         goes_on = True
+        answer: Answer | None = None
         for place, one in enumerate(asked):
             if manner is Manner.LEAVE and self.random.random() < 0.7:
                 await asyncio.sleep(self.random.random() * 0.2)
                 self._note(head, first, one, Outcome.LEFT, None, sent_at, manner)
                 return False
+            closed = answer is not None and answer.closes
             outcome, answer = await self._read(reader)
+            if closed:
+                outcome = Outcome.BEHIND if outcome is Outcome.UNREAD else Outcome.ANSWERED_BEHIND
+                self._note(head, False, one, outcome, answer, sent_at, manner)
+                answer = CLOSED
+                continue
             if manner is Manner.LEAVE and outcome is not Outcome.WHOLE:
                 outcome = Outcome.LEFT
             if place and goes_on and manner is Manner.TWO and outcome is Outcome.UNREAD:
@@ -160,6 +175,14 @@
             goes_on = answer is not None and answer.whole
         return goes_on and manner not in LAST and answer is not None and not answer.closes
 
+    def _ask_ahead(self) -> list[SentRequest]:
+        """Make several requests, some of which the head rejects for their size, with the wish to close."""
+        asked = [self._ask() for _ in range(SENT_AHEAD)]
+        return [
+            SentRequest(one.name + OVERSIZED, one.kind) if self.random.random() < OVERSIZED_FRACTION else one
+            for one in asked
+        ]
+
     def _ask(self) -> SentRequest:
         self.number += 1
         return SentRequest(f"{self.name}-{self.number}", self.random.choice(sorted(KINDS)))
--- a/tests/soak_manners.py
+++ b/tests/soak_manners.py
@@ -45,6 +45,7 @@
     GARBAGE = "with bytes behind it that are no request"
     CHUNKED = "in chunks"
     UPGRADE = "with the wish for another protocol, as a common client library sends it"
+    AHEAD = "several at once, some with a header beyond the limit"
     LEAVE = "whole, then the client closes its side, and may read on"
     HALF_A_HEADER = "half of a header"
 
@@ -57,9 +58,13 @@
     Manner.GARBAGE: 4,
     Manner.CHUNKED: 6,
     Manner.UPGRADE: 4,
+    Manner.AHEAD: 10,
     Manner.LEAVE: 4,
     Manner.HALF_A_HEADER: 2,
 }
+SENT_AHEAD = 5  # requests
+OVERSIZED = "-oversized"  # ends the name of a request whose header is beyond the limit
+PADDING_BYTES = 20_000  # beyond `max-header-bytes`
 TWOS = (Manner.TWO, Manner.TWO_IN_PIECES)
 IN_PIECES = (Manner.PIECES, Manner.TWO_IN_PIECES)
 LAST = (Manner.GARBAGE, Manner.LEAVE, Manner.HALF_A_HEADER)  # the connection is not used again behind these
@@ -78,6 +83,8 @@
         (b"Hophinge-Deadline-Ms", b"%d" % DEADLINE_MS),
         *(PROMPT if KINDS[kind].streams else ()),
     ]
+    if name.endswith(OVERSIZED):
+        fields.append((b"X-Padding", b"a" * PADDING_BYTES))
     body = b"x"
     if manner is Manner.CHUNKED:
         fields.append((b"Transfer-Encoding", b"chunked"))
