--- a/hophinge/fleet/transport/connection_context.py
+++ b/hophinge/fleet/transport/connection_context.py
@@ -11,6 +11,7 @@
 from hophinge.fleet.transport.asgi import Scope
 from hophinge.fleet.transport.client_memory import DEFAULT_MEMORY_BYTES, ClientMemory, MemoryLimits, RequestMemory
 from hophinge.fleet.transport.connection_state import ConnectionBounds, ConnectionState
+from hophinge.fleet.transport.parse_scheduler import ParseScheduler
 
 CONNECTIONS_FRACTION = 0.6  # of the file descriptors that the process may open
 CONNECTION = "connection"  # key of the connection's state in a request's scope
@@ -35,6 +36,7 @@
     bounds: ConnectionBounds = field(default_factory=ConnectionBounds)
     max_connections: int = field(default_factory=max_connections)
     memory: ClientMemory = field(default_factory=lambda: ClientMemory(MemoryLimits.of_machine(DEFAULT_MEMORY_BYTES)))
+    parse_scheduler: ParseScheduler = field(default_factory=ParseScheduler)
     reserved_connections: dict[int, int] = field(default_factory=dict)  # by port: its own limit, apart from the others
     open_connections: Counter[int] = field(default_factory=Counter)  # by port
     close_reasons: Counter[str] = field(default_factory=Counter)  # of unclean closes, see `connection_lost`
--- a/hophinge/fleet/transport/message_boundaries.py
+++ b/hophinge/fleet/transport/message_boundaries.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 SECTION_END = b"\r\n\r\n"  # ends a header, and the last chunk of a body (RFC 9112, sections 2.1 and 7.1)
-MAX_PIECE_BYTES = 64 << 10
+MAX_PIECE_BYTES = 4 << 10  # of a header or of a body in chunks, which the parser handles field by field
 CONTENT_LENGTH = b"content-length"
 
 
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -31,7 +31,8 @@
 
 MAX_PIPELINED = 8  # requests waiting behind the one being answered, at which reading pauses
 MAX_PIPELINED_BYTES = 64 << 10  # that these requests may hold
-MAX_PIECES_PER_TURN = 64  # parsed for one connection in one iteration of the event loop
+MAX_PIECES_PER_TURN = 64  # parsed for one connection before others have their turn
+MAX_BYTES_PER_TURN = 8 << 10  # of these; a single piece may have more, where it is part of a body of stated length
 REQUEST_BYTES = 4_096  # held for a request besides its header fields and its body
 FIELD_BYTES = 400  # held for a header field besides its name and value
 STALL_S = 5.0  # in which less than MIN_PROGRESS_BYTES of a request arrive, after which its client counts as stalled
@@ -91,7 +92,6 @@
         self.parsed_to = 0
         self.is_parsing = False
         self.is_aborted = False  # closed at once: what it holds is released within a few iterations of the event loop
-        self.continuation: asyncio.Handle | None = None  # parses on in the next iteration of the event loop
         self.reserved_bytes = 0  # for the bodies of requests, and for responses that are not sent yet
         self.abandoned_bytes = 0  # of these, of a request that was rejected and will release them soon
         self.began_at = 0.0  # the beginning of the latest request
@@ -216,15 +216,15 @@
 
     def _discard_unparsed(self) -> None:
         self.received, self.parsed_to = b"", 0
-        if self.continuation is not None:
-            self.continuation.cancel()
-            self.continuation = None
+        self.context.parse_scheduler.discard(self)
 
     def _parse_more(self) -> None:
         """Parse and read on, if a response asks for more of its request or is complete."""
         if self.is_parsing:
             return
-        if self._has_unparsed or not self.state.is_accepting:
+        if self._has_unparsed and self.state.is_accepting:
+            self.context.parse_scheduler.add(self.loop, self)
+        elif not self.state.is_accepting:
             self._parse()
         elif self.flow.read_paused and self._may_parse():
             self.flow.update_reading(True)
@@ -257,15 +257,23 @@
                 self._perform(self.state.yield_to_others(CloseReason.OUT_OF_MEMORY))
 
     def _parse_pieces(self) -> None:
+        end = self.parsed_to + MAX_BYTES_PER_TURN
         for _ in range(MAX_PIECES_PER_TURN):
             if not (self._has_unparsed and self.state.is_accepting and self._may_parse()):
                 return
             self._parse_piece()
-        if self._has_unparsed and self.continuation is None:
-            self.continuation = self.loop.call_soon(self._continue_parsing)
+            if self.parsed_to >= end:
+                break
+        if self._has_unparsed:
+            self.context.parse_scheduler.add(self.loop, self)
 
-    def _continue_parsing(self) -> None:
-        self.continuation = None
+    @property
+    def waits_for_turn(self) -> bool:
+        """Whether it has bytes to parse, and is to parse them in its turn."""
+        return self.context.parse_scheduler.is_waiting(self)
+
+    def parse_on(self) -> None:
+        """Parse a part of what was received, in this connection's turn."""
         self._parse()
 
     def _may_parse(self) -> bool:
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -26,6 +26,28 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "one connection parses all that it has at once",
+        "fleet/transport/server_connection",
+        "            if self.parsed_to >= end:",
+        "            if False:",
+        CROWDED + "test_chunks_of_one_byte_are_parsed_a_few_at_a_time_between_other_work",
+    ),
+    Mutant(
+        "whoever asks for more of a request parses at once",
+        "fleet/transport/server_connection",
+        "        if self._has_unparsed and self.state.is_accepting:\n"
+        "            self.context.parse_scheduler.add(self.loop, self)",
+        "        if self._has_unparsed and self.state.is_accepting:\n            self._parse()",
+        CROWDED + "test_chunks_of_one_byte_are_parsed_a_few_at_a_time_between_other_work",
+    ),
+    Mutant(
+        "all connections parse in one iteration of the event loop",
+        "fleet/transport/parse_scheduler",
+        "turns and loop.time() < until",
+        "turns",
+        CROWDED + "test_connections_parse_in_turns_of_a_bounded_time",
+    ),
     Mutant(
         "a status of an instance that does not say so is taken as a promise",
         "fleet/forwarding/attempt_results",
--- a/tests/test_fleet_client_crowds.py
+++ b/tests/test_fleet_client_crowds.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from hophinge.fleet.emulation.loopback_fleet import FRONT_PORT, HOST, READY_PORT
-from tests.client_crowds import Crowd, numbered, repeated
+from tests.client_crowds import SEND_PIECE_BYTES, Crowd, numbered, repeated
 from tests.crowded_fleet import Case, ids, play
 
 MIB = 1 << 20
@@ -29,6 +30,7 @@
 LONG_TARGET = b"GET /" + b"a" * 15_000 + b" HTTP/1.1\r\n" + TO_HOST + b"\r\n"
 MANY_FIELDS = b"GET /none HTTP/1.1\r\n" + TO_HOST + b"a:\r\n" * 3_500 + b"\r\n"
 GARBAGE = b"\x00" * 64_000
+CHUNK = b"1\r\nx\r\n"
 
 
 def incomplete_header(_number: int) -> Iterator[bytes]:
@@ -42,6 +44,13 @@
     yield bytes(SENT_BYTES - 1)
 
 
+def chunks_of_one_byte(number: int) -> Iterator[bytes]:
+    """Send a body whose framing is five times as long, and takes a hundred times as long to parse."""
+    yield b"PUT /p/chunks-%d HTTP/1.1\r\n" % number + TO_HOST + b"transfer-encoding: chunked\r\n\r\n"
+    piece = CHUNK * (SEND_PIECE_BYTES // len(CHUNK))
+    yield from itertools.repeat(piece, SENT_BYTES // len(piece))
+
+
 def half_a_header(_number: int) -> Iterator[bytes]:
     """Send the beginning of a request."""
     yield b"GET / HTTP/1.1\r\nho"
@@ -71,6 +80,7 @@
     Case(FRONT_PORT, Crowd("bodies behind each other", repeated(WITH_BODY, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("bodies without an end", incomplete_body)),
     Case(FRONT_PORT, Crowd("headers without an end", incomplete_header, connections=80)),
+    Case(FRONT_PORT, Crowd("chunks of one byte", chunks_of_one_byte, connections=100)),
     Case(FRONT_PORT, Crowd("long targets", repeated(LONG_TARGET, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("many header fields", repeated(MANY_FIELDS, SENT_BYTES))),
     Case(FRONT_PORT, Crowd("bytes that are no request", repeated(GARBAGE, SENT_BYTES))),
--- a/tests/test_fleet_crowded_connections.py
+++ b/tests/test_fleet_crowded_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import httptools
@@ -12,7 +13,8 @@
 from hophinge.fleet.transport.connection_state import CloseReason, ConnectionBounds
 from hophinge.fleet.transport.message_boundaries import MessageBoundaries
 from hophinge.fleet.transport.server import HttpServer
-from hophinge.fleet.transport.server_connection import MAX_PIPELINED, STALL_S, ServerConnection
+from hophinge.fleet.transport.parse_scheduler import TURN_S, ParseScheduler
+from hophinge.fleet.transport.server_connection import MAX_BYTES_PER_TURN, MAX_PIPELINED, STALL_S, ServerConnection
 from tests import connection_wire
 from tests.connection_wire import CHUNKED, FIRST, GARBAGE, Pipe, Wire, played, settle
 
@@ -21,6 +23,42 @@
 READ_BYTES = 256 << 10  # that asyncio reads at once
 
 
+CHUNKED_HEADER = CHUNKED[: CHUNKED.index(b"\r\n\r\n") + 4]
+
+
+class TurnLoop:
+    """An event loop whose time passes only with the work that is done."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.scheduled: list[Callable[[], object]] = []
+
+    def time(self) -> float:
+        return self.now
+
+    def call_soon(self, callback: Callable[[], object], /) -> object:
+        self.scheduled.append(callback)
+        return None
+
+    def run_once(self) -> None:
+        """Run what was scheduled so far."""
+        scheduled, self.scheduled = self.scheduled, []
+        for callback in scheduled:
+            callback()
+
+
+class SlowParser:
+    """A connection whose part takes half of the time of an iteration, and that always has more to parse."""
+
+    def __init__(self, loop: TurnLoop, scheduler: ParseScheduler) -> None:
+        self.loop, self.scheduler, self.turns = loop, scheduler, 0
+
+    def parse_on(self) -> None:
+        self.turns += 1
+        self.loop.now += TURN_S / 2
+        self.scheduler.add(self.loop, self)
+
+
 @pytest.fixture(autouse=True)
 def _large_bodies(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let the application of a wire read large bodies."""
@@ -32,10 +70,46 @@
     wire.held = False
     for gate in wire.go_on.values():
         gate.set()
-    while wire.connection is not None and (wire.connection.cycles or wire.connection.continuation):
+    while wire.connection is not None and (wire.connection.cycles or wire.connection.waits_for_turn):
         await settle()
 
 
+# Guards against clients whose chunks of one byte keep the event loop parsing, so that nobody else gets an answer.
+def test_chunks_of_one_byte_are_parsed_a_few_at_a_time_between_other_work() -> None:
+    chunks = b"1\r\nx\r\n" * 40_000
+
+    async def play(wire: Wire, server: HttpServer) -> None:
+        assert wire.connection is not None
+        wire.connection.data_received(CHUNKED_HEADER + chunks)
+        assert wire.connection.parsed_to <= 3 * MAX_BYTES_PER_TURN
+        for _ in range(20):
+            before = wire.connection.parsed_to
+            await asyncio.sleep(0)
+            assert wire.connection.parsed_to - before <= 3 * MAX_BYTES_PER_TURN, "whoever asks for more"
+        assert wire.connection.waits_for_turn and wire.pipe.paused
+
+    played(play)
+
+
+def test_connections_parse_in_turns_of_a_bounded_time() -> None:
+    loop = TurnLoop()
+    scheduler = ParseScheduler()
+    parsers = [SlowParser(loop, scheduler) for _ in range(4)]
+    for parser in parsers:
+        scheduler.add(loop, parser)
+        scheduler.add(loop, parser)
+    assert len(loop.scheduled) == 1
+    loop.run_once()
+    assert [parser.turns for parser in parsers] == [1, 1, 0, 0], "other work goes on after TURN_S"
+    scheduler.discard(parsers[2])
+    loop.run_once()
+    assert [parser.turns for parser in parsers] == [2, 1, 0, 1], "they take turns, and a dropped one has none"
+    for parser in parsers:
+        scheduler.discard(parser)
+    loop.run_once()
+    assert not loop.scheduled
+
+
 def test_requests_sent_ahead_are_read_a_few_at_a_time() -> None:
     count = READ_BYTES // len(SHORT)
 
