503 promises that nothing ran on idempotent routes, too

What callers saw: 503 with Retry-After for a request that had run, on safe routes and resumable streams.

Cause: the head took "a repetition does no harm" for "nothing ran".

Fix: a request that may have run gets 502 or 504, whatever its route is. Clients repeat idempotent requests after any failure.

The check compared only routes that aren't idempotent before; it compares all of them now. Each history draws from some kinds of events, so that requests which nobody ran occur as well.

--- a/hophinge/fleet/forwarding/request_lifecycle.py
+++ b/hophinge/fleet/forwarding/request_lifecycle.py
@@ -1,8 +1,8 @@
 """The lifecycle of one request, without I/O: chooses the next attempt, or rejects the request.
 
-503 with `Retry-After` tells the client that a retry is safe. It is used only if each attempt either was not sent or was
-not run according to its instance, or if the route is idempotent. A request of which only the prefill was done has not
-run.
+503 with `Retry-After` tells the client that its request has not run and never will, whatever its route is. It is used
+only if each attempt either was not sent or was not run according to its instance. A request of which only the prefill
+was done has not run.
 """
 
 from __future__ import annotations
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """Reject the request; `retry_after_s` tells the client that a retry is safe, None that it may not be."""
+    """Reject the request; `retry_after_s` tells the client that it has not run, None that it may have."""
 
     status: int
     retry_after_s: float | None
@@ -189,10 +189,9 @@
     def _reject(self, status: int, reason: str, retry_after_s: float = MIN_RETRY_AFTER_S) -> Reject:
         self._leave_pending()
         self.trace.refusal = reason
-        may_promise = not self.may_have_run or self.route.is_idempotent
-        return (
-            Reject(UNAVAILABLE, retry_after_s) if may_promise and not self.is_response_started else Reject(status, None)
-        )
+        if self.may_have_run or self.is_response_started:
+            return Reject(status, None)
+        return Reject(UNAVAILABLE, retry_after_s)
 
     def _charge(self, now: float, is_extra: bool) -> None:
         """Count an attempt, and charge it to the retry budget if it is a retry."""
--- a/tests/attempt_histories.py
+++ b/tests/attempt_histories.py
@@ -23,6 +23,7 @@
 from hophinge.fleet.registry.instance import READY, Instance
 
 TIMEOUT_S = 4.0
+EVENTS = ("unsent", "rejected", "silent", "closed", "stream", "status")  # of an attempt; a history has some of them
 REJECTING: Fields = [(NOT_EXECUTED, b"1")]
 ROUTES = [
     Route("r", "h", "/", kind, TIMEOUT_S, 0.5, 0.0, 1, attempts, resumable, ("s",), (1.0,))
@@ -45,6 +46,7 @@
         """Draw the request and its instances."""
         self.random = Random(self.seed)
         self.now = 0.0
+        self.events = self.random.sample(EVENTS, self.random.randrange(1, len(EVENTS)))
         self.route = self.random.choice(ROUTES)
         prompt = Prompt(300, 50, (("a", 300),)) if self.route.route_type == "streaming" else None
         placement = Placement("z", lambda identity: None, Random(self.seed))
@@ -91,7 +93,7 @@
 
     def _generate(self, _step: Generate) -> AttemptResult:
         self.sends += 1
-        event = self.random.choice(("unsent", "rejected", "silent", "closed", "stream", "status"))
+        event = self.random.choice(self.events)
         if event == "unsent":
             self.sends -= 1
             return AttemptResult(AttemptOutcome.UNSENT)
@@ -116,9 +118,7 @@
 
     def findings(self) -> list[str]:
         """Return what contradicts what the client is told."""
-        if self.route.is_idempotent:
-            return []
-        found = [f"ran {self.runs} times"] if self.runs > 1 else []
+        found = [f"ran {self.runs} times"] if self.runs > 1 and not self.route.is_idempotent else []
         if self.runs and promises_not_executed(self.status):
             found.append(f"ran and got {self.status}")
         return found
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -203,8 +203,8 @@
     Mutant(
         "a request that may have run gets a promise that it has not",
         "fleet/forwarding/request_lifecycle",
-        "        may_promise = not self.may_have_run or self.route.is_idempotent",
-        "        may_promise = True",
+        "        if self.may_have_run or self.is_response_started:",
+        "        if self.is_response_started:",
         REQUESTS,
     ),
     Mutant(
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -58,8 +58,8 @@
     Mutant(
         "a request that may have run is rejected with a promise",
         "fleet/forwarding/request_lifecycle",
-        "        may_promise = not self.may_have_run or self.route.is_idempotent",
-        "        may_promise = True",
+        "        if self.may_have_run or self.is_response_started:",
+        "        if self.is_response_started:",
         ATTEMPTS,
     ),
     Mutant(
