--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -255,8 +255,10 @@
             await self._read_body(response)
             self.failure = AttemptFailure(AbortSide.INSTANCE, f"not executed, status {response.status}")
             return AttemptResult(refused)
-        if not may_forward_status(response.status) or (200 <= response.status < 300 and not is_signed(fields)):
+        if not may_forward_status(response.status):
             return self._reject_response(f"a response with status {response.status} that must not be forwarded")
+        if 200 <= response.status < 300 and not is_signed(fields):
+            return self._reject_response(f"a response with status {response.status} and no signature")
         if response.status == 200 and (find_field(fields, b"content-type") or "").startswith(EVENT_STREAM):
             return await self._forward_events(reservation, response, reader)
         body = await self._read_body(response)
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -12,7 +12,7 @@
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
-from hophinge.fleet.forwarding.completed_requests import CompletedRequest
+from hophinge.fleet.forwarding.completed_requests import CompletedRequest, client_name
 from hophinge.fleet.transport.asgi import CLOSE, Receive, Scope, Send, answer
 from hophinge.fleet.transport.closing import close, linger
 from hophinge.fleet.transport.client_memory import BodyMemoryFullError
@@ -598,11 +598,12 @@
     def outstanding_responses(self) -> list[str]:
         """Return a description of each response that is outstanding or not sent completely, for the log."""
         unsent_bytes = self.unsent_bytes
+        client = client_name(self.client)
         descriptions = [
-            f"path={cycle.scope['path']} client={self.client} response=incomplete unsent_bytes={unsent_bytes}"
+            f"path={cycle.scope['path']} client={client} response=incomplete unsent_bytes={unsent_bytes}"
             for cycle in self.cycles
         ]
         if not descriptions and unsent_bytes:
             path = self.cycle.scope["path"] if self.cycle is not None else "?"
-            descriptions.append(f"path={path} client={self.client} response=complete unsent_bytes={unsent_bytes}")
+            descriptions.append(f"path={path} client={client} response=complete unsent_bytes={unsent_bytes}")
         return descriptions
--- a/tests/test_fleet_process_ends.py
+++ b/tests/test_fleet_process_ends.py
@@ -79,7 +79,9 @@
         while not server.server_state.total_requests:
             await asyncio.sleep(0)
         await server.drain(asyncio.get_running_loop().time())
-        assert len(events) == 1 and events[0].startswith("connection aborted side=process path=/large client=")
+        assert len(events) == 1 and events[0].startswith(
+            "connection aborted side=process path=/large client=127.0.0.1:"
+        )
         assert " unsent_bytes=" in events[0]
         writer.close()
 
