--- a/tests/coordination_histories.py
+++ b/tests/coordination_histories.py
@@ -167,7 +167,33 @@
     return {world.request(random.choice(sorted(world.members)), again.change): again}
 
 
-def play(seed: int, count: int, losses: int = 1, bounded: bool = True, is_pipelined: bool = False) -> History:
+def lose_disks_and_power(world: World, random: Random, last: AttemptedChange) -> None:
+    """Send a last change; around its acknowledgement lose as many disks as may be lost, and the power of all others."""
+    request = world.request(random.choice(sorted(world.members)), last.change)
+    until = world.now + random.uniform(0.0, 0.4)
+    while world.now < until and request not in world.responses:
+        world.run(0.001)
+    answer = world.responses.get(request)
+    if answer is not None and answer.outcome is Outcome.APPLIED:
+        last.acknowledged_at = world.responded_at[request]
+    wiped = random.sample(sorted(world.members), world.losses)
+    for address in sorted(world.members):
+        if address in wiped:
+            world.wipe(address)
+        else:
+            world.kill(address)
+        world.at(random.uniform(0.1, 1.5), partial(start_if_present, world, address))
+    world.run(14.0)
+
+
+def play(
+    seed: int,
+    count: int,
+    losses: int = 1,
+    bounded: bool = True,
+    is_pipelined: bool = False,
+    ends_with_losses: bool = False,
+) -> History:
     """Play a random history; where faults are not bounded, the chain may stop until they are over.
 
     Where operators are pipelined, they also send changes on top of others that are in flight.
@@ -212,6 +238,10 @@
             known_version = max(known_version, answer.version)
     world.loss_rate = 0.0
     world.run(8.0 if bounded else 14.0)
+    if ends_with_losses:
+        last = AttemptedChange(change(known_version, known_version + next(numbers), "z"))
+        attempts.append(last)
+        lose_disks_and_power(world, random, last)
     return History(world, attempts, reads)
 
 
@@ -263,6 +293,13 @@
     return play(seed, count, losses, bounded=seed % 2 == 0)
 
 
+def closing_history_of_seed(seed: int) -> History:
+    """Play the history of a seed at whose end disks are lost while all other machines lose power."""
+    count = 3 + seed % 4
+    losses = 2 if count >= 5 and seed % 3 == 0 else 1
+    return play(seed, count, losses, bounded=seed % 2 == 0, ends_with_losses=True)
+
+
 def pipelined_history_of_seed(seed: int) -> History:
     """Play the history of a seed in which operators also build on changes that are in flight."""
     return play(seed, 3 + seed % 3, 1, bounded=seed % 2 == 0, is_pipelined=True)
--- a/tests/test_coordination_chain.py
+++ b/tests/test_coordination_chain.py
@@ -193,3 +193,14 @@
     assert world.responses[base].outcome is Outcome.APPLIED
     outcomes = {world.responses[request].outcome for request in (late_copy, other_copy) if request in world.responses}
     assert outcomes == {Outcome.APPLIED}
+
+
+# Guards against an acknowledgement that rests on the memory of machines which lose power together with lost disks.
+@pytest.mark.parametrize("first", range(0, 40, 8))
+def test_what_is_acknowledged_survives_lost_disks_while_all_other_machines_lose_power(first: int) -> None:
+    acknowledged = 0
+    for seed in range(first, first + 8):
+        history = histories.closing_history_of_seed(seed)
+        histories.check(history)
+        acknowledged += history.attempts[-1].acknowledged_at is not None
+    assert acknowledged, "some of the last changes are acknowledged before the losses"
