--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -40,6 +40,7 @@
 CAPACITY_STALL_S = 1.0  # of waiting for a client, after which its connection may be closed for a new one
 LINGERING_FRACTION = 1 / 8  # of the limit on connections, that may linger beyond it
 INTERNAL_SERVER_ERROR = 500
+WHITE_SPACE = b" \t"
 CLOSED_BY_CLIENT = (CloseReason.CLIENT_CLOSED, CloseReason.CLIENT_RESET)
 
 
@@ -439,9 +440,12 @@
         self.state.begin_header(self.loop.time())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header field; drop a trailer field, which arrives after the body (RFC 9110, section 6.5.1)."""
+        """Record a header field; drop a trailer field, which arrives after the body (RFC 9110, section 6.5.1).
+
+        White space behind a value is no part of it (section 5.5), but the parser leaves it there.
+        """
         if self.state.is_accepting and self.state.read_state is not ReadState.BODY:
-            super().on_header(name, value)
+            super().on_header(name, value.rstrip(WHITE_SPACE))
 
     def on_headers_complete(self) -> None:
         """Handle a complete header: its response is outstanding from now on."""
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -26,6 +26,13 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "white space behind a field value stays",
+        "fleet/transport/server_connection",
+        "value.rstrip(WHITE_SPACE)",
+        "value",
+        WIRE + "test_white_space_behind_a_field_value_is_no_part_of_it",
+    ),
     Mutant(
         "one connection parses all that it has at once",
         "fleet/transport/server_connection",
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -125,6 +125,21 @@
     played(play)
 
 
+# Guards against a legal request that no instance gets: the client library rejects such a value, and 502 was sent.
+@pytest.mark.parametrize("white_space", [b" ", b"\t", b" \t "])
+def test_white_space_behind_a_field_value_is_no_part_of_it(white_space: bytes) -> None:
+    data = FIRST.replace(b"host: a", b"host: a" + white_space + b"\r\nx-note: b c" + white_space)
+    for first, second in cuts(data):
+
+        async def play(wire: Wire, server: HttpServer, first: bytes = first, second: bytes = second) -> None:
+            await wire.feed(first)
+            await wire.feed(second)
+            assert wire.fields == [[(b"host", b"a"), (b"x-note", b"b c"), (b"content-length", b"5")]]
+            assert wire.statuses() == [200]
+
+        played(play)
+
+
 def test_a_body_that_does_not_arrive_gets_408() -> None:
     async def play(wire: Wire, server: HttpServer) -> None:
         await wire.feed(FIRST[:-2])
