--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -186,6 +186,18 @@
             node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s, self.context
         )
 
+    def _failed_attempt(
+        self, error: BaseException, outcome: AttemptOutcome, last_event_id: str | None = None
+    ) -> AttemptResult:
+        """Return the result of an attempt that may have run, and record why it failed."""
+        self.failure = _classify_failure(error)
+        return AttemptResult(
+            outcome,
+            last_event_id=last_event_id,
+            is_silent=is_peer_silent(error),
+            is_abandoned=_is_own_timeout(error),
+        )
+
     # --- prefill -------------------------------------------------------------------------------------------------
 
     async def _prefill(self, step: Prefill) -> AttemptResult:
@@ -205,10 +217,7 @@
         except (*UPSTREAM_ERRORS, TimeoutError) as error:
             if result is not None:
                 return result  # the response is complete: an error on closing the connection does not matter
-            self.failure = _classify_failure(error)
-            return AttemptResult(
-                AttemptOutcome.UNKNOWN, is_silent=is_peer_silent(error), is_abandoned=_is_own_timeout(error)
-            )
+            return self._failed_attempt(error, AttemptOutcome.UNKNOWN)
 
     def _parse_handle(self, node: Node, status: int, body: bytes) -> AttemptResult:
         handle = parse_handle(body) if status == 200 else None
@@ -238,13 +247,8 @@
         except (*UPSTREAM_ERRORS, TimeoutError) as error:
             if result is not None:
                 return result  # the result is known: an error on closing the connection does not matter
-            self.failure = _classify_failure(error)
-            return AttemptResult(
-                AttemptOutcome.BROKEN if self.is_response_started else AttemptOutcome.UNKNOWN,
-                last_event_id=reader.latest_id,
-                is_silent=is_peer_silent(error),
-                is_abandoned=_is_own_timeout(error),
-            )
+            outcome = AttemptOutcome.BROKEN if self.is_response_started else AttemptOutcome.UNKNOWN
+            return self._failed_attempt(error, outcome, reader.latest_id)
 
     async def _forward_response(
         self, reservation: Reservation, response: httpcore.Response, reader: EventReader
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -4,12 +4,11 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 from loguru import logger
-from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
 from hophinge.fleet.forwarding.completed_requests import CompletedRequest, client_name
@@ -27,6 +26,7 @@
     ReadState,
 )
 from hophinge.fleet.transport.message_boundaries import MessageBoundaries
+from hophinge.fleet.transport.request_flow import RequestFlow
 from hophinge.fleet.transport.upgrade import without_upgrade
 
 MAX_PIPELINED = 8  # requests waiting behind the one being answered, at which reading pauses
@@ -52,25 +52,6 @@
     logger.info("{}", rejected.event())
 
 
-class RequestFlow(FlowControl):
-    """The flow control of a connection, which parses what it has received before it reads more."""
-
-    def __init__(self, transport: asyncio.Transport, on_resume: Callable[[], None]) -> None:
-        super().__init__(transport)
-        self._on_resume = on_resume
-
-    def resume_reading(self) -> None:
-        """Ask for more of the requests, as a response does."""
-        self._on_resume()
-
-    def update_reading(self, should_read: bool) -> None:
-        """Resume or pause reading from the socket."""
-        if should_read:
-            super().resume_reading()
-        else:
-            self.pause_reading()
-
-
 class ServerConnection(HttpToolsProtocol):
     """A connection that a client opened.
 
