Requests that wait behind pending ones are rejected before the process ends

Cause: at the end of the grace period the pending requests are rejected once. Each that waited behind one began then, and was pending in turn.

Fix: those that wait are rejected in their turn. None of them has begun, so 503 is true. The test failed before; one mutant.

--- a/hophinge/fleet/transport/server.py
+++ b/hophinge/fleet/transport/server.py
@@ -111,6 +111,8 @@
         self.stop_listening()
         await self._wait_until_idle(deadline)
         if self.has_work:
+            for connection in self.connections():
+                connection.reject_waiting()
             on_deadline()
             await self._wait_until_idle(asyncio.get_running_loop().time() + FINAL_FLUSH_S)
         for response in self.outstanding_responses():
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -479,6 +479,10 @@
         """Serve nothing new, as the process shuts down; the last response, if not started yet, announces the close."""
         self._perform(self.state.shut_down())
 
+    def reject_waiting(self) -> None:
+        """Have the requests that wait for their turn rejected in it; none of them has begun."""
+        self.pipeline = deque((cycle, cast(Any, reject_in_turn)) for cycle, _ in self.pipeline)
+
     def stop(self) -> None:
         """Start no further request, as the process is about to exit."""
         self.state.abandon(CloseReason.SHUTDOWN)
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -26,6 +26,13 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "requests that wait begin as the process ends",
+        "fleet/transport/server",
+        "                connection.reject_waiting()",
+        "                pass",
+        PROCESS + "test_requests_that_wait_behind_pending_ones_are_rejected_before_the_process_ends",
+    ),
     Mutant(
         "white space behind a field value stays",
         "fleet/transport/server_connection",
--- a/tests/test_fleet_process_ends.py
+++ b/tests/test_fleet_process_ends.py
@@ -162,3 +162,27 @@
         writer.close()
 
     asyncio.run(_serve(play))
+
+
+# Guards against requests without an answer: each began as the one before it was rejected, and nothing rejected it.
+def test_requests_that_wait_behind_pending_ones_are_rejected_before_the_process_ends() -> None:
+    pending: list[asyncio.Future[int]] = []
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        pending.append(asyncio.get_running_loop().create_future())
+        await answer(send, await pending[-1])
+
+    def reject() -> None:
+        for future in pending:
+            future.set_result(503)
+
+    async def play(server: HttpServer, host: str, port: int) -> None:
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n" * 3)
+        while not pending or len(server.connections()[0].cycles) < 3:
+            await asyncio.sleep(0)
+        await server.drain(asyncio.get_running_loop().time(), reject)
+        assert (await reader.read()).count(b"HTTP/1.1 503") == 3 and len(pending) == 1
+        writer.close()
+
+    asyncio.run(_serve(play, app))
