--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -125,7 +125,7 @@
     return behave
 
 
-@pytest.mark.parametrize("answer", MALFORMED)
+@pytest.mark.parametrize("answer", MALFORMED, ids=[f"malformed-{number}" for number in range(len(MALFORMED))])
 def test_a_malformed_answer_is_a_failed_attempt_that_may_have_been_executed(answer: bytes) -> None:
     async def main() -> None:
         async with world(Backend(0)) as made:
--- a/tests/test_service_crowds.py
+++ b/tests/test_service_crowds.py
@@ -97,7 +97,7 @@
     Case(OBJECTS, Crowd("object requests without a key", repeated(NO_ROUTE, SENT_BYTES))),
     Case(OBJECTS, Crowd("object requests without headers", repeated(SHORT, SENT_BYTES))),
     Case(OBJECTS, Crowd("object headers without an end", incomplete_header, connections=80)),
-    Case(ADMIN, Crowd("administrators' calls without a token", repeated(NO_ROUTE, SENT_BYTES))),
+    Case(ADMIN, Crowd("calls of administrators without a token", repeated(NO_ROUTE, SENT_BYTES))),
     Case(ADMIN, Crowd("administrators' calls without headers", repeated(SHORT, SENT_BYTES))),
 ]
 
