--- a/hophinge/fleet/emulation/loopback_fleet.py
+++ b/hophinge/fleet/emulation/loopback_fleet.py
@@ -178,10 +178,17 @@
 
         return Condition(process, "has read its settings", look)
 
-    async def start_instance(self, identity: str, service: str, stage: str, number: int = 0) -> EmulatedEngine:
+    async def start_instance(
+        self,
+        identity: str,
+        service: str,
+        stage: str,
+        number: int = 0,
+        instance_type: type[EmulatedInstance] = EmulatedInstance,
+    ) -> EmulatedEngine:
         """Start an emulated instance that registers by heartbeat."""
         engine = EmulatedEngine(identity, stage)
-        server = EmulatedInstance(engine, service, "127.0.0.1", f"zone-{number}", self.engines_by_address)
+        server = instance_type(engine, service, "127.0.0.1", f"zone-{number}", self.engines_by_address)
         await server.start()
         self.instances[identity] = server
         self.heartbeat_tasks[identity] = asyncio.create_task(server.run_heartbeats(self.controls))
--- /dev/null
+++ b/tests/test_fleet_endless_responses.py
@@ -0,0 +1,154 @@
+"""An instance that sends without end costs its callers a connection, and no other client or instance anything.
+
+Both programs of one machine as real processes; `MEMORY_MB` is the limit in their settings, and the bound of the checks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from hophinge.fleet.emulation.engine import Fault
+from hophinge.fleet.emulation.instance_server import FAILURES, EmulatedInstance
+from hophinge.fleet.emulation.loopback_fleet import LoopbackFleet, configuration_document
+from hophinge.load.rig.conditions import wait_until
+from tests.client_crowds import peak_memory_mb
+from tests.endless_instance import (
+    BY_CHUNKS,
+    BY_CLOSE,
+    BY_COMMENTS,
+    BY_DRIP,
+    BY_INTERIM,
+    BY_LENGTH,
+    BY_LINES_OF_ONE_EVENT,
+    BY_ONE_EVENT,
+    BY_SMALL_CHUNKS,
+    REFUSALS,
+    CallKind,
+    EndlessInstance,
+    Flood,
+    FloodResult,
+)
+from tests.fleet_requests import PROMPT, taken
+
+MEMORY_MB = 160
+PLAY_S = 4.0
+START_S = 30.0
+CLIENTS = 16
+PAUSE_S = 0.1  # of a client between two requests
+ROUTES = (
+    ("/m/", "streaming", "models"),
+    ("/p/", "unsafe", "plain"),
+    ("/s/", "streaming", "plain"),
+    ("/o/", "unsafe", "other"),
+)
+INSTANCES: tuple[tuple[str, str, str, type[EmulatedInstance]], ...] = (
+    ("p1", "models", "prefill", EndlessInstance),
+    ("d1", "models", "decode", EmulatedInstance),
+    ("s1", "plain", "", EndlessInstance),
+    ("o1", "other", "", EmulatedInstance),
+)
+CUT_OFF = "response cut off"
+
+
+@dataclass
+class Seen:
+    """What the clients of a run got."""
+
+    other: list[int] = field(default_factory=list)  # statuses at the service whose instances are sound
+    faulty: list[int] = field(default_factory=list)  # 0 where a connection ended
+
+
+async def _begin(fleet: LoopbackFleet) -> None:
+    await fleet.start()
+    for identity, service, stage, instance_type in INSTANCES:
+        await fleet.start_instance(identity, service, stage, instance_type=instance_type)
+    await wait_until([taken(fleet, 0, configuration_document(1, ROUTES), 0)], START_S)
+    await wait_until([fleet.ready_condition(0, 1, len(INSTANCES))], START_S)
+
+
+async def _ask(fleet: LoopbackFleet, number: int, path: str, seen: Seen) -> None:
+    """Send requests one after the other; each fourth client asks the service that has no faulty instance."""
+    is_other = number % 4 == 0
+    loop = asyncio.get_running_loop()
+    until = loop.time() + PLAY_S
+    sent = 0
+    while loop.time() < until:
+        sent += 1
+        fields = PROMPT if path == "/m/q" and not is_other else ()
+        try:
+            reply = await fleet.request(0, "/o/q" if is_other else path, f"c{number}-{sent}", *fields)
+            status = reply.status if reply.is_complete else 0
+        except FAILURES:
+            status = 0
+        (seen.other if is_other else seen.faulty).append(status)
+        await asyncio.sleep(PAUSE_S)
+
+
+def _path(kind: CallKind, flood: Flood) -> str:
+    if kind is not CallKind.REQUEST:
+        return "/m/q"
+    return "/s/q" if b"event-stream" in flood.fields else "/p/q"
+
+
+async def _play(folder: Path, kind: CallKind, flood: Flood) -> tuple[Seen, FloodResult, list[str]]:
+    """Let one instance answer one kind of call without end, and check the processes that call it."""
+    async with LoopbackFleet(folder, 1, losses=0, memory_mb=MEMORY_MB) as fleet:
+        await _begin(fleet)
+        endless = fleet.instances["s1" if kind is CallKind.REQUEST else "p1"]
+        assert isinstance(endless, EndlessInstance)
+        if kind is CallKind.FREE:
+            fleet.instances["d1"].engine.faults.add(Fault.FULL)  # so that handles remain unused
+        result = endless.flood_calls(kind, flood)
+        processes = [fleet.head(0), fleet.control(0)]
+        pids = [process.pid for process in processes]
+        seen = Seen()
+        async with asyncio.TaskGroup() as group:
+            for number in range(CLIENTS):
+                group.create_task(_ask(fleet, number, _path(kind, flood), seen))
+        for process, pid in zip(processes, pids, strict=True):
+            assert process.is_running and process.pid == pid, list(process.lines)[-3:]
+            assert peak_memory_mb(pid) < MEMORY_MB, process.name
+        return seen, result, [line for process in processes for line in process.lines if CUT_OFF in line]
+
+
+CASES = [
+    (CallKind.REQUEST, flood)
+    for flood in (
+        BY_LENGTH,
+        BY_CHUNKS,
+        BY_CLOSE,
+        BY_SMALL_CHUNKS,
+        BY_INTERIM,
+        BY_ONE_EVENT,
+        BY_LINES_OF_ONE_EVENT,
+        BY_COMMENTS,
+        *REFUSALS,
+    )
+] + [
+    (kind, flood)
+    for kind in (CallKind.PREFILL, CallKind.REPORT, CallKind.FREE)
+    for flood in (BY_CHUNKS, BY_SMALL_CHUNKS)
+]
+CASES.append((CallKind.REPORT, BY_DRIP))
+
+
+def _id(case: tuple[CallKind, Flood]) -> str:
+    kind, flood = case
+    return f"{kind.name.lower()}-{flood.name.replace(' ', '-')}" + ("-refused" if flood is REFUSALS[-1] else "")
+
+
+# Guards against rule FAULT: a head or a control member that keeps what an instance sends without end (issue 101).
+@pytest.mark.parametrize(("kind", "flood"), CASES, ids=[_id(case) for case in CASES])
+def test_a_response_without_end_ends_no_process_and_costs_no_other_service_its_answers(
+    tmp_path: Path, kind: CallKind, flood: Flood
+) -> None:
+    seen, result, cut_off = asyncio.run(_play(tmp_path, kind, flood))
+    assert result.calls and kind in result.kinds, "no call has met the flood"
+    assert seen.other and set(seen.other) == {200}, seen.other
+    identity = "s1" if kind is CallKind.REQUEST else "p1"
+    if flood is not BY_COMMENTS:  # complete events, which are passed on as they come
+        assert any(f"instance={identity} " in line for line in cut_off), "the log does not name who was cut off"
