Reports, stage orders and the status that the command line shows are bounded in bytes, work and time

Callers saw: one instance that answers GET /v1/report without end took one control member after the other beyond its memory (457 MB after three calls), one that drips kept a member from asking any other instance. Cause: httpcore reads a response whole, and its time limits hold for each read, not for the response. A report over a limit is logged with its instance, which is not asked for 2 s, doubled up to 30 s.

--- a/hophinge/fleet/cli/commands.py
+++ b/hophinge/fleet/cli/commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sys
 from dataclasses import dataclass
@@ -9,15 +10,21 @@
 from typing import Annotated
 
 import cappa
-import httpcore
 
 from hophinge.fleet.configuration.document import validate_document
 from hophinge.fleet.settings import SettingsError, read_settings
+from hophinge.fleet.transport.bounded_call import CALL_ERRORS, ShortCall, ShortResponse, bounded_pool, send_short_call
 
 EXIT_FINDINGS = 1  # the file is invalid
 EXIT_UNREACHABLE = 2  # the member does not answer
-SHOW_TIMEOUT_S = 2.0
-REQUEST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+SHOW_TIMEOUT_S = 2.0  # for the whole status
+MAX_STATUS_BYTES = 16 << 20  # a member lists some hundred bytes for each instance that it knows
+
+
+async def _request_status(address: str) -> ShortResponse:
+    call = ShortCall("GET", f"http://{address}/v1/member", SHOW_TIMEOUT_S, MAX_STATUS_BYTES, [])
+    async with bounded_pool() as pool:
+        return await send_short_call(pool, call)
 
 
 def _report_findings(name: str, findings: list[str]) -> None:
@@ -72,14 +79,16 @@
 
     def __call__(self) -> None:
         """Run the command."""
-        timeout = dict.fromkeys(("connect", "read", "write", "pool"), SHOW_TIMEOUT_S)
         try:
-            with httpcore.ConnectionPool() as pool:
-                response = pool.request("GET", f"http://{self.address}/v1/member", extensions={"timeout": timeout})
-        except REQUEST_ERRORS as error:
+            response = asyncio.run(_request_status(self.address))
+            status = json.loads(response.body)
+        except CALL_ERRORS as error:
             print(f"{self.address} does not answer: {type(error).__name__}", file=sys.stderr)
             raise cappa.Exit(code=EXIT_UNREACHABLE) from error
-        print(json.dumps(json.loads(response.content), indent=2))
+        except (ValueError, RecursionError) as error:
+            print(f"{self.address} is no member: its answer is no JSON document", file=sys.stderr)
+            raise cappa.Exit(code=EXIT_UNREACHABLE) from error
+        print(json.dumps(status, indent=2))
 
 
 @cappa.command(name="data-plane", help="Start a head; its settings file stands in HOPHINGE_CONFIG.")
--- a/hophinge/fleet/controlplane/report_collector.py
+++ b/hophinge/fleet/controlplane/report_collector.py
@@ -8,8 +8,8 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
-import httpcore
 from loguru import logger
 from pydantic import ValidationError
 
@@ -19,17 +19,23 @@
 from hophinge.fleet.placement.hints import EngineReport, EngineReports
 from hophinge.fleet.program import run_periodically
 from hophinge.fleet.registry.instance import Instance
+from hophinge.fleet.transport.bounded_call import (
+    CALL_ERRORS,
+    ShortCall,
+    bounded_pool,
+    log_response_limit,
+    send_short_call,
+)
+from hophinge.fleet.transport.bounded_stream import ResponseLimitError
 
 COLLECTION_INTERVAL_S = 0.8  # pause between two collections
-REQUEST_TIMEOUT_S = 0.4
+REQUEST_TIMEOUT_S = 0.4  # for a whole report
+MAX_REPORT_BODY_BYTES = 64 << 10
+INITIAL_PAUSE_S = 2.0  # without a question to an instance whose report exceeded a limit; doubled after each later one
+MAX_PAUSE_S = 30.0
 KEEPALIVE_EXPIRY_S = 20.0
 MAX_CONNECTIONS = 1_000  # one for each instance assigned to this member
-REQUEST_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    ValidationError,
-)
+REQUEST_ERRORS = (*CALL_ERRORS, ValidationError)
 
 
 def parse_report(identity: str, body: bytes) -> EngineReport:
@@ -43,6 +49,14 @@
     return EngineReport(identity, report.waiting, report.running, report.used_tokens, report.total_tokens)
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """The time in which an instance is not asked for its report."""
+
+    until: float
+    length_s: float
+
+
 class ReportCollector:
     """Collects the reports of the instances that are assigned to one control member."""
 
@@ -50,11 +64,8 @@
         self.soft_state = soft_state
         self.live_replicas = live_replicas
         self.me = me
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-        )
+        self.pool = bounded_pool(MAX_CONNECTIONS, KEEPALIVE_EXPIRY_S)
+        self.pauses: dict[str, Pause] = {}  # by instance
 
     def assigned_instances(self) -> list[Instance]:
         """Return the instances assigned to this member; a member outside the chain has none."""
@@ -73,21 +84,43 @@
 
     async def collect_once(self) -> None:
         """Request the report of each assigned instance and publish the reports received."""
-        results = await asyncio.gather(*(self._request_report(instance) for instance in self.assigned_instances()))
+        instances = self.assigned_instances()
+        assigned = {instance.identity for instance in instances}
+        self.pauses = {identity: pause for identity, pause in self.pauses.items() if identity in assigned}
+        results = await asyncio.gather(*(self._request_report(instance) for instance in instances))
         reports = tuple(report for report in results if report is not None)
         if reports:
             self.soft_state.publish_hints(EngineReports(reports))
 
     async def _request_report(self, instance: Instance) -> EngineReport | None:
+        if asyncio.get_running_loop().time() < self.paused_until(instance.identity):
+            return None
         headers = [(b"hophinge-expected-instance", instance.identity.encode())]
-        timeout = dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)
+        call = ShortCall(
+            "GET", f"http://{instance.address}/v1/report", REQUEST_TIMEOUT_S, MAX_REPORT_BODY_BYTES, headers
+        )
         try:
-            response = await self.pool.request(
-                "GET", f"http://{instance.address}/v1/report", headers=headers, extensions={"timeout": timeout}
-            )
-            return parse_report(instance.identity, response.content) if response.status == 200 else None
+            response = await send_short_call(self.pool, call)
+            report = parse_report(instance.identity, response.body) if response.status == 200 else None
+        except ResponseLimitError as error:
+            log_response_limit(instance.identity, "report", error)
+            self._pause(instance.identity)
+            return None
         except REQUEST_ERRORS:
             return None
         except Exception:  # broad: no failure at one instance may lose the reports of the others
             logger.exception("report not collected instance={}", instance.identity)
             return None
+        self.pauses.pop(instance.identity, None)
+        return report
+
+    def paused_until(self, identity: str) -> float:
+        """Return until when an instance is not asked, in seconds of the event loop's clock."""
+        pause = self.pauses.get(identity)
+        return pause.until if pause is not None else float("-inf")
+
+    def _pause(self, identity: str) -> None:
+        """Do not ask an instance for a while, whose report exceeded a limit; longer after each such report."""
+        previous = self.pauses.get(identity)
+        length_s = min(MAX_PAUSE_S, 2 * previous.length_s) if previous is not None else INITIAL_PAUSE_S
+        self.pauses[identity] = Pause(asyncio.get_running_loop().time() + length_s, length_s)
--- a/hophinge/fleet/controlplane/stage_controller.py
+++ b/hophinge/fleet/controlplane/stage_controller.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Awaitable, Callable
 
-import httpcore
 from loguru import logger
 
 from hophinge.coordination.events import ClientResponse
@@ -21,11 +20,20 @@
 from hophinge.fleet.placement.stages import StageSwitch
 from hophinge.fleet.program import run_periodically
 from hophinge.fleet.registry.instance import Instance
+from hophinge.fleet.transport.bounded_call import (
+    CALL_ERRORS,
+    ShortCall,
+    bounded_pool,
+    log_response_limit,
+    send_short_call,
+)
+from hophinge.fleet.transport.bounded_stream import ResponseLimitError
 
 RECONCILE_INTERVAL_S = 0.5
 CLAIM_TIMEOUT_S = 1.0
 CONFIRM_TIMEOUT_S = 0.3  # for the chain to confirm the lease, right before an order
 ORDER_TIMEOUT_S = 0.5  # for an instance to answer an order
+MAX_ORDER_BODY_BYTES = 16 << 10  # of the response to an order
 ACCEPTED_STATUSES = (200, 202)
 STALE_TOKEN_STATUS = 412  # the response of an instance that has observed a higher fencing token
 
@@ -130,16 +138,19 @@
         (b"content-type", b"application/json"),
         (b"hophinge-expected-instance", switch.instance.identity.encode()),
     ]
-    timeout = dict.fromkeys(("connect", "read", "write", "pool"), ORDER_TIMEOUT_S)
-    async with httpcore.AsyncConnectionPool() as pool:
+    call = ShortCall(
+        "POST",
+        f"http://{switch.instance.address}/v1/order",
+        ORDER_TIMEOUT_S,
+        MAX_ORDER_BODY_BYTES,
+        headers,
+        json.dumps(order).encode(),
+    )
+    async with bounded_pool() as pool:
         try:
-            response = await pool.request(
-                "POST",
-                f"http://{switch.instance.address}/v1/order",
-                headers=headers,
-                content=json.dumps(order).encode(),
-                extensions={"timeout": timeout},
-            )
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
-            return None
-        return int(response.status)
+            return (await send_short_call(pool, call)).status
+        except ResponseLimitError as error:
+            log_response_limit(switch.instance.identity, "order", error)
+        except CALL_ERRORS:
+            pass
+    return None
--- a/tests/test_fleet_reports.py
+++ b/tests/test_fleet_reports.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any, cast
 
@@ -16,6 +18,8 @@
 from hophinge.fleet.placement.hints import EngineReport, EngineReports
 from hophinge.fleet.placement.queue import MAX_PHANTOM_JOBS, WorkQueue
 from hophinge.fleet.registry.instance import READY, Instance
+from hophinge.fleet.transport.bounded_stream import BoundedStream
+from hophinge.fleet.transport.loop_turns import LoopTurns
 
 REPORT = {"stage": "decode", "waiting": 1, "running": 12, "kv-used": 41_000, "kv-total": 90_000, "handles": 0}
 ME = "me"
@@ -58,13 +62,13 @@
     def __init__(self, results: dict[str, bytes | Exception]) -> None:
         self.results = results
 
-    async def request(self, _method: str, url: str, **_more: Any) -> httpcore.Response:
+    @asynccontextmanager
+    async def stream(self, _method: str, url: str, **_more: Any) -> AsyncIterator[httpcore.Response]:
         result = self.results[url.split("/")[2]]
         if isinstance(result, Exception):
             raise result
-        response = httpcore.Response(200, content=result)
-        await response.aread()
-        return response
+        connection = BoundedStream(httpcore.AsyncNetworkStream(), LoopTurns())
+        yield httpcore.Response(200, content=result, extensions={"network_stream": connection})
 
 
 @pytest.mark.parametrize("result", [*INVALID_BODIES, RuntimeError("unforeseen"), httpcore.ReadTimeout("silent")])
