--- a/hophinge/fleet/dataplane/connections.py
+++ b/hophinge/fleet/dataplane/connections.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from typing import Protocol, cast
+from typing import cast
 
 import httpcore
 
@@ -14,6 +14,15 @@
 from hophinge.fleet.forwarding.claims import Claims
 from hophinge.fleet.forwarding.headers import Fields, keep_alive_timeout_s
 from hophinge.fleet.forwarding.response_ownership import ResponseOwner, SurplusTally, response_owner
+from hophinge.fleet.transport.bounded_stream import (
+    BodyStream,
+    BoundedBackend,
+    BoundedStream,
+    ResponseLimitError,
+    bounded_body,
+    network_stream,
+)
+from hophinge.fleet.transport.loop_turns import LoopTurns
 
 MAX_CONNECTIONS = 48  # from one data plane to one instance
 MAX_IDLE = 16
@@ -49,20 +58,10 @@
     """The instance has unregistered: nothing was sent, and the request goes to another instance."""
 
 
-class ResponseStream(Protocol):
-    """The body of a response, as httpcore gives it."""
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        """Iterate over the chunks as they arrive."""
-
-    async def aclose(self) -> None:
-        """Close the response."""
-
-
 class ReleasingStream:
     """The body of a response; closing it releases the connection before the pool assigns it to another request."""
 
-    def __init__(self, stream: ResponseStream, connection: InstanceConnection) -> None:
+    def __init__(self, stream: BodyStream, connection: InstanceConnection) -> None:
         self.stream = stream
         self.connection = connection
 
@@ -92,8 +91,11 @@
     """
 
     def __init__(self, pool: InstancePool, origin: httpcore.Origin) -> None:
-        super().__init__(origin=origin, retries=0, socket_options=SOCKET_OPTIONS)
+        super().__init__(
+            origin=origin, retries=0, socket_options=SOCKET_OPTIONS, network_backend=BoundedBackend(pool.turns)
+        )
         self.pool = pool
+        self.network_stream: BoundedStream | None = None  # once a response was received on it
         self.idle_since: float | None = None
         self.claims = Claims()
         self.claim_id: int | None = None  # of the request in flight
@@ -106,6 +108,7 @@
         Raises:
             InstanceEndedError: The instance has unregistered.
             ForeignResponseError: The response is not the request's own, and its own cannot be awaited.
+            ResponseLimitError: The header, with what came before it, exceeds a limit.
             httpcore.ConnectionNotAvailable: The connection is retired or in use, or has carried the request before; the
                 pool then tries another one.
 
@@ -122,7 +125,7 @@
             await self.release()
             raise
         self.has_carried_unidentified = self.has_carried_unidentified or context.request_id is None
-        response.stream = ReleasingStream(cast(ResponseStream, response.stream), self)
+        response.stream = ReleasingStream(bounded_body(response), self)
         return response
 
     async def _send(self, request: httpcore.Request) -> httpcore.Response:
@@ -131,6 +134,8 @@
         self.idle_since = None
         try:
             return await super().handle_async_request(request)
+        except ResponseLimitError:
+            raise  # the connection was alive
         except CONNECTION_ERRORS:
             if was_idle_s > 0:
                 self.pool.record_dead_connection(was_idle_s)
@@ -145,6 +150,7 @@
             ForeignResponseError: A response belongs to no request sent here, or too many surplus ones arrived.
 
         """
+        self.network_stream = network_stream(response)
         while True:
             owner = response_owner(response.headers, context.request_id, self.has_carried_unidentified)
             if owner is ResponseOwner.REQUEST:
@@ -207,7 +213,7 @@
         if not isinstance(connection, httpcore.AsyncHTTP11Connection) or not connection.is_idle():
             return False
         surplus, _ = connection._h11_state.trailing_data
-        return bool(surplus)
+        return bool(surplus) or (self.network_stream is not None and self.network_stream.has_unparsed)
 
     def is_available(self) -> bool:
         """Return whether a request may be assigned to this connection."""
@@ -225,8 +231,9 @@
 class InstancePool(httpcore.AsyncConnectionPool):
     """The connections to one instance; each call holds a claim on the pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, turns: LoopTurns | None = None) -> None:
         super().__init__(max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_IDLE, retries=0)
+        self.turns = turns or LoopTurns()
         self.max_idle_s = DEFAULT_MAX_IDLE_S
         self.learned_max_idle_s = float("inf")  # from connections that were found dead when reused
         self.claims = Claims()
--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -10,9 +10,18 @@
 
 from hophinge.fleet.dataplane.connections import RequestContext
 from hophinge.fleet.dataplane.response_buffers import ResponseReader
-from hophinge.fleet.dataplane.upstream import UPSTREAM_ERRORS, UNSENT_ERRORS, Call, Upstream, is_peer_silent
+from hophinge.fleet.dataplane.upstream import (
+    MAX_SHORT_BODY_BYTES,
+    SHORT_BODY_TIMEOUT_S,
+    UNSENT_ERRORS,
+    UPSTREAM_ERRORS,
+    Call,
+    CallKind,
+    Upstream,
+    is_peer_silent,
+)
 from hophinge.fleet.forwarding.aborted_responses import AbortSide, RequestPhase
-from hophinge.fleet.forwarding.events import EventReader
+from hophinge.fleet.forwarding.events import EventReader, EventTooLongError
 from hophinge.fleet.forwarding.headers import (
     DEADLINE,
     EXPECTED_INSTANCE,
@@ -39,6 +48,8 @@
 from hophinge.fleet.placement.pool import Reservation
 from hophinge.fleet.registry.instance import Instance
 from hophinge.fleet.transport.asgi import CLOSE, Send, answer
+from hophinge.fleet.transport.bounded_call import check_stated_length, log_rejected_response, read_short_body
+from hophinge.fleet.transport.bounded_stream import Limit, ResponseLimitError
 from hophinge.fleet.transport.client_memory import MemoryReservation
 
 MILLISECONDS = 1_000
@@ -183,7 +194,14 @@
             fields.append((PRIORITY, str(step.priority).encode()))
         inbound = self.inbound
         return Call(
-            node.instance.address, inbound.method, inbound.target, fields, inbound.body, remaining_s, self.context
+            node.instance.address,
+            inbound.method,
+            inbound.target,
+            fields,
+            inbound.body,
+            remaining_s,
+            self.context,
+            CallKind.PREFILL if isinstance(step, Prefill) else CallKind.REQUEST,
         )
 
     def _failed_attempt(
@@ -206,11 +224,10 @@
         result: AttemptResult | None = None
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
-                body = await self._read_body(response)
-                refused = unexecuted_outcome(response.status, response.headers)
-                result = (
-                    AttemptResult(refused) if refused is not None else self._parse_handle(node, response.status, body)
-                )
+                result = self._refusal(response)
+                body = await read_short_body(response, MAX_SHORT_BODY_BYTES, SHORT_BODY_TIMEOUT_S)
+                if result is None:
+                    result = self._parse_handle(node, response.status, body)
             return result
         except UNSENT_ERRORS as error:
             return AttemptResult(AttemptOutcome.UNSENT, is_silent=is_peer_silent(error))
@@ -240,7 +257,11 @@
         result: AttemptResult | None = None
         try:
             async with asyncio.timeout(call.timeout_s), self.upstream.call(node.instance.identity, call) as response:
-                result = await self._forward_response(step.reservation, response, reader)
+                result = self._refusal(response)
+                if result is not None:
+                    await read_short_body(response, MAX_SHORT_BODY_BYTES, SHORT_BODY_TIMEOUT_S)
+                else:
+                    result = await self._forward_response(step.reservation, response, reader)
             return result
         except UNSENT_ERRORS as error:
             return AttemptResult(AttemptOutcome.UNSENT, is_silent=is_peer_silent(error))
@@ -250,22 +271,28 @@
             outcome = AttemptOutcome.BROKEN if self.is_response_started else AttemptOutcome.UNKNOWN
             return self._failed_attempt(error, outcome, reader.latest_id)
 
+    def _refusal(self, response: httpcore.Response) -> AttemptResult | None:
+        """Return the result of an attempt whose response header states that the request did not run; else None.
+
+        The result is known before the body is read, which only lets the connection be used again.
+        """
+        refused = unexecuted_outcome(response.status, response.headers)
+        if refused is None:
+            return None
+        self.failure = AttemptFailure(AbortSide.INSTANCE, f"not executed, status {response.status}")
+        return AttemptResult(refused)
+
     async def _forward_response(
         self, reservation: Reservation, response: httpcore.Response, reader: EventReader
     ) -> AttemptResult:
         fields = response.headers
-        refused = unexecuted_outcome(response.status, fields)
-        if refused is not None:
-            await self._read_body(response)
-            self.failure = AttemptFailure(AbortSide.INSTANCE, f"not executed, status {response.status}")
-            return AttemptResult(refused)
         if not may_forward_status(response.status):
             return self._reject_response(f"a response with status {response.status} that must not be forwarded")
         if 200 <= response.status < 300 and not is_signed(fields):
             return self._reject_response(f"a response with status {response.status} and no signature")
         if response.status == 200 and (find_field(fields, b"content-type") or "").startswith(EVENT_STREAM):
             return await self._forward_events(reservation, response, reader)
-        body = await self._read_body(response)
+        body = await self._read_body(reservation.node.instance, response)
         if self.is_response_started:
             return AttemptResult(AttemptOutcome.BROKEN, last_event_id=reader.latest_id)
         if is_close_delimited(self.inbound.method, fields):
@@ -276,12 +303,15 @@
         await self._answer(response.status, body, [*returned, *self._close_fields()])
         return AttemptResult(AttemptOutcome.ANSWERED if response.status < 500 else AttemptOutcome.FAILED)
 
-    async def _read_body(self, response: httpcore.Response) -> bytes:
+    async def _read_body(self, instance: Instance, response: httpcore.Response) -> bytes:
         """Read the whole body of an instance's response."""
-        with ResponseReader(self.upstream.response_buffers, self.memory) as reader:
+        buffers = self.upstream.response_buffers
+        check_stated_length(response, buffers.max_response_bytes)
+        with ResponseReader(buffers, self.memory, instance.identity) as reader:
             return await reader.read(response)
 
     def _reject_response(self, reason: str) -> AttemptResult:
+        log_rejected_response(self.instance, CallKind.REQUEST.value, reason, self.inbound.request_id or "-")
         self.failure = AttemptFailure(AbortSide.INSTANCE, reason)
         return AttemptResult(AttemptOutcome.UNKNOWN)
 
@@ -298,7 +328,7 @@
             self.is_response_started = True
             self.phase = RequestPhase.ANSWERING
         async for chunk in response.aiter_stream():
-            events = reader.feed(chunk)
+            events = self._read_events(reader, chunk)
             if events:
                 if not reservation.is_streaming:
                     self.lifecycle.record_first_event(self.loop.time(), reservation)
@@ -311,6 +341,19 @@
         self.is_response_complete = True
         return AttemptResult(AttemptOutcome.ANSWERED)
 
+    @staticmethod
+    def _read_events(reader: EventReader, chunk: bytes) -> bytes:
+        """Return the events that a chunk completes.
+
+        Raises:
+            ResponseLimitError: An event is too long.
+
+        """
+        try:
+            return reader.feed(chunk)
+        except EventTooLongError as error:
+            raise ResponseLimitError(Limit.EVENT, error.held_bytes) from error
+
     async def _find_truncation(self, instance: Instance, reader: EventReader) -> AttemptFailure | None:
         """Return why a stream that ended with its connection is not complete; None if it is."""
         if not reader.is_between_events:
--- a/hophinge/fleet/dataplane/program.py
+++ b/hophinge/fleet/dataplane/program.py
@@ -56,7 +56,7 @@
         )
         self.placement.instances.segment_budget.max_segments = settings.memory_bytes // MEMORY_BYTES_PER_SEGMENT
         self.are_hints_scheduled = False
-        self.upstream = Upstream(ResponseBuffers.of_machine(settings.memory_bytes))
+        self.upstream = Upstream(ResponseBuffers.of_machine(settings.memory_bytes), self._record_response_limit)
         self.cluster_state = ClusterState(
             settings, self._send, self._update_instance, self._apply_configuration, self._request_hints
         )
@@ -77,6 +77,9 @@
         context.reserved_connections[self.frontend.ready_port] = MAX_READY_CONNECTIONS
         return context
 
+    def _record_response_limit(self, identity: str) -> None:
+        self.placement.record_response_limit(asyncio.get_running_loop().time(), identity)
+
     def _send(self, address: str, message: object) -> None:
         self.links.send(address, message)
 
--- a/hophinge/fleet/dataplane/surplus_responses.py
+++ b/hophinge/fleet/dataplane/surplus_responses.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from hophinge.fleet.forwarding.response_ownership import SurplusTally
+from hophinge.fleet.transport.bounded_stream import BoundedStream, network_stream
 
 STALL_TIMEOUT_S = 0.5  # of silence within a surplus response: the rest of a truncated one never arrives
 
@@ -34,19 +35,28 @@
 
     Raises:
         ForeignResponseError: The surplus response ends only with the connection, is truncated, or exceeds the limit.
+        ResponseLimitError: Its framing, or the header of the response after it, exceeds a limit.
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException: As httpcore raises them.
 
     """
-    await _discard_body(connection, tallies)
+    stream = network_stream(response)
+    stream.begin_body()
+    await _discard_body(connection, stream, tallies)
+    stream.begin_header()
     _await_response_again(connection, request)
     _, status, _, headers, _ = await connection._receive_response_headers(request=request)
     return httpcore.Response(status, headers=headers, content=response.stream, extensions=response.extensions)
 
 
-async def _discard_body(connection: httpcore.AsyncHTTP11Connection, tallies: tuple[SurplusTally, ...]) -> None:
+async def _discard_body(
+    connection: httpcore.AsyncHTTP11Connection, stream: BoundedStream, tallies: tuple[SurplusTally, ...]
+) -> None:
     bounded = httpcore.Request("GET", "http://surplus/", extensions={"timeout": {"read": STALL_TIMEOUT_S}})
+    body_bytes = 0
     try:
         async for chunk in connection._receive_response_body(request=bounded):
+            body_bytes += len(chunk)
+            stream.check_framing(body_bytes)
             for tally in tallies:
                 tally.add_bytes(len(chunk))
             if tallies[0].is_limit_exceeded:
--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -5,20 +5,27 @@
 import asyncio
 import contextlib
 import errno
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass
+from enum import Enum
 
 import httpcore
 
 from hophinge.fleet.dataplane.connections import CONTEXT, InstanceEndedError, InstancePool, RequestContext
 from hophinge.fleet.dataplane.response_buffers import ResponseBuffers
+from hophinge.fleet.dataplane.surplus_responses import ForeignResponseError
 from hophinge.fleet.forwarding.headers import EXPECTED_INSTANCE, Fields
 from hophinge.fleet.forwarding.attempt_results import KvHandle
 from hophinge.fleet.registry.instance import DRAINING, Instance
+from hophinge.fleet.transport.bounded_call import log_rejected_response, log_response_limit, read_short_body
+from hophinge.fleet.transport.bounded_stream import ResponseLimitError
 from hophinge.fleet.transport.client_memory import DEFAULT_MEMORY_BYTES
+from hophinge.fleet.transport.loop_turns import LoopTurns
 
 CONNECT_TIMEOUT_S = 0.25  # about a hundred times the usual time; a lost SYN is retransmitted only after 1 s
 FREE_TIMEOUT_S = 0.5  # for an instance to free a KV handle
+MAX_SHORT_BODY_BYTES = 16 << 10  # of the response to a prefill or a freed handle, and of one that rejects a request
+SHORT_BODY_TIMEOUT_S = 2.0  # for the body of a response to a prefill, and of one that rejects a request
 UNREGISTERED_RETENTION_S = 60.0  # of remembering an unregistered instance: longer than any request lasts
 SILENCE_ERRNOS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 UNSENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -37,6 +44,14 @@
     return False
 
 
+class CallKind(Enum):
+    """What is asked of an instance; the values are part of log lines."""
+
+    REQUEST = "request"
+    PREFILL = "prefill"
+    FREE_HANDLE = "free-handle"
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request to an instance."""
@@ -48,13 +63,25 @@
     body: bytes
     timeout_s: float  # until the request is cancelled
     context: RequestContext | None = None  # None for a request that has no id and is sent once
+    kind: CallKind = CallKind.REQUEST
+
+    @property
+    def request_id(self) -> str:
+        """The id of the request, for the log."""
+        return (self.context.request_id if self.context is not None else None) or "-"
 
 
 class Upstream:
     """The connection pools of one data plane."""
 
-    def __init__(self, response_buffers: ResponseBuffers | None = None) -> None:
+    def __init__(
+        self,
+        response_buffers: ResponseBuffers | None = None,
+        on_response_limit: Callable[[str], None] = lambda identity: None,
+    ) -> None:
         self.response_buffers = response_buffers or ResponseBuffers.of_machine(DEFAULT_MEMORY_BYTES)
+        self.on_response_limit = on_response_limit  # called with an instance whose response exceeded a limit
+        self.turns = LoopTurns()
         self.pools: dict[str, InstancePool] = {}
         self.background: set[asyncio.Task[None]] = set()
         self.unregistered: dict[str, float] = {}  # by instance: when this head learned that it unregistered
@@ -70,19 +97,35 @@
         if identity in self.unregistered or (pool is not None and pool.claims.is_retired):
             raise InstanceEndedError("the instance has unregistered")
         if pool is None:
-            pool = self.pools[identity] = InstancePool()
+            pool = self.pools[identity] = InstancePool(self.turns)
         return pool
 
     @contextlib.asynccontextmanager
     async def call(self, identity: str, call: Call) -> AsyncIterator[httpcore.Response]:
         """Send a request; the connection is closed unless the response was read completely.
 
+        A response that exceeds a limit, here or where the caller reads it, is logged and counts against its instance.
+
         Raises:
             InstanceEndedError: The instance has unregistered; nothing was sent.
             ForeignResponseError: The response is not the request's own, and its own cannot be awaited.
+            ResponseLimitError: The response exceeds a limit.
             httpcore.ConnectError, httpcore.NetworkError, ...: As httpcore raises them.
 
         """
+        try:
+            async with self._send(identity, call) as response:
+                yield response
+        except ResponseLimitError as error:
+            log_response_limit(identity, call.kind.value, error, call.request_id)
+            self.on_response_limit(identity)
+            raise
+        except ForeignResponseError as error:
+            log_rejected_response(identity, call.kind.value, str(error), call.request_id)
+            raise
+
+    @contextlib.asynccontextmanager
+    async def _send(self, identity: str, call: Call) -> AsyncIterator[httpcore.Response]:
         host, port = call.address.rsplit(":", 1)
         url = httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=call.target)
         timeout = {
@@ -126,10 +169,14 @@
     async def _free_handle(self, handle: KvHandle) -> None:
         target = f"/v1/kv-handle/{handle.identity}".encode()
         expected = [(EXPECTED_INSTANCE, handle.instance.encode()), (b"host", handle.address.encode())]
-        call = Call(handle.address, b"DELETE", target, expected, b"", FREE_TIMEOUT_S)
+        call = Call(handle.address, b"DELETE", target, expected, b"", FREE_TIMEOUT_S, kind=CallKind.FREE_HANDLE)
         with contextlib.suppress(TimeoutError, *UPSTREAM_ERRORS):
-            async with asyncio.timeout(FREE_TIMEOUT_S), self.call(handle.instance, call) as response:
-                await response.aread()
+            async with (
+                asyncio.timeout(FREE_TIMEOUT_S) as header_timeout,
+                self.call(handle.instance, call) as response,
+            ):
+                header_timeout.reschedule(None)
+                await read_short_body(response, MAX_SHORT_BODY_BYTES, FREE_TIMEOUT_S)
 
     def unregistered_s(self, now: float, identity: str) -> float | None:
         """Return the seconds since this head learned that an instance unregistered; None if it has not."""
--- a/hophinge/fleet/forwarding/events.py
+++ b/hophinge/fleet/forwarding/events.py
@@ -4,36 +4,60 @@
 
 # An event ends with an empty line; a line ends with LF, CRLF or CR (HTML Standard, "Server-sent events").
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
 LINE_ENDS = b"\r\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
+MAX_EVENT_BYTES = 256 << 10  # of an event that is not complete, which is held until it is
 
 
-def _end_of_last_event(data: bytes) -> int:
-    """Return the index behind the last complete event; 0 where there is none."""
-    return max(data.rfind(end) + len(end) if end in data else 0 for end in EVENT_ENDS)
+class EventTooLongError(Exception):
+    """An event is longer than `MAX_EVENT_BYTES`."""
+
+    def __init__(self, held_bytes: int) -> None:
+        super().__init__(f"an event of more than {held_bytes} bytes")
+        self.held_bytes = held_bytes
+
+
+def _end_of_last_event(data: bytearray, begin: int) -> int:
+    """Return the index behind the last complete event that ends behind `begin`; 0 where there is none."""
+    found = [(data.rfind(end, begin), len(end)) for end in EVENT_ENDS]
+    return max(index + length if index >= 0 else 0 for index, length in found)
 
 
 class EventReader:
     """Splits a byte stream into complete events and the incomplete rest."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self._rest = bytearray()  # of an event that is not complete
         self.latest_id: str | None = None
         self.has_event = False  # comments, which keep a connection alive, do not count
 
+    @property
+    def buffer(self) -> bytes:
+        """The rest that is no complete event."""
+        return bytes(self._rest)
+
     @property
     def is_between_events(self) -> bool:
         """Whether the stream may end here: after at least one event, and within none."""
-        return self.has_event and not self.buffer.strip(LINE_ENDS)
+        return self.has_event and not self._rest.strip(LINE_ENDS)
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes; return those up to the end of the last complete event."""
-        buffered = self.buffer + data
-        end = _end_of_last_event(buffered)
-        complete = buffered[:end]
-        self.buffer = buffered[end:]
+        """Add bytes; return those up to the end of the last complete event.
+
+        Raises:
+            EventTooLongError: The rest is longer than an event may be.
+
+        """
+        searched = max(0, len(self._rest) - MAX_EVENT_END_BYTES + 1)
+        self._rest += data
+        end = _end_of_last_event(self._rest, searched)
+        complete = bytes(self._rest[:end])
+        del self._rest[:end]
         self._record(complete)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError(len(self._rest))
         return complete
 
     def _record(self, complete: bytes) -> None:
--- a/hophinge/fleet/placement/node.py
+++ b/hophinge/fleet/placement/node.py
@@ -119,6 +119,7 @@
         self.consecutive_failures = 0
         self.ejected_until = 0.0
         self.surplus_rate = SurplusRate()
+        self.response_limit_until = float("-inf")  # ejected until then, as a response exceeded a limit
         self.last_answer_at = float("-inf")
         self.last_report: EngineReport | None = None
         self.tokens_since_report = 0  # memory of the requests placed since the last report
@@ -165,8 +166,8 @@
         )
 
     def is_ejected(self, now: float) -> bool:
-        """Return whether the instance is ejected, after a failure or many surplus responses."""
-        return now < self.ejected_until or self.surplus_rate.is_avoided(now)
+        """Return whether the instance is ejected, after a failure, a response without bounds, or many surplus ones."""
+        return now < max(self.ejected_until, self.response_limit_until) or self.surplus_rate.is_avoided(now)
 
     def record_failure(self, now: float) -> None:
         """Eject the instance after a failed attempt, longer each time; earlier responses no longer prove liveness."""
@@ -174,6 +175,10 @@
         self.ejected_until = now + min(MAX_EJECTION_S, BASE_EJECTION_S * 2**self.consecutive_failures)
         self.consecutive_failures += 1
 
+    def record_response_limit(self, now: float) -> None:
+        """Eject the instance as one of its responses exceeded a limit; sound ones do not end this ejection."""
+        self.response_limit_until = now + MAX_EJECTION_S
+
     def record_suspicion(self, now: float) -> bool:
         """Eject the instance as it did not respond to another head; return whether the suspicion was applied.
 
--- a/hophinge/fleet/placement/placement.py
+++ b/hophinge/fleet/placement/placement.py
@@ -228,6 +228,12 @@
             self.exchange.suspects.add(node.instance.identity)
             self.exchange.on_update_pending()
 
+    def record_response_limit(self, now: float, identity: str) -> None:
+        """Eject an instance whose response exceeded a limit, also if others of its responses are sound."""
+        node = self.nodes.get(identity)
+        if node is not None:
+            node.record_response_limit(now)
+
     def record_silence(self, node: Node, now: float) -> None:
         """Record that an instance could not be reached, as evidence that its zone is unreachable."""
         self.reachability.record_failure(now, node.instance)
--- a/tests/endless_instance.py
+++ b/tests/endless_instance.py
@@ -21,7 +21,7 @@
 LARGE_PIECE = b"x" * (64 * KIB)
 LARGE_CHUNK = b"%x\r\n%s\r\n" % (len(LARGE_PIECE), LARGE_PIECE)
 CHUNKS_OF_ONE_BYTE = b"1\r\nx\r\n" * 8_192
-HEADER = b"HTTP/1.1 %d -\r\nHophinge-Request-Id: %s\r\nHophinge-Server-Signature: s\r\n%s\r\n"
+HEADER = b"HTTP/1.1 %d -\r\n%sHophinge-Server-Signature: s\r\n%s\r\n"
 
 
 class CallKind(Enum):
@@ -58,7 +58,8 @@
 
     def pieces(self, request_id: str) -> Iterator[bytes]:
         """Yield what is sent in answer to a request."""
-        yield HEADER % (self.status, request_id.encode(), self.fields) if self.begin is None else self.begin
+        field = b"Hophinge-Request-Id: %s\r\n" % request_id.encode() if request_id else b""
+        yield HEADER % (self.status, field, self.fields) if self.begin is None else self.begin
         yield from itertools.repeat(self.piece)
 
 
@@ -77,7 +78,7 @@
 BY_CHUNK_EXTENSION = Flood("by a chunk extension", LARGE_PIECE, CHUNKED + b"\r\n1;a=")
 BY_TRAILERS = Flood("by trailers", b"a: b\r\n" * 8_192, CHUNKED + b"\r\n0\r\n")
 BY_ONE_EVENT = Flood("by one event", LARGE_CHUNK, EVENTS)
-BY_LINES_OF_ONE_EVENT = Flood("by lines of one event", b"8\r\ndata: x\n\r\n" * 4_096, EVENTS)
+BY_LINES_OF_ONE_EVENT = Flood("by lines of one event", b"400\r\ndata: %s\n\r\n" % (b"x" * 1_017) * 64, EVENTS)
 BY_COMMENTS = Flood("by comments", b"4\r\n: x\n\r\n" * 8_192, EVENTS)
 BY_EVENTS = Flood("by events", b"9\r\ndata: x\n\n\r\n" * 4_096, EVENTS)
 REFUSALS = tuple(
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -170,8 +170,8 @@
     Mutant(
         "a stream that ends before its first event is complete",
         "fleet/forwarding/events",
-        "        return self.has_event and not self.buffer.strip(LINE_ENDS)",
-        "        return not self.buffer.strip(LINE_ENDS)",
+        "        return self.has_event and not self._rest.strip(LINE_ENDS)",
+        "        return not self._rest.strip(LINE_ENDS)",
         CLOSE_DELIMITED + "test_a_resumable_stream_whose_connection_closes_within_an_event_is_resumed",
     ),
     Mutant(
@@ -219,8 +219,8 @@
     Mutant(
         "an instance that repeats many responses is used like any other",
         "fleet/placement/node",
-        "now < self.ejected_until or self.surplus_rate.is_avoided(now)",
-        "now < self.ejected_until",
+        "now < max(self.ejected_until, self.response_limit_until) or self.surplus_rate.is_avoided(now)",
+        "now < max(self.ejected_until, self.response_limit_until)",
         SURPLUS + "test_an_avoided_instance_counts_as_ejected_until_the_avoidance_ends",
     ),
     Mutant(
@@ -541,8 +541,8 @@
     Mutant(
         "all responses are read on at once",
         "fleet/dataplane/response_buffers",
-        "next(iter(self._readers)) is not reader",
-        "False",
+        "        return self.used <= self.max_bytes or next(iter(self._readers)) is reader",
+        "        return True",
         "tests/test_fleet_bounded_tables.py::test_beyond_the_limit_only_the_oldest_response_is_read_on",
     ),
     Mutant(
--- a/tests/test_fleet_bounded_tables.py
+++ b/tests/test_fleet_bounded_tables.py
@@ -122,6 +122,9 @@
     assert counters.name_bytes == sum(len(one.identifier) + len(one.counter) for one in counters.increments())
 
 
+UNLIMITED = 1 << 40
+
+
 class _Response:
     """A response whose chunks are released one by one."""
 
@@ -138,13 +141,13 @@
 
 def test_beyond_the_limit_only_the_oldest_response_is_read_on() -> None:
     async def play() -> None:
-        buffers = ResponseBuffers(100 * RESPONSE_COPIES)
+        buffers = ResponseBuffers(100 * RESPONSE_COPIES, UNLIMITED)
         gate = asyncio.Event()
         responses = [_Response(10, 30) for _ in range(4)]
         memory = RecordedMemory()
 
         async def read(response: _Response) -> int:
-            with MemoryReservation(memory) as reservation, ResponseReader(buffers, reservation) as reader:
+            with MemoryReservation(memory) as reservation, ResponseReader(buffers, reservation, "i") as reader:
                 size = len(await reader.read(cast(httpcore.Response, response)))
                 await gate.wait()
                 return size
@@ -161,11 +164,14 @@
 
 def test_a_response_that_is_given_up_lets_the_next_one_go_on() -> None:
     async def play() -> None:
-        buffers = ResponseBuffers(10)
+        buffers = ResponseBuffers(10, UNLIMITED)
         responses = [_Response(1_000_000, 30), _Response(5, 30)]
 
         async def read(response: _Response) -> int:
-            with MemoryReservation(RecordedMemory()) as reservation, ResponseReader(buffers, reservation) as reader:
+            with (
+                MemoryReservation(RecordedMemory()) as reservation,
+                ResponseReader(buffers, reservation, "i") as reader,
+            ):
                 return len(await reader.read(cast(httpcore.Response, response)))
 
         first, second = [asyncio.create_task(read(response)) for response in responses]
--- a/tests/test_fleet_endless_responses.py
+++ b/tests/test_fleet_endless_responses.py
@@ -51,7 +51,7 @@
     ("s1", "plain", "", EndlessInstance),
     ("o1", "other", "", EmulatedInstance),
 )
-CUT_OFF = "response cut off"
+CUT_OFF = ("response cut off", "response rejected")
 
 
 @dataclass
@@ -112,7 +112,11 @@
         for process, pid in zip(processes, pids, strict=True):
             assert process.is_running and process.pid == pid, list(process.lines)[-3:]
             assert peak_memory_mb(pid) < MEMORY_MB, process.name
-        return seen, result, [line for process in processes for line in process.lines if CUT_OFF in line]
+        return (
+            seen,
+            result,
+            [line for process in processes for line in process.lines if any(event in line for event in CUT_OFF)],
+        )
 
 
 CASES = [
