Connections between members are bounded in bytes, work and time; a peer that sends no frames is cut off

Cause: a connection without Hello could hold 16 MiB for ever, an incomplete frame had no time limit, all frames that had come were handled in one iteration of the event loop, and bytes on a connection from here were read and dropped. Change: Hello has 4 KiB and 10 s, a frame its length's time, all incomplete ones 48 MiB together; 32 messages a turn; bytes on a connection from here end it. The log names the peer and the reason. Measured: tests/test_fleet_links.py and tests/test_fleet_hint_relay.py, 32 tests, pass. Whether the new ones fail on the state before was not run.

--- a/hophinge/fleet/transport/frames.py
+++ b/hophinge/fleet/transport/frames.py
@@ -30,27 +30,39 @@
 class FrameReader:
     """Splits a byte stream into messages."""
 
-    def __init__(self) -> None:
-        self.buffer = bytearray()
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[object]:
-        """Add bytes; return the messages that are complete now.
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes that were received and belong to no message that was returned."""
+        return len(self._buffer)
+
+    @property
+    def expected_bytes(self) -> int:
+        """The length of the next frame with its prefix, as far as it is known."""
+        if len(self._buffer) < LENGTH_PREFIX.size:
+            return LENGTH_PREFIX.size
+        (length,) = LENGTH_PREFIX.unpack_from(self._buffer)
+        return LENGTH_PREFIX.size + int(length)
+
+    def receive(self, data: bytes) -> None:
+        """Add bytes."""
+        self._buffer += data
+
+    def next_message(self) -> object | None:
+        """Return the next message; None if it is not complete.
 
         Raises:
-            CodecError: A frame is too long, or does not contain a valid message.
+            CodecError: The frame is too long, or does not contain a valid message.
 
         """
-        self.buffer += data
-        messages: list[object] = []
-        begin = 0
-        while len(self.buffer) - begin >= LENGTH_PREFIX.size:
-            (length,) = LENGTH_PREFIX.unpack_from(self.buffer, begin)
-            if length > MAX_FRAME_BYTES:
-                raise CodecError(f"a frame of {length} bytes is too long")
-            end = begin + LENGTH_PREFIX.size + length
-            if len(self.buffer) < end:
-                break
-            messages.append(decode(bytes(self.buffer[begin + LENGTH_PREFIX.size : end])))
-            begin = end
-        del self.buffer[:begin]
-        return messages
+        end = self.expected_bytes
+        if end > LENGTH_PREFIX.size + self.max_frame_bytes:
+            raise CodecError(f"a frame of {end - LENGTH_PREFIX.size} bytes is too long")
+        if len(self._buffer) < end or len(self._buffer) < LENGTH_PREFIX.size:
+            return None
+        payload = bytes(self._buffer[LENGTH_PREFIX.size : end])
+        del self._buffer[:end]
+        return decode(payload)
--- a/hophinge/fleet/transport/links.py
+++ b/hophinge/fleet/transport/links.py
@@ -14,7 +14,8 @@
 
 from hophinge.coordination.codec import CodecError
 from hophinge.coordination.view import Replica
-from hophinge.fleet.transport.frames import FrameReader, Hello, frame
+from hophinge.fleet.transport.frames import MAX_FRAME_BYTES, FrameReader, Hello, frame
+from hophinge.fleet.transport.parse_scheduler import ParseScheduler
 
 USER_TIMEOUT_MS = 1_500  # of unacknowledged data, until the kernel closes the connection
 CONNECT_TIMEOUT_S = 1.5  # for a connection to be established
@@ -22,6 +23,11 @@
 MAX_QUEUED_BYTES = 32 << 20  # to one peer; beyond that the connection is aborted
 MIN_RENEWAL_AGE_S = 2.0  # younger connections are not renewed, or two members would renew theirs in turn forever
 IDLE_CLOSE_S = 60.0  # an outgoing connection unused for this long is closed
+MAX_HELLO_BYTES = 4 << 10  # of the first frame of a connection
+MAX_BUFFERED_BYTES = 3 * MAX_FRAME_BYTES  # of incomplete frames, on all incoming connections together
+MAX_MESSAGES_PER_TURN = 32  # of one connection, before others have their turn
+FRAME_TIMEOUT_S = 10.0  # for the Hello of a connection; for another frame the time that its length takes is added
+MIN_FRAME_BYTES_PER_S = 100_000  # at which a frame has to arrive
 
 Handler = Callable[[Hello, object], None]
 
@@ -35,13 +41,18 @@
 
 
 class IncomingLink(asyncio.Protocol):
-    """A connection that another member opened, and on which only that member sends."""
+    """A connection that another member opened, and on which only that member sends.
+
+    Messages are parsed a few at a time, in turn with the other connections. A peer that sends no valid frame, or no
+    complete one in time, is disconnected.
+    """
 
     def __init__(self, links: Links) -> None:
         self.links = links
-        self.reader = FrameReader()
+        self.reader = FrameReader(MAX_HELLO_BYTES)
         self.hello: Hello | None = None
         self.transport: asyncio.Transport | None = None
+        self.frame_since = asyncio.get_running_loop().time()  # since when the next frame is awaited or arrives
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; abort it if the links are closed."""
@@ -54,22 +65,58 @@
         set_socket_options(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Dispatch complete messages; abort the connection if the stream is invalid or does not begin with Hello."""
+        """Receive bytes, and dispatch the messages that are complete."""
+        if not self.reader.buffered_bytes and self.hello is not None:
+            self.frame_since = asyncio.get_running_loop().time()
+        self.reader.receive(data)
+        self.links.buffered_bytes += len(data)
+        if self.links.buffered_bytes > MAX_BUFFERED_BYTES:
+            self._cut_off("too many bytes of incomplete frames")
+            return
+        self.parse_on()
+
+    def parse_on(self) -> None:
+        """Dispatch a few messages; cut the connection off if the stream is invalid or does not begin with Hello."""
+        buffered_bytes = self.reader.buffered_bytes
         try:
-            messages = self.reader.feed(data)
+            is_complete = self._dispatch_some()
         except CodecError as error:
-            logger.info("peer connection closed error={}", error)
-            self._abort()
+            self._cut_off(str(error))
             return
-        for message in messages:
+        finally:
+            self.links.buffered_bytes -= buffered_bytes - self.reader.buffered_bytes
+        if self.transport is None or self.transport.is_closing():
+            return
+        if is_complete:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+            self.links.parse_scheduler.add(asyncio.get_running_loop(), self)
+
+    def _dispatch_some(self) -> bool:
+        """Dispatch up to MAX_MESSAGES_PER_TURN messages; return whether no complete one may be left.
+
+        Raises:
+            CodecError: The stream is invalid.
+
+        """
+        for _ in range(MAX_MESSAGES_PER_TURN):
+            message = self.reader.next_message()
+            if message is None:
+                return True
+            self.frame_since = asyncio.get_running_loop().time()
             if self.hello is not None:
                 self._dispatch(self.hello, message)
             elif isinstance(message, Hello):
-                self.hello = message
-                self.links.record_hello(message)
+                self._begin(message)
             else:
-                self._abort()
-                return
+                raise CodecError("a connection begins with Hello")
+        return False
+
+    def _begin(self, hello: Hello) -> None:
+        self.hello = hello
+        self.reader.max_frame_bytes = MAX_FRAME_BYTES
+        self.links.record_hello(hello)
 
     def _dispatch(self, hello: Hello, message: object) -> None:
         """Pass one message to the handler; its failure affects neither the messages after it nor the connection."""
@@ -78,13 +125,28 @@
         except Exception:  # broad: whatever fails in a handler, later messages must be processed
             logger.exception("message handling failed peer={} type={}", hello.sender.address, type(message).__name__)
 
-    def _abort(self) -> None:
+    def check_deadline(self, now: float) -> None:
+        """Cut the connection off if its Hello, or a frame that has begun, does not arrive in time."""
+        if self.hello is not None and not self.reader.buffered_bytes:
+            return
+        allowed_s = FRAME_TIMEOUT_S + self.reader.expected_bytes / MIN_FRAME_BYTES_PER_S
+        is_parsing = self.links.parse_scheduler.is_waiting(self)
+        if now - self.frame_since > allowed_s and not is_parsing:
+            self._cut_off("a frame that did not arrive in time")
+
+    def _cut_off(self, reason: str) -> None:
+        peer = self.hello.sender.address if self.hello is not None else "unknown"
+        remote = self.transport.get_extra_info("peername") if self.transport is not None else None
+        logger.warning("peer connection cut off peer={} remote={} reason={}", peer, remote, reason)
         if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Unregister the connection."""
         self.links.incoming.discard(self)
+        self.links.parse_scheduler.discard(self)
+        self.links.buffered_bytes -= self.reader.buffered_bytes
+        self.reader = FrameReader()
 
 
 class OutgoingLink(asyncio.Protocol):
@@ -142,7 +204,10 @@
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Ignore data: peers send on their own connections."""
+        """Close the connection: peers send on their own connections, so no member of this fleet is there."""
+        logger.warning("peer connection cut off peer={} reason=bytes on a connection from here", self.address)
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Forget the connection; the next message connects again."""
@@ -160,6 +225,8 @@
         self.known_senders: set[str] = set()  # addresses of members that have connected before
         self.server: asyncio.Server | None = None
         self.is_closed = False
+        self.parse_scheduler = ParseScheduler()
+        self.buffered_bytes = 0  # received by all incoming connections, and not dispatched yet
 
     async def listen(self) -> None:
         """Accept connections at this member's own address."""
@@ -195,8 +262,10 @@
         link.send(data)
 
     def close_idle(self) -> None:
-        """Close outgoing connections that were not used for IDLE_CLOSE_S."""
+        """Close outgoing connections that were not used for IDLE_CLOSE_S, and incoming ones that are overdue."""
         now = asyncio.get_running_loop().time()
+        for connection in list(self.incoming):
+            connection.check_deadline(now)
         for address, link in list(self.outgoing.items()):
             if now - link.last_used_at > IDLE_CLOSE_S and link.connecting is None:
                 if link.transport is not None:
--- a/tests/test_fleet_hint_relay.py
+++ b/tests/test_fleet_hint_relay.py
@@ -32,7 +32,8 @@
         reader, names = FrameReader(), []
         for target, data in self.frames:
             if target == address:
-                for message in reader.feed(data):
+                reader.receive(data)
+                while (message := reader.next_message()) is not None:
                     assert isinstance(message, PlacementHints)
                     names += [hint.instance for hint in message.hints]
         return names
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -19,13 +19,15 @@
 
 from hophinge.coordination.dissemination import Push
 from hophinge.coordination.view import Replica
+from hophinge.fleet.placement.hints import PrefillDropped
 from hophinge.fleet.transport.frames import Hello, frame
-from hophinge.fleet.transport.links import MIN_RENEWAL_AGE_S, IncomingLink, Links, OutgoingLink
+from hophinge.fleet.transport.links import MAX_MESSAGES_PER_TURN, MIN_RENEWAL_AGE_S, IncomingLink, Links, OutgoingLink
 
 ME = Replica("me", "127.0.0.1:1", "z")
 PEER = "127.0.0.1:9"
 MESSAGE = Push(())
 BOUND_S = 20.0
+ENDS_S = 0.5  # by when a connection that is cut off has ended
 
 
 class Listener:
@@ -232,3 +234,117 @@
         await listener.close()
 
     asyncio.run(asyncio.wait_for(play(), BOUND_S))
+
+
+# --- bytes that are no frames --------------------------------------------------------------------------------------
+
+
+async def _send_raw(data: bytes, then_wait_s: float = 0.0) -> tuple[Listener, bytes | None]:
+    """Send bytes to a listener; return it, and what the connection ended with, None where it stays open."""
+    listener = Listener()
+    host, port = (await listener.listen()).rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    with contextlib.suppress(ConnectionError):
+        for begin in range(0, len(data), 65_536):
+            writer.write(data[begin : begin + 65_536])
+            await writer.drain()
+    await asyncio.sleep(then_wait_s)
+    listener.links.close_idle()
+    received: bytes | None = None
+    try:
+        async with asyncio.timeout(ENDS_S):
+            received = await reader.read()
+    except ConnectionError:
+        received = b""
+    except TimeoutError:
+        pass
+    writer.close()
+    await asyncio.sleep(0.01)
+    assert listener.links.buffered_bytes == 0 and not listener.links.incoming
+    await listener.close()
+    return listener, received
+
+
+HELLO = frame(Hello(Replica("a", "127.0.0.1:5", "z"), "data"))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff" * 1_000_000,
+        b"\0" * 1_000_000,
+        b"GET / HTTP/1.1\r\n\r\n" * 9,
+        b"\0\0\x10\x01" + b"x" * 5_000,
+        frame(MESSAGE) + HELLO,
+        HELLO + b"\xff" * 100_000,
+        HELLO + b"\0\0\0\1\xff",
+        HELLO + b"\1\0\0\1",
+    ],
+)
+def test_a_peer_that_sends_no_frames_is_disconnected(data: bytes) -> None:
+    """Guards against a member that keeps what a connection brings that is no member's."""
+    listener, received = asyncio.run(_send_raw(data))
+    assert received == b"" and not listener.messages
+
+
+@pytest.mark.parametrize(
+    ("data", "is_open"), [(b"", False), (HELLO[:-1], False), (HELLO + b"\0\0\1", False), (HELLO, True)]
+)
+def test_a_frame_that_does_not_arrive_in_time_ends_its_connection(
+    data: bytes, is_open: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hophinge.fleet.transport.links.FRAME_TIMEOUT_S", 0.05)
+    _, received = asyncio.run(_send_raw(data, 0.2))
+    assert (received is None) is is_open
+
+
+def test_incomplete_frames_are_bounded_on_all_connections_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("hophinge.fleet.transport.links.MAX_BUFFERED_BYTES", 1 << 20)
+    _, received = asyncio.run(_send_raw(HELLO + b"\0\xff\xff\xff" + bytes(2 << 20)))
+    assert received == b""
+
+
+def test_many_small_messages_are_handled_in_their_order_with_other_work_between_them() -> None:
+    count = 20 * MAX_MESSAGES_PER_TURN
+
+    async def main() -> int:
+        listener, links = Listener(), _links()
+        address = await listener.listen()
+        links.send_frame(address, b"".join(frame(PrefillDropped("i", number)) for number in range(count)))
+        longest = 0
+        async with asyncio.timeout(BOUND_S):
+            while len(listener.messages) < count:
+                before = len(listener.messages)
+                await asyncio.sleep(0)
+                longest = max(longest, len(listener.messages) - before)
+        assert listener.messages == [PrefillDropped("i", number) for number in range(count)]
+        await links.close()
+        await listener.close()
+        return longest
+
+    assert asyncio.run(main()) <= 2 * MAX_MESSAGES_PER_TURN
+
+
+def test_bytes_on_a_connection_from_here_end_it() -> None:
+    """Guards against a member that reads without end from an address that is no member's any more."""
+
+    async def main() -> None:
+        ended = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(bytes(65_536))
+                    await writer.drain()
+            ended.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        links = _links()
+        links.send(f"{host}:{port}", MESSAGE)
+        async with asyncio.timeout(BOUND_S):
+            await ended.wait()
+        server.close()
+        await links.close()
+
+    asyncio.run(main())
