The list of backends is bounded: an agent that sends without end does not end the head in service

Cause: the answer of discovery was read whole, and expanded where it was compressed. Change: 8 MiB, over 40,000 backends; no compression is asked for or undone.

--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -16,6 +16,7 @@
 from hophinge.net.address import split
 from hophinge.net.discovery_pacer import HEDGE_DELAY_S, MAX_HEDGED_CALLS, DiscoveryPacer
 
+MAX_LISTING_BYTES = 8 << 20  # of a list: some tens of thousands of backends
 MAX_BOOT_MS = 2**53  # largest start time; later ones are clamped, as they are unusable in arithmetic
 PHASES = {"Ready": api.Phase.ON, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
@@ -137,6 +138,21 @@
         return 0.0
 
 
+async def _read_listing(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer.
+
+    Raises:
+        aiohttp.ClientPayloadError: It is larger than a list may be.
+
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_LISTING_BYTES:
+            raise aiohttp.ClientPayloadError(f"a list of more than {MAX_LISTING_BYTES} bytes")
+    return bytes(body)
+
+
 class DiscoveryWatch:
     """The watch on discovery's list. It survives time-outs and errors; the last list stays in effect meanwhile."""
 
@@ -167,6 +183,8 @@
             trust_env=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None),
+            headers={"Accept-Encoding": "identity"},
+            auto_decompress=False,  # a few bytes could become any number
         )
 
     def follow(self, address: str, rev: int | None = None) -> None:
@@ -230,7 +248,7 @@
             url = f"{url}?since={self.rev}&timeout_ms={round(wait_s * 1000)}"
         async with asyncio.timeout(limit_s), self.session.get(url, allow_redirects=False) as response:
             response.raise_for_status()
-            return parse_listing(await response.read(), self.rev is None)
+            return parse_listing(await _read_listing(response), self.rev is None)
 
     async def _hedged_request(self, url: str) -> tuple[Listing, int]:
         """Send a request, and hedge it with further ones until one is answered."""
