Seeded orders of bytes without end, tests and mutants of the limits on responses; bytes behind a response are no framing

Cause: the orders found that a complete response in chunks with bytes behind it, all in one read, was cut off for its framing: the latest piece may hold what belongs to no request. The log names the reason of any response that is no valid HTTP.

--- a/hophinge/fleet/dataplane/upstream.py
+++ b/hophinge/fleet/dataplane/upstream.py
@@ -120,7 +120,7 @@
             log_response_limit(identity, call.kind.value, error, call.request_id)
             self.on_response_limit(identity)
             raise
-        except ForeignResponseError as error:
+        except (ForeignResponseError, httpcore.RemoteProtocolError) as error:
             log_rejected_response(identity, call.kind.value, str(error), call.request_id)
             raise
 
--- a/hophinge/fleet/transport/bounded_stream.py
+++ b/hophinge/fleet/transport/bounded_stream.py
@@ -59,24 +59,25 @@
 
     def begin_header(self) -> None:
         """Begin to await the header of a response."""
-        self.received_bytes = 0
+        self.received_bytes = self._piece_bytes = 0
         self._lines = 0
         self._pieces = 0
         self._is_header = True
 
     def begin_body(self) -> None:
         """Begin to read the body of a response whose header is complete."""
-        self.received_bytes = 0
+        self.received_bytes = self._piece_bytes = 0
         self._is_header = False
 
     def check_framing(self, body_bytes: int) -> None:
-        """Check the bytes received for a body.
+        """Check the bytes received for a body, but for the latest piece, which may hold bytes behind the response.
 
         Raises:
             ResponseLimitError: The framing is too large for `body_bytes` of the body.
 
         """
-        if self.received_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes:
+        earlier_bytes = self.received_bytes - self._piece_bytes
+        if earlier_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes:
             raise ResponseLimitError(Limit.FRAMING, self.received_bytes)
 
     @property
@@ -120,6 +121,7 @@
         is_too_large = self.received_bytes > MAX_HEADER_BYTES or self._lines > MAX_HEADER_LINES
         if self._is_header and is_too_large:
             raise ResponseLimitError(Limit.HEADER, self.received_bytes)
+        self._piece_bytes = len(piece)
         self.received_bytes += len(piece)
         self._lines += piece.count(b"\n")
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -19,6 +19,7 @@
 CLOSE_DELIMITED = "tests/test_fleet_close_delimited_responses.py::"
 SURPLUS = "tests/test_fleet_surplus_responses.py::"
 PROMISES = "tests/test_fleet_promises.py::"
+BOUNDED = "tests/test_fleet_bounded_responses.py::"
 ORDERS = PROMISES + "test_in_random_orders_nothing_runs_that_was_rejected_or_stands_behind_a_close[0]"
 
 ATTEMPTS = (
@@ -26,6 +27,90 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "the header of a response is not bounded with what comes before it",
+        "fleet/transport/bounded_stream",
+        "        if self._is_header and is_too_large:",
+        "        if False:",
+        BOUNDED + "test_a_header_is_bounded_with_the_interim_responses_before_it",
+    ),
+    Mutant(
+        "received bytes are parsed whatever the number of their lines is",
+        "fleet/transport/bounded_stream",
+        "        for _ in range(MAX_PIECE_LINES):",
+        "        for _ in range(1_000_000):",
+        BOUNDED + "test_received_bytes_are_parsed_in_pieces_of_a_bounded_number_of_lines",
+    ),
+    Mutant(
+        "the framing of a response is not bounded",
+        "fleet/transport/bounded_stream",
+        "        if earlier_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes:",
+        "        if False:",
+        BOUNDED + "test_whatever_an_instance_sends_without_end_its_request_ends_and_the_next_one_is_served",
+    ),
+    Mutant(
+        "bytes behind a response count as its framing",
+        "fleet/transport/bounded_stream",
+        "        earlier_bytes = self.received_bytes - self._piece_bytes",
+        "        earlier_bytes = self.received_bytes",
+        BOUNDED + "test_whatever_an_instance_sends_without_end_its_request_ends_and_the_next_one_is_served",
+    ),
+    Mutant(
+        "all responses parse in one iteration of the event loop",
+        "fleet/transport/loop_turns",
+        "        return loop.time() >= self._turn_until",
+        "        return False",
+        BOUNDED + "test_responses_take_turns_and_other_work_goes_on_between_them",
+    ),
+    Mutant(
+        "a response that is read whole has no limit of its own",
+        "fleet/dataplane/response_buffers",
+        "            if len(body) > self.buffers.max_response_bytes:",
+        "            if False:",
+        BOUNDED + "test_a_response_is_bounded_and_one_up_to_the_limit_passes",
+    ),
+    Mutant(
+        "one instance fills the memory of all responses",
+        "fleet/dataplane/response_buffers",
+        "        return self.all.may_read_on(reader) and self.by_instance[reader.instance].may_read_on(reader)",
+        "        return self.all.may_read_on(reader)",
+        BOUNDED + "test_an_instance_that_fills_its_limit_delays_no_response_of_another",
+    ),
+    Mutant(
+        "an event may be of any length",
+        "fleet/forwarding/events",
+        "        if len(self._rest) > MAX_EVENT_BYTES:",
+        "        if False:",
+        BOUNDED + "test_an_event_is_bounded_and_events_up_to_the_limit_pass",
+    ),
+    Mutant(
+        "a short body has only the time limit of its reads",
+        "fleet/transport/bounded_call",
+        "            async with asyncio.timeout(timeout_s):\n                async for chunk",
+        "            async with asyncio.timeout(None):\n                async for chunk",
+        BOUNDED + "test_a_short_call_ends_in_time_though_each_byte_arrives_in_time",
+    ),
+    Mutant(
+        "an instance whose report is over a limit is asked on",
+        "fleet/controlplane/report_collector",
+        "            self._pause(instance.identity)",
+        "            pass",
+        BOUNDED + "test_pauses_grow_and_end_with_a_report_or_with_the_instance",
+    ),
+    Mutant(
+        "an incomplete frame may take any time",
+        "fleet/transport/links",
+        "        if now - self.frame_since > allowed_s and not is_parsing:",
+        "        if False:",
+        "tests/test_fleet_links.py::test_a_frame_that_does_not_arrive_in_time_ends_its_connection",
+    ),
+    Mutant(
+        "all frames that have come are handled at once",
+        "fleet/transport/links",
+        "        for _ in range(MAX_MESSAGES_PER_TURN):",
+        "        for _ in range(1_000_000):",
+        "tests/test_fleet_links.py::test_many_small_messages_are_handled_in_their_order_with_other_work_between_them",
+    ),
     Mutant(
         "requests that wait begin as the process ends",
         "fleet/transport/server",
