An answer without end does not take the command line of tenants beyond its memory

Cause: hophinge tenant read the administration API's answer whole, and expanded it where it was compressed. Change: 16 MiB, no compression; discovery and it share hophinge/net/bounded_body.py.

--- a/hophinge/cli/tenant_commands.py
+++ b/hophinge/cli/tenant_commands.py
@@ -25,19 +25,24 @@
 Name = Annotated[str, typer.Argument(help="the tenant")]
 DEFAULT_URL = "http://127.0.0.1:9081"
 PAGE = 500
+TIMEOUT_S = 30.0  # for a whole call
+MAX_ANSWER_BYTES = 16 << 20
 
 
 def call_admin_api(url: str, token_file: Path, method: str, path: str, body: Any = None, match: str = "") -> Any:
     """Make one call of the administration API; exits with status 1 where it fails."""
     import aiohttp
 
+    from hophinge.net.bounded_body import read_body
+
     async def main() -> tuple[int, bytes]:
         headers = {
+            "Accept-Encoding": "identity",
             "Authorization": f"Bearer {token_file.read_text().split()[-1]}",
             **({"If-Match": match} if match else {}),
         }
         async with (
-            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(30)) as session,
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(TIMEOUT_S), auto_decompress=False) as session,
             session.request(
                 method,
                 url.rstrip("/") + path,
@@ -45,7 +50,7 @@
                 data=None if body is None else msgspec.json.encode(body),
             ) as answer,
         ):
-            return answer.status, await answer.read()
+            return answer.status, await read_body(answer, MAX_ANSWER_BYTES)
 
     try:
         status, text = asyncio.run(main())
--- a/hophinge/net/discovery.py
+++ b/hophinge/net/discovery.py
@@ -14,6 +14,7 @@
 from hophinge.core import interface as api
 from hophinge.core.counters import Counters
 from hophinge.net.address import split
+from hophinge.net.bounded_body import read_body
 from hophinge.net.discovery_pacer import HEDGE_DELAY_S, MAX_HEDGED_CALLS, DiscoveryPacer
 
 MAX_LISTING_BYTES = 8 << 20  # of a list: some tens of thousands of backends
@@ -138,21 +139,6 @@
         return 0.0
 
 
-async def _read_listing(response: aiohttp.ClientResponse) -> bytes:
-    """Return the body of an answer.
-
-    Raises:
-        aiohttp.ClientPayloadError: It is larger than a list may be.
-
-    """
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_LISTING_BYTES:
-            raise aiohttp.ClientPayloadError(f"a list of more than {MAX_LISTING_BYTES} bytes")
-    return bytes(body)
-
-
 class DiscoveryWatch:
     """The watch on discovery's list. It survives time-outs and errors; the last list stays in effect meanwhile."""
 
@@ -248,7 +234,7 @@
             url = f"{url}?since={self.rev}&timeout_ms={round(wait_s * 1000)}"
         async with asyncio.timeout(limit_s), self.session.get(url, allow_redirects=False) as response:
             response.raise_for_status()
-            return parse_listing(await _read_listing(response), self.rev is None)
+            return parse_listing(await read_body(response, MAX_LISTING_BYTES), self.rev is None)
 
     async def _hedged_request(self, url: str) -> tuple[Listing, int]:
         """Send a request, and hedge it with further ones until one is answered."""
--- a/tests/test_discovery_bounds.py
+++ b/tests/test_discovery_bounds.py
@@ -1,4 +1,4 @@
-"""The list of backends is bounded: an agent that sends without end does not end the head in service."""
+"""What a head in service and its command line read of other processes is bounded, also where it has no end."""
 
 from __future__ import annotations
 
@@ -7,10 +7,13 @@
 import gzip
 import itertools
 import json
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
+import typer
 
+from hophinge.cli.tenant_commands import MAX_ANSWER_BYTES, call_admin_api
 from hophinge.core.counters import Counters
 from hophinge.net.discovery import MAX_LISTING_BYTES, DiscoveryWatch
 from types import SimpleNamespace
@@ -55,11 +58,37 @@
     return fault, max(taken)
 
 
+@pytest.mark.parametrize(("begin", "piece"), [BY_LENGTH, BY_CHUNKS, BY_CLOSE], ids=["length", "chunks", "close"])
+def test_the_command_line_gives_up_an_answer_without_end(
+    begin: bytes, piece: bytes, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "token").write_text("t")
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(begin)
+            while True:
+                writer.write(piece)
+                await writer.drain()
+        writer.close()
+
+    async def play() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        with pytest.raises(typer.Exit):
+            await asyncio.to_thread(call_admin_api, f"http://{host}:{port}", tmp_path / "token", "GET", "/v1/tenants")
+        server.close()
+
+    asyncio.run(asyncio.wait_for(play(), BOUND_S))
+    assert f"an answer of more than {MAX_ANSWER_BYTES} bytes" in capsys.readouterr().err
+
+
 # Guards against a head in service that keeps a list without end until it runs out of memory.
 @pytest.mark.parametrize(("begin", "piece"), [BY_LENGTH, BY_CHUNKS, BY_CLOSE], ids=["length", "chunks", "close"])
 def test_a_list_without_end_is_given_up(begin: bytes, piece: bytes) -> None:
     fault, taken = asyncio.run(_fault(begin, piece))
-    assert f"a list of more than {MAX_LISTING_BYTES} bytes" in fault
+    assert f"an answer of more than {MAX_LISTING_BYTES} bytes" in fault
     assert taken < MAX_TAKEN_BYTES
 
 
