--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -306,7 +306,7 @@
     async def _read_body(self, instance: Instance, response: httpcore.Response) -> bytes:
         """Read the whole body of an instance's response."""
         buffers = self.upstream.response_buffers
-        check_stated_length(response, buffers.max_response_bytes)
+        check_stated_length(self.inbound.method, response, buffers.max_response_bytes)
         with ResponseReader(buffers, self.memory, instance.identity) as reader:
             return await reader.read(response)
 
--- a/hophinge/fleet/transport/bounded_call.py
+++ b/hophinge/fleet/transport/bounded_call.py
@@ -13,6 +13,7 @@
 from hophinge.fleet.transport.bounded_stream import BoundedBackend, Limit, ResponseLimitError, bounded_body
 from hophinge.fleet.transport.loop_turns import LoopTurns
 
+NOT_MODIFIED = 304
 CALL_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
 
@@ -48,15 +49,18 @@
     )
 
 
-def check_stated_length(response: httpcore.Response, max_bytes: int) -> None:
+def check_stated_length(method: bytes, response: httpcore.Response, max_bytes: int) -> None:
     """Check the length that a response states for its body, before any of it is read.
 
+    The response to HEAD and one with status 304 state the length of a body that they do not have (RFC 9110, 8.6).
+
     Raises:
         ResponseLimitError: It exceeds the limit.
 
     """
     length = parse_decimal(find_field(response.headers, CONTENT_LENGTH) or "")
-    if length is not None and length > max_bytes:
+    has_body = method != b"HEAD" and response.status != NOT_MODIFIED
+    if has_body and length is not None and length > max_bytes:
         raise ResponseLimitError(Limit.BODY, 0)
 
 
@@ -68,7 +72,6 @@
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException: As httpcore raises them.
 
     """
-    check_stated_length(response, max_bytes)
     body = bytearray()
     try:
         async with asyncio.timeout(timeout_s):
--- a/tests/endless_instance.py
+++ b/tests/endless_instance.py
@@ -74,6 +74,9 @@
 BY_INTERIM_DRIP = Flood("by interim responses at a time", b"HTTP/1.1 103 -\r\n\r\n", pause_s=0.1, begin=b"")
 BY_HEADER = Flood("by header fields", b"a: b\r\n" * 8_192, begin=b"HTTP/1.1 200 -\r\n")
 BY_HEADER_VALUE = Flood("by one header field", LARGE_PIECE, begin=b"HTTP/1.1 200 -\r\na: ")
+BY_SWITCH = Flood(
+    "by another protocol", LARGE_PIECE, begin=b"HTTP/1.1 101 -\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+)
 BY_NOISE = Flood("by noise", bytes(range(256)) * 256, begin=b"")
 BY_CHUNK_EXTENSION = Flood("by a chunk extension", LARGE_PIECE, CHUNKED + b"\r\n1;a=")
 BY_TRAILERS = Flood("by trailers", b"a: b\r\n" * 8_192, CHUNKED + b"\r\n0\r\n")
