--- a/hophinge/fleet/dataplane/response_buffers.py
+++ b/hophinge/fleet/dataplane/response_buffers.py
@@ -21,6 +21,8 @@
 INSTANCE_FRACTION = 1 / 4  # of these, for the responses of one instance
 RESERVE_FRACTION = 1 / 8  # in addition, for responses of which at most SMALL_BYTES are held
 MAX_RESPONSE_FRACTION = 1 / 32  # of the machine's memory, for the body of one response
+FREE_CHUNKS = 8_192  # of a body, before their mean size counts: a chunk takes as long to parse as kilobytes in one
+MIN_MEAN_CHUNK_BYTES = 16
 
 
 class ReaderGroup:
@@ -128,12 +130,16 @@
         """Return the whole body.
 
         Raises:
-            ResponseLimitError: It is larger than a response may be.
+            ResponseLimitError: It is larger than a response may be, or divided into too many chunks.
 
         """
         body = bytearray()
+        chunks = 0
         async for chunk in response.aiter_stream():
             body += chunk
+            chunks += 1
+            if chunks > FREE_CHUNKS + len(body) / MIN_MEAN_CHUNK_BYTES:
+                raise ResponseLimitError(Limit.FRAMING, len(body))
             if len(body) > self.buffers.max_response_bytes:
                 raise ResponseLimitError(Limit.BODY, len(body))
             self.buffers.hold(self, RESPONSE_COPIES * len(chunk))
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -69,6 +69,13 @@
         "            if False:",
         BOUNDED + "test_a_response_is_bounded_and_one_up_to_the_limit_passes",
     ),
+    Mutant(
+        "a body may have any number of chunks",
+        "fleet/dataplane/response_buffers",
+        "            if chunks > FREE_CHUNKS + len(body) / MIN_MEAN_CHUNK_BYTES:",
+        "            if False:",
+        BOUNDED + "test_a_body_is_bounded_in_chunks_and_one_of_small_chunks_up_to_the_limit_passes",
+    ),
     Mutant(
         "one instance fills the memory of all responses",
         "fleet/dataplane/response_buffers",
--- a/tests/test_fleet_bounded_responses.py
+++ b/tests/test_fleet_bounded_responses.py
@@ -15,7 +15,13 @@
 from hophinge.fleet.cli.commands import EXIT_UNREACHABLE, main
 from hophinge.fleet.controlplane.report_collector import INITIAL_PAUSE_S, REQUEST_TIMEOUT_S, ReportCollector
 from hophinge.fleet.controlplane.stage_controller import ORDER_TIMEOUT_S, _post_order
-from hophinge.fleet.dataplane.response_buffers import ReaderGroup, ResponseBuffers, ResponseReader
+from hophinge.fleet.dataplane.response_buffers import (
+    FREE_CHUNKS,
+    MIN_MEAN_CHUNK_BYTES,
+    ReaderGroup,
+    ResponseBuffers,
+    ResponseReader,
+)
 from hophinge.fleet.emulation.engine import EmulatedEngine
 from hophinge.fleet.emulation.instance_server import EmulatedInstance
 from hophinge.fleet.forwarding.events import MAX_EVENT_BYTES, EventReader, EventTooLongError
@@ -419,6 +425,18 @@
     asyncio.run(play())
 
 
+def test_a_body_is_bounded_in_chunks_and_one_of_small_chunks_up_to_the_limit_passes() -> None:
+    async def play(chunks: int, size: int) -> int:
+        return await _read(ResponseBuffers(1 << 40, 1 << 40), "i", _Body(chunks, size))
+
+    assert asyncio.run(play(FREE_CHUNKS, 1)) == FREE_CHUNKS
+    assert asyncio.run(play(4 * FREE_CHUNKS, MIN_MEAN_CHUNK_BYTES)) == 4 * FREE_CHUNKS * MIN_MEAN_CHUNK_BYTES
+    for size in (2, MIN_MEAN_CHUNK_BYTES // 2):
+        with pytest.raises(ResponseLimitError) as raised:
+            asyncio.run(play(4 * FREE_CHUNKS, size))
+        assert raised.value.limit is Limit.FRAMING
+
+
 def test_an_instance_that_fills_its_limit_delays_no_response_of_another() -> None:
     async def play() -> None:
         buffers = ResponseBuffers.of_machine(512 * MIB)
