--- a/hophinge/fleet/dataplane/exchange.py
+++ b/hophinge/fleet/dataplane/exchange.py
@@ -21,7 +21,7 @@
     is_peer_silent,
 )
 from hophinge.fleet.forwarding.aborted_responses import AbortSide, RequestPhase
-from hophinge.fleet.forwarding.events import EventReader, EventTooLongError
+from hophinge.fleet.forwarding.events import EventReader
 from hophinge.fleet.forwarding.headers import (
     DEADLINE,
     EXPECTED_INSTANCE,
@@ -328,11 +328,13 @@
             self.is_response_started = True
             self.phase = RequestPhase.ANSWERING
         async for chunk in response.aiter_stream():
-            events = self._read_events(reader, chunk)
+            events = reader.feed(chunk)
             if events:
                 if not reservation.is_streaming:
                     self.lifecycle.record_first_event(self.loop.time(), reservation)
                 await self.send({"type": "http.response.body", "body": events, "more_body": True})
+            if reader.is_event_too_long:
+                raise ResponseLimitError(Limit.EVENT, len(reader.buffer))
         if is_close_delimited(self.inbound.method, response.headers):
             self.failure = await self._find_truncation(reservation.node.instance, reader)
             if self.failure is not None:
@@ -341,19 +343,6 @@
         self.is_response_complete = True
         return AttemptResult(AttemptOutcome.ANSWERED)
 
-    @staticmethod
-    def _read_events(reader: EventReader, chunk: bytes) -> bytes:
-        """Return the events that a chunk completes.
-
-        Raises:
-            ResponseLimitError: An event is too long.
-
-        """
-        try:
-            return reader.feed(chunk)
-        except EventTooLongError as error:
-            raise ResponseLimitError(Limit.EVENT, error.held_bytes) from error
-
     async def _find_truncation(self, instance: Instance, reader: EventReader) -> AttemptFailure | None:
         """Return why a stream that ended with its connection is not complete; None if it is."""
         if not reader.is_between_events:
--- a/hophinge/fleet/forwarding/events.py
+++ b/hophinge/fleet/forwarding/events.py
@@ -11,14 +11,6 @@
 MAX_EVENT_BYTES = 256 << 10  # of an event that is not complete, which is held until it is
 
 
-class EventTooLongError(Exception):
-    """An event is longer than `MAX_EVENT_BYTES`."""
-
-    def __init__(self, held_bytes: int) -> None:
-        super().__init__(f"an event of more than {held_bytes} bytes")
-        self.held_bytes = held_bytes
-
-
 def _end_of_last_event(data: bytearray, begin: int) -> int:
     """Return the index behind the last complete event that ends behind `begin`; 0 where there is none."""
     found = [(data.rfind(end, begin), len(end)) for end in EVENT_ENDS]
@@ -38,26 +30,24 @@
         """The rest that is no complete event."""
         return bytes(self._rest)
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the rest is longer than an event may be: its reader is to give the stream up."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     @property
     def is_between_events(self) -> bool:
         """Whether the stream may end here: after at least one event, and within none."""
         return self.has_event and not self._rest.strip(LINE_ENDS)
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes; return those up to the end of the last complete event.
-
-        Raises:
-            EventTooLongError: The rest is longer than an event may be.
-
-        """
+        """Add bytes; return those up to the end of the last complete event."""
         searched = max(0, len(self._rest) - MAX_EVENT_END_BYTES + 1)
         self._rest += data
         end = _end_of_last_event(self._rest, searched)
         complete = bytes(self._rest[:end])
         del self._rest[:end]
         self._record(complete)
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLongError(len(self._rest))
         return complete
 
     def _record(self, complete: bytes) -> None:
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -86,8 +86,8 @@
     Mutant(
         "an event may be of any length",
         "fleet/forwarding/events",
-        "        if len(self._rest) > MAX_EVENT_BYTES:",
-        "        if False:",
+        "        return len(self._rest) > MAX_EVENT_BYTES",
+        "        return False",
         BOUNDED + "test_an_event_is_bounded_and_events_up_to_the_limit_pass",
     ),
     Mutant(
--- a/tests/test_fleet_bounded_responses.py
+++ b/tests/test_fleet_bounded_responses.py
@@ -24,7 +24,7 @@
 )
 from hophinge.fleet.emulation.engine import EmulatedEngine
 from hophinge.fleet.emulation.instance_server import EmulatedInstance
-from hophinge.fleet.forwarding.events import MAX_EVENT_BYTES, EventReader, EventTooLongError
+from hophinge.fleet.forwarding.events import MAX_EVENT_BYTES, EventReader
 from hophinge.fleet.placement.hints import EngineReports
 from hophinge.fleet.placement.node import Node
 from hophinge.fleet.placement.stages import StageSwitch, SwitchReason
@@ -61,6 +61,8 @@
     Flood,
 )
 from tests.response_floods import play_orders
+from tests.scripted_instance import EVENTS, STAMP, Connection, ReceivedCall, Script, ScriptedInstance
+from tests.test_failures_requests import ROUTES, Client, Play
 
 ORDERS = 40
 BOUND_S = 20.0
@@ -375,10 +377,12 @@
     reader = EventReader()
     event = b"data: " + b"x" * (MAX_EVENT_BYTES - 10) + b"\n\n"
     passed = [reader.feed(event[begin : begin + 4_096]) for begin in range(0, len(event), 4_096)]
-    assert b"".join(passed) == event
-    with pytest.raises(EventTooLongError):
-        for _ in range(MAX_EVENT_BYTES // 1_000 + 1):
-            reader.feed(b"data: " + b"x" * 993 + b"\n")
+    assert b"".join(passed) == event and not reader.is_event_too_long
+    for _ in range(MAX_EVENT_BYTES // 1_000):
+        reader.feed(b"data: " + b"x" * 993 + b"\n")
+        assert not reader.is_event_too_long
+    reader.feed(b"data: " + b"x" * 993 + b"\n")
+    assert reader.is_event_too_long
 
 
 @pytest.mark.parametrize("end", [b"\n\n", b"\n\r\n", b"\r\r", b"\r\n\r\n"])
@@ -422,7 +426,7 @@
         assert raised.value.limit is Limit.BODY and raised.value.received_bytes <= 1_100
         assert buffers.used == 0 and not buffers.by_instance
 
-    asyncio.run(play())
+    asyncio.run(asyncio.wait_for(play(), BOUND_S))
 
 
 def test_a_body_is_bounded_in_chunks_and_one_of_small_chunks_up_to_the_limit_passes() -> None:
@@ -454,7 +458,7 @@
         await asyncio.gather(*flood, return_exceptions=True)
         assert buffers.used == 0
 
-    asyncio.run(play())
+    asyncio.run(asyncio.wait_for(play(), BOUND_S))
 
 
 def test_a_small_response_does_not_wait_until_the_reserve_is_used_up() -> None:
@@ -471,7 +475,7 @@
             buffers.hold(readers[1], 100 * SMALL_BYTES)
             assert not buffers._may_read_on(readers[2]) and buffers._may_read_on(readers[0])
 
-    asyncio.run(play())
+    asyncio.run(asyncio.wait_for(play(), BOUND_S))
 
 
 def test_an_instance_over_a_limit_is_ejected_whatever_else_it_answers() -> None:
@@ -480,3 +484,30 @@
     node.record_response_limit(10.1)
     node.record_answer(10.2)
     assert node.is_ejected(10.3) and not node.is_ejected(20.0)
+
+
+# Guards against a stream that is resumed behind events that its client never got.
+def test_a_stream_that_is_cut_off_for_an_event_is_resumed_behind_the_events_that_were_sent() -> None:
+    async def play() -> tuple[Client, Script]:
+        async def ending(script: Script, connection: Connection, call: ReceivedCall) -> bool:
+            script.ran(call)
+            header = b"HTTP/1.1 200 X\r\nHophinge-Request-Id: %s\r\n%sContent-Type: text/event-stream\r\n\r\n"
+            connection.say(header % (call.name.encode(), STAMP))
+            connection.say(b"id: 1\ndata: x\n\nid: 2\ndata: x\n\ndata: " + bytes(2 * MAX_EVENT_BYTES))
+            await connection.reader.read()
+            return False
+
+        script = Script(ending, "", "stream-1")
+        instances = [ScriptedInstance(f"i-{number}", "", script) for number in range(2)]
+        for instance in instances:
+            await instance.listen()
+        scripted = Play(script, instances)
+        client = await scripted.request("stream-1", ROUTES["stream-resumable"], left_s=BOUND_S)
+        await scripted.upstream.close()
+        for instance in instances:
+            await instance.close()
+        return client, script
+
+    client, script = asyncio.run(asyncio.wait_for(play(), BOUND_S))
+    assert client.whole and client.body == b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, EVENTS + 1))
+    assert [call.first_event for call in script.arrivals] == [1, 3]
