When an instance over a limit is asked for its report again is decided without I/O

Cause: review of the whole change: the decision stood beside the socket, under a word that is not the field's, and the time of a turn was named twice.

--- a/hophinge/fleet/controlplane/report_collector.py
+++ b/hophinge/fleet/controlplane/report_collector.py
@@ -8,12 +8,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from loguru import logger
 from pydantic import ValidationError
 
 from hophinge.coordination.ownership import rendezvous
+from hophinge.fleet.controlplane.report_backoff import ReportBackoffs
 from hophinge.fleet.controlplane.schemas import ReportBody
 from hophinge.fleet.controlplane.soft_state import SoftState
 from hophinge.fleet.placement.hints import EngineReport, EngineReports
@@ -31,8 +31,6 @@
 COLLECTION_INTERVAL_S = 0.8  # pause between two collections
 REQUEST_TIMEOUT_S = 0.4  # for a whole report
 MAX_REPORT_BODY_BYTES = 64 << 10
-INITIAL_PAUSE_S = 2.0  # without a question to an instance whose report exceeded a limit; doubled after each later one
-MAX_PAUSE_S = 30.0
 KEEPALIVE_EXPIRY_S = 20.0
 MAX_CONNECTIONS = 1_000  # one for each instance assigned to this member
 REQUEST_ERRORS = (*CALL_ERRORS, ValidationError)
@@ -49,14 +47,6 @@
     return EngineReport(identity, report.waiting, report.running, report.used_tokens, report.total_tokens)
 
 
-@dataclass(frozen=True, slots=True)
-class Pause:
-    """The time in which an instance is not asked for its report."""
-
-    until: float
-    length_s: float
-
-
 class ReportCollector:
     """Collects the reports of the instances that are assigned to one control member."""
 
@@ -65,7 +55,7 @@
         self.live_replicas = live_replicas
         self.me = me
         self.pool = bounded_pool(MAX_CONNECTIONS, KEEPALIVE_EXPIRY_S)
-        self.pauses: dict[str, Pause] = {}  # by instance
+        self.backoffs = ReportBackoffs()
 
     def assigned_instances(self) -> list[Instance]:
         """Return the instances assigned to this member; a member outside the chain has none."""
@@ -85,15 +75,15 @@
     async def collect_once(self) -> None:
         """Request the report of each assigned instance and publish the reports received."""
         instances = self.assigned_instances()
-        assigned = {instance.identity for instance in instances}
-        self.pauses = {identity: pause for identity, pause in self.pauses.items() if identity in assigned}
+        self.backoffs.retain({instance.identity for instance in instances})
         results = await asyncio.gather(*(self._request_report(instance) for instance in instances))
         reports = tuple(report for report in results if report is not None)
         if reports:
             self.soft_state.publish_hints(EngineReports(reports))
 
     async def _request_report(self, instance: Instance) -> EngineReport | None:
-        if asyncio.get_running_loop().time() < self.paused_until(instance.identity):
+        loop = asyncio.get_running_loop()
+        if not self.backoffs.may_ask(loop.time(), instance.identity):
             return None
         headers = [(b"hophinge-expected-instance", instance.identity.encode())]
         call = ShortCall(
@@ -104,23 +94,12 @@
             report = parse_report(instance.identity, response.body) if response.status == 200 else None
         except ResponseLimitError as error:
             log_response_limit(instance.identity, "report", error)
-            self._pause(instance.identity)
+            self.backoffs.record_response_limit(loop.time(), instance.identity)
             return None
         except REQUEST_ERRORS:
             return None
         except Exception:  # broad: no failure at one instance may lose the reports of the others
             logger.exception("report not collected instance={}", instance.identity)
             return None
-        self.pauses.pop(instance.identity, None)
+        self.backoffs.record_report(instance.identity)
         return report
-
-    def paused_until(self, identity: str) -> float:
-        """Return until when an instance is not asked, in seconds of the event loop's clock."""
-        pause = self.pauses.get(identity)
-        return pause.until if pause is not None else float("-inf")
-
-    def _pause(self, identity: str) -> None:
-        """Do not ask an instance for a while, whose report exceeded a limit; longer after each such report."""
-        previous = self.pauses.get(identity)
-        length_s = min(MAX_PAUSE_S, 2 * previous.length_s) if previous is not None else INITIAL_PAUSE_S
-        self.pauses[identity] = Pause(asyncio.get_running_loop().time() + length_s, length_s)
--- a/hophinge/fleet/transport/loop_turns.py
+++ b/hophinge/fleet/transport/loop_turns.py
@@ -3,6 +3,8 @@
 Parsing takes time by the number of chunks, lines and messages, not by bytes: 64 KiB in chunks of one byte keep the
 event loop busy for a hundred times as long as 64 KiB in one chunk. After `TURN_S` in one iteration the responses that
 have more to parse wait in a queue, of which each iteration admits a few, so that other work goes on between them.
+
+`ParseScheduler` does the same for callbacks; here coroutines wait.
 """
 
 from __future__ import annotations
@@ -10,7 +12,8 @@
 import asyncio
 from collections import deque
 
-TURN_S = 0.005  # of parsing in one iteration of the event loop
+from hophinge.fleet.transport.parse_scheduler import TURN_S
+
 MAX_ADMITTED = 4  # waiting responses that parse a piece in one iteration
 
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -100,9 +100,9 @@
     Mutant(
         "an instance whose report is over a limit is asked on",
         "fleet/controlplane/report_collector",
-        "            self._pause(instance.identity)",
+        "            self.backoffs.record_response_limit(loop.time(), instance.identity)",
         "            pass",
-        BOUNDED + "test_pauses_grow_and_end_with_a_report_or_with_the_instance",
+        BOUNDED + "test_a_sound_report_ends_the_backoff_of_its_instance",
     ),
     Mutant(
         "an incomplete frame may take any time",
--- a/tests/test_fleet_bounded_responses.py
+++ b/tests/test_fleet_bounded_responses.py
@@ -13,7 +13,8 @@
 import pytest
 
 from hophinge.fleet.cli.commands import EXIT_UNREACHABLE, main
-from hophinge.fleet.controlplane.report_collector import INITIAL_PAUSE_S, REQUEST_TIMEOUT_S, ReportCollector
+from hophinge.fleet.controlplane.report_backoff import INITIAL_BACKOFF_S, MAX_BACKOFF_S, ReportBackoffs
+from hophinge.fleet.controlplane.report_collector import REQUEST_TIMEOUT_S, ReportCollector
 from hophinge.fleet.controlplane.stage_controller import ORDER_TIMEOUT_S, _post_order
 from hophinge.fleet.dataplane.response_buffers import (
     FREE_CHUNKS,
@@ -45,7 +46,8 @@
     ResponseLimitError,
 )
 from hophinge.fleet.transport.client_memory import SMALL_BYTES, MemoryReservation
-from hophinge.fleet.transport.loop_turns import MAX_ADMITTED, TURN_S, LoopTurns
+from hophinge.fleet.transport.loop_turns import MAX_ADMITTED, LoopTurns
+from hophinge.fleet.transport.parse_scheduler import TURN_S
 from tests.connection_wire import RecordedMemory, settle
 from tests.endless_instance import (
     BY_CHUNKS,
@@ -317,7 +319,7 @@
 
 
 @pytest.mark.parametrize("flood", [*FAST_FLOODS, BY_DRIP], ids=lambda flood: flood.name)
-def test_a_report_without_end_delays_no_other_and_pauses_its_instance(flood: Flood) -> None:
+def test_a_report_without_end_delays_no_other_and_its_instance_is_not_asked_for_a_while(flood: Flood) -> None:
     async def play() -> None:
         async with _instance(CallKind.REPORT, flood, "bad") as bad, _instance(CallKind.REPORT, None, "good") as good:
             soft_state = _SoftState([_registered(bad), _registered(good)])
@@ -330,32 +332,48 @@
             assert reported == [["good"], ["good"]]
             if flood not in (BY_NOISE, BY_SWITCH):  # rejected by the parser at its first line
                 assert bad.result.calls == 1, "it is not asked again for a while"
-                assert collector.pauses["bad"].length_s == INITIAL_PAUSE_S
+                assert collector.backoffs.length_s("bad") == INITIAL_BACKOFF_S
             await _settled(bad)
             await collector.pool.aclose()
 
     asyncio.run(play())
 
 
-def test_pauses_grow_and_end_with_a_report_or_with_the_instance() -> None:
+def test_backoffs_grow_and_end_with_a_report_or_with_the_instance() -> None:
+    backoffs, now = ReportBackoffs(), 0.0
+    lengths = []
+    for _ in range(6):
+        backoffs.record_response_limit(now, "bad")
+        lengths.append(backoffs.length_s("bad"))
+        assert not backoffs.may_ask(now + 0.9 * lengths[-1], "bad") and backoffs.may_ask(now, "other")
+        now += lengths[-1]
+        assert backoffs.may_ask(now, "bad")
+    assert lengths[:3] == [INITIAL_BACKOFF_S, 2 * INITIAL_BACKOFF_S, 4 * INITIAL_BACKOFF_S]
+    assert lengths[-1] == MAX_BACKOFF_S
+    backoffs.record_report("bad")
+    assert not backoffs.length_s("bad")
+    backoffs.record_response_limit(now, "bad")
+    backoffs.retain({"other"})
+    assert backoffs.may_ask(now, "bad") and not backoffs.length_s("bad")
+
+
+def test_a_sound_report_ends_the_backoff_of_its_instance() -> None:
     async def play() -> None:
         async with _instance(CallKind.REPORT, BY_CHUNKS, "bad") as bad:
             soft_state = _SoftState([_registered(bad)])
             collector = ReportCollector(cast(Any, soft_state), lambda: {"me"}, "me")
-            for length_s in (INITIAL_PAUSE_S, 2 * INITIAL_PAUSE_S, 4 * INITIAL_PAUSE_S):
-                await collector.collect_once()
-                pause = collector.pauses["bad"]
-                assert pause.length_s == length_s
-                collector.pauses["bad"] = type(pause)(0.0, pause.length_s)
+            await collector.collect_once()
+            assert collector.backoffs.length_s("bad") and not soft_state.published
             bad.flood_calls(CallKind.REPORT, None)
+            collector.backoffs.record_response_limit(-1_000.0, "bad")  # long ago
             await collector.collect_once()
-            assert not collector.pauses and soft_state.published
+            assert not collector.backoffs.length_s("bad") and soft_state.published
             bad.flood_calls(CallKind.REPORT, BY_CHUNKS)
             await collector.collect_once()
-            assert collector.pauses
+            assert collector.backoffs.length_s("bad")
             soft_state.instances.clear()
             await collector.collect_once()
-            assert not collector.pauses
+            assert not collector.backoffs.length_s("bad")
             await collector.pool.aclose()
 
     asyncio.run(play())
