The load tool, the harness and the demo read responses up to a limit

Cause: three commands read what a head sends whole, with no bound of their own. Change: they use hophinge/net/bounded_body.py, with 64 MiB, which is more than the largest object.

--- a/hophinge/cli/demo.py
+++ b/hophinge/cli/demo.py
@@ -16,6 +16,8 @@
 import aiohttp
 from rich.console import Console
 
+from hophinge.net.bounded_body import MAX_OBJECT_BYTES, read_body
+
 ROOT = Path(__file__).parent.parent.parent
 LIMIT_S = 60.0  # of the whole demo
 VOLUME = "00000003b4d60021"
@@ -131,7 +133,7 @@
             f"{self.client_url}/record-read/{VOLUME}/{OBJECT}",
             headers={**headers, "X-Txn": f"{2:016x}", "X-Placement": f"units=1,shard={shard},hosts=1"},
         ) as answer:
-            body = await answer.read()
+            body = await read_body(answer, MAX_OBJECT_BYTES)
             self.out.print(f"4. it is read from brick {shard}: {answer.status}, {body!r}")
         return write_status == 200 and body == b"a transfer\n"
 
@@ -200,7 +202,7 @@
     while True:
         try:
             async with session.get(url) as answer:
-                text = await answer.text()
+                text = (await read_body(answer, MAX_OBJECT_BYTES)).decode()
                 if answer.status == 200 and good(text):
                     return text
         except aiohttp.ClientError:
--- a/hophinge/load/clients.py
+++ b/hophinge/load/clients.py
@@ -15,6 +15,7 @@
 
 from hophinge.load.durations import Durations
 from hophinge.load.plan import Arrival, ClientClass, LoadPlan, arrivals
+from hophinge.net.bounded_body import MAX_OBJECT_BYTES, read_body
 
 MIN_COUNTED_S = 1e-9
 RETRY_JITTER = (0.5, 1.5)  # range of the factor on the retry interval
@@ -94,7 +95,7 @@
                 connector=aiohttp.TCPConnector(limit=0), timeout=aiohttp.ClientTimeout(None)
             ) as session:
                 if begin_url:
-                    await (await session.get(begin_url)).read()
+                    await read_body(await session.get(begin_url), MAX_OBJECT_BYTES)
                 self.started_s = time.monotonic()
                 for arrival in scheduled:
                     wait_s = self.started_s + arrival.at_us / 1e6 - time.monotonic()
@@ -169,7 +170,7 @@
                 async with session.request(
                     "PUT" if client.write else "GET", url, headers=headers, data=b"x" if client.write else None
                 ) as response:
-                    await response.read()
+                    await read_body(response, MAX_OBJECT_BYTES)
         except TimeoutError:
             return ("left" if client.leaves_after_us else "timed out"), 0.0
         except (aiohttp.ClientError, OSError):
--- a/hophinge/load/rig/run.py
+++ b/hophinge/load/rig/run.py
@@ -25,6 +25,7 @@
 from hophinge.load.rig.relay import Relay
 from hophinge.load.rig.discovery_view import DiscoveryView
 from hophinge.load.rig.conditions import Condition
+from hophinge.net.bounded_body import MAX_OBJECT_BYTES, read_body
 
 HOST_NUMBERS = itertools.count()
 KEY_BYTES = 32
@@ -265,7 +266,7 @@
         """Send a GET request to the control address of a head; returns status and body."""
         assert self.session is not None
         async with self.session.get(f"http://{self.endpoints[name].control}{path}") as response:
-            return response.status, await response.text()
+            return response.status, (await read_body(response, MAX_OBJECT_BYTES)).decode()
 
     def answers(self, name: str, path: str, description: str, is_expected: Callable[[str], bool]) -> Condition:
         """Return the condition that a head answers a GET request with 200 and a body that `is_expected` accepts."""
@@ -297,7 +298,7 @@
         for _ in range(attempts):
             try:
                 async with asyncio.timeout(REMAINING_S + 0.5), self.session.get(url, headers=headers) as response:
-                    await response.read()
+                    await read_body(response, MAX_OBJECT_BYTES)
                     status = response.status
             except (TimeoutError, OSError, aiohttp.ClientError):
                 status = 0
--- a/hophinge/net/bounded_body.py
+++ b/hophinge/net/bounded_body.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+MAX_OBJECT_BYTES = 64 << 20  # of a response of a head in service: more than the largest object, of 33 MiB
+
 
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the whole body of a response.
