--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -16,6 +16,7 @@
 from hophinge.net.backend_connection import BackendConnection
 from hophinge.net.byte_budget import ByteBudget
 from hophinge.net.connection_registry import ConnectionRegistry
+from hophinge.net.payload import MAX_LONG_BODY
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Backend, headers, run_in_real_time as run, setup, until, world
 from tests.test_net import READ
 
@@ -189,3 +190,35 @@
         connection.connection_lost(None)
 
     run(main())
+
+
+TINY_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 40_000
+MAX_STALL_S = 0.1  # as long as other work may wait
+CONNECTIONS = 8
+
+
+def _connection_to_mock() -> BackendConnection:
+    """Return a connection that awaits an answer."""
+    connection = BackendConnection(asyncio.get_running_loop(), ConnectionRegistry(8, Counters()), ByteBudget(1 << 20))
+    transport = Mock()
+    transport.get_extra_info = {"peername": ("127.0.0.1", 1), "socket": None}.get
+    transport.is_closing.return_value = False
+    transport.get_write_buffer_size.return_value = 0
+    connection.connection_made(transport)
+    connection.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=2 * MAX_LONG_BODY)
+    return connection
+
+
+# Guards against an event loop that stands still while it parses what has come in tiny chunks on several connections.
+def test_answers_in_tiny_chunks_do_not_stop_the_event_loop() -> None:
+    async def main() -> float:
+        loop, longest_s = asyncio.get_running_loop(), 0.0
+        for connection in [_connection_to_mock() for _ in range(CONNECTIONS)]:
+            loop.call_soon(connection.data_received, TINY_CHUNKS)
+        for _ in range(CONNECTIONS):
+            began_at = loop.time()
+            await asyncio.sleep(0.001)
+            longest_s = max(longest_s, loop.time() - began_at)
+        return longest_s
+
+    assert run(main()) < MAX_STALL_S
