The header and the body of a whole response leave in one write

Cause: uvicorn writes the header and the body apart. A process that is killed between the two system calls leaves its client a header without a body; a busy machine runs the client between them. Change: a response whose whole body is the next message holds its header until then; above 64 KiB they are two writes. The response to HEAD has no body to wait for. Tests: two mutants, one for a header that leaves first (as before) and one for a HEAD whose header never leaves.

--- a/hophinge/fleet/transport/asgi.py
+++ b/hophinge/fleet/transport/asgi.py
@@ -12,6 +12,7 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Headers = Iterable[tuple[bytes, bytes]]
 
+BODY_FOLLOWS = "hophinge.body_follows"  # key of a response's start: its whole body is the next message
 CLOSE = (b"connection", b"close")  # an application's wish; the connection decides which response says so
 
 
@@ -59,5 +60,6 @@
 async def answer(send: Send, status: int, body: bytes = b"", headers: Headers = ()) -> None:
     """Send a response with a complete body."""
     length = (b"content-length", str(len(body)).encode())
-    await send({"type": "http.response.start", "status": status, "headers": [length, *headers]})
+    start = {"type": "http.response.start", "status": status, "headers": [length, *headers], BODY_FOLLOWS: True}
+    await send(start)
     await send({"type": "http.response.body", "body": body})
--- a/hophinge/fleet/transport/connection_context.py
+++ b/hophinge/fleet/transport/connection_context.py
@@ -16,6 +16,7 @@
 CONNECTIONS_FRACTION = 0.6  # of the file descriptors that the process may open
 CONNECTION = "connection"  # key of the connection's state in a request's scope
 MEMORY = "memory"  # key of the connection's memory in a request's scope
+MAX_JOINED_BYTES = 64 << 10  # of a body that is copied to leave together with its header
 
 
 def max_connections(max_descriptors: int = 0) -> int:
@@ -71,6 +72,9 @@
 
     A write to a connection that the client has reset closes it, which the event loop reports only in a later iteration.
     Data written until then would be lost silently, so the loss is reported at once.
+
+    A header that is held leaves in one write with the body behind it: a process that is killed between two writes would
+    leave its client a header without a body.
     """
 
     def __init__(
@@ -85,9 +89,26 @@
         self.close = close
         self.on_lost = on_lost
         self.on_unsent = on_unsent
+        self.is_header_next = False  # the next write is a header to hold
+        self.header = b""  # held
+
+    def hold_header(self) -> None:
+        """Hold the next write, and send it with the one after it."""
+        self.is_header_next = True
 
     def write(self, data: bytes) -> None:
         """Write part of a response, or drop it and report the loss if the connection is lost."""
+        if self.is_header_next:
+            self.is_header_next, self.header = False, data
+            return
+        header, self.header = self.header, b""
+        if len(data) <= MAX_JOINED_BYTES:
+            self._send(header + data)
+            return
+        self._send(header)
+        self._send(data)
+
+    def _send(self, data: bytes) -> None:
         if not self.transport.is_closing():
             self.transport.write(data)
             if self.transport.get_write_buffer_size():
--- a/hophinge/fleet/transport/server_connection.py
+++ b/hophinge/fleet/transport/server_connection.py
@@ -12,7 +12,7 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol, RequestResponseCycle
 
 from hophinge.fleet.forwarding.completed_requests import CompletedRequest, client_name
-from hophinge.fleet.transport.asgi import CLOSE, Receive, Scope, Send, answer
+from hophinge.fleet.transport.asgi import BODY_FOLLOWS, CLOSE, Receive, Scope, Send, answer
 from hophinge.fleet.transport.closing import close, linger
 from hophinge.fleet.transport.client_memory import BodyMemoryFullError
 from hophinge.fleet.transport.connection_context import CONNECTION, MEMORY, ResponseTransport, ConnectionContext
@@ -61,6 +61,7 @@
     """
 
     flow: RequestFlow
+    response_transport: ResponseTransport
 
     def __init__(self, context: ConnectionContext, **params: Any) -> None:
         super().__init__(**params)
@@ -90,9 +91,10 @@
         """Begin the connection; close an idle one if there are too many."""
         super().connection_made(transport)
         self.raw_transport = transport
-        self.transport = ResponseTransport(  # type: ignore[assignment]
+        self.response_transport = ResponseTransport(
             transport, self.request_close, self._abandon_lost, self._update_memory
         )
+        self.transport = self.response_transport  # type: ignore[assignment]
         self.flow = RequestFlow(transport, self._parse_more)
         self.port = self.server[1] or 0 if self.server is not None else 0
         self.context.open_connections[self.port] += 1
@@ -496,6 +498,8 @@
 
         async def respond(scope: Scope, receive: Receive, send: Send) -> None:
             async def send_decided(message: dict[str, Any]) -> None:
+                if BODY_FOLLOWS in message and scope["method"] != "HEAD":
+                    self.response_transport.hold_header()
                 await send(self._decide_close(cycle, message))
 
             try:
--- a/tests/connection_wire.py
+++ b/tests/connection_wire.py
@@ -7,7 +7,7 @@
 
 from hophinge.fleet.transport.asgi import ClientGoneError, Receive, Scope, Send, answer, counted, read_body
 from hophinge.fleet.transport.client_memory import MemoryReservation
-from hophinge.fleet.transport.connection_context import memory_of
+from hophinge.fleet.transport.connection_context import MAX_JOINED_BYTES, memory_of
 from hophinge.fleet.transport.connection_state import ConnectionBounds
 from hophinge.fleet.transport.server import HttpServer
 from hophinge.fleet.transport.server_connection import ServerConnection
@@ -20,6 +20,7 @@
 )
 GARBAGE = b"\x00 no request at all\r\n\r\n"
 MAX_BODY = 1_000
+WHOLE_BODIES = {"/early": b"early", "/empty": b"", "/large": b"x" * (MAX_JOINED_BYTES + 1)}  # by path
 Play = Callable[["Wire", HttpServer], Awaitable[None]]
 
 
@@ -46,10 +47,12 @@
         super().__init__()
         self.written, self.closed, self.eof, self.paused, self.aborted = bytearray(), False, False, False, False
         self.unsent = 0
+        self.writes = 0  # of at least a byte
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         assert not self.closed and not self.eof, "nothing is written after the close"
         self.written += data
+        self.writes += bool(data)
 
     def write_eof(self) -> None:
         self.eof = True
@@ -105,8 +108,8 @@
         self.begun.append(path)
         self.bodies.append(body)
         self.fields.append(list(scope["headers"]))
-        if path == "/early":
-            await answer(send, 200, b"early")
+        if path in WHOLE_BODIES:
+            await answer(send, 200, WHOLE_BODIES[path])
             return
         await self._answer(path, send)
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -27,6 +27,20 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "the header of a whole response leaves before its body",
+        "fleet/transport/server_connection",
+        '                if BODY_FOLLOWS in message and scope["method"] != "HEAD":',
+        "                if False:",
+        WIRE + "test_the_header_and_the_body_of_a_whole_response_leave_in_one_write[POST-/early]",
+    ),
+    Mutant(
+        "the header of a response without a body is held for one",
+        "fleet/transport/server_connection",
+        '                if BODY_FOLLOWS in message and scope["method"] != "HEAD":',
+        "                if BODY_FOLLOWS in message:",
+        WIRE + "test_the_header_and_the_body_of_a_whole_response_leave_in_one_write[HEAD-/early]",
+    ),
     Mutant(
         "the header of a response is not bounded with what comes before it",
         "fleet/transport/bounded_stream",
--- a/tests/test_fleet_server_connection.py
+++ b/tests/test_fleet_server_connection.py
@@ -10,7 +10,7 @@
 from hophinge.fleet.transport.connection_state import CloseReason
 from hophinge.fleet.transport.server import HttpServer
 from hophinge.fleet.transport.server_connection import MAX_PIPELINED
-from tests.connection_wire import CHUNKED, FIRST, GARBAGE, UPGRADE, Wire, cuts, played, settle
+from tests.connection_wire import CHUNKED, FIRST, GARBAGE, UPGRADE, WHOLE_BODIES, Wire, cuts, played, settle
 
 
 @pytest.mark.parametrize("trailing", [GARBAGE, b""])
@@ -50,6 +50,40 @@
     played(play)
 
 
+# A process killed between two writes left its client a header with status 200 and no body.
+@pytest.mark.parametrize("path", ["/early", "/empty"])
+@pytest.mark.parametrize("method", ["POST", "HEAD"])
+def test_the_header_and_the_body_of_a_whole_response_leave_in_one_write(method: str, path: str) -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        request = f"{method} {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode()
+        body = b"" if method == "HEAD" else WHOLE_BODIES[path]
+        for answered in (1, 2):
+            await wire.feed(request)
+            assert wire.pipe.writes == answered and wire.pipe.written.endswith(b"\r\n\r\n" + body)
+
+    played(play)
+
+
+def test_a_response_too_large_to_be_joined_to_its_header_is_sent_whole() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        await wire.feed(b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n" * 2)
+        assert wire.statuses() == [200, 200] and wire.pipe.writes == 4
+
+    played(play)
+
+
+def test_a_response_sent_in_pieces_starts_with_its_header() -> None:
+    async def play(wire: Wire, server: HttpServer) -> None:
+        wire.held = True
+        await wire.feed(FIRST)
+        assert wire.pipe.written.startswith(b"HTTP/1.1 200") and wire.pipe.writes == 2
+        wire.go_on["/first"].set()
+        await settle()
+        assert wire.statuses() == [200]
+
+    played(play)
+
+
 def test_a_request_read_during_shutdown_is_rejected_in_turn() -> None:
     async def play(wire: Wire, server: HttpServer) -> None:
         wire.held = True
