In service, a backend's chunks are read in pieces of 8 KiB, one in an iteration of the event loop

Callers saw: eight backends that answer in chunks of one byte kept all other requests of a head waiting for 3.5 s. Cause: uvloop reads 256 KiB at once, and up to 32 times in an iteration; 256 KiB in chunks of one byte are 44,000 chunks. Change: a protocol in front of the connection offers the event loop a short buffer while a header or chunks are read, and where it is filled pauses the transport until the next iteration. It resumes only what neither the connection nor aiohttp has paused. No queue: what is not read stays in the socket. (Parsing a queue in pieces was tried earlier; aiohttp resumed the transport while the queue was full.) A body of stated length is read 256 KiB at once as before.

--- a/hophinge/net/backend_connection.py
+++ b/hophinge/net/backend_connection.py
@@ -9,11 +9,12 @@
 
 import asyncio
 import re
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
+from hophinge.net.bounded_reads import BoundedReads
 from hophinge.net.byte_budget import ByteBudget
 from hophinge.net.payload import MAX_LONG_BODY
 from hophinge.net.connection_registry import ConnectionRegistry
@@ -73,6 +74,16 @@
         """Whether the connection is in the pool."""
         return self.state == "idle"
 
+    @property
+    def parses_framing(self) -> bool:
+        """Whether the next bytes are of a header or of chunks."""
+        return self.state != "body" or self.body_remaining == CHUNKED
+
+    @property
+    def may_read(self) -> bool:
+        """Whether neither this connection nor aiohttp has paused reading."""
+        return not self.is_paused and not self._reading_paused and not self._buffer_paused
+
     @property
     def has_unsent(self) -> bool:
         """Whether the write buffer holds bytes: the last request has not been sent completely."""
@@ -87,6 +98,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection; called by asyncio."""
         super().connection_made(transport)
+        tcp = cast(asyncio.Transport, transport)
+        tcp.set_protocol(BoundedReads(self, tcp, self._loop))
         host, port = transport.get_extra_info("peername")[:2]
         self.endpoint = f"{host}:{port}"
         self.registry.add(self)
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -4,6 +4,7 @@
 
 from tests.mutant import Mutant
 
+ANSWERS = "tests/test_net_answers.py::"
 CUTS = "tests/test_failures_partitions.py::"
 OPERATORS = "tests/test_failures_operators.py::"
 LOSSES = "tests/test_failures_losses.py::"
@@ -21,6 +22,34 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "chunks are received in buffers of any size",
+        "net/bounded_reads",
+        "FRAMED_READ_BYTES if self._receiver.parses_framing else READ_BYTES",
+        "READ_BYTES - 1",
+        ANSWERS + "test_answers_in_tiny_chunks_do_not_stop_the_event_loop",
+    ),
+    Mutant(
+        "one iteration reads chunks as long as there are more",
+        "net/bounded_reads",
+        "            self._transport.pause_reading()",
+        "            pass",
+        ANSWERS + "test_answers_in_tiny_chunks_do_not_stop_the_event_loop",
+    ),
+    Mutant(
+        "chunks are read on although nobody takes them",
+        "net/bounded_reads",
+        "        if self._receiver.may_read and not",
+        "        if not",
+        ANSWERS + "test_what_nobody_reads_stays_with_the_backend",
+    ),
+    Mutant(
+        "a body of stated length is received in short buffers",
+        "net/backend_connection",
+        '        return self.state != "body" or self.body_remaining == CHUNKED',
+        "        return True",
+        ANSWERS + "test_a_body_of_stated_length_is_read_in_large_pieces",
+    ),
     Mutant(
         "two replicas are a quorum",
         "coordination/quorum_acknowledgements",
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from random import Random
 from unittest.mock import Mock
 
 import pytest
@@ -13,10 +14,12 @@
 
 from hophinge.core.counters import Counters
 from hophinge.net import backend_connection
-from hophinge.net.backend_connection import BackendConnection
+from hophinge.net.backend_connection import READ_HIGH_WATER, BackendConnection
+from hophinge.net.bounded_reads import FRAMED_READ_BYTES
 from hophinge.net.byte_budget import ByteBudget
 from hophinge.net.connection_registry import ConnectionRegistry
 from hophinge.net.payload import MAX_LONG_BODY
+from tests.reading_transport import ReadingTransport
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Backend, headers, run_in_real_time as run, setup, until, world
 from tests.test_net import READ
 
@@ -192,20 +195,17 @@
     run(main())
 
 
-TINY_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 40_000
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY_CHUNKS = CHUNKED_HEAD + b"1\r\nx\r\n" * 40_000
 MAX_STALL_S = 0.1  # as long as other work may wait
 CONNECTIONS = 8
 
 
-def _connection_to_mock() -> BackendConnection:
-    """Return a connection that awaits an answer."""
+def _connection_over(received: bytes) -> BackendConnection:
+    """Return a connection that awaits an answer, and these bytes on their way to it."""
     connection = BackendConnection(asyncio.get_running_loop(), ConnectionRegistry(8, Counters()), ByteBudget(1 << 20))
-    transport = Mock()
-    transport.get_extra_info = {"peername": ("127.0.0.1", 1), "socket": None}.get
-    transport.is_closing.return_value = False
-    transport.get_write_buffer_size.return_value = 0
-    connection.connection_made(transport)
     connection.set_response_params(read_until_eof=True, auto_decompress=False, read_bufsize=2 * MAX_LONG_BODY)
+    connection.connection_made(ReadingTransport(received))
     return connection
 
 
@@ -213,12 +213,62 @@
 def test_answers_in_tiny_chunks_do_not_stop_the_event_loop() -> None:
     async def main() -> float:
         loop, longest_s = asyncio.get_running_loop(), 0.0
-        for connection in [_connection_to_mock() for _ in range(CONNECTIONS)]:
-            loop.call_soon(connection.data_received, TINY_CHUNKS)
-        for _ in range(CONNECTIONS):
+        connections = [_connection_over(TINY_CHUNKS) for _ in range(CONNECTIONS)]
+        reading = [asyncio.create_task(_read_body(connection)) for connection in connections]
+        while not all(task.done() for task in reading):
             began_at = loop.time()
             await asyncio.sleep(0.001)
             longest_s = max(longest_s, loop.time() - began_at)
+            for connection in connections:
+                if isinstance(connection.transport, ReadingTransport) and not connection.transport.received:
+                    connection.connection_lost(None)
+        assert all(isinstance(task.exception(), ClientPayloadError) for task in reading), "the body has no end"
         return longest_s
 
     assert run(main()) < MAX_STALL_S
+
+
+async def _read_body(connection: BackendConnection) -> bytes:
+    _, body = await connection.read()
+    whole = bytearray()
+    while piece := await body.readany():
+        whole += piece
+        connection.update_flow_control()
+    return bytes(whole)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_an_answer_in_chunks_of_any_sizes_arrives_whole(seed: int) -> None:
+    random = Random(seed)
+    sizes = [random.choice((1, 7, 300, FRAMED_READ_BYTES, 3 * FRAMED_READ_BYTES)) for _ in range(60)]
+    chunks = [random.randbytes(size) for size in sizes]
+    encoded = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in [*chunks, b""])
+
+    async def main() -> None:
+        connection = _connection_over(CHUNKED_HEAD + encoded)
+        assert await asyncio.wait_for(_read_body(connection), 5.0) == b"".join(chunks)
+        assert connection.is_idle and not connection.should_close
+
+    run(main())
+
+
+def test_what_nobody_reads_stays_with_the_backend() -> None:
+    chunk = b"1000\r\n" + bytes(0x1000) + b"\r\n"
+
+    async def main() -> None:
+        connection = _connection_over(CHUNKED_HEAD + chunk * 1_000)
+        for _ in range(200):
+            await asyncio.sleep(0)
+        assert READ_HIGH_WATER < connection.buffered_bytes <= READ_HIGH_WATER + FRAMED_READ_BYTES
+
+    run(main())
+
+
+def test_a_body_of_stated_length_is_read_in_large_pieces() -> None:
+    async def main() -> None:
+        connection = _connection_over(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + bytes(100_000))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert connection.is_idle and connection.buffered_bytes == 100_000, "the rest is read at once"
+
+    run(main())
