A request that may have run is repeated only where its route still is idempotent

An operator who makes a route unsafe still had requests repeated that had arrived before. Cause: RequestLifecycle asked the route under which the request arrived, whatever was applied since. Change: the lifecycle asks for the route by the configuration applied by now; both have to be idempotent. A route that is gone leaves the type as it was, one that could not be read completely is not repeated. Tests: random histories, the front end with scripted instances, three mutants found.

--- a/hophinge/fleet/dataplane/http_frontend.py
+++ b/hophinge/fleet/dataplane/http_frontend.py
@@ -193,8 +193,9 @@
             send.reason = "no configuration"
             await answer(send, 503, b"", [RETRY_AFTER, *close_fields])
             return
+        host = host_name(find_field(fields, HOST) or "")
         path = scope["raw_path"].decode("latin-1")
-        route = table.find(host_name(find_field(fields, HOST) or ""), path)
+        route = table.find(host, path)
         if route is None:
             send.reason = "no route"
             await answer(send, 404, b"", close_fields)
@@ -208,10 +209,16 @@
             scope["method"].encode(), target, forwarded_fields(fields), body, find_field(fields, REQUEST_ID)
         )
         lifecycle = self._begin_lifecycle(arrived, route, fields, inbound)
+        lifecycle.current_route = lambda: self._current_route(host, path)
         exchange = Exchange(inbound, lifecycle, self.upstream, send, self.is_shutting_down, reservation)
         send.exchange = exchange
         await self._run_exchange(exchange, receive, connection_of(scope))
 
+    def _current_route(self, host: str, path: str) -> Route | None:
+        """Return the route in the configuration applied by now."""
+        table = self.cluster_state.route_table
+        return table.find(host, path) if table is not None else None
+
     def _begin_lifecycle(self, arrived: float, route: Route, fields: Fields, inbound: Inbound) -> RequestLifecycle:
         table = self.cluster_state.route_table
         assert table is not None
--- a/hophinge/fleet/forwarding/request_lifecycle.py
+++ b/hophinge/fleet/forwarding/request_lifecycle.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from hophinge.fleet.configuration.routes import Route
@@ -79,6 +80,7 @@
     heads: int
     trace: RequestTrace
     client_deadline: float = float("inf")  # when the client gives up if nothing has arrived
+    current_route: Callable[[], Route | None] = lambda: None  # by the configuration applied by now; None if removed
     may_have_run: bool = False  # an attempt may have run
     is_response_started: bool = False  # part of a response was sent to the client
     prefills: int = 0
@@ -178,8 +180,13 @@
         )
 
     def _may_retry(self) -> bool:
-        """Return whether a request that may have run is idempotent and has attempts left."""
-        return self.route.is_idempotent and self.possible_runs < max(1, self.route.max_attempts)
+        """Return whether a request that may have run is idempotent and has attempts left.
+
+        Its route may have become unsafe since it arrived. One that was unsafe then stays so for this request.
+        """
+        current = self.current_route()
+        is_idempotent = current is None or (current.is_available and current.is_idempotent)
+        return is_idempotent and self.route.is_idempotent and self.possible_runs < max(1, self.route.max_attempts)
 
     def _is_extra_attempt(self) -> bool:
         """Return whether the next attempt is a retry; the first prefill does not make the attempt after it a retry."""
--- a/tests/attempt_histories.py
+++ b/tests/attempt_histories.py
@@ -29,6 +29,8 @@
     Route("r", "h", "/", kind, TIMEOUT_S, 0.5, 0.0, 1, attempts, resumable, ("s",), (1.0,))
     for kind, attempts, resumable in (("unsafe", 3, False), ("safe", 3, False), ("streaming", 3, True))
 ] + [Route("r", "h", "/", "streaming", TIMEOUT_S, 0.5, 0.0, 1, 3, False, ("s",), (1.0,))]
+UNREADABLE = Route("r", "h", "/", "safe", TIMEOUT_S, 0.5, 0.0, 1, 3, False, (), ())
+CHANGE_SHARE = 0.3  # of the steps, before which a configuration is applied
 
 
 @dataclass
@@ -40,6 +42,8 @@
     sends: int = 0
     status: int = 0  # of a response that the head made itself
     is_answered: bool = False  # by an instance
+    is_changing: bool = False  # configurations with other types of the route are applied meanwhile
+    wrong_repetitions: int = 0  # runs after an earlier one, while the route in force was not idempotent
     random: Random = field(init=False)
 
     def __post_init__(self) -> None:
@@ -48,6 +52,7 @@
         self.now = 0.0
         self.events = self.random.sample(EVENTS, self.random.randrange(1, len(EVENTS)))
         self.route = self.random.choice(ROUTES)
+        self.current_route: Route | None = self.route  # None: removed
         prompt = Prompt(300, 50, (("a", 300),)) if self.route.route_type == "streaming" else None
         placement = Placement("z", lambda identity: None, Random(self.seed))
         stages = ("prefill", "decode", "decode") if prompt is not None else ("", "", "")
@@ -63,10 +68,13 @@
         self.lifecycle = RequestLifecycle(
             "q", self.route, "s", prompt, prompt is not None, 0.5, TIMEOUT_S, placement, budget, 1, trace
         )
+        self.lifecycle.current_route = lambda: self.current_route
 
     def play(self) -> None:
         """Perform steps until the request is over."""
         while True:
+            if self.is_changing and self.random.random() < CHANGE_SHARE:
+                self.current_route = self.random.choice([*ROUTES, UNREADABLE, None])
             step = self.lifecycle.next_step(self.now)
             if isinstance(step, Reject):
                 self.status = step.status
@@ -99,7 +107,8 @@
             return AttemptResult(AttemptOutcome.UNSENT)
         if event == "rejected":
             return self._respond(self.random.choice((408, 421, 429, 503)), REJECTING)
-        self.runs += self.random.random() < 0.5 or event in ("stream", "status")
+        if self.random.random() < 0.5 or event in ("stream", "status"):
+            self._run()
         if event in ("silent", "closed"):
             outcome = AttemptOutcome.BROKEN if self.lifecycle.is_response_started else AttemptOutcome.UNKNOWN
             return AttemptResult(outcome, is_silent=event == "silent")
@@ -107,6 +116,13 @@
             return AttemptResult(AttemptOutcome.BROKEN, last_event_id="3")
         return self._respond(self.random.choice((200, 408, 429, 500, 503)), [])
 
+    def _run(self) -> None:
+        is_idempotent = self.current_route is None or (
+            self.current_route.is_idempotent and self.current_route.is_available
+        )
+        self.wrong_repetitions += self.runs > 0 and not is_idempotent
+        self.runs += 1
+
     def _respond(self, status: int, fields: Fields) -> AttemptResult:
         """Classify an instance's response, as the exchange does."""
         unexecuted = unexecuted_outcome(status, fields)
@@ -121,4 +137,6 @@
         found = [f"ran {self.runs} times"] if self.runs > 1 and not self.route.is_idempotent else []
         if self.runs and promises_not_executed(self.status):
             found.append(f"ran and got {self.status}")
+        if self.wrong_repetitions:
+            found.append("ran again where its route may not any more")
         return found
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -7,6 +7,7 @@
 CLAIMS = "tests/test_fleet_claims.py::"
 ENDED = "tests/test_fleet_ended_instances.py::"
 PROCESS = "tests/test_fleet_process_ends.py::"
+FRONTEND = "tests/test_fleet_frontend.py::"
 STATE = "tests/test_fleet_connection_state.py::"
 WIRE = "tests/test_fleet_server_connection.py::"
 CROWDED = "tests/test_fleet_crowded_connections.py::"
@@ -27,6 +28,27 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a request may run again whatever its route has become",
+        "fleet/forwarding/request_lifecycle",
+        "        return is_idempotent and self.route.is_idempotent",
+        "        return self.route.is_idempotent",
+        PROMISES + "test_nothing_runs_again_once_the_route_in_force_is_not_idempotent",
+    ),
+    Mutant(
+        "a request may run again once its route has become idempotent",
+        "fleet/forwarding/request_lifecycle",
+        "        return is_idempotent and self.route.is_idempotent",
+        "        return is_idempotent",
+        PROMISES + "test_nothing_runs_again_once_the_route_in_force_is_not_idempotent",
+    ),
+    Mutant(
+        "a head repeats by the configuration under which a request arrived",
+        "fleet/dataplane/http_frontend",
+        "        lifecycle.current_route = lambda: self._current_route(host, path)",
+        "        pass",
+        FRONTEND + "test_a_request_whose_route_becomes_unsafe_is_not_sent_again",
+    ),
     Mutant(
         "the header of a whole response leaves before its body",
         "fleet/transport/server_connection",
--- a/tests/test_fleet_frontend.py
+++ b/tests/test_fleet_frontend.py
@@ -251,6 +251,30 @@
     run(play)
 
 
+@pytest.mark.parametrize(
+    ("kind_then", "status"), [("unsafe", 502), ("streaming", 200), ("safe", 200), (None, 200)], ids=str
+)
+def test_a_request_whose_route_becomes_unsafe_is_not_sent_again(kind_then: str | None, status: int) -> None:
+    """Guards against a second run that the operator's latest configuration excludes (rule TWICE)."""
+
+    async def play() -> None:
+        async with front_end(PLAIN) as here:
+
+            async def runs_and_closes(script: Script, connection: Connection, call: ReceivedCall) -> bool:
+                script.ran(call)
+                routes = [(KINDS["safe"][0], kind_then, "plain")] if kind_then is not None else []
+                here.state._apply_record(configuration_record(2, configuration_document(2, routes)))
+                return False
+
+            here.inject_ending("safe", "", runs_and_closes)
+            caller = Caller()
+            await here.call(caller, "safe")
+            assert caller.status == status
+            assert here.script.runs == {"safe-1": 1 if status == 502 else 2}
+
+    run(play)
+
+
 def _watch_deadlines(here: FrontEnd) -> list[int]:
     """Return the list that the forwarded deadlines are added to, in milliseconds."""
     deadlines: list[int] = []
--- a/tests/test_fleet_promises.py
+++ b/tests/test_fleet_promises.py
@@ -59,6 +59,18 @@
     assert min(seen.values()) > MIN_SHARE * ATTEMPT_SEEDS and len(seen) == 4, seen
 
 
+# Guards against a second run of a request whose route has become unsafe since it arrived (rule TWICE).
+def test_nothing_runs_again_once_the_route_in_force_is_not_idempotent() -> None:
+    seen: Counter[str] = Counter()
+    for seed in range(ATTEMPT_SEEDS):
+        history = AttemptHistory(seed, is_changing=True)
+        history.play()
+        assert not history.findings(), (seed, history.findings(), history.route.route_type)
+        seen["changed"] += history.current_route is not history.route
+        seen["ran again"] += history.runs > 1
+    assert min(seen.values()) > MIN_SHARE * ATTEMPT_SEEDS and len(seen) == 2, seen
+
+
 def test_a_line_of_the_log_tells_each_send_outcome_and_promise_of_a_request() -> None:
     attempts = (
         Attempt("", "i-1", 0.001, 0.0, FORECAST, 0.02, "REFUSED"),
