--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -5,6 +5,9 @@
 from tests.mutant import Mutant
 
 ANSWERS = "tests/test_net_answers.py::"
+SERVICE_PROMISES = (
+    "tests/test_net_promises.py::test_in_random_orders_nothing_runs_that_was_refused_or_stands_behind_a_close"
+)
 CUTS = "tests/test_failures_partitions.py::"
 OPERATORS = "tests/test_failures_operators.py::"
 LOSSES = "tests/test_failures_losses.py::"
@@ -22,6 +25,20 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "in service, a failed request is told as refused",
+        "net/frontend",
+        "Verdict.FAILED: 502",
+        "Verdict.FAILED: 503",
+        SERVICE_PROMISES,
+    ),
+    Mutant(
+        "in service, an attempt without an answer counts as not sent",
+        "net/backend_client",
+        "before that it cannot have.\n            outcome = AttemptResult(Result.RESET if progress.is_sent else",
+        "before that it cannot have.\n            outcome = AttemptResult(",
+        SERVICE_PROMISES,
+    ),
     Mutant(
         "chunks are received in buffers of any size",
         "net/bounded_reads",
