In service, clients' connections are read and parsed in bounded pieces, too

Callers saw: eight clients that send bodies in chunks of one byte, with long chunk extensions, or empty lines without end kept all others of a head in service from their answers: 2 and 3 answers in 6 s, all 502, and none in 5 s. Cause: the same as for backends, a loop that reads 256 KiB up to 32 times an iteration; four bytes of empty lines were parsed at a time; a body had no bound on its framing; aiohttp's reader parsed on with each piece that it took. Change: BoundedReads stands in front of these connections as well. Its buffer is halved where it has had over 128 lines. A connection parses 64 pieces an iteration. A body's framing is bounded as a backend's answer's is, and empty lines before a request as a head is; both get 400, and the connection ends. Tests: sound bodies of 64 KiB in chunks of one byte pass; five mutants found, one of them only by the test of a body that waited behind another request.

--- a/hophinge/net/bounded_reads.py
+++ b/hophinge/net/bounded_reads.py
@@ -2,7 +2,8 @@
 
 Parsing takes time by the number of chunks, not by bytes: what the event loop reads at once, and reads again while more
 is there, may take seconds in chunks of one byte. `BoundedReads` stands between a transport and such a connection: it
-offers a short buffer, and where that is filled it reads on in the next iteration.
+offers a short buffer, and where that is filled it reads on in the next iteration. The buffer is the
+shorter the more lines it has had.
 """
 
 from __future__ import annotations
@@ -12,6 +13,8 @@
 
 READ_BYTES = 256 << 10  # of a body whose length is known, at once
 FRAMED_READ_BYTES = 8 << 10  # of a header or of chunks, in one iteration
+MIN_FRAMED_READ_BYTES = 256  # of these, where they have many lines
+MAX_LINES = 128  # in a buffer; if there are more, the next one is shorter
 
 _buffer = memoryview(bytearray(READ_BYTES))  # of all connections: it is read from before the loop offers it again
 
@@ -51,20 +54,32 @@
         self._transport = transport
         self._loop = loop
         self._offered_bytes = 0
+        self._framed_bytes = FRAMED_READ_BYTES
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next bytes; called by the event loop."""
-        self._offered_bytes = FRAMED_READ_BYTES if self._receiver.parses_framing else READ_BYTES
+        self._offered_bytes = self._framed_bytes if self._receiver.parses_framing else READ_BYTES
         return cast(bytearray, _buffer[: self._offered_bytes])
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on the bytes that have been read; called by the event loop."""
-        is_framed = self._offered_bytes == FRAMED_READ_BYTES
-        self._receiver.data_received(bytes(_buffer[:nbytes]))
-        if is_framed and nbytes == self._offered_bytes and not self._transport.is_closing():
+        is_framed = self._offered_bytes < READ_BYTES
+        is_filled = nbytes == self._offered_bytes
+        data = bytes(_buffer[:nbytes])
+        if is_framed:
+            self._adapt(data)
+        self._receiver.data_received(data)
+        if is_framed and is_filled and not self._transport.is_closing():
             self._transport.pause_reading()
             self._loop.call_soon(self._read_on)
 
+    def _adapt(self, data: bytes) -> None:
+        """Halve the next buffer if this one had too many lines, else double it."""
+        if data.count(b"\n") > MAX_LINES:
+            self._framed_bytes = max(MIN_FRAMED_READ_BYTES, self._framed_bytes // 2)
+        else:
+            self._framed_bytes = min(FRAMED_READ_BYTES, self._framed_bytes * 2)
+
     def eof_received(self) -> bool | None:
         """Process the end of what the peer sends; called by the event loop."""
         return self._receiver.eof_received()
--- a/hophinge/net/client_connection.py
+++ b/hophinge/net/client_connection.py
@@ -52,8 +52,14 @@
         super().__init__(manager, owner, **params)
         self.owner_listener = owner
         self.partial_head_bytes = 0  # bytes received of an incomplete head
+        self.empty_line_bytes = 0  # received before a head
         self.is_lingering = False
 
+    @property
+    def may_read(self) -> bool:
+        """Whether nothing has paused reading; what is discarded is read at a low rate."""
+        return super().may_read and not self.is_lingering
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection as idle; called by asyncio."""
         super().connection_made(transport)
@@ -81,16 +87,22 @@
         requests_before = self.requests_read
         super()._parse(data)
         if self.requests_read != requests_before:
-            self.partial_head_bytes = 0
-        # Empty lines before a head are ignored.
-        elif requests_before == self.answered and (self.partial_head_bytes or data.strip(b"\r\n")):
+            self.partial_head_bytes = self.empty_line_bytes = 0
+        elif requests_before == self.answered:
+            self._count_head_bytes(data)
+
+    def _count_head_bytes(self, data: bytes) -> None:
+        """Bound the size of a head, and of the empty lines before it, which are ignored."""
+        if not self.partial_head_bytes and not data.strip(b"\r\n"):
+            self.empty_line_bytes += len(data)
+        else:
             if not self.partial_head_bytes:
                 self._begin_head()
             self.partial_head_bytes += len(data)
-            if self.partial_head_bytes > MAX_HEAD_BYTES and not self.is_lingering:
-                self.partial_head_bytes = 0
-                self.discard_pipelined()
-                super()._parse(b"\0")  # not allowed in a head: the parser rejects it as malformed
+        if max(self.partial_head_bytes, self.empty_line_bytes) > MAX_HEAD_BYTES and not self.is_lingering:
+            self.partial_head_bytes = self.empty_line_bytes = 0
+            self.discard_pipelined()
+            super()._parse(b"X\0")  # not allowed in a head: the parser rejects it as malformed
 
     def _begin_head(self) -> None:
         # A head may take longer than a connection may be idle; the running keep-alive timer checks this when it fires.
--- a/hophinge/net/pipelined_connection.py
+++ b/hophinge/net/pipelined_connection.py
@@ -5,13 +5,14 @@
 import asyncio
 import select
 from collections import deque
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from aiohttp import web
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from hophinge.core.counters import Counters
+from hophinge.net.bounded_reads import BoundedReads
 from hophinge.net.byte_budget import ByteBudget
 
 HEAD_END = b"\r\n\r\n"
@@ -24,6 +25,9 @@
 CLOSE_POLL_S = 0.04
 CLIENT_READ_TIMEOUT_S = 10.0  # for a client to read the bytes that wait for it, plus time for each byte
 MIN_CLIENT_READ_RATE = 16_000  # bytes per second; slower clients occupy a connection for too long
+MAX_PIECES_PER_TURN = 64  # parsed for one connection in an iteration of the event loop
+# Bytes of framing that a chunked body may have beyond its own length; 64 KiB in chunks of one byte take 384 KiB in all.
+MAX_CHUNK_FRAMING = 512 * 1024
 COALESCE_S = 0.01  # reads within this time count as one arrival
 HANGUP_EVENTS = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
 
@@ -35,6 +39,11 @@
     pipelined_bytes: ByteBudget
 
 
+def length_of_empty_lines(data: bytearray) -> int:
+    """Return the length of the line ends that `data` begins with."""
+    return len(data) - len(data.lstrip(b"\r\n"))
+
+
 def length_to_head_end(before: bytes, data: bytearray) -> int:
     """Return the length of `data` up to a head's end, which may begin in `before`; all of it if there is none."""
     index = (before + data[:3]).find(HEAD_END)
@@ -73,6 +82,8 @@
         self.parsed_tail = b""  # the last three bytes passed to the parser
         self.request_payload: StreamReader = EMPTY_PAYLOAD  # body of the last parsed request
         self.content_length: int | None = None  # of that body, if stated
+        self.chunked_bytes = 0  # received of that body, if it has no stated length
+        self.is_advance_scheduled = False
         self.is_throttled = False  # reading is paused because the client has sent too much
         self.hangup_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
@@ -82,11 +93,27 @@
         """The number of parsed requests, including malformed ones."""
         return self._request_count
 
+    @property
+    def parses_framing(self) -> bool:
+        """Whether the next bytes are of a head or of chunks."""
+        return self.content_length is None or self.request_payload.is_eof()
+
+    @property
+    def may_read(self) -> bool:
+        """Whether neither this connection nor aiohttp has paused reading."""
+        return not self.is_throttled and not self._reading_paused and not self._buffer_paused
+
     @property
     def has_next_request(self) -> bool:
         """Whether a request has arrived behind the open one."""
         return self.requests_read > self.answered + 1 or HEAD_END in self.pipelined
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Read in bounded pieces; called by asyncio."""
+        super().connection_made(transport)
+        tcp = cast(asyncio.Transport, transport)
+        tcp.set_protocol(BoundedReads(self, tcp, self._loop))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Discard the buffered bytes; called by asyncio."""
         self.discard_pipelined()
@@ -152,7 +179,13 @@
         self.advance()
 
     def advance(self) -> None:
-        """Parse up to the end of the next request, if the requests before it have been answered."""
+        """Parse up to the end of the next request, if the requests before it have been answered.
+
+        What takes many pieces goes on in the next iteration of the event loop.
+        """
+        if self.is_advance_scheduled:
+            return
+        pieces = 0
         while (
             self.pipelined
             and not self._reading_paused
@@ -161,6 +194,10 @@
                 self.requests_read - self.answered < (1 if self.request_payload.is_eof() else 2)
             )
         ):
+            pieces += 1
+            if pieces > MAX_PIECES_PER_TURN:
+                self._schedule_advance()
+                break
             size = self._next_parse_size()
             data = bytes(self.pipelined[:size])
             del self.pipelined[:size]
@@ -170,6 +207,16 @@
         self._update_budget()
         self._throttle()
 
+    def _schedule_advance(self) -> None:
+        if not self.is_advance_scheduled:
+            self.is_advance_scheduled = True
+            self._loop.call_soon(self._advance_later)
+
+    def _advance_later(self) -> None:
+        self.is_advance_scheduled = False
+        if self.transport is not None:
+            self.advance()
+
     def discard_pipelined(self) -> None:
         """Discard the bytes buffered behind the open request."""
         self.pipelined.clear()
@@ -186,12 +233,21 @@
         if self._request_count != count and self._messages:
             message, self.request_payload = self._messages[-1]
             self.content_length = None
+            self.chunked_bytes = 0
             if not isinstance(message, _ErrInfo):
                 if self.request_payload is not EMPTY_PAYLOAD and (stated := message.headers.get("Content-Length")):
                     self.content_length = int(stated)  # only digits: the parser has checked that
             elif not payload.is_eof():
                 # The parser drops a body that it could not parse; without an error its request would wait for the rest.
                 payload.set_exception(web.RequestPayloadError(message.message))
+        elif self.content_length is None and not payload.is_eof():
+            self._check_framing(len(data), payload)
+
+    def _check_framing(self, received: int, payload: StreamReader) -> None:
+        """Fail a chunked body of endless chunk extensions, or of very many tiny chunks."""
+        self.chunked_bytes += received
+        if self.chunked_bytes > MAX_CHUNK_FRAMING + 2 * payload.total_bytes and payload.exception() is None:
+            payload.set_exception(web.RequestPayloadError("the chunk framing is too long"))
 
     def _record_arrival(self, size: int) -> None:
         now = self._loop.time()
@@ -223,7 +279,7 @@
         """Return how many bytes to parse: up to the end of the body, if its length is known, or of a head."""
         if self.content_length is not None and not self.request_payload.is_eof():
             return min(len(self.pipelined), max(1, self.content_length - self.request_payload.total_bytes))
-        return length_to_head_end(self.parsed_tail, self.pipelined)
+        return length_of_empty_lines(self.pipelined) or length_to_head_end(self.parsed_tail, self.pipelined)
 
     def _update_budget(self) -> None:
         self.owner.pipelined_bytes.used += len(self.pipelined) - self.counted_bytes
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -5,6 +5,7 @@
 from tests.mutant import Mutant
 
 ANSWERS = "tests/test_net_answers.py::"
+ENDLESS = "tests/test_net_endless_requests.py::"
 SERVICE_PROMISES = (
     "tests/test_net_promises.py::test_in_random_orders_nothing_runs_that_was_refused_or_stands_behind_a_close"
 )
@@ -25,6 +26,41 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "in service, one iteration parses a body's pieces as long as there are more",
+        "net/pipelined_connection",
+        "            if pieces > MAX_PIECES_PER_TURN:",
+        "            if False:",
+        ENDLESS + "test_a_body_that_waited_behind_another_request_does_not_stop_the_event_loop",
+    ),
+    Mutant(
+        "in service, reading a body parses on at once",
+        "net/pipelined_connection",
+        "        if self.is_advance_scheduled:\n            return\n",
+        "",
+        ENDLESS + "test_bodies_in_tiny_pieces_do_not_stop_the_event_loop[chunks of empty lines]",
+    ),
+    Mutant(
+        "in service, a body may have any framing",
+        "net/pipelined_connection",
+        "            self._check_framing(len(data), payload)",
+        "            pass",
+        ENDLESS + "test_bodies_in_tiny_pieces_do_not_stop_the_event_loop[chunks of one byte]",
+    ),
+    Mutant(
+        "in service, any number of empty lines may stand before a request",
+        "net/client_connection",
+        "            self.empty_line_bytes += len(data)",
+        "            pass",
+        ENDLESS + "test_endless_bytes_before_a_request_end_their_connection_alone[empty lines]",
+    ),
+    Mutant(
+        "buffers stay as long whatever their lines",
+        "net/bounded_reads",
+        '        if data.count(b"\\n") > MAX_LINES:',
+        "        if False:",
+        ENDLESS + "test_the_buffer_is_the_shorter_the_more_lines_it_has_had",
+    ),
     Mutant(
         "in service, a failed request is told as refused",
         "net/frontend",
@@ -42,7 +78,7 @@
     Mutant(
         "chunks are received in buffers of any size",
         "net/bounded_reads",
-        "FRAMED_READ_BYTES if self._receiver.parses_framing else READ_BYTES",
+        "self._framed_bytes if self._receiver.parses_framing else READ_BYTES",
         "READ_BYTES - 1",
         ANSWERS + "test_answers_in_tiny_chunks_do_not_stop_the_event_loop",
     ),
--- a/tests/reading_transport.py
+++ b/tests/reading_transport.py
@@ -18,6 +18,7 @@
         self.protocol: Any = None
         self.is_paused = False
         self.is_closed = False
+        self.written = bytearray()
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
         """Receive for another protocol, as soon as the loop goes on."""
@@ -45,6 +46,14 @@
             self.is_paused = False
             self.loop.call_soon(self._read)
 
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Record what is sent."""
+        self.written += data
+
+    def can_write_eof(self) -> bool:
+        """Return False: a half-closed connection is not what it stands for."""
+        return False
+
     def get_write_buffer_size(self) -> int:
         """Return 0: everything is sent at once."""
         return 0
