A frame between members has at most 200,000 data items

A peer that says Hello could end a member with one frame. Change: a frame of over 64 KiB has its items counted by their heads before it is decoded; one with too many is no valid message, which costs the connection and has its log line. Stored records are read as before.

--- a/hophinge/fleet/transport/frames.py
+++ b/hophinge/fleet/transport/frames.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from hophinge.coordination.codec import CodecError, decode, encode, wire
+from hophinge.coordination.codec_limits import MAX_ITEMS, holds_too_many_items
 from hophinge.coordination.view import Replica
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -55,7 +56,7 @@
         """Return the next message; None if it is not complete.
 
         Raises:
-            CodecError: The frame is too long, or does not contain a valid message.
+            CodecError: The frame is too long, has too many data items, or does not contain a valid message.
 
         """
         end = self.expected_bytes
@@ -65,4 +66,6 @@
             return None
         payload = bytes(self._buffer[LENGTH_PREFIX.size : end])
         del self._buffer[:end]
+        if holds_too_many_items(payload):
+            raise CodecError(f"a frame of {len(payload)} bytes holds more than {MAX_ITEMS} items")
         return decode(payload)
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -8,6 +8,7 @@
 ENDED = "tests/test_fleet_ended_instances.py::"
 PROCESS = "tests/test_fleet_process_ends.py::"
 FRONTEND = "tests/test_fleet_frontend.py::"
+ITEMS = "tests/test_coordination_codec_limits.py::"
 STATE = "tests/test_fleet_connection_state.py::"
 WIRE = "tests/test_fleet_server_connection.py::"
 CROWDED = "tests/test_fleet_crowded_connections.py::"
@@ -28,6 +29,20 @@
 )
 
 FORWARDING_MUTANTS = (
+    Mutant(
+        "a frame may have any number of items",
+        "fleet/transport/frames",
+        "        if holds_too_many_items(payload):",
+        "        if False:",
+        ITEMS + "test_a_frame_of_very_many_items_is_rejected_and_takes_little_memory[small numbers]",
+    ),
+    Mutant(
+        "the content of a long string counts as items",
+        "coordination/codec_limits",
+        '    return content + int.from_bytes(data[position + 1 : content], "big")',
+        "    return content",
+        ITEMS + "test_items_are_counted_as_they_are_encoded[0]",
+    ),
     Mutant(
         "a request may run again whatever its route has become",
         "fleet/forwarding/request_lifecycle",
