--- a/hophinge/net/bounded_reads.py
+++ b/hophinge/net/bounded_reads.py
@@ -12,7 +12,7 @@
 from typing import Protocol, cast
 
 READ_BYTES = 256 << 10  # of a body whose length is known, at once
-FRAMED_READ_BYTES = 8 << 10  # of a header or of chunks, in one iteration
+FRAMED_READ_BYTES = 4 << 10  # of a header or of chunks, in one iteration
 MIN_FRAMED_READ_BYTES = 256  # of these, where they have many lines
 MAX_LINES = 128  # in a buffer; if there are more, the next one is shorter
 
--- a/hophinge/net/frontend.py
+++ b/hophinge/net/frontend.py
@@ -180,12 +180,12 @@
             while chunk:
                 self.budget.used += len(chunk)
                 try:
+                    if self.rate_limit is not None:
+                        await self.rate_limit(volume, klass, OUTBOUND, len(chunk))
                     async with asyncio.timeout(CLIENT_READ_TIMEOUT_S):
                         await response.write(chunk)
                 finally:
                     self.budget.used -= len(chunk)
-                if self.rate_limit is not None:
-                    await self.rate_limit(volume, klass, OUTBOUND, len(chunk))
                 chunk = await rest.read()
         except (ConnectionError, TimeoutError):
             # The backend's answer was truncated, or the client has disconnected or does not read. The connection is
--- a/hophinge/net/listener.py
+++ b/hophinge/net/listener.py
@@ -67,7 +67,7 @@
         )
 
 
-# Called with the volume, the class, the direction and the bytes just moved; waits to keep to the rate.
+# Called with the volume, the class, the direction and a number of bytes; waits to keep to the rate.
 RateLimit = Callable[[str, str, int, int], Awaitable[None]]
 
 
--- a/tests/forwarding_mutants.py
+++ b/tests/forwarding_mutants.py
@@ -229,7 +229,7 @@
     Mutant(
         "a request that may have run is sent again whatever its route",
         "fleet/forwarding/request_lifecycle",
-        "        return self.route.is_idempotent and self.possible_runs",
+        "        return is_idempotent and self.route.is_idempotent and self.possible_runs",
         "        return self.possible_runs",
         ATTEMPTS,
     ),
