In service, the time of a body excludes what the head itself takes for it

An upload that keeps to its tenant's rate could fail with 503 although its client sent as fast as it was read. Cause: the deadline ran from the first byte, also while the consumer (the rate of a tenant, a slow backend) held it up. A client that itself takes 1 s fails as before. One mutant, found.

--- a/hophinge/net/frontend.py
+++ b/hophinge/net/frontend.py
@@ -223,9 +223,10 @@
     async def _body_chunks(self, request: web.BaseRequest, received: int = 0) -> AsyncIterator[bytes]:
         """Yield a body's chunks; raises MalformedRequestError if it stalls, is too slow, too long or malformed."""
         started_at, size, content = self.loop.time(), 0, request.content
+        consumer_s = 0.0  # in which the client waited for the consumer
         try:
             while True:
-                deadline = started_at + BODY_TIMEOUT_S + size / MIN_BODY_RATE
+                deadline = started_at + consumer_s + BODY_TIMEOUT_S + size / MIN_BODY_RATE
                 async with asyncio.timeout(max(0.0, min(CHUNK_TIMEOUT_S, deadline - self.loop.time()))):
                     chunk = await content.readany()
                 if not chunk:
@@ -233,8 +234,9 @@
                 size += len(chunk)
                 if received + size > MAX_LONG_BODY:
                     raise MalformedRequestError(413, "the body is too large")
+                yielded_at = self.loop.time()
                 yield chunk
-                # The chunk time-out starts anew, so it excludes the time that the consumer took.
+                consumer_s += self.loop.time() - yielded_at
         except TimeoutError as error:
             raise MalformedRequestError(408, "timed out waiting for the request body") from error
         except web.RequestPayloadError as error:
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -26,6 +26,13 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "in service, the time of a body includes what the head takes for it",
+        "net/frontend",
+        "                consumer_s += self.loop.time() - yielded_at",
+        "                pass",
+        "tests/test_net_body_deadlines.py::test_a_body_that_the_head_itself_delays_is_not_too_slow[0.1-True]",
+    ),
     Mutant(
         "in service, one iteration parses a body's pieces as long as there are more",
         "net/pipelined_connection",
