A file of manual ejections of another version is not replaced

During an upgrade to a newer file version, an ejection at the older process replaced the newer one's file, and its ejections with it; a newer form that did not decode as the old one was rewritten as malformed. Cause: the version was looked at only when the file was read, and after decoding the whole of it. Change: the version is decoded alone, before the file is read and before it is written. The line in the log says, as before, that ejections are not shared.

--- a/hophinge/head/process_handoff.py
+++ b/hophinge/head/process_handoff.py
@@ -17,8 +17,14 @@
 LOCK_PREFIX, EJECTIONS_FILE = "live-", "marks.json"
 
 
+class FileHeader(msgspec.Struct):
+    """The part of the file of manual ejections that all versions have."""
+
+    version: int
+
+
 class EjectionFile(msgspec.Struct):
-    """The file of manual ejections; one of another version is not merged."""
+    """The file of manual ejections; one of another version is neither merged nor replaced."""
 
     version: int
     marks: dict[str, ManualEjection]
@@ -89,22 +95,33 @@
             if (status.st_mtime_ns, status.st_ino) == self.last_read:
                 return
             self.last_read = status.st_mtime_ns, status.st_ino
+            if self._is_of_another_version():
+                return
             try:
                 stored = msgspec.json.decode(path.read_bytes(), type=EjectionFile)
             except msgspec.MsgspecError as error:
                 self.log(f"{path} is malformed and will be rewritten: {error}")
                 stored = EjectionFile(FILE_VERSION, {})
-            if stored.version != FILE_VERSION:
-                return self.log(
-                    f"{path} has version {stored.version}, not {FILE_VERSION}; manual ejections are not shared"
-                )
             self.ejections.merge(stored.marks)
             if any(stored.marks.get(node) != ejection for node, ejection in self.ejections.ejections.items()):
                 self.write()
-        return None
+
+    def _is_of_another_version(self) -> bool:
+        """Return whether the file is of another version, as a newer program writes it, and log that."""
+        path = self.folder / EJECTIONS_FILE
+        try:
+            header = msgspec.json.decode(path.read_bytes(), type=FileHeader)
+        except (FileNotFoundError, msgspec.MsgspecError):
+            return False
+        if header.version == FILE_VERSION:
+            return False
+        self.log(f"{path} has version {header.version}, not {FILE_VERSION}; manual ejections are not shared")
+        return True
 
     def write(self) -> None:
-        """Write the ejections of this process to the file, replacing it atomically."""
+        """Write the ejections of this process to the file, replacing it atomically, unless it is of another version."""
+        if self._is_of_another_version():
+            return
         path = self.folder / f"marks-{os.getpid()}"
         path.write_bytes(msgspec.json.encode(EjectionFile(FILE_VERSION, self.ejections.ejections)))
         os.replace(path, self.folder / EJECTIONS_FILE)
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -26,6 +26,13 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "an ejection replaces a file of another version",
+        "head/process_handoff",
+        "        if self._is_of_another_version():\n            return\n        path",
+        "        path",
+        "tests/test_handover.py::test_a_file_of_ejections_of_another_version_is_not_replaced",
+    ),
     Mutant(
         "in service, the time of a body includes what the head takes for it",
         "net/frontend",
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -105,6 +105,21 @@
     shared.handoff.close()
 
 
+# Guards against the loss of a newer program's ejections during an upgrade.
+@pytest.mark.parametrize("content", [b'{"version": 2, "marks": {}}', b'{"version": 2, "ejected": ["b"]}'])
+def test_a_file_of_ejections_of_another_version_is_not_replaced(content: bytes, tmp_path: Path) -> None:
+    shared = SharedEjections(tmp_path)
+    shared.replace(content)
+    shared.handoff.refresh()
+    assert shared.ejections.eject("a") and shared.ejections.is_ejected("a")
+    assert (shared.folder / EJECTIONS_FILE).read_bytes() == content
+    assert any("has version 2" in line for line in shared.log_lines)
+    shared.replace(msgspec.json.encode(EjectionFile(FILE_VERSION, {})))
+    shared.handoff.refresh()
+    assert shared.read().marks == shared.ejections.ejections, "shared again with a file of this version"
+    shared.handoff.close()
+
+
 @pytest.mark.parametrize("processes", [1, 2])
 def test_two_processes_send_no_more_to_a_cold_or_warm_backend_than_one_does(processes: int) -> None:
     rules = dataclasses.replace(
