--- a/hophinge/net/backend_connection.py
+++ b/hophinge/net/backend_connection.py
@@ -16,6 +16,7 @@
 
 from hophinge.net.bounded_reads import BoundedReads
 from hophinge.net.byte_budget import ByteBudget
+from hophinge.net.chunk_framing import is_framing_too_long
 from hophinge.net.payload import MAX_LONG_BODY
 from hophinge.net.connection_registry import ConnectionRegistry
 
@@ -23,8 +24,6 @@
 STALL_TIMEOUT_S = 0.5  # between bytes of an answer: a backend does its work before it begins to answer
 STREAM_STALL_TIMEOUT_S = 5.0  # the same while the answer is being forwarded, when no other attempt can replace it
 READ_HIGH_WATER = 128 * 1024  # bytes buffered of one answer; the rest waits in the socket buffers and at the backend
-# Bytes of framing that a chunked body may have beyond its own length; 64 KiB in chunks of one byte take 384 KiB in all.
-MAX_CHUNK_FRAMING = 512 * 1024
 STATUS_LINE_START = b"HTTP/1."
 HEAD = re.compile(
     rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n\0]*)?\r\n"
@@ -184,8 +183,8 @@
                 self._fail("the chunked encoding is malformed")
             elif body is None or body.is_eof():
                 self.state = "idle"
-            elif self.framing_bytes > MAX_CHUNK_FRAMING + 2 * body.total_bytes:
-                self._fail("the chunk framing is too long")  # endless chunk extensions, or very many tiny chunks
+            elif is_framing_too_long(self.framing_bytes, body.total_bytes):
+                self._fail("the chunk framing is too long")
             return
         expected, surplus = data[: self.body_remaining], data[self.body_remaining :]
         self.body_remaining -= len(expected)
--- a/hophinge/net/pipelined_connection.py
+++ b/hophinge/net/pipelined_connection.py
@@ -14,6 +14,7 @@
 from hophinge.core.counters import Counters
 from hophinge.net.bounded_reads import BoundedReads
 from hophinge.net.byte_budget import ByteBudget
+from hophinge.net.chunk_framing import is_framing_too_long
 
 HEAD_END = b"\r\n\r\n"
 # Buffered bytes behind the open request above which reading is paused; a close is then only detected by polling.
@@ -26,8 +27,6 @@
 CLIENT_READ_TIMEOUT_S = 10.0  # for a client to read the bytes that wait for it, plus time for each byte
 MIN_CLIENT_READ_RATE = 16_000  # bytes per second; slower clients occupy a connection for too long
 MAX_PIECES_PER_TURN = 64  # parsed for one connection in an iteration of the event loop
-# Bytes of framing that a chunked body may have beyond its own length; 64 KiB in chunks of one byte take 384 KiB in all.
-MAX_CHUNK_FRAMING = 512 * 1024
 COALESCE_S = 0.01  # reads within this time count as one arrival
 HANGUP_EVENTS = select.POLLHUP | select.POLLERR | getattr(select, "POLLRDHUP", 0)
 
@@ -244,9 +243,9 @@
             self._check_framing(len(data), payload)
 
     def _check_framing(self, received: int, payload: StreamReader) -> None:
-        """Fail a chunked body of endless chunk extensions, or of very many tiny chunks."""
+        """Fail a chunked body whose framing is too long."""
         self.chunked_bytes += received
-        if self.chunked_bytes > MAX_CHUNK_FRAMING + 2 * payload.total_bytes and payload.exception() is None:
+        if is_framing_too_long(self.chunked_bytes, payload.total_bytes) and payload.exception() is None:
             payload.set_exception(web.RequestPayloadError("the chunk framing is too long"))
 
     def _record_arrival(self, size: int) -> None:
