Tests of stalls measure the processor time of an iteration, with the same bound

What the tests ask for is a bound on work by iteration, and the clock also has what other processes take; the bound of 0.1 s stays.

--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -52,7 +52,7 @@
         "net/pipelined_connection",
         "        if self.is_advance_scheduled:\n            return\n",
         "",
-        ENDLESS + "test_bodies_in_tiny_pieces_do_not_stop_the_event_loop[chunks of empty lines]",
+        ENDLESS + "test_a_body_that_waited_behind_another_request_does_not_stop_the_event_loop",
     ),
     Mutant(
         "in service, a body may have any framing",
--- a/tests/reading_transport.py
+++ b/tests/reading_transport.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 READS_PER_ITERATION = 32  # as libuv
 
 
+async def iteration_s() -> float:
+    """Return the processor time of what the event loop does before it comes back to the caller, in seconds.
+
+    On a busy machine the time on the clock also has what other processes take.
+    """
+    began_at = time.thread_time()
+    await asyncio.sleep(0.001)
+    return time.thread_time() - began_at
+
+
 class ReadingTransport(asyncio.Transport):
     """A transport over bytes that have arrived, for a protocol that offers buffers."""
 
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -19,7 +19,7 @@
 from hophinge.net.byte_budget import ByteBudget
 from hophinge.net.connection_registry import ConnectionRegistry
 from hophinge.net.payload import MAX_LONG_BODY
-from tests.reading_transport import ReadingTransport
+from tests.reading_transport import ReadingTransport, iteration_s
 from tests.stand_in import OBJECT, VOLUME, Behaviour, Backend, headers, run_in_real_time as run, setup, until, world
 from tests.test_net import READ
 
@@ -212,13 +212,11 @@
 # Guards against an event loop that stands still while it parses what has come in tiny chunks on several connections.
 def test_answers_in_tiny_chunks_do_not_stop_the_event_loop() -> None:
     async def main() -> float:
-        loop, longest_s = asyncio.get_running_loop(), 0.0
+        longest_s = 0.0
         connections = [_connection_over(TINY_CHUNKS) for _ in range(CONNECTIONS)]
         reading = [asyncio.create_task(_read_body(connection)) for connection in connections]
         while not all(task.done() for task in reading):
-            began_at = loop.time()
-            await asyncio.sleep(0.001)
-            longest_s = max(longest_s, loop.time() - began_at)
+            longest_s = max(longest_s, await iteration_s())
             for connection in connections:
                 if isinstance(connection.transport, ReadingTransport) and not connection.transport.received:
                     connection.connection_lost(None)
--- a/tests/test_net_endless_requests.py
+++ b/tests/test_net_endless_requests.py
@@ -9,7 +9,7 @@
 
 from hophinge.net.bounded_reads import FRAMED_READ_BYTES, MIN_FRAMED_READ_BYTES, BoundedReads
 from hophinge.net.client_connection import MAX_HEAD_BYTES
-from tests.reading_transport import ReadingTransport
+from tests.reading_transport import ReadingTransport, iteration_s
 from tests.stand_in import OBJECT, VOLUME, Backend, Wire, headers, held_by, run_in_real_time as run, until, world
 
 CONNECTIONS = 8
@@ -38,11 +38,9 @@
 
 async def _longest_stall(transports: list[ReadingTransport]) -> float:
     """Return how long the event loop was not free at most, until all connections are closed or have read everything."""
-    loop, longest_s = asyncio.get_running_loop(), 0.0
+    longest_s = 0.0
     while not all(transport.is_closed or not transport.received for transport in transports):
-        began_at = loop.time()
-        await asyncio.sleep(0.001)
-        longest_s = max(longest_s, loop.time() - began_at)
+        longest_s = max(longest_s, await iteration_s())
     return longest_s
 
 
@@ -82,12 +80,7 @@
             service.front.server().connection_made(transport)
             await until(lambda: len(backend.seen) == 1 and not transport.received)
             gate.set()
-            loop, longest_s = asyncio.get_running_loop(), 0.0
-            for _ in range(200):
-                began_at = loop.time()
-                await asyncio.sleep(0.001)
-                longest_s = max(longest_s, loop.time() - began_at)
-            assert longest_s < MAX_STALL_S
+            assert max([await iteration_s() for _ in range(200)]) < MAX_STALL_S
             assert transport.written.startswith(b"HTTP/1.1 404"), "the first request is answered"
             transport.protocol.connection_lost(None)
 
