In service, the log names a backend whose connection was cut off, and why

Now: `backend connection cut off endpoint= unlogged= reason=`, a line for each endpoint and second. A test, a mutant.

--- a/hophinge/net/backend_client.py
+++ b/hophinge/net/backend_client.py
@@ -108,7 +108,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         allowed = settings.allowed
         # The connector has no limit, as it would queue attempts out of sight; `max_attempts` rejects them instead.
-        self.registry = ConnectionRegistry(max_attempts, counters)
+        self.registry = ConnectionRegistry(max_attempts, counters, log)
         idle_s = IDLE_TIMEOUT_FRACTION * (allowed.conn_idle_us or 30_000_000) / 1e6
         self.connector = BackendConnector(self.registry, budget, limit=0)
         self.pool = ConnectionPool(
--- a/hophinge/net/backend_connection.py
+++ b/hophinge/net/backend_connection.py
@@ -226,6 +226,7 @@
 
     def _fail(self, reason: str) -> None:
         self.state = "idle"
+        self.registry.cut_off_log.record(self._loop.time(), self.endpoint, reason)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(BackendProtocolError(reason))
         self.set_exception(BackendProtocolError(reason))
--- a/hophinge/net/connection_registry.py
+++ b/hophinge/net/connection_registry.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from hophinge.core.counters import Counters
+from hophinge.net.cut_off_log import CutOffLog
 
 if TYPE_CHECKING:
     from hophinge.net.backend_connection import BackendConnection
@@ -17,9 +18,10 @@
     The pool alone would keep connections to removed backends, and all that a load peak opened, until they time out.
     """
 
-    def __init__(self, limit: int, counters: Counters) -> None:
+    def __init__(self, limit: int, counters: Counters, log: Callable[[str], None]) -> None:
         self.limit = limit
         self.counters = counters
+        self.cut_off_log = CutOffLog(log)
         self.open: dict[BackendConnection, None] = {}
         self.endpoints_in_use: set[str] | None = None  # endpoints to which idle connections are kept; None: all
         self.limit_per_endpoint = limit  # connections to one endpoint above which idle ones are evicted
@@ -54,6 +56,7 @@
     def retain(self, endpoints: Iterable[str]) -> None:
         """Close idle connections to all endpoints but these."""
         self.endpoints_in_use = kept = set(endpoints)
+        self.cut_off_log.retain(kept)
         for connection in [other for other in self.open if other.is_idle and other.endpoint not in kept]:
             self._evict(connection)
 
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -26,6 +26,13 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "in service, the log does not name a backend that was cut off",
+        "net/backend_connection",
+        "        self.registry.cut_off_log.record(self._loop.time(), self.endpoint, reason)",
+        "        pass",
+        ANSWERS + "test_the_log_names_the_backend_that_was_cut_off_and_why_once_a_second",
+    ),
     Mutant(
         "an ejection replaces a file of another version",
         "head/process_handoff",
