--- a/hophinge/net/bounded_reads.py
+++ b/hophinge/net/bounded_reads.py
@@ -11,7 +11,7 @@
 import asyncio
 from typing import Protocol, cast
 
-READ_BYTES = 256 << 10  # of a body whose length is known, at once
+READ_BYTES = 64 << 10  # of a body whose length is known, at once
 FRAMED_READ_BYTES = 4 << 10  # of a header or of chunks, in one iteration
 MIN_FRAMED_READ_BYTES = 256  # of these, where they have many lines
 MAX_LINES = 128  # in a buffer; if there are more, the next one is shorter
