In service, event loops of two threads do not share a read buffer; line ends are counted without a copy

The buffer that BoundedReads offers was one for the process. The kernel fills it while other threads run, so that two event loops in one process could have had each other's bytes; a head has one loop, so no caller saw it. It is one for each thread now; the test fails with the former buffer.

--- a/hophinge/net/bounded_reads.py
+++ b/hophinge/net/bounded_reads.py
@@ -2,13 +2,14 @@
 
 Parsing takes time by the number of chunks, not by bytes: what the event loop reads at once, and reads again while more
 is there, may take seconds in chunks of one byte. `BoundedReads` stands between a transport and such a connection: it
-offers a short buffer, and where that is filled it reads on in the next iteration. The buffer is the
-shorter the more lines it has had.
+offers a short buffer, and where that is filled it reads on in the next iteration. The more lines a buffer has had, the
+shorter is the next one.
 """
 
 from __future__ import annotations
 
 import asyncio
+import threading
 from typing import Protocol, cast
 
 READ_BYTES = 64 << 10  # of a body whose length is known, at once
@@ -16,7 +17,15 @@
 MIN_FRAMED_READ_BYTES = 256  # of these, where they have many lines
 MAX_LINES = 128  # in a buffer; if there are more, the next one is shorter
 
-_buffer = memoryview(bytearray(READ_BYTES))  # of all connections: it is read from before the loop offers it again
+
+class _ReadBuffer(threading.local):
+    """The buffer of all connections of a thread's event loop, which fills it and passes it on without a break."""
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(READ_BYTES))
+
+
+_buffer = _ReadBuffer()
 
 
 class Receiver(Protocol):
@@ -53,23 +62,24 @@
         self._receiver = receiver
         self._transport = transport
         self._loop = loop
+        self._is_framed = True  # the bytes for which a buffer was offered
         self._offered_bytes = 0
         self._framed_bytes = FRAMED_READ_BYTES
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next bytes; called by the event loop."""
-        self._offered_bytes = self._framed_bytes if self._receiver.parses_framing else READ_BYTES
-        return cast(bytearray, _buffer[: self._offered_bytes])
+        self._is_framed = self._receiver.parses_framing
+        self._offered_bytes = self._framed_bytes if self._is_framed else READ_BYTES
+        return cast(bytearray, _buffer.view[: self._offered_bytes])
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on the bytes that have been read; called by the event loop."""
-        is_framed = self._offered_bytes < READ_BYTES
-        is_filled = nbytes == self._offered_bytes
-        data = bytes(_buffer[:nbytes])
-        if is_framed:
+        data = bytes(_buffer.view[:nbytes])
+        must_wait = self._is_framed and nbytes == self._offered_bytes
+        if self._is_framed:
             self._adapt(data)
         self._receiver.data_received(data)
-        if is_framed and is_filled and not self._transport.is_closing():
+        if must_wait and not self._transport.is_closing():
             self._transport.pause_reading()
             self._loop.call_soon(self._read_on)
 
--- a/hophinge/net/pipelined_connection.py
+++ b/hophinge/net/pipelined_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import select
 from collections import deque
 from typing import Any, Protocol, cast
@@ -17,6 +18,7 @@
 from hophinge.net.chunk_framing import is_framing_too_long
 
 HEAD_END = b"\r\n\r\n"
+LINE_ENDS = re.compile(rb"[\r\n]+")
 # Buffered bytes behind the open request above which reading is paused; a close is then only detected by polling.
 MAX_PIPELINED_EACH = 256 * 1024
 # Such bytes above which a connection counts as flooding while the budget of all connections is exhausted.
@@ -40,7 +42,8 @@
 
 def length_of_empty_lines(data: bytearray) -> int:
     """Return the length of the line ends that `data` begins with."""
-    return len(data) - len(data.lstrip(b"\r\n"))
+    line_ends = LINE_ENDS.match(data)
+    return line_ends.end() if line_ends is not None else 0
 
 
 def length_to_head_end(before: bytes, data: bytearray) -> int:
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -99,7 +99,7 @@
     Mutant(
         "chunks are received in buffers of any size",
         "net/bounded_reads",
-        "self._framed_bytes if self._receiver.parses_framing else READ_BYTES",
+        "self._framed_bytes if self._is_framed else READ_BYTES",
         "READ_BYTES - 1",
         ANSWERS + "test_answers_in_tiny_chunks_do_not_stop_the_event_loop",
     ),
--- a/tests/test_net_endless_requests.py
+++ b/tests/test_net_endless_requests.py
@@ -97,9 +97,11 @@
 
     def __init__(self) -> None:
         self.sizes: list[int] = []
+        self.received = b""
 
     def data_received(self, data: bytes) -> None:
         self.sizes.append(len(data))
+        self.received += data
 
     def eof_received(self) -> None:
         pass
@@ -114,6 +116,25 @@
         pass
 
 
+# Guards against bytes of one loop's connection that reach another loop's: the kernel fills a buffer without the GIL.
+def test_event_loops_of_two_threads_do_not_share_a_buffer() -> None:
+    async def main() -> list[bytes]:
+        loop = asyncio.get_running_loop()
+        receivers = [RecordingReceiver(), RecordingReceiver()]
+        first, second = (BoundedReads(receiver, ReadingTransport(b""), loop) for receiver in receivers)
+
+        def read_in_between() -> None:
+            second.get_buffer(-1)[:5] = b"other"
+            second.buffer_updated(5)
+
+        first.get_buffer(-1)[:5] = b"bytes"
+        await asyncio.to_thread(read_in_between)
+        first.buffer_updated(5)
+        return [receiver.received for receiver in receivers]
+
+    assert run(main()) == [b"bytes", b"other"]
+
+
 def test_the_buffer_is_the_shorter_the_more_lines_it_has_had() -> None:
     async def main() -> list[int]:
         receiver, transport = RecordingReceiver(), ReadingTransport(TINY_CHUNK * 4_000 + bytes(100_000))
