An object's pieces keep to its tenant's rate before they are written, as other answers do

Callers saw: the last piece of an object ahead of the rate, by its own length; the cause that repaired for answers of backends, left in the object API. Both now have a test that holds the rate closed and looks for a first byte: the object's failed before.

--- a/hophinge/objects/request_handlers.py
+++ b/hophinge/objects/request_handlers.py
@@ -214,11 +214,11 @@
                 if not response.prepared:
                     self._record_answer_start(request)
                     await response.prepare(request)
+                if self.rate_limit is not None:
+                    await self.rate_limit(volume.id, self.config.read_class, OUTBOUND, len(chunk))
                 self.accounts.count_bytes(request[AUTHENTICATED], OUTBOUND, len(chunk))
                 async with asyncio.timeout(self.config.idle_s):
                     await response.write(chunk)
-                if self.rate_limit is not None:
-                    await self.rate_limit(volume.id, self.config.read_class, OUTBOUND, len(chunk))
             await response.write_eof()
         except (*TRUNCATING_ERRORS, TimeoutError):
             if not response.prepared:
--- a/tests/failure_mutants.py
+++ b/tests/failure_mutants.py
@@ -5,6 +5,7 @@
 from tests.mutant import Mutant
 
 ANSWERS = "tests/test_net_answers.py::"
+RATES = "tests/test_net_body_rates.py::"
 ENDLESS = "tests/test_net_endless_requests.py::"
 SERVICE_PROMISES = (
     "tests/test_net_promises.py::test_in_random_orders_nothing_runs_that_was_refused_or_stands_behind_a_close"
@@ -26,6 +27,20 @@
 SURPLUS = "tests/test_fleet_upstream.py::test_a_connection_with_bytes_after_a_response_is_not_reused"
 
 FAILURE_MUTANTS = (
+    Mutant(
+        "in service, an answer's body has no rate",
+        "net/frontend",
+        "                        await self.rate_limit(volume, klass, OUTBOUND, len(chunk))",
+        "                        pass",
+        RATES + "test_no_piece_of_an_answer_comes_ahead_of_the_rate",
+    ),
+    Mutant(
+        "an object's body has no rate",
+        "objects/request_handlers",
+        "                    await self.rate_limit(volume.id, self.config.read_class, OUTBOUND, len(chunk))",
+        "                    pass",
+        RATES + "test_no_piece_of_an_object_comes_ahead_of_the_rate",
+    ),
     Mutant(
         "in service, the log does not name a backend that was cut off",
         "net/backend_connection",
