In service, a stall at a request's deadline no longer turns its 503 into 502

Callers saw: 502 where a repetition is harmless, from a head that stood still for some milliseconds at the deadline. Cause: the backstop of a request expires 4 ms after its deadline. After a stall it expires in the same iteration of the event loop as the timers of the attempts and of the scheduler, and it failed the request before the scheduler had had their events. Change: where events wait, the backstop acts after they have been handled. A unit test of both timers in one iteration fails before (2 of 3 cases).

--- a/hophinge/core/exchange/event_loop_driver.py
+++ b/hophinge/core/exchange/event_loop_driver.py
@@ -238,6 +238,16 @@
             attempt.stop()
 
     def _fail_overdue(self, request: OpenRequest) -> None:
+        """Fail a request that is unanswered at its backstop, after the scheduler has had the events of this iteration.
+
+        After a stall the timers of its attempts expire in the same iteration, and the scheduler answers by these.
+        """
+        if self.events:
+            self.loop.call_soon(lambda: self._fail_unanswered(request))
+        else:
+            self._fail_unanswered(request)
+
+    def _fail_unanswered(self, request: OpenRequest) -> None:
         if request.answer is not None:
             self.counters.add("requests_overdue")
             self._answer(request, Answer(Verdict.FAILED))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -53,6 +53,17 @@
                 timer.callback()
         self.now = until
 
+    def stall(self, span: int) -> None:
+        """Run all timers that became due in one iteration, as an event loop does that stood still."""
+        self.now += span
+        due: list[Timer] = []
+        while self.timers and self.timers[0][0] <= self.now:
+            due.append(heapq.heappop(self.timers)[2])
+        for timer in due:
+            if timer.callback is not None:
+                timer.callback()
+        self.advance(0)
+
 
 class Desk:
     """An exchange with its effects in lists: answers by request, started attempts, and stopped attempts."""
@@ -196,6 +207,19 @@
     assert [answer.verdict for answer in desk.answers["a"]] == [Verdict.FAILED] and desk.counts["requests_overdue"] == 1
 
 
+# Guards against 502 where a repetition is harmless: the timer of the attempt and the backstop expire at once.
+@pytest.mark.parametrize("stall", [0, GRACE, 20 * MS])
+def test_a_stall_at_the_deadline_does_not_change_the_answer(stall: int) -> None:
+    desk = Desk()
+    desk.arrive("a", left=500 * MS)
+    desk.loop.advance(0)
+    assert len(desk.out) == 1
+    desk.loop.advance(500 * MS - 1)
+    desk.loop.stall(1 + stall)
+    assert [answer.verdict for answer in desk.answers["a"]] == [Verdict.REFUSED]
+    assert desk.counts["attempts_timeout"] == 1 and desk.counts["requests_overdue"] == 0
+
+
 def test_an_attempt_that_cannot_start_counts_as_a_failed_connect() -> None:
     desk = Desk()
 
